--- /dev/null
+++ b/quillcove_core/src/agent/slots.rs
@@ -0,0 +1,297 @@
+//! The engine's adapter slots as the agent knows them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::adapter::AdapterRef;
+use crate::agent::event::{EngineReport, EvictRule};
+use crate::bundle::FleetBundle;
+use crate::demand::DemandMeter;
+use crate::ids::MonoTime;
+
+/// State of one slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotState {
+    /// A load order is out.
+    Loading,
+    /// Serves requests.
+    Ready,
+    /// An unload order is out, or may still take effect.
+    Unloading,
+}
+
+/// One adapter in a slot.
+#[derive(Clone, Debug)]
+pub struct AdapterSlot {
+    /// State.
+    pub state: SlotState,
+    /// Attempts of this agent that use the adapter, from their start to their last byte.
+    pub pins: usize,
+    /// Requests of an earlier agent that may still run; they only become fewer.
+    pub foreign: usize,
+    /// Last use.
+    pub used: MonoTime,
+}
+
+/// All slots of one run of the engine.
+#[derive(Debug, Default)]
+pub struct SlotTable {
+    /// Number of slots.
+    pub total: usize,
+    slots: BTreeMap<AdapterRef, AdapterSlot>,
+}
+
+impl SlotTable {
+    /// The slots as a report shows them, for an agent that takes over an engine.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::event::EngineReport;
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// let report = EngineReport { slots: 4, ..EngineReport::default() };
+    /// assert!(SlotTable::from_report(&report, Duration::ZERO).has_free());
+    /// ```
+    pub fn from_report(report: &EngineReport, now: MonoTime) -> Self {
+        let mut table = Self {
+            total: report.slots,
+            slots: BTreeMap::new(),
+        };
+        for adapter in &report.loaded {
+            table.add(adapter, SlotState::Ready, now);
+        }
+        for (adapter, running) in &report.running {
+            if let Some(slot) = table.slots.get_mut(adapter) {
+                slot.foreign = *running;
+            }
+        }
+        table
+    }
+
+    /// Adds an adapter.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::adapter::AdapterRef;
+    /// use quillcove_core::agent::slots::{SlotState, SlotTable};
+    ///
+    /// let mut table = SlotTable::default();
+    /// table.add(&AdapterRef::new("shuttle", 1), SlotState::Ready, Duration::ZERO);
+    /// assert!(table.is_ready(&AdapterRef::new("shuttle", 1)));
+    /// ```
+    pub fn add(&mut self, adapter: &AdapterRef, state: SlotState, now: MonoTime) {
+        let slot = AdapterSlot {
+            state,
+            pins: 0,
+            foreign: 0,
+            used: now,
+        };
+        self.slots.insert(adapter.clone(), slot);
+    }
+
+    /// Removes an adapter.
+    ///
+    /// ```
+    /// use quillcove_core::adapter::AdapterRef;
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// SlotTable::default().remove(&AdapterRef::new("shuttle", 1));
+    /// ```
+    pub fn remove(&mut self, adapter: &AdapterRef) {
+        self.slots.remove(adapter);
+    }
+
+    /// One slot.
+    ///
+    /// ```
+    /// use quillcove_core::adapter::AdapterRef;
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// assert!(SlotTable::default().get(&AdapterRef::new("shuttle", 1)).is_none());
+    /// ```
+    pub fn get(&self, adapter: &AdapterRef) -> Option<&AdapterSlot> {
+        self.slots.get(adapter)
+    }
+
+    /// One slot, to change.
+    ///
+    /// ```
+    /// use quillcove_core::adapter::AdapterRef;
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// assert!(SlotTable::default().get_mut(&AdapterRef::new("shuttle", 1)).is_none());
+    /// ```
+    pub fn get_mut(&mut self, adapter: &AdapterRef) -> Option<&mut AdapterSlot> {
+        self.slots.get_mut(adapter)
+    }
+
+    /// All slots by adapter.
+    ///
+    /// ```
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// assert_eq!(SlotTable::default().iter().count(), 0);
+    /// ```
+    pub fn iter(&self) -> impl Iterator<Item = (&AdapterRef, &AdapterSlot)> {
+        self.slots.iter()
+    }
+
+    /// Tells whether requests for the adapter can start.
+    ///
+    /// ```
+    /// use quillcove_core::adapter::AdapterRef;
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// assert!(!SlotTable::default().is_ready(&AdapterRef::new("shuttle", 1)));
+    /// ```
+    pub fn is_ready(&self, adapter: &AdapterRef) -> bool {
+        self.slots
+            .get(adapter)
+            .is_some_and(|slot| slot.state == SlotState::Ready)
+    }
+
+    /// Tells whether a slot is free.
+    ///
+    /// ```
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// assert!(!SlotTable::default().has_free());
+    /// ```
+    pub fn has_free(&self) -> bool {
+        self.slots.len() < self.total
+    }
+
+    /// Takes a later report of the same run of the engine. Reports lag, so a slot is dropped
+    /// only when nothing is pinned and no order is out; requests of an earlier agent only become
+    /// fewer, except while the agent has just taken over and reports may be older than it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::event::EngineReport;
+    /// use quillcove_core::agent::slots::SlotTable;
+    ///
+    /// let mut table = SlotTable::default();
+    /// table.update(&EngineReport::default(), false, true, Duration::ZERO);
+    /// ```
+    pub fn update(
+        &mut self,
+        report: &EngineReport,
+        settling: bool,
+        orders_seen: bool,
+        now: MonoTime,
+    ) {
+        for (adapter, slot) in &mut self.slots {
+            let running = report.running.iter().find(|(other, _)| other == adapter);
+            let running = running.map_or(0, |(_, count)| *count);
+            slot.foreign = match settling {
+                true => slot.foreign.max(running.saturating_sub(slot.pins)),
+                false => slot.foreign.min(running),
+            };
+        }
+        if !orders_seen {
+            return;
+        }
+        let lost = |adapter: &AdapterRef, slot: &AdapterSlot| {
+            slot.state == SlotState::Ready && slot.pins == 0 && !report.loaded.contains(adapter)
+        };
+        self.slots.retain(|adapter, slot| !lost(adapter, slot));
+        for adapter in &report.loaded {
+            if !self.slots.contains_key(adapter) {
+                self.add(adapter, SlotState::Ready, now);
+            }
+        }
+    }
+}
+
+/// Ranks adapters for eviction.
+pub struct EvictRank<'a> {
+    /// Rule in use.
+    pub rule: EvictRule,
+    /// Demand by adapter.
+    pub demand: &'a BTreeMap<AdapterRef, DemandMeter>,
+    /// Half-life of demand.
+    pub half_life: Duration,
+    /// Bundle in force.
+    pub bundle: &'a FleetBundle,
+}
+
+impl EvictRank<'_> {
+    /// Value of keeping an adapter loaded: its expected requests a second, weighed by priority.
+    /// An adapter that the bundle no longer serves has none.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use std::time::Duration;
+    /// use quillcove_core::adapter::AdapterRef;
+    /// use quillcove_core::agent::event::EvictRule;
+    /// use quillcove_core::agent::slots::EvictRank;
+    /// use quillcove_core::bundle::FleetBundle;
+    ///
+    /// let rank = EvictRank {
+    ///     rule: EvictRule::Value,
+    ///     demand: &BTreeMap::new(),
+    ///     half_life: Duration::from_secs(30),
+    ///     bundle: &FleetBundle::default(),
+    /// };
+    /// assert_eq!(rank.value(&AdapterRef::new("shuttle", 1), Duration::ZERO), 0.0);
+    /// ```
+    pub fn value(&self, adapter: &AdapterRef, now: MonoTime) -> f64 {
+        if !self.bundle.serves(adapter) {
+            return 0.0;
+        }
+        let meter = self.demand.get(adapter);
+        let rate = meter.map_or(0.0, |meter| meter.rate(now, self.half_life));
+        rate * priority_weight(self.bundle.priority_of(adapter))
+    }
+
+    /// The adapter to unload: loaded, unpinned, without a request waiting for it, and lowest by
+    /// the rule.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::event::EvictRule;
+    /// use quillcove_core::agent::slots::{EvictRank, SlotTable};
+    /// use quillcove_core::bundle::FleetBundle;
+    ///
+    /// let rank = EvictRank {
+    ///     rule: EvictRule::Lru,
+    ///     demand: &BTreeMap::new(),
+    ///     half_life: Duration::from_secs(30),
+    ///     bundle: &FleetBundle::default(),
+    /// };
+    /// assert!(rank.victim(&SlotTable::default(), |_| false, Duration::ZERO).is_none());
+    /// ```
+    pub fn victim(
+        &self,
+        table: &SlotTable,
+        is_wanted: impl Fn(&AdapterRef) -> bool,
+        now: MonoTime,
+    ) -> Option<AdapterRef> {
+        let idle = table.iter().filter(|(adapter, slot)| {
+            let unused = slot.pins == 0 && slot.foreign == 0;
+            slot.state == SlotState::Ready && unused && !is_wanted(adapter)
+        });
+        let oldest = |slot: &AdapterSlot| slot.used;
+        let chosen = match self.rule {
+            EvictRule::Lru => idle.min_by_key(|(_, slot)| oldest(slot)),
+            EvictRule::Value => idle.min_by(|(a, slot_a), (b, slot_b)| {
+                let order = self.value(a, now).total_cmp(&self.value(b, now));
+                order.then(oldest(slot_a).cmp(&oldest(slot_b)))
+            }),
+        };
+        chosen.map(|(adapter, _)| adapter.clone())
+    }
+}
+
+/// Weight of a bundle's priority: each step counts a quarter more.
+///
+/// ```
+/// use quillcove_core::agent::slots::priority_weight;
+///
+/// assert_eq!(priority_weight(0), 1.0);
+/// assert_eq!(priority_weight(4), 2.0);
+/// ```
+pub fn priority_weight(priority: u8) -> f64 {
+    1.0 + f64::from(priority) / 4.0
+}
--- /dev/null
+++ b/quillcove_core/src/agent/view.rs
@@ -0,0 +1,179 @@
+//! The agent's state for the dump and for metrics.
+
+use serde::Serialize;
+
+use super::AgentMachine;
+use super::event::{HostState, UpstreamKind};
+use super::slots::SlotState;
+use crate::class::WorkClass;
+use crate::ids::{BundleVersion, HostId, Incarnation, MonoTime};
+
+/// One slot in a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct SlotView {
+    /// Adapter with version.
+    pub adapter: String,
+    /// `loading`, `ready` or `unloading`.
+    pub state: &'static str,
+    /// Attempts that use it.
+    pub pins: usize,
+    /// Requests of an earlier agent that may still run.
+    pub foreign: usize,
+    /// Requests a second, faded.
+    pub demand: f64,
+}
+
+/// An agent's state in a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct AgentView {
+    /// Host of the agent.
+    pub host: HostId,
+    /// Run of the agent.
+    pub incarnation: Incarnation,
+    /// Kind of upstream.
+    pub kind: UpstreamKind,
+    /// Whether the upstream answers.
+    pub upstream_up: bool,
+    /// Whether new work is refused because the process or its host leaves.
+    pub leaving: bool,
+    /// Bundle in force, 0 for none.
+    pub bundle: BundleVersion,
+    /// Attempts at the upstream.
+    pub running: usize,
+    /// Attempts that wait.
+    pub waiting: usize,
+    /// Places at the upstream.
+    pub capacity: usize,
+    /// Attempts at the upstream by class, most urgent first.
+    pub running_by_class: [usize; 3],
+    /// Marks kept against late copies.
+    pub marks: usize,
+    /// Runs on record that must not happen twice.
+    pub once_runs: usize,
+    /// Run of the engine, 0 for none.
+    pub engine_incarnation: Incarnation,
+    /// Term of this agent at its engine.
+    pub engine_term: u64,
+    /// Whether another agent has taken the engine over.
+    pub superseded: bool,
+    /// Loads done since the engine was taken over.
+    pub loads_done: u64,
+    /// Number of adapter slots.
+    pub slots_total: usize,
+    /// Slots in use.
+    pub slots: Vec<SlotView>,
+}
+
+impl AgentMachine {
+    /// The state at this time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::AgentMachine;
+    /// use quillcove_core::agent::event::AgentRules;
+    /// use quillcove_core::once::book::{BookLimits, OnceBook};
+    ///
+    /// let book = OnceBook::new("e1", 5, [7; 32], BookLimits::default(), Duration::ZERO);
+    /// let machine = AgentMachine::new("e1", 5, AgentRules::default(), book, Duration::ZERO);
+    /// assert_eq!(machine.view(Duration::ZERO).waiting, 0);
+    /// ```
+    pub fn view(&self, now: MonoTime) -> AgentView {
+        let engine = self.engine.as_ref();
+        AgentView {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            kind: self.rules.kind,
+            upstream_up: self.is_upstream_up,
+            leaving: self.is_leaving(),
+            bundle: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
+            running: self.running.len(),
+            waiting: self.room.len(),
+            capacity: self.capacity(),
+            running_by_class: WorkClass::ALL.map(|class| self.running_of(class)),
+            marks: self.marks.len(),
+            once_runs: self.book.runs(),
+            engine_incarnation: engine.map_or(0, |engine| engine.incarnation),
+            engine_term: engine.map_or(0, |engine| engine.term()),
+            superseded: engine.is_some_and(|engine| engine.is_superseded),
+            loads_done: engine.map_or(0, |engine| engine.loads_done),
+            slots_total: engine.map_or(0, |engine| engine.table.total),
+            slots: self.slot_views(now),
+        }
+    }
+
+    /// Tells whether new work is refused because the process or its host leaves.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::AgentMachine;
+    /// use quillcove_core::agent::event::AgentRules;
+    /// use quillcove_core::once::book::{BookLimits, OnceBook};
+    ///
+    /// let book = OnceBook::new("e1", 5, [7; 32], BookLimits::default(), Duration::ZERO);
+    /// let machine = AgentMachine::new("e1", 5, AgentRules::default(), book, Duration::ZERO);
+    /// assert!(!machine.is_leaving());
+    /// ```
+    pub fn is_leaving(&self) -> bool {
+        let is_superseded = self
+            .engine
+            .as_ref()
+            .is_some_and(|engine| engine.is_superseded);
+        self.is_stopping || self.host_state == HostState::Leaving || is_superseded
+    }
+
+    /// Attempts running, waiting and places, for the news that goes with each answer.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::AgentMachine;
+    /// use quillcove_core::agent::event::AgentRules;
+    /// use quillcove_core::once::book::{BookLimits, OnceBook};
+    ///
+    /// let book = OnceBook::new("e1", 5, [7; 32], BookLimits::default(), Duration::ZERO);
+    /// let machine = AgentMachine::new("e1", 5, AgentRules::default(), book, Duration::ZERO);
+    /// assert_eq!(machine.load().running, 0);
+    /// ```
+    pub fn load(&self) -> AgentLoad {
+        AgentLoad {
+            running: self.running.len(),
+            waiting: self.room.len(),
+            capacity: self.capacity(),
+        }
+    }
+
+    fn slot_views(&self, now: MonoTime) -> Vec<SlotView> {
+        let Some(engine) = &self.engine else {
+            return Vec::new();
+        };
+        let view = |(adapter, slot): (&crate::adapter::AdapterRef, &super::slots::AdapterSlot)| {
+            let meter = self.demand.get(adapter);
+            SlotView {
+                adapter: adapter.to_string(),
+                state: slot_label(slot.state),
+                pins: slot.pins,
+                foreign: slot.foreign,
+                demand: meter.map_or(0.0, |meter| meter.rate(now, self.rules.half_life)),
+            }
+        };
+        engine.table.iter().map(view).collect()
+    }
+}
+
+/// Load of an agent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AgentLoad {
+    /// Attempts at the upstream.
+    pub running: usize,
+    /// Attempts that wait.
+    pub waiting: usize,
+    /// Places at the upstream.
+    pub capacity: usize,
+}
+
+fn slot_label(state: SlotState) -> &'static str {
+    match state {
+        SlotState::Loading => "loading",
+        SlotState::Ready => "ready",
+        SlotState::Unloading => "unloading",
+    }
+}
--- /dev/null
+++ b/quillcove_core/src/entry/retry.rs
@@ -0,0 +1,75 @@
+//! The budget of repeats, so that an overload is not made worse by them.
+
+/// Repeats that may be saved up.
+const SAVING_LIMIT: f64 = 20.0;
+
+/// Allows repeats as a share of first attempts.
+///
+/// ```
+/// use quillcove_core::entry::retry::RetryBudget;
+///
+/// let mut budget = RetryBudget::new(0.5);
+/// while budget.take() {}
+/// budget.note_first();
+/// assert!(!budget.take());
+/// budget.note_first();
+/// assert!(budget.take());
+/// ```
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    share: f64,
+    left: f64,
+}
+
+impl RetryBudget {
+    /// A budget with a full saving.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// assert!(RetryBudget::new(0.2).left() > 0.0);
+    /// ```
+    pub fn new(share: f64) -> Self {
+        Self {
+            share,
+            left: SAVING_LIMIT,
+        }
+    }
+
+    /// Counts a first attempt.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// RetryBudget::new(0.2).note_first();
+    /// ```
+    pub fn note_first(&mut self) {
+        self.left = (self.left + self.share).min(SAVING_LIMIT);
+    }
+
+    /// Takes one repeat; `false` when there is none left.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// assert!(RetryBudget::new(0.2).take());
+    /// ```
+    pub fn take(&mut self) -> bool {
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+
+    /// Repeats allowed now.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// assert_eq!(RetryBudget::new(0.2).left(), 20.0);
+    /// ```
+    pub fn left(&self) -> f64 {
+        self.left
+    }
+}
--- /dev/null
+++ b/quillcove_core/src/rendezvous.rs
@@ -0,0 +1,33 @@
+//! Rendezvous hashing (Thaler and Ravishankar, 1998): all processes that know the same hosts
+//! rank them alike for a key, with no exchange between them.
+
+use std::hash::{Hash, Hasher};
+
+use siphasher::sip::SipHasher13;
+
+/// Rank of one host for one key; higher goes first.
+///
+/// ```
+/// use quillcove_core::rendezvous::weight;
+///
+/// assert_eq!(weight("shuttle@3", "e1"), weight("shuttle@3", "e1"));
+/// assert_ne!(weight("shuttle@3", "e1"), weight("shuttle@3", "e2"));
+/// ```
+pub fn weight(key: &str, host: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    key.hash(&mut hasher);
+    host.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The host that ranks highest for a key; `None` when there are no hosts.
+///
+/// ```
+/// use quillcove_core::rendezvous::first;
+///
+/// assert_eq!(first("k", ["a"].into_iter()), Some("a"));
+/// assert_eq!(first("k", [].into_iter()), None);
+/// ```
+pub fn first<'a>(key: &str, hosts: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    hosts.max_by_key(|host| weight(key, host))
+}
