--- /dev/null
+++ b/quillcove/src/agent/mod.rs
@@ -0,0 +1,338 @@
+//! The agent: one process beside one upstream.
+//!
+//! Duties: `decide` owns the machine; `serve` passes attempts to the upstream and answers other
+//! processes and operators; `orders` talks to the engine and the keeper of permits; `watch`
+//! follows the platform.
+
+mod calls;
+mod decide;
+mod orders;
+mod serve;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use quillcove_core::agent::AgentMachine;
+use quillcove_core::agent::event::AgentEvent;
+use quillcove_core::ids::Incarnation;
+use quillcove_core::once::book::OnceBook;
+use quillcove_core::permit::PermitKeeper;
+use slog::{Logger, info};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use self::calls::ControlAnswers;
+use self::decide::{AgentInput, DecideDuty};
+use self::orders::OrderDuty;
+use self::serve::ServeContext;
+use crate::bundle::shelf::FleetShelf;
+use crate::bundle::watch::{FleetWatch, WatchNews};
+use crate::clock::MonoClock;
+use crate::config::agent::AgentSettings;
+use crate::duty::{self, DutyRing};
+use crate::metrics::ProcessMetrics;
+use crate::operator::{self, ProcessInspector};
+use crate::platform::HttpPlatform;
+
+/// Events that may wait for the deciding duty.
+const RING_PLACES: usize = 4096;
+
+/// Tasks that may wait for the other duties.
+const TASK_PLACES: usize = 256;
+
+/// Time between ticks of the machine.
+const TICK: Duration = Duration::from_millis(20);
+
+/// A running agent.
+pub struct AgentProcess {
+    /// Address for attempts.
+    pub data: SocketAddr,
+    /// Address for calls of other quillcove processes.
+    pub control: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    ring: DutyRing<AgentInput>,
+    threads: Vec<JoinHandle<()>>,
+    halt: watch::Sender<bool>,
+    is_ready: Arc<AtomicBool>,
+}
+
+/// Addresses that the serving duty has bound.
+struct BoundAddresses {
+    data: SocketAddr,
+    control: SocketAddr,
+    operator: SocketAddr,
+}
+
+impl AgentProcess {
+    /// Starts all duties.
+    ///
+    /// # Errors
+    ///
+    /// When an address can not be bound, as when another agent runs on this host already.
+    ///
+    /// ```
+    /// use quillcove::agent::AgentProcess;
+    /// use quillcove::config::agent::AgentSettings;
+    ///
+    /// let agent =
+    ///     AgentProcess::start(AgentSettings::default(), quillcove::logging::silent()).unwrap();
+    /// agent.stop();
+    /// agent.join();
+    /// ```
+    pub fn start(settings: AgentSettings, log: Logger) -> eyre::Result<Self> {
+        let clock = MonoClock::start();
+        let incarnation = rand::random::<u64>() | 1;
+        let settings = Arc::new(settings);
+        let metrics = Arc::new(ProcessMetrics::new("agent")?);
+        let shelf = FleetShelf::default();
+        let (ring, inputs) = DutyRing::new(RING_PLACES);
+        let (order_tasks, order_receiver) = mpsc::channel(TASK_PLACES);
+        let (watch_asks, watch_receiver) = mpsc::channel(TASK_PLACES);
+        let (halt, halted) = watch::channel(false);
+        let is_ready = Arc::new(AtomicBool::new(false));
+
+        let machine = machine(&settings, incarnation, &clock);
+        let decide = DecideDuty {
+            machine,
+            clock,
+            order_tasks,
+            watch_asks,
+            halt: halt.clone(),
+            is_ready: is_ready.clone(),
+            pending: Default::default(),
+            withdrawals: Default::default(),
+            log: log.clone(),
+        };
+        let orders = OrderDuty::new(
+            settings.clone(),
+            ring.clone(),
+            shelf.clone(),
+            metrics.clone(),
+        );
+        let keeper = Arc::new(std::sync::Mutex::new(PermitKeeper::new(
+            Default::default(),
+            clock.now(),
+        )));
+        let answers = ControlAnswers {
+            ring: ring.clone(),
+            shelf: shelf.clone(),
+            keeper,
+            clock,
+        };
+        let serve = ServeContext::new(settings.clone(), ring.clone(), clock, metrics);
+        let inspector = AgentInspector {
+            ring: ring.clone(),
+            is_ready: is_ready.clone(),
+        };
+
+        let (bound_sender, bound) = std::sync::mpsc::channel();
+        let mut threads = vec![decide.spawn(inputs, TICK)];
+        let halted_serve = halted.clone();
+        let serve_log = log.clone();
+        let workers = settings.listen.threads;
+        threads.push(duty::spawn("serve", move || {
+            let run = run_servers(
+                serve,
+                answers,
+                inspector,
+                bound_sender,
+                halted_serve,
+                serve_log,
+            );
+            duty::run_async(workers, run);
+        }));
+        let bound = bound.recv().wrap_err("the serving duty ended")??;
+        threads.push(duty::spawn("orders", move || {
+            duty::run_async(1, orders.run(order_receiver));
+        }));
+        let own_control = Some(bound.control.to_string());
+        let watch_ring = ring.clone();
+        let host = settings.process.host.clone();
+        let notify = move |news: WatchNews| tell_machine(&watch_ring, &host, news);
+        let platform = HttpPlatform::new(settings.platform.address, settings.platform.timeout);
+        let sections = (settings.platform.clone(), settings.bundle.clone());
+        let watch = FleetWatch::new(platform, sections, own_control, shelf, log.clone(), notify);
+        threads.push(duty::spawn("watch", move || {
+            duty::run_async(1, watch.run(watch_receiver));
+        }));
+        info!(log, "agent started"; "data" => %bound.data, "control" => %bound.control,
+            "operator" => %bound.operator);
+        let BoundAddresses {
+            data,
+            control,
+            operator,
+        } = bound;
+        Ok(Self {
+            data,
+            control,
+            operator,
+            ring,
+            threads,
+            halt,
+            is_ready,
+        })
+    }
+
+    /// Begins the planned stop: new work is refused and what is in flight ends whole.
+    ///
+    /// ```no_run
+    /// # fn run(agent: quillcove::agent::AgentProcess) {
+    /// agent.stop();
+    /// # }
+    /// ```
+    pub fn stop(&self) {
+        self.ring.put(AgentInput::Event(AgentEvent::StopAsked));
+    }
+
+    /// Ends at once and cuts what is in flight.
+    ///
+    /// ```no_run
+    /// # fn run(agent: quillcove::agent::AgentProcess) {
+    /// agent.abort();
+    /// # }
+    /// ```
+    pub fn abort(&self) {
+        self.halt.send_replace(true);
+        self.ring.put(AgentInput::Halt);
+    }
+
+    /// Tells whether the planned stop is over.
+    ///
+    /// ```no_run
+    /// # fn run(agent: quillcove::agent::AgentProcess) {
+    /// assert!(!agent.has_stopped());
+    /// # }
+    /// ```
+    pub fn has_stopped(&self) -> bool {
+        *self.halt.borrow()
+    }
+
+    /// Tells whether new work is taken.
+    ///
+    /// ```no_run
+    /// # fn run(agent: quillcove::agent::AgentProcess) {
+    /// assert!(agent.is_ready());
+    /// # }
+    /// ```
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+
+    /// Attempts at the upstream now.
+    ///
+    /// ```no_run
+    /// # fn run(agent: quillcove::agent::AgentProcess) {
+    /// println!("{}", agent.in_flight());
+    /// # }
+    /// ```
+    pub fn in_flight(&self) -> usize {
+        let (sender, receiver) = oneshot::channel();
+        self.ring.put(AgentInput::Dump(sender));
+        receiver.blocking_recv().map_or(0, |view| view.running)
+    }
+
+    /// Waits for the end of all duties.
+    ///
+    /// ```no_run
+    /// # fn run(agent: quillcove::agent::AgentProcess) {
+    /// agent.stop();
+    /// agent.join();
+    /// # }
+    /// ```
+    pub fn join(self) {
+        drop(self.ring);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn machine(settings: &AgentSettings, incarnation: Incarnation, clock: &MonoClock) -> AgentMachine {
+    let host = &settings.process.host;
+    let secret = rand::random();
+    let now = clock.now();
+    let book = OnceBook::new(host, incarnation, secret, settings.book_limits(), now);
+    AgentMachine::new(host, incarnation, settings.rules(), book, now)
+}
+
+/// Hands the watching duty's news to the machine. An agent that is not in the host list is not
+/// leaving: the list may be older than the host.
+fn tell_machine(ring: &DutyRing<AgentInput>, host: &str, news: WatchNews) {
+    let event = match news {
+        WatchNews::Bundle(bundle) => AgentEvent::BundleTaken(bundle),
+        WatchNews::Hosts(hosts) => {
+            let own = hosts
+                .as_ref()
+                .and_then(|hosts| hosts.iter().find(|r| r.host == host));
+            AgentEvent::HostSeen(own.map(|record| record.state))
+        }
+    };
+    ring.put(AgentInput::Event(event));
+}
+
+/// Runs the servers until the process halts.
+async fn run_servers(
+    serve: ServeContext,
+    answers: ControlAnswers,
+    inspector: AgentInspector,
+    bound: std::sync::mpsc::Sender<eyre::Result<BoundAddresses>>,
+    mut halted: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let metrics = serve.metrics();
+    let listen = serve.listen();
+    let started = async {
+        let data = serve::start(serve, &log)?;
+        let control = calls::serve(listen.control, answers).await;
+        let control = control.wrap_err_with(|| format!("can not listen on {}", listen.control))?;
+        let operator = operator::start(listen.operator, inspector, metrics, &log)?;
+        eyre::Ok((data, control, operator))
+    };
+    let (data, control, operator) = match started.await {
+        Ok(servers) => servers,
+        Err(error) => {
+            let _ = bound.send(Err(error));
+            return;
+        }
+    };
+    let addresses = BoundAddresses {
+        data: data.local_addr(),
+        control,
+        operator: operator.local_addr(),
+    };
+    let _ = bound.send(Ok(addresses));
+    let _ = halted.wait_for(|is_halted| *is_halted).await;
+    // Answers that ended whole still have to leave the process.
+    let close = async {
+        let _ = data.close().await;
+    };
+    let _ = tokio::time::timeout(Duration::from_secs(2), close).await;
+}
+
+/// What operators may see of an agent.
+struct AgentInspector {
+    ring: DutyRing<AgentInput>,
+    is_ready: Arc<AtomicBool>,
+}
+
+impl ProcessInspector for AgentInspector {
+    fn state(&self) -> BoxFuture<'_, serde_json::Value> {
+        async move {
+            let (sender, receiver) = oneshot::channel();
+            self.ring.put(AgentInput::Dump(sender));
+            let view = receiver.await.ok();
+            serde_json::to_value(view).unwrap_or_default()
+        }
+        .boxed()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/quillcove/src/agent/serve.rs
@@ -0,0 +1,413 @@
+//! The data path of an agent: attempts from entries to the upstream and back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::{ApiDescription, Body, HttpServer, Path, RequestContext, StreamingBody};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use quillcove_core::agent::event::{AgentEvent, RunEnd, RunOrder, UpstreamKind, WorkTarget};
+use quillcove_core::agent::verdict_of;
+use quillcove_core::class::WorkClass;
+use quillcove_core::entry::event::AgentNews;
+use quillcove_core::ids::{AttemptId, Incarnation};
+use quillcove_core::once::book::OnceClaim;
+use quillcove_core::verdict::{RefusalReason, RunVerdict, WorkRefusal};
+use slog::Logger;
+use tokio::sync::oneshot;
+
+use super::decide::{AgentInput, AttemptDecision};
+use crate::clock::MonoClock;
+use crate::config::agent::{AgentListen, AgentSettings};
+use crate::duty::DutyRing;
+use crate::logging::quiet;
+use crate::metrics::ProcessMetrics;
+use crate::web::answer::{WebAnswer, explain, internal, refusal};
+use crate::web::body::{self, BodyEnd, WatchedBody};
+use crate::web::client::{WebClient, WebError};
+use crate::web::headers;
+use crate::web::server::{self, RestPath, register_any_method};
+
+/// Largest body of an attempt, in bytes; the entry's limit is what callers meet.
+const BODY_LIMIT: usize = 64 << 20;
+
+/// Largest answer of a plain service, in bytes.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Longest time for a connection to the upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for an attempt that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// Longest time that the answer of a run that must not happen twice is awaited after its
+/// deadline, so that its outcome is known.
+const OUTCOME_TIME: Duration = Duration::from_secs(60);
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct ServeContext {
+    settings: Arc<AgentSettings>,
+    ring: DutyRing<AgentInput>,
+    clock: MonoClock,
+    metrics: Arc<ProcessMetrics>,
+    client: WebClient,
+}
+
+impl ServeContext {
+    pub fn new(
+        settings: Arc<AgentSettings>,
+        ring: DutyRing<AgentInput>,
+        clock: MonoClock,
+        metrics: Arc<ProcessMetrics>,
+    ) -> Self {
+        // A connection that the upstream may close at any moment is not reused for a run that
+        // must not happen twice, so none is kept for plain services.
+        let idle = match settings.upstream.kind {
+            UpstreamKind::Engine => Duration::from_secs(5),
+            UpstreamKind::Service => Duration::ZERO,
+        };
+        let client = WebClient::new(CONNECT_TIMEOUT, idle);
+        Self {
+            settings,
+            ring,
+            clock,
+            metrics,
+            client,
+        }
+    }
+
+    pub fn metrics(&self) -> Arc<ProcessMetrics> {
+        self.metrics.clone()
+    }
+
+    pub fn listen(&self) -> AgentListen {
+        self.settings.listen.clone()
+    }
+
+    fn end(&self, attempt: AttemptId, end: RunEnd) {
+        self.ring
+            .put(AgentInput::Event(AgentEvent::Ended(attempt, end)));
+    }
+}
+
+/// Gives up an attempt whose handler goes before it was handed to the upstream.
+struct AttemptGuard {
+    ring: DutyRing<AgentInput>,
+    attempt: AttemptId,
+    incarnation: Incarnation,
+    is_armed: bool,
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        if self.is_armed {
+            self.ring
+                .put(AgentInput::Abandoned(self.attempt, self.incarnation));
+        }
+    }
+}
+
+/// One attempt as it goes to the upstream.
+struct UpstreamCall {
+    method: Method,
+    uri: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+async fn take_attempt(
+    context: RequestContext<ServeContext>,
+    path: Path<RestPath>,
+    body: StreamingBody,
+) -> WebAnswer {
+    let state = context.context().clone();
+    let request = &context.request;
+    let order = match read_order(&state, request.headers()) {
+        Ok(order) => order,
+        Err(message) => {
+            let bad = WorkRefusal::not_run(RefusalReason::BadRequest, None);
+            return mark_refused(refusal(&bad, &message), None);
+        }
+    };
+    let query = request
+        .uri()
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
+    let rest = path.into_inner().path.join("/");
+    let upstream = &state.settings.upstream;
+    let call = UpstreamCall {
+        method: request.method().clone(),
+        uri: format!(
+            "http://{}{}/{rest}{query}",
+            upstream.address, upstream.path_prefix
+        ),
+        headers: headers::passed(request.headers()),
+        body: body::read(body).await?,
+    };
+    run_attempt(state, order, call).await
+}
+
+/// Waits for the decision and hands the attempt to the upstream.
+async fn run_attempt(state: ServeContext, order: RunOrder, call: UpstreamCall) -> WebAnswer {
+    let attempt = order.attempt;
+    let class = order.class;
+    let target = order.target.clone();
+    let deadline = order.deadline;
+    let arrived = state.clock.now();
+    state.metrics.attempted(true);
+    let mut guard = AttemptGuard {
+        ring: state.ring.clone(),
+        attempt,
+        incarnation: order.incarnation,
+        is_armed: true,
+    };
+    let (sender, receiver) = oneshot::channel();
+    if state
+        .ring
+        .offer(AgentInput::Attempt(order, sender))
+        .is_err()
+    {
+        let full = WorkRefusal::not_run(RefusalReason::Overloaded, Some(Duration::from_secs(1)));
+        return mark_refused(refusal(&full, explain(full.reason)), None);
+    }
+    let Ok(AttemptDecision { verdict, news }) = receiver.await else {
+        let gone = WorkRefusal::may_have_run(RefusalReason::Leaving);
+        return mark_refused(refusal(&gone, explain(gone.reason)), None);
+    };
+    guard.is_armed = false;
+    if let Err(refused) = verdict {
+        state.metrics.refused(refused.reason, class);
+        return mark_refused(refusal(&refused, explain(refused.reason)), Some(&news));
+    }
+    state
+        .metrics
+        .stalled(class, state.clock.now().saturating_sub(arrived));
+    match target {
+        WorkTarget::Adapter(_) => pass_to_engine(state, attempt, class, call, news).await,
+        WorkTarget::Service => {
+            let limit = deadline.saturating_sub(state.clock.now()) + OUTCOME_TIME;
+            pass_to_service(state, attempt, class, call, news, limit).await
+        }
+    }
+}
+
+/// Streams an engine's answer. When the caller goes, the connection to the engine is dropped,
+/// which cancels the request there.
+async fn pass_to_engine(
+    state: ServeContext,
+    attempt: AttemptId,
+    class: WorkClass,
+    call: UpstreamCall,
+    news: AgentNews,
+) -> WebAnswer {
+    let mut end_guard = EndGuard {
+        state: state.clone(),
+        attempt,
+        end: Some(RunEnd::Broken),
+    };
+    let response = match state.client.send(upstream_request(call)?).await {
+        Ok(response) => response,
+        Err(error) => return end_guard.fail(&error, &news),
+    };
+    if response.status() == StatusCode::NOT_FOUND {
+        // The engine restarted empty or lost the adapter: it said that it did not run.
+        return end_guard.fail(&WebError::Status(StatusCode::NOT_FOUND), &news);
+    }
+    end_guard.end = None;
+    let started = state.clock.now();
+    let status = response.status().as_u16();
+    let (parts, incoming) = response.into_parts();
+    let body = WatchedBody::new(incoming, move |end| {
+        let end = match end {
+            BodyEnd::Whole => RunEnd::Complete(status),
+            BodyEnd::Broken | BodyEnd::Dropped => RunEnd::Broken,
+        };
+        state.metrics.finished(
+            verdict_of(end),
+            class,
+            state.clock.now().saturating_sub(started),
+        );
+        state.end(attempt, end);
+    });
+    answer(parts, Body::wrap(body), &news)
+}
+
+/// Calls a plain service in a task of its own: once begun, the call is seen through to its end
+/// whatever the caller does, so that its outcome is known.
+async fn pass_to_service(
+    state: ServeContext,
+    attempt: AttemptId,
+    class: WorkClass,
+    call: UpstreamCall,
+    news: AgentNews,
+    limit: Duration,
+) -> WebAnswer {
+    let request = upstream_request(call)?;
+    let task = tokio::spawn(async move {
+        let started = state.clock.now();
+        let exchange = tokio::time::timeout(limit, exchange(&state.client, request)).await;
+        let exchange = exchange.unwrap_or_else(|_| Err(WebError::Lost("time is up".to_string())));
+        let end = match &exchange {
+            Ok((parts, _)) => RunEnd::Complete(parts.status.as_u16()),
+            Err(error) => end_of(error),
+        };
+        state.metrics.finished(
+            verdict_of(end),
+            class,
+            state.clock.now().saturating_sub(started),
+        );
+        state.end(attempt, end);
+        exchange
+    });
+    match task.await.map_err(internal)? {
+        Ok((parts, body)) => answer(parts, Body::from(body), &news),
+        Err(error) => failure(&error, &news),
+    }
+}
+
+async fn exchange(
+    client: &WebClient,
+    request: Request<Full<Bytes>>,
+) -> Result<(http::response::Parts, Bytes), WebError> {
+    let (parts, body) = client.send(request).await?.into_parts();
+    let body = http_body_util::Limited::new(body, ANSWER_LIMIT)
+        .collect()
+        .await;
+    let body = body.map_err(|error| WebError::Lost(error.to_string()))?;
+    Ok((parts, body.to_bytes()))
+}
+
+/// Reports the end of a run whose answer never began.
+struct EndGuard {
+    state: ServeContext,
+    attempt: AttemptId,
+    end: Option<RunEnd>,
+}
+
+impl EndGuard {
+    fn fail(&mut self, error: &WebError, news: &AgentNews) -> WebAnswer {
+        self.end = Some(end_of(error));
+        failure(error, news)
+    }
+}
+
+impl Drop for EndGuard {
+    fn drop(&mut self) {
+        if let Some(end) = self.end {
+            self.state.end(self.attempt, end);
+        }
+    }
+}
+
+/// What an error means for the run: only a connection that was never made, or an upstream that
+/// says so, makes it certain that nothing ran.
+fn end_of(error: &WebError) -> RunEnd {
+    match error {
+        WebError::NotSent(_) | WebError::Status(_) => RunEnd::NotRun,
+        WebError::Lost(_) => RunEnd::Broken,
+    }
+}
+
+fn failure(error: &WebError, news: &AgentNews) -> WebAnswer {
+    let soon = Some(Duration::from_secs(1));
+    let refused = match (end_of(error), error) {
+        (RunEnd::NotRun, WebError::Status(_)) => {
+            WorkRefusal::not_run(RefusalReason::LoadFailed, soon)
+        }
+        (RunEnd::NotRun, _) => WorkRefusal::not_run(RefusalReason::UpstreamDown, soon),
+        _ => WorkRefusal::may_have_run(RefusalReason::UpstreamBroke),
+    };
+    mark_refused(refusal(&refused, explain(refused.reason)), Some(news))
+}
+
+fn upstream_request(call: UpstreamCall) -> Result<Request<Full<Bytes>>, dropshot::HttpError> {
+    let mut request = Request::builder().method(call.method).uri(call.uri);
+    if let Some(headers) = request.headers_mut() {
+        *headers = call.headers;
+    }
+    request.body(Full::new(call.body)).map_err(internal)
+}
+
+/// The upstream's answer with the agent's news.
+fn answer(parts: http::response::Parts, body: Body, news: &AgentNews) -> WebAnswer {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers::passed(&parts.headers);
+    let verdict = header::HeaderValue::from_static(RunVerdict::Ran.label());
+    response.headers_mut().insert(headers::VERDICT, verdict);
+    add_news(&mut response, news);
+    Ok(response)
+}
+
+fn mark_refused(answer: WebAnswer, news: Option<&AgentNews>) -> WebAnswer {
+    let mut response = answer?;
+    let mark = header::HeaderValue::from_static("yes");
+    response.headers_mut().insert(headers::REFUSED, mark);
+    if let Some(news) = news {
+        add_news(&mut response, news);
+    }
+    Ok(response)
+}
+
+fn add_news(response: &mut Response<Body>, news: &AgentNews) {
+    let text = serde_json::to_string(news).unwrap_or_default();
+    if let Ok(value) = header::HeaderValue::from_str(&text) {
+        response.headers_mut().insert(headers::NEWS, value);
+    }
+}
+
+fn read_order(state: &ServeContext, headers: &HeaderMap) -> Result<RunOrder, String> {
+    let number = |name: &str| {
+        let text = headers::text(headers, name);
+        let number = text.and_then(|text| u128::from_str_radix(text, 16).ok());
+        number.ok_or_else(|| format!("header {name} is not a number in hex"))
+    };
+    let attempt = number(headers::ATTEMPT)?;
+    let incarnation = number(headers::INCARNATION)? as u64;
+    let target = match headers::text(headers, headers::ADAPTER) {
+        Some(adapter) => {
+            let adapter = adapter
+                .parse()
+                .map_err(|error| format!("adapter: {error}"))?;
+            WorkTarget::Adapter(adapter)
+        }
+        None => WorkTarget::Service,
+    };
+    let class = headers::text(headers, headers::PRIORITY).and_then(WorkClass::from_label);
+    let limit = headers::millis(headers, headers::DEADLINE_MS).unwrap_or(DEFAULT_DEADLINE);
+    let caller = headers::text(headers, headers::CALLER)
+        .unwrap_or_default()
+        .to_string();
+    Ok(RunOrder {
+        attempt,
+        incarnation,
+        target,
+        class: class.unwrap_or_default(),
+        deadline: state.clock.now() + limit,
+        claim: read_claim(headers, &caller),
+        caller,
+    })
+}
+
+fn read_claim(headers: &HeaderMap, caller: &str) -> Option<OnceClaim> {
+    let is_once = headers::text(headers, headers::REPEATABLE) == Some("no");
+    let ticket = headers::text(headers, headers::TICKET);
+    let key = headers::text(headers, headers::KEY);
+    match (is_once, ticket, key) {
+        (false, ..) | (true, None, None) => None,
+        (true, Some(ticket), _) => Some(OnceClaim::Ticket(ticket.to_string())),
+        (true, None, Some(key)) => Some(OnceClaim::Key(caller.to_string(), key.to_string())),
+    }
+}
+
+/// Starts the server for attempts.
+pub fn start(context: ServeContext, log: &Logger) -> eyre::Result<HttpServer<ServeContext>> {
+    let mut api = ApiDescription::new();
+    register_any_method!(api, "run", "/run/{path:.*}", take_attempt);
+    let address: SocketAddr = context.settings.listen.data;
+    server::start(api, context, address, BODY_LIMIT, &quiet(log))
+}
--- /dev/null
+++ b/quillcove/src/bundle/command.rs
@@ -0,0 +1,215 @@
+//! Operators' commands for bundles.
+
+use std::fs;
+use std::path::Path;
+
+use clap::ArgMatches;
+use eyre::{WrapErr, bail, eyre};
+use quillcove_core::bundle::delta::compute;
+use quillcove_core::bundle::signing::{
+    BundleHead, TrustedKeys, public_key, read_signing_key, sign, signing_key,
+};
+use quillcove_core::bundle::text::parse;
+use quillcove_core::bundle::{FleetBundle, VALUE_LIMIT};
+
+use super::{HEAD_VALUE, delta_value, text_value};
+
+/// A bundle's text with its checked content.
+struct BundleFile {
+    text: String,
+    content: FleetBundle,
+}
+
+/// Runs `quillcove bundle`.
+///
+/// # Errors
+///
+/// Faults of the files given, each with file and line.
+///
+/// ```no_run
+/// let matches = quillcove::cli::command().get_matches();
+/// if let Some(("bundle", matches)) = matches.subcommand() {
+///     quillcove::bundle::command::run(matches).unwrap();
+/// }
+/// ```
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let path = |matches: &ArgMatches, name: &str| -> String {
+        matches.get_one::<String>(name).cloned().unwrap_or_default()
+    };
+    match matches.subcommand() {
+        Some(("keygen", matches)) => keygen(Path::new(&path(matches, "file"))),
+        Some(("sign", matches)) => {
+            let previous = matches.get_one::<String>("previous");
+            let out = path(matches, "out");
+            sign_file(
+                &path(matches, "key"),
+                &path(matches, "file"),
+                previous,
+                Path::new(&out),
+            )
+        }
+        Some(("verify", matches)) => verify(
+            &path(matches, "head"),
+            &path(matches, "file"),
+            &path(matches, "public-key"),
+        ),
+        Some(("show", matches)) => show(&path(matches, "file")),
+        Some(("diff", matches)) => diff(&path(matches, "older"), &path(matches, "newer")),
+        _ => Err(eyre!("no command is named")),
+    }
+}
+
+fn read(file: &str) -> eyre::Result<BundleFile> {
+    let text = fs::read_to_string(file).wrap_err_with(|| format!("can not read {file}"))?;
+    match parse(&text) {
+        Ok(content) => Ok(BundleFile { text, content }),
+        Err(errors) => {
+            let lines: Vec<String> = errors
+                .iter()
+                .map(|e| format!("{file}:{}: {}", e.line, e.message))
+                .collect();
+            Err(eyre!("{}", lines.join("\n")))
+        }
+    }
+}
+
+/// Writes a new signing key, and prints the public key for the settings.
+fn keygen(file: &Path) -> eyre::Result<()> {
+    if file.exists() {
+        bail!("{} exists; a key is never overwritten", file.display());
+    }
+    let seed: [u8; 32] = rand::random();
+    write_secret(file, &format!("{}\n", hex::encode(seed)))?;
+    println!("{}", public_key(&signing_key(seed)));
+    Ok(())
+}
+
+/// Writes a file that only its owner can read.
+fn write_secret(file: &Path, content: &str) -> eyre::Result<()> {
+    use std::io::Write;
+    use std::os::unix::fs::OpenOptionsExt;
+
+    let mut options = fs::OpenOptions::new();
+    let opened = options.write(true).create_new(true).mode(0o600).open(file);
+    let mut opened = opened.wrap_err_with(|| format!("can not write {}", file.display()))?;
+    opened.write_all(content.as_bytes())?;
+    Ok(())
+}
+
+/// Writes the values that operators publish: the head, the text, and the difference.
+fn sign_file(
+    key_file: &str,
+    file: &str,
+    previous: Option<&String>,
+    out: &Path,
+) -> eyre::Result<()> {
+    let key = fs::read_to_string(key_file).wrap_err_with(|| format!("can not read {key_file}"))?;
+    let key = read_signing_key(&key).wrap_err_with(|| key_file.to_string())?;
+    let bundle = read(file)?;
+    let version = bundle.content.version;
+    if bundle.text.len() > VALUE_LIMIT {
+        bail!(
+            "{file}: {} bytes; a value holds {VALUE_LIMIT} at most",
+            bundle.text.len()
+        );
+    }
+    let previous = previous.map(|previous| read(previous)).transpose()?;
+    if let Some(older) = previous
+        .as_ref()
+        .filter(|older| older.content.version + 1 != version)
+    {
+        bail!(
+            "{file}: bundle.version is {version}; after version {} comes {}",
+            older.content.version,
+            older.content.version + 1
+        );
+    }
+    let head = sign(&key, version, bundle.text.as_bytes());
+    write(out, HEAD_VALUE, &serde_json::to_string(&head)?)?;
+    write(out, &text_value(version), &bundle.text)?;
+    if let Some(older) = previous {
+        let delta = compute(
+            (older.content.version, &older.text),
+            (version, &bundle.text),
+        );
+        write(out, &delta_value(version), &serde_json::to_string(&delta)?)?;
+    }
+    println!("signed version {version}; publish the head last");
+    Ok(())
+}
+
+fn write(out: &Path, name: &str, content: &str) -> eyre::Result<()> {
+    let file = out.join(name);
+    fs::write(&file, content).wrap_err_with(|| format!("can not write {}", file.display()))?;
+    println!("{}  {} bytes", file.display(), content.len());
+    Ok(())
+}
+
+fn verify(head_file: &str, file: &str, key: &str) -> eyre::Result<()> {
+    let head = fs::read(head_file).wrap_err_with(|| format!("can not read {head_file}"))?;
+    let head: BundleHead = serde_json::from_slice(&head).wrap_err_with(|| head_file.to_string())?;
+    let bundle = read(file)?;
+    let keys = TrustedKeys::read(&[key.to_string()])?;
+    keys.verify(&head, bundle.text.as_bytes())?;
+    if head.version != bundle.content.version {
+        bail!(
+            "the head announces version {}, not {}",
+            head.version,
+            bundle.content.version
+        );
+    }
+    println!("version {} is signed by key {}", head.version, head.key_id);
+    Ok(())
+}
+
+fn show(file: &str) -> eyre::Result<()> {
+    let bundle = read(file)?.content;
+    println!("version   {}", bundle.version);
+    println!("models    {}", bundle.models.join(", "));
+    println!("adapters  {}", bundle.adapters.len());
+    for (name, service) in &bundle.services {
+        println!(
+            "service   {name}, keys divided among {}",
+            service.replicas.join(", ")
+        );
+    }
+    println!(
+        "loads     {} a second, {} at once",
+        bundle.loads.per_second, bundle.loads.at_once
+    );
+    println!(
+        "weights   stalls {}, batches {}",
+        bundle.aims.stalls, bundle.aims.batches
+    );
+    Ok(())
+}
+
+/// Prints what changes between two bundles, an adapter a line.
+fn diff(older: &str, newer: &str) -> eyre::Result<()> {
+    let (older, newer) = (read(older)?, read(newer)?);
+    println!(
+        "version {} -> {}",
+        older.content.version, newer.content.version
+    );
+    for (name, entry) in &newer.content.adapters {
+        match older.content.adapters.get(name) {
+            None => println!("+ {name} {entry:?}"),
+            Some(before) if before != entry => println!("~ {name} {before:?} -> {entry:?}"),
+            Some(_) => {}
+        }
+    }
+    let is_gone = |name: &&std::sync::Arc<str>| !newer.content.adapters.contains_key(*name);
+    for name in older.content.adapters.keys().filter(is_gone) {
+        println!("- {name}");
+    }
+    let delta = compute(
+        (older.content.version, &older.text),
+        (newer.content.version, &newer.text),
+    );
+    let size = serde_json::to_string(&delta)?.len();
+    println!(
+        "the difference has {size} bytes, the whole text {}",
+        newer.text.len()
+    );
+    Ok(())
+}
--- /dev/null
+++ b/quillcove/src/entry/attempt.rs
@@ -0,0 +1,295 @@
+//! One request on its way: attempts at agents until one answers or the machine gives up.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dropshot::Body;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use quillcove_core::adapter::AdapterRef;
+use quillcove_core::agent::event::WithdrawAnswer;
+use quillcove_core::class::WorkClass;
+use quillcove_core::entry::event::{
+    AgentNews, AttemptEnd, AttemptOrder, EntryEvent, RepeatRule, RouteQuery,
+};
+use quillcove_core::ids::{MonoTime, RequestId};
+use quillcove_core::verdict::{RefusalReason, RunVerdict, WorkRefusal};
+use tokio::sync::{mpsc, oneshot};
+
+use super::admit::RequestTerms;
+use super::decide::{EntryInput, FindControl, RequestStep, STEP_PLACES, ring_full};
+use super::serve::ServeContext;
+use crate::control::AgentControlClient;
+use crate::duty::DutyRing;
+use crate::web::answer::{WebAnswer, explain, internal, refusal, refusal_body};
+use crate::web::body::{BodyEnd, WatchedBody};
+use crate::web::client::WebError;
+use crate::web::headers;
+
+/// Longest time for a withdrawal, so that a caller learns its verdict soon.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time beyond a request's deadline after which an attempt without an answer is lost.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
+/// Largest refusal of an agent, in bytes.
+const REFUSAL_LIMIT: usize = 64 << 10;
+
+/// A request as it goes to agents.
+pub struct OutgoingRequest {
+    pub query: RouteQuery,
+    pub terms: RequestTerms,
+    pub method: Method,
+    /// Path and query at the upstream, without a leading slash.
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Set for completions.
+    pub adapter: Option<AdapterRef>,
+    /// Whether a stream of events is answered.
+    pub is_stream: bool,
+}
+
+/// Tells the machine when a request is over, whichever way its handler ends.
+struct RequestGuard {
+    ring: DutyRing<EntryInput>,
+    request: RequestId,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.ring
+            .put(EntryInput::Event(EntryEvent::Done(self.request)));
+    }
+}
+
+/// Times and counts one request.
+struct RequestWatch {
+    state: ServeContext,
+    class: WorkClass,
+    started: MonoTime,
+}
+
+impl RequestWatch {
+    fn finished(&self, verdict: RunVerdict) {
+        let took = self.state.clock.now().saturating_sub(self.started);
+        self.state.metrics.finished(verdict, self.class, took);
+    }
+}
+
+/// Runs a request to its answer.
+pub async fn run(state: &ServeContext, outgoing: OutgoingRequest) -> WebAnswer {
+    let request = outgoing.query.request;
+    let (sender, mut steps) = mpsc::channel(STEP_PLACES);
+    let watch = RequestWatch {
+        state: state.clone(),
+        class: outgoing.query.class,
+        started: state.clock.now(),
+    };
+    let input = EntryInput::Request(outgoing.query.clone(), sender);
+    if state.ring.offer(input).is_err() {
+        return give_up(&watch, request, &ring_full());
+    }
+    let guard = RequestGuard {
+        ring: state.ring.clone(),
+        request,
+    };
+    let mut is_first = true;
+    while let Some(step) = steps.recv().await {
+        let order = match step {
+            RequestStep::Finish(refused) => return give_up(&watch, request, &refused),
+            RequestStep::Send(order) => order,
+        };
+        state.metrics.attempted(is_first);
+        is_first = false;
+        let (end, response) = attempt(state, &outgoing, &order).await;
+        tell(state, EntryEvent::AttemptEnded(order.attempt, end));
+        if let Some(response) = response {
+            return answer(state, &outgoing, response, watch, guard);
+        }
+    }
+    let gone = WorkRefusal::may_have_run(RefusalReason::Leaving);
+    give_up(&watch, request, &gone)
+}
+
+fn tell(state: &ServeContext, event: EntryEvent) {
+    state.ring.put(EntryInput::Event(event));
+}
+
+/// Answers the caller with a refusal, at once.
+fn give_up(watch: &RequestWatch, request: RequestId, refused: &WorkRefusal) -> WebAnswer {
+    watch.state.metrics.refused(refused.reason, watch.class);
+    watch.finished(refused.verdict);
+    with_request_id(refusal(refused, explain(refused.reason)), request)
+}
+
+/// Adds the request's id to an answer.
+pub fn with_request_id(answer: WebAnswer, request: RequestId) -> WebAnswer {
+    let mut response = answer?;
+    let id = HeaderValue::from_str(&format!("{request:030x}")).map_err(internal)?;
+    response.headers_mut().insert(headers::REQUEST_ID, id);
+    Ok(response)
+}
+
+/// Makes one attempt.
+async fn attempt(
+    state: &ServeContext,
+    outgoing: &OutgoingRequest,
+    order: &AttemptOrder,
+) -> (AttemptEnd, Option<Response<Incoming>>) {
+    let left = outgoing.query.deadline.saturating_sub(state.clock.now());
+    let request = match agent_request(outgoing, order, left) {
+        Ok(request) => request,
+        Err(_) => return (AttemptEnd::Unreachable, None),
+    };
+    let exchange = state.client.send(request);
+    let exchange = tokio::time::timeout(left + ANSWER_MARGIN, exchange).await;
+    match exchange {
+        Ok(Ok(response)) => sort_answer(state, order, response).await,
+        Ok(Err(WebError::NotSent(_))) => (AttemptEnd::Unreachable, None),
+        Ok(Err(WebError::Lost(_) | WebError::Status(_))) | Err(_) => {
+            (withdraw(state, order).await, None)
+        }
+    }
+}
+
+/// Tells an agent's refusal from an upstream's answer.
+async fn sort_answer(
+    state: &ServeContext,
+    order: &AttemptOrder,
+    response: Response<Incoming>,
+) -> (AttemptEnd, Option<Response<Incoming>>) {
+    let news = headers::text(response.headers(), headers::NEWS);
+    if let Some(news) = news.and_then(|text| serde_json::from_str::<AgentNews>(text).ok()) {
+        tell(state, EntryEvent::Heard(order.host.clone(), news));
+    }
+    if !response.headers().contains_key(headers::REFUSED) {
+        return match response.headers().contains_key(headers::VERDICT) {
+            true => (AttemptEnd::Answered, Some(response)),
+            // Not an agent's answer: the address may belong to somebody else by now.
+            false => (AttemptEnd::Lost, None),
+        };
+    }
+    let refused = read_refusal(response.headers());
+    // The connection is of use again only when its body was read.
+    let body = http_body_util::Limited::new(response.into_body(), REFUSAL_LIMIT);
+    let _ = body.collect().await;
+    (AttemptEnd::Refused(refused), None)
+}
+
+fn read_refusal(headers: &HeaderMap) -> WorkRefusal {
+    let reason = headers::text(headers, headers::REASON).and_then(RefusalReason::from_label);
+    let verdict = headers::text(headers, headers::VERDICT).and_then(RunVerdict::from_label);
+    WorkRefusal {
+        reason: reason.unwrap_or(RefusalReason::UpstreamBroke),
+        verdict: verdict.unwrap_or(RunVerdict::MayHaveRun),
+        retry_after: headers::millis(headers, headers::RETRY_AFTER_MS),
+    }
+}
+
+/// Asks the agent of a lost attempt whether it began. Only the agent's word that it did not, and
+/// never will, makes the verdict certain.
+async fn withdraw(state: &ServeContext, order: &AttemptOrder) -> AttemptEnd {
+    let Some(control) = find_control(state, &order.host).await else {
+        return AttemptEnd::Lost;
+    };
+    let (attempt, incarnation) = (order.attempt, order.incarnation);
+    let withdrawn = |client: AgentControlClient, context| async move {
+        client.withdraw(context, attempt, incarnation).await
+    };
+    match state.pool.call(&control, WITHDRAW_TIMEOUT, withdrawn).await {
+        Ok(WithdrawAnswer::NotRun) => {
+            let soon = Some(Duration::from_secs(1));
+            AttemptEnd::Refused(WorkRefusal::not_run(RefusalReason::UpstreamDown, soon))
+        }
+        Ok(WithdrawAnswer::MayHaveRun) | Err(_) => AttemptEnd::Lost,
+    }
+}
+
+/// The control address of a host.
+pub async fn find_control(state: &ServeContext, host: &str) -> Option<String> {
+    let (sender, receiver) = oneshot::channel();
+    let find = FindControl::Host(host.to_string());
+    state
+        .ring
+        .offer(EntryInput::FindControl(find, sender))
+        .ok()?;
+    receiver.await.ok()?
+}
+
+fn agent_request(
+    outgoing: &OutgoingRequest,
+    order: &AttemptOrder,
+    left: Duration,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let terms = &outgoing.terms;
+    let uri = format!("http://{}/run/{}", order.address, outgoing.path);
+    let mut request = Request::builder().method(outgoing.method.clone()).uri(uri);
+    if let Some(headers) = request.headers_mut() {
+        headers.extend(outgoing.headers.clone());
+    }
+    request = request
+        .header(headers::ATTEMPT, format!("{:x}", order.attempt))
+        .header(headers::INCARNATION, format!("{:x}", order.incarnation))
+        .header(headers::DEADLINE_MS, left.as_millis() as u64)
+        .header(headers::PRIORITY, terms.class.label())
+        .header(headers::CALLER, terms.caller.as_str());
+    if let Some(adapter) = &outgoing.adapter {
+        request = request.header(headers::ADAPTER, adapter.to_string());
+    }
+    if terms.repeat == RepeatRule::Once {
+        request = request.header(headers::REPEATABLE, "no");
+        if let Some(ticket) = &terms.ticket {
+            request = request.header(headers::TICKET, ticket.as_str());
+        }
+        if let Some(key) = &terms.key {
+            request = request.header(headers::KEY, key.as_str());
+        }
+    }
+    request.body(Full::new(outgoing.body.clone()))
+}
+
+/// Passes an upstream's answer to the caller.
+fn answer(
+    state: &ServeContext,
+    outgoing: &OutgoingRequest,
+    response: Response<Incoming>,
+    watch: RequestWatch,
+    guard: RequestGuard,
+) -> WebAnswer {
+    let took = state.clock.now().saturating_sub(watch.started);
+    state.metrics.answered(watch.class, took);
+    let request = outgoing.query.request;
+    let is_stream = outgoing.is_stream && response.status() == StatusCode::OK;
+    let (parts, incoming) = response.into_parts();
+    let body = WatchedBody::new(incoming, move |end| {
+        watch.finished(match end {
+            BodyEnd::Whole => RunVerdict::Ran,
+            BodyEnd::Broken | BodyEnd::Dropped => RunVerdict::MayHaveRun,
+        });
+        drop(guard);
+    });
+    let body = match is_stream {
+        true => body.ending_with(stream_end),
+        false => body,
+    };
+    let mut answer = Response::new(Body::wrap(body));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = headers::passed(&parts.headers);
+    // A stream's verdict is known only at its end, which `[DONE]` or an error event tells.
+    let verdict = match is_stream {
+        true => RunVerdict::MayHaveRun,
+        false => RunVerdict::Ran,
+    };
+    let verdict = HeaderValue::from_static(verdict.label());
+    answer.headers_mut().insert(headers::VERDICT, verdict);
+    with_request_id(Ok(answer), request)
+}
+
+/// The error event of a stream that broke off.
+fn stream_end(end: BodyEnd) -> Option<Bytes> {
+    let refused = WorkRefusal::may_have_run(RefusalReason::UpstreamBroke);
+    let body = refusal_body(&refused, explain(refused.reason));
+    (end == BodyEnd::Broken).then(|| Bytes::from(format!("\n\nevent: error\ndata: {body}\n\n")))
+}
--- /dev/null
+++ b/quillcove/src/entry/mod.rs
@@ -0,0 +1,268 @@
+//! The entry: a thin process between callers and agents.
+//!
+//! Duties: `decide` owns the machine; `serve` talks to callers, agents and operators; `watch`
+//! follows the platform.
+
+mod admit;
+mod attempt;
+mod decide;
+mod serve;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use quillcove_core::entry::EntryMachine;
+use quillcove_core::entry::event::EntryEvent;
+use slog::{Logger, info};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use self::decide::{DecideDuty, EntryInput};
+use self::serve::ServeContext;
+use crate::bundle::shelf::FleetShelf;
+use crate::bundle::watch::{FleetWatch, WatchNews};
+use crate::clock::MonoClock;
+use crate::config::entry::EntrySettings;
+use crate::duty::{self, DutyRing};
+use crate::metrics::ProcessMetrics;
+use crate::operator::{self, ProcessInspector};
+use crate::platform::HttpPlatform;
+
+/// Events that may wait for the deciding duty.
+const RING_PLACES: usize = 8192;
+
+/// Questions that may wait for the watching duty.
+const ASK_PLACES: usize = 64;
+
+/// Time between ticks of the machine.
+const TICK: Duration = Duration::from_millis(5);
+
+/// A running entry.
+pub struct EntryProcess {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    ring: DutyRing<EntryInput>,
+    threads: Vec<JoinHandle<()>>,
+    halt: watch::Sender<bool>,
+    is_ready: Arc<AtomicBool>,
+}
+
+impl EntryProcess {
+    /// Starts all duties.
+    ///
+    /// # Errors
+    ///
+    /// When an address can not be bound.
+    ///
+    /// ```
+    /// use quillcove::config::entry::EntrySettings;
+    /// use quillcove::entry::EntryProcess;
+    ///
+    /// let entry =
+    ///     EntryProcess::start(EntrySettings::default(), quillcove::logging::silent()).unwrap();
+    /// entry.stop();
+    /// entry.join();
+    /// ```
+    pub fn start(settings: EntrySettings, log: Logger) -> eyre::Result<Self> {
+        let clock = MonoClock::start();
+        let settings = Arc::new(settings);
+        let metrics = Arc::new(ProcessMetrics::new("entry")?);
+        let shelf = FleetShelf::default();
+        let (ring, inputs) = DutyRing::new(RING_PLACES);
+        let (watch_asks, watch_receiver) = mpsc::channel(ASK_PLACES);
+        let (halt, halted) = watch::channel(false);
+        let is_ready = Arc::new(AtomicBool::new(false));
+
+        let decide = DecideDuty {
+            machine: EntryMachine::new(settings.rules(), rand::random(), clock.now()),
+            clock,
+            watch_asks,
+            halt: halt.clone(),
+            is_ready: is_ready.clone(),
+            callers: Default::default(),
+            log: log.clone(),
+        };
+        let serve = ServeContext::new(
+            settings.clone(),
+            ring.clone(),
+            shelf.clone(),
+            clock,
+            metrics.clone(),
+        );
+        let inspector = EntryInspector {
+            ring: ring.clone(),
+            is_ready: is_ready.clone(),
+        };
+
+        let (bound_sender, bound) = std::sync::mpsc::channel();
+        let mut threads = vec![decide.spawn(inputs, TICK)];
+        let workers = settings.listen.threads;
+        let halted_serve = halted.clone();
+        let serve_log = log.clone();
+        threads.push(duty::spawn("serve", move || {
+            let run = run_servers(serve, inspector, bound_sender, halted_serve, serve_log);
+            duty::run_async(workers, run);
+        }));
+        let (callers, operator) = bound.recv().wrap_err("the serving duty ended")??;
+        let watch_ring = ring.clone();
+        let notify = move |news| tell_machine(&watch_ring, news);
+        let platform = HttpPlatform::new(settings.platform.address, settings.platform.timeout);
+        let sections = (settings.platform.clone(), settings.bundle.clone());
+        let watch = FleetWatch::new(platform, sections, None, shelf, log.clone(), notify);
+        threads.push(duty::spawn("watch", move || {
+            duty::run_async(1, watch.run(watch_receiver));
+        }));
+        info!(log, "entry started"; "callers" => %callers, "operator" => %operator);
+        Ok(Self {
+            callers,
+            operator,
+            ring,
+            threads,
+            halt,
+            is_ready,
+        })
+    }
+
+    /// Begins the planned stop: new requests are refused and those in flight end whole.
+    ///
+    /// ```no_run
+    /// # fn run(entry: quillcove::entry::EntryProcess) {
+    /// entry.stop();
+    /// # }
+    /// ```
+    pub fn stop(&self) {
+        self.ring.put(EntryInput::Event(EntryEvent::StopAsked));
+    }
+
+    /// Ends at once and cuts what is in flight.
+    ///
+    /// ```no_run
+    /// # fn run(entry: quillcove::entry::EntryProcess) {
+    /// entry.abort();
+    /// # }
+    /// ```
+    pub fn abort(&self) {
+        self.halt.send_replace(true);
+        self.ring.put(EntryInput::Halt);
+    }
+
+    /// Tells whether the planned stop is over.
+    ///
+    /// ```no_run
+    /// # fn run(entry: quillcove::entry::EntryProcess) {
+    /// assert!(!entry.has_stopped());
+    /// # }
+    /// ```
+    pub fn has_stopped(&self) -> bool {
+        *self.halt.borrow()
+    }
+
+    /// Tells whether new requests are taken.
+    ///
+    /// ```no_run
+    /// # fn run(entry: quillcove::entry::EntryProcess) {
+    /// assert!(entry.is_ready());
+    /// # }
+    /// ```
+    pub fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+
+    /// Requests in flight now.
+    ///
+    /// ```no_run
+    /// # fn run(entry: quillcove::entry::EntryProcess) {
+    /// println!("{}", entry.in_flight());
+    /// # }
+    /// ```
+    pub fn in_flight(&self) -> usize {
+        let (sender, receiver) = oneshot::channel();
+        self.ring.put(EntryInput::Dump(sender));
+        receiver.blocking_recv().map_or(0, |view| view.requests)
+    }
+
+    /// Waits for the end of all duties.
+    ///
+    /// ```no_run
+    /// # fn run(entry: quillcove::entry::EntryProcess) {
+    /// entry.stop();
+    /// entry.join();
+    /// # }
+    /// ```
+    pub fn join(self) {
+        drop(self.ring);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn tell_machine(ring: &DutyRing<EntryInput>, news: WatchNews) {
+    let event = match news {
+        WatchNews::Bundle(bundle) => EntryEvent::BundleTaken(bundle),
+        WatchNews::Hosts(hosts) => EntryEvent::HostsSeen(hosts),
+    };
+    ring.put(EntryInput::Event(event));
+}
+
+/// Addresses for callers and operators.
+type BoundAddresses = (SocketAddr, SocketAddr);
+
+/// Runs the servers until the process halts.
+async fn run_servers(
+    serve: ServeContext,
+    inspector: EntryInspector,
+    bound: std::sync::mpsc::Sender<eyre::Result<BoundAddresses>>,
+    mut halted: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let operator_address = serve.settings.listen.operator;
+    let metrics = serve.metrics.clone();
+    let started = serve::start(serve, &log).and_then(|callers| {
+        let operator = operator::start(operator_address, inspector, metrics, &log)?;
+        Ok((callers, operator))
+    });
+    let (callers, operator) = match started {
+        Ok(servers) => servers,
+        Err(error) => {
+            let _ = bound.send(Err(error));
+            return;
+        }
+    };
+    let _ = bound.send(Ok((callers.local_addr(), operator.local_addr())));
+    let _ = halted.wait_for(|is_halted| *is_halted).await;
+    // Answers that ended whole still have to leave the process.
+    let close = async {
+        let _ = callers.close().await;
+    };
+    let _ = tokio::time::timeout(Duration::from_secs(2), close).await;
+}
+
+/// What operators may see of an entry.
+struct EntryInspector {
+    ring: DutyRing<EntryInput>,
+    is_ready: Arc<AtomicBool>,
+}
+
+impl ProcessInspector for EntryInspector {
+    fn state(&self) -> BoxFuture<'_, serde_json::Value> {
+        async move {
+            let (sender, receiver) = oneshot::channel();
+            self.ring.put(EntryInput::Dump(sender));
+            let view = receiver.await.ok();
+            serde_json::to_value(view).unwrap_or_default()
+        }
+        .boxed()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.is_ready.load(Ordering::Relaxed)
+    }
+}
--- a/quillcove/src/lib.rs
+++ b/quillcove/src/lib.rs
@@ -1,1 +1,24 @@
+//! The quillcove daemons and operators' commands, around the decisions of [`quillcove_core`].
+//!
+//! A process has one thread for each duty: one decides, with a state machine of the core; the
+//! others talk to callers, upstreams, the platform and operators. Bounded rings join them.
 
+#![deny(rustdoc::broken_intra_doc_links, missing_docs, unsafe_code)]
+#![deny(clippy::all)]
+
+pub mod agent;
+pub mod bundle;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod demo;
+pub mod dump;
+pub mod duty;
+pub mod entry;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod platform;
+pub mod standin;
+pub mod web;
--- a/quillcove/src/main.rs
+++ b/quillcove/src/main.rs
@@ -1,1 +1,18 @@
-fn main() {}
+//! The quillcove binary.
+
+#![deny(clippy::all)]
+
+use std::process::ExitCode;
+
+mod run;
+
+fn main() -> ExitCode {
+    let matches = quillcove::cli::command().get_matches();
+    match run::run(&matches) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("quillcove: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/quillcove/src/metrics.rs
@@ -0,0 +1,208 @@
+//! Metrics of a process, by OpenTelemetry, in Prometheus text.
+
+use std::time::Duration;
+
+use eyre::WrapErr;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use quillcove_core::class::WorkClass;
+use quillcove_core::verdict::{RefusalReason, RunVerdict};
+
+/// Bounds of time histograms, in seconds.
+const TIME_BOUNDS: [f64; 16] = [
+    0.0001, 0.00025, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.31, 0.5, 1.0, 2.5,
+    10.0, 60.0,
+];
+
+/// Counters and histograms of one process.
+pub struct ProcessMetrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    retries: Counter<u64>,
+    loads: Counter<u64>,
+    orders: Counter<u64>,
+    load_stall: Histogram<f64>,
+    first_byte: Histogram<f64>,
+    duration: Histogram<f64>,
+}
+
+impl ProcessMetrics {
+    /// Sets the metrics up, each with the role as a label.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter can not be made.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("entry").unwrap();
+    /// assert!(metrics.text().contains("target_info"));
+    /// ```
+    pub fn new(role: &'static str) -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
+        let exporter = exporter
+            .build()
+            .wrap_err("can not make the metrics exporter")?;
+        let resource = opentelemetry_sdk::Resource::builder()
+            .with_service_name(role)
+            .build();
+        let provider = SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .with_resource(resource)
+            .build();
+        let meter = provider.meter("quillcove");
+        let time = |name: &'static str, description: &'static str| {
+            let histogram = meter.f64_histogram(name).with_description(description);
+            histogram
+                .with_unit("s")
+                .with_boundaries(TIME_BOUNDS.to_vec())
+                .build()
+        };
+        Ok(Self {
+            requests: counter(
+                &meter,
+                "quillcove.requests",
+                "Requests by verdict and class",
+            ),
+            refusals: counter(&meter, "quillcove.refusals", "Refusals by reason and class"),
+            attempts: counter(&meter, "quillcove.attempts", "Attempts sent or taken"),
+            retries: counter(&meter, "quillcove.retries", "Attempts after the first"),
+            loads: counter(&meter, "quillcove.loads", "Loads by outcome"),
+            orders: counter(
+                &meter,
+                "quillcove.orders",
+                "Orders to the engine by outcome",
+            ),
+            load_stall: time(
+                "quillcove.load_stall",
+                "Wait before the upstream gets an attempt",
+            ),
+            first_byte: time(
+                "quillcove.first_byte",
+                "Time from a request to its answer's head",
+            ),
+            duration: time(
+                "quillcove.request_duration",
+                "Time from a request to its last byte",
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a finished request.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::class::WorkClass;
+    /// use quillcove_core::verdict::RunVerdict;
+    ///
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("entry").unwrap();
+    /// metrics.finished(RunVerdict::Ran, WorkClass::Normal, Duration::from_millis(5));
+    /// assert!(metrics.text().contains("quillcove_requests_total"));
+    /// ```
+    pub fn finished(&self, verdict: RunVerdict, class: WorkClass, took: Duration) {
+        let labels = [
+            class_label(class),
+            KeyValue::new("verdict", verdict.label()),
+        ];
+        self.requests.add(1, &labels);
+        self.duration.record(took.as_secs_f64(), &labels[..1]);
+    }
+
+    /// Counts a refusal.
+    ///
+    /// ```
+    /// use quillcove_core::class::WorkClass;
+    /// use quillcove_core::verdict::RefusalReason;
+    ///
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("entry").unwrap();
+    /// metrics.refused(RefusalReason::Overloaded, WorkClass::Normal);
+    /// ```
+    pub fn refused(&self, reason: RefusalReason, class: WorkClass) {
+        let labels = [class_label(class), KeyValue::new("reason", reason.label())];
+        self.refusals.add(1, &labels);
+    }
+
+    /// Counts an attempt.
+    ///
+    /// ```
+    /// quillcove::metrics::ProcessMetrics::new("entry").unwrap().attempted(true);
+    /// ```
+    pub fn attempted(&self, is_first: bool) {
+        self.attempts.add(1, &[]);
+        if !is_first {
+            self.retries.add(1, &[]);
+        }
+    }
+
+    /// Records how long an attempt waited before its upstream got it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::class::WorkClass;
+    ///
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("agent").unwrap();
+    /// metrics.stalled(WorkClass::Urgent, Duration::from_millis(300));
+    /// ```
+    pub fn stalled(&self, class: WorkClass, wait: Duration) {
+        self.load_stall
+            .record(wait.as_secs_f64(), &[class_label(class)]);
+    }
+
+    /// Records the time to an answer's head.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::class::WorkClass;
+    ///
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("entry").unwrap();
+    /// metrics.answered(WorkClass::Urgent, Duration::from_millis(30));
+    /// ```
+    pub fn answered(&self, class: WorkClass, took: Duration) {
+        self.first_byte
+            .record(took.as_secs_f64(), &[class_label(class)]);
+    }
+
+    /// Counts the end of an order to the engine.
+    ///
+    /// ```
+    /// quillcove::metrics::ProcessMetrics::new("agent").unwrap().ordered(true, "done");
+    /// ```
+    pub fn ordered(&self, is_load: bool, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.orders.add(1, &labels);
+        if is_load {
+            self.loads.add(1, &labels);
+        }
+    }
+
+    /// All metrics in Prometheus text.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("agent").unwrap();
+    /// assert!(!metrics.text().is_empty());
+    /// ```
+    pub fn text(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_default()
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
+fn class_label(class: WorkClass) -> KeyValue {
+    KeyValue::new("class", class.label())
+}
--- /dev/null
+++ b/quillcove/src/operator.rs
@@ -0,0 +1,101 @@
+//! The operators' address of a process: health, readiness, metrics and the whole state.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, Body, HttpServer, RequestContext, endpoint};
+use eyre::eyre;
+use futures::future::BoxFuture;
+use http::{Response, StatusCode};
+use slog::Logger;
+
+use crate::logging::quiet;
+use crate::metrics::ProcessMetrics;
+use crate::web::answer::{WebAnswer, internal, json_answer};
+use crate::web::server;
+
+/// Largest body on this address, in bytes; nothing here reads one.
+const BODY_LIMIT: usize = 1024;
+
+/// What the operators' address needs of its process.
+pub trait ProcessInspector: Send + Sync + 'static {
+    /// The whole state.
+    fn state(&self) -> BoxFuture<'_, serde_json::Value>;
+
+    /// Whether new work is taken.
+    fn is_ready(&self) -> bool;
+}
+
+/// Context of the handlers.
+pub struct OperatorContext {
+    inspector: Box<dyn ProcessInspector>,
+    metrics: Arc<ProcessMetrics>,
+}
+
+type Context = Arc<OperatorContext>;
+
+#[endpoint { method = GET, path = "/healthz" }]
+async fn check_health(_context: RequestContext<Context>) -> WebAnswer {
+    plain(StatusCode::OK, "ok\n".to_string())
+}
+
+#[endpoint { method = GET, path = "/readyz" }]
+async fn check_ready(context: RequestContext<Context>) -> WebAnswer {
+    match context.context().inspector.is_ready() {
+        true => plain(StatusCode::OK, "ready\n".to_string()),
+        false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_string()),
+    }
+}
+
+#[endpoint { method = GET, path = "/metrics" }]
+async fn read_metrics(context: RequestContext<Context>) -> WebAnswer {
+    plain(StatusCode::OK, context.context().metrics.text())
+}
+
+#[endpoint { method = GET, path = "/state" }]
+async fn read_state(context: RequestContext<Context>) -> WebAnswer {
+    json_answer(&context.context().inspector.state().await)
+}
+
+fn plain(status: StatusCode, text: String) -> WebAnswer {
+    let response = Response::builder().status(status);
+    let response = response.header(http::header::CONTENT_TYPE, "text/plain; version=0.0.4");
+    response.body(Body::from(text)).map_err(internal)
+}
+
+/// Starts the operators' address.
+///
+/// # Errors
+///
+/// When the address can not be bound.
+///
+/// ```no_run
+/// # fn run(inspector: impl quillcove::operator::ProcessInspector) {
+/// use std::sync::Arc;
+/// use quillcove::metrics::ProcessMetrics;
+///
+/// let metrics = Arc::new(ProcessMetrics::new("entry").unwrap());
+/// let log = quillcove::logging::silent();
+/// let address = "127.0.0.1:0".parse().unwrap();
+/// quillcove::operator::start(address, inspector, metrics, &log).unwrap();
+/// # }
+/// ```
+pub fn start(
+    address: SocketAddr,
+    inspector: impl ProcessInspector,
+    metrics: Arc<ProcessMetrics>,
+    log: &Logger,
+) -> eyre::Result<HttpServer<Arc<OperatorContext>>> {
+    let mut api = ApiDescription::new();
+    let registered = api
+        .register(check_health)
+        .and_then(|()| api.register(check_ready))
+        .and_then(|()| api.register(read_metrics))
+        .and_then(|()| api.register(read_state));
+    registered.map_err(|error| eyre!("can not register a path: {error}"))?;
+    let context = Arc::new(OperatorContext {
+        inspector: Box::new(inspector),
+        metrics,
+    });
+    server::start(api, context, address, BODY_LIMIT, &quiet(log))
+}
--- /dev/null
+++ b/quillcove/src/web/answer.rs
@@ -0,0 +1,154 @@
+//! Answers with a verdict, and errors in OpenAI's shape.
+
+use dropshot::Body;
+use http::{Response, StatusCode, header};
+use quillcove_core::verdict::{RefusalReason, RunVerdict, WorkRefusal};
+use serde::Serialize;
+use serde_json::json;
+
+use super::headers;
+
+/// An answer of an HTTP handler.
+pub type WebAnswer = Result<Response<Body>, dropshot::HttpError>;
+
+/// Status that goes with a refusal.
+///
+/// ```
+/// use quillcove::web::answer::status_of;
+/// use quillcove_core::verdict::RefusalReason;
+///
+/// assert_eq!(status_of(RefusalReason::Overloaded).as_u16(), 429);
+/// ```
+pub fn status_of(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
+        RefusalReason::Unknown => StatusCode::NOT_FOUND,
+        RefusalReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::UpstreamBroke => StatusCode::BAD_GATEWAY,
+        RefusalReason::TicketUnknown
+        | RefusalReason::AlreadyUsed
+        | RefusalReason::KeyUncertain
+        | RefusalReason::Duplicate => StatusCode::CONFLICT,
+        RefusalReason::BundleMissing
+        | RefusalReason::NoUpstream
+        | RefusalReason::DeadlineTooShort
+        | RefusalReason::Leaving
+        | RefusalReason::WrongIncarnation
+        | RefusalReason::Withdrawn
+        | RefusalReason::LoadFailed
+        | RefusalReason::UpstreamDown => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// The type that OpenAI's clients expect with a status.
+fn error_type(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::CONFLICT => {
+            "invalid_request_error"
+        }
+        StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+        _ => "server_error",
+    }
+}
+
+/// The body of a refusal, which is also the data of a stream's error event.
+///
+/// ```
+/// use quillcove::web::answer::refusal_body;
+/// use quillcove_core::verdict::{RefusalReason, WorkRefusal};
+///
+/// let body = refusal_body(&WorkRefusal::not_run(RefusalReason::Overloaded, None), "queue full");
+/// assert_eq!(body["error"]["verdict"], "not-run");
+/// ```
+pub fn refusal_body(refusal: &WorkRefusal, message: &str) -> serde_json::Value {
+    json!({
+        "error": {
+            "message": message,
+            "type": error_type(status_of(refusal.reason)),
+            "param": null,
+            "code": refusal.reason.label(),
+            "verdict": refusal.verdict.label(),
+        }
+    })
+}
+
+/// A whole refusal for a caller. `Retry-After` is in whole seconds, rounded up.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove::web::answer::refusal;
+/// use quillcove_core::verdict::{RefusalReason, WorkRefusal};
+///
+/// let soon = Some(Duration::from_millis(1500));
+/// let answer = refusal(&WorkRefusal::not_run(RefusalReason::Overloaded, soon), "queue full");
+/// assert_eq!(answer.unwrap().headers()["retry-after"], "2");
+/// ```
+pub fn refusal(refusal: &WorkRefusal, message: &str) -> WebAnswer {
+    let mut response = Response::builder()
+        .status(status_of(refusal.reason))
+        .header(headers::VERDICT, refusal.verdict.label())
+        .header(headers::REASON, refusal.reason.label())
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(pause) = refusal.retry_after {
+        response = response
+            .header(header::RETRY_AFTER, pause.as_secs_f64().ceil() as u64)
+            .header(headers::RETRY_AFTER_MS, pause.as_millis() as u64);
+    }
+    let body = refusal_body(refusal, message).to_string();
+    response.body(Body::from(body)).map_err(internal)
+}
+
+/// A JSON answer of the process itself, which ran whole.
+///
+/// ```
+/// let answer = quillcove::web::answer::json_answer(&serde_json::json!({ "ok": true }));
+/// assert_eq!(answer.unwrap().headers()["quillcove-verdict"], "ran");
+/// ```
+pub fn json_answer(value: &impl Serialize) -> WebAnswer {
+    let body = serde_json::to_vec(value).map_err(internal)?;
+    let response = Response::builder()
+        .header(headers::VERDICT, RunVerdict::Ran.label())
+        .header(header::CONTENT_TYPE, "application/json");
+    response.body(Body::from(body)).map_err(internal)
+}
+
+/// A fault of the process itself.
+///
+/// ```
+/// assert_eq!(quillcove::web::answer::internal("x").status_code.as_u16(), 500);
+/// ```
+pub fn internal(error: impl std::fmt::Display) -> dropshot::HttpError {
+    dropshot::HttpError::for_internal_error(error.to_string())
+}
+
+/// What a reason means, for people.
+///
+/// ```
+/// use quillcove_core::verdict::RefusalReason;
+///
+/// assert!(quillcove::web::answer::explain(RefusalReason::Overloaded).contains("queue"));
+/// ```
+pub fn explain(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::BadRequest => "the request can not be read",
+        RefusalReason::Unknown => "the bundle in force does not serve this",
+        RefusalReason::BundleMissing => "no bundle is in force yet",
+        RefusalReason::NoUpstream => "no upstream can take the request",
+        RefusalReason::Overloaded => "the queue is full",
+        RefusalReason::DeadlineTooShort => "the expected wait is longer than the deadline allows",
+        RefusalReason::DeadlinePassed => "the deadline passed",
+        RefusalReason::Leaving => "the process is leaving",
+        RefusalReason::WrongIncarnation => "the agent has restarted",
+        RefusalReason::Withdrawn => "the attempt was withdrawn",
+        RefusalReason::Duplicate => "the attempt was seen before",
+        RefusalReason::LoadFailed => "the adapter could not be loaded",
+        RefusalReason::UpstreamDown => "the upstream does not answer",
+        RefusalReason::UpstreamBroke => "the answer broke off",
+        RefusalReason::TicketUnknown => "the ticket is not valid here any more",
+        RefusalReason::AlreadyUsed => "the ticket or key was used before",
+        RefusalReason::KeyUncertain => {
+            "the owner of this key restarted lately; take a ticket or come back later"
+        }
+    }
+}
--- /dev/null
+++ b/quillcove/src/web/client.rs
@@ -0,0 +1,139 @@
+//! The HTTP client towards agents, upstreams and the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// A client that keeps connections for reuse.
+#[derive(Clone, Debug)]
+pub struct WebClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WebError {
+    /// No connection was made, so nothing was sent.
+    #[error("no connection: {0}")]
+    NotSent(String),
+    /// The request may have been received.
+    #[error("no answer: {0}")]
+    Lost(String),
+    /// The answer has another status than expected.
+    #[error("status {0}")]
+    Status(StatusCode),
+}
+
+impl WebClient {
+    /// A client that gives up on a connection after the given time, and keeps unused connections
+    /// for the idle time; an idle time of zero keeps none.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// quillcove::web::client::WebClient::new(Duration::from_millis(300), Duration::from_secs(5));
+    /// ```
+    pub fn new(connect_timeout: Duration, idle_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_nodelay(true);
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.pool_timer(TokioTimer::new());
+        match idle_timeout.is_zero() {
+            true => builder.pool_max_idle_per_host(0),
+            false => builder.pool_idle_timeout(idle_timeout),
+        };
+        Self {
+            inner: builder.build(connector),
+        }
+    }
+
+    /// Sends a request and returns the answer's head, with its body still to come.
+    ///
+    /// # Errors
+    ///
+    /// [`WebError::NotSent`] only where no byte can have left; else [`WebError::Lost`].
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove::web::client::{WebClient, WebError};
+    ///
+    /// quillcove::duty::run_async(1, async {
+    ///     let client = WebClient::new(Duration::from_millis(300), Duration::from_secs(5));
+    ///     let request = http::Request::get("http://127.0.0.1:1/").body(Default::default());
+    ///     let answer = client.send(request.unwrap()).await;
+    ///     assert!(matches!(answer, Err(WebError::NotSent(_))));
+    /// });
+    /// ```
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, WebError> {
+        self.inner
+            .request(request)
+            .await
+            .map_err(|error| match error.is_connect() {
+                true => WebError::NotSent(describe(&error)),
+                false => WebError::Lost(describe(&error)),
+            })
+    }
+
+    /// Sends a request and reads the whole answer within a time.
+    ///
+    /// # Errors
+    ///
+    /// [`WebError`]; a time-out counts as lost.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove::web::client::WebClient;
+    ///
+    /// quillcove::duty::run_async(1, async {
+    ///     let client = WebClient::new(Duration::from_millis(300), Duration::from_secs(5));
+    ///     let limit = Duration::from_secs(1);
+    ///     let answer = client.fetch(http::Method::GET, "http://127.0.0.1:1/", "", limit).await;
+    ///     assert!(answer.is_err());
+    /// });
+    /// ```
+    pub async fn fetch(
+        &self,
+        method: Method,
+        uri: &str,
+        body: impl Into<Bytes>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, WebError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Full::new(body.into()));
+        let request = request.map_err(|error| WebError::NotSent(error.to_string()))?;
+        let exchange = async {
+            let response = self.send(request).await?;
+            let (parts, body) = response.into_parts();
+            let body = body
+                .collect()
+                .await
+                .map_err(|error| WebError::Lost(error.to_string()))?;
+            Ok(Response::from_parts(parts, body.to_bytes()))
+        };
+        let timeout = tokio::time::timeout(limit, exchange).await;
+        timeout.unwrap_or_else(|_| Err(WebError::Lost("time is up".to_string())))
+    }
+}
+
+/// The error with its causes.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/quillcove/src/web/headers.rs
@@ -0,0 +1,102 @@
+//! Names of the headers, and reading them.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+
+/// Start of the names of quillcove's own headers.
+const OWN_PREFIX: &str = "quillcove-";
+
+/// Key that a caller gives to a request that must not run twice.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Ticket for a request that must not run twice.
+pub const TICKET: &str = "quillcove-ticket";
+/// The same key from entry to agent; the caller's own header goes on to the service unchanged.
+pub const KEY: &str = "quillcove-key";
+/// `no` on a request that must not run twice.
+pub const REPEATABLE: &str = "quillcove-repeatable";
+/// Time that the caller gives the request, in milliseconds.
+pub const DEADLINE_MS: &str = "quillcove-deadline-ms";
+/// Class of work.
+pub const PRIORITY: &str = "quillcove-priority";
+/// Name of the caller's organisation.
+pub const CALLER: &str = "quillcove-caller";
+/// Identifies the request, on every answer.
+pub const REQUEST_ID: &str = "quillcove-request-id";
+/// Verdict, on every answer.
+pub const VERDICT: &str = "quillcove-verdict";
+/// Reason of a refusal.
+pub const REASON: &str = "quillcove-reason";
+/// Exact time after which to come back, in milliseconds, beside the whole seconds of
+/// `Retry-After`.
+pub const RETRY_AFTER_MS: &str = "quillcove-retry-after-ms";
+/// Set by an agent on its own refusals, so that they are told apart from the upstream's answers.
+pub const REFUSED: &str = "quillcove-refused";
+/// Names the attempt, from entry to agent.
+pub const ATTEMPT: &str = "quillcove-attempt";
+/// Run of the agent that an attempt is meant for.
+pub const INCARNATION: &str = "quillcove-incarnation";
+/// Adapter with version, from entry to agent and back.
+pub const ADAPTER: &str = "quillcove-adapter";
+/// News of an agent about itself, as JSON, on each of its answers.
+pub const NEWS: &str = "quillcove-news";
+
+/// Reads a header as text.
+///
+/// ```
+/// use http::HeaderMap;
+///
+/// assert_eq!(quillcove::web::headers::text(&HeaderMap::new(), "quillcove-ticket"), None);
+/// ```
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Reads a header as a number of milliseconds.
+///
+/// ```
+/// use std::time::Duration;
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("quillcove-deadline-ms", "250".parse().unwrap());
+/// let read = quillcove::web::headers::millis(&headers, "quillcove-deadline-ms");
+/// assert_eq!(read, Some(Duration::from_millis(250)));
+/// ```
+pub fn millis(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    text(headers, name)?
+        .trim()
+        .parse()
+        .ok()
+        .map(Duration::from_millis)
+}
+
+/// Headers that belong to one connection.
+const HOP_HEADERS: [&str; 5] = [
+    "connection",
+    "host",
+    "content-length",
+    "transfer-encoding",
+    "keep-alive",
+];
+
+/// The headers that are passed on: none of one connection, and none of quillcove's own.
+///
+/// ```
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("quillcove-ticket", "t".parse().unwrap());
+/// headers.insert("accept", "text/plain".parse().unwrap());
+/// assert_eq!(quillcove::web::headers::passed(&headers).len(), 1);
+/// ```
+pub fn passed(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_own = name.as_str().starts_with(OWN_PREFIX);
+        if !is_own && !HOP_HEADERS.contains(&name.as_str()) {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
--- /dev/null
+++ b/quillcove/src/web/mod.rs
@@ -0,0 +1,7 @@
+//! HTTP between callers, entries, agents and upstreams.
+
+pub mod answer;
+pub mod body;
+pub mod client;
+pub mod headers;
+pub mod server;
--- a/quillcove_core/src/agent/view.rs
+++ b/quillcove_core/src/agent/view.rs
@@ -6,6 +6,7 @@
 use super::event::{HostState, UpstreamKind};
 use super::slots::SlotState;
 use crate::class::WorkClass;
+use crate::entry::event::AgentNews;
 use crate::ids::{BundleVersion, HostId, Incarnation, MonoTime};
 
 /// One slot in a dump.
@@ -121,7 +122,7 @@
         self.is_stopping || self.host_state == HostState::Leaving || is_superseded
     }
 
-    /// Attempts running, waiting and places, for the news that goes with each answer.
+    /// Tells whether new work would be taken.
     ///
     /// ```
     /// use std::time::Duration;
@@ -131,13 +132,32 @@
     ///
     /// let book = OnceBook::new("e1", 5, [7; 32], BookLimits::default(), Duration::ZERO);
     /// let machine = AgentMachine::new("e1", 5, AgentRules::default(), book, Duration::ZERO);
-    /// assert_eq!(machine.load().running, 0);
+    /// assert!(!machine.is_ready());
     /// ```
-    pub fn load(&self) -> AgentLoad {
-        AgentLoad {
+    pub fn is_ready(&self) -> bool {
+        self.bundle.is_some() && self.check_presence().is_ok()
+    }
+
+    /// The news that go with each answer.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::AgentMachine;
+    /// use quillcove_core::agent::event::AgentRules;
+    /// use quillcove_core::once::book::{BookLimits, OnceBook};
+    ///
+    /// let book = OnceBook::new("e1", 5, [7; 32], BookLimits::default(), Duration::ZERO);
+    /// let machine = AgentMachine::new("e1", 5, AgentRules::default(), book, Duration::ZERO);
+    /// assert_eq!(machine.news().incarnation, 5);
+    /// ```
+    pub fn news(&self) -> AgentNews {
+        AgentNews {
+            incarnation: self.incarnation,
+            leaving: self.is_leaving(),
             running: self.running.len(),
             waiting: self.room.len(),
             capacity: self.capacity(),
+            bundle: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
         }
     }
 
@@ -159,17 +179,6 @@
     }
 }
 
-/// Load of an agent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct AgentLoad {
-    /// Attempts at the upstream.
-    pub running: usize,
-    /// Attempts that wait.
-    pub waiting: usize,
-    /// Places at the upstream.
-    pub capacity: usize,
-}
-
 fn slot_label(state: SlotState) -> &'static str {
     match state {
         SlotState::Loading => "loading",
--- a/quillcove_core/src/entry/event.rs
+++ b/quillcove_core/src/entry/event.rs
@@ -65,8 +65,10 @@
 pub struct HostRecord {
     /// Name.
     pub host: HostId,
-    /// Address of the agent, as IP and port.
+    /// Address of the agent for attempts, as IP and port.
     pub address: String,
+    /// Address of the agent for short calls of other quillcove processes, as IP and port.
+    pub control: String,
     /// Hall.
     pub hall: HallName,
     /// Live or leaving.
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -120,6 +120,35 @@
         self.bundle.as_ref()
     }
 
+    /// Tells whether requests would be taken: a bundle is in force and agents are known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::entry::EntryMachine;
+    /// use quillcove_core::entry::event::EntryRules;
+    ///
+    /// assert!(!EntryMachine::new(EntryRules::default(), 1, Duration::ZERO).is_ready());
+    /// ```
+    pub fn is_ready(&self) -> bool {
+        self.bundle.is_some() && !self.fleet.is_empty() && !self.is_stopping
+    }
+
+    /// Address for control calls to a host's agent.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::entry::EntryMachine;
+    /// use quillcove_core::entry::event::EntryRules;
+    ///
+    /// let machine = EntryMachine::new(EntryRules::default(), 1, Duration::ZERO);
+    /// assert_eq!(machine.control_of("e1"), None);
+    /// ```
+    pub fn control_of(&self, host: &str) -> Option<String> {
+        self.fleet
+            .get(host)
+            .map(|upstream| upstream.record.control.clone())
+    }
+
     /// The state at this time.
     ///
     /// ```
--- a/quillcove_core/src/once/book.rs
+++ b/quillcove_core/src/once/book.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::ticket::{RunTicket, TicketSecret};
 use crate::ids::{CallerId, HostId, Incarnation, MonoTime};
@@ -28,7 +28,7 @@
 }
 
 /// State of one run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OnceState {
     /// It was handed to the service, or waits for it.
