--- a/quillcove/src/agent/calls.rs
+++ b/quillcove/src/agent/calls.rs
@@ -79,10 +79,7 @@
     }
 
     async fn return_permit(self, _: Context, host: HostId) {
-        self.keeper
-            .lock()
-            .expect("no holder panics")
-            .give_back(&host);
+        self.keeper.lock().expect("no holder panics").give_back(&host);
     }
 
     async fn bundle_head(self, _: Context) -> Option<BundleHead> {
@@ -90,10 +87,7 @@
     }
 
     async fn bundle_text(self, _: Context, digest: String) -> Option<String> {
-        let held = self
-            .shelf
-            .bundle()
-            .filter(|held| held.head.digest == digest);
+        let held = self.shelf.bundle().filter(|held| held.head.digest == digest);
         held.map(|held| held.text.to_string())
     }
 }
--- a/quillcove/src/agent/decide.rs
+++ b/quillcove/src/agent/decide.rs
@@ -35,10 +35,7 @@
     /// A wish for a ticket.
     IssueTicket(oneshot::Sender<String>),
     /// A question about a ticket.
-    TicketState(
-        String,
-        oneshot::Sender<Result<Option<OnceState>, WorkRefusal>>,
-    ),
+    TicketState(String, oneshot::Sender<Result<Option<OnceState>, WorkRefusal>>),
     /// A wish for the whole state.
     Dump(oneshot::Sender<AgentView>),
     /// End now.
@@ -86,27 +83,27 @@
                 if let Some(first) = first {
                     self.pending.insert(attempt, first);
                 }
-            }
+            },
             Some(AgentInput::Abandoned(attempt, incarnation)) => {
                 self.pending.remove(&attempt);
                 self.handle(AgentEvent::Withdrawn(attempt, incarnation));
                 self.handle(AgentEvent::Ended(attempt, RunEnd::NotRun));
-            }
+            },
             Some(AgentInput::Withdraw(attempt, incarnation, answer)) => {
                 self.withdrawals.entry(attempt).or_default().push(answer);
                 self.handle(AgentEvent::Withdrawn(attempt, incarnation));
-            }
+            },
             Some(AgentInput::IssueTicket(answer)) => {
                 let ticket = self.machine.book_mut().issue(self.clock.now());
                 let _ = answer.send(ticket);
-            }
+            },
             Some(AgentInput::TicketState(ticket, answer)) => {
                 let state = self.machine.book_mut().state_of(self.clock.now(), &ticket);
                 let _ = answer.send(state);
-            }
+            },
             Some(AgentInput::Dump(answer)) => {
                 let _ = answer.send(self.machine.view(self.clock.now()));
-            }
+            },
             Some(AgentInput::Halt) => return false,
         }
         !*self.halt.borrow()
@@ -127,28 +124,28 @@
                 if !self.decide(attempt, Ok(())) {
                     self.handle(AgentEvent::Ended(attempt, RunEnd::NotRun));
                 }
-            }
+            },
             AgentAction::Refuse(attempt, refusal) => {
                 self.decide(attempt, Err(refusal));
-            }
+            },
             AgentAction::AnswerWithdrawal(attempt, answer) => {
                 for waiting in self.withdrawals.remove(&attempt).unwrap_or_default() {
                     let _ = waiting.send(answer);
                 }
-            }
+            },
             AgentAction::Send(order) => self.order(OrderTask::Send(order)),
             AgentAction::AskPermit(value) => self.order(OrderTask::AskPermit(value)),
             AgentAction::ReturnPermit => self.order(OrderTask::ReturnPermit),
             AgentAction::ReadHosts => {
                 let _ = self.watch_asks.try_send(WatchAsk::ReadHosts);
-            }
+            },
             AgentAction::WitnessBundle(version) => {
                 let _ = self.watch_asks.try_send(WatchAsk::Witness(version));
-            }
+            },
             AgentAction::Stopped => {
                 info!(self.log, "agent stopped");
                 self.halt.send_replace(true);
-            }
+            },
         }
     }
 
@@ -157,12 +154,7 @@
         let Some(waiting) = self.pending.remove(&attempt) else {
             return false;
         };
-        waiting
-            .send(AttemptDecision {
-                verdict,
-                news: self.machine.news(),
-            })
-            .is_ok()
+        waiting.send(AttemptDecision { verdict, news: self.machine.news() }).is_ok()
     }
 
     /// The machine has few orders out, so this ring is never full for long; an order that finds
--- a/quillcove/src/agent/mod.rs
+++ b/quillcove/src/agent/mod.rs
@@ -109,27 +109,12 @@
             withdrawals: Default::default(),
             log: log.clone(),
         };
-        let orders = OrderDuty::new(
-            settings.clone(),
-            ring.clone(),
-            shelf.clone(),
-            metrics.clone(),
-        );
-        let keeper = Arc::new(std::sync::Mutex::new(PermitKeeper::new(
-            Default::default(),
-            clock.now(),
-        )));
-        let answers = ControlAnswers {
-            ring: ring.clone(),
-            shelf: shelf.clone(),
-            keeper,
-            clock,
-        };
+        let orders = OrderDuty::new(settings.clone(), ring.clone(), shelf.clone(), metrics.clone());
+        let keeper =
+            Arc::new(std::sync::Mutex::new(PermitKeeper::new(Default::default(), clock.now())));
+        let answers = ControlAnswers { ring: ring.clone(), shelf: shelf.clone(), keeper, clock };
         let serve = ServeContext::new(settings.clone(), ring.clone(), clock, metrics);
-        let inspector = AgentInspector {
-            ring: ring.clone(),
-            is_ready: is_ready.clone(),
-        };
+        let inspector = AgentInspector { ring: ring.clone(), is_ready: is_ready.clone() };
 
         let (bound_sender, bound) = std::sync::mpsc::channel();
         let mut threads = vec![decide.spawn(inputs, TICK)];
@@ -137,14 +122,7 @@
         let serve_log = log.clone();
         let workers = settings.listen.threads;
         threads.push(duty::spawn("serve", move || {
-            let run = run_servers(
-                serve,
-                answers,
-                inspector,
-                bound_sender,
-                halted_serve,
-                serve_log,
-            );
+            let run = run_servers(serve, answers, inspector, bound_sender, halted_serve, serve_log);
             duty::run_async(workers, run);
         }));
         let bound = bound.recv().wrap_err("the serving duty ended")??;
@@ -163,20 +141,8 @@
         }));
         info!(log, "agent started"; "data" => %bound.data, "control" => %bound.control,
             "operator" => %bound.operator);
-        let BoundAddresses {
-            data,
-            control,
-            operator,
-        } = bound;
-        Ok(Self {
-            data,
-            control,
-            operator,
-            ring,
-            threads,
-            halt,
-            is_ready,
-        })
+        let BoundAddresses { data, control, operator } = bound;
+        Ok(Self { data, control, operator, ring, threads, halt, is_ready })
     }
 
     /// Begins the planned stop: new work is refused and what is in flight ends whole.
@@ -267,11 +233,9 @@
     let event = match news {
         WatchNews::Bundle(bundle) => AgentEvent::BundleTaken(bundle),
         WatchNews::Hosts(hosts) => {
-            let own = hosts
-                .as_ref()
-                .and_then(|hosts| hosts.iter().find(|r| r.host == host));
+            let own = hosts.as_ref().and_then(|hosts| hosts.iter().find(|r| r.host == host));
             AgentEvent::HostSeen(own.map(|record| record.state))
-        }
+        },
     };
     ring.put(AgentInput::Event(event));
 }
@@ -299,13 +263,10 @@
         Err(error) => {
             let _ = bound.send(Err(error));
             return;
-        }
-    };
-    let addresses = BoundAddresses {
-        data: data.local_addr(),
-        control,
-        operator: operator.local_addr(),
+        },
     };
+    let addresses =
+        BoundAddresses { data: data.local_addr(), control, operator: operator.local_addr() };
     let _ = bound.send(Ok(addresses));
     let _ = halted.wait_for(|is_halted| *is_halted).await;
     // Answers that ended whole still have to leave the process.
--- a/quillcove/src/agent/orders.rs
+++ b/quillcove/src/agent/orders.rs
@@ -60,14 +60,7 @@
         metrics: Arc<ProcessMetrics>,
     ) -> Self {
         let client = WebClient::new(REPORT_TIMEOUT, Duration::from_secs(30));
-        Self {
-            settings,
-            ring,
-            shelf,
-            metrics,
-            client,
-            pool: ControlPool::default(),
-        }
+        Self { settings, ring, shelf, metrics, client, pool: ControlPool::default() }
     }
 
     /// Works until the deciding duty is gone.
@@ -105,7 +98,7 @@
             OrderTask::AskPermit(value) => {
                 let answer = self.ask_permit(value).await;
                 self.tell(AgentEvent::PermitAnswered(answer));
-            }
+            },
             OrderTask::ReturnPermit => self.return_permit().await,
         }
     }
@@ -118,10 +111,7 @@
             UpstreamKind::Service => upstream.health_path.as_str(),
         };
         let uri = format!("http://{}{path}", upstream.address);
-        let answer = self
-            .client
-            .fetch(Method::GET, &uri, Bytes::new(), REPORT_TIMEOUT)
-            .await;
+        let answer = self.client.fetch(Method::GET, &uri, Bytes::new(), REPORT_TIMEOUT).await;
         let Ok(answer) = answer else { return false };
         if answer.status() != StatusCode::OK {
             return false;
@@ -134,7 +124,7 @@
             Some(report) => {
                 self.tell(AgentEvent::Reported(report));
                 true
-            }
+            },
             None => false,
         }
     }
@@ -143,21 +133,17 @@
         let upstream = &self.settings.upstream;
         let uri = format!("http://{}/orders", upstream.address);
         let body = serde_json::to_vec(&order).unwrap_or_default();
-        let answer = self
-            .client
-            .fetch(Method::POST, &uri, body, upstream.order_timeout)
-            .await;
+        let answer = self.client.fetch(Method::POST, &uri, body, upstream.order_timeout).await;
         let end = match answer {
             Ok(answer) if answer.status() == StatusCode::OK => OrderEnd::Done,
             Ok(answer) if answer.status() == StatusCode::CONFLICT => {
                 let highest = serde_json::from_slice(answer.body());
                 highest.map_or(OrderEnd::Unknown, OrderEnd::Stale)
-            }
+            },
             Ok(_) => OrderEnd::Failed,
             Err(_) => OrderEnd::Unknown,
         };
-        self.metrics
-            .ordered(matches!(order.kind, OrderKind::Load(_)), end_label(end));
+        self.metrics.ordered(matches!(order.kind, OrderKind::Load(_)), end_label(end));
         self.tell(AgentEvent::OrderEnded(order.fence, end));
     }
 
@@ -179,11 +165,7 @@
     }
 
     fn own_share(&self) -> Duration {
-        let limits = self
-            .shelf
-            .bundle()
-            .map(|held| held.content.loads)
-            .unwrap_or_default();
+        let limits = self.shelf.bundle().map(|held| held.content.loads).unwrap_or_default();
         let agents = self.engine_hosts().len().max(1);
         Duration::from_secs_f64(agents as f64 / limits.per_second)
     }
@@ -203,9 +185,7 @@
         let engines = hosts.iter().filter(|record| {
             record.kind == UpstreamKind::Engine && record.state == HostState::Live
         });
-        engines
-            .map(|record| (record.host.clone(), record.control.clone()))
-            .collect()
+        engines.map(|record| (record.host.clone(), record.control.clone())).collect()
     }
 
     /// Control address of the agent that keeps the permits.
@@ -213,10 +193,7 @@
         let hosts = self.engine_hosts();
         let names = hosts.iter().map(|(host, _)| host.as_str());
         let keeper = rendezvous::first(KEEPER_KEY, names)?;
-        hosts
-            .iter()
-            .find(|(host, _)| host == keeper)
-            .map(|(_, control)| control.clone())
+        hosts.iter().find(|(host, _)| host == keeper).map(|(_, control)| control.clone())
     }
 }
 
--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -70,13 +70,7 @@
             UpstreamKind::Service => Duration::ZERO,
         };
         let client = WebClient::new(CONNECT_TIMEOUT, idle);
-        Self {
-            settings,
-            ring,
-            clock,
-            metrics,
-            client,
-        }
+        Self { settings, ring, clock, metrics, client }
     }
 
     pub fn metrics(&self) -> Arc<ProcessMetrics> {
@@ -88,8 +82,7 @@
     }
 
     fn end(&self, attempt: AttemptId, end: RunEnd) {
-        self.ring
-            .put(AgentInput::Event(AgentEvent::Ended(attempt, end)));
+        self.ring.put(AgentInput::Event(AgentEvent::Ended(attempt, end)));
     }
 }
 
@@ -104,8 +97,7 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         if self.is_armed {
-            self.ring
-                .put(AgentInput::Abandoned(self.attempt, self.incarnation));
+            self.ring.put(AgentInput::Abandoned(self.attempt, self.incarnation));
         }
     }
 }
@@ -130,21 +122,14 @@
         Err(message) => {
             let bad = WorkRefusal::not_run(RefusalReason::BadRequest, None);
             return mark_refused(refusal(&bad, &message), None);
-        }
+        },
     };
-    let query = request
-        .uri()
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
+    let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
     let rest = path.into_inner().path.join("/");
     let upstream = &state.settings.upstream;
     let call = UpstreamCall {
         method: request.method().clone(),
-        uri: format!(
-            "http://{}{}/{rest}{query}",
-            upstream.address, upstream.path_prefix
-        ),
+        uri: format!("http://{}{}/{rest}{query}", upstream.address, upstream.path_prefix),
         headers: headers::passed(request.headers()),
         body: body::read(body).await?,
     };
@@ -166,11 +151,7 @@
         is_armed: true,
     };
     let (sender, receiver) = oneshot::channel();
-    if state
-        .ring
-        .offer(AgentInput::Attempt(order, sender))
-        .is_err()
-    {
+    if state.ring.offer(AgentInput::Attempt(order, sender)).is_err() {
         let full = WorkRefusal::not_run(RefusalReason::Overloaded, Some(Duration::from_secs(1)));
         return mark_refused(refusal(&full, explain(full.reason)), None);
     }
@@ -183,15 +164,13 @@
         state.metrics.refused(refused.reason, class);
         return mark_refused(refusal(&refused, explain(refused.reason)), Some(&news));
     }
-    state
-        .metrics
-        .stalled(class, state.clock.now().saturating_sub(arrived));
+    state.metrics.stalled(class, state.clock.now().saturating_sub(arrived));
     match target {
         WorkTarget::Adapter(_) => pass_to_engine(state, attempt, class, call, news).await,
         WorkTarget::Service => {
             let limit = deadline.saturating_sub(state.clock.now()) + OUTCOME_TIME;
             pass_to_service(state, attempt, class, call, news, limit).await
-        }
+        },
     }
 }
 
@@ -204,11 +183,7 @@
     call: UpstreamCall,
     news: AgentNews,
 ) -> WebAnswer {
-    let mut end_guard = EndGuard {
-        state: state.clone(),
-        attempt,
-        end: Some(RunEnd::Broken),
-    };
+    let mut end_guard = EndGuard { state: state.clone(), attempt, end: Some(RunEnd::Broken) };
     let response = match state.client.send(upstream_request(call)?).await {
         Ok(response) => response,
         Err(error) => return end_guard.fail(&error, &news),
@@ -226,11 +201,7 @@
             BodyEnd::Whole => RunEnd::Complete(status),
             BodyEnd::Broken | BodyEnd::Dropped => RunEnd::Broken,
         };
-        state.metrics.finished(
-            verdict_of(end),
-            class,
-            state.clock.now().saturating_sub(started),
-        );
+        state.metrics.finished(verdict_of(end), class, state.clock.now().saturating_sub(started));
         state.end(attempt, end);
     });
     answer(parts, Body::wrap(body), &news)
@@ -255,11 +226,7 @@
             Ok((parts, _)) => RunEnd::Complete(parts.status.as_u16()),
             Err(error) => end_of(error),
         };
-        state.metrics.finished(
-            verdict_of(end),
-            class,
-            state.clock.now().saturating_sub(started),
-        );
+        state.metrics.finished(verdict_of(end), class, state.clock.now().saturating_sub(started));
         state.end(attempt, end);
         exchange
     });
@@ -274,9 +241,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(http::response::Parts, Bytes), WebError> {
     let (parts, body) = client.send(request).await?.into_parts();
-    let body = http_body_util::Limited::new(body, ANSWER_LIMIT)
-        .collect()
-        .await;
+    let body = http_body_util::Limited::new(body, ANSWER_LIMIT).collect().await;
     let body = body.map_err(|error| WebError::Lost(error.to_string()))?;
     Ok((parts, body.to_bytes()))
 }
@@ -317,7 +282,7 @@
     let refused = match (end_of(error), error) {
         (RunEnd::NotRun, WebError::Status(_)) => {
             WorkRefusal::not_run(RefusalReason::LoadFailed, soon)
-        }
+        },
         (RunEnd::NotRun, _) => WorkRefusal::not_run(RefusalReason::UpstreamDown, soon),
         _ => WorkRefusal::may_have_run(RefusalReason::UpstreamBroke),
     };
@@ -370,18 +335,14 @@
     let incarnation = number(headers::INCARNATION)? as u64;
     let target = match headers::text(headers, headers::ADAPTER) {
         Some(adapter) => {
-            let adapter = adapter
-                .parse()
-                .map_err(|error| format!("adapter: {error}"))?;
+            let adapter = adapter.parse().map_err(|error| format!("adapter: {error}"))?;
             WorkTarget::Adapter(adapter)
-        }
+        },
         None => WorkTarget::Service,
     };
     let class = headers::text(headers, headers::PRIORITY).and_then(WorkClass::from_label);
     let limit = headers::millis(headers, headers::DEADLINE_MS).unwrap_or(DEFAULT_DEADLINE);
-    let caller = headers::text(headers, headers::CALLER)
-        .unwrap_or_default()
-        .to_string();
+    let caller = headers::text(headers, headers::CALLER).unwrap_or_default().to_string();
     Ok(RunOrder {
         attempt,
         incarnation,
--- a/quillcove/src/bundle/command.rs
+++ b/quillcove/src/bundle/command.rs
@@ -41,18 +41,11 @@
         Some(("sign", matches)) => {
             let previous = matches.get_one::<String>("previous");
             let out = path(matches, "out");
-            sign_file(
-                &path(matches, "key"),
-                &path(matches, "file"),
-                previous,
-                Path::new(&out),
-            )
-        }
-        Some(("verify", matches)) => verify(
-            &path(matches, "head"),
-            &path(matches, "file"),
-            &path(matches, "public-key"),
-        ),
+            sign_file(&path(matches, "key"), &path(matches, "file"), previous, Path::new(&out))
+        },
+        Some(("verify", matches)) => {
+            verify(&path(matches, "head"), &path(matches, "file"), &path(matches, "public-key"))
+        },
         Some(("show", matches)) => show(&path(matches, "file")),
         Some(("diff", matches)) => diff(&path(matches, "older"), &path(matches, "newer")),
         _ => Err(eyre!("no command is named")),
@@ -64,12 +57,10 @@
     match parse(&text) {
         Ok(content) => Ok(BundleFile { text, content }),
         Err(errors) => {
-            let lines: Vec<String> = errors
-                .iter()
-                .map(|e| format!("{file}:{}: {}", e.line, e.message))
-                .collect();
+            let lines: Vec<String> =
+                errors.iter().map(|e| format!("{file}:{}: {}", e.line, e.message)).collect();
             Err(eyre!("{}", lines.join("\n")))
-        }
+        },
     }
 }
 
@@ -108,16 +99,10 @@
     let bundle = read(file)?;
     let version = bundle.content.version;
     if bundle.text.len() > VALUE_LIMIT {
-        bail!(
-            "{file}: {} bytes; a value holds {VALUE_LIMIT} at most",
-            bundle.text.len()
-        );
+        bail!("{file}: {} bytes; a value holds {VALUE_LIMIT} at most", bundle.text.len());
     }
     let previous = previous.map(|previous| read(previous)).transpose()?;
-    if let Some(older) = previous
-        .as_ref()
-        .filter(|older| older.content.version + 1 != version)
-    {
+    if let Some(older) = previous.as_ref().filter(|older| older.content.version + 1 != version) {
         bail!(
             "{file}: bundle.version is {version}; after version {} comes {}",
             older.content.version,
@@ -128,10 +113,7 @@
     write(out, HEAD_VALUE, &serde_json::to_string(&head)?)?;
     write(out, &text_value(version), &bundle.text)?;
     if let Some(older) = previous {
-        let delta = compute(
-            (older.content.version, &older.text),
-            (version, &bundle.text),
-        );
+        let delta = compute((older.content.version, &older.text), (version, &bundle.text));
         write(out, &delta_value(version), &serde_json::to_string(&delta)?)?;
     }
     println!("signed version {version}; publish the head last");
@@ -152,11 +134,7 @@
     let keys = TrustedKeys::read(&[key.to_string()])?;
     keys.verify(&head, bundle.text.as_bytes())?;
     if head.version != bundle.content.version {
-        bail!(
-            "the head announces version {}, not {}",
-            head.version,
-            bundle.content.version
-        );
+        bail!("the head announces version {}, not {}", head.version, bundle.content.version);
     }
     println!("version {} is signed by key {}", head.version, head.key_id);
     Ok(())
@@ -168,48 +146,30 @@
     println!("models    {}", bundle.models.join(", "));
     println!("adapters  {}", bundle.adapters.len());
     for (name, service) in &bundle.services {
-        println!(
-            "service   {name}, keys divided among {}",
-            service.replicas.join(", ")
-        );
+        println!("service   {name}, keys divided among {}", service.replicas.join(", "));
     }
-    println!(
-        "loads     {} a second, {} at once",
-        bundle.loads.per_second, bundle.loads.at_once
-    );
-    println!(
-        "weights   stalls {}, batches {}",
-        bundle.aims.stalls, bundle.aims.batches
-    );
+    println!("loads     {} a second, {} at once", bundle.loads.per_second, bundle.loads.at_once);
+    println!("weights   stalls {}, batches {}", bundle.aims.stalls, bundle.aims.batches);
     Ok(())
 }
 
 /// Prints what changes between two bundles, an adapter a line.
 fn diff(older: &str, newer: &str) -> eyre::Result<()> {
     let (older, newer) = (read(older)?, read(newer)?);
-    println!(
-        "version {} -> {}",
-        older.content.version, newer.content.version
-    );
+    println!("version {} -> {}", older.content.version, newer.content.version);
     for (name, entry) in &newer.content.adapters {
         match older.content.adapters.get(name) {
             None => println!("+ {name} {entry:?}"),
             Some(before) if before != entry => println!("~ {name} {before:?} -> {entry:?}"),
-            Some(_) => {}
+            Some(_) => {},
         }
     }
     let is_gone = |name: &&std::sync::Arc<str>| !newer.content.adapters.contains_key(*name);
     for name in older.content.adapters.keys().filter(is_gone) {
         println!("- {name}");
     }
-    let delta = compute(
-        (older.content.version, &older.text),
-        (newer.content.version, &newer.text),
-    );
+    let delta = compute((older.content.version, &older.text), (newer.content.version, &newer.text));
     let size = serde_json::to_string(&delta)?.len();
-    println!(
-        "the difference has {size} bytes, the whole text {}",
-        newer.text.len()
-    );
+    println!("the difference has {size} bytes, the whole text {}", newer.text.len());
     Ok(())
 }
--- a/quillcove/src/bundle/watch.rs
+++ b/quillcove/src/bundle/watch.rs
@@ -91,10 +91,7 @@
         notify: N,
     ) -> Self {
         let (platform_section, bundle_section) = sections;
-        let BundleSection {
-            trusted_keys,
-            peers,
-        } = bundle_section;
+        let BundleSection { trusted_keys, peers } = bundle_section;
         Self {
             platform,
             platform_section,
@@ -180,8 +177,8 @@
         match self.platform.value(HEAD_VALUE, self.revision, wait).await {
             Ok(Some(value)) => {
                 self.take_head(value.revision, &value.content).await;
-            }
-            Ok(None) => {}
+            },
+            Ok(None) => {},
             Err(_) => self.ask_peers().await,
         }
     }
@@ -207,7 +204,7 @@
                 warn!(self.log, "the bundle's announcement can not be read"; "error" => %error);
                 self.revision = Some(revision);
                 return true;
-            }
+            },
         };
         let held = self.gate.held().map(|held| held.head.clone());
         if held.as_ref() == Some(&head) {
@@ -232,10 +229,7 @@
         }
         let mut text = self.gate.held()?.text.to_string();
         for version in held + 1..=head.version {
-            let value = self
-                .platform
-                .value(&delta_value(version), None, Duration::ZERO)
-                .await;
+            let value = self.platform.value(&delta_value(version), None, Duration::ZERO).await;
             let delta: BundleDelta = serde_json::from_slice(&value.ok()??.content).ok()?;
             text = apply(&delta, &text).ok()?;
         }
@@ -243,17 +237,14 @@
     }
 
     async fn whole_text(&self, version: BundleVersion) -> Option<String> {
-        let value = self
-            .platform
-            .value(&text_value(version), None, Duration::ZERO)
-            .await;
+        let value = self.platform.value(&text_value(version), None, Duration::ZERO).await;
         String::from_utf8(value.ok()??.content.to_vec()).ok()
     }
 
     /// Offers a bundle to the gate and tells the other duties when it is taken.
     fn offer(&mut self, head: &BundleHead, text: &str) {
         match self.gate.offer(head, text) {
-            Ok(GateChange::Same) => {}
+            Ok(GateChange::Same) => {},
             Ok(GateChange::Taken) => {
                 let held = self.gate.in_force().cloned();
                 let content = held.as_ref().map(|held| held.content.clone());
@@ -262,10 +253,10 @@
                 if let Some(content) = content {
                     (self.notify)(WatchNews::Bundle(content));
                 }
-            }
+            },
             Err(error) => {
                 warn!(self.log, "bundle refused"; "version" => head.version, "error" => %error);
-            }
+            },
         }
     }
 
@@ -297,9 +288,8 @@
         let hosts = self.shelf.hosts();
         let known = hosts.iter().map(|record| record.control.clone());
         let all = self.peers.iter().cloned().chain(known);
-        let mut others: Vec<String> = all
-            .filter(|peer| Some(peer) != self.own_control.as_ref())
-            .collect();
+        let mut others: Vec<String> =
+            all.filter(|peer| Some(peer) != self.own_control.as_ref()).collect();
         others.sort();
         others.dedup();
         let mut chosen = Vec::new();
--- a/quillcove/src/cli.rs
+++ b/quillcove/src/cli.rs
@@ -26,29 +26,18 @@
 }
 
 fn role(name: &'static str, about: &'static str) -> Command {
-    Command::new(name)
-        .about(about)
-        .arg(config_file().required(true))
-        .arg(overrides())
+    Command::new(name).about(about).arg(config_file().required(true)).arg(overrides())
 }
 
 fn config_file() -> Arg {
-    Arg::new("config")
-        .long("config")
-        .short('c')
-        .value_name("FILE")
-        .help("Settings in INI")
+    Arg::new("config").long("config").short('c').value_name("FILE").help("Settings in INI")
 }
 
 fn overrides() -> Arg {
-    Arg::new("set")
-        .long("set")
-        .value_name("SECTION.KEY=VALUE")
-        .action(ArgAction::Append)
-        .help(
-            "Set one value in place of the file's; environment variables such as \
+    Arg::new("set").long("set").value_name("SECTION.KEY=VALUE").action(ArgAction::Append).help(
+        "Set one value in place of the file's; environment variables such as \
                QUILLCOVE_PROCESS_HOST go before both",
-        )
+    )
 }
 
 fn text(name: &'static str, help: &'static str) -> Arg {
@@ -64,12 +53,8 @@
         .about("Check a settings file and print all its faults")
         .arg(text("file", "Settings in INI"))
         .arg(
-            option(
-                "role",
-                "ROLE",
-                "Whose settings; an [upstream] section means agent",
-            )
-            .value_parser(["entry", "agent"]),
+            option("role", "ROLE", "Whose settings; an [upstream] section means agent")
+                .value_parser(["entry", "agent"]),
         )
         .arg(overrides())
 }
@@ -77,18 +62,8 @@
 fn dump() -> Command {
     Command::new("dump")
         .about("Print the state of a running process")
-        .arg(
-            Arg::new("address")
-                .value_name("ADDRESS")
-                .required(true)
-                .help("Operators' address"),
-        )
-        .arg(
-            Arg::new("json")
-                .long("json")
-                .action(ArgAction::SetTrue)
-                .help("Print JSON"),
-        )
+        .arg(Arg::new("address").value_name("ADDRESS").required(true).help("Operators' address"))
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON"))
 }
 
 fn bundle() -> Command {
@@ -99,20 +74,14 @@
         .about("Check and sign a bundle, and write the values to publish")
         .arg(text("file", "Bundle in TOML"))
         .arg(option("key", "FILE", "Signing key").required(true))
-        .arg(option(
-            "previous",
-            "FILE",
-            "Bundle of the version before, for the difference",
-        ))
+        .arg(option("previous", "FILE", "Bundle of the version before, for the difference"))
         .arg(option("out", "FOLDER", "Folder for the values").default_value("."));
     let verify = Command::new("verify")
         .about("Check a bundle's signature")
         .arg(text("file", "Bundle in TOML"))
         .arg(option("head", "FILE", "Head written by sign").required(true))
         .arg(option("public-key", "HEX", "Public key").required(true));
-    let show = Command::new("show")
-        .about("Print what is in a bundle")
-        .arg(text("file", "Bundle"));
+    let show = Command::new("show").about("Print what is in a bundle").arg(text("file", "Bundle"));
     let diff = Command::new("diff")
         .about("Print what changes between two bundles")
         .arg(text("older", "Older bundle"))
@@ -125,15 +94,11 @@
 }
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    option(name, "NUMBER", help)
-        .value_parser(value_parser!(usize))
-        .default_value(default)
+    option(name, "NUMBER", help).value_parser(value_parser!(usize)).default_value(default)
 }
 
 fn millis(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    option(name, "MS", help)
-        .value_parser(value_parser!(u64))
-        .default_value(default)
+    option(name, "MS", help).value_parser(value_parser!(u64)).default_value(default)
 }
 
 fn demo() -> Command {
@@ -187,12 +152,7 @@
     Command::new("generate")
         .about("Write man pages and shell completions")
         .hide(true)
-        .arg(
-            Arg::new("folder")
-                .value_name("FOLDER")
-                .required(true)
-                .help("Folder to write into"),
-        )
+        .arg(Arg::new("folder").value_name("FOLDER").required(true).help("Folder to write into"))
 }
 
 /// The overrides given with `--set`.
@@ -204,8 +164,5 @@
 /// assert_eq!(quillcove::cli::given_overrides(matches), ["log.level=debug"]);
 /// ```
 pub fn given_overrides(matches: &ArgMatches) -> Vec<String> {
-    matches
-        .get_many::<String>("set")
-        .map(|values| values.cloned().collect())
-        .unwrap_or_default()
+    matches.get_many::<String>("set").map(|values| values.cloned().collect()).unwrap_or_default()
 }
--- a/quillcove/src/clock.rs
+++ b/quillcove/src/clock.rs
@@ -18,9 +18,7 @@
     /// assert!(clock.now() <= clock.now());
     /// ```
     pub fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 
     /// Time since the start.
--- a/quillcove/src/config/agent.rs
+++ b/quillcove/src/config/agent.rs
@@ -109,12 +109,7 @@
 impl Default for AgentListen {
     fn default() -> Self {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        Self {
-            data: any_port,
-            control: any_port,
-            operator: any_port,
-            threads: 1,
-        }
+        Self { data: any_port, control: any_port, operator: any_port, threads: 1 }
     }
 }
 
@@ -174,10 +169,7 @@
     fn read(source: &mut SettingSource) -> Self {
         let default = Self::default();
         let section = "upstream";
-        let kinds = [
-            ("engine", UpstreamKind::Engine),
-            ("service", UpstreamKind::Service),
-        ];
+        let kinds = [("engine", UpstreamKind::Engine), ("service", UpstreamKind::Service)];
         Self {
             kind: source.choice(section, "kind", default.kind, &kinds),
             address: source.address(section, "address"),
--- a/quillcove/src/config/entry.rs
+++ b/quillcove/src/config/entry.rs
@@ -86,11 +86,7 @@
 impl Default for EntryListen {
     fn default() -> Self {
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        Self {
-            callers: any_port,
-            operator: any_port,
-            threads: 1,
-        }
+        Self { callers: any_port, operator: any_port, threads: 1 }
     }
 }
 
--- a/quillcove/src/config/ini.rs
+++ b/quillcove/src/config/ini.rs
@@ -96,10 +96,7 @@
                 origin: file.to_string(),
                 line: Some(error.line.max(1)),
                 key: "syntax".to_string(),
-                message: format!(
-                    "{}; a line is '[section]', 'key = value' or '; note'",
-                    error.msg
-                ),
+                message: format!("{}; a line is '[section]', 'key = value' or '; note'", error.msg),
             }),
         }
         source.take_overrides(overrides);
@@ -125,10 +122,7 @@
             let section = section.unwrap_or_default().to_string();
             for (key, value) in properties.iter() {
                 let place = (section.clone(), key.to_string());
-                let line = lines
-                    .iter()
-                    .find(|(other, _)| *other == place)
-                    .map(|(_, line)| *line);
+                let line = lines.iter().find(|(other, _)| *other == place).map(|(_, line)| *line);
                 self.add(place, value, self.file.clone(), line);
             }
         }
@@ -153,27 +147,19 @@
                 message: "is given twice".to_string(),
             });
         }
-        self.settings.push(RawSetting {
-            section,
-            key,
-            value: value.to_string(),
-            origin,
-            line,
-        });
+        self.settings.push(RawSetting { section, key, value: value.to_string(), origin, line });
     }
 
     fn take_overrides(&mut self, overrides: &[String]) {
         for text in overrides {
             let parts = text.split_once('=').and_then(|(place, value)| {
-                place
-                    .split_once('.')
-                    .map(|(section, key)| (section, key, value))
+                place.split_once('.').map(|(section, key)| (section, key, value))
             });
             match parts {
                 Some((section, key, value)) => {
                     let place = (section.trim().to_string(), key.trim().to_string());
                     self.add(place, value.trim(), "--set".to_string(), None);
-                }
+                },
                 None => self.faults.push(SettingFault {
                     origin: "--set".to_string(),
                     line: None,
@@ -190,11 +176,7 @@
         self.known.insert((section.to_string(), key.to_string()));
         self.known_sections.insert(section.to_string());
         if self.use_environment {
-            let name = format!(
-                "{ENV_PREFIX}_{}_{}",
-                section.to_uppercase(),
-                key.to_uppercase()
-            );
+            let name = format!("{ENV_PREFIX}_{}_{}", section.to_uppercase(), key.to_uppercase());
             if let Ok(value) = std::env::var(&name) {
                 return Some(RawSetting {
                     section: section.to_string(),
@@ -243,7 +225,7 @@
             None => {
                 self.fault(&setting, accepted);
                 default
-            }
+            },
         }
     }
 
@@ -256,9 +238,7 @@
     /// ```
     pub fn text(&mut self, section: &str, key: &str, default: &str) -> String {
         let accepted = "a text";
-        self.parsed(section, key, default.to_string(), accepted, |text| {
-            Some(text.to_string())
-        })
+        self.parsed(section, key, default.to_string(), accepted, |text| Some(text.to_string()))
     }
 
     /// Reads a name of a host, hall, model or service, which must be given.
@@ -276,8 +256,7 @@
             quillcove_core::adapter::is_valid_name(text).then(|| Some(text.to_string()))
         };
         let value = self.parsed(section, key, None, accepted, parse);
-        self.required(section, key, value, accepted)
-            .unwrap_or_default()
+        self.required(section, key, value, accepted).unwrap_or_default()
     }
 
     /// Reads an IP address with a port, which must be given.
@@ -290,12 +269,9 @@
     /// ```
     pub fn address(&mut self, section: &str, key: &str) -> SocketAddr {
         let accepted = "an IP address with a port, such as 127.0.0.1:7000";
-        let value = self.parsed(section, key, None, accepted, |text| {
-            text.parse().ok().map(Some)
-        });
+        let value = self.parsed(section, key, None, accepted, |text| text.parse().ok().map(Some));
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        self.required(section, key, value, accepted)
-            .unwrap_or(nowhere)
+        self.required(section, key, value, accepted).unwrap_or(nowhere)
     }
 
     fn required<T>(
@@ -399,12 +375,8 @@
     ) -> T {
         let names: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
         let accepted = format!("one of: {}", names.join(", "));
-        let parse = |text: &str| {
-            words
-                .iter()
-                .find(|(word, _)| *word == text)
-                .map(|(_, value)| *value)
-        };
+        let parse =
+            |text: &str| words.iter().find(|(word, _)| *word == text).map(|(_, value)| *value);
         self.parsed(section, key, default, &accepted, parse)
     }
 
@@ -418,10 +390,7 @@
     /// ```
     pub fn list(&mut self, section: &str, key: &str) -> Vec<String> {
         let text = self.text(section, key, "");
-        let items = text
-            .split(',')
-            .map(str::trim)
-            .filter(|item| !item.is_empty());
+        let items = text.split(',').map(str::trim).filter(|item| !item.is_empty());
         items.map(String::from).collect()
     }
 
@@ -436,9 +405,7 @@
     /// ```
     pub fn reject(&mut self, section: &str, key: &str, message: &str) {
         let found = self.find(section, key);
-        let origin = found
-            .as_ref()
-            .map_or(self.file.clone(), |setting| setting.origin.clone());
+        let origin = found.as_ref().map_or(self.file.clone(), |setting| setting.origin.clone());
         self.faults.push(SettingFault {
             origin,
             line: found.and_then(|setting| setting.line),
@@ -462,11 +429,8 @@
     /// assert!(faults.to_string().contains("did you mean 'host'"));
     /// ```
     pub fn finish(mut self) -> Result<(), SettingFaults> {
-        let unknown: Vec<SettingFault> = self
-            .settings
-            .iter()
-            .filter_map(|s| self.unknown(s))
-            .collect();
+        let unknown: Vec<SettingFault> =
+            self.settings.iter().filter_map(|s| self.unknown(s)).collect();
         self.faults.extend(unknown);
         let sections: Vec<SettingFault> = self.unknown_sections();
         self.faults.extend(sections);
@@ -482,10 +446,7 @@
         if self.known.contains(&place) || !self.known_sections.contains(&setting.section) {
             return None;
         }
-        let keys = self
-            .known
-            .iter()
-            .filter(|(section, _)| *section == setting.section);
+        let keys = self.known.iter().filter(|(section, _)| *section == setting.section);
         let keys: Vec<&str> = keys.map(|(_, key)| key.as_str()).collect();
         Some(SettingFault {
             origin: setting.origin.clone(),
@@ -497,10 +458,7 @@
 
     fn unknown_sections(&self) -> Vec<SettingFault> {
         let names: Vec<&str> = self.known_sections.iter().map(String::as_str).collect();
-        let unknown = self
-            .sections
-            .iter()
-            .filter(|(name, _)| !self.known_sections.contains(name));
+        let unknown = self.sections.iter().filter(|(name, _)| !self.known_sections.contains(name));
         let fault = |(name, line): &(String, usize)| SettingFault {
             origin: self.file.clone(),
             line: Some(*line),
@@ -513,9 +471,7 @@
 
 fn suggest(found: &str, known: &[&str]) -> String {
     let similarity = |name: &&&str| strsim::jaro_winkler(found, name);
-    let best = known
-        .iter()
-        .max_by(|a, b| similarity(a).total_cmp(&similarity(b)));
+    let best = known.iter().max_by(|a, b| similarity(a).total_cmp(&similarity(b)));
     match best.filter(|name| similarity(name) >= NEAR_MISS) {
         Some(name) => format!("did you mean '{name}'?"),
         None => format!("known are: {}", known.join(", ")),
@@ -523,11 +479,7 @@
 }
 
 fn section_name(line: &str) -> Option<&str> {
-    line.trim()
-        .strip_prefix('[')?
-        .split(']')
-        .next()
-        .map(str::trim)
+    line.trim().strip_prefix('[')?.split(']').next().map(str::trim)
 }
 
 /// Lines on which each key of each section stands; the parser itself does not tell.
--- a/quillcove/src/config/shared.rs
+++ b/quillcove/src/config/shared.rs
@@ -19,10 +19,7 @@
 
 impl ProcessSection {
     pub(super) fn read(source: &mut SettingSource) -> Self {
-        Self {
-            host: source.name("process", "host"),
-            hall: source.name("process", "hall"),
-        }
+        Self { host: source.name("process", "host"), hall: source.name("process", "hall") }
     }
 }
 
@@ -91,10 +88,7 @@
                 source.reject(section, "peers", &message);
             }
         }
-        Self {
-            trusted_keys,
-            peers,
-        }
+        Self { trusted_keys, peers }
     }
 }
 
@@ -120,21 +114,15 @@
 
 impl Default for LogSection {
     fn default() -> Self {
-        Self {
-            format: LogFormat::Auto,
-            level: slog::Level::Info,
-        }
+        Self { format: LogFormat::Auto, level: slog::Level::Info }
     }
 }
 
 impl LogSection {
     pub(super) fn read(source: &mut SettingSource) -> Self {
         let default = Self::default();
-        let formats = [
-            ("auto", LogFormat::Auto),
-            ("text", LogFormat::Text),
-            ("json", LogFormat::Json),
-        ];
+        let formats =
+            [("auto", LogFormat::Auto), ("text", LogFormat::Text), ("json", LogFormat::Json)];
         let levels = [
             ("error", slog::Level::Error),
             ("warning", slog::Level::Warning),
@@ -157,16 +145,12 @@
 
 impl Default for StopSection {
     fn default() -> Self {
-        Self {
-            limit: Duration::from_secs(300),
-        }
+        Self { limit: Duration::from_secs(300) }
     }
 }
 
 impl StopSection {
     pub(super) fn read(source: &mut SettingSource) -> Self {
-        Self {
-            limit: source.time("stop", "limit", Self::default().limit),
-        }
+        Self { limit: source.time("stop", "limit", Self::default().limit) }
     }
 }
--- a/quillcove/src/control.rs
+++ b/quillcove/src/control.rs
@@ -90,7 +90,7 @@
             Ok(Err(_)) | Err(_) => {
                 self.clients.lock().await.remove(address);
                 Err(CallError::Lost(address.to_string()))
-            }
+            },
         }
     }
 
@@ -106,14 +106,9 @@
         let address_parsed: SocketAddr = address.parse().map_err(|_| no_connection())?;
         let connect = tarpc::serde_transport::tcp::connect(address_parsed, Bincode::default);
         let transport = tokio::time::timeout(limit, connect).await;
-        let transport = transport
-            .map_err(|_| no_connection())?
-            .map_err(|_| no_connection())?;
+        let transport = transport.map_err(|_| no_connection())?.map_err(|_| no_connection())?;
         let client = AgentControlClient::new(Config::default(), transport).spawn();
-        self.clients
-            .lock()
-            .await
-            .insert(address.to_string(), client.clone());
+        self.clients.lock().await.insert(address.to_string(), client.clone());
         Ok(client)
     }
 }
--- a/quillcove/src/demo/load.rs
+++ b/quillcove/src/demo/load.rs
@@ -83,11 +83,7 @@
 /// One request to send.
 #[derive(Clone, Debug)]
 enum PlannedCall {
-    Completion {
-        adapter: String,
-        class: WorkClass,
-        is_stream: bool,
-    },
+    Completion { adapter: String, class: WorkClass, is_stream: bool },
     Booking,
 }
 
@@ -132,15 +128,9 @@
     /// ```
     pub fn times(&self, class: WorkClass) -> Histogram<u64> {
         let mut histogram = Histogram::new(3).expect("three digits are allowed");
-        for call in self
-            .calls
-            .iter()
-            .filter(|call| call.class == class && call.is_right)
-        {
+        for call in self.calls.iter().filter(|call| call.class == class && call.is_right) {
             let micros = call.took.as_micros() as u64;
-            histogram
-                .record(micros)
-                .expect("the histogram grows by itself");
+            histogram.record(micros).expect("the histogram grows by itself");
         }
         histogram
     }
@@ -168,9 +158,7 @@
             sum += (rank as f64).powf(-skew);
             sum
         });
-        Self {
-            sums: Arc::new(sums.collect()),
-        }
+        Self { sums: Arc::new(sums.collect()) }
     }
 
     /// Draws a rank, from 0.
@@ -185,9 +173,7 @@
     pub fn rank(&self, rng: &mut impl Rng) -> usize {
         let total = self.sums.last().copied().unwrap_or(1.0);
         let place = rng.random::<f64>() * total;
-        self.sums
-            .partition_point(|sum| *sum < place)
-            .min(self.sums.len() - 1)
+        self.sums.partition_point(|sum| *sum < place).min(self.sums.len() - 1)
     }
 }
 
@@ -219,13 +205,7 @@
         let call = draw_call(plan, &zipf, &mut rng);
         let entry = entries[number % entries.len()];
         let other = entries[(number + 1) % entries.len()];
-        let caller = Caller {
-            client: client.clone(),
-            entry,
-            other,
-            number,
-            plan: plan.clone(),
-        };
+        let caller = Caller { client: client.clone(), entry, other, number, plan: plan.clone() };
         let sender = sender.clone();
         tokio::spawn(async move {
             let _ = sender.send((number, caller.run(call).await));
@@ -239,9 +219,7 @@
     let mut outcome = LoadOutcome::default();
     while let Some((number, call)) = outcomes.recv().await {
         if call.is_booking {
-            outcome
-                .bookings
-                .insert(booking_name(plan, number), call.verdict);
+            outcome.bookings.insert(booking_name(plan, number), call.verdict);
         }
         outcome.calls.push(call);
     }
@@ -265,11 +243,7 @@
         _ if share < plan.urgent + plan.batch => WorkClass::Batch,
         _ => WorkClass::Normal,
     };
-    PlannedCall::Completion {
-        adapter: format!("adapter-{rank:04}"),
-        class,
-        is_stream,
-    }
+    PlannedCall::Completion { adapter: format!("adapter-{rank:04}"), class, is_stream }
 }
 
 /// One caller with one request.
@@ -294,11 +268,9 @@
     async fn run(&self, call: PlannedCall) -> CallOutcome {
         match call {
             PlannedCall::Booking => self.book().await,
-            PlannedCall::Completion {
-                adapter,
-                class,
-                is_stream,
-            } => self.complete(&adapter, class, is_stream).await,
+            PlannedCall::Completion { adapter, class, is_stream } => {
+                self.complete(&adapter, class, is_stream).await
+            },
         }
     }
 
@@ -408,16 +380,11 @@
         };
         let limit = self.plan.deadline * 6 + CALL_MARGIN;
         let Ok(Ok(response)) = timeout(limit, self.client.send(request)).await else {
-            return CallAnswer {
-                verdict: RunVerdict::MayHaveRun,
-                ..unsent()
-            };
+            return CallAnswer { verdict: RunVerdict::MayHaveRun, ..unsent() };
         };
         let (parts, incoming) = response.into_parts();
         let verdict = headers::text(&parts.headers, headers::VERDICT);
-        let verdict = verdict
-            .and_then(RunVerdict::from_label)
-            .unwrap_or(RunVerdict::MayHaveRun);
+        let verdict = verdict.and_then(RunVerdict::from_label).unwrap_or(RunVerdict::MayHaveRun);
         let body = timeout(limit, incoming.collect()).await;
         let body = body.ok().and_then(Result::ok).map(|body| body.to_bytes());
         CallAnswer {
--- a/quillcove/src/demo/mod.rs
+++ b/quillcove/src/demo/mod.rs
@@ -34,10 +34,7 @@
         engines: number("engines"),
         ..SitePlan::default()
     };
-    println!(
-        "starting {} engines, {} adapters",
-        plan.engines, plan.adapters
-    );
+    println!("starting {} engines, {} adapters", plan.engines, plan.adapters);
     let site = LocalSite::start(&plan)?;
     if !site.wait_ready(READY_LIMIT) {
         bail!("the site was not ready within {READY_LIMIT:?}");
@@ -53,10 +50,7 @@
         length: Duration::from_secs(seconds as u64),
         ..LoadPlan::for_site(&plan)
     };
-    let outcome = duty::run_async(
-        2,
-        run_load(&site.entries(), &load, |line| println!("{line}")),
-    );
+    let outcome = duty::run_async(2, run_load(&site.entries(), &load, |line| println!("{line}")));
     let counts = site.counts();
     print!("{}", report::table(&outcome, &counts));
     let faults = report::faults(&outcome, &counts);
@@ -69,10 +63,8 @@
 
 fn serve(site: &LocalSite, plan: &SitePlan) -> eyre::Result<ExitCode> {
     let entry = site.entry_address(0);
-    let body = format!(
-        "{{\"model\":\"{}\",\"prompt\":\"hello\",\"max_tokens\":8}}",
-        plan.adapter_name(0)
-    );
+    let body =
+        format!("{{\"model\":\"{}\",\"prompt\":\"hello\",\"max_tokens\":8}}", plan.adapter_name(0));
     println!("try: curl -i http://{entry}/v1/completions -d '{body}'");
     println!("state: quillcove dump {}", site.entry_operator(0));
     println!("end with Ctrl-C");
--- a/quillcove/src/demo/report.rs
+++ b/quillcove/src/demo/report.rs
@@ -24,11 +24,8 @@
         "class", "all", "ran", "not-run", "may-have-run", "p50 ms", "p90 ms", "p99 ms"
     );
     for class in WorkClass::ALL {
-        let calls: Vec<&CallOutcome> = outcome
-            .calls
-            .iter()
-            .filter(|call| call.class == class)
-            .collect();
+        let calls: Vec<&CallOutcome> =
+            outcome.calls.iter().filter(|call| call.class == class).collect();
         let verdicts = |verdict| calls.iter().filter(|call| call.verdict == verdict).count();
         let times = outcome.times(class);
         let quantile = |share: f64| times.value_at_quantile(share) as f64 / MICROS;
@@ -72,14 +69,9 @@
     let wrong = outcome.calls.iter().filter(|call| call.is_wrong).count() as u64;
     let checks = [
         (counts.double_bookings, "bookings ran twice"),
-        (
-            counts.engines.cut_by_unload,
-            "requests were cut by an unload",
-        ),
+        (counts.engines.cut_by_unload, "requests were cut by an unload"),
         (wrong, "answers were wrong"),
     ];
     let found = checks.iter().filter(|(count, _)| *count > 0);
-    found
-        .map(|(count, what)| format!("{count} {what}"))
-        .collect()
+    found.map(|(count, what)| format!("{count} {what}")).collect()
 }
--- a/quillcove/src/demo/site.rs
+++ b/quillcove/src/demo/site.rs
@@ -124,9 +124,8 @@
     /// assert!(parse(&SitePlan::default().bundle_text(1)).is_ok());
     /// ```
     pub fn bundle_text(&self, version: u64) -> String {
-        let replicas: Vec<String> = (0..self.services)
-            .map(|number| format!("\"{}\"", service_host(number)))
-            .collect();
+        let replicas: Vec<String> =
+            (0..self.services).map(|number| format!("\"{}\"", service_host(number))).collect();
         let mut text = format!(
             "[bundle]\nversion = {version}\n\n[loads]\nper_second = {}\nat_once = {}\n\n\
              [models.small]\n[models.large]\n\n[services.{BOOKING}]\nreplicas = [{}]\n\n\
@@ -262,8 +261,7 @@
             self.platform.publish(&delta_value(version), delta);
         }
         self.platform.publish(&text_value(version), text);
-        self.platform
-            .publish(HEAD_VALUE, serde_json::to_string(&head).unwrap_or_default());
+        self.platform.publish(HEAD_VALUE, serde_json::to_string(&head).unwrap_or_default());
     }
 
     fn add_engine(&mut self, plan: &SitePlan, number: usize) -> eyre::Result<()> {
@@ -282,12 +280,7 @@
         };
         self.engines.push(state);
         self.handles.push(Box::new(server));
-        self.add_agent(
-            plan,
-            engine_host(number),
-            upstream,
-            plan.model_of_engine(number),
-        )
+        self.add_agent(plan, engine_host(number), upstream, plan.model_of_engine(number))
     }
 
     fn add_service(&mut self, plan: &SitePlan, number: usize) -> eyre::Result<()> {
@@ -314,10 +307,7 @@
         let hall = HALLS[self.hosts.len() % HALLS.len()].to_string();
         let kind = upstream.kind;
         let settings = AgentSettings {
-            process: ProcessSection {
-                host: host.clone(),
-                hall: hall.clone(),
-            },
+            process: ProcessSection { host: host.clone(), hall: hall.clone() },
             listen: AgentListen::default(),
             upstream,
             platform: self.platform_section(),
@@ -356,10 +346,7 @@
     }
 
     fn platform_section(&self) -> PlatformSection {
-        PlatformSection {
-            address: self.platform_address,
-            ..PlatformSection::default()
-        }
+        PlatformSection { address: self.platform_address, ..PlatformSection::default() }
     }
 
     /// Callers' addresses of all entries.
@@ -489,8 +476,5 @@
 
 fn bundle_section() -> eyre::Result<BundleSection> {
     let trusted_keys = TrustedKeys::read(&[public_key(&signing_key(SITE_KEY_SEED))])?;
-    Ok(BundleSection {
-        trusted_keys,
-        peers: Vec::new(),
-    })
+    Ok(BundleSection { trusted_keys, peers: Vec::new() })
 }
--- a/quillcove/src/dump.rs
+++ b/quillcove/src/dump.rs
@@ -68,7 +68,7 @@
         Value::String(text) => text.clone(),
         Value::Number(number) if number.is_f64() => {
             format!("{:.3}", number.as_f64().unwrap_or_default())
-        }
+        },
         other => other.to_string(),
     }
 }
@@ -81,24 +81,12 @@
     for row in rows {
         lines.push(names.iter().map(|name| cell(&row[name.as_str()])).collect());
     }
-    let width = |column: usize| {
-        lines
-            .iter()
-            .map(|line| line[column].len())
-            .max()
-            .unwrap_or(0)
-    };
+    let width = |column: usize| lines.iter().map(|line| line[column].len()).max().unwrap_or(0);
     let widths: Vec<usize> = (0..names.len()).map(width).collect();
     let mut text = String::new();
     for line in &lines {
-        let cells = line
-            .iter()
-            .zip(&widths)
-            .map(|(cell, width)| format!("{cell:width$}"));
-        text.push_str(&format!(
-            "  {}\n",
-            cells.collect::<Vec<_>>().join("  ").trim_end()
-        ));
+        let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+        text.push_str(&format!("  {}\n", cells.collect::<Vec<_>>().join("  ").trim_end()));
     }
     text
 }
--- a/quillcove/src/duty.rs
+++ b/quillcove/src/duty.rs
@@ -17,9 +17,7 @@
 
 impl<E> Clone for DutyRing<E> {
     fn clone(&self) -> Self {
-        Self {
-            sender: self.sender.clone(),
-        }
+        Self { sender: self.sender.clone() }
     }
 }
 
@@ -93,7 +91,7 @@
                 Err(RecvTimeoutError::Timeout) => {
                     next_tick = std::time::Instant::now() + tick;
                     None
-                }
+                },
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             if !handle(event) {
@@ -110,10 +108,7 @@
 /// quillcove::duty::spawn("work", || ()).join().unwrap();
 /// ```
 pub fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> JoinHandle<()> {
-    thread::Builder::new()
-        .name(name.to_string())
-        .spawn(run)
-        .expect("threads can be started")
+    thread::Builder::new().name(name.to_string()).spawn(run).expect("threads can be started")
 }
 
 /// Runs a future to its end on a runtime with this many worker threads; one worker means that
--- a/quillcove/src/entry/admit.rs
+++ b/quillcove/src/entry/admit.rs
@@ -34,10 +34,7 @@
 
 impl AdmitError {
     fn bad(message: impl Into<String>) -> Self {
-        Self {
-            reason: RefusalReason::BadRequest,
-            message: message.into(),
-        }
+        Self { reason: RefusalReason::BadRequest, message: message.into() }
     }
 }
 
@@ -66,7 +63,7 @@
         Some(other) => {
             let message = format!("Quillcove-Repeatable is '{other}'; accepted is yes or no");
             return Err(AdmitError::bad(message));
-        }
+        },
     };
     let limit = match (headers.contains_key(headers::DEADLINE_MS), class) {
         (false, WorkClass::Batch) => section.batch_deadline,
@@ -152,13 +149,7 @@
         rendezvous::weight(&adapter.to_string(), &start)
     });
     let body = rewrite_body(body, &adapter, class)?;
-    Ok(AdmittedCompletion {
-        adapter,
-        model,
-        prefix,
-        is_stream: head.stream,
-        body,
-    })
+    Ok(AdmittedCompletion { adapter, model, prefix, is_stream: head.stream, body })
 }
 
 /// Puts the resolved adapter and the engine's priority into the body; all else stays.
@@ -191,10 +182,7 @@
     let Some(key) = &terms.key else {
         return Ok(None);
     };
-    let replicas = bundle
-        .services
-        .get(service)
-        .map(|entry| entry.replicas.as_slice());
+    let replicas = bundle.services.get(service).map(|entry| entry.replicas.as_slice());
     let names = replicas.unwrap_or_default().iter().map(String::as_str);
     let key = format!("{}\n{key}", terms.caller);
     match rendezvous::first(&key, names) {
--- a/quillcove/src/entry/attempt.rs
+++ b/quillcove/src/entry/attempt.rs
@@ -59,8 +59,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.ring
-            .put(EntryInput::Event(EntryEvent::Done(self.request)));
+        self.ring.put(EntryInput::Event(EntryEvent::Done(self.request)));
     }
 }
 
@@ -91,10 +90,7 @@
     if state.ring.offer(input).is_err() {
         return give_up(&watch, request, &ring_full());
     }
-    let guard = RequestGuard {
-        ring: state.ring.clone(),
-        request,
-    };
+    let guard = RequestGuard { ring: state.ring.clone(), request };
     let mut is_first = true;
     while let Some(step) = steps.recv().await {
         let order = match step {
@@ -150,7 +146,7 @@
         Ok(Err(WebError::NotSent(_))) => (AttemptEnd::Unreachable, None),
         Ok(Err(WebError::Lost(_) | WebError::Status(_))) | Err(_) => {
             (withdraw(state, order).await, None)
-        }
+        },
     }
 }
 
@@ -202,7 +198,7 @@
         Ok(WithdrawAnswer::NotRun) => {
             let soon = Some(Duration::from_secs(1));
             AttemptEnd::Refused(WorkRefusal::not_run(RefusalReason::UpstreamDown, soon))
-        }
+        },
         Ok(WithdrawAnswer::MayHaveRun) | Err(_) => AttemptEnd::Lost,
     }
 }
@@ -211,10 +207,7 @@
 pub async fn find_control(state: &ServeContext, host: &str) -> Option<String> {
     let (sender, receiver) = oneshot::channel();
     let find = FindControl::Host(host.to_string());
-    state
-        .ring
-        .offer(EntryInput::FindControl(find, sender))
-        .ok()?;
+    state.ring.offer(EntryInput::FindControl(find, sender)).ok()?;
     receiver.await.ok()?
 }
 
--- a/quillcove/src/entry/decide.rs
+++ b/quillcove/src/entry/decide.rs
@@ -76,17 +76,17 @@
                     self.callers.remove(&request);
                 }
                 self.handle(event);
-            }
+            },
             Some(EntryInput::Request(query, steps)) => {
                 self.callers.insert(query.request, steps);
                 self.handle(EntryEvent::Admitted(query));
-            }
+            },
             Some(EntryInput::FindControl(FindControl::Host(host), answer)) => {
                 let _ = answer.send(self.machine.control_of(&host));
-            }
+            },
             Some(EntryInput::Dump(answer)) => {
                 let _ = answer.send(self.machine.view(self.clock.now()));
-            }
+            },
             Some(EntryInput::Halt) => return false,
         }
         !*self.halt.borrow()
@@ -106,18 +106,18 @@
             EntryAction::Send(order) => {
                 let request = order.request;
                 self.step(request, RequestStep::Send(order));
-            }
+            },
             EntryAction::Finish(request, refusal) => {
                 self.step(request, RequestStep::Finish(refusal));
                 self.callers.remove(&request);
-            }
+            },
             EntryAction::ReadHosts => {
                 let _ = self.watch_asks.try_send(WatchAsk::ReadHosts);
-            }
+            },
             EntryAction::Stopped => {
                 info!(self.log, "entry stopped");
                 self.halt.send_replace(true);
-            }
+            },
         }
     }
 
--- a/quillcove/src/entry/mod.rs
+++ b/quillcove/src/entry/mod.rs
@@ -96,10 +96,7 @@
             clock,
             metrics.clone(),
         );
-        let inspector = EntryInspector {
-            ring: ring.clone(),
-            is_ready: is_ready.clone(),
-        };
+        let inspector = EntryInspector { ring: ring.clone(), is_ready: is_ready.clone() };
 
         let (bound_sender, bound) = std::sync::mpsc::channel();
         let mut threads = vec![decide.spawn(inputs, TICK)];
@@ -120,14 +117,7 @@
             duty::run_async(1, watch.run(watch_receiver));
         }));
         info!(log, "entry started"; "callers" => %callers, "operator" => %operator);
-        Ok(Self {
-            callers,
-            operator,
-            ring,
-            threads,
-            halt,
-            is_ready,
-        })
+        Ok(Self { callers, operator, ring, threads, halt, is_ready })
     }
 
     /// Begins the planned stop: new requests are refused and those in flight end whole.
@@ -234,7 +224,7 @@
         Err(error) => {
             let _ = bound.send(Err(error));
             return;
-        }
+        },
     };
     let _ = bound.send(Ok((callers.local_addr(), operator.local_addr())));
     let _ = halted.wait_for(|is_halted| *is_halted).await;
--- a/quillcove/src/entry/serve.rs
+++ b/quillcove/src/entry/serve.rs
@@ -62,15 +62,7 @@
         metrics: Arc<ProcessMetrics>,
     ) -> Self {
         let client = WebClient::new(settings.requests.connect_timeout, IDLE_TIME);
-        Self {
-            settings,
-            ring,
-            shelf,
-            clock,
-            metrics,
-            client,
-            pool: ControlPool::default(),
-        }
+        Self { settings, ring, shelf, clock, metrics, client, pool: ControlPool::default() }
     }
 
     fn bundle(&self) -> Result<Arc<FleetBundle>, AdmitError> {
@@ -101,10 +93,7 @@
 async fn read_body(state: &ServeContext, body: StreamingBody) -> Result<Bytes, AdmitError> {
     let limit = state.settings.requests.body_timeout;
     let read = tokio::time::timeout(limit, body::read(body)).await;
-    let bad = |message: String| AdmitError {
-        reason: RefusalReason::BadRequest,
-        message,
-    };
+    let bad = |message: String| AdmitError { reason: RefusalReason::BadRequest, message };
     match read {
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(error)) => Err(bad(format!("body: {}", error.external_message))),
@@ -147,10 +136,7 @@
     let bundle = state.bundle()?;
     let completion = admit::read_completion(&body, terms.class, &bundle)?;
     let adapter = completion.adapter.clone();
-    let target = RouteTarget::Adapter {
-        adapter,
-        model: completion.model,
-    };
+    let target = RouteTarget::Adapter { adapter, model: completion.model };
     let now = state.clock.now();
     Ok(OutgoingRequest {
         query: admit::query(request, target, &terms, completion.prefix, now),
@@ -199,18 +185,11 @@
     let bundle = state.bundle()?;
     if !bundle.services.contains_key(&path.service) {
         let message = format!("the bundle has no service '{}'", path.service);
-        return Err(AdmitError {
-            reason: RefusalReason::Unknown,
-            message,
-        });
+        return Err(AdmitError { reason: RefusalReason::Unknown, message });
     }
     let owner = admit::owner_of(&terms, &path.service, &bundle)?;
     let target = owner.unwrap_or(RouteTarget::Service(path.service));
-    let query = context
-        .request
-        .uri()
-        .query()
-        .map(|query| format!("?{query}"));
+    let query = context.request.uri().query().map(|query| format!("?{query}"));
     let now = state.clock.now();
     Ok(OutgoingRequest {
         query: admit::query(request, target, &terms, None, now),
@@ -247,10 +226,7 @@
             json!({ "id": id, "object": "model", "created": 0, "owned_by": entry.model })
         })
         .collect();
-    with_request_id(
-        json_answer(&json!({ "object": "list", "data": models })),
-        request,
-    )
+    with_request_id(json_answer(&json!({ "object": "list", "data": models })), request)
 }
 
 /// Path of a wish for a ticket.
@@ -265,17 +241,11 @@
     let request = new_request();
     let service = path.into_inner().service;
     match state.bundle() {
-        Ok(bundle) if bundle.services.contains_key(&service) => {}
+        Ok(bundle) if bundle.services.contains_key(&service) => {},
         Ok(_) => {
             let message = format!("the bundle has no service '{service}'");
-            return reject(
-                request,
-                &AdmitError {
-                    reason: RefusalReason::Unknown,
-                    message,
-                },
-            );
-        }
+            return reject(request, &AdmitError { reason: RefusalReason::Unknown, message });
+        },
         Err(error) => return reject(request, &error),
     }
     for control in ticket_issuers(state, &service) {
@@ -287,13 +257,7 @@
         }
     }
     let reason = RefusalReason::NoUpstream;
-    reject(
-        request,
-        &AdmitError {
-            reason,
-            message: explain(reason).to_string(),
-        },
-    )
+    reject(request, &AdmitError { reason, message: explain(reason).to_string() })
 }
 
 /// Control addresses of a few live agents of a service, in an order drawn anew.
@@ -305,11 +269,8 @@
             && record.serves == service
             && record.state == HostState::Live
     };
-    let mut controls: Vec<String> = hosts
-        .iter()
-        .filter(fits)
-        .map(|record| record.control.clone())
-        .collect();
+    let mut controls: Vec<String> =
+        hosts.iter().filter(fits).map(|record| record.control.clone()).collect();
     rand::seq::SliceRandom::shuffle(controls.as_mut_slice(), &mut rand::rng());
     controls.truncate(TICKET_TRIES);
     controls
@@ -330,20 +291,11 @@
     let text = path.into_inner().ticket;
     let Some(ticket) = RunTicket::peek(&text) else {
         let message = "the ticket can not be read".to_string();
-        return reject(
-            request,
-            &AdmitError {
-                reason: RefusalReason::BadRequest,
-                message,
-            },
-        );
+        return reject(request, &AdmitError { reason: RefusalReason::BadRequest, message });
     };
     let unknown = WorkRefusal::may_have_run(RefusalReason::TicketUnknown);
     let Some(control) = find_control(state, &ticket.owner).await else {
-        return with_request_id(
-            refusal(&unknown, "the ticket's owner is not known"),
-            request,
-        );
+        return with_request_id(refusal(&unknown, "the ticket's owner is not known"), request);
     };
     let asked = |client: AgentControlClient, context| async move {
         client.ticket_state(context, text).await
@@ -377,28 +329,10 @@
     let mut api = ApiDescription::new();
     let post = Method::POST;
     register!(api, "complete", post.clone(), "/v1/completions", complete)?;
-    register!(
-        api,
-        "complete_chat",
-        post.clone(),
-        "/v1/chat/completions",
-        complete_chat
-    )?;
+    register!(api, "complete_chat", post.clone(), "/v1/chat/completions", complete_chat)?;
     register!(api, "list_models", Method::GET, "/v1/models", list_models)?;
-    register!(
-        api,
-        "issue_ticket",
-        post,
-        "/v1/tickets/{service}",
-        issue_ticket
-    )?;
-    register!(
-        api,
-        "read_ticket",
-        Method::GET,
-        "/v1/ticket-states/{ticket}",
-        read_ticket
-    )?;
+    register!(api, "issue_ticket", post, "/v1/tickets/{service}", issue_ticket)?;
+    register!(api, "read_ticket", Method::GET, "/v1/ticket-states/{ticket}", read_ticket)?;
     register_any_method!(api, "call", "/svc/{service}/{path:.*}", call_service);
     let address = context.settings.listen.callers;
     let body_limit = context.settings.requests.body_limit;
--- a/quillcove/src/logging.rs
+++ b/quillcove/src/logging.rs
@@ -28,17 +28,9 @@
     match is_text {
         true => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
-            root(
-                slog_term::FullFormat::new(decorator).build().fuse(),
-                section.level,
-                fields,
-            )
-        }
-        false => root(
-            slog_json::Json::default(std::io::stderr()).fuse(),
-            section.level,
-            fields,
-        ),
+            root(slog_term::FullFormat::new(decorator).build().fuse(), section.level, fields)
+        },
+        false => root(slog_json::Json::default(std::io::stderr()).fuse(), section.level, fields),
     }
 }
 
@@ -47,9 +39,7 @@
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
     T: slog::SendSyncRefUnwindSafeKV + 'static,
 {
-    let drain = slog_async::Async::new(drain)
-        .chan_size(LINES_WAITING)
-        .build();
+    let drain = slog_async::Async::new(drain).chan_size(LINES_WAITING).build();
     Logger::root(LevelFilter::new(drain, level).fuse(), fields)
 }
 
--- a/quillcove/src/main.rs
+++ b/quillcove/src/main.rs
@@ -13,6 +13,6 @@
         Err(error) => {
             eprintln!("quillcove: {error:#}");
             ExitCode::FAILURE
-        }
+        },
     }
 }
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -45,51 +45,25 @@
     pub fn new(role: &'static str) -> eyre::Result<Self> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
-        let exporter = exporter
-            .build()
-            .wrap_err("can not make the metrics exporter")?;
-        let resource = opentelemetry_sdk::Resource::builder()
-            .with_service_name(role)
-            .build();
-        let provider = SdkMeterProvider::builder()
-            .with_reader(exporter)
-            .with_resource(resource)
-            .build();
+        let exporter = exporter.build().wrap_err("can not make the metrics exporter")?;
+        let resource = opentelemetry_sdk::Resource::builder().with_service_name(role).build();
+        let provider =
+            SdkMeterProvider::builder().with_reader(exporter).with_resource(resource).build();
         let meter = provider.meter("quillcove");
         let time = |name: &'static str, description: &'static str| {
             let histogram = meter.f64_histogram(name).with_description(description);
-            histogram
-                .with_unit("s")
-                .with_boundaries(TIME_BOUNDS.to_vec())
-                .build()
+            histogram.with_unit("s").with_boundaries(TIME_BOUNDS.to_vec()).build()
         };
         Ok(Self {
-            requests: counter(
-                &meter,
-                "quillcove.requests",
-                "Requests by verdict and class",
-            ),
+            requests: counter(&meter, "quillcove.requests", "Requests by verdict and class"),
             refusals: counter(&meter, "quillcove.refusals", "Refusals by reason and class"),
             attempts: counter(&meter, "quillcove.attempts", "Attempts sent or taken"),
             retries: counter(&meter, "quillcove.retries", "Attempts after the first"),
             loads: counter(&meter, "quillcove.loads", "Loads by outcome"),
-            orders: counter(
-                &meter,
-                "quillcove.orders",
-                "Orders to the engine by outcome",
-            ),
-            load_stall: time(
-                "quillcove.load_stall",
-                "Wait before the upstream gets an attempt",
-            ),
-            first_byte: time(
-                "quillcove.first_byte",
-                "Time from a request to its answer's head",
-            ),
-            duration: time(
-                "quillcove.request_duration",
-                "Time from a request to its last byte",
-            ),
+            orders: counter(&meter, "quillcove.orders", "Orders to the engine by outcome"),
+            load_stall: time("quillcove.load_stall", "Wait before the upstream gets an attempt"),
+            first_byte: time("quillcove.first_byte", "Time from a request to its answer's head"),
+            duration: time("quillcove.request_duration", "Time from a request to its last byte"),
             registry,
             _provider: provider,
         })
@@ -107,10 +81,7 @@
     /// assert!(metrics.text().contains("quillcove_requests_total"));
     /// ```
     pub fn finished(&self, verdict: RunVerdict, class: WorkClass, took: Duration) {
-        let labels = [
-            class_label(class),
-            KeyValue::new("verdict", verdict.label()),
-        ];
+        let labels = [class_label(class), KeyValue::new("verdict", verdict.label())];
         self.requests.add(1, &labels);
         self.duration.record(took.as_secs_f64(), &labels[..1]);
     }
@@ -151,8 +122,7 @@
     /// metrics.stalled(WorkClass::Urgent, Duration::from_millis(300));
     /// ```
     pub fn stalled(&self, class: WorkClass, wait: Duration) {
-        self.load_stall
-            .record(wait.as_secs_f64(), &[class_label(class)]);
+        self.load_stall.record(wait.as_secs_f64(), &[class_label(class)]);
     }
 
     /// Records the time to an answer's head.
@@ -165,8 +135,7 @@
     /// metrics.answered(WorkClass::Urgent, Duration::from_millis(30));
     /// ```
     pub fn answered(&self, class: WorkClass, took: Duration) {
-        self.first_byte
-            .record(took.as_secs_f64(), &[class_label(class)]);
+        self.first_byte.record(took.as_secs_f64(), &[class_label(class)]);
     }
 
     /// Counts the end of an order to the engine.
@@ -190,17 +159,12 @@
     /// ```
     pub fn text(&self) -> String {
         let families = self.registry.gather();
-        TextEncoder::new()
-            .encode_to_string(&families)
-            .unwrap_or_default()
+        TextEncoder::new().encode_to_string(&families).unwrap_or_default()
     }
 }
 
 fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
-    meter
-        .u64_counter(name)
-        .with_description(description)
-        .build()
+    meter.u64_counter(name).with_description(description).build()
 }
 
 fn class_label(class: WorkClass) -> KeyValue {
--- a/quillcove/src/operator.rs
+++ b/quillcove/src/operator.rs
@@ -93,9 +93,6 @@
         .and_then(|()| api.register(read_metrics))
         .and_then(|()| api.register(read_state));
     registered.map_err(|error| eyre!("can not register a path: {error}"))?;
-    let context = Arc::new(OperatorContext {
-        inspector: Box::new(inspector),
-        metrics,
-    });
+    let context = Arc::new(OperatorContext { inspector: Box::new(inspector), metrics });
     server::start(api, context, address, BODY_LIMIT, &quiet(log))
 }
--- a/quillcove/src/platform.rs
+++ b/quillcove/src/platform.rs
@@ -58,21 +58,14 @@
     /// ```
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         let idle = Duration::from_secs(30);
-        Self {
-            client: WebClient::new(timeout, idle),
-            base: format!("http://{address}"),
-            timeout,
-        }
+        Self { client: WebClient::new(timeout, idle), base: format!("http://{address}"), timeout }
     }
 }
 
 impl PlatformPort for HttpPlatform {
     async fn hosts(&self) -> Result<Vec<HostRecord>, WebError> {
         let uri = format!("{}/hosts", self.base);
-        let answer = self
-            .client
-            .fetch(Method::GET, &uri, Bytes::new(), self.timeout)
-            .await?;
+        let answer = self.client.fetch(Method::GET, &uri, Bytes::new(), self.timeout).await?;
         if answer.status() != StatusCode::OK {
             return Err(WebError::Status(answer.status()));
         }
@@ -85,30 +78,18 @@
         after: Option<u64>,
         wait: Duration,
     ) -> Result<Option<PlatformValue>, WebError> {
-        let after = after
-            .map(|revision| format!("&after={revision}"))
-            .unwrap_or_default();
-        let uri = format!(
-            "{}/values/{name}?wait_ms={}{after}",
-            self.base,
-            wait.as_millis()
-        );
+        let after = after.map(|revision| format!("&after={revision}")).unwrap_or_default();
+        let uri = format!("{}/values/{name}?wait_ms={}{after}", self.base, wait.as_millis());
         let limit = self.timeout + wait + WATCH_MARGIN;
-        let answer = self
-            .client
-            .fetch(Method::GET, &uri, Bytes::new(), limit)
-            .await?;
+        let answer = self.client.fetch(Method::GET, &uri, Bytes::new(), limit).await?;
         match answer.status() {
             StatusCode::NOT_MODIFIED => Ok(None),
             StatusCode::OK => {
                 let revision = answer.headers().get(REVISION_HEADER);
                 let revision = revision.and_then(|value| value.to_str().ok()?.parse().ok());
                 let revision = revision.ok_or(WebError::Lost("no revision".to_string()))?;
-                Ok(Some(PlatformValue {
-                    revision,
-                    content: answer.into_body(),
-                }))
-            }
+                Ok(Some(PlatformValue { revision, content: answer.into_body() }))
+            },
             status => Err(WebError::Status(status)),
         }
     }
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -21,9 +21,7 @@
 
 /// Runs a subcommand.
 pub fn run(matches: &ArgMatches) -> eyre::Result<ExitCode> {
-    let (name, matches) = matches
-        .subcommand()
-        .ok_or_else(|| eyre!("no command is named"))?;
+    let (name, matches) = matches.subcommand().ok_or_else(|| eyre!("no command is named"))?;
     match name {
         "entry" => run_entry(matches),
         "agent" => run_agent(matches),
@@ -38,9 +36,7 @@
 }
 
 fn config_file(matches: &ArgMatches) -> eyre::Result<(String, String)> {
-    let file: &String = matches
-        .get_one("config")
-        .ok_or_else(|| eyre!("no settings file"))?;
+    let file: &String = matches.get_one("config").ok_or_else(|| eyre!("no settings file"))?;
     Ok((file.clone(), config::load(Path::new(file))?))
 }
 
@@ -128,9 +124,7 @@
 }
 
 fn check(matches: &ArgMatches) -> eyre::Result<ExitCode> {
-    let file: &String = matches
-        .get_one("file")
-        .ok_or_else(|| eyre!("no file is named"))?;
+    let file: &String = matches.get_one("file").ok_or_else(|| eyre!("no file is named"))?;
     let text = config::load(Path::new(file))?;
     let role = match matches.get_one::<String>("role").map(String::as_str) {
         Some("entry") => SettingRole::Entry,
@@ -147,18 +141,16 @@
         Ok(()) => {
             println!("{file}: no faults");
             Ok(ExitCode::SUCCESS)
-        }
+        },
         Err(faults) => {
             eprintln!("{faults}");
             Ok(ExitCode::FAILURE)
-        }
+        },
     }
 }
 
 fn print_dump(matches: &ArgMatches) -> eyre::Result<ExitCode> {
-    let address: &String = matches
-        .get_one("address")
-        .ok_or_else(|| eyre!("no address"))?;
+    let address: &String = matches.get_one("address").ok_or_else(|| eyre!("no address"))?;
     let state = dump::fetch(address)?;
     match matches.get_flag("json") {
         true => println!("{}", serde_json::to_string_pretty(&state)?),
@@ -168,9 +160,7 @@
 }
 
 fn generate(matches: &ArgMatches) -> eyre::Result<()> {
-    let folder: &String = matches
-        .get_one("folder")
-        .ok_or_else(|| eyre!("no folder"))?;
+    let folder: &String = matches.get_one("folder").ok_or_else(|| eyre!("no folder"))?;
     fs::create_dir_all(folder).wrap_err_with(|| format!("can not make {folder}"))?;
     clap_mangen::generate_to(cli::command(), folder)?;
     for shell in [Shell::Bash, Shell::Zsh, Shell::Fish] {
--- a/quillcove/src/standin.rs
+++ b/quillcove/src/standin.rs
@@ -24,9 +24,7 @@
 /// }
 /// ```
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let (kind, matches) = matches
-        .subcommand()
-        .ok_or_else(|| eyre!("no stand-in is named"))?;
+    let (kind, matches) = matches.subcommand().ok_or_else(|| eyre!("no stand-in is named"))?;
     let address: SocketAddr = *matches.get_one("listen").expect("has a default");
     let time = |name: &str| Duration::from_millis(*matches.get_one::<u64>(name).unwrap_or(&0));
     duty::run_async(1, async {
@@ -37,23 +35,20 @@
                     batch: *matches.get_one::<usize>("batch").expect("has a default"),
                     step: time("step-ms"),
                     checks_fence: !matches.get_flag("no-fence"),
-                    store: matches
-                        .get_one::<String>("store")
-                        .cloned()
-                        .unwrap_or_default(),
+                    store: matches.get_one::<String>("store").cloned().unwrap_or_default(),
                     ..EngineSettings::default()
                 };
                 let server = engine::start(EngineState::new(settings), address);
                 serve_forever(server.map_err(|error| eyre!(error))?).await
-            }
+            },
             "service" => {
                 let state = ServiceState::new(time("delay-ms"));
                 serve_forever(service::start(state, address).map_err(|error| eyre!(error))?).await
-            }
+            },
             _ => {
                 let state = PlatformState::new(PlatformSettings::default());
                 serve_forever(platform::start(state, address).map_err(|error| eyre!(error))?).await
-            }
+            },
         }
     })
 }
--- a/quillcove/src/web/answer.rs
+++ b/quillcove/src/web/answer.rs
@@ -46,7 +46,7 @@
     match status {
         StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::CONFLICT => {
             "invalid_request_error"
-        }
+        },
         StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
         _ => "server_error",
     }
@@ -149,6 +149,6 @@
         RefusalReason::AlreadyUsed => "the ticket or key was used before",
         RefusalReason::KeyUncertain => {
             "the owner of this key restarted lately; take a ticket or come back later"
-        }
+        },
     }
 }
--- a/quillcove/src/web/body.rs
+++ b/quillcove/src/web/body.rs
@@ -41,12 +41,7 @@
     /// quillcove::web::body::WatchedBody::new(incoming(), |end| println!("{end:?}"));
     /// ```
     pub fn new(inner: Incoming, notice: impl FnOnce(BodyEnd) + Send + Sync + 'static) -> Self {
-        Self {
-            inner,
-            notice: Some(Box::new(notice)),
-            last: None,
-            is_over: false,
-        }
+        Self { inner, notice: Some(Box::new(notice)), last: None, is_over: false }
     }
 
     /// Adds bytes after the last frame, such as a stream's error event. A body that ended in
--- a/quillcove/src/web/client.rs
+++ b/quillcove/src/web/client.rs
@@ -49,9 +49,7 @@
             true => builder.pool_max_idle_per_host(0),
             false => builder.pool_idle_timeout(idle_timeout),
         };
-        Self {
-            inner: builder.build(connector),
-        }
+        Self { inner: builder.build(connector) }
     }
 
     /// Sends a request and returns the answer's head, with its body still to come.
@@ -75,13 +73,10 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, WebError> {
-        self.inner
-            .request(request)
-            .await
-            .map_err(|error| match error.is_connect() {
-                true => WebError::NotSent(describe(&error)),
-                false => WebError::Lost(describe(&error)),
-            })
+        self.inner.request(request).await.map_err(|error| match error.is_connect() {
+            true => WebError::NotSent(describe(&error)),
+            false => WebError::Lost(describe(&error)),
+        })
     }
 
     /// Sends a request and reads the whole answer within a time.
@@ -108,18 +103,12 @@
         body: impl Into<Bytes>,
         limit: Duration,
     ) -> Result<Response<Bytes>, WebError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(uri)
-            .body(Full::new(body.into()));
+        let request = Request::builder().method(method).uri(uri).body(Full::new(body.into()));
         let request = request.map_err(|error| WebError::NotSent(error.to_string()))?;
         let exchange = async {
             let response = self.send(request).await?;
             let (parts, body) = response.into_parts();
-            let body = body
-                .collect()
-                .await
-                .map_err(|error| WebError::Lost(error.to_string()))?;
+            let body = body.collect().await.map_err(|error| WebError::Lost(error.to_string()))?;
             Ok(Response::from_parts(parts, body.to_bytes()))
         };
         let timeout = tokio::time::timeout(limit, exchange).await;
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -64,21 +64,12 @@
 /// assert_eq!(read, Some(Duration::from_millis(250)));
 /// ```
 pub fn millis(headers: &HeaderMap, name: &str) -> Option<Duration> {
-    text(headers, name)?
-        .trim()
-        .parse()
-        .ok()
-        .map(Duration::from_millis)
+    text(headers, name)?.trim().parse().ok().map(Duration::from_millis)
 }
 
 /// Headers that belong to one connection.
-const HOP_HEADERS: [&str; 5] = [
-    "connection",
-    "host",
-    "content-length",
-    "transfer-encoding",
-    "keep-alive",
-];
+const HOP_HEADERS: [&str; 5] =
+    ["connection", "host", "content-length", "transfer-encoding", "keep-alive"];
 
 /// The headers that are passed on: none of one connection, and none of quillcove's own.
 ///
--- a/quillcove/src/web/server.rs
+++ b/quillcove/src/web/server.rs
@@ -12,14 +12,8 @@
 use slog::Logger;
 
 /// Methods that plain services may be called with.
-pub const ANY_METHOD: [Method; 6] = [
-    Method::GET,
-    Method::POST,
-    Method::PUT,
-    Method::PATCH,
-    Method::DELETE,
-    Method::HEAD,
-];
+pub const ANY_METHOD: [Method; 6] =
+    [Method::GET, Method::POST, Method::PUT, Method::PATCH, Method::DELETE, Method::HEAD];
 
 /// The rest of a path.
 #[derive(Debug, Deserialize, JsonSchema)]
@@ -41,8 +35,7 @@
         );
         // A wildcard path can not be described to clients.
         endpoint.visible = false;
-        $api.register(endpoint)
-            .map_err(|error| eyre::eyre!("can not register {}: {error}", $path))
+        $api.register(endpoint).map_err(|error| eyre::eyre!("can not register {}: {error}", $path))
     }};
 }
 pub(crate) use register;
@@ -88,8 +81,6 @@
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
         ..ConfigDropshot::default()
     };
-    let server = ServerBuilder::new(api, context, log.clone())
-        .config(config)
-        .start();
+    let server = ServerBuilder::new(api, context, log.clone()).config(config).start();
     server.wrap_err_with(|| format!("can not listen on {address}"))
 }
--- a/quillcove/tests/common/mod.rs
+++ b/quillcove/tests/common/mod.rs
@@ -65,9 +65,7 @@
 
     /// Sends a signal to this child only.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([name, &self.child.id().to_string()])
-            .status();
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(status.expect("kill can be run").success());
     }
 
@@ -118,12 +116,7 @@
             let line: Value = serde_json::from_str(line).ok()?;
             (line["msg"] == started.as_str()).then_some(line)
         });
-        Self {
-            process,
-            addresses,
-            config: config.to_string(),
-            role,
-        }
+        Self { process, addresses, config: config.to_string(), role }
     }
 
     /// Ends the process at once and starts another with the same settings.
@@ -133,10 +126,7 @@
     }
 
     pub fn address(&self, name: &str) -> String {
-        self.addresses[name]
-            .as_str()
-            .expect("the address is logged")
-            .to_string()
+        self.addresses[name].as_str().expect("the address is logged").to_string()
     }
 }
 
@@ -163,13 +153,7 @@
 
 impl Default for SiteSize {
     fn default() -> Self {
-        Self {
-            engines: 2,
-            services: 2,
-            entries: 2,
-            slots: 2,
-            service_delay_ms: 1,
-        }
+        Self { engines: 2, services: 2, entries: 2, slots: 2, service_delay_ms: 1 }
     }
 }
 
@@ -204,20 +188,14 @@
         for number in 0..size.engines {
             let slots = size.slots.to_string();
             let engine = standin(&["engine", "--slots", &slots, "--step-ms", "2"]);
-            let upstream = format!(
-                "kind = engine\naddress = {}\nsettle_time = 500ms\n",
-                engine.1
-            );
+            let upstream = format!("kind = engine\naddress = {}\nsettle_time = 500ms\n", engine.1);
             site.engines.push(engine);
             site.add_agent(&format!("e{number}"), "engine", "small", &upstream);
         }
         for number in 0..size.services {
             let delay = size.service_delay_ms.to_string();
             let service = standin(&["service", "--delay-ms", &delay]);
-            let upstream = format!(
-                "kind = service\naddress = {}\npath_prefix = /do\n",
-                service.1
-            );
+            let upstream = format!("kind = service\naddress = {}\npath_prefix = /do\n", service.1);
             site.services.push(service);
             site.add_agent(&format!("s{number}"), "service", "booking", &upstream);
         }
@@ -289,19 +267,12 @@
         let text = bundle_text(version, current);
         let head = sign(&signing_key(KEY_SEED), version, text.as_bytes());
         self.put(&format!("values/bundle-text-{version}"), &text);
-        self.put(
-            "values/bundle-head",
-            &serde_json::to_string(&head).expect("a head is JSON"),
-        );
+        self.put("values/bundle-head", &serde_json::to_string(&head).expect("a head is JSON"));
     }
 
     /// Tells the platform something.
     pub fn put(&self, path: &str, body: &str) {
-        let answer = call(
-            Method::PUT,
-            &format!("http://{}/admin/{path}", self.platform.1),
-            body,
-        );
+        let answer = call(Method::PUT, &format!("http://{}/admin/{path}", self.platform.1), body);
         assert!(answer.expect("the platform answers").status().is_success());
     }
 
@@ -389,17 +360,12 @@
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
-    let request = request
-        .body(Full::new(Bytes::from(body.to_string())))
-        .expect("it is a request");
+    let request = request.body(Full::new(Bytes::from(body.to_string()))).expect("it is a request");
     run_async(1, async {
         let client = WebClient::new(Duration::from_secs(2), Duration::ZERO);
         let exchange = async {
             let (parts, body) = client.send(request).await?.into_parts();
-            let body = body
-                .collect()
-                .await
-                .map_err(|error| WebError::Lost(error.to_string()))?;
+            let body = body.collect().await.map_err(|error| WebError::Lost(error.to_string()))?;
             Ok(Response::from_parts(parts, body.to_bytes()))
         };
         let limited = tokio::time::timeout(PATIENCE, exchange).await;
@@ -410,9 +376,7 @@
 /// The verdict header of an answer.
 pub fn verdict(answer: &Response<Bytes>) -> &str {
     let value = answer.headers().get("quillcove-verdict");
-    value
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("none")
+    value.and_then(|value| value.to_str().ok()).unwrap_or("none")
 }
 
 /// Waits for something that must come.
--- a/quillcove/tests/whole_path.rs
+++ b/quillcove/tests/whole_path.rs
@@ -60,9 +60,7 @@
 
 fn unknown_model_is_refused_at_once(site: &ProcessSite) {
     for model in ["missing", "a0@7"] {
-        let answer = site
-            .complete(0, &json!({ "model": model, "prompt": "hi" }))
-            .unwrap();
+        let answer = site.complete(0, &json!({ "model": model, "prompt": "hi" })).unwrap();
         assert_eq!(answer.status(), 404);
         assert_eq!(verdict(&answer), "not-run");
         let body: Value = serde_json::from_slice(answer.body()).unwrap();
@@ -71,16 +69,15 @@
     }
 }
 
+/// Headers, body, and what the answer must say.
+type BadRequest<'a> = (&'a [(&'a str, &'a str)], &'a str, &'a str);
+
 fn malformed_requests_name_the_fault(site: &ProcessSite) {
     let uri = format!("http://{}/v1/completions", site.entry(0));
     let body = json!({ "model": "a0", "prompt": "hi" }).to_string();
-    let cases: [(&[(&str, &str)], &str, &str); 4] = [
+    let cases: [BadRequest; 4] = [
         (&[], "{\"model\": 5}", "body: invalid type"),
-        (
-            &[("quillcove-priority", "soon")],
-            &body,
-            "urgent, normal or batch",
-        ),
+        (&[("quillcove-priority", "soon")], &body, "urgent, normal or batch"),
         (&[("quillcove-repeatable", "maybe")], &body, "yes or no"),
         (&[("quillcove-deadline-ms", "1s")], &body, "milliseconds"),
     ];
@@ -94,13 +91,7 @@
 }
 
 fn service_calls_keep_method_path_and_query(site: &ProcessSite) {
-    for method in [
-        Method::GET,
-        Method::PUT,
-        Method::PATCH,
-        Method::DELETE,
-        Method::POST,
-    ] {
+    for method in [Method::GET, Method::PUT, Method::PATCH, Method::DELETE, Method::POST] {
         let uri = format!("http://{}/svc/booking/trips/7?day=2", site.entry(1));
         let answer = call(method.clone(), &uri, "body").unwrap();
         assert_eq!(verdict(&answer), "ran", "{method}");
--- a/quillcove_core/src/adapter.rs
+++ b/quillcove_core/src/adapter.rs
@@ -58,10 +58,7 @@
     /// assert_eq!(AdapterRef::new("shuttle", 3).to_string(), "shuttle@3");
     /// ```
     pub fn new(name: &str, version: AdapterVersion) -> Self {
-        Self {
-            name: Arc::from(name),
-            version,
-        }
+        Self { name: Arc::from(name), version }
     }
 }
 
@@ -88,9 +85,7 @@
         if !is_valid_name(name) {
             return Err(NameError::BadName(name.to_string()));
         }
-        let version = version
-            .parse()
-            .map_err(|_| NameError::BadVersion(version.to_string()))?;
+        let version = version.parse().map_err(|_| NameError::BadVersion(version.to_string()))?;
         Ok(Self::new(name, version))
     }
 }
--- a/quillcove_core/src/agent/engine.rs
+++ b/quillcove_core/src/agent/engine.rs
@@ -138,15 +138,8 @@
     /// ```
     pub fn next_order(&mut self, bundle: BundleVersion, kind: OrderKind) -> EngineOrder {
         let sequence = self.last_fence.sequence + 1;
-        self.last_fence = OrderFence {
-            bundle,
-            term: self.term,
-            sequence,
-        };
-        EngineOrder {
-            fence: self.last_fence,
-            kind,
-        }
+        self.last_fence = OrderFence { bundle, term: self.term, sequence };
+        EngineOrder { fence: self.last_fence, kind }
     }
 
     /// Tells whether a report shows the effect of all orders so far.
@@ -162,10 +155,7 @@
     /// ```
     pub fn shows_all_orders(&self, report: &EngineReport, checks_fence: bool) -> bool {
         let is_caught_up = !checks_fence || report.highest_fence >= self.last_fence;
-        self.plan
-            .as_ref()
-            .is_none_or(|plan| plan.stage == PlanStage::Asking)
-            && is_caught_up
+        self.plan.as_ref().is_none_or(|plan| plan.stage == PlanStage::Asking) && is_caught_up
     }
 
     /// Notes a fence that the engine has seen. Returns the bundle version in it when another
@@ -224,13 +214,7 @@
     pub fn note_failed_load(&mut self, adapter: &AdapterRef, now: MonoTime) -> Duration {
         let before = self.backoffs.get(adapter).map(|backoff| backoff.pause);
         let pause = before.map_or(FIRST_BACKOFF, |pause| (pause * 2).min(LAST_BACKOFF));
-        self.backoffs.insert(
-            adapter.clone(),
-            LoadBackoff {
-                until: now + pause,
-                pause,
-            },
-        );
+        self.backoffs.insert(adapter.clone(), LoadBackoff { until: now + pause, pause });
         pause
     }
 
@@ -246,8 +230,6 @@
     /// assert!(!engine.is_backing_off(&AdapterRef::new("shuttle", 1), Duration::ZERO));
     /// ```
     pub fn is_backing_off(&self, adapter: &AdapterRef, now: MonoTime) -> bool {
-        self.backoffs
-            .get(adapter)
-            .is_some_and(|backoff| now < backoff.until)
+        self.backoffs.get(adapter).is_some_and(|backoff| now < backoff.until)
     }
 }
--- a/quillcove_core/src/agent/loads.rs
+++ b/quillcove_core/src/agent/loads.rs
@@ -44,10 +44,7 @@
         if engine.table.is_ready(adapter) {
             return Duration::ZERO;
         }
-        let is_planned = engine
-            .plan
-            .as_ref()
-            .is_some_and(|plan| plan.adapter == *adapter);
+        let is_planned = engine.plan.as_ref().is_some_and(|plan| plan.adapter == *adapter);
         if is_planned {
             return Duration::ZERO;
         }
@@ -61,10 +58,7 @@
     }
 
     fn priority_weight(&self, adapter: &AdapterRef) -> f64 {
-        let priority = self
-            .bundle
-            .as_ref()
-            .map_or(0, |bundle| bundle.priority_of(adapter));
+        let priority = self.bundle.as_ref().map_or(0, |bundle| bundle.priority_of(adapter));
         priority_weight(priority)
     }
 
@@ -76,10 +70,7 @@
         adapter: &AdapterRef,
         queue: &VecDeque<WaitingAttempt>,
     ) -> f64 {
-        let load_time = self
-            .engine
-            .as_ref()
-            .map_or(Duration::ZERO, |engine| engine.load_time);
+        let load_time = self.engine.as_ref().map_or(Duration::ZERO, |engine| engine.load_time);
         let value_of = |attempt: &WaitingAttempt| {
             let is_late = attempt.order.deadline < now + load_time * LATE_LOADS;
             let class = match attempt.order.class {
@@ -102,8 +93,8 @@
         }
         match engine.plan.as_ref().map(|plan| plan.stage.clone()) {
             None => self.begin_load(now, &bundle, out),
-            Some(PlanStage::Asking | PlanStage::Ordered(_)) => {}
-            Some(PlanStage::Unsure(_, until)) if now < until => {}
+            Some(PlanStage::Asking | PlanStage::Ordered(_)) => {},
+            Some(PlanStage::Unsure(_, until)) if now < until => {},
             Some(PlanStage::Unsure(kind, _)) => self.settle_unsure(&bundle, kind, out),
         }
     }
@@ -122,12 +113,8 @@
             return;
         };
         let is_paced = self.rules.pacing == PacingRule::Keeper;
-        engine.plan = Some(LoadPlan {
-            adapter,
-            since: now,
-            has_permit: false,
-            stage: PlanStage::Asking,
-        });
+        engine.plan =
+            Some(LoadPlan { adapter, since: now, has_permit: false, stage: PlanStage::Asking });
         match is_paced {
             true => out.push(AgentAction::AskPermit(value)),
             false => self.order_next(now, out),
@@ -193,10 +180,7 @@
     ) {
         let engine = self.engine.as_mut();
         let asking = engine.filter(|engine| {
-            engine
-                .plan
-                .as_ref()
-                .is_some_and(|plan| plan.stage == PlanStage::Asking)
+            engine.plan.as_ref().is_some_and(|plan| plan.stage == PlanStage::Asking)
         });
         let Some(engine) = asking else {
             if answer == PermitAnswer::Granted {
@@ -209,17 +193,17 @@
             PermitAnswer::Granted if now.saturating_sub(asked) > ANSWER_LIFETIME => {
                 engine.plan = None;
                 out.push(AgentAction::ReturnPermit);
-            }
+            },
             PermitAnswer::Granted => {
                 if let Some(plan) = &mut engine.plan {
                     plan.has_permit = true;
                 }
                 self.order_next(now, out);
-            }
+            },
             PermitAnswer::Wait(pause) => {
                 engine.plan = None;
                 self.ask_after = now + pause;
-            }
+            },
         }
     }
 
@@ -239,10 +223,10 @@
         match self.make_way(now, &bundle, &plan.adapter, value) {
             Some(None) if is_possible => {
                 self.send(now, &bundle, OrderKind::Load(plan.adapter), out);
-            }
+            },
             Some(Some(victim)) if is_possible => {
                 self.send(now, &bundle, OrderKind::Unload(victim), out);
-            }
+            },
             _ => self.drop_plan(out),
         }
     }
@@ -274,7 +258,7 @@
                 if let Some(slot) = engine.table.get_mut(adapter) {
                     slot.state = SlotState::Unloading;
                 }
-            }
+            },
         }
         let order = engine.next_order(bundle.version, kind);
         if let Some(plan) = &mut engine.plan {
@@ -305,7 +289,7 @@
                 undo(engine, &order.kind);
                 self.drop_plan(out);
                 self.witness(highest.bundle, out);
-            }
+            },
             OrderEnd::Unknown => {
                 let pause = match self.rules.checks_fence {
                     true => RESEND_PAUSE,
@@ -314,7 +298,7 @@
                 if let Some(plan) = &mut engine.plan {
                     plan.stage = PlanStage::Unsure(order.kind, now + pause);
                 }
-            }
+            },
         }
     }
 
@@ -327,7 +311,7 @@
             OrderKind::Unload(adapter) => {
                 engine.table.remove(adapter);
                 self.order_next(now, out);
-            }
+            },
             OrderKind::Load(adapter) => {
                 if let Some(slot) = engine.table.get_mut(adapter) {
                     slot.state = SlotState::Ready;
@@ -336,7 +320,7 @@
                 let since = engine.plan.as_ref().map_or(now, |plan| plan.since);
                 engine.note_load(adapter, now.saturating_sub(since));
                 self.drop_plan(out);
-            }
+            },
         }
     }
 
@@ -350,10 +334,7 @@
             let pause = engine.note_failed_load(adapter, now);
             let refusal = WorkRefusal::not_run(RefusalReason::LoadFailed, Some(pause));
             let target = WorkTarget::Adapter(adapter.clone());
-            for attempt in self
-                .room
-                .take_where(|attempt| attempt.order.target == target)
-            {
+            for attempt in self.room.take_where(|attempt| attempt.order.target == target) {
                 self.refuse_waiting(now, attempt, refusal, out);
             }
         }
@@ -400,6 +381,6 @@
             if let Some(slot) = engine.table.get_mut(adapter) {
                 slot.state = SlotState::Ready;
             }
-        }
+        },
     }
 }
--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -9,7 +9,7 @@
 pub mod view;
 pub mod waiting;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,6 +46,13 @@
     engine: Option<Incarnation>,
 }
 
+/// A pin of a run whose answer broke off: the engine may still work on it for a while.
+#[derive(Clone, Debug)]
+struct LingeringPin {
+    until: MonoTime,
+    running: RunningAttempt,
+}
+
 /// The agent's state machine.
 ///
 /// ```
@@ -70,6 +77,7 @@
     marks: MarkTable,
     room: WaitingRoom,
     running: BTreeMap<AttemptId, RunningAttempt>,
+    lingering: VecDeque<LingeringPin>,
     engine: Option<EngineState>,
     demand: BTreeMap<AdapterRef, DemandMeter>,
     ask_after: MonoTime,
@@ -109,6 +117,7 @@
             marks: MarkTable::default(),
             room: WaitingRoom::default(),
             running: BTreeMap::new(),
+            lingering: VecDeque::new(),
             engine: None,
             demand: BTreeMap::new(),
             ask_after: MonoTime::ZERO,
@@ -157,7 +166,7 @@
             AgentEvent::Arrived(order) => self.arrive(now, order, out),
             AgentEvent::Withdrawn(attempt, incarnation) => {
                 self.withdraw(now, attempt, incarnation, out)
-            }
+            },
             AgentEvent::Ended(attempt, end) => self.end_run(now, attempt, end),
             AgentEvent::Reported(report) => self.take_report(now, &report, out),
             AgentEvent::UpstreamLost => self.lose_upstream(now, out),
@@ -185,6 +194,7 @@
     /// Does all that has become possible.
     fn progress(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         self.refuse_late(now, out);
+        self.release_lingering(now);
         if self.is_confirmed {
             self.start_ready(now, out);
             self.advance_loads(now, out);
@@ -205,12 +215,8 @@
         match self.admit(now, &order, out) {
             Ok(once) => {
                 self.marks.set(attempt, AttemptMark::Waiting);
-                self.room.push(WaitingAttempt {
-                    order,
-                    once,
-                    since: now,
-                });
-            }
+                self.room.push(WaitingAttempt { order, once, since: now });
+            },
             Err(refusal) => self.refuse(now, attempt, refusal, out),
         }
     }
@@ -226,12 +232,12 @@
         match self.marks.get(order.attempt) {
             None if self.marks.is_full() => {
                 Err(WorkRefusal::may_have_run(RefusalReason::Overloaded))
-            }
+            },
             None => Ok(()),
             Some(AttemptMark::Refused) => Err(WorkRefusal::not_run(RefusalReason::Duplicate, None)),
             Some(AttemptMark::Waiting | AttemptMark::Started) => {
                 Err(WorkRefusal::may_have_run(RefusalReason::Duplicate))
-            }
+            },
         }
     }
 
@@ -257,10 +263,7 @@
         }
         let wait = self.expected_wait(now, order);
         if now + wait > order.deadline {
-            return Err(WorkRefusal::not_run(
-                RefusalReason::DeadlineTooShort,
-                Some(wait),
-            ));
+            return Err(WorkRefusal::not_run(RefusalReason::DeadlineTooShort, Some(wait)));
         }
         self.make_room(now, order.class, out)?;
         match &order.claim {
@@ -270,32 +273,20 @@
     }
 
     fn check_presence(&self) -> Result<(), WorkRefusal> {
-        let is_superseded = self
-            .engine
-            .as_ref()
-            .is_some_and(|engine| engine.is_superseded);
+        let is_superseded = self.engine.as_ref().is_some_and(|engine| engine.is_superseded);
         if self.is_stopping || self.host_state == HostState::Leaving || is_superseded {
-            return Err(WorkRefusal::not_run(
-                RefusalReason::Leaving,
-                Some(Duration::ZERO),
-            ));
+            return Err(WorkRefusal::not_run(RefusalReason::Leaving, Some(Duration::ZERO)));
         }
         let is_known = self.rules.kind == UpstreamKind::Service || self.engine.is_some();
         if !self.is_upstream_up || !is_known {
-            return Err(WorkRefusal::not_run(
-                RefusalReason::UpstreamDown,
-                Some(SOON),
-            ));
+            return Err(WorkRefusal::not_run(RefusalReason::UpstreamDown, Some(SOON)));
         }
         Ok(())
     }
 
     fn check_target(&self, order: &RunOrder) -> Result<(), WorkRefusal> {
         let Some(bundle) = &self.bundle else {
-            return Err(WorkRefusal::not_run(
-                RefusalReason::BundleMissing,
-                Some(SOON),
-            ));
+            return Err(WorkRefusal::not_run(RefusalReason::BundleMissing, Some(SOON)));
         };
         let is_served = match (&order.target, self.rules.kind) {
             (WorkTarget::Adapter(adapter), UpstreamKind::Engine) => bundle.serves(adapter),
@@ -323,7 +314,7 @@
             Some(attempt) => {
                 self.refuse_waiting(now, attempt, overflow, out);
                 Ok(())
-            }
+            },
             None => Err(overflow),
         }
     }
@@ -349,8 +340,7 @@
         refusal: WorkRefusal,
         out: &mut Vec<AgentAction>,
     ) {
-        self.marks
-            .close(attempt, AttemptMark::Refused, now, self.rules.mark_lifetime);
+        self.marks.close(attempt, AttemptMark::Refused, now, self.rules.mark_lifetime);
         out.push(AgentAction::Refuse(attempt, refusal));
     }
 
@@ -364,10 +354,7 @@
         if self.room.is_empty() {
             return;
         }
-        for attempt in self
-            .room
-            .take_where(|attempt| attempt.order.deadline <= now)
-        {
+        for attempt in self.room.take_where(|attempt| attempt.order.deadline <= now) {
             let refusal = WorkRefusal::not_run(RefusalReason::DeadlinePassed, None);
             self.refuse_waiting(now, attempt, refusal, out);
         }
@@ -385,10 +372,9 @@
             None if self.marks.is_full() => WithdrawAnswer::MayHaveRun,
             None => {
                 let lifetime = self.rules.mark_lifetime;
-                self.marks
-                    .close(attempt, AttemptMark::Refused, now, lifetime);
+                self.marks.close(attempt, AttemptMark::Refused, now, lifetime);
                 WithdrawAnswer::NotRun
-            }
+            },
             Some(AttemptMark::Refused) => WithdrawAnswer::NotRun,
             Some(AttemptMark::Started) => WithdrawAnswer::MayHaveRun,
             Some(AttemptMark::Waiting) => {
@@ -397,7 +383,7 @@
                     self.refuse_waiting(now, waiting, refusal, out);
                 }
                 WithdrawAnswer::NotRun
-            }
+            },
         };
         out.push(AgentAction::AnswerWithdrawal(attempt, answer));
     }
@@ -410,9 +396,9 @@
             let engine = &self.engine;
             let is_ready = |target: &WorkTarget| match target {
                 WorkTarget::Service => true,
-                WorkTarget::Adapter(adapter) => engine
-                    .as_ref()
-                    .is_some_and(|engine| engine.table.is_ready(adapter)),
+                WorkTarget::Adapter(adapter) => {
+                    engine.as_ref().is_some_and(|engine| engine.table.is_ready(adapter))
+                },
             };
             let is_admitted = |class| class != WorkClass::Batch || batch_running < batch_places;
             let Some(attempt) = self.room.take_first(is_ready, is_admitted) else {
@@ -451,17 +437,13 @@
     }
 
     fn running_of(&self, class: WorkClass) -> usize {
-        self.running
-            .values()
-            .filter(|running| running.class == class)
-            .count()
+        self.running.values().filter(|running| running.class == class).count()
     }
 
     fn end_run(&mut self, now: MonoTime, attempt: AttemptId, end: RunEnd) {
         let Some(running) = self.running.remove(&attempt) else {
             return;
         };
-        self.unpin(now, &running);
         if let Some(once) = &running.once {
             self.book.settle(now, once, once_state(end));
         }
@@ -469,8 +451,23 @@
             RunEnd::NotRun => AttemptMark::Refused,
             RunEnd::Complete(_) | RunEnd::Broken => AttemptMark::Started,
         };
-        self.marks
-            .close(attempt, mark, now, self.rules.mark_lifetime);
+        self.marks.close(attempt, mark, now, self.rules.mark_lifetime);
+        match end {
+            RunEnd::Complete(_) | RunEnd::NotRun => self.unpin(now, &running),
+            RunEnd::Broken => {
+                let until = now + self.rules.settle_time;
+                self.lingering.push_back(LingeringPin { until, running });
+            },
+        }
+    }
+
+    /// Lets go of runs that broke off, once the engine must have noticed.
+    fn release_lingering(&mut self, now: MonoTime) {
+        while self.lingering.front().is_some_and(|pin| pin.until <= now) {
+            if let Some(pin) = self.lingering.pop_front() {
+                self.unpin(now, &pin.running);
+            }
+        }
     }
 
     fn unpin(&mut self, now: MonoTime, running: &RunningAttempt) {
@@ -501,18 +498,14 @@
                 let is_settling = now < engine.settle_until;
                 let shows_all = engine.shows_all_orders(report, self.rules.checks_fence);
                 engine.table.update(report, is_settling, shows_all, now);
-            }
+            },
             _ => self.take_over(now, report, out),
         }
     }
 
     /// Begins anew with an engine that is new to this agent or has restarted.
     fn take_over(&mut self, now: MonoTime, report: &EngineReport, out: &mut Vec<AgentAction>) {
-        if self
-            .engine
-            .as_ref()
-            .is_some_and(|engine| engine.plan.is_some())
-        {
+        if self.engine.as_ref().is_some_and(|engine| engine.plan.is_some()) {
             out.push(AgentAction::ReturnPermit);
         }
         let least_term = self.engine.as_ref().map_or(0, EngineState::term);
@@ -537,10 +530,7 @@
     }
 
     fn take_bundle(&mut self, now: MonoTime, bundle: Arc<FleetBundle>) {
-        let seen = self
-            .engine
-            .as_ref()
-            .map_or(0, |engine| engine.seen_fence.bundle);
+        let seen = self.engine.as_ref().map_or(0, |engine| engine.seen_fence.bundle);
         let held = self.bundle.as_ref().map_or(0, |held| held.version);
         if bundle.version < seen.max(held) {
             return;
@@ -576,8 +566,7 @@
         self.marks.expire(now);
         if self.demand.len() > METER_LIMIT {
             let half_life = self.rules.half_life;
-            self.demand
-                .retain(|_, meter| meter.level(now, half_life) > FADED_LEVEL);
+            self.demand.retain(|_, meter| meter.level(now, half_life) > FADED_LEVEL);
         }
     }
 }
--- a/quillcove_core/src/agent/slots.rs
+++ b/quillcove_core/src/agent/slots.rs
@@ -53,10 +53,7 @@
     /// assert!(SlotTable::from_report(&report, Duration::ZERO).has_free());
     /// ```
     pub fn from_report(report: &EngineReport, now: MonoTime) -> Self {
-        let mut table = Self {
-            total: report.slots,
-            slots: BTreeMap::new(),
-        };
+        let mut table = Self { total: report.slots, slots: BTreeMap::new() };
         for adapter in &report.loaded {
             table.add(adapter, SlotState::Ready, now);
         }
@@ -80,12 +77,7 @@
     /// assert!(table.is_ready(&AdapterRef::new("shuttle", 1)));
     /// ```
     pub fn add(&mut self, adapter: &AdapterRef, state: SlotState, now: MonoTime) {
-        let slot = AdapterSlot {
-            state,
-            pins: 0,
-            foreign: 0,
-            used: now,
-        };
+        let slot = AdapterSlot { state, pins: 0, foreign: 0, used: now };
         self.slots.insert(adapter.clone(), slot);
     }
 
@@ -145,9 +137,7 @@
     /// assert!(!SlotTable::default().is_ready(&AdapterRef::new("shuttle", 1)));
     /// ```
     pub fn is_ready(&self, adapter: &AdapterRef) -> bool {
-        self.slots
-            .get(adapter)
-            .is_some_and(|slot| slot.state == SlotState::Ready)
+        self.slots.get(adapter).is_some_and(|slot| slot.state == SlotState::Ready)
     }
 
     /// Tells whether a slot is free.
--- a/quillcove_core/src/agent/view.rs
+++ b/quillcove_core/src/agent/view.rs
@@ -115,10 +115,7 @@
     /// assert!(!machine.is_leaving());
     /// ```
     pub fn is_leaving(&self) -> bool {
-        let is_superseded = self
-            .engine
-            .as_ref()
-            .is_some_and(|engine| engine.is_superseded);
+        let is_superseded = self.engine.as_ref().is_some_and(|engine| engine.is_superseded);
         self.is_stopping || self.host_state == HostState::Leaving || is_superseded
     }
 
--- a/quillcove_core/src/agent/waiting.rs
+++ b/quillcove_core/src/agent/waiting.rs
@@ -60,10 +60,7 @@
     pub fn push(&mut self, attempt: WaitingAttempt) {
         let queue = self.queues.entry(attempt.order.target.clone()).or_default();
         let class = attempt.order.class;
-        let place = queue
-            .iter()
-            .rposition(|other| other.order.class <= class)
-            .map_or(0, |i| i + 1);
+        let place = queue.iter().rposition(|other| other.order.class <= class).map_or(0, |i| i + 1);
         queue.insert(place, attempt);
         self.count += 1;
     }
@@ -77,12 +74,7 @@
     /// ```
     pub fn take(&mut self, id: AttemptId) -> Option<WaitingAttempt> {
         let found = |attempt: &WaitingAttempt| attempt.order.attempt == id;
-        let target = self
-            .queues
-            .iter()
-            .find(|(_, queue)| queue.iter().any(found))?
-            .0
-            .clone();
+        let target = self.queues.iter().find(|(_, queue)| queue.iter().any(found))?.0.clone();
         let queue = self.queues.get_mut(&target)?;
         let place = queue.iter().position(found)?;
         let attempt = queue.remove(place);
@@ -148,10 +140,7 @@
     /// assert!(WaitingRoom::default().take_less_urgent(WorkClass::Urgent).is_none());
     /// ```
     pub fn take_less_urgent(&mut self, class: WorkClass) -> Option<WaitingAttempt> {
-        let tails = self
-            .queues
-            .iter()
-            .filter_map(|(target, queue)| Some((target, queue.back()?)));
+        let tails = self.queues.iter().filter_map(|(target, queue)| Some((target, queue.back()?)));
         let last = tails.max_by_key(|(_, tail)| (tail.order.class, tail.since))?;
         if last.1.order.class <= class {
             return None;
@@ -178,8 +167,7 @@
     /// assert!(!WaitingRoom::default().wants(&AdapterRef::new("shuttle", 1)));
     /// ```
     pub fn wants(&self, adapter: &AdapterRef) -> bool {
-        self.queues
-            .contains_key(&WorkTarget::Adapter(adapter.clone()))
+        self.queues.contains_key(&WorkTarget::Adapter(adapter.clone()))
     }
 
     /// Adapters that attempts wait for, each with its queue.
@@ -190,11 +178,9 @@
     /// assert_eq!(WaitingRoom::default().adapters().count(), 0);
     /// ```
     pub fn adapters(&self) -> impl Iterator<Item = (&AdapterRef, &VecDeque<WaitingAttempt>)> {
-        self.queues
-            .iter()
-            .filter_map(|(target, queue)| match target {
-                WorkTarget::Adapter(adapter) => Some((adapter, queue)),
-                WorkTarget::Service => None,
-            })
+        self.queues.iter().filter_map(|(target, queue)| match target {
+            WorkTarget::Adapter(adapter) => Some((adapter, queue)),
+            WorkTarget::Service => None,
+        })
     }
 }
--- a/quillcove_core/src/bundle/delta.rs
+++ b/quillcove_core/src/bundle/delta.rs
@@ -65,10 +65,7 @@
         if let DiffOp::Equal { .. } = op {
             let range = op.old_range();
             let offset = old_starts[range.start];
-            steps.push(DeltaStep::Copy {
-                offset,
-                length: old_starts[range.end] - offset,
-            });
+            steps.push(DeltaStep::Copy { offset, length: old_starts[range.end] - offset });
             continue;
         }
         let range = op.new_range();
@@ -116,7 +113,7 @@
             DeltaStep::Copy { offset, length } => {
                 let end = offset.checked_add(*length).ok_or(DeltaError::OutOfRange)?;
                 newer.push_str(older.get(*offset..end).ok_or(DeltaError::OutOfRange)?);
-            }
+            },
             DeltaStep::Insert(text) => newer.push_str(text),
         }
         if newer.len() > super::VALUE_LIMIT {
--- a/quillcove_core/src/bundle/gate.rs
+++ b/quillcove_core/src/bundle/gate.rs
@@ -73,11 +73,7 @@
     /// assert!(BundleGate::new(TrustedKeys::default()).in_force().is_none());
     /// ```
     pub fn new(keys: TrustedKeys) -> Self {
-        Self {
-            keys,
-            held: None,
-            floor: 0,
-        }
+        Self { keys, held: None, floor: 0 }
     }
 
     /// The bundle in force. There is none while a newer one is known to exist, because acting on
@@ -90,9 +86,7 @@
     /// assert!(gate.in_force().is_none());
     /// ```
     pub fn in_force(&self) -> Option<&HeldBundle> {
-        self.held
-            .as_ref()
-            .filter(|held| held.head.version >= self.floor)
+        self.held.as_ref().filter(|held| held.head.version >= self.floor)
     }
 
     /// The last bundle taken, also when a newer one is known to exist.
@@ -152,10 +146,7 @@
         }
         self.keys.verify(head, text.as_bytes())?;
         if head.version < self.floor {
-            return Err(GateError::Lower {
-                offered: head.version,
-                floor: self.floor,
-            });
+            return Err(GateError::Lower { offered: head.version, floor: self.floor });
         }
         if let Some(held) = &self.held
             && held.head.version == head.version
--- a/quillcove_core/src/bundle/mod.rs
+++ b/quillcove_core/src/bundle/mod.rs
@@ -65,10 +65,7 @@
 
 impl Default for LoadLimits {
     fn default() -> Self {
-        Self {
-            per_second: 3.0,
-            at_once: 2,
-        }
+        Self { per_second: 3.0, at_once: 2 }
     }
 }
 
@@ -83,10 +80,7 @@
 
 impl Default for AimWeights {
     fn default() -> Self {
-        Self {
-            stalls: 1.0,
-            batches: 1.0,
-        }
+        Self { stalls: 1.0, batches: 1.0 }
     }
 }
 
@@ -123,10 +117,9 @@
     pub fn resolve(&self, model: &str) -> Result<AdapterRef, ResolveError> {
         let Some((name, _)) = model.split_once('@') else {
             return match self.adapters.get_key_value(model) {
-                Some((name, entry)) => Ok(AdapterRef {
-                    name: name.clone(),
-                    version: entry.current,
-                }),
+                Some((name, entry)) => {
+                    Ok(AdapterRef { name: name.clone(), version: entry.current })
+                },
                 None => Err(ResolveError::UnknownAdapter(model.to_string())),
             };
         };
@@ -149,9 +142,7 @@
     /// assert!(!FleetBundle::default().serves(&AdapterRef::new("shuttle", 1)));
     /// ```
     pub fn serves(&self, adapter: &AdapterRef) -> bool {
-        self.adapters
-            .get(&adapter.name)
-            .is_some_and(|entry| entry.serves(adapter.version))
+        self.adapters.get(&adapter.name).is_some_and(|entry| entry.serves(adapter.version))
     }
 
     /// The base model of an adapter.
@@ -163,9 +154,7 @@
     /// assert_eq!(FleetBundle::default().model_of(&AdapterRef::new("shuttle", 1)), None);
     /// ```
     pub fn model_of(&self, adapter: &AdapterRef) -> Option<&str> {
-        self.adapters
-            .get(&adapter.name)
-            .map(|entry| entry.model.as_str())
+        self.adapters.get(&adapter.name).map(|entry| entry.model.as_str())
     }
 
     /// The bundle's priority of an adapter, 0 for one it does not know.
@@ -177,9 +166,7 @@
     /// assert_eq!(FleetBundle::default().priority_of(&AdapterRef::new("shuttle", 1)), 0);
     /// ```
     pub fn priority_of(&self, adapter: &AdapterRef) -> u8 {
-        self.adapters
-            .get(&adapter.name)
-            .map_or(0, |entry| entry.priority)
+        self.adapters.get(&adapter.name).map_or(0, |entry| entry.priority)
     }
 }
 
--- a/quillcove_core/src/bundle/signing.rs
+++ b/quillcove_core/src/bundle/signing.rs
@@ -149,9 +149,7 @@
             let bytes = key_bytes(text)?;
             VerifyingKey::from_bytes(&bytes).map_err(|_| SignatureError::BadKey(text.clone()))
         };
-        Ok(Self {
-            keys: texts.iter().map(read_one).collect::<Result<_, _>>()?,
-        })
+        Ok(Self { keys: texts.iter().map(read_one).collect::<Result<_, _>>()? })
     }
 
     /// Checks a head against the bytes it announces.
@@ -172,7 +170,6 @@
         let bad = || SignatureError::BadSignature(head.key_id.clone());
         let bytes = hex::decode(&head.signature).map_err(|_| bad())?;
         let signature = Signature::from_slice(&bytes).map_err(|_| bad())?;
-        key.verify_strict(&signed_bytes(text), &signature)
-            .map_err(|_| bad())
+        key.verify_strict(&signed_bytes(text), &signature).map_err(|_| bad())
     }
 }
--- a/quillcove_core/src/bundle/text.rs
+++ b/quillcove_core/src/bundle/text.rs
@@ -89,23 +89,13 @@
 /// ```
 pub fn parse(text: &str) -> Result<FleetBundle, Vec<TextError>> {
     let raw: RawBundle = toml::from_str(text).map_err(|error| vec![syntax_error(text, &error)])?;
-    let mut check = TextCheck {
-        text,
-        errors: Vec::new(),
-    };
+    let mut check = TextCheck { text, errors: Vec::new() };
     check.header(&raw.bundle);
     check.loads(raw.loads.as_ref());
     let bundle = FleetBundle {
         version: *raw.bundle.version.get_ref(),
-        aims: AimWeights {
-            stalls: raw.bundle.stall_weight,
-            batches: raw.bundle.batch_weight,
-        },
-        loads: raw
-            .loads
-            .as_ref()
-            .map(|loads| *loads.get_ref())
-            .unwrap_or_default(),
+        aims: AimWeights { stalls: raw.bundle.stall_weight, batches: raw.bundle.batch_weight },
+        loads: raw.loads.as_ref().map(|loads| *loads.get_ref()).unwrap_or_default(),
         models: check.models(&raw.models),
         services: check.services(&raw.services),
         adapters: check.adapters(&raw),
@@ -118,19 +108,12 @@
 
 fn syntax_error(text: &str, error: &toml::de::Error) -> TextError {
     let line = error.span().map_or(1, |span| line_at(text, span.start));
-    TextError {
-        line,
-        message: error.message().to_string(),
-    }
+    TextError { line, message: error.message().to_string() }
 }
 
 fn line_at(text: &str, offset: usize) -> usize {
     let end = offset.min(text.len());
-    text.as_bytes()[..end]
-        .iter()
-        .filter(|byte| **byte == b'\n')
-        .count()
-        + 1
+    text.as_bytes()[..end].iter().filter(|byte| **byte == b'\n').count() + 1
 }
 
 /// Collects faults while the parts of a bundle are converted.
@@ -141,10 +124,7 @@
 
 impl TextCheck<'_> {
     fn fault(&mut self, span: Range<usize>, message: String) {
-        self.errors.push(TextError {
-            line: line_at(self.text, span.start),
-            message,
-        });
+        self.errors.push(TextError { line: line_at(self.text, span.start), message });
     }
 
     fn sorted(mut self) -> Vec<TextError> {
@@ -157,10 +137,8 @@
             let message = "bundle.version is 0; it starts at 1".to_string();
             self.fault(header.version.span(), message);
         }
-        let weights = [
-            ("stall_weight", header.stall_weight),
-            ("batch_weight", header.batch_weight),
-        ];
+        let weights =
+            [("stall_weight", header.stall_weight), ("batch_weight", header.batch_weight)];
         for (field, weight) in weights {
             if !weight.is_finite() || weight < 0.0 {
                 let message = format!("bundle.{field} is {weight}; it is a number from 0 up");
@@ -177,10 +155,7 @@
             self.fault(loads.span(), message);
         }
         if limits.at_once == 0 {
-            self.fault(
-                loads.span(),
-                "loads.at_once is 0; it is 1 or more".to_string(),
-            );
+            self.fault(loads.span(), "loads.at_once is 0; it is 1 or more".to_string());
         }
     }
 
@@ -212,11 +187,7 @@
             for replica in &service.replicas {
                 self.name(&format!("services.{}.replicas", name.get_ref()), replica);
             }
-            let replicas = service
-                .replicas
-                .iter()
-                .map(|host| host.get_ref().clone())
-                .collect();
+            let replicas = service.replicas.iter().map(|host| host.get_ref().clone()).collect();
             checked.insert(name.get_ref().clone(), ServiceEntry { replicas });
         }
         checked
@@ -231,10 +202,7 @@
                 model: adapter.model.get_ref().clone(),
                 current: adapter.current,
                 keep: adapter.keep.clone(),
-                priority: adapter
-                    .priority
-                    .as_ref()
-                    .map_or(0, |priority| *priority.get_ref()),
+                priority: adapter.priority.as_ref().map_or(0, |priority| *priority.get_ref()),
             };
             checked.insert(Arc::from(name.get_ref().as_str()), entry);
         }
--- a/quillcove_core/src/entry/fleet.rs
+++ b/quillcove_core/src/entry/fleet.rs
@@ -139,13 +139,11 @@
             match self.upstreams.get_mut(&record.host) {
                 Some(upstream) => Self::renew(upstream, record),
                 None => {
-                    self.upstreams
-                        .insert(record.host.clone(), UpstreamView::new(record));
-                }
+                    self.upstreams.insert(record.host.clone(), UpstreamView::new(record));
+                },
             }
         }
-        self.upstreams
-            .retain(|_, upstream| upstream.is_listed || upstream.in_flight > 0);
+        self.upstreams.retain(|_, upstream| upstream.is_listed || upstream.in_flight > 0);
     }
 
     fn renew(upstream: &mut UpstreamView, record: HostRecord) {
@@ -301,18 +299,11 @@
         now: MonoTime,
         rules: &EntryRules,
     ) -> Vec<&UpstreamView> {
-        let staying = self
-            .upstreams
-            .values()
-            .filter(|upstream| !upstream.is_leaving());
-        let all: Vec<&UpstreamView> = staying
-            .filter(|upstream| fits(&upstream.record, target))
-            .collect();
-        let healthy: Vec<&UpstreamView> = all
-            .iter()
-            .copied()
-            .filter(|upstream| now >= upstream.ejected_until)
-            .collect();
+        let staying = self.upstreams.values().filter(|upstream| !upstream.is_leaving());
+        let all: Vec<&UpstreamView> =
+            staying.filter(|upstream| fits(&upstream.record, target)).collect();
+        let healthy: Vec<&UpstreamView> =
+            all.iter().copied().filter(|upstream| now >= upstream.ejected_until).collect();
         let floor = (all.len() as f64 * rules.eject_floor).ceil() as usize;
         match healthy.len() >= floor.max(1) {
             true => healthy,
@@ -348,10 +339,10 @@
     match target {
         RouteTarget::Adapter { model, .. } => {
             record.kind == UpstreamKind::Engine && record.serves == *model
-        }
+        },
         RouteTarget::Service(service) => {
             record.kind == UpstreamKind::Service && record.serves == *service
-        }
+        },
         RouteTarget::Owner(host) => record.host == *host,
     }
 }
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -144,9 +144,7 @@
     /// assert_eq!(machine.control_of("e1"), None);
     /// ```
     pub fn control_of(&self, host: &str) -> Option<String> {
-        self.fleet
-            .get(host)
-            .map(|upstream| upstream.record.control.clone())
+        self.fleet.get(host).map(|upstream| upstream.record.control.clone())
     }
 
     /// The state at this time.
@@ -213,16 +211,15 @@
     fn admit(&mut self, now: MonoTime, query: RouteQuery, out: &mut Vec<EntryAction>) {
         let request = query.request;
         let refusal = match () {
-            _ if self.is_stopping => Some(WorkRefusal::not_run(
-                RefusalReason::Leaving,
-                Some(Duration::ZERO),
-            )),
+            _ if self.is_stopping => {
+                Some(WorkRefusal::not_run(RefusalReason::Leaving, Some(Duration::ZERO)))
+            },
             _ if self.requests.len() >= self.rules.request_limit => {
                 Some(WorkRefusal::not_run(RefusalReason::Overloaded, Some(SOON)))
-            }
+            },
             _ if query.deadline <= now => {
                 Some(WorkRefusal::not_run(RefusalReason::DeadlinePassed, None))
-            }
+            },
             _ => None,
         };
         if let Some(refusal) = refusal {
@@ -310,21 +307,21 @@
         open.current = None;
         self.fleet.end(&host);
         match end {
-            AttemptEnd::Answered => {}
+            AttemptEnd::Answered => {},
             AttemptEnd::Refused(refusal) => {
                 self.fleet.succeed(&host);
                 self.after_refusal(now, request, &host, refusal, out);
-            }
+            },
             AttemptEnd::Unreachable => {
                 self.fleet.fail(&host, now, &self.rules);
                 let refusal = WorkRefusal::not_run(RefusalReason::UpstreamDown, Some(SOON));
                 self.after_refusal(now, request, &host, refusal, out);
-            }
+            },
             AttemptEnd::Lost => {
                 self.fleet.fail(&host, now, &self.rules);
                 let refusal = WorkRefusal::may_have_run(RefusalReason::UpstreamBroke);
                 self.after_refusal(now, request, &host, refusal, out);
-            }
+            },
         }
     }
 
--- a/quillcove_core/src/entry/retry.rs
+++ b/quillcove_core/src/entry/retry.rs
@@ -30,10 +30,7 @@
     /// assert!(RetryBudget::new(0.2).left() > 0.0);
     /// ```
     pub fn new(share: f64) -> Self {
-        Self {
-            share,
-            left: SAVING_LIMIT,
-        }
+        Self { share, left: SAVING_LIMIT }
     }
 
     /// Counts a first attempt.
--- a/quillcove_core/src/entry/routing.rs
+++ b/quillcove_core/src/entry/routing.rs
@@ -47,7 +47,7 @@
                 _ => f64::INFINITY,
             };
             ranked(&pool, &adapter.to_string(), now, rules, bound)
-        }
+        },
     };
     chosen.map(|upstream| upstream.record.host.clone())
 }
@@ -81,15 +81,8 @@
 /// Load beyond which the next in rank is taken. It never is below one batch's worth of places,
 /// because a spill costs a load while there is room.
 fn load_bound(pool: &[&UpstreamView], now: MonoTime, rules: &EntryRules) -> f64 {
-    let total: f64 = pool
-        .iter()
-        .map(|upstream| upstream.load(now, rules.slow_start))
-        .sum();
-    let places = pool
-        .iter()
-        .map(|upstream| upstream.capacity)
-        .max()
-        .unwrap_or(0);
+    let total: f64 = pool.iter().map(|upstream| upstream.load(now, rules.slow_start)).sum();
+    let places = pool.iter().map(|upstream| upstream.capacity).max().unwrap_or(0);
     let mean = (total + 1.0) / pool.len().max(1) as f64;
     (mean * rules.load_bound).max(places as f64).max(1.0)
 }
@@ -105,15 +98,8 @@
     let mut ranked: Vec<&UpstreamView> = pool.to_vec();
     ranked.sort_by(|a, b| rank_of(b, key, rules).total_cmp(&rank_of(a, key, rules)));
     let load = |upstream: &UpstreamView| upstream.load(now, rules.slow_start);
-    let within = ranked
-        .iter()
-        .copied()
-        .find(|upstream| load(upstream) < bound);
-    within.or_else(|| {
-        ranked
-            .into_iter()
-            .min_by(|a, b| load(a).total_cmp(&load(b)))
-    })
+    let within = ranked.iter().copied().find(|upstream| load(upstream) < bound);
+    within.or_else(|| ranked.into_iter().min_by(|a, b| load(a).total_cmp(&load(b))))
 }
 
 /// Rank from 0 to 1, less the penalty of another hall.
--- a/quillcove_core/src/fence.rs
+++ b/quillcove_core/src/fence.rs
@@ -44,14 +44,8 @@
         let mut parts = text.splitn(3, '.').map(str::parse::<u64>);
         let mut next = || parts.next().and_then(Result::ok);
         match (next(), next(), next()) {
-            (Some(bundle), Some(term), Some(sequence)) => Ok(Self {
-                bundle,
-                term,
-                sequence,
-            }),
-            _ => Err(format!(
-                "'{text}' is not a fence of the form bundle.term.sequence"
-            )),
+            (Some(bundle), Some(term), Some(sequence)) => Ok(Self { bundle, term, sequence }),
+            _ => Err(format!("'{text}' is not a fence of the form bundle.term.sequence")),
         }
     }
 }
--- a/quillcove_core/src/once/book.rs
+++ b/quillcove_core/src/once/book.rs
@@ -173,19 +173,12 @@
             let retry_after = Some(Duration::from_secs(1));
             return Err(WorkRefusal::not_run(RefusalReason::Overloaded, retry_after));
         }
-        self.record(
-            key.clone(),
-            OnceRun {
-                state: OnceState::Underway,
-                expires,
-            },
-        );
+        self.record(key.clone(), OnceRun { state: OnceState::Underway, expires });
         Ok(key)
     }
 
     fn record(&mut self, key: OnceKey, run: OnceRun) {
-        self.expiries
-            .insert((run.expires, self.next_expiry), key.clone());
+        self.expiries.insert((run.expires, self.next_expiry), key.clone());
         self.next_expiry += 1;
         self.runs.insert(key, run);
     }
@@ -195,7 +188,7 @@
             OnceClaim::Ticket(text) => {
                 let ticket = self.open(now, text)?;
                 Ok((OnceKey::Serial(ticket.serial), ticket.expires))
-            }
+            },
             OnceClaim::Key(caller, name) => {
                 let key = OnceKey::Named(caller.clone(), name.clone());
                 if now < self.keys_sure_from && !self.runs.contains_key(&key) {
@@ -206,7 +199,7 @@
                     });
                 }
                 Ok((key, now + self.limits.key_lifetime))
-            }
+            },
         }
     }
 
@@ -263,10 +256,7 @@
     /// ```
     pub fn state_of(&self, now: MonoTime, text: &str) -> Result<Option<OnceState>, WorkRefusal> {
         let ticket = self.open(now, text)?;
-        Ok(self
-            .runs
-            .get(&OnceKey::Serial(ticket.serial))
-            .map(|run| run.state))
+        Ok(self.runs.get(&OnceKey::Serial(ticket.serial)).map(|run| run.state))
     }
 
     /// Number of runs on record.
@@ -307,9 +297,5 @@
         OnceState::Underway => Some(Duration::from_secs(1)),
         OnceState::Ran(_) | OnceState::Uncertain => None,
     };
-    WorkRefusal {
-        reason: RefusalReason::AlreadyUsed,
-        verdict,
-        retry_after,
-    }
+    WorkRefusal { reason: RefusalReason::AlreadyUsed, verdict, retry_after }
 }
--- a/quillcove_core/src/once/ticket.rs
+++ b/quillcove_core/src/once/ticket.rs
@@ -84,32 +84,19 @@
 
     fn fields(&self) -> String {
         let expires = self.expires.as_millis() as u64;
-        let Self {
-            owner,
-            incarnation,
-            serial,
-            ..
-        } = self;
+        let Self { owner, incarnation, serial, .. } = self;
         format!("{owner}{FIELD_MARK}{incarnation:x}{FIELD_MARK}{serial:x}{FIELD_MARK}{expires:x}")
     }
 
     fn read_fields(fields: &str) -> Option<Self> {
         let mut parts = fields.split(FIELD_MARK);
-        let owner = parts
-            .next()
-            .filter(|owner| is_valid_name(owner))?
-            .to_string();
+        let owner = parts.next().filter(|owner| is_valid_name(owner))?.to_string();
         let mut number = || u64::from_str_radix(parts.next()?, 16).ok();
         let (incarnation, serial, expires) = (number()?, number()?, number()?);
         let expires = Duration::from_millis(expires);
         match parts.next() {
             Some(_) => None,
-            None => Some(Self {
-                owner,
-                incarnation,
-                serial,
-                expires,
-            }),
+            None => Some(Self { owner, incarnation, serial, expires }),
         }
     }
 }
--- a/quillcove_core/src/permit.rs
+++ b/quillcove_core/src/permit.rs
@@ -107,17 +107,11 @@
     /// ```
     pub fn ask(&mut self, now: MonoTime, ask: &PermitAsk) -> PermitAnswer {
         self.refill(now);
-        self.asks
-            .retain(|_, (_, heard)| now.saturating_sub(*heard) < ASK_LIFETIME);
-        self.granted
-            .retain(|_, since| now.saturating_sub(*since) < PERMIT_LIFETIME);
+        self.asks.retain(|_, (_, heard)| now.saturating_sub(*heard) < ASK_LIFETIME);
+        self.granted.retain(|_, since| now.saturating_sub(*since) < PERMIT_LIFETIME);
         self.granted.remove(&ask.host);
         self.asks.insert(ask.host.clone(), (ask.value, now));
-        let ahead = self
-            .asks
-            .values()
-            .filter(|(value, _)| *value > ask.value)
-            .count();
+        let ahead = self.asks.values().filter(|(value, _)| *value > ask.value).count();
         if ahead >= self.free_permits() {
             return PermitAnswer::Wait(ASK_INTERVAL);
         }
--- a/quillcove_core/src/verdict.rs
+++ b/quillcove_core/src/verdict.rs
@@ -40,9 +40,7 @@
     /// assert_eq!(RunVerdict::from_label("not-run"), Some(RunVerdict::NotRun));
     /// ```
     pub fn from_label(label: &str) -> Option<Self> {
-        [Self::Ran, Self::NotRun, Self::MayHaveRun]
-            .into_iter()
-            .find(|v| v.label() == label)
+        [Self::Ran, Self::NotRun, Self::MayHaveRun].into_iter().find(|v| v.label() == label)
     }
 }
 
@@ -170,11 +168,7 @@
     /// assert_eq!(refusal.verdict, RunVerdict::NotRun);
     /// ```
     pub fn not_run(reason: RefusalReason, retry_after: Option<Duration>) -> Self {
-        Self {
-            reason,
-            verdict: RunVerdict::NotRun,
-            retry_after,
-        }
+        Self { reason, verdict: RunVerdict::NotRun, retry_after }
     }
 
     /// An error after which nothing certain is known.
@@ -186,10 +180,6 @@
     /// assert_eq!(refusal.verdict, RunVerdict::MayHaveRun);
     /// ```
     pub fn may_have_run(reason: RefusalReason) -> Self {
-        Self {
-            reason,
-            verdict: RunVerdict::MayHaveRun,
-            retry_after: None,
-        }
+        Self { reason, verdict: RunVerdict::MayHaveRun, retry_after: None }
     }
 }
--- a/quillcove_standin/src/engine.rs
+++ b/quillcove_standin/src/engine.rs
@@ -111,15 +111,8 @@
     /// assert_eq!(engine.counts().loads, 0);
     /// ```
     pub fn new(settings: EngineSettings) -> Arc<Self> {
-        let inner = EngineInner {
-            report: empty_report(&settings),
-            ..EngineInner::default()
-        };
-        Arc::new(Self {
-            settings,
-            inner: Mutex::new(inner),
-            client: client(),
-        })
+        let inner = EngineInner { report: empty_report(&settings), ..EngineInner::default() };
+        Arc::new(Self { settings, inner: Mutex::new(inner), client: client() })
     }
 
     /// Restarts the engine: all requests are cut and nothing is loaded.
@@ -132,10 +125,7 @@
     pub fn restart(&self) {
         let mut inner = self.inner.lock().unwrap();
         let counts = inner.counts;
-        *inner = EngineInner {
-            report: empty_report(&self.settings),
-            ..EngineInner::default()
-        };
+        *inner = EngineInner { report: empty_report(&self.settings), ..EngineInner::default() };
         inner.counts = counts;
     }
 
@@ -168,11 +158,8 @@
         inner.queue.retain(|run| !run.tokens.is_closed());
         inner.batch.retain(|run| !run.tokens.is_closed());
         while inner.batch.len() < self.settings.batch && !inner.queue.is_empty() {
-            let next = inner
-                .queue
-                .iter()
-                .enumerate()
-                .min_by_key(|(place, run)| (run.priority, *place));
+            let next =
+                inner.queue.iter().enumerate().min_by_key(|(place, run)| (run.priority, *place));
             let place = next.map_or(0, |(place, _)| place);
             inner.batch.push(inner.queue.remove(place));
         }
@@ -194,9 +181,7 @@
     /// The report as it was a while ago.
     fn lagging_report(&self) -> EngineReport {
         let mut inner = self.inner.lock().unwrap();
-        let is_old = inner
-            .shown_at
-            .is_none_or(|at| at.elapsed() >= self.settings.report_lag);
+        let is_old = inner.shown_at.is_none_or(|at| at.elapsed() >= self.settings.report_lag);
         if is_old || inner.shown.incarnation != inner.report.incarnation {
             let mut running: BTreeMap<AdapterRef, usize> = BTreeMap::new();
             for run in inner.queue.iter().chain(&inner.batch) {
@@ -226,12 +211,7 @@
     fn unload(&self, adapter: &AdapterRef) {
         let mut inner = self.inner.lock().unwrap();
         let uses = |run: &EngineRun| run.adapter == *adapter;
-        let cut = inner
-            .batch
-            .iter()
-            .chain(&inner.queue)
-            .filter(|run| uses(run))
-            .count();
+        let cut = inner.batch.iter().chain(&inner.queue).filter(|run| uses(run)).count();
         inner.counts.cut_by_unload += cut as u64;
         inner.batch.retain(|run| !uses(run));
         inner.queue.retain(|run| !uses(run));
@@ -302,7 +282,7 @@
         OrderKind::Unload(adapter) => {
             state.unload(adapter);
             true
-        }
+        },
     };
     match is_done {
         true => plain(StatusCode::OK, "done"),
@@ -322,8 +302,7 @@
     if body.restart == Some(true) {
         context.context().restart();
     }
-    body.fail_loads
-        .inspect(|count| context.context().fail_loads(*count));
+    body.fail_loads.inspect(|count| context.context().fail_loads(*count));
     plain(StatusCode::OK, "")
 }
 
@@ -376,12 +355,7 @@
         return None;
     }
     let (tokens, receiver) = mpsc::unbounded_channel();
-    inner.queue.push(EngineRun {
-        adapter,
-        priority: body.priority,
-        left: count,
-        tokens,
-    });
+    inner.queue.push(EngineRun { adapter, priority: body.priority, left: count, tokens });
     Some(receiver)
 }
 
@@ -405,11 +379,7 @@
             "message": { "role": "assistant", "content": text } }),
         false => object!({ "index": 0, "finish_reason": "stop", "text": text }),
     };
-    let kind = if is_chat {
-        "chat.completion"
-    } else {
-        "text_completion"
-    };
+    let kind = if is_chat { "chat.completion" } else { "text_completion" };
     let usage = object!({ "prompt_tokens": 1, "completion_tokens": count,
         "total_tokens": count + 1 });
     json(
@@ -425,17 +395,9 @@
     text: String,
     is_chat: bool,
 ) -> Answer {
-    let kind = if is_chat {
-        "chat.completion.chunk"
-    } else {
-        "text_completion"
-    };
+    let kind = if is_chat { "chat.completion.chunk" } else { "text_completion" };
     let event = move |left: usize| {
-        let finish = if left == 0 {
-            object!("stop")
-        } else {
-            object!(null)
-        };
+        let finish = if left == 0 { object!("stop") } else { object!(null) };
         let choice = match is_chat {
             true => object!({ "index": 0, "finish_reason": finish, "delta": { "content": text } }),
             false => object!({ "index": 0, "finish_reason": finish, "text": text }),
@@ -456,7 +418,7 @@
                 Some(left) => {
                     let frame = http_body::Frame::data(Bytes::from(event(left)));
                     Some((Ok(frame), (tokens, left == 0)))
-                }
+                },
                 None => Some((Err(std::io::Error::other("cut")), (tokens, true))),
             }
         }
--- a/quillcove_standin/src/http.rs
+++ b/quillcove_standin/src/http.rs
@@ -46,19 +46,10 @@
     body: Vec<u8>,
 ) -> Result<(http::StatusCode, Bytes), String> {
     let request = http::Request::builder().method(method).uri(uri);
-    let request = request
-        .body(Full::from(body))
-        .map_err(|error| error.to_string())?;
-    let response = client
-        .request(request)
-        .await
-        .map_err(|error| error.to_string())?;
+    let request = request.body(Full::from(body)).map_err(|error| error.to_string())?;
+    let response = client.request(request).await.map_err(|error| error.to_string())?;
     let status = response.status();
-    let body = response
-        .into_body()
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?;
+    let body = response.into_body().collect().await.map_err(|error| error.to_string())?;
     Ok((status, body.to_bytes()))
 }
 
--- a/quillcove_standin/src/platform.rs
+++ b/quillcove_standin/src/platform.rs
@@ -119,9 +119,7 @@
         let mut latest = self.latest.lock().unwrap();
         latest.revision += 1;
         let revision = latest.revision;
-        latest
-            .values
-            .insert(key.to_string(), (revision, value.into()));
+        latest.values.insert(key.to_string(), (revision, value.into()));
         drop(latest);
         self.changed.send_replace(revision);
     }
@@ -221,9 +219,7 @@
         self.loads.fetch_add(1, Ordering::Relaxed);
         let failing =
             self.failing_loads
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
-                    left.checked_sub(1)
-                });
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1));
         failing.is_err()
     }
 }
--- a/quillcove_standin/src/service.rs
+++ b/quillcove_standin/src/service.rs
@@ -40,10 +40,7 @@
     /// assert!(ServiceState::new(Duration::ZERO).counts().is_empty());
     /// ```
     pub fn new(delay: Duration) -> Arc<Self> {
-        Arc::new(Self {
-            delay,
-            ..Self::default()
-        })
+        Arc::new(Self { delay, ..Self::default() })
     }
 
     /// How often each booking ran.
@@ -79,17 +76,10 @@
 ) -> Answer {
     let state = context.context().clone();
     let booking = context.request.headers().get(BOOKING_HEADER);
-    let booking = booking
-        .and_then(|value| value.to_str().ok())
-        .map(String::from);
+    let booking = booking.and_then(|value| value.to_str().ok()).map(String::from);
     state.calls.fetch_add(1, Ordering::Relaxed);
     if let Some(booking) = &booking {
-        *state
-            .counts
-            .lock()
-            .unwrap()
-            .entry(booking.clone())
-            .or_default() += 1;
+        *state.counts.lock().unwrap().entry(booking.clone()).or_default() += 1;
     }
     sleep(state.delay).await;
     let receipt = Receipt {
@@ -130,17 +120,9 @@
     address: SocketAddr,
 ) -> Result<HttpServer<Arc<ServiceState>>, String> {
     let mut api = ApiDescription::new();
-    let fixed = api
-        .register(read_counts)
-        .and_then(|()| api.register(check_health));
+    let fixed = api.register(read_counts).and_then(|()| api.register(check_health));
     fixed.map_err(|error| error.to_string())?;
-    for method in [
-        Method::GET,
-        Method::POST,
-        Method::PUT,
-        Method::PATCH,
-        Method::DELETE,
-    ] {
+    for method in [Method::GET, Method::POST, Method::PUT, Method::PATCH, Method::DELETE] {
         let mut any = ApiEndpoint::new(
             format!("call_{method}"),
             take_call,
