Check the agent beside an engine by model; claim an engine before using it

Cause: the search found two faults. An unload order of an earlier agent, late on its way, was obeyed because the new agent had not raised the fence yet; and a run begun just before the agent learned of an engine's restart lost its pin.

--- a/quillcove/src/agent/mod.rs
+++ b/quillcove/src/agent/mod.rs
@@ -19,7 +19,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use quillcove_core::agent::AgentMachine;
-use quillcove_core::agent::event::AgentEvent;
+use quillcove_core::agent::event::{AgentEvent, AgentRules};
 use quillcove_core::ids::Incarnation;
 use quillcove_core::once::book::OnceBook;
 use quillcove_core::permit::PermitKeeper;
@@ -224,7 +224,15 @@
     let secret = rand::random();
     let now = clock.now();
     let book = OnceBook::new(host, incarnation, secret, settings.book_limits(), now);
-    AgentMachine::new(host, incarnation, settings.rules(), book, now)
+    let rules = AgentRules { least_term: seconds_since_epoch(), ..settings.rules() };
+    AgentMachine::new(host, incarnation, rules, book, now)
+}
+
+/// The least term of this run of the agent. A clock that was set back matters only when, at the
+/// same time, the engine has forgotten its fences and an earlier agent's order is still underway.
+fn seconds_since_epoch() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
 }
 
 /// Hands the watching duty's news to the machine. An agent that is not in the host list is not
--- a/quillcove_core/src/agent/engine.rs
+++ b/quillcove_core/src/agent/engine.rs
@@ -45,6 +45,21 @@
     Unsure(OrderKind, MonoTime),
 }
 
+/// Whether this agent alone gives the engine orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClaimState {
+    /// A first order has to raise the fence, so that orders still on their way from an earlier
+    /// agent, or from before the engine's restart, are refused.
+    Needed,
+    /// That order is out.
+    Ordered(OrderFence),
+    /// Orders on their way may still take effect until this time. After an order without an
+    /// answer, or with an engine that does not check fences.
+    Waiting(MonoTime),
+    /// The fence stands.
+    Held,
+}
+
 /// Pause after failed loads of one adapter.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadBackoff {
@@ -55,7 +70,7 @@
 }
 
 /// State of one run of the engine under this agent.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct EngineState {
     /// The engine's run.
     pub incarnation: Incarnation,
@@ -63,6 +78,8 @@
     pub batch: usize,
     /// Slots.
     pub table: SlotTable,
+    /// Whether this agent alone gives orders.
+    pub claim: ClaimState,
     /// Load in progress.
     pub plan: Option<LoadPlan>,
     /// Nothing is unloaded before this time, because reports may be older than the takeover.
@@ -98,6 +115,7 @@
             incarnation: report.incarnation,
             batch: report.batch.max(1),
             table: SlotTable::from_report(report, Duration::ZERO),
+            claim: ClaimState::Needed,
             plan: None,
             settle_until,
             is_superseded: false,
@@ -110,6 +128,23 @@
         }
     }
 
+    /// Takes the engine over again after it restarted: what it forgot of the fences, this agent
+    /// still knows.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::engine::EngineState;
+    /// use quillcove_core::agent::event::EngineReport;
+    ///
+    /// let report = EngineReport::default();
+    /// let engine = EngineState::take_over(&report, 5, Duration::ZERO);
+    /// assert!(engine.restarted(&report, Duration::ZERO).term() > engine.term());
+    /// ```
+    pub fn restarted(&self, report: &EngineReport, settle_until: MonoTime) -> Self {
+        let next = Self::take_over(report, self.term + 1, settle_until);
+        Self { load_time: self.load_time, loads_done: self.loads_done, ..next }
+    }
+
     /// Term of this agent at this engine.
     ///
     /// ```
--- a/quillcove_core/src/agent/event.rs
+++ b/quillcove_core/src/agent/event.rs
@@ -78,6 +78,8 @@
     Load(AdapterRef),
     /// Unload this adapter.
     Unload(AdapterRef),
+    /// Change nothing; the order only raises the highest fence that the engine has seen.
+    Claim,
 }
 
 /// An order to the engine.
@@ -219,6 +221,9 @@
     pub kind: UpstreamKind,
     /// Whether the engine refuses orders with a lower fence.
     pub checks_fence: bool,
+    /// Least term at an engine. It grows with each start of an agent on the host, so that an
+    /// engine that has forgotten its fences is not taken over under an old term.
+    pub least_term: u64,
     /// Most attempts that wait.
     pub queue_limit: usize,
     /// Most attempts handed to a plain service at the same time.
@@ -252,6 +257,7 @@
         Self {
             kind: UpstreamKind::Engine,
             checks_fence: true,
+            least_term: 0,
             queue_limit: 256,
             service_limit: 64,
             engine_margin: 2,
--- a/quillcove_core/src/agent/loads.rs
+++ b/quillcove_core/src/agent/loads.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use super::AgentMachine;
-use super::engine::{EngineState, LoadPlan, PlanStage};
+use super::engine::{ClaimState, EngineState, LoadPlan, PlanStage};
 use super::event::{
     AgentAction, EngineOrder, EvictRule, LoadRule, OrderEnd, OrderKind, PacingRule, RunOrder,
-    WorkTarget,
+    UpstreamKind, WorkTarget,
 };
 use super::slots::{EvictRank, SlotState, priority_weight};
 use super::waiting::WaitingAttempt;
@@ -82,6 +82,57 @@
         queue.iter().map(value_of).sum::<f64>() * self.priority_weight(adapter)
     }
 
+    /// Makes sure that this agent alone gives the engine orders, before anything runs or loads
+    /// there. `true` when it is so.
+    pub(super) fn hold_claim(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) -> bool {
+        if self.rules.kind == UpstreamKind::Service {
+            return true;
+        }
+        let Some(bundle) = self.bundle.as_ref().map(|bundle| bundle.version) else { return false };
+        let Some(engine) = &mut self.engine else { return false };
+        match engine.claim {
+            ClaimState::Held => return !engine.is_superseded,
+            ClaimState::Ordered(_) => return false,
+            ClaimState::Waiting(until) if now < until => return false,
+            ClaimState::Waiting(_) if !self.rules.checks_fence => {
+                engine.claim = ClaimState::Held;
+                return true;
+            },
+            ClaimState::Waiting(_) | ClaimState::Needed => {},
+        }
+        if !engine.is_superseded && self.is_upstream_up {
+            let order = engine.next_order(bundle, OrderKind::Claim);
+            engine.claim = ClaimState::Ordered(order.fence);
+            out.push(AgentAction::Send(order));
+        }
+        false
+    }
+
+    /// Takes the end of a claiming order.
+    fn end_claim(
+        &mut self,
+        now: MonoTime,
+        fence: OrderFence,
+        end: OrderEnd,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(engine) = &mut self.engine else { return };
+        engine.claim = match end {
+            OrderEnd::Done => ClaimState::Held,
+            OrderEnd::Stale(_) | OrderEnd::Failed | OrderEnd::Unknown => {
+                ClaimState::Waiting(now + RESEND_PAUSE)
+            },
+        };
+        match end {
+            OrderEnd::Done => engine.note_fence(fence),
+            OrderEnd::Stale(highest) => {
+                engine.note_fence(highest);
+                self.witness(highest.bundle, out);
+            },
+            OrderEnd::Failed | OrderEnd::Unknown => {},
+        }
+    }
+
     /// Moves the load in progress on, or begins the next one.
     pub(super) fn advance_loads(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         let Some(bundle) = self.bundle.clone() else {
@@ -161,7 +212,8 @@
             half_life: self.rules.half_life,
             bundle,
         };
-        let victim = rank.victim(&engine.table, |other| self.room.wants(other), now)?;
+        let is_in_use = |other: &AdapterRef| self.room.wants(other) || self.pins(other) > 0;
+        let victim = rank.victim(&engine.table, is_in_use, now)?;
         if self.rules.evict == EvictRule::Lru {
             return Some(Some(victim));
         }
@@ -259,6 +311,7 @@
                     slot.state = SlotState::Unloading;
                 }
             },
+            OrderKind::Claim => {},
         }
         let order = engine.next_order(bundle.version, kind);
         if let Some(plan) = &mut engine.plan {
@@ -278,6 +331,9 @@
         let Some(engine) = &mut self.engine else {
             return;
         };
+        if engine.claim == ClaimState::Ordered(fence) {
+            return self.end_claim(now, fence, end, out);
+        }
         let Some(order) = current_order(engine, fence) else {
             return;
         };
@@ -312,6 +368,7 @@
                 engine.table.remove(adapter);
                 self.order_next(now, out);
             },
+            OrderKind::Claim => {},
             OrderKind::Load(adapter) => {
                 if let Some(slot) = engine.table.get_mut(adapter) {
                     slot.state = SlotState::Ready;
@@ -349,8 +406,9 @@
             return;
         };
         if !self.rules.checks_fence {
-            let (OrderKind::Load(adapter) | OrderKind::Unload(adapter)) = &kind;
-            engine.table.remove(adapter);
+            if let OrderKind::Load(adapter) | OrderKind::Unload(adapter) = &kind {
+                engine.table.remove(adapter);
+            }
             return self.drop_plan(out);
         }
         let order = engine.next_order(bundle.version, kind);
@@ -382,5 +440,6 @@
                 slot.state = SlotState::Ready;
             }
         },
+        OrderKind::Claim => {},
     }
 }
--- a/quillcove_core/src/agent/marks.rs
+++ b/quillcove_core/src/agent/marks.rs
@@ -1,6 +1,6 @@
 //! Marks that keep a late copy of an attempt from running.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::ids::{AttemptId, MonoTime};
@@ -20,9 +20,9 @@
 }
 
 /// Marks of attempts with their expiry.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct MarkTable {
-    marks: HashMap<AttemptId, AttemptMark>,
+    marks: BTreeMap<AttemptId, AttemptMark>,
     expiries: VecDeque<(MonoTime, AttemptId)>,
 }
 
--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use self::engine::EngineState;
+use self::engine::{ClaimState, EngineState};
 use self::event::{
     AgentAction, AgentEvent, AgentRules, EngineReport, HostState, RunEnd, RunOrder, UpstreamKind,
     WithdrawAnswer, WorkTarget, once_state,
@@ -43,14 +43,13 @@
     target: WorkTarget,
     class: WorkClass,
     once: Option<OnceKey>,
-    engine: Option<Incarnation>,
 }
 
 /// A pin of a run whose answer broke off: the engine may still work on it for a while.
 #[derive(Clone, Debug)]
 struct LingeringPin {
     until: MonoTime,
-    running: RunningAttempt,
+    adapter: AdapterRef,
 }
 
 /// The agent's state machine.
@@ -67,7 +66,7 @@
 /// machine.handle(Duration::ZERO, AgentEvent::StopAsked, &mut actions);
 /// assert_eq!(actions, [AgentAction::Stopped]);
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct AgentMachine {
     host: HostId,
     incarnation: Incarnation,
@@ -195,7 +194,7 @@
     fn progress(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         self.refuse_late(now, out);
         self.release_lingering(now);
-        if self.is_confirmed {
+        if self.is_confirmed && self.hold_claim(now, out) {
             self.start_ready(now, out);
             self.advance_loads(now, out);
         }
@@ -410,19 +409,12 @@
 
     fn start(&mut self, now: MonoTime, attempt: WaitingAttempt, out: &mut Vec<AgentAction>) {
         let id = attempt.order.attempt;
-        if let (WorkTarget::Adapter(adapter), Some(engine)) =
-            (&attempt.order.target, &mut self.engine)
-            && let Some(slot) = engine.table.get_mut(adapter)
-        {
-            slot.pins += 1;
-            slot.used = now;
-        }
+        self.note_use(now, &attempt.order.target);
         self.marks.set(id, AttemptMark::Started);
         let running = RunningAttempt {
             target: attempt.order.target,
             class: attempt.order.class,
             once: attempt.once,
-            engine: self.engine.as_ref().map(|engine| engine.incarnation),
         };
         self.running.insert(id, running);
         out.push(AgentAction::Start(id));
@@ -452,65 +444,78 @@
             RunEnd::Complete(_) | RunEnd::Broken => AttemptMark::Started,
         };
         self.marks.close(attempt, mark, now, self.rules.mark_lifetime);
-        match end {
-            RunEnd::Complete(_) | RunEnd::NotRun => self.unpin(now, &running),
-            RunEnd::Broken => {
-                let until = now + self.rules.settle_time;
-                self.lingering.push_back(LingeringPin { until, running });
-            },
+        self.note_use(now, &running.target);
+        if let (WorkTarget::Adapter(adapter), RunEnd::Broken) = (running.target, end) {
+            let until = now + self.rules.settle_time;
+            self.lingering.push_back(LingeringPin { until, adapter });
         }
     }
 
     /// Lets go of runs that broke off, once the engine must have noticed.
     fn release_lingering(&mut self, now: MonoTime) {
         while self.lingering.front().is_some_and(|pin| pin.until <= now) {
-            if let Some(pin) = self.lingering.pop_front() {
-                self.unpin(now, &pin.running);
-            }
+            self.lingering.pop_front();
         }
     }
 
-    fn unpin(&mut self, now: MonoTime, running: &RunningAttempt) {
-        let Some(engine) = &mut self.engine else {
-            return;
-        };
-        let WorkTarget::Adapter(adapter) = &running.target else {
-            return;
-        };
-        if running.engine != Some(engine.incarnation) {
-            return;
-        }
+    fn note_use(&mut self, now: MonoTime, target: &WorkTarget) {
+        let Some(engine) = &mut self.engine else { return };
+        let WorkTarget::Adapter(adapter) = target else { return };
         if let Some(slot) = engine.table.get_mut(adapter) {
-            slot.pins = slot.pins.saturating_sub(1);
             slot.used = now;
         }
     }
 
+    /// Runs of this agent that use an adapter, whichever run of the engine they began in: from
+    /// their start to their last byte, and after a broken end until the engine must have noticed.
+    fn pins(&self, adapter: &AdapterRef) -> usize {
+        let uses = |running: &&RunningAttempt| match &running.target {
+            WorkTarget::Adapter(other) => other == adapter,
+            WorkTarget::Service => false,
+        };
+        let running = self.running.values().filter(uses).count();
+        let lingering = self.lingering.iter().filter(|pin| pin.adapter == *adapter).count();
+        running + lingering
+    }
+
     fn take_report(&mut self, now: MonoTime, report: &EngineReport, out: &mut Vec<AgentAction>) {
         self.is_upstream_up = true;
         if self.rules.kind == UpstreamKind::Service {
             return;
         }
         self.witness(report.highest_fence.bundle, out);
-        match &mut self.engine {
-            Some(engine) if engine.incarnation == report.incarnation => {
-                engine.note_fence(report.highest_fence);
-                let is_settling = now < engine.settle_until;
-                let shows_all = engine.shows_all_orders(report, self.rules.checks_fence);
-                engine.table.update(report, is_settling, shows_all, now);
-            },
-            _ => self.take_over(now, report, out),
-        }
+        let mut engine = match self.engine.take() {
+            Some(engine) if engine.incarnation == report.incarnation => engine,
+            other => return self.take_over(now, other, report, out),
+        };
+        engine.note_fence(report.highest_fence);
+        let is_settling = now < engine.settle_until;
+        let shows_all = engine.shows_all_orders(report, self.rules.checks_fence);
+        let pins = |adapter: &AdapterRef| self.pins(adapter);
+        engine.table.update(report, pins, is_settling, shows_all, now);
+        self.engine = Some(engine);
     }
 
     /// Begins anew with an engine that is new to this agent or has restarted.
-    fn take_over(&mut self, now: MonoTime, report: &EngineReport, out: &mut Vec<AgentAction>) {
-        if self.engine.as_ref().is_some_and(|engine| engine.plan.is_some()) {
+    fn take_over(
+        &mut self,
+        now: MonoTime,
+        before: Option<EngineState>,
+        report: &EngineReport,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if before.as_ref().is_some_and(|engine| engine.plan.is_some()) {
             out.push(AgentAction::ReturnPermit);
         }
-        let least_term = self.engine.as_ref().map_or(0, EngineState::term);
         let settle_until = now + self.rules.settle_time;
-        self.engine = Some(EngineState::take_over(report, least_term, settle_until));
+        let mut engine = match before {
+            Some(before) => before.restarted(report, settle_until),
+            None => EngineState::take_over(report, self.rules.least_term, settle_until),
+        };
+        if !self.rules.checks_fence {
+            engine.claim = ClaimState::Waiting(now + self.rules.order_lifetime);
+        }
+        self.engine = Some(engine);
     }
 
     /// An engine acted on a newer bundle than this agent holds: acting on the older one would
--- a/quillcove_core/src/agent/slots.rs
+++ b/quillcove_core/src/agent/slots.rs
@@ -25,8 +25,6 @@
 pub struct AdapterSlot {
     /// State.
     pub state: SlotState,
-    /// Attempts of this agent that use the adapter, from their start to their last byte.
-    pub pins: usize,
     /// Requests of an earlier agent that may still run; they only become fewer.
     pub foreign: usize,
     /// Last use.
@@ -34,7 +32,7 @@
 }
 
 /// All slots of one run of the engine.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct SlotTable {
     /// Number of slots.
     pub total: usize,
@@ -77,7 +75,7 @@
     /// assert!(table.is_ready(&AdapterRef::new("shuttle", 1)));
     /// ```
     pub fn add(&mut self, adapter: &AdapterRef, state: SlotState, now: MonoTime) {
-        let slot = AdapterSlot { state, pins: 0, foreign: 0, used: now };
+        let slot = AdapterSlot { state, foreign: 0, used: now };
         self.slots.insert(adapter.clone(), slot);
     }
 
@@ -151,9 +149,10 @@
         self.slots.len() < self.total
     }
 
-    /// Takes a later report of the same run of the engine. Reports lag, so a slot is dropped
-    /// only when nothing is pinned and no order is out; requests of an earlier agent only become
-    /// fewer, except while the agent has just taken over and reports may be older than it.
+    /// Takes a later report of the same run of the engine, with the agent's own pins by adapter.
+    /// Reports lag, so a slot is dropped only when nothing is pinned and no order is out; requests
+    /// of an earlier agent only become fewer, except while the agent has just taken over and
+    /// reports may be older than it.
     ///
     /// ```
     /// use std::time::Duration;
@@ -161,11 +160,12 @@
     /// use quillcove_core::agent::slots::SlotTable;
     ///
     /// let mut table = SlotTable::default();
-    /// table.update(&EngineReport::default(), false, true, Duration::ZERO);
+    /// table.update(&EngineReport::default(), |_| 0, false, true, Duration::ZERO);
     /// ```
     pub fn update(
         &mut self,
         report: &EngineReport,
+        pins: impl Fn(&AdapterRef) -> usize,
         settling: bool,
         orders_seen: bool,
         now: MonoTime,
@@ -174,7 +174,7 @@
             let running = report.running.iter().find(|(other, _)| other == adapter);
             let running = running.map_or(0, |(_, count)| *count);
             slot.foreign = match settling {
-                true => slot.foreign.max(running.saturating_sub(slot.pins)),
+                true => slot.foreign.max(running.saturating_sub(pins(adapter))),
                 false => slot.foreign.min(running),
             };
         }
@@ -182,7 +182,7 @@
             return;
         }
         let lost = |adapter: &AdapterRef, slot: &AdapterSlot| {
-            slot.state == SlotState::Ready && slot.pins == 0 && !report.loaded.contains(adapter)
+            slot.state == SlotState::Ready && pins(adapter) == 0 && !report.loaded.contains(adapter)
         };
         self.slots.retain(|adapter, slot| !lost(adapter, slot));
         for adapter in &report.loaded {
@@ -234,7 +234,7 @@
         rate * priority_weight(self.bundle.priority_of(adapter))
     }
 
-    /// The adapter to unload: loaded, unpinned, without a request waiting for it, and lowest by
+    /// The adapter to unload: loaded, not in use by a request that runs or waits, and lowest by
     /// the rule.
     ///
     /// ```
@@ -255,12 +255,11 @@
     pub fn victim(
         &self,
         table: &SlotTable,
-        is_wanted: impl Fn(&AdapterRef) -> bool,
+        is_in_use: impl Fn(&AdapterRef) -> bool,
         now: MonoTime,
     ) -> Option<AdapterRef> {
         let idle = table.iter().filter(|(adapter, slot)| {
-            let unused = slot.pins == 0 && slot.foreign == 0;
-            slot.state == SlotState::Ready && unused && !is_wanted(adapter)
+            slot.state == SlotState::Ready && slot.foreign == 0 && !is_in_use(adapter)
         });
         let oldest = |slot: &AdapterSlot| slot.used;
         let chosen = match self.rule {
--- a/quillcove_core/src/agent/view.rs
+++ b/quillcove_core/src/agent/view.rs
@@ -167,7 +167,7 @@
             SlotView {
                 adapter: adapter.to_string(),
                 state: slot_label(slot.state),
-                pins: slot.pins,
+                pins: self.pins(adapter),
                 foreign: slot.foreign,
                 demand: meter.map_or(0.0, |meter| meter.rate(now, self.rules.half_life)),
             }
--- a/quillcove_core/src/agent/waiting.rs
+++ b/quillcove_core/src/agent/waiting.rs
@@ -20,7 +20,7 @@
 }
 
 /// Queues by target, bounded in sum.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct WaitingRoom {
     queues: BTreeMap<WorkTarget, VecDeque<WaitingAttempt>>,
     count: usize,
--- a/quillcove_core/src/entry/fleet.rs
+++ b/quillcove_core/src/entry/fleet.rs
@@ -92,7 +92,7 @@
 }
 
 /// All agents an entry knows.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
     upstreams: BTreeMap<HostId, UpstreamView>,
 }
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -65,7 +65,7 @@
 /// machine.handle(Duration::ZERO, EntryEvent::StopAsked, &mut actions);
 /// assert_eq!(actions, [EntryAction::Stopped]);
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct EntryMachine {
     rules: EntryRules,
     fleet: UpstreamTable,
--- a/quillcove_core/src/once/book.rs
+++ b/quillcove_core/src/once/book.rs
@@ -1,6 +1,6 @@
 //! What became of each request that must run at most once, kept by its owner.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -67,14 +67,14 @@
 }
 
 /// The owner's record of runs.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct OnceBook {
     host: HostId,
     incarnation: Incarnation,
     secret: TicketSecret,
     limits: BookLimits,
     next_serial: u64,
-    runs: HashMap<OnceKey, OnceRun>,
+    runs: BTreeMap<OnceKey, OnceRun>,
     expiries: BTreeMap<(MonoTime, u64), OnceKey>,
     next_expiry: u64,
     keys_sure_from: MonoTime,
@@ -106,7 +106,7 @@
             secret,
             limits,
             next_serial: 0,
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             expiries: BTreeMap::new(),
             next_expiry: 0,
             keys_sure_from: now + limits.key_lifetime,
--- /dev/null
+++ b/quillcove_core/tests/model.rs
@@ -0,0 +1,120 @@
+//! Model checking: the core's machines, unchanged, in small worlds where everything that may
+//! happen happens in every order. Each wrong rule must be caught; the right ones must hold.
+
+#[path = "model/engine_world.rs"]
+mod engine_world;
+#[path = "model/search.rs"]
+mod search;
+
+use engine_world::{Bounds, EngineWorld, WrongRule};
+use search::{SearchReport, search};
+
+fn print_report(name: &str, report: &SearchReport) {
+    println!("{name}: {} states, depth {}", report.states, report.depth);
+    if report.trace.is_some() {
+        println!("{}", report.text());
+    }
+}
+
+fn engine_holds(name: &str, bounds: Bounds, depth: usize) {
+    let report = search(EngineWorld::new(WrongRule::Right, bounds), depth);
+    print_report(name, &report);
+    assert!(report.trace.is_none(), "{}", report.text());
+}
+
+fn engine_catches(rule: WrongRule, bounds: Bounds, depth: usize, expected: &str) {
+    let report = search(EngineWorld::new(rule, bounds), depth);
+    print_report(&format!("{rule:?}"), &report);
+    assert!(report.text().contains(expected), "{rule:?}: {}", report.text());
+}
+
+/// Loads, unloads and runs with orders that are lost, doubled and late.
+const ORDERS: Bounds = Bounds {
+    arrivals: 3,
+    unanswered_orders: 1,
+    doubled_orders: 1,
+    time_steps: 2,
+    ..Bounds::NOTHING
+};
+
+/// Agents replaced beside a running engine, with late reports.
+const TAKEOVER: Bounds =
+    Bounds { arrivals: 2, agent_restarts: 1, late_reports: 1, time_steps: 1, ..Bounds::NOTHING };
+
+/// Connections that break, engines that restart, callers that withdraw.
+const BREAKS: Bounds = Bounds {
+    arrivals: 2,
+    copies: 1,
+    withdrawals: 1,
+    broken_runs: 1,
+    engine_restarts: 1,
+    time_steps: 2,
+    ..Bounds::NOTHING
+};
+
+/// Bundles that change while agents are replaced.
+const BUNDLES: Bounds = Bounds {
+    arrivals: 2,
+    bundles: 1,
+    agent_restarts: 1,
+    time_steps: 1,
+    unanswered_orders: 1,
+    stops: 1,
+    ..Bounds::NOTHING
+};
+
+#[test]
+fn orders_lost_doubled_and_late_never_unload_under_a_run() {
+    engine_holds("orders", ORDERS, 14);
+}
+
+#[test]
+fn a_new_agent_never_unloads_under_the_old_ones_runs() {
+    engine_holds("takeover", TAKEOVER, 14);
+}
+
+#[test]
+fn broken_connections_and_restarts_keep_verdicts_true() {
+    engine_holds("breaks", BREAKS, 14);
+}
+
+#[test]
+fn no_attempt_starts_under_an_older_bundle() {
+    engine_holds("bundles", BUNDLES, 14);
+}
+
+#[test]
+fn pin_released_at_first_byte_is_caught() {
+    engine_catches(WrongRule::UnpinAtFirstByte, ORDERS, 14, "unloaded while it serves");
+}
+
+#[test]
+fn takeover_without_settling_is_caught() {
+    engine_catches(WrongRule::NoSettling, TAKEOVER, 14, "unloaded while it serves");
+}
+
+#[test]
+fn pin_of_a_broken_run_released_at_once_is_caught() {
+    let bounds = Bounds { arrivals: 2, broken_runs: 1, time_steps: 1, ..Bounds::NOTHING };
+    engine_catches(WrongRule::UnpinBroken, bounds, 14, "unloaded while it serves");
+}
+
+#[test]
+fn fence_that_is_not_checked_is_caught() {
+    engine_catches(WrongRule::UncheckedFence, ORDERS, 20, "unloaded while it serves");
+}
+
+#[test]
+fn refusal_without_a_mark_is_caught() {
+    engine_catches(WrongRule::NoMarks, BREAKS, 14, "after not-run was told");
+}
+
+#[test]
+fn not_run_on_a_broken_connection_is_caught() {
+    engine_catches(WrongRule::BrokenIsNotRun, BREAKS, 14, "not-run is told");
+}
+
+#[test]
+fn bundle_without_the_engines_witness_is_caught() {
+    engine_catches(WrongRule::NoWitness, BUNDLES, 14, "under an older bundle");
+}
--- a/quillcove_standin/src/engine.rs
+++ b/quillcove_standin/src/engine.rs
@@ -283,6 +283,7 @@
             state.unload(adapter);
             true
         },
+        OrderKind::Claim => true,
     };
     match is_done {
         true => plain(StatusCode::OK, "done"),
