Check by model that a booking runs at most once

Ticket, key and unnamed bookings hold over all interleavings of repeats, lost, late and doubled attempts, replaced agents and broken calls; seven wrong rules are caught.

--- a/quillcove_core/tests/model.rs
+++ b/quillcove_core/tests/model.rs
@@ -3,10 +3,13 @@
 
 #[path = "model/engine_world.rs"]
 mod engine_world;
+#[path = "model/once_world.rs"]
+mod once_world;
 #[path = "model/search.rs"]
 mod search;
 
 use engine_world::{Bounds, EngineWorld, WrongRule};
+use once_world::{OnceBounds, OnceRule, OnceWorld};
 use search::{SearchReport, search};
 
 fn print_report(name: &str, report: &SearchReport) {
@@ -118,3 +121,72 @@
 fn bundle_without_the_engines_witness_is_caught() {
     engine_catches(WrongRule::NoWitness, BUNDLES, 14, "under an older bundle");
 }
+
+#[test]
+fn work_before_the_claim_is_caught() {
+    let bounds = Bounds { arrivals: 3, agent_restarts: 1, time_steps: 1, ..Bounds::NOTHING };
+    engine_catches(WrongRule::NoClaim, bounds, 14, "unloaded while it serves");
+}
+
+/// A caller that repeats, attempts lost, late and doubled, agents replaced, answers lost.
+const BOOKING: OnceBounds = OnceBounds { requests: 2, lost: 1, doubled: 1, restarts: 1, broken: 1 };
+
+/// The same with a caller that asks only once.
+const ASKED_ONCE: OnceBounds = OnceBounds { requests: 1, lost: 2, doubled: 2, ..BOOKING };
+
+fn once_holds(rule: OnceRule, bounds: OnceBounds) {
+    let report = search(OnceWorld::new(rule, bounds), 14);
+    print_report(&format!("{rule:?}"), &report);
+    assert!(report.trace.is_none(), "{}", report.text());
+}
+
+fn once_catches(rule: OnceRule, bounds: OnceBounds, expected: &str) {
+    let report = search(OnceWorld::new(rule, bounds), 14);
+    print_report(&format!("{rule:?}"), &report);
+    assert!(report.text().contains(expected), "{rule:?}: {}", report.text());
+}
+
+#[test]
+fn a_booking_with_a_ticket_runs_at_most_once() {
+    once_holds(OnceRule::Ticket, BOOKING);
+}
+
+#[test]
+fn a_booking_with_a_key_runs_at_most_once() {
+    once_holds(OnceRule::Key, BOOKING);
+}
+
+#[test]
+fn key_at_any_replica_is_caught() {
+    once_catches(OnceRule::AnyReplica, BOOKING, "ran twice");
+}
+
+#[test]
+fn book_forgotten_on_restart_is_caught() {
+    once_catches(OnceRule::BookForgotten, BOOKING, "ran twice");
+}
+
+#[test]
+fn keys_taken_at_once_after_a_restart_are_caught() {
+    once_catches(OnceRule::KeysAtOnce, BOOKING, "ran twice");
+}
+
+#[test]
+fn lost_attempt_called_not_run_is_caught() {
+    once_catches(OnceRule::LostIsNotRun, BOOKING, "not-run");
+}
+
+#[test]
+fn withdrawal_without_a_mark_is_caught() {
+    once_catches(OnceRule::NoMarks, BOOKING, "not-run");
+}
+
+#[test]
+fn a_booking_without_a_name_runs_at_most_once() {
+    once_holds(OnceRule::Unnamed, ASKED_ONCE);
+}
+
+#[test]
+fn repeat_of_what_may_have_run_is_caught() {
+    once_catches(OnceRule::RepeatsAnyway, ASKED_ONCE, "ran twice");
+}
--- a/quillcove_core/tests/model/engine_world.rs
+++ b/quillcove_core/tests/model/engine_world.rs
@@ -75,6 +75,8 @@
     NoMarks,
     /// A broken connection counts as not run.
     BrokenIsNotRun,
+    /// A new agent works before an order of its own has raised the fence.
+    NoClaim,
     /// A new agent is not told which bundle the engine acted on.
     NoWitness,
 }
@@ -150,7 +152,9 @@
         world.take_bundle(1);
         let report = world.report();
         world.feed(AgentEvent::Reported(report));
-        world.deliver(0);
+        if !world.orders.is_empty() {
+            world.deliver(0);
+        }
         world
     }
 
@@ -204,6 +208,11 @@
             AgentAction::AnswerWithdrawal(attempt, WithdrawAnswer::NotRun) => {
                 self.tell_not_run(attempt);
             },
+            AgentAction::Send(order)
+                if self.rule == WrongRule::NoClaim && order.kind == OrderKind::Claim =>
+            {
+                self.feed(AgentEvent::OrderEnded(order.fence, OrderEnd::Done));
+            },
             AgentAction::Send(order) => {
                 self.awaited = Some(order.fence);
                 self.orders.push(order);
