--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -164,14 +164,19 @@
         state.metrics.refused(refused.reason, class);
         return mark_refused(refusal(&refused, explain(refused.reason)), Some(&news));
     }
-    state.metrics.stalled(class, state.clock.now().saturating_sub(arrived));
-    match target {
+    let waited = state.clock.now().saturating_sub(arrived);
+    state.metrics.stalled(class, waited);
+    let answer = match target {
         WorkTarget::Adapter(_) => pass_to_engine(state, attempt, class, call, news).await,
         WorkTarget::Service => {
             let limit = deadline.saturating_sub(state.clock.now()) + OUTCOME_TIME;
             pass_to_service(state, attempt, class, call, news, limit).await
         },
-    }
+    };
+    let mut response = answer?;
+    let waited = header::HeaderValue::from(waited.as_millis() as u64);
+    response.headers_mut().insert(headers::WAITED_MS, waited);
+    Ok(response)
 }
 
 /// Streams an engine's answer. When the caller goes, the connection to the engine is dropped,
--- a/quillcove/src/cli.rs
+++ b/quillcove/src/cli.rs
@@ -21,6 +21,7 @@
         .subcommand(dump())
         .subcommand(bundle())
         .subcommand(demo())
+        .subcommand(measure())
         .subcommand(standin())
         .subcommand(generate())
 }
@@ -116,6 +117,20 @@
         )
 }
 
+fn measure() -> Command {
+    let policy = Command::new("policy")
+        .about("Compare the rules for routing, slots and loads with the baselines")
+        .arg(number("seconds", "15", "Length of each run"))
+        .arg(option("only", "NAME", "Scenarios whose names begin so"))
+        .arg(option("policy", "NAME", "Policies whose names begin so"))
+        .arg(option("out", "FILE", "File for the results, as JSON"));
+    Command::new("measure")
+        .about("Run one of the measurements that the documentation cites")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([policy])
+}
+
 fn standin() -> Command {
     let listen = || {
         option("listen", "ADDRESS", "Address to listen on")
--- a/quillcove/src/demo/load.rs
+++ b/quillcove/src/demo/load.rs
@@ -53,6 +53,8 @@
     pub tokens: usize,
     /// Deadline of urgent and normal completions.
     pub deadline: Duration,
+    /// After this time other adapters are popular, without warning.
+    pub shift_after: Option<Duration>,
 }
 
 impl LoadPlan {
@@ -76,6 +78,7 @@
             batch: 0.2,
             tokens: 16,
             deadline: Duration::from_secs(10),
+            shift_after: None,
         }
     }
 }
@@ -83,7 +86,7 @@
 /// One request to send.
 #[derive(Clone, Debug)]
 enum PlannedCall {
-    Completion { adapter: String, class: WorkClass, is_stream: bool },
+    Completion { adapter: usize, class: WorkClass, is_stream: bool },
     Booking,
 }
 
@@ -100,6 +103,12 @@
     pub status: u16,
     /// Time from the first try to the last byte.
     pub took: Duration,
+    /// When the first try was sent, from the start of the load.
+    pub sent: Duration,
+    /// Time until the upstream got it: waits at agents and times before coming back.
+    pub stalled: Duration,
+    /// Longest time in which a refusal was answered.
+    pub refused_in: Option<Duration>,
     /// Tries.
     pub tries: u32,
     /// Whether the whole answer came and named what was asked for.
@@ -202,10 +211,12 @@
     let mut next_progress = start + PROGRESS;
     for number in 0..count {
         sleep_until(start + Duration::from_secs_f64(number as f64 / plan.rate)).await;
-        let call = draw_call(plan, &zipf, &mut rng);
+        let sent = Duration::from_secs_f64(number as f64 / plan.rate);
+        let call = draw_call(plan, &zipf, &mut rng, sent);
         let entry = entries[number % entries.len()];
         let other = entries[(number + 1) % entries.len()];
-        let caller = Caller { client: client.clone(), entry, other, number, plan: plan.clone() };
+        let plan = plan.clone();
+        let caller = Caller { client: client.clone(), entry, other, number, sent, plan };
         let sender = sender.clone();
         tokio::spawn(async move {
             let _ = sender.send((number, caller.run(call).await));
@@ -230,9 +241,39 @@
     format!("seat-{}-{number}", plan.seed)
 }
 
-fn draw_call(plan: &LoadPlan, zipf: &ZipfDraw, rng: &mut StdRng) -> PlannedCall {
+/// Adapters that a load asks for, in order, for what could have been done with all of them known.
+///
+/// ```
+/// use quillcove::demo::load::{LoadPlan, planned_adapters};
+/// use quillcove::demo::site::SitePlan;
+///
+/// let plan = LoadPlan::for_site(&SitePlan::default());
+/// assert!(!planned_adapters(&plan).is_empty());
+/// ```
+pub fn planned_adapters(plan: &LoadPlan) -> Vec<usize> {
+    let zipf = ZipfDraw::new(plan.adapters, plan.skew);
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let count = (plan.rate * plan.length.as_secs_f64()) as usize;
+    let calls = (0..count).map(|number| {
+        let sent = Duration::from_secs_f64(number as f64 / plan.rate);
+        draw_call(plan, &zipf, &mut rng, sent)
+    });
+    let adapters = calls.filter_map(|call| match call {
+        PlannedCall::Completion { adapter, .. } => Some(adapter),
+        PlannedCall::Booking => None,
+    });
+    adapters.collect()
+}
+
+/// How far the ranks move when other adapters become popular.
+const SHIFT_RANKS: usize = 1000;
+
+fn draw_call(plan: &LoadPlan, zipf: &ZipfDraw, rng: &mut StdRng, sent: Duration) -> PlannedCall {
     let share: f64 = rng.random();
-    let rank = zipf.rank(rng);
+    let mut rank = zipf.rank(rng);
+    if plan.shift_after.is_some_and(|after| sent >= after) {
+        rank = (rank + SHIFT_RANKS) % plan.adapters;
+    }
     let is_stream = rng.random_bool(0.5);
     if share < plan.bookings {
         return PlannedCall::Booking;
@@ -243,7 +284,7 @@
         _ if share < plan.urgent + plan.batch => WorkClass::Batch,
         _ => WorkClass::Normal,
     };
-    PlannedCall::Completion { adapter: format!("adapter-{rank:04}"), class, is_stream }
+    PlannedCall::Completion { adapter: rank, class, is_stream }
 }
 
 /// One caller with one request.
@@ -252,6 +293,7 @@
     entry: SocketAddr,
     other: SocketAddr,
     number: usize,
+    sent: Duration,
     plan: LoadPlan,
 }
 
@@ -260,6 +302,8 @@
     status: u16,
     verdict: RunVerdict,
     retry_after: Option<Duration>,
+    waited: Duration,
+    took: Duration,
     body: Bytes,
     is_whole: bool,
 }
@@ -269,7 +313,7 @@
         match call {
             PlannedCall::Booking => self.book().await,
             PlannedCall::Completion { adapter, class, is_stream } => {
-                self.complete(&adapter, class, is_stream).await
+                self.complete(&format!("adapter-{adapter:04}"), class, is_stream).await
             },
         }
     }
@@ -317,6 +361,9 @@
             verdict: last.verdict,
             status: last.status,
             took: started.elapsed(),
+            sent: self.sent,
+            stalled: last.waited,
+            refused_in: None,
             tries,
             is_right: is_ok && names_it,
             is_wrong: is_ok && !names_it,
@@ -339,8 +386,10 @@
             WorkClass::Urgent | WorkClass::Normal => self.plan.deadline,
         };
         let mut tries = 0;
-        let last = loop {
+        let mut refused_in = None;
+        let (last, before) = loop {
             tries += 1;
+            let before = started.elapsed();
             let uri = format!("http://{}/v1/completions", self.entry);
             let left = deadline.saturating_sub(started.elapsed());
             let request = Request::post(uri)
@@ -348,10 +397,13 @@
                 .header(headers::DEADLINE_MS, left.as_millis() as u64);
             let answer = self.send(request, body.clone()).await;
             let pause = answer.retry_after;
+            if answer.status != 200 {
+                refused_in = refused_in.max(Some(answer.took));
+            }
             let may_come_back = answer.verdict == RunVerdict::NotRun && tries <= COME_BACKS;
             let in_time = pause.is_some_and(|pause| started.elapsed() + pause < deadline);
             if !may_come_back || !in_time {
-                break answer;
+                break (answer, before);
             }
             tokio::time::sleep(pause.unwrap_or_default()).await;
         };
@@ -368,6 +420,9 @@
             verdict,
             status: last.status,
             took: started.elapsed(),
+            sent: self.sent,
+            stalled: before + last.waited,
+            refused_in,
             tries,
             is_right: is_ok && text.as_deref() == Some(expected.as_str()),
             is_wrong: is_ok && text.as_deref() != Some(expected.as_str()),
@@ -379,6 +434,7 @@
             return unsent();
         };
         let limit = self.plan.deadline * 6 + CALL_MARGIN;
+        let started = Instant::now();
         let Ok(Ok(response)) = timeout(limit, self.client.send(request)).await else {
             return CallAnswer { verdict: RunVerdict::MayHaveRun, ..unsent() };
         };
@@ -391,6 +447,8 @@
             status: parts.status.as_u16(),
             verdict,
             retry_after: headers::millis(&parts.headers, headers::RETRY_AFTER_MS),
+            waited: headers::millis(&parts.headers, headers::WAITED_MS).unwrap_or_default(),
+            took: started.elapsed(),
             is_whole: body.is_some(),
             body: body.unwrap_or_default(),
         }
@@ -402,6 +460,8 @@
         status: 0,
         verdict: RunVerdict::NotRun,
         retry_after: Some(Duration::from_millis(200)),
+        waited: Duration::ZERO,
+        took: Duration::ZERO,
         body: Bytes::new(),
         is_whole: false,
     }
--- a/quillcove/src/demo/site.rs
+++ b/quillcove/src/demo/site.rs
@@ -109,7 +109,14 @@
         MODELS[usize::from(number % 3 == 2)]
     }
 
-    fn model_of_engine(&self, number: usize) -> &'static str {
+    /// Base model of an engine.
+    ///
+    /// ```
+    /// use quillcove::demo::site::SitePlan;
+    ///
+    /// assert_eq!(SitePlan::default().model_of_engine(0), "small");
+    /// ```
+    pub fn model_of_engine(&self, number: usize) -> &'static str {
         let first = (self.engines as f64 * FIRST_MODEL_SHARE).ceil() as usize;
         MODELS[usize::from(number >= first)]
     }
--- a/quillcove/src/entry/attempt.rs
+++ b/quillcove/src/entry/attempt.rs
@@ -270,6 +270,9 @@
     let mut answer = Response::new(Body::wrap(body));
     *answer.status_mut() = parts.status;
     *answer.headers_mut() = headers::passed(&parts.headers);
+    if let Some(waited) = parts.headers.get(headers::WAITED_MS) {
+        answer.headers_mut().insert(headers::WAITED_MS, waited.clone());
+    }
     // A stream's verdict is known only at its end, which `[DONE]` or an error event tells.
     let verdict = match is_stream {
         true => RunVerdict::MayHaveRun,
--- a/quillcove/src/lib.rs
+++ b/quillcove/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod duty;
 pub mod entry;
 pub mod logging;
+pub mod measure;
 pub mod metrics;
 pub mod operator;
 pub mod platform;
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -12,7 +12,7 @@
 use quillcove::config::shared::{LogSection, StopSection};
 use quillcove::config::{self, SettingRole};
 use quillcove::entry::EntryProcess;
-use quillcove::{bundle, cli, demo, dump, duty, logging, standin};
+use quillcove::{bundle, cli, demo, dump, duty, logging, measure, standin};
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -29,6 +29,7 @@
         "dump" => print_dump(matches),
         "bundle" => bundle::command::run(matches).map(|()| ExitCode::SUCCESS),
         "demo" => demo::run(matches),
+        "measure" => measure::run(matches).map(|()| ExitCode::SUCCESS),
         "standin" => standin::run(matches).map(|()| ExitCode::SUCCESS),
         "generate" => generate(matches).map(|()| ExitCode::SUCCESS),
         other => Err(eyre!("'{other}' is not a command")),
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -30,6 +30,8 @@
 /// Exact time after which to come back, in milliseconds, beside the whole seconds of
 /// `Retry-After`.
 pub const RETRY_AFTER_MS: &str = "quillcove-retry-after-ms";
+/// How long the request waited at the agent before its upstream got it, in milliseconds.
+pub const WAITED_MS: &str = "quillcove-waited-ms";
 /// Set by an agent on its own refusals, so that they are told apart from the upstream's answers.
 pub const REFUSED: &str = "quillcove-refused";
 /// Names the attempt, from entry to agent.
--- a/quillcove_core/tests/fuzz_agent.rs
+++ b/quillcove_core/tests/fuzz_agent.rs
@@ -176,13 +176,11 @@
     fn watch(&mut self, action: AgentAction) {
         match action {
             AgentAction::Start(attempt) => self.watch_start(attempt),
-            AgentAction::Refuse(attempt, refusal) => {
-                if refusal.verdict == RunVerdict::NotRun {
-                    let fate = self.fates.get(&attempt);
-                    assert_ne!(fate, Some(&Fate::Running), "{attempt} runs and is not-run");
-                    self.told_not_run.insert(attempt);
-                    self.fates.insert(attempt, Fate::Over);
-                }
+            AgentAction::Refuse(attempt, refusal) if refusal.verdict == RunVerdict::NotRun => {
+                let fate = self.fates.get(&attempt);
+                assert_ne!(fate, Some(&Fate::Running), "{attempt} runs and is not-run");
+                self.told_not_run.insert(attempt);
+                self.fates.insert(attempt, Fate::Over);
             },
             AgentAction::AnswerWithdrawal(attempt, WithdrawAnswer::NotRun) => {
                 assert_ne!(self.fates.get(&attempt), Some(&Fate::Running));
