Decide loads by their whole wait; gather batch work; give hopeless work up at once

Cause: load_time left the wait for permits out, so admission promised loads that came after the deadline, and requests were held to it; a spill to the next engine counted attempts that wait for loads; refusals for want of loads were repeated at other engines, which then loaded the same adapter.

--- a/quillcove/src/config/agent.rs
+++ b/quillcove/src/config/agent.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillcove_core::agent::event::{AgentRules, EvictRule, LoadRule, PacingRule, UpstreamKind};
+use quillcove_core::agent::event::{
+    AgentRules, BatchRule, EvictRule, LoadRule, PacingRule, UpstreamKind,
+};
 use quillcove_core::once::book::BookLimits;
 
 use super::ini::SettingSource;
@@ -65,6 +67,7 @@
             service_limit: self.queue.service_limit,
             engine_margin: self.queue.engine_margin,
             batch_share: self.queue.batch_share,
+            batch: self.queue.batch,
             order_lifetime: self.upstream.order_lifetime,
             settle_time: self.upstream.settle_time,
             half_life: self.loads.half_life,
@@ -195,6 +198,8 @@
     pub engine_margin: usize,
     /// `batch_share`: share of an engine's places that batch-class work may take.
     pub batch_share: f64,
+    /// `batch`: `gather`, or the baseline `eager`.
+    pub batch: BatchRule,
 }
 
 impl Default for QueueSection {
@@ -205,6 +210,7 @@
             service_limit: rules.service_limit,
             engine_margin: rules.engine_margin,
             batch_share: rules.batch_share,
+            batch: rules.batch,
         }
     }
 }
@@ -213,11 +219,13 @@
     fn read(source: &mut SettingSource) -> Self {
         let default = Self::default();
         let section = "queue";
+        let batch = [("gather", BatchRule::Gather), ("eager", BatchRule::Eager)];
         Self {
             limit: source.number(section, "limit", default.limit, 1, 1 << 20),
             service_limit: source.number(section, "service_limit", default.service_limit, 1, 65536),
             engine_margin: source.number(section, "engine_margin", default.engine_margin, 0, 1024),
             batch_share: source.fraction(section, "batch_share", default.batch_share, 0.0, 1.0),
+            batch: source.choice(section, "batch", default.batch, &batch),
         }
     }
 }
--- a/quillcove/src/measure/policy.rs
+++ b/quillcove/src/measure/policy.rs
@@ -11,7 +11,7 @@
 use clap::ArgMatches;
 use eyre::{WrapErr, bail};
 use hdrhistogram::Histogram;
-use quillcove_core::agent::event::{EvictRule, LoadRule, PacingRule};
+use quillcove_core::agent::event::{BatchRule, EvictRule, LoadRule, PacingRule};
 use quillcove_core::bundle::LoadLimits;
 use quillcove_core::class::WorkClass;
 use quillcove_core::entry::event::RouteRule;
@@ -19,7 +19,7 @@
 use quillcove_standin::platform::PlatformSettings;
 use serde::Serialize;
 
-use crate::config::agent::LoadSection;
+use crate::config::agent::{LoadSection, QueueSection};
 use crate::config::entry::RoutingSection;
 use crate::demo::load::{CallOutcome, LoadOutcome, LoadPlan, planned_adapters, run_load};
 use crate::demo::site::{LocalSite, SitePlan};
@@ -48,6 +48,7 @@
     evict: EvictRule,
     load: LoadRule,
     pacing: PacingRule,
+    batch: BatchRule,
 }
 
 /// Ours first, then the baselines.
@@ -58,6 +59,7 @@
         evict: EvictRule::Value,
         load: LoadRule::Value,
         pacing: PacingRule::Keeper,
+        batch: BatchRule::Gather,
     },
     PolicyChoice {
         name: "random",
@@ -65,6 +67,7 @@
         evict: EvictRule::Lru,
         load: LoadRule::Oldest,
         pacing: PacingRule::None,
+        batch: BatchRule::Eager,
     },
     PolicyChoice {
         name: "least-loaded",
@@ -72,6 +75,7 @@
         evict: EvictRule::Lru,
         load: LoadRule::Oldest,
         pacing: PacingRule::None,
+        batch: BatchRule::Eager,
     },
     PolicyChoice {
         name: "rendezvous",
@@ -79,6 +83,7 @@
         evict: EvictRule::Lru,
         load: LoadRule::Oldest,
         pacing: PacingRule::None,
+        batch: BatchRule::Eager,
     },
 ];
 
@@ -148,8 +153,10 @@
     pub policy: String,
     /// Requests sent.
     pub requests: usize,
-    /// Seconds of load stall for a thousand requests answered.
+    /// Seconds of load stall for a thousand urgent and normal requests answered.
     pub stall_per_thousand: f64,
+    /// The same for batch-class requests, which can wait.
+    pub batch_stall_per_thousand: f64,
     /// Median stall of urgent requests, in seconds.
     pub urgent_stall_p50: f64,
     /// 99th percentile of the stall of urgent requests, in seconds.
@@ -213,13 +220,14 @@
 
 fn header() -> String {
     format!(
-        "{:10} {:9} {:4} {:12} {:>5} {:>9} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>6} {:>5} {:>5}",
+        "{:10} {:9} {:4} {:12} {:>5} {:>9} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>6} {:>5} {:>5}",
         "scenario",
         "site",
         "skew",
         "policy",
         "sent",
         "stall/k s",
+        "b.st/k",
         "u p50 s",
         "u p99 s",
         "n p99 s",
@@ -234,7 +242,7 @@
 
 fn line(result: &PolicyResult) -> String {
     format!(
-        "{:10} {:9} {:4} {:12} {:>5} {:>9.0} {:>7.2} {:>7.2} {:>7.2} {:>7.3} {:>7.3} {:>7.2} \
+        "{:10} {:9} {:4} {:12} {:>5} {:>9.0} {:>7.0} {:>7.2} {:>7.2} {:>7.2} {:>7.3} {:>7.3} {:>7.2} \
          {:>6.3} {:>5} {:>5}",
         result.scenario,
         result.site,
@@ -242,6 +250,7 @@
         result.policy,
         result.requests,
         result.stall_per_thousand,
+        result.batch_stall_per_thousand,
         result.urgent_stall_p50,
         result.urgent_stall_p99,
         result.normal_stall_p99,
@@ -282,6 +291,7 @@
             half_life: HALF_LIFE / SCALE,
             ..LoadSection::default()
         },
+        queue_section: QueueSection { batch: choice.batch, ..QueueSection::default() },
         routing: RoutingSection { rule: choice.route, ..RoutingSection::default() },
         ..SitePlan::default()
     }
@@ -355,7 +365,6 @@
 ) -> PolicyResult {
     let calls = &outcome.calls;
     let answered: Vec<&CallOutcome> = calls.iter().filter(|call| call.is_right).collect();
-    let stalls: f64 = answered.iter().map(|call| seconds(call.stalled)).sum();
     let (urgent, normal) =
         (stall_times(&answered, WorkClass::Urgent), stall_times(&answered, WorkClass::Normal));
     let mut refusals = Histogram::<u64>::new(3).expect("three digits are allowed");
@@ -371,7 +380,8 @@
         skew: scenario.skew,
         policy: choice.name.to_string(),
         requests: calls.len(),
-        stall_per_thousand: stalls / answered.len().max(1) as f64 * 1000.0,
+        stall_per_thousand: mean_stall(&answered, |class| class != WorkClass::Batch) * 1000.0,
+        batch_stall_per_thousand: mean_stall(&answered, |class| class == WorkClass::Batch) * 1000.0,
         urgent_stall_p50: quantile(&urgent, 0.5),
         urgent_stall_p99: quantile(&urgent, 0.99),
         normal_stall_p50: quantile(&normal, 0.5),
@@ -391,6 +401,13 @@
     }
 }
 
+/// Mean stall of the requests answered, in seconds.
+fn mean_stall(answered: &[&CallOutcome], is_counted: impl Fn(WorkClass) -> bool) -> f64 {
+    let counted = answered.iter().filter(|call| is_counted(call.class));
+    let stalls: Vec<f64> = counted.map(|call| seconds(call.stalled)).collect();
+    stalls.iter().sum::<f64>() / stalls.len().max(1) as f64
+}
+
 /// A time in the site's own time, in seconds.
 fn seconds(time: Duration) -> f64 {
     time.as_secs_f64() * f64::from(SCALE)
--- a/quillcove_core/src/agent/engine.rs
+++ b/quillcove_core/src/agent/engine.rs
@@ -86,8 +86,11 @@
     pub settle_until: MonoTime,
     /// Another agent has taken the engine over.
     pub is_superseded: bool,
-    /// Average time of a load.
+    /// Average time from the wish for a load, or from the load before it, to its end; the wait
+    /// for permits is part of it.
     pub load_time: Duration,
+    /// Since when an adapter is wanted without a pause; starts anew with each load.
+    pub wanted_since: Option<MonoTime>,
     /// Pauses by adapter.
     pub backoffs: BTreeMap<AdapterRef, LoadBackoff>,
     /// Loads that the engine did.
@@ -120,6 +123,7 @@
             settle_until,
             is_superseded: false,
             load_time: FIRST_LOAD_TIME,
+            wanted_since: None,
             backoffs: BTreeMap::new(),
             loads_done: 0,
             last_fence: report.highest_fence,
@@ -213,6 +217,22 @@
         }
     }
 
+    /// Tells whether an order to load the adapter, or to make a slot free for it, is out.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::adapter::AdapterRef;
+    /// use quillcove_core::agent::engine::EngineState;
+    /// use quillcove_core::agent::event::EngineReport;
+    ///
+    /// let engine = EngineState::take_over(&EngineReport::default(), 0, Duration::ZERO);
+    /// assert!(!engine.is_loading(&AdapterRef::new("shuttle", 1)));
+    /// ```
+    pub fn is_loading(&self, adapter: &AdapterRef) -> bool {
+        let planned = self.plan.as_ref().filter(|plan| plan.adapter == *adapter);
+        planned.is_some_and(|plan| plan.stage != PlanStage::Asking)
+    }
+
     /// Notes a finished load.
     ///
     /// ```
--- a/quillcove_core/src/agent/event.rs
+++ b/quillcove_core/src/agent/event.rs
@@ -214,6 +214,17 @@
     Keeper,
 }
 
+/// When batch-class work starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum BatchRule {
+    /// As soon as there is a place; the baseline.
+    Eager,
+    /// Beside other work, or once enough is gathered to fill a batch, or when half of its time
+    /// is over.
+    Gather,
+}
+
 /// Settings of the agent's machine.
 #[derive(Clone, Debug)]
 pub struct AgentRules {
@@ -250,6 +261,8 @@
     pub load: LoadRule,
     /// Pacing of loads.
     pub pacing: PacingRule,
+    /// Start of batch-class work.
+    pub batch: BatchRule,
 }
 
 impl Default for AgentRules {
@@ -271,6 +284,7 @@
             evict: EvictRule::Value,
             load: LoadRule::Value,
             pacing: PacingRule::Keeper,
+            batch: BatchRule::Gather,
         }
     }
 }
--- a/quillcove_core/src/agent/loads.rs
+++ b/quillcove_core/src/agent/loads.rs
@@ -35,28 +35,49 @@
     /// Expected wait until an order could start: none for a loaded adapter, else the loads that
     /// go before it and its own.
     pub(super) fn expected_wait(&self, now: MonoTime, order: &RunOrder) -> Duration {
-        let WorkTarget::Adapter(adapter) = &order.target else {
-            return Duration::ZERO;
-        };
-        let Some(engine) = &self.engine else {
-            return Duration::ZERO;
-        };
-        if engine.table.is_ready(adapter) {
-            return Duration::ZERO;
-        }
-        let is_planned = engine.plan.as_ref().is_some_and(|plan| plan.adapter == *adapter);
-        if is_planned {
+        let WorkTarget::Adapter(adapter) = &order.target else { return Duration::ZERO };
+        let Some(engine) = &self.engine else { return Duration::ZERO };
+        if engine.table.get(adapter).is_some() || engine.is_loading(adapter) {
             return Duration::ZERO;
         }
         let own = order.class.weight() * self.priority_weight(adapter);
-        let waiting = self
-            .room
-            .adapters()
-            .filter(|(other, _)| *other != adapter && !engine.table.is_ready(other));
-        let ahead = waiting.filter(|(other, queue)| self.load_value(now, other, queue) >= own);
+        let ahead = self
+            .line_of_loads(now)
+            .into_iter()
+            .filter(|(other, value)| other != adapter && *value >= own);
         engine.load_time * (ahead.count() as u32 + 1)
     }
 
+    /// Adapters that attempts wait for and that are not loaded, by falling value.
+    fn line_of_loads(&self, now: MonoTime) -> Vec<(AdapterRef, f64)> {
+        let Some(engine) = &self.engine else { return Vec::new() };
+        let wanted = self.room.adapters().filter(|(adapter, _)| {
+            engine.table.get(adapter).is_none() && !engine.is_loading(adapter)
+        });
+        let valued =
+            wanted.map(|(adapter, queue)| (adapter.clone(), self.load_value(now, adapter, queue)));
+        let mut line: Vec<(AdapterRef, f64)> = valued.collect();
+        line.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        line
+    }
+
+    /// Refuses attempts whose load can not come in time any more, at once, with the time that the
+    /// load is expected to take.
+    pub(super) fn refuse_hopeless(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        let Some(load_time) = self.engine.as_ref().map(|engine| engine.load_time) else { return };
+        for (place, (adapter, _)) in self.line_of_loads(now).into_iter().enumerate() {
+            let wait = load_time * (place as u32 + 1);
+            let target = WorkTarget::Adapter(adapter);
+            let is_hopeless = |attempt: &WaitingAttempt| {
+                attempt.order.target == target && attempt.order.deadline < now + wait
+            };
+            let refusal = WorkRefusal::not_run(RefusalReason::DeadlineTooShort, Some(wait));
+            for attempt in self.room.take_where(is_hopeless) {
+                self.refuse_waiting(now, attempt, refusal, out);
+            }
+        }
+    }
+
     fn priority_weight(&self, adapter: &AdapterRef) -> f64 {
         let priority = self.bundle.as_ref().map_or(0, |bundle| bundle.priority_of(adapter));
         priority_weight(priority)
@@ -151,6 +172,7 @@
     }
 
     fn begin_load(&mut self, now: MonoTime, bundle: &FleetBundle, out: &mut Vec<AgentAction>) {
+        self.note_wanted(now);
         if self.is_stopping || now < self.ask_after {
             return;
         }
@@ -172,6 +194,16 @@
         }
     }
 
+    /// Notes since when a load is wanted, so that its whole wait is measured.
+    fn note_wanted(&mut self, now: MonoTime) {
+        let is_wanted = self.next_load(now).is_some();
+        let Some(engine) = &mut self.engine else { return };
+        match is_wanted {
+            true => engine.wanted_since = engine.wanted_since.or(Some(now)),
+            false => engine.wanted_since = None,
+        }
+    }
+
     /// The adapter that should be loaded next, with its value.
     fn next_load(&self, now: MonoTime) -> Option<(AdapterRef, f64)> {
         let engine = self.engine.as_ref()?;
@@ -374,7 +406,7 @@
                     slot.state = SlotState::Ready;
                     slot.used = now;
                 }
-                let since = engine.plan.as_ref().map_or(now, |plan| plan.since);
+                let since = engine.wanted_since.replace(now).unwrap_or(now);
                 engine.note_load(adapter, now.saturating_sub(since));
                 self.drop_plan(out);
             },
--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -15,8 +15,8 @@
 
 use self::engine::{ClaimState, EngineState};
 use self::event::{
-    AgentAction, AgentEvent, AgentRules, EngineReport, HostState, RunEnd, RunOrder, UpstreamKind,
-    WithdrawAnswer, WorkTarget, once_state,
+    AgentAction, AgentEvent, AgentRules, BatchRule, EngineReport, HostState, RunEnd, RunOrder,
+    UpstreamKind, WithdrawAnswer, WorkTarget, once_state,
 };
 use self::marks::{AttemptMark, MarkTable};
 use self::waiting::{WaitingAttempt, WaitingRoom};
@@ -193,6 +193,7 @@
     /// Does all that has become possible.
     fn progress(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         self.refuse_late(now, out);
+        self.refuse_hopeless(now, out);
         self.release_lingering(now);
         if self.is_confirmed && self.hold_claim(now, out) {
             self.start_ready(now, out);
@@ -388,25 +389,43 @@
     }
 
     fn start_ready(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
-        let capacity = self.capacity();
-        let batch_places = (capacity as f64 * self.rules.batch_share).ceil() as usize;
-        while self.running.len() < capacity {
-            let batch_running = self.running_of(WorkClass::Batch);
-            let engine = &self.engine;
-            let is_ready = |target: &WorkTarget| match target {
-                WorkTarget::Service => true,
-                WorkTarget::Adapter(adapter) => {
-                    engine.as_ref().is_some_and(|engine| engine.table.is_ready(adapter))
-                },
-            };
-            let is_admitted = |class| class != WorkClass::Batch || batch_running < batch_places;
-            let Some(attempt) = self.room.take_first(is_ready, is_admitted) else {
-                return;
-            };
+        while self.running.len() < self.capacity() {
+            let is_ready = |target: &WorkTarget| self.is_target_ready(target);
+            let may_start_batch = self.may_start_batch(now);
+            let is_admitted = |class| class != WorkClass::Batch || may_start_batch;
+            let Some(attempt) = self.room.first(is_ready, is_admitted) else { return };
+            let Some(attempt) = self.room.take(attempt) else { return };
             self.start(now, attempt, out);
         }
     }
 
+    fn is_target_ready(&self, target: &WorkTarget) -> bool {
+        match (target, &self.engine) {
+            (WorkTarget::Service, _) => true,
+            (WorkTarget::Adapter(adapter), Some(engine)) => engine.table.is_ready(adapter),
+            (WorkTarget::Adapter(_), None) => false,
+        }
+    }
+
+    /// Batch-class work fills places beside other work. Alone it starts when enough of it is
+    /// gathered to fill the batch, or when half of somebody's time is over.
+    fn may_start_batch(&self, now: MonoTime) -> bool {
+        let places = (self.capacity() as f64 * self.rules.batch_share).ceil() as usize;
+        if self.running_of(WorkClass::Batch) >= places {
+            return false;
+        }
+        let is_eager = self.rules.batch == BatchRule::Eager;
+        if is_eager || self.rules.kind == UpstreamKind::Service || !self.running.is_empty() {
+            return true;
+        }
+        let is_ready = |target: &WorkTarget| self.is_target_ready(target);
+        let gathered = self.room.batch_class(is_ready);
+        let is_half_over = |attempt: &&WaitingAttempt| {
+            now.saturating_sub(attempt.since) >= attempt.order.deadline.saturating_sub(now)
+        };
+        gathered.len() >= places || gathered.iter().any(is_half_over)
+    }
+
     fn start(&mut self, now: MonoTime, attempt: WaitingAttempt, out: &mut Vec<AgentAction>) {
         let id = attempt.order.attempt;
         self.note_use(now, &attempt.order.target);
--- a/quillcove_core/src/agent/waiting.rs
+++ b/quillcove_core/src/agent/waiting.rs
@@ -108,26 +108,36 @@
         taken
     }
 
-    /// Takes the first attempt, by class and then arrival, among targets that a test admits.
+    /// The first attempt, by class and then arrival, among targets and classes that tests admit.
     ///
     /// ```
     /// use quillcove_core::agent::waiting::WaitingRoom;
     ///
-    /// assert!(WaitingRoom::default().take_first(|_| true, |_| true).is_none());
+    /// assert!(WaitingRoom::default().first(|_| true, |_| true).is_none());
     /// ```
-    pub fn take_first(
-        &mut self,
+    pub fn first(
+        &self,
         is_ready: impl Fn(&WorkTarget) -> bool,
         is_admitted: impl Fn(WorkClass) -> bool,
-    ) -> Option<WaitingAttempt> {
-        let heads = self.queues.iter().filter(|(target, _)| is_ready(target));
-        let heads = heads.filter_map(|(target, queue)| queue.front().map(|head| (target, head)));
-        let admitted = heads.filter(|(_, head)| is_admitted(head.order.class));
-        let first = admitted.min_by_key(|(_, head)| (head.order.class, head.since));
-        let target = first?.0.clone();
-        let attempt = self.queues.get_mut(&target)?.pop_front();
-        self.trim(&target);
-        attempt
+    ) -> Option<AttemptId> {
+        let ready = self.queues.iter().filter(|(target, _)| is_ready(target));
+        let heads = ready.filter_map(|(_, queue)| queue.front());
+        let admitted = heads.filter(|head| is_admitted(head.order.class));
+        let first = admitted.min_by_key(|head| (head.order.class, head.since));
+        first.map(|head| head.order.attempt)
+    }
+
+    /// Batch-class attempts for targets that a test admits.
+    ///
+    /// ```
+    /// use quillcove_core::agent::waiting::WaitingRoom;
+    ///
+    /// assert!(WaitingRoom::default().batch_class(|_| true).is_empty());
+    /// ```
+    pub fn batch_class(&self, is_ready: impl Fn(&WorkTarget) -> bool) -> Vec<&WaitingAttempt> {
+        let ready = self.queues.iter().filter(|(target, _)| is_ready(target));
+        let attempts = ready.flat_map(|(_, queue)| queue);
+        attempts.filter(|attempt| attempt.order.class == WorkClass::Batch).collect()
     }
 
     /// Takes the last attempt of the least urgent class, when it is less urgent than the given
--- a/quillcove_core/src/entry/fleet.rs
+++ b/quillcove_core/src/entry/fleet.rs
@@ -28,8 +28,10 @@
     pub says_leaving: bool,
     /// Requests of this entry there.
     pub in_flight: usize,
-    /// Attempts running and waiting there, by its last news.
-    pub reported: usize,
+    /// Attempts running there, by its last news.
+    pub running: usize,
+    /// Attempts waiting there, by its last news.
+    pub waiting: usize,
     /// Places there, by its last news.
     pub capacity: usize,
     /// Failures in a row.
@@ -50,7 +52,8 @@
             is_listed: true,
             incarnation: 0,
             in_flight: 0,
-            reported: 0,
+            running: 0,
+            waiting: 0,
             capacity: 0,
             failures: 0,
             ejections: 0,
@@ -71,8 +74,9 @@
         self.says_leaving || !self.is_listed || self.record.state == HostState::Leaving
     }
 
-    /// Load as seen from here: the larger of what this entry has there and what the agent last
-    /// said, made larger while the upstream is just back.
+    /// Load as seen from here: the larger of what the agent last said runs there and what this
+    /// entry has there without those that wait, made larger while the upstream is just back.
+    /// Waiting attempts mostly wait for loads, and a spill to another engine would need one more.
     ///
     /// ```no_run
     /// # use quillcove_core::entry::fleet::UpstreamView;
@@ -82,7 +86,8 @@
     /// upstream().load(Duration::ZERO, Duration::from_secs(10));
     /// ```
     pub fn load(&self, now: MonoTime, slow_start: Duration) -> f64 {
-        let load = self.in_flight.max(self.reported) as f64;
+        let own = self.in_flight.saturating_sub(self.waiting);
+        let load = own.max(self.running) as f64;
         let Some(returned) = self.returned else {
             return load;
         };
@@ -116,8 +121,10 @@
     pub ejected: bool,
     /// Requests of this entry there.
     pub in_flight: usize,
-    /// Attempts running and waiting there, by its last news.
-    pub reported: usize,
+    /// Attempts running there, by its last news.
+    pub running: usize,
+    /// Attempts waiting there, by its last news.
+    pub waiting: usize,
 }
 
 impl UpstreamTable {
@@ -180,7 +187,8 @@
             upstream.says_leaving = false;
         }
         upstream.says_leaving |= news.leaving;
-        upstream.reported = news.running + news.waiting;
+        upstream.running = news.running;
+        upstream.waiting = news.waiting;
         upstream.capacity = news.capacity;
     }
 
@@ -329,7 +337,8 @@
             leaving: upstream.is_leaving(),
             ejected: now < upstream.ejected_until,
             in_flight: upstream.in_flight,
-            reported: upstream.reported,
+            running: upstream.running,
+            waiting: upstream.waiting,
         };
         self.upstreams.values().map(summary).collect()
     }
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -457,6 +457,8 @@
     match reason {
         RefusalReason::BadRequest
         | RefusalReason::DeadlinePassed
+        // Loads are what is short, at the whole site: another engine would only load it as well.
+        | RefusalReason::DeadlineTooShort
         | RefusalReason::Withdrawn
         | RefusalReason::TicketUnknown
         | RefusalReason::AlreadyUsed
@@ -465,7 +467,6 @@
         | RefusalReason::BundleMissing
         | RefusalReason::NoUpstream
         | RefusalReason::Overloaded
-        | RefusalReason::DeadlineTooShort
         | RefusalReason::Leaving
         | RefusalReason::WrongIncarnation
         | RefusalReason::Duplicate
