Watch the host list; let keepers set the pace of asks; measure capacity and latency

Cause: at 1210 hosts a whole list of about 150 kB each second from every process is far beyond 7 KB/s, and 790 agents asking each 100 ms are 7900 calls/s at one keeper. Ruled out: longer polls alone (a leaving host must lose new work in seconds). After: the list is read when it changes, watches last longer as the fleet grows, and a keeper takes about 50 asks a second in all.

--- a/quillcove/src/bundle/watch.rs
+++ b/quillcove/src/bundle/watch.rs
@@ -16,13 +16,14 @@
 use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use super::shelf::FleetShelf;
 use super::{HEAD_VALUE, delta_value, text_value};
 use crate::config::shared::{BundleSection, PlatformSection};
 use crate::control::ControlPool;
-use crate::platform::PlatformPort;
+use crate::platform::{HostList, PlatformPort};
+use crate::web::client::WebError;
 
 /// Differences that are followed one after the other before the whole text is read instead.
 const DELTA_LIMIT: u64 = 32;
@@ -37,6 +38,9 @@
 /// Peers asked in one round while the platform can not be read.
 const PEERS_ASKED: usize = 3;
 
+/// Hosts up to which a watch takes its plain time; beyond them the time grows with the fleet.
+const HOSTS_FOR_ONE_WATCH: f64 = 100.0;
+
 /// What the watching duty tells the deciding one.
 #[derive(Clone, Debug)]
 pub enum WatchNews {
@@ -65,6 +69,7 @@
     shelf: FleetShelf,
     pool: ControlPool,
     revision: Option<u64>,
+    hosts_revision: Option<u64>,
     notify: N,
     log: Logger,
 }
@@ -101,6 +106,7 @@
             shelf,
             pool: ControlPool::default(),
             revision: None,
+            hosts_revision: None,
             notify,
             log,
         }
@@ -119,30 +125,33 @@
     pub async fn run(mut self, mut asks: mpsc::Receiver<WatchAsk>) {
         self.read_hosts().await;
         self.read_bundle(Duration::ZERO).await;
-        let mut next_hosts = self.next_hosts();
+        let mut next_hosts = Instant::now();
         let mut next_bundle = Instant::now();
         loop {
-            // The watch of the bundle is short enough that the host list is read in between; a
-            // watch that is dropped loses nothing, because the next one names the same revision.
-            let wait = self.platform_section.watch_time;
-            let watch = async {
+            // Watches that are dropped lose nothing: the next ones name the same revisions.
+            let wait = self.watch_time();
+            let hosts = async {
+                sleep_until(next_hosts).await;
+                self.platform.hosts(self.hosts_revision, wait).await
+            };
+            let bundle = async {
                 sleep_until(next_bundle).await;
                 self.platform.value(HEAD_VALUE, self.revision, wait).await
             };
             tokio::select! {
                 ask = asks.recv() => match ask {
                     None => return,
-                    Some(WatchAsk::ReadHosts) => {
-                        self.read_hosts().await;
-                        next_hosts = self.next_hosts();
-                    },
+                    Some(WatchAsk::ReadHosts) => self.read_hosts().await,
                     Some(WatchAsk::Witness(version)) => self.witness(version).await,
                 },
-                () = sleep_until(next_hosts) => {
-                    self.read_hosts().await;
-                    next_hosts = self.next_hosts();
+                found = hosts => {
+                    next_hosts = match found.is_ok() {
+                        true => Instant::now() + self.platform_section.hosts_interval,
+                        false => after_failure(),
+                    };
+                    self.take_hosts(found);
                 },
-                found = watch => match found {
+                found = bundle => match found {
                     Ok(Some(value)) => {
                         next_bundle = match self.take_head(value.revision, &value.content).await {
                             true => Instant::now(),
@@ -159,17 +168,31 @@
         }
     }
 
-    /// Time of the next read of the host list, drawn around the mean interval.
-    fn next_hosts(&self) -> Instant {
+    /// Time of one watch. It grows with the fleet, so that the platform's calls do not; it is
+    /// drawn anew each time, so that watches do not end together.
+    fn watch_time(&self) -> Duration {
+        let hosts = self.shelf.hosts().len() as f64;
         let share = rand::rng().random_range(0.75..1.25);
-        Instant::now() + self.platform_section.hosts_interval.mul_f64(share)
+        let growth = (hosts / HOSTS_FOR_ONE_WATCH).max(1.0);
+        self.platform_section.watch_time.mul_f64(share * growth)
     }
 
+    /// Reads the host list without waiting for a change.
     async fn read_hosts(&mut self) {
-        let hosts = self.platform.hosts().await.ok();
-        if let Some(hosts) = &hosts {
-            self.shelf.set_hosts(hosts.clone());
-        }
+        let found = self.platform.hosts(self.hosts_revision, Duration::ZERO).await;
+        self.take_hosts(found);
+    }
+
+    fn take_hosts(&mut self, found: Result<Option<HostList>, WebError>) {
+        let hosts = match found {
+            Err(_) => None,
+            Ok(None) => Some(self.shelf.hosts().to_vec()),
+            Ok(Some(list)) => {
+                self.hosts_revision = Some(list.revision);
+                self.shelf.set_hosts(list.hosts.clone());
+                Some(list.hosts)
+            },
+        };
         (self.notify)(WatchNews::Hosts(hosts));
     }
 
@@ -308,14 +331,3 @@
 fn after_failure() -> Instant {
     Instant::now() + FAILURE_PAUSE.mul_f64(rand::rng().random_range(0.5..2.0))
 }
-
-/// Waits a drawn part of a time, so that processes started together do not act together.
-///
-/// ```
-/// use std::time::Duration;
-///
-/// quillcove::duty::run_async(1, quillcove::bundle::watch::spread(Duration::ZERO));
-/// ```
-pub async fn spread(time: Duration) {
-    sleep(time.mul_f64(rand::rng().random::<f64>())).await;
-}
--- a/quillcove/src/cli.rs
+++ b/quillcove/src/cli.rs
@@ -124,11 +124,14 @@
         .arg(option("only", "NAME", "Scenarios whose names begin so"))
         .arg(option("policy", "NAME", "Policies whose names begin so"))
         .arg(option("out", "FILE", "File for the results, as JSON"));
+    let latency = Command::new("latency")
+        .about("Measure what entry and agent add to a call")
+        .arg(number("calls", "3000", "Calls of each kind"));
     Command::new("measure")
         .about("Run one of the measurements that the documentation cites")
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommands([policy])
+        .subcommands([latency, policy])
 }
 
 fn standin() -> Command {
--- a/quillcove/src/config/shared.rs
+++ b/quillcove/src/config/shared.rs
@@ -28,9 +28,10 @@
 pub struct PlatformSection {
     /// `address`: IP address and port.
     pub address: SocketAddr,
-    /// `hosts_interval`: mean time between reads of the host list.
+    /// `hosts_interval`: least time between two changes of the host list that are read.
     pub hosts_interval: Duration,
-    /// `watch_time`: longest time that one watch of the bundle waits.
+    /// `watch_time`: time that one watch of the bundle or the host list waits; grows with the
+    /// fleet beyond a hundred hosts.
     pub watch_time: Duration,
     /// `timeout`: longest time for a read that does not wait.
     pub timeout: Duration,
@@ -40,7 +41,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            hosts_interval: Duration::from_secs(1),
+            hosts_interval: Duration::from_millis(500),
             watch_time: Duration::from_secs(30),
             timeout: Duration::from_secs(2),
         }
--- a/quillcove/src/demo/site.rs
+++ b/quillcove/src/demo/site.rs
@@ -178,6 +178,8 @@
     pub engines: Vec<Arc<EngineState>>,
     /// The services' stand-ins.
     pub services: Vec<Arc<ServiceState>>,
+    /// The services' own addresses.
+    pub service_addresses: Vec<SocketAddr>,
     /// Host list, to change and publish again.
     pub hosts: Vec<HostRecord>,
     agents: Vec<AgentProcess>,
@@ -229,6 +231,7 @@
             platform,
             engines: Vec::new(),
             services: Vec::new(),
+            service_addresses: Vec::new(),
             hosts: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
@@ -242,7 +245,7 @@
         for number in 0..plan.services {
             site.add_service(plan, number)?;
         }
-        site.platform.set_hosts(site.hosts.clone());
+        site.platform.set_hosts(&site.hosts);
         for number in 0..plan.entries {
             site.add_entry(plan, number)?;
         }
@@ -300,6 +303,7 @@
             ..UpstreamSection::default()
         };
         self.services.push(state);
+        self.service_addresses.push(server.local_addr());
         self.handles.push(Box::new(server));
         self.add_agent(plan, service_host(number), upstream, BOOKING)
     }
--- a/quillcove/src/measure/mod.rs
+++ b/quillcove/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! `quillcove measure`: the measurements that the pages in docs/ cite.
 
+pub mod latency;
 pub mod policy;
 
 use clap::ArgMatches;
@@ -19,6 +20,7 @@
 /// ```
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
     match matches.subcommand() {
+        Some(("latency", matches)) => latency::run(matches),
         Some(("policy", matches)) => policy::run(matches),
         _ => Err(eyre!("no measurement is named")),
     }
--- a/quillcove/src/platform.rs
+++ b/quillcove/src/platform.rs
@@ -24,10 +24,24 @@
     pub content: Bytes,
 }
 
+/// The host list with its revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostList {
+    /// Changes with each publication.
+    pub revision: u64,
+    /// Hosts.
+    pub hosts: Vec<HostRecord>,
+}
+
 /// What quillcove needs of the platform. It only reads.
 pub trait PlatformPort: Send + Sync + 'static {
-    /// The hosts, live and leaving.
-    fn hosts(&self) -> impl Future<Output = Result<Vec<HostRecord>, WebError>> + Send;
+    /// The host list, live and leaving hosts, if its revision differs from the one given; waits
+    /// for another this long at most.
+    fn hosts(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Option<HostList>, WebError>> + Send;
 
     /// A value whose revision differs from the one given; waits for it this long at most and
     /// returns `None` when there is none.
@@ -60,26 +74,16 @@
         let idle = Duration::from_secs(30);
         Self { client: WebClient::new(timeout, idle), base: format!("http://{address}"), timeout }
     }
-}
 
-impl PlatformPort for HttpPlatform {
-    async fn hosts(&self) -> Result<Vec<HostRecord>, WebError> {
-        let uri = format!("{}/hosts", self.base);
-        let answer = self.client.fetch(Method::GET, &uri, Bytes::new(), self.timeout).await?;
-        if answer.status() != StatusCode::OK {
-            return Err(WebError::Status(answer.status()));
-        }
-        serde_json::from_slice(answer.body()).map_err(|error| WebError::Lost(error.to_string()))
-    }
-
-    async fn value(
+    /// Reads a path with a watch.
+    async fn read(
         &self,
-        name: &str,
+        path: &str,
         after: Option<u64>,
         wait: Duration,
     ) -> Result<Option<PlatformValue>, WebError> {
         let after = after.map(|revision| format!("&after={revision}")).unwrap_or_default();
-        let uri = format!("{}/values/{name}?wait_ms={}{after}", self.base, wait.as_millis());
+        let uri = format!("{}/{path}?wait_ms={}{after}", self.base, wait.as_millis());
         let limit = self.timeout + wait + WATCH_MARGIN;
         let answer = self.client.fetch(Method::GET, &uri, Bytes::new(), limit).await?;
         match answer.status() {
@@ -94,3 +98,25 @@
         }
     }
 }
+
+impl PlatformPort for HttpPlatform {
+    async fn hosts(
+        &self,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> Result<Option<HostList>, WebError> {
+        let Some(value) = self.read("hosts", after, wait).await? else { return Ok(None) };
+        let hosts = serde_json::from_slice(&value.content);
+        let hosts = hosts.map_err(|error| WebError::Lost(error.to_string()))?;
+        Ok(Some(HostList { revision: value.revision, hosts }))
+    }
+
+    async fn value(
+        &self,
+        name: &str,
+        after: Option<u64>,
+        wait: Duration,
+    ) -> Result<Option<PlatformValue>, WebError> {
+        self.read(&format!("values/{name}"), after, wait).await
+    }
+}
--- a/quillcove/tests/common/mod.rs
+++ b/quillcove/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use http_body_util::{BodyExt, Full};
 use quillcove::duty::run_async;
 use quillcove::web::client::{WebClient, WebError};
+use quillcove_core::bundle::delta::compute;
 use quillcove_core::bundle::signing::{public_key, sign, signing_key};
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -64,6 +66,10 @@
         }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to this child only.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
@@ -141,6 +147,8 @@
     pub agents: Vec<RoleProcess>,
     pub entries: Vec<RoleProcess>,
     pub hosts: Vec<Value>,
+    adapters: usize,
+    published: RefCell<Option<(u64, String)>>,
 }
 
 /// Sizes of a site.
@@ -150,21 +158,23 @@
     pub entries: usize,
     pub slots: usize,
     pub service_delay_ms: u64,
+    pub adapters: usize,
 }
 
 impl Default for SiteSize {
     fn default() -> Self {
-        Self { engines: 2, services: 2, entries: 2, slots: 2, service_delay_ms: 1 }
+        Self { engines: 2, services: 2, entries: 2, slots: 2, service_delay_ms: 1, adapters: 8 }
     }
 }
 
-/// Text of a bundle with a few adapters.
-pub fn bundle_text(version: u64, current: u32) -> String {
+/// Text of a bundle whose first adapter has the given version, and the others the first.
+fn bundle_text(adapters: usize, version: u64, current: u32) -> String {
     let mut text = format!(
         "[bundle]\nversion = {version}\n[loads]\nper_second = 50.0\nat_once = 8\n\
          [models.small]\n[services.booking]\nreplicas = [\"s0\", \"s1\"]\n[adapters]\n"
     );
-    for number in 0..8 {
+    for number in 0..adapters {
+        let current = if number == 0 { current } else { 1 };
         text.push_str(&format!(
             "a{number} = {{ model = \"small\", current = {current}, keep = [1] }}\n"
         ));
@@ -184,6 +194,8 @@
             agents: Vec::new(),
             entries: Vec::new(),
             hosts: Vec::new(),
+            adapters: size.adapters,
+            published: RefCell::default(),
         };
         site.publish(1, 1);
         for number in 0..size.engines {
@@ -265,8 +277,13 @@
 
     /// Publishes a bundle, the head last.
     pub fn publish(&self, version: u64, current: u32) {
-        let text = bundle_text(version, current);
+        let text = bundle_text(self.adapters, version, current);
         let head = sign(&signing_key(KEY_SEED), version, text.as_bytes());
+        if let Some((older, older_text)) = self.published.replace(Some((version, text.clone()))) {
+            let delta = compute((older, &older_text), (version, &text));
+            let delta = serde_json::to_string(&delta).expect("a difference is JSON");
+            self.put(&format!("values/bundle-delta-{version}"), &delta);
+        }
         self.put(&format!("values/bundle-text-{version}"), &text);
         self.put("values/bundle-head", &serde_json::to_string(&head).expect("a head is JSON"));
     }
--- a/quillcove_core/src/permit.rs
+++ b/quillcove_core/src/permit.rs
@@ -15,12 +15,15 @@
 /// Key under which the keeper of a site is chosen.
 pub const KEEPER_KEY: &str = "load-permits";
 
-/// How long an ask counts while its agent does not repeat it.
-const ASK_LIFETIME: Duration = Duration::from_millis(600);
-
-/// How soon an agent asks again.
+/// How soon an agent asks again when few do.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Asks a second that the keeper takes from all agents together, however many they are.
+const ASK_RATE: f64 = 50.0;
+
+/// Intervals for which an ask counts while its agent does not repeat it.
+const ASK_INTERVALS_KEPT: u32 = 4;
+
 /// Longest that a permit counts when its agent does not return it.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(20);
 
@@ -107,13 +110,14 @@
     /// ```
     pub fn ask(&mut self, now: MonoTime, ask: &PermitAsk) -> PermitAnswer {
         self.refill(now);
-        self.asks.retain(|_, (_, heard)| now.saturating_sub(*heard) < ASK_LIFETIME);
+        let lifetime = self.ask_interval() * ASK_INTERVALS_KEPT;
+        self.asks.retain(|_, (_, heard)| now.saturating_sub(*heard) < lifetime);
         self.granted.retain(|_, since| now.saturating_sub(*since) < PERMIT_LIFETIME);
         self.granted.remove(&ask.host);
         self.asks.insert(ask.host.clone(), (ask.value, now));
         let ahead = self.asks.values().filter(|(value, _)| *value > ask.value).count();
         if ahead >= self.free_permits() {
-            return PermitAnswer::Wait(ASK_INTERVAL);
+            return PermitAnswer::Wait(self.ask_interval());
         }
         self.allowance -= 1.0;
         self.asks.remove(&ask.host);
@@ -150,6 +154,11 @@
         self.granted.len()
     }
 
+    /// Time until an agent asks again; grows with the number of agents that ask.
+    fn ask_interval(&self) -> Duration {
+        Duration::from_secs_f64(self.asks.len() as f64 / ASK_RATE).max(ASK_INTERVAL)
+    }
+
     fn refill(&mut self, now: MonoTime) {
         let gained = now.saturating_sub(self.refilled).as_secs_f64() * self.limits.per_second;
         self.allowance = (self.allowance + gained).min(BURST.max(self.limits.per_second / 2.0));
--- a/quillcove_standin/src/platform.rs
+++ b/quillcove_standin/src/platform.rs
@@ -64,9 +64,11 @@
 struct PublishedValues {
     revision: u64,
     values: BTreeMap<String, (u64, Bytes)>,
-    hosts: Vec<HostRecord>,
 }
 
+/// Name under which the host list is kept.
+const HOSTS_VALUE: &str = "hosts";
+
 /// State of the platform.
 pub struct PlatformState {
     settings: PlatformSettings,
@@ -78,6 +80,7 @@
     loading: AtomicUsize,
     loads: AtomicU64,
     calls: AtomicU64,
+    bytes: AtomicU64,
     slowness: Mutex<f64>,
     failing_loads: AtomicU64,
 }
@@ -103,6 +106,7 @@
             loading: AtomicUsize::new(0),
             loads: AtomicU64::new(0),
             calls: AtomicU64::new(0),
+            bytes: AtomicU64::new(0),
             slowness: Mutex::new(1.0),
             failing_loads: AtomicU64::new(0),
         })
@@ -129,10 +133,11 @@
     /// ```
     /// use quillcove_standin::platform::{PlatformSettings, PlatformState};
     ///
-    /// PlatformState::new(PlatformSettings::default()).set_hosts(Vec::new());
+    /// PlatformState::new(PlatformSettings::default()).set_hosts(&[]);
     /// ```
-    pub fn set_hosts(&self, hosts: Vec<HostRecord>) {
-        self.latest.lock().unwrap().hosts = hosts;
+    pub fn set_hosts(&self, hosts: &[HostRecord]) {
+        let list = serde_json::to_vec(hosts).unwrap_or_default();
+        self.publish(HOSTS_VALUE, list);
     }
 
     /// Sets what the platform does with reads.
@@ -193,14 +198,14 @@
         self.calls.load(Ordering::Relaxed)
     }
 
-    /// What a read sees now; `None` while the platform is down.
-    fn visible(&self) -> Option<PublishedValues> {
-        self.calls.fetch_add(1, Ordering::Relaxed);
-        match *self.mode.lock().unwrap() {
-            PlatformMode::Up => Some(self.latest.lock().unwrap().clone()),
-            PlatformMode::Stale => Some(self.stale.lock().unwrap().clone()),
-            PlatformMode::Down => None,
-        }
+    /// What a read of a value sees now; the outer `None` while the platform is down.
+    fn visible(&self, name: &str) -> Option<Option<(u64, Bytes)>> {
+        let source = match *self.mode.lock().unwrap() {
+            PlatformMode::Up => &self.latest,
+            PlatformMode::Stale => &self.stale,
+            PlatformMode::Down => return None,
+        };
+        Some(source.lock().unwrap().values.get(name).cloned())
     }
 
     /// Waits for the store's rate, then for the transfer, which slows when too many share it.
@@ -247,42 +252,36 @@
     path: Path<NamePath>,
     query: Query<WatchQuery>,
 ) -> Answer {
+    watch_value(context.context(), &path.into_inner().name, query.into_inner()).await
+}
+
+#[endpoint { method = GET, path = "/hosts" }]
+async fn read_hosts(context: RequestContext<Context>, query: Query<WatchQuery>) -> Answer {
     let state = context.context();
-    let (name, query) = (path.into_inner().name, query.into_inner());
+    let answer = watch_value(state, HOSTS_VALUE, query.into_inner()).await;
+    sleep(state.settings.host_lag).await;
+    answer
+}
+
+/// Answers with a value whose revision is not the reader's, or waits for one.
+async fn watch_value(state: &Context, name: &str, query: WatchQuery) -> Answer {
     let mut changes = state.changed.subscribe();
     let deadline = Instant::now() + Duration::from_millis(query.wait_ms.unwrap_or(0));
-    let Some(mut values) = state.visible() else {
-        return unavailable();
-    };
+    state.calls.fetch_add(1, Ordering::Relaxed);
     loop {
-        let found = values.values.get(&name);
+        let Some(found) = state.visible(name) else { return unavailable() };
         if let Some((revision, value)) = found.filter(|found| query.after != Some(found.0)) {
-            let response = http::Response::builder().header(REVISION_HEADER, *revision);
-            return response.body(value.clone().into()).map_err(internal);
+            state.bytes.fetch_add(value.len() as u64, Ordering::Relaxed);
+            let response = http::Response::builder().header(REVISION_HEADER, revision);
+            return response.body(value.into()).map_err(internal);
         }
         tokio::select! {
             _ = changes.changed() => {},
             () = sleep_until(deadline) => return plain(StatusCode::NOT_MODIFIED, ""),
         }
-        state.calls.fetch_sub(1, Ordering::Relaxed);
-        let Some(newer) = state.visible() else {
-            return unavailable();
-        };
-        values = newer;
     }
 }
 
-#[endpoint { method = GET, path = "/hosts" }]
-async fn read_hosts(context: RequestContext<Context>) -> Answer {
-    let state = context.context();
-    let lag = state.settings.host_lag;
-    let Some(values) = state.visible() else {
-        return unavailable();
-    };
-    sleep(lag).await;
-    json(StatusCode::OK, &values.hosts)
-}
-
 #[endpoint { method = GET, path = "/weights/{name}" }]
 async fn read_weights(context: RequestContext<Context>, _path: Path<NamePath>) -> Answer {
     match context.context().transfer().await {
@@ -304,11 +303,26 @@
 
 #[endpoint { method = PUT, path = "/admin/hosts" }]
 async fn publish_hosts(context: RequestContext<Context>, body: UntypedBody) -> Answer {
-    let hosts = serde_json::from_slice(body.as_bytes()).map_err(internal)?;
-    context.context().set_hosts(hosts);
+    let hosts: Vec<HostRecord> = serde_json::from_slice(body.as_bytes()).map_err(internal)?;
+    context.context().set_hosts(&hosts);
     plain(StatusCode::OK, "")
 }
 
+/// What the platform counted.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct PlatformCounts {
+    calls: u64,
+    bytes: u64,
+    loads: u64,
+}
+
+#[endpoint { method = GET, path = "/admin/counts" }]
+async fn read_counts(context: RequestContext<Context>) -> Answer {
+    let state = context.context();
+    let bytes = state.bytes.load(Ordering::Relaxed);
+    json(StatusCode::OK, &PlatformCounts { calls: state.calls(), bytes, loads: state.loads() })
+}
+
 #[derive(Deserialize, JsonSchema)]
 struct ModeBody {
     mode: Option<PlatformMode>,
@@ -350,6 +364,7 @@
         .and_then(|()| api.register(read_weights))
         .and_then(|()| api.register(publish_value))
         .and_then(|()| api.register(publish_hosts))
+        .and_then(|()| api.register(read_counts))
         .and_then(|()| api.register(change_mode));
     registered.map_err(|error| error.to_string())?;
     serve(api, state, address)
