Let an entry get a newer bundle from agents beside a stale platform

Cause: an entry that started empty took the platform's older value, since agents were asked only while the platform did not answer. Before: entry_that_starts_beside_a_stale_platform_gets_the_newer_bundle_from_agents failed (waited 60 s). Ruled out: believing the version in the news, which anybody could make up. Also: entry ticks each 10 ms instead of 5 (idle 0.62 % of a core before).

--- a/quillcove/src/bundle/watch.rs
+++ b/quillcove/src/bundle/watch.rs
@@ -55,6 +55,8 @@
 pub enum WatchAsk {
     /// Read the host list now.
     ReadHosts,
+    /// Ask other agents for a newer bundle.
+    SeekBundle,
     /// The upstream acted on this version.
     Witness(BundleVersion),
 }
@@ -125,6 +127,8 @@
     pub async fn run(mut self, mut asks: mpsc::Receiver<WatchAsk>) {
         self.read_hosts().await;
         self.read_bundle(Duration::ZERO).await;
+        // The platform may be stale, and this process has nothing yet to tell.
+        self.ask_peers().await;
         let mut next_hosts = Instant::now();
         let mut next_bundle = Instant::now();
         loop {
@@ -142,6 +146,7 @@
                 ask = asks.recv() => match ask {
                     None => return,
                     Some(WatchAsk::ReadHosts) => self.read_hosts().await,
+                    Some(WatchAsk::SeekBundle) => self.ask_peers().await,
                     Some(WatchAsk::Witness(version)) => self.witness(version).await,
                 },
                 found = hosts => {
--- a/quillcove/src/demo/site.rs
+++ b/quillcove/src/demo/site.rs
@@ -117,7 +117,8 @@
     /// assert_eq!(SitePlan::default().model_of_engine(0), "small");
     /// ```
     pub fn model_of_engine(&self, number: usize) -> &'static str {
-        let first = (self.engines as f64 * FIRST_MODEL_SHARE).ceil() as usize;
+        let share = (self.engines as f64 * FIRST_MODEL_SHARE).round() as usize;
+        let first = share.min(self.engines.saturating_sub(1)).max(1);
         MODELS[usize::from(number >= first)]
     }
 
--- a/quillcove/src/entry/decide.rs
+++ b/quillcove/src/entry/decide.rs
@@ -114,6 +114,9 @@
             EntryAction::ReadHosts => {
                 let _ = self.watch_asks.try_send(WatchAsk::ReadHosts);
             },
+            EntryAction::SeekBundle => {
+                let _ = self.watch_asks.try_send(WatchAsk::SeekBundle);
+            },
             EntryAction::Stopped => {
                 info!(self.log, "entry stopped");
                 self.halt.send_replace(true);
--- a/quillcove/src/entry/mod.rs
+++ b/quillcove/src/entry/mod.rs
@@ -40,7 +40,7 @@
 const ASK_PLACES: usize = 64;
 
 /// Time between ticks of the machine.
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(10);
 
 /// A running entry.
 pub struct EntryProcess {
--- a/quillcove/tests/failures.rs
+++ b/quillcove/tests/failures.rs
@@ -191,6 +191,18 @@
     wait_until(|| complete_at_last(&site, 0, "a0")["model"] == "a0@7");
 }
 
+#[test]
+fn entry_that_starts_beside_a_stale_platform_gets_the_newer_bundle_from_agents() {
+    let mut site = ProcessSite::start(&SiteSize::default());
+    site.publish(2, 5);
+    wait_until(|| (0..site.agents.len()).all(|number| site.agent_state(number)["bundle"] == 2));
+    site.publish(1, 1);
+    site.put("mode", "{\"mode\":\"stale\"}");
+    site.entries[0].restart();
+    wait_until(|| state(&site.entries[0].address("operator"))["bundle"] == 2);
+    assert_eq!(complete_at_last(&site, 0, "a0")["model"], "a0@5");
+}
+
 #[test]
 fn leaving_host_gets_no_new_work() {
     let mut site = ProcessSite::start(&SiteSize::default());
--- a/quillcove_core/src/entry/event.rs
+++ b/quillcove_core/src/entry/event.rs
@@ -155,6 +155,8 @@
     Finish(RequestId, WorkRefusal),
     /// Read the host list now, because this process was paused.
     ReadHosts,
+    /// Ask agents for a newer bundle, because one of them has it.
+    SeekBundle,
     /// Nothing is in flight and the process may end.
     Stopped,
 }
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -73,6 +73,8 @@
     attempts: BTreeMap<AttemptId, RequestId>,
     budget: RetryBudget,
     bundle: Option<Arc<FleetBundle>>,
+    /// Highest version that agents were asked for.
+    sought: BundleVersion,
     draws: u64,
     is_stopping: bool,
     has_stopped: bool,
@@ -98,6 +100,7 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             bundle: None,
+            sought: 0,
             draws: seed,
             is_stopping: false,
             has_stopped: false,
@@ -185,7 +188,10 @@
             EntryEvent::Admitted(query) => self.admit(now, query, out),
             EntryEvent::AttemptEnded(attempt, end) => self.end_attempt(now, attempt, end, out),
             EntryEvent::Done(request) => self.close(request),
-            EntryEvent::Heard(host, news) => self.fleet.hear(&host, &news),
+            EntryEvent::Heard(host, news) => {
+                self.fleet.hear(&host, &news);
+                self.seek_newer(news.bundle, out);
+            },
             EntryEvent::HostsSeen(records) => self.see_hosts(now, records, out),
             EntryEvent::BundleTaken(bundle) => self.take_bundle(bundle),
             EntryEvent::StopAsked => self.is_stopping = true,
@@ -431,6 +437,16 @@
         self.resume_due(now, out);
     }
 
+    /// An agent's word that it has a newer bundle is a reason to ask for it, and no more: only its
+    /// signature counts.
+    fn seek_newer(&mut self, version: BundleVersion, out: &mut Vec<EntryAction>) {
+        let held = self.bundle.as_ref().map_or(0, |held| held.version);
+        if version > held.max(self.sought) {
+            self.sought = version;
+            out.push(EntryAction::SeekBundle);
+        }
+    }
+
     fn take_bundle(&mut self, bundle: Arc<FleetBundle>) {
         let held = self.bundle.as_ref().map_or(0, |held| held.version);
         if bundle.version >= held {
--- a/quillcove_core/tests/model/once_world.rs
+++ b/quillcove_core/tests/model/once_world.rs
@@ -199,7 +199,7 @@
                     self.sent.push(SentAttempt { order, entry, is_awaited: true });
                 },
                 EntryAction::Finish(request, refusal) => self.tell_caller(request, &refusal),
-                EntryAction::ReadHosts | EntryAction::Stopped => {},
+                EntryAction::ReadHosts | EntryAction::SeekBundle | EntryAction::Stopped => {},
             }
         }
     }
