--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -247,7 +247,8 @@
         self.send(now, request, out);
     }
 
-    /// Sends the next attempt of a request, or holds it while the host list is read again.
+    /// Sends the next attempt of a request; holds it while the host list is read again, and gives
+    /// it up when its deadline has passed.
     fn send(&mut self, now: MonoTime, request: RequestId, out: &mut Vec<EntryAction>) {
         let draw = self.draw();
         let Some(open) = self.requests.get_mut(&request) else {
@@ -257,6 +258,12 @@
             open.resume_at = Some(now);
             return;
         }
+        if open.query.deadline <= now {
+            let late = WorkRefusal::not_run(RefusalReason::DeadlinePassed, None);
+            let refusal = open.last_refusal.unwrap_or(late);
+            self.finish(request, refusal, out);
+            return;
+        }
         let target = &open.query.target;
         let candidates = self.fleet.candidates(target, now, &self.rules);
         let chosen = routing::choose(&candidates, target, &open.tried, now, &self.rules, draw);
@@ -345,6 +352,7 @@
             return;
         };
         let is_introduction = refusal.reason == RefusalReason::WrongIncarnation
+            && refusal.verdict == RunVerdict::NotRun
             && open.introductions < self.rules.attempt_limit;
         if is_introduction {
             open.introductions += 1;
@@ -390,21 +398,12 @@
         open.resume_at = Some(now + pause);
     }
 
-    /// Sends attempts whose pause is over, and gives up those whose deadline has passed.
+    /// Sends attempts whose pause is over.
     fn resume_due(&mut self, now: MonoTime, out: &mut Vec<EntryAction>) {
         let is_due = |open: &OpenRequest| open.resume_at.is_some_and(|at| at <= now);
         let due = self.requests.iter().filter(|(_, open)| is_due(open));
         let due: Vec<RequestId> = due.map(|(request, _)| *request).collect();
         for request in due {
-            let Some(open) = self.requests.get(&request) else {
-                continue;
-            };
-            if open.query.deadline <= now {
-                let late = WorkRefusal::not_run(RefusalReason::DeadlinePassed, None);
-                let refusal = open.last_refusal.unwrap_or(late);
-                self.finish(request, refusal, out);
-                continue;
-            }
             self.send(now, request, out);
         }
     }
