--- a/quillcove_core/src/bundle/delta.rs
+++ b/quillcove_core/src/bundle/delta.rs
@@ -57,7 +57,9 @@
 /// assert_eq!(apply(&delta, "a\nb\n").unwrap(), "a\nc\n");
 /// ```
 pub fn compute(older: (BundleVersion, &str), newer: (BundleVersion, &str)) -> BundleDelta {
-    let diff = TextDiff::from_lines(older.1, newer.1);
+    let old_lines: Vec<&str> = older.1.split_inclusive('\n').collect();
+    let new_lines: Vec<&str> = newer.1.split_inclusive('\n').collect();
+    let diff = TextDiff::from_slices(&old_lines, &new_lines);
     let old_starts = line_starts(older.1);
     let new_starts = line_starts(newer.1);
     let mut steps = Vec::new();
