--- a/quillcove/src/demo/mod.rs
+++ b/quillcove/src/demo/mod.rs
@@ -1,8 +1,8 @@
 //! `quillcove demo`: a whole small site in one process.
 
-pub mod load;
 pub mod report;
 pub mod site;
+pub mod traffic;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -10,8 +10,8 @@
 use clap::ArgMatches;
 use eyre::bail;
 
-use self::load::{LoadPlan, run_load};
 use self::site::{LocalSite, SitePlan};
+use self::traffic::{TrafficPlan, run_traffic};
 use crate::duty;
 
 /// Longest time until the site serves.
@@ -45,12 +45,13 @@
         return serve(&site, &plan);
     }
     let seconds = number("seconds");
-    let load = LoadPlan {
+    let load = TrafficPlan {
         rate: number("rate") as f64,
         length: Duration::from_secs(seconds as u64),
-        ..LoadPlan::for_site(&plan)
+        ..TrafficPlan::for_site(&plan)
     };
-    let outcome = duty::run_async(2, run_load(&site.entries(), &load, |line| println!("{line}")));
+    let outcome =
+        duty::run_async(2, run_traffic(&site.entries(), &load, |line| println!("{line}")));
     let counts = site.counts();
     print!("{}", report::table(&outcome, &counts));
     let faults = report::faults(&outcome, &counts);
--- a/quillcove/src/demo/report.rs
+++ b/quillcove/src/demo/report.rs
@@ -3,8 +3,8 @@
 use quillcove_core::class::WorkClass;
 use quillcove_core::verdict::RunVerdict;
 
-use super::load::{CallOutcome, LoadOutcome};
 use super::site::SiteCounts;
+use super::traffic::{CallOutcome, TrafficOutcome};
 
 /// Microseconds in a millisecond.
 const MICROS: f64 = 1000.0;
@@ -12,13 +12,13 @@
 /// Writes the table.
 ///
 /// ```
-/// use quillcove::demo::load::LoadOutcome;
+/// use quillcove::demo::traffic::TrafficOutcome;
 /// use quillcove::demo::report::table;
 /// use quillcove::demo::site::SiteCounts;
 ///
-/// assert!(table(&LoadOutcome::default(), &SiteCounts::default()).contains("urgent"));
+/// assert!(table(&TrafficOutcome::default(), &SiteCounts::default()).contains("urgent"));
 /// ```
-pub fn table(outcome: &LoadOutcome, counts: &SiteCounts) -> String {
+pub fn table(outcome: &TrafficOutcome, counts: &SiteCounts) -> String {
     let mut text = format!(
         "\n{:8} {:>6} {:>6} {:>8} {:>13} {:>9} {:>9} {:>9}\n",
         "class", "all", "ran", "not-run", "may-have-run", "p50 ms", "p90 ms", "p99 ms"
@@ -59,13 +59,13 @@
 /// What must never be, found in a run.
 ///
 /// ```
-/// use quillcove::demo::load::LoadOutcome;
+/// use quillcove::demo::traffic::TrafficOutcome;
 /// use quillcove::demo::report::faults;
 /// use quillcove::demo::site::SiteCounts;
 ///
-/// assert!(faults(&LoadOutcome::default(), &SiteCounts::default()).is_empty());
+/// assert!(faults(&TrafficOutcome::default(), &SiteCounts::default()).is_empty());
 /// ```
-pub fn faults(outcome: &LoadOutcome, counts: &SiteCounts) -> Vec<String> {
+pub fn faults(outcome: &TrafficOutcome, counts: &SiteCounts) -> Vec<String> {
     let wrong = outcome.calls.iter().filter(|call| call.is_wrong).count() as u64;
     let checks = [
         (counts.double_bookings, "bookings ran twice"),
--- a/quillcove/src/demo/load.rs
+++ b/quillcove/src/demo/traffic.rs
@@ -32,7 +32,7 @@
 
 /// What is sent.
 #[derive(Clone, Debug)]
-pub struct LoadPlan {
+pub struct TrafficPlan {
     /// Seed of all draws.
     pub seed: u64,
     /// Requests a second.
@@ -57,14 +57,14 @@
     pub shift_after: Option<Duration>,
 }
 
-impl LoadPlan {
+impl TrafficPlan {
     /// The usual stream for a site.
     ///
     /// ```
-    /// use quillcove::demo::load::LoadPlan;
+    /// use quillcove::demo::traffic::TrafficPlan;
     /// use quillcove::demo::site::SitePlan;
     ///
-    /// assert_eq!(LoadPlan::for_site(&SitePlan::default()).adapters, 5000);
+    /// assert_eq!(TrafficPlan::for_site(&SitePlan::default()).adapters, 5000);
     /// ```
     pub fn for_site(site: &SitePlan) -> Self {
         Self {
@@ -119,21 +119,21 @@
 
 /// All outcomes of a load.
 #[derive(Debug, Default)]
-pub struct LoadOutcome {
+pub struct TrafficOutcome {
     /// Outcomes, in the order in which they ended.
     pub calls: Vec<CallOutcome>,
     /// Bookings by name, with the verdict that the caller got.
     pub bookings: BTreeMap<String, RunVerdict>,
 }
 
-impl LoadOutcome {
+impl TrafficOutcome {
     /// Times of right answers of one class, in microseconds.
     ///
     /// ```
-    /// use quillcove::demo::load::LoadOutcome;
+    /// use quillcove::demo::traffic::TrafficOutcome;
     /// use quillcove_core::class::WorkClass;
     ///
-    /// assert_eq!(LoadOutcome::default().times(WorkClass::Urgent).len(), 0);
+    /// assert_eq!(TrafficOutcome::default().times(WorkClass::Urgent).len(), 0);
     /// ```
     pub fn times(&self, class: WorkClass) -> Histogram<u64> {
         let mut histogram = Histogram::new(3).expect("three digits are allowed");
@@ -155,7 +155,7 @@
     /// A law over this many ranks.
     ///
     /// ```
-    /// use quillcove::demo::load::ZipfDraw;
+    /// use quillcove::demo::traffic::ZipfDraw;
     /// use rand::SeedableRng;
     ///
     /// let draw = ZipfDraw::new(10, 1.0);
@@ -173,7 +173,7 @@
     /// Draws a rank, from 0.
     ///
     /// ```
-    /// use quillcove::demo::load::ZipfDraw;
+    /// use quillcove::demo::traffic::ZipfDraw;
     /// use rand::SeedableRng;
     ///
     /// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
@@ -190,18 +190,18 @@
 ///
 /// ```no_run
 /// # async fn run(site: quillcove::demo::site::LocalSite) {
-/// use quillcove::demo::load::{LoadPlan, run_load};
+/// use quillcove::demo::traffic::{TrafficPlan, run_traffic};
 /// use quillcove::demo::site::SitePlan;
 ///
-/// let plan = LoadPlan::for_site(&SitePlan::default());
-/// let outcome = run_load(&site.entries(), &plan, |line| println!("{line}")).await;
+/// let plan = TrafficPlan::for_site(&SitePlan::default());
+/// let outcome = run_traffic(&site.entries(), &plan, |line| println!("{line}")).await;
 /// # }
 /// ```
-pub async fn run_load(
+pub async fn run_traffic(
     entries: &[SocketAddr],
-    plan: &LoadPlan,
+    plan: &TrafficPlan,
     progress: impl Fn(String),
-) -> LoadOutcome {
+) -> TrafficOutcome {
     let client = WebClient::new(Duration::from_secs(2), Duration::from_secs(10));
     let zipf = ZipfDraw::new(plan.adapters, plan.skew);
     let mut rng = StdRng::seed_from_u64(plan.seed);
@@ -227,7 +227,7 @@
         }
     }
     drop(sender);
-    let mut outcome = LoadOutcome::default();
+    let mut outcome = TrafficOutcome::default();
     while let Some((number, call)) = outcomes.recv().await {
         if call.is_booking {
             outcome.bookings.insert(booking_name(plan, number), call.verdict);
@@ -237,20 +237,20 @@
     outcome
 }
 
-fn booking_name(plan: &LoadPlan, number: usize) -> String {
+fn booking_name(plan: &TrafficPlan, number: usize) -> String {
     format!("seat-{}-{number}", plan.seed)
 }
 
 /// Adapters that a load asks for, in order, for what could have been done with all of them known.
 ///
 /// ```
-/// use quillcove::demo::load::{LoadPlan, planned_adapters};
+/// use quillcove::demo::traffic::{TrafficPlan, planned_adapters};
 /// use quillcove::demo::site::SitePlan;
 ///
-/// let plan = LoadPlan::for_site(&SitePlan::default());
+/// let plan = TrafficPlan::for_site(&SitePlan::default());
 /// assert!(!planned_adapters(&plan).is_empty());
 /// ```
-pub fn planned_adapters(plan: &LoadPlan) -> Vec<usize> {
+pub fn planned_adapters(plan: &TrafficPlan) -> Vec<usize> {
     let zipf = ZipfDraw::new(plan.adapters, plan.skew);
     let mut rng = StdRng::seed_from_u64(plan.seed);
     let count = (plan.rate * plan.length.as_secs_f64()) as usize;
@@ -268,7 +268,7 @@
 /// How far the ranks move when other adapters become popular.
 const SHIFT_RANKS: usize = 1000;
 
-fn draw_call(plan: &LoadPlan, zipf: &ZipfDraw, rng: &mut StdRng, sent: Duration) -> PlannedCall {
+fn draw_call(plan: &TrafficPlan, zipf: &ZipfDraw, rng: &mut StdRng, sent: Duration) -> PlannedCall {
     let share: f64 = rng.random();
     let mut rank = zipf.rank(rng);
     if plan.shift_after.is_some_and(|after| sent >= after) {
@@ -294,7 +294,7 @@
     other: SocketAddr,
     number: usize,
     sent: Duration,
-    plan: LoadPlan,
+    plan: TrafficPlan,
 }
 
 /// One answer as the caller sees it.
--- a/quillcove/src/measure/policy.rs
+++ b/quillcove/src/measure/policy.rs
@@ -21,8 +21,10 @@
 
 use crate::config::agent::{LoadSection, QueueSection};
 use crate::config::entry::RoutingSection;
-use crate::demo::load::{CallOutcome, LoadOutcome, LoadPlan, planned_adapters, run_load};
 use crate::demo::site::{LocalSite, SitePlan};
+use crate::demo::traffic::{
+    CallOutcome, TrafficOutcome, TrafficPlan, planned_adapters, run_traffic,
+};
 use crate::duty;
 
 /// How much faster than a real site everything runs.
@@ -297,8 +299,8 @@
     }
 }
 
-fn load_plan(scenario: &Scenario, site: &SitePlan, length: Duration) -> LoadPlan {
-    LoadPlan {
+fn load_plan(scenario: &Scenario, site: &SitePlan, length: Duration) -> TrafficPlan {
+    TrafficPlan {
         seed: 7,
         rate: scenario.rate * f64::from(SCALE),
         length,
@@ -309,7 +311,7 @@
         tokens: 32,
         deadline: DEADLINE / SCALE,
         shift_after: (scenario.event == MidEvent::Shift).then_some(length / 2),
-        ..LoadPlan::for_site(site)
+        ..TrafficPlan::for_site(site)
     }
 }
 
@@ -339,7 +341,7 @@
             }
         };
         let entries = site.entries();
-        let (outcome, ()) = tokio::join!(run_load(&entries, &load, |_| ()), mid);
+        let (outcome, ()) = tokio::join!(run_traffic(&entries, &load, |_| ()), mid);
         outcome
     });
     let counts = site.counts();
@@ -360,8 +362,8 @@
 fn judge(
     scenario: &Scenario,
     choice: &PolicyChoice,
-    load: &LoadPlan,
-    outcome: &LoadOutcome,
+    load: &TrafficPlan,
+    outcome: &TrafficOutcome,
 ) -> PolicyResult {
     let calls = &outcome.calls;
     let answered: Vec<&CallOutcome> = calls.iter().filter(|call| call.is_right).collect();
@@ -422,7 +424,7 @@
     histogram
 }
 
-fn is_in_time(call: &CallOutcome, load: &LoadPlan) -> bool {
+fn is_in_time(call: &CallOutcome, load: &TrafficPlan) -> bool {
     let deadline = match call.class {
         WorkClass::Batch => load.deadline * 6,
         WorkClass::Urgent | WorkClass::Normal => load.deadline,
@@ -440,7 +442,7 @@
     good as f64 / counted.len().max(1) as f64
 }
 
-fn tenth_in_time(calls: &[CallOutcome], load: &LoadPlan, tenth: u32) -> f64 {
+fn tenth_in_time(calls: &[CallOutcome], load: &TrafficPlan, tenth: u32) -> f64 {
     let (from, to) = (load.length / 10 * tenth, load.length / 10 * (tenth + 1));
     let is_within = |call: &CallOutcome| call.sent >= from && call.sent < to;
     share(calls, is_within, |call| is_in_time(call, load))
@@ -448,7 +450,7 @@
 
 /// Loads that suffice when all requests are known beforehand: each model's slots as one cache,
 /// from which the adapter goes whose next use is furthest away (Belady, 1966).
-fn clairvoyant_loads(plan: &SitePlan, load: &LoadPlan) -> u64 {
+fn clairvoyant_loads(plan: &SitePlan, load: &TrafficPlan) -> u64 {
     let mut traces: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
     for adapter in planned_adapters(load) {
         traces.entry(plan.model_of(adapter)).or_default().push(adapter);
--- a/quillcove/tests/failures.rs
+++ b/quillcove/tests/failures.rs
@@ -228,7 +228,7 @@
     let is_whole = Arc::new(AtomicBool::new(false));
     let seen = is_whole.clone();
     let caller = std::thread::spawn(move || {
-        let body = json!({ "model": "a0", "prompt": "hi", "max_tokens": 400, "stream": true });
+        let body = json!({ "model": "a0", "prompt": "hi", "max_tokens": 1500, "stream": true });
         let uri = format!("http://{entry}/v1/completions");
         let answer = call(Method::POST, &uri, &body.to_string()).unwrap();
         let text = String::from_utf8(answer.body().to_vec()).unwrap();
--- /dev/null
+++ b/quillcove_core/src/agent/admission.rs
@@ -0,0 +1,202 @@
+//! Whether an attempt may wait here, and the refusals of those that may not.
+
+use std::time::Duration;
+
+use super::event::{AgentAction, HostState, RunOrder, UpstreamKind, WithdrawAnswer, WorkTarget};
+use super::marks::AttemptMark;
+use super::waiting::WaitingAttempt;
+use super::{AgentMachine, SOON};
+use crate::class::WorkClass;
+use crate::ids::{AttemptId, Incarnation, MonoTime};
+use crate::once::book::OnceKey;
+use crate::verdict::{RefusalReason, WorkRefusal};
+
+impl AgentMachine {
+    pub(super) fn arrive(&mut self, now: MonoTime, order: RunOrder, out: &mut Vec<AgentAction>) {
+        let attempt = order.attempt;
+        if let Err(refusal) = self.check_identity(&order) {
+            out.push(AgentAction::Refuse(attempt, refusal));
+            return;
+        }
+        self.note_demand(now, &order);
+        match self.admit(now, &order, out) {
+            Ok(once) => {
+                self.marks.set(attempt, AttemptMark::Waiting);
+                self.room.push(WaitingAttempt { order, once, since: now });
+            },
+            Err(refusal) => self.refuse(now, attempt, refusal, out),
+        }
+    }
+
+    /// Checks that the order is meant for this run of the agent and is no copy.
+    fn check_identity(&self, order: &RunOrder) -> Result<(), WorkRefusal> {
+        if order.incarnation != self.incarnation {
+            return Err(WorkRefusal::not_run(
+                RefusalReason::WrongIncarnation,
+                Some(Duration::ZERO),
+            ));
+        }
+        match self.marks.get(order.attempt) {
+            None if self.marks.is_full() => {
+                Err(WorkRefusal::may_have_run(RefusalReason::Overloaded))
+            },
+            None => Ok(()),
+            Some(AttemptMark::Refused) => Err(WorkRefusal::not_run(RefusalReason::Duplicate, None)),
+            Some(AttemptMark::Waiting | AttemptMark::Started) => {
+                Err(WorkRefusal::may_have_run(RefusalReason::Duplicate))
+            },
+        }
+    }
+
+    fn note_demand(&mut self, now: MonoTime, order: &RunOrder) {
+        if let WorkTarget::Adapter(adapter) = &order.target {
+            let meter = self.demand.entry(adapter.clone()).or_default();
+            meter.add(now, 1.0, self.rules.half_life);
+        }
+    }
+
+    /// Decides whether an order may wait here. The claim comes last, so that no refusal has to
+    /// give it back.
+    fn admit(
+        &mut self,
+        now: MonoTime,
+        order: &RunOrder,
+        out: &mut Vec<AgentAction>,
+    ) -> Result<Option<OnceKey>, WorkRefusal> {
+        self.check_presence()?;
+        self.check_target(order)?;
+        if order.deadline <= now {
+            return Err(WorkRefusal::not_run(RefusalReason::DeadlinePassed, None));
+        }
+        let wait = self.expected_wait(now, order);
+        if now + wait > order.deadline {
+            return Err(WorkRefusal::not_run(RefusalReason::DeadlineTooShort, Some(wait)));
+        }
+        self.make_room(now, order.class, out)?;
+        match &order.claim {
+            Some(claim) => self.book.claim(now, claim).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    pub(super) fn check_presence(&self) -> Result<(), WorkRefusal> {
+        let is_superseded = self.engine.as_ref().is_some_and(|engine| engine.is_superseded);
+        if self.is_stopping || self.host_state == HostState::Leaving || is_superseded {
+            return Err(WorkRefusal::not_run(RefusalReason::Leaving, Some(Duration::ZERO)));
+        }
+        let is_known = self.rules.kind == UpstreamKind::Service || self.engine.is_some();
+        if !self.is_upstream_up || !is_known {
+            return Err(WorkRefusal::not_run(RefusalReason::UpstreamDown, Some(SOON)));
+        }
+        Ok(())
+    }
+
+    fn check_target(&self, order: &RunOrder) -> Result<(), WorkRefusal> {
+        let Some(bundle) = &self.bundle else {
+            return Err(WorkRefusal::not_run(RefusalReason::BundleMissing, Some(SOON)));
+        };
+        let is_served = match (&order.target, self.rules.kind) {
+            (WorkTarget::Adapter(adapter), UpstreamKind::Engine) => bundle.serves(adapter),
+            (WorkTarget::Service, UpstreamKind::Service) => true,
+            _ => false,
+        };
+        match is_served {
+            true => Ok(()),
+            false => Err(WorkRefusal::not_run(RefusalReason::Unknown, Some(SOON))),
+        }
+    }
+
+    /// Keeps the queue bounded: a less urgent attempt makes room for a more urgent one.
+    fn make_room(
+        &mut self,
+        now: MonoTime,
+        class: WorkClass,
+        out: &mut Vec<AgentAction>,
+    ) -> Result<(), WorkRefusal> {
+        if self.room.len() < self.rules.queue_limit {
+            return Ok(());
+        }
+        let overflow = WorkRefusal::not_run(RefusalReason::Overloaded, Some(SOON));
+        match self.room.take_less_urgent(class) {
+            Some(attempt) => {
+                self.refuse_waiting(now, attempt, overflow, out);
+                Ok(())
+            },
+            None => Err(overflow),
+        }
+    }
+
+    /// Refuses an attempt that waits, and gives its claim back.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        now: MonoTime,
+        attempt: WaitingAttempt,
+        refusal: WorkRefusal,
+        out: &mut Vec<AgentAction>,
+    ) {
+        if let Some(once) = &attempt.once {
+            self.book.settle(now, once, None);
+        }
+        self.refuse(now, attempt.order.attempt, refusal, out);
+    }
+
+    fn refuse(
+        &mut self,
+        now: MonoTime,
+        attempt: AttemptId,
+        refusal: WorkRefusal,
+        out: &mut Vec<AgentAction>,
+    ) {
+        self.marks.close(attempt, AttemptMark::Refused, now, self.rules.mark_lifetime);
+        out.push(AgentAction::Refuse(attempt, refusal));
+    }
+
+    pub(super) fn refuse_all(
+        &mut self,
+        now: MonoTime,
+        refusal: WorkRefusal,
+        out: &mut Vec<AgentAction>,
+    ) {
+        for attempt in self.room.take_where(|_| true) {
+            self.refuse_waiting(now, attempt, refusal, out);
+        }
+    }
+
+    pub(super) fn refuse_late(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        if self.room.is_empty() {
+            return;
+        }
+        for attempt in self.room.take_where(|attempt| attempt.order.deadline <= now) {
+            let refusal = WorkRefusal::not_run(RefusalReason::DeadlinePassed, None);
+            self.refuse_waiting(now, attempt, refusal, out);
+        }
+    }
+
+    pub(super) fn withdraw(
+        &mut self,
+        now: MonoTime,
+        attempt: AttemptId,
+        incarnation: Incarnation,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let answer = match self.marks.get(attempt) {
+            _ if incarnation != self.incarnation => WithdrawAnswer::MayHaveRun,
+            None if self.marks.is_full() => WithdrawAnswer::MayHaveRun,
+            None => {
+                let lifetime = self.rules.mark_lifetime;
+                self.marks.close(attempt, AttemptMark::Refused, now, lifetime);
+                WithdrawAnswer::NotRun
+            },
+            Some(AttemptMark::Refused) => WithdrawAnswer::NotRun,
+            Some(AttemptMark::Started) => WithdrawAnswer::MayHaveRun,
+            Some(AttemptMark::Waiting) => {
+                if let Some(waiting) = self.room.take(attempt) {
+                    let refusal = WorkRefusal::not_run(RefusalReason::Withdrawn, None);
+                    self.refuse_waiting(now, waiting, refusal, out);
+                }
+                WithdrawAnswer::NotRun
+            },
+        };
+        out.push(AgentAction::AnswerWithdrawal(attempt, answer));
+    }
+}
--- /dev/null
+++ b/quillcove_core/src/agent/orders.rs
@@ -0,0 +1,217 @@
+//! Orders to the engine: the claim, then one load or unload at a time.
+
+use std::time::Duration;
+
+use super::AgentMachine;
+use super::engine::{ClaimState, EngineState, PlanStage};
+use super::event::{AgentAction, EngineOrder, OrderEnd, OrderKind, UpstreamKind, WorkTarget};
+use super::slots::SlotState;
+use crate::bundle::FleetBundle;
+use crate::fence::OrderFence;
+use crate::ids::MonoTime;
+use crate::verdict::{RefusalReason, WorkRefusal};
+
+/// Pause after which an engine that checks fences gets an unanswered order again.
+const RESEND_PAUSE: Duration = Duration::from_millis(200);
+
+impl AgentMachine {
+    /// Makes sure that this agent alone gives the engine orders, before anything runs or loads
+    /// there. `true` when it is so.
+    pub(super) fn hold_claim(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) -> bool {
+        if self.rules.kind == UpstreamKind::Service {
+            return true;
+        }
+        let Some(bundle) = self.bundle.as_ref().map(|bundle| bundle.version) else { return false };
+        let Some(engine) = &mut self.engine else { return false };
+        match engine.claim {
+            ClaimState::Held => return !engine.is_superseded,
+            ClaimState::Ordered(_) => return false,
+            ClaimState::Waiting(until) if now < until => return false,
+            ClaimState::Waiting(_) if !self.rules.checks_fence => {
+                engine.claim = ClaimState::Held;
+                return true;
+            },
+            ClaimState::Waiting(_) | ClaimState::Needed => {},
+        }
+        if !engine.is_superseded && self.is_upstream_up {
+            let order = engine.next_order(bundle, OrderKind::Claim);
+            engine.claim = ClaimState::Ordered(order.fence);
+            out.push(AgentAction::Send(order));
+        }
+        false
+    }
+
+    /// Takes the end of a claiming order.
+    fn end_claim(
+        &mut self,
+        now: MonoTime,
+        fence: OrderFence,
+        end: OrderEnd,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(engine) = &mut self.engine else { return };
+        engine.claim = match end {
+            OrderEnd::Done => ClaimState::Held,
+            OrderEnd::Stale(_) | OrderEnd::Failed | OrderEnd::Unknown => {
+                ClaimState::Waiting(now + RESEND_PAUSE)
+            },
+        };
+        match end {
+            OrderEnd::Done => engine.note_fence(fence),
+            OrderEnd::Stale(highest) => {
+                engine.note_fence(highest);
+                self.witness(highest.bundle, out);
+            },
+            OrderEnd::Failed | OrderEnd::Unknown => {},
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: MonoTime,
+        bundle: &FleetBundle,
+        kind: OrderKind,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(engine) = &mut self.engine else {
+            return;
+        };
+        match &kind {
+            OrderKind::Load(adapter) => engine.table.add(adapter, SlotState::Loading, now),
+            OrderKind::Unload(adapter) => {
+                if let Some(slot) = engine.table.get_mut(adapter) {
+                    slot.state = SlotState::Unloading;
+                }
+            },
+            OrderKind::Claim => {},
+        }
+        let order = engine.next_order(bundle.version, kind);
+        if let Some(plan) = &mut engine.plan {
+            plan.stage = PlanStage::Ordered(order.clone());
+        }
+        out.push(AgentAction::Send(order));
+    }
+
+    /// Takes the end of the order that is out; ends of other orders are late and say nothing.
+    pub(super) fn end_order(
+        &mut self,
+        now: MonoTime,
+        fence: OrderFence,
+        end: OrderEnd,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(engine) = &mut self.engine else {
+            return;
+        };
+        if engine.claim == ClaimState::Ordered(fence) {
+            return self.end_claim(now, fence, end, out);
+        }
+        let Some(order) = current_order(engine, fence) else {
+            return;
+        };
+        match end {
+            OrderEnd::Done => self.order_done(now, &order, out),
+            OrderEnd::Failed => self.order_failed(now, &order, out),
+            OrderEnd::Stale(highest) => {
+                engine.note_fence(highest);
+                undo(engine, &order.kind);
+                self.drop_plan(out);
+                self.witness(highest.bundle, out);
+            },
+            OrderEnd::Unknown => {
+                let pause = match self.rules.checks_fence {
+                    true => RESEND_PAUSE,
+                    false => self.rules.order_lifetime,
+                };
+                if let Some(plan) = &mut engine.plan {
+                    plan.stage = PlanStage::Unsure(order.kind, now + pause);
+                }
+            },
+        }
+    }
+
+    fn order_done(&mut self, now: MonoTime, order: &EngineOrder, out: &mut Vec<AgentAction>) {
+        let Some(engine) = &mut self.engine else {
+            return;
+        };
+        engine.note_fence(order.fence);
+        match &order.kind {
+            OrderKind::Unload(adapter) => {
+                engine.table.remove(adapter);
+                self.order_next(now, out);
+            },
+            OrderKind::Claim => {},
+            OrderKind::Load(adapter) => {
+                if let Some(slot) = engine.table.get_mut(adapter) {
+                    slot.state = SlotState::Ready;
+                    slot.used = now;
+                }
+                let since = engine.wanted_since.replace(now).unwrap_or(now);
+                engine.note_load(adapter, now.saturating_sub(since));
+                self.drop_plan(out);
+            },
+        }
+    }
+
+    /// A failed load frees its slot and sends its waiting attempts to other engines.
+    fn order_failed(&mut self, now: MonoTime, order: &EngineOrder, out: &mut Vec<AgentAction>) {
+        let Some(engine) = &mut self.engine else {
+            return;
+        };
+        undo(engine, &order.kind);
+        if let OrderKind::Load(adapter) = &order.kind {
+            let pause = engine.note_failed_load(adapter, now);
+            let refusal = WorkRefusal::not_run(RefusalReason::LoadFailed, Some(pause));
+            let target = WorkTarget::Adapter(adapter.clone());
+            for attempt in self.room.take_where(|attempt| attempt.order.target == target) {
+                self.refuse_waiting(now, attempt, refusal, out);
+            }
+        }
+        self.drop_plan(out);
+    }
+
+    /// An order without an answer. An engine that checks fences gets it again under a higher
+    /// fence, which also shuts out the first copy. With another engine the order's lifetime has
+    /// passed by now; the slot goes back to what the next report shows.
+    pub(super) fn settle_unsure(
+        &mut self,
+        bundle: &FleetBundle,
+        kind: OrderKind,
+        out: &mut Vec<AgentAction>,
+    ) {
+        let Some(engine) = &mut self.engine else {
+            return;
+        };
+        if !self.rules.checks_fence {
+            if let OrderKind::Load(adapter) | OrderKind::Unload(adapter) = &kind {
+                engine.table.remove(adapter);
+            }
+            return self.drop_plan(out);
+        }
+        let order = engine.next_order(bundle.version, kind);
+        if let Some(plan) = &mut engine.plan {
+            plan.stage = PlanStage::Ordered(order.clone());
+        }
+        out.push(AgentAction::Send(order));
+    }
+}
+
+fn current_order(engine: &EngineState, fence: OrderFence) -> Option<EngineOrder> {
+    match &engine.plan.as_ref()?.stage {
+        PlanStage::Ordered(order) if order.fence == fence => Some(order.clone()),
+        _ => None,
+    }
+}
+
+/// Puts a slot back after an order that was not done.
+fn undo(engine: &mut EngineState, kind: &OrderKind) {
+    match kind {
+        OrderKind::Load(adapter) => engine.table.remove(adapter),
+        OrderKind::Unload(adapter) => {
+            if let Some(slot) = engine.table.get_mut(adapter) {
+                slot.state = SlotState::Ready;
+            }
+        },
+        OrderKind::Claim => {},
+    }
+}
--- /dev/null
+++ b/quillcove_core/src/agent/running.rs
@@ -0,0 +1,120 @@
+//! Attempts at the upstream: their start, their end, and the adapters they pin.
+
+use super::event::{AgentAction, BatchRule, RunEnd, UpstreamKind, WorkTarget, once_state};
+use super::marks::AttemptMark;
+use super::waiting::WaitingAttempt;
+use super::{AgentMachine, LingeringPin, RunningAttempt};
+use crate::adapter::AdapterRef;
+use crate::class::WorkClass;
+use crate::ids::{AttemptId, MonoTime};
+
+impl AgentMachine {
+    pub(super) fn start_ready(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        while self.running.len() < self.capacity() {
+            let is_ready = |target: &WorkTarget| self.is_target_ready(target);
+            let may_start_batch = self.may_start_batch(now);
+            let is_admitted = |class| class != WorkClass::Batch || may_start_batch;
+            let Some(attempt) = self.room.first(is_ready, is_admitted) else { return };
+            let Some(attempt) = self.room.take(attempt) else { return };
+            self.start(now, attempt, out);
+        }
+    }
+
+    fn is_target_ready(&self, target: &WorkTarget) -> bool {
+        match (target, &self.engine) {
+            (WorkTarget::Service, _) => true,
+            (WorkTarget::Adapter(adapter), Some(engine)) => engine.table.is_ready(adapter),
+            (WorkTarget::Adapter(_), None) => false,
+        }
+    }
+
+    /// Batch-class work fills places beside other work. Alone it starts when enough of it is
+    /// gathered to fill the batch, or when half of somebody's time is over.
+    fn may_start_batch(&self, now: MonoTime) -> bool {
+        let places = (self.capacity() as f64 * self.rules.batch_share).ceil() as usize;
+        if self.running_of(WorkClass::Batch) >= places {
+            return false;
+        }
+        let is_eager = self.rules.batch == BatchRule::Eager;
+        if is_eager || self.rules.kind == UpstreamKind::Service || !self.running.is_empty() {
+            return true;
+        }
+        let is_ready = |target: &WorkTarget| self.is_target_ready(target);
+        let gathered = self.room.batch_class(is_ready);
+        let is_half_over = |attempt: &&WaitingAttempt| {
+            now.saturating_sub(attempt.since) >= attempt.order.deadline.saturating_sub(now)
+        };
+        gathered.len() >= places || gathered.iter().any(is_half_over)
+    }
+
+    fn start(&mut self, now: MonoTime, attempt: WaitingAttempt, out: &mut Vec<AgentAction>) {
+        let id = attempt.order.attempt;
+        self.note_use(now, &attempt.order.target);
+        self.marks.set(id, AttemptMark::Started);
+        let running = RunningAttempt {
+            target: attempt.order.target,
+            class: attempt.order.class,
+            once: attempt.once,
+        };
+        self.running.insert(id, running);
+        out.push(AgentAction::Start(id));
+    }
+
+    pub(super) fn capacity(&self) -> usize {
+        match (self.rules.kind, &self.engine) {
+            (UpstreamKind::Service, _) => self.rules.service_limit,
+            (UpstreamKind::Engine, Some(engine)) => engine.batch + self.rules.engine_margin,
+            (UpstreamKind::Engine, None) => 0,
+        }
+    }
+
+    pub(super) fn running_of(&self, class: WorkClass) -> usize {
+        self.running.values().filter(|running| running.class == class).count()
+    }
+
+    pub(super) fn end_run(&mut self, now: MonoTime, attempt: AttemptId, end: RunEnd) {
+        let Some(running) = self.running.remove(&attempt) else {
+            return;
+        };
+        if let Some(once) = &running.once {
+            self.book.settle(now, once, once_state(end));
+        }
+        let mark = match end {
+            RunEnd::NotRun => AttemptMark::Refused,
+            RunEnd::Complete(_) | RunEnd::Broken => AttemptMark::Started,
+        };
+        self.marks.close(attempt, mark, now, self.rules.mark_lifetime);
+        self.note_use(now, &running.target);
+        if let (WorkTarget::Adapter(adapter), RunEnd::Broken) = (running.target, end) {
+            let until = now + self.rules.settle_time;
+            self.lingering.push_back(LingeringPin { until, adapter });
+        }
+    }
+
+    /// Lets go of runs that broke off, once the engine must have noticed.
+    pub(super) fn release_lingering(&mut self, now: MonoTime) {
+        while self.lingering.front().is_some_and(|pin| pin.until <= now) {
+            self.lingering.pop_front();
+        }
+    }
+
+    fn note_use(&mut self, now: MonoTime, target: &WorkTarget) {
+        let Some(engine) = &mut self.engine else { return };
+        let WorkTarget::Adapter(adapter) = target else { return };
+        if let Some(slot) = engine.table.get_mut(adapter) {
+            slot.used = now;
+        }
+    }
+
+    /// Runs of this agent that use an adapter, whichever run of the engine they began in: from
+    /// their start to their last byte, and after a broken end until the engine must have noticed.
+    pub(super) fn pins(&self, adapter: &AdapterRef) -> usize {
+        let uses = |running: &&RunningAttempt| match &running.target {
+            WorkTarget::Adapter(other) => other == adapter,
+            WorkTarget::Service => false,
+        };
+        let running = self.running.values().filter(uses).count();
+        let lingering = self.lingering.iter().filter(|pin| pin.adapter == *adapter).count();
+        running + lingering
+    }
+}
