Pass paths of service calls on as they were sent

Cause: decoded segments were joined again, so an encoded space made no valid address and an encoded slash became a real one. Before: GET /svc/booking/trips/a%20b%2Fc was refused (test failed first). After: it arrives as sent. Ruled out: encoding the segments again, which can not be exact.

--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -114,7 +114,7 @@
 
 async fn take_attempt(
     context: RequestContext<ServeContext>,
-    path: Path<RestPath>,
+    _path: Path<RestPath>,
     body: StreamingBody,
 ) -> WebAnswer {
     let state = context.context().clone();
@@ -126,12 +126,11 @@
             return mark_refused(refusal(&bad, &message), None);
         },
     };
-    let query = request.uri().query().map(|query| format!("?{query}")).unwrap_or_default();
-    let rest = path.into_inner().path.join("/");
+    let rest = server::rest_of(request.uri(), 1);
     let upstream = &state.settings.upstream;
     let call = UpstreamCall {
         method: request.method().clone(),
-        uri: format!("http://{}{}/{rest}{query}", upstream.address, upstream.path_prefix),
+        uri: format!("http://{}{}/{rest}", upstream.address, upstream.path_prefix),
         headers: headers::passed(request.headers()),
         body: body::read(body).await?,
     };
--- a/quillcove/src/entry/attempt.rs
+++ b/quillcove/src/entry/attempt.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::admit::RequestTerms;
-use super::decide::{EntryInput, FindControl, RequestStep, STEP_PLACES, ring_full};
+use super::decide::{EntryInput, RequestStep, STEP_PLACES, ring_full};
 use super::serve::ServeContext;
 use crate::control::AgentControlClient;
 use crate::duty::DutyRing;
@@ -206,8 +206,7 @@
 /// The control address of a host.
 pub async fn find_control(state: &ServeContext, host: &str) -> Option<String> {
     let (sender, receiver) = oneshot::channel();
-    let find = FindControl::Host(host.to_string());
-    state.ring.offer(EntryInput::FindControl(find, sender)).ok()?;
+    state.ring.offer(EntryInput::FindControl(host.to_string(), sender)).ok()?;
     receiver.await.ok()?
 }
 
--- a/quillcove/src/entry/decide.rs
+++ b/quillcove/src/entry/decide.rs
@@ -27,21 +27,14 @@
     Event(EntryEvent),
     /// A request, with the place for its steps.
     Request(RouteQuery, mpsc::Sender<RequestStep>),
-    /// A question for the address of an agent's control calls.
-    FindControl(FindControl, oneshot::Sender<Option<String>>),
+    /// A question for the address of control calls to a host's agent.
+    FindControl(HostId, oneshot::Sender<Option<String>>),
     /// A wish for the whole state.
     Dump(oneshot::Sender<EntryView>),
     /// End now.
     Halt,
 }
 
-/// Whose control address is wanted.
-#[derive(Clone, Debug)]
-pub enum FindControl {
-    /// This host's.
-    Host(HostId),
-}
-
 /// What a request's handler does next.
 #[derive(Clone, Debug)]
 pub enum RequestStep {
@@ -81,7 +74,7 @@
                 self.callers.insert(query.request, steps);
                 self.handle(EntryEvent::Admitted(query));
             },
-            Some(EntryInput::FindControl(FindControl::Host(host), answer)) => {
+            Some(EntryInput::FindControl(host, answer)) => {
                 let _ = answer.send(self.machine.control_of(&host));
             },
             Some(EntryInput::Dump(answer)) => {
--- a/quillcove/src/entry/serve.rs
+++ b/quillcove/src/entry/serve.rs
@@ -154,6 +154,8 @@
 #[derive(Debug, Deserialize, JsonSchema)]
 struct ServicePath {
     service: String,
+    /// Read by [`server::rest_of`] instead, as it was sent.
+    #[allow(dead_code)]
     path: Vec<String>,
 }
 
@@ -189,13 +191,12 @@
     }
     let owner = admit::owner_of(&terms, &path.service, &bundle)?;
     let target = owner.unwrap_or(RouteTarget::Service(path.service));
-    let query = context.request.uri().query().map(|query| format!("?{query}"));
     let now = state.clock.now();
     Ok(OutgoingRequest {
         query: admit::query(request, target, &terms, None, now),
         terms,
         method,
-        path: format!("{}{}", path.path.join("/"), query.unwrap_or_default()),
+        path: server::rest_of(context.request.uri(), 2).to_string(),
         headers: headers::passed(given),
         body,
         adapter: None,
--- a/quillcove/src/web/server.rs
+++ b/quillcove/src/web/server.rs
@@ -15,13 +15,27 @@
 pub const ANY_METHOD: [Method; 6] =
     [Method::GET, Method::POST, Method::PUT, Method::PATCH, Method::DELETE, Method::HEAD];
 
-/// The rest of a path.
+/// The rest of a path, which handlers read with [`rest_of`].
 #[derive(Debug, Deserialize, JsonSchema)]
 pub struct RestPath {
-    /// Segments.
+    /// Segments, decoded.
     pub path: Vec<String>,
 }
 
+/// The path and query of a request as they were sent, without the first segments. Decoded
+/// segments can not be put together again, because an encoded slash would become a real one.
+///
+/// ```
+/// use quillcove::web::server::rest_of;
+///
+/// let uri = "/svc/booking/trips/a%2Fb?day=2".parse().unwrap();
+/// assert_eq!(rest_of(&uri, 2), "trips/a%2Fb?day=2");
+/// ```
+pub fn rest_of(uri: &http::Uri, segments: usize) -> &str {
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    path.splitn(segments + 2, '/').nth(segments + 1).unwrap_or("")
+}
+
 /// Registers one handler. A macro, because dropshot does not name the handlers' trait.
 macro_rules! register {
     ($api:expr, $name:expr, $method:expr, $path:expr, $handler:expr) => {{
--- a/quillcove/tests/whole_path.rs
+++ b/quillcove/tests/whole_path.rs
@@ -16,6 +16,7 @@
     unknown_model_is_refused_at_once(&site);
     malformed_requests_name_the_fault(&site);
     service_calls_keep_method_path_and_query(&site);
+    encoded_path_arrives_as_it_was_sent(&site);
     ticket_runs_once(&site);
     operators_see_each_process(&site);
 }
@@ -102,6 +103,14 @@
     }
 }
 
+fn encoded_path_arrives_as_it_was_sent(site: &ProcessSite) {
+    let uri = format!("http://{}/svc/booking/trips/a%20b%2Fc", site.entry(0));
+    let answer = call(Method::GET, &uri, "").unwrap();
+    assert_eq!(verdict(&answer), "ran");
+    let receipt: Value = serde_json::from_slice(answer.body()).unwrap();
+    assert_eq!(receipt["path"], "trips/a b/c");
+}
+
 fn ticket_runs_once(site: &ProcessSite) {
     let ticket = site.ticket(0).unwrap();
     let first = site.book(0, &ticket, "seat-1").unwrap();
