--- a/quillcove/src/cli.rs
+++ b/quillcove/src/cli.rs
@@ -107,8 +107,8 @@
         .about("Run a whole small site in one process, with stand-ins, and print a table")
         .arg(number("adapters", "5000", "Adapters in the bundle"))
         .arg(number("engines", "6", "Engines"))
-        .arg(number("rate", "40", "Requests a second"))
-        .arg(number("seconds", "15", "Length of the stream of requests"))
+        .arg(number("rate", "12", "Requests a second"))
+        .arg(number("seconds", "20", "Length of the stream of requests"))
         .arg(
             Arg::new("serve")
                 .long("serve")
