Let one piece serve where the reading found two, and drop dead code

Now one each: the refusal 'overloaded' and SOON (eight places), whether an agent leaves, whether a host fits a target, the stamping of an order, the end of a server, the flag of readiness, a histogram of times, the count of bookings. The next load is looked for once where a load begins instead of twice on each event. Behaviour and assertions stay.

--- a/quillcove/src/agent/calls.rs
+++ b/quillcove/src/agent/calls.rs
@@ -80,10 +80,6 @@
     }
 }
 
-fn busy() -> WorkRefusal {
-    WorkRefusal::not_run(RefusalReason::Overloaded, Some(Duration::from_secs(1)))
-}
-
 impl AgentControl for ControlAnswers {
     async fn withdraw(
         self,
@@ -96,7 +92,7 @@
     }
 
     async fn issue_ticket(self, _: Context) -> Result<String, WorkRefusal> {
-        self.ask(AgentInput::IssueTicket).await.ok_or(busy())
+        self.ask(AgentInput::IssueTicket).await.ok_or(WorkRefusal::overloaded())
     }
 
     async fn ticket_state(
--- a/quillcove/src/agent/decide.rs
+++ b/quillcove/src/agent/decide.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 use crate::bundle::watch::WatchAsk;
 use crate::clock::MonoClock;
 use crate::duty;
+use crate::process::note_ready;
 
 /// What the deciding duty takes.
 pub enum AgentInput {
@@ -115,7 +116,7 @@
         for action in actions {
             self.carry_out(action);
         }
-        self.note_ready();
+        note_ready(&self.is_ready, self.machine.is_ready(), &self.log);
     }
 
     fn carry_out(&mut self, action: AgentAction) {
@@ -168,11 +169,4 @@
             self.handle(AgentEvent::OrderEnded(order.fence, end));
         }
     }
-
-    fn note_ready(&self) {
-        let is_ready = self.machine.is_ready();
-        if self.is_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
-            info!(self.log, "readiness changed"; "ready" => is_ready);
-        }
-    }
 }
--- a/quillcove/src/agent/mod.rs
+++ b/quillcove/src/agent/mod.rs
@@ -36,7 +36,7 @@
 use crate::metrics::ProcessMetrics;
 use crate::operator;
 use crate::platform::HttpPlatform;
-use crate::process::{DumpInspector, ProcessHandle};
+use crate::process::{DumpInspector, ProcessHandle, close_when_halted};
 
 /// Events that may wait for the deciding duty.
 const RING_PLACES: usize = 4096;
@@ -249,7 +249,7 @@
     answers: ControlAnswers,
     inspector: DumpInspector<AgentInput, AgentView>,
     bound: std::sync::mpsc::Sender<eyre::Result<BoundAddresses>>,
-    mut halted: watch::Receiver<bool>,
+    halted: watch::Receiver<bool>,
     log: Logger,
 ) {
     let metrics = serve.metrics();
@@ -271,10 +271,5 @@
     let addresses =
         BoundAddresses { data: data.local_addr(), control, operator: operator.local_addr() };
     let _ = bound.send(Ok(addresses));
-    let _ = halted.wait_for(|is_halted| *is_halted).await;
-    // Answers that ended whole still have to leave the process.
-    let close = async {
-        let _ = data.close().await;
-    };
-    let _ = tokio::time::timeout(Duration::from_secs(2), close).await;
+    close_when_halted(data, halted).await;
 }
--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -14,7 +14,7 @@
 use quillcove_core::entry::event::AgentNews;
 use quillcove_core::ids::{AttemptId, Incarnation};
 use quillcove_core::once::book::OnceClaim;
-use quillcove_core::verdict::{RefusalReason, RunVerdict, WorkRefusal};
+use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use slog::Logger;
 use tokio::sync::oneshot;
 
@@ -157,7 +157,7 @@
     };
     let (sender, receiver) = oneshot::channel();
     if state.ring.offer(AgentInput::Attempt(order, sender)).is_err() {
-        let full = WorkRefusal::not_run(RefusalReason::Overloaded, Some(Duration::from_secs(1)));
+        let full = WorkRefusal::overloaded();
         return mark_refused(refusal(&full, explain(full.reason)), None);
     }
     let Ok(AttemptDecision { verdict, news }) = receiver.await else {
@@ -294,7 +294,7 @@
 }
 
 fn failure(error: &WebError, news: &AgentNews) -> WebAnswer {
-    let soon = Some(Duration::from_secs(1));
+    let soon = Some(SOON);
     let refused = match (end_of(error), error) {
         (RunEnd::NotRun, WebError::Status(_)) => {
             WorkRefusal::not_run(RefusalReason::LoadFailed, soon)
--- a/quillcove/src/bundle/watch.rs
+++ b/quillcove/src/bundle/watch.rs
@@ -10,7 +10,7 @@
 use quillcove_core::bundle::FleetBundle;
 use quillcove_core::bundle::delta::{BundleDelta, apply};
 use quillcove_core::bundle::gate::{BundleGate, GateChange};
-use quillcove_core::bundle::signing::{BundleHead, TrustedKeys};
+use quillcove_core::bundle::signing::BundleHead;
 use quillcove_core::entry::event::HostRecord;
 use quillcove_core::ids::BundleVersion;
 use rand::Rng;
@@ -104,7 +104,7 @@
             platform_section,
             peers,
             own_control,
-            gate: gate(trusted_keys),
+            gate: BundleGate::new(trusted_keys),
             shelf,
             pool: ControlPool::default(),
             revision: None,
@@ -329,10 +329,6 @@
     }
 }
 
-fn gate(keys: TrustedKeys) -> BundleGate {
-    BundleGate::new(keys)
-}
-
 fn after_failure() -> Instant {
     Instant::now() + FAILURE_PAUSE.mul_f64(rand::rng().random_range(0.5..2.0))
 }
--- a/quillcove/src/demo/traffic.rs
+++ b/quillcove/src/demo/traffic.rs
@@ -136,13 +136,26 @@
     /// assert_eq!(TrafficOutcome::default().times(WorkClass::Urgent).len(), 0);
     /// ```
     pub fn times(&self, class: WorkClass) -> Histogram<u64> {
-        let mut histogram = Histogram::new(3).expect("three digits are allowed");
-        for call in self.calls.iter().filter(|call| call.class == class && call.is_right) {
-            let micros = call.took.as_micros() as u64;
-            histogram.record(micros).expect("the histogram grows by itself");
-        }
-        histogram
+        let right = self.calls.iter().filter(|call| call.class == class && call.is_right);
+        micros_histogram(right.map(|call| call.took))
+    }
+}
+
+/// A histogram of times, in microseconds.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove::demo::traffic::micros_histogram;
+///
+/// let histogram = micros_histogram([Duration::from_millis(2)].into_iter());
+/// assert_eq!(histogram.value_at_quantile(0.5), 2000);
+/// ```
+pub fn micros_histogram(times: impl Iterator<Item = Duration>) -> Histogram<u64> {
+    let mut histogram = Histogram::new(3).expect("three digits are allowed");
+    for time in times {
+        histogram.record(time.as_micros() as u64).expect("the histogram grows by itself");
     }
+    histogram
 }
 
 /// Draws from Zipf's law by its inverted sum.
--- a/quillcove/src/entry/attempt.rs
+++ b/quillcove/src/entry/attempt.rs
@@ -14,11 +14,11 @@
     AgentNews, AttemptEnd, AttemptOrder, EntryEvent, RepeatRule, RouteQuery,
 };
 use quillcove_core::ids::{MonoTime, RequestId};
-use quillcove_core::verdict::{RefusalReason, RunVerdict, WorkRefusal};
+use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use tokio::sync::{mpsc, oneshot};
 
 use super::admit::RequestTerms;
-use super::decide::{EntryInput, RequestStep, STEP_PLACES, ring_full};
+use super::decide::{EntryInput, RequestStep, STEP_PLACES};
 use super::serve::ServeContext;
 use crate::control::AgentControlClient;
 use crate::duty::DutyRing;
@@ -88,7 +88,7 @@
     };
     let input = EntryInput::Request(outgoing.query.clone(), sender);
     if state.ring.offer(input).is_err() {
-        return give_up(&watch, request, &ring_full());
+        return give_up(&watch, request, &WorkRefusal::overloaded());
     }
     let guard = RequestGuard { ring: state.ring.clone(), request };
     let mut is_first = true;
@@ -196,8 +196,7 @@
     };
     match state.pool.call(&control, WITHDRAW_TIMEOUT, withdrawn).await {
         Ok(WithdrawAnswer::NotRun) => {
-            let soon = Some(Duration::from_secs(1));
-            AttemptEnd::Refused(WorkRefusal::not_run(RefusalReason::UpstreamDown, soon))
+            AttemptEnd::Refused(WorkRefusal::not_run(RefusalReason::UpstreamDown, Some(SOON)))
         },
         Ok(WithdrawAnswer::MayHaveRun) | Err(_) => AttemptEnd::Lost,
     }
--- a/quillcove/src/entry/decide.rs
+++ b/quillcove/src/entry/decide.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -10,13 +10,14 @@
 use quillcove_core::entry::event::{AttemptOrder, EntryAction, EntryEvent, RouteQuery};
 use quillcove_core::entry::{EntryMachine, EntryView};
 use quillcove_core::ids::{HostId, RequestId};
-use quillcove_core::verdict::{RefusalReason, WorkRefusal};
+use quillcove_core::verdict::WorkRefusal;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::bundle::watch::WatchAsk;
 use crate::clock::MonoClock;
 use crate::duty;
+use crate::process::note_ready;
 
 /// Steps that may wait for a request's handler; it never has more than one at a time.
 pub const STEP_PLACES: usize = 4;
@@ -91,7 +92,7 @@
         for action in actions {
             self.carry_out(action);
         }
-        self.note_ready();
+        note_ready(&self.is_ready, self.machine.is_ready(), &self.log);
     }
 
     fn carry_out(&mut self, action: EntryAction) {
@@ -123,16 +124,4 @@
             let _ = steps.try_send(step);
         }
     }
-
-    fn note_ready(&self) {
-        let is_ready = self.machine.is_ready();
-        if self.is_ready.swap(is_ready, Ordering::Relaxed) != is_ready {
-            info!(self.log, "readiness changed"; "ready" => is_ready);
-        }
-    }
-}
-
-/// The refusal of a request whose deciding duty can not take it.
-pub fn ring_full() -> WorkRefusal {
-    WorkRefusal::not_run(RefusalReason::Overloaded, Some(Duration::from_secs(1)))
 }
--- a/quillcove/src/entry/mod.rs
+++ b/quillcove/src/entry/mod.rs
@@ -29,7 +29,7 @@
 use crate::metrics::ProcessMetrics;
 use crate::operator;
 use crate::platform::HttpPlatform;
-use crate::process::{DumpInspector, ProcessHandle};
+use crate::process::{DumpInspector, ProcessHandle, close_when_halted};
 
 /// Events that may wait for the deciding duty.
 const RING_PLACES: usize = 8192;
@@ -204,7 +204,7 @@
     serve: ServeContext,
     inspector: DumpInspector<EntryInput, EntryView>,
     bound: std::sync::mpsc::Sender<eyre::Result<BoundAddresses>>,
-    mut halted: watch::Receiver<bool>,
+    halted: watch::Receiver<bool>,
     log: Logger,
 ) {
     let operator_address = serve.settings.listen.operator;
@@ -221,10 +221,5 @@
         },
     };
     let _ = bound.send(Ok((callers.local_addr(), operator.local_addr())));
-    let _ = halted.wait_for(|is_halted| *is_halted).await;
-    // Answers that ended whole still have to leave the process.
-    let close = async {
-        let _ = callers.close().await;
-    };
-    let _ = tokio::time::timeout(Duration::from_secs(2), close).await;
+    close_when_halted(callers, halted).await;
 }
--- a/quillcove/src/entry/serve.rs
+++ b/quillcove/src/entry/serve.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use dropshot::{ApiDescription, HttpServer, Path, RequestContext, StreamingBody};
 use http::Method;
+use quillcove_core::agent::event::HostState;
 use quillcove_core::bundle::FleetBundle;
-use quillcove_core::entry::event::{RepeatRule, RouteTarget};
+use quillcove_core::entry::event::{HostRecord, RepeatRule, RouteTarget};
 use quillcove_core::ids::RequestId;
 use quillcove_core::once::ticket::RunTicket;
-use quillcove_core::verdict::{RefusalReason, RunVerdict, WorkRefusal};
+use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use serde_json::json;
@@ -82,7 +83,7 @@
 /// Answers a request that was not admitted.
 fn reject(request: RequestId, error: &AdmitError) -> WebAnswer {
     let retry_after = match error.reason {
-        RefusalReason::BundleMissing | RefusalReason::NoUpstream => Some(Duration::from_secs(1)),
+        RefusalReason::BundleMissing | RefusalReason::NoUpstream => Some(SOON),
         _ => None,
     };
     let refused = WorkRefusal::not_run(error.reason, retry_after);
@@ -263,13 +264,9 @@
 
 /// Control addresses of a few live agents of a service, in an order drawn anew.
 fn ticket_issuers(state: &ServeContext, service: &str) -> Vec<String> {
-    use quillcove_core::agent::event::{HostState, UpstreamKind};
     let hosts = state.shelf.hosts();
-    let fits = |record: &&quillcove_core::entry::event::HostRecord| {
-        record.kind == UpstreamKind::Service
-            && record.serves == service
-            && record.state == HostState::Live
-    };
+    let target = RouteTarget::Service(service.to_string());
+    let fits = |record: &&HostRecord| record.state == HostState::Live && record.fits(&target);
     let mut controls: Vec<String> =
         hosts.iter().filter(fits).map(|record| record.control.clone()).collect();
     rand::seq::SliceRandom::shuffle(controls.as_mut_slice(), &mut rand::rng());
--- a/quillcove/src/measure/policy.rs
+++ b/quillcove/src/measure/policy.rs
@@ -23,7 +23,7 @@
 use crate::config::entry::RoutingSection;
 use crate::demo::site::{LocalSite, SitePlan};
 use crate::demo::traffic::{
-    CallOutcome, TrafficOutcome, TrafficPlan, planned_adapters, run_traffic,
+    CallOutcome, TrafficOutcome, TrafficPlan, micros_histogram, planned_adapters, run_traffic,
 };
 use crate::duty;
 
@@ -369,10 +369,7 @@
     let answered: Vec<&CallOutcome> = calls.iter().filter(|call| call.is_right).collect();
     let (urgent, normal) =
         (stall_times(&answered, WorkClass::Urgent), stall_times(&answered, WorkClass::Normal));
-    let mut refusals = Histogram::<u64>::new(3).expect("three digits are allowed");
-    for refused_in in calls.iter().filter_map(|call| call.refused_in) {
-        refusals.record(refused_in.as_micros() as u64).expect("the histogram grows by itself");
-    }
+    let refusals = micros_histogram(calls.iter().filter_map(|call| call.refused_in));
     let quantile = |times: &Histogram<u64>, share: f64| {
         seconds(Duration::from_micros(times.value_at_quantile(share)))
     };
@@ -416,12 +413,8 @@
 }
 
 fn stall_times(answered: &[&CallOutcome], class: WorkClass) -> Histogram<u64> {
-    let mut histogram = Histogram::new(3).expect("three digits are allowed");
-    for call in answered.iter().filter(|call| call.class == class) {
-        let micros = call.stalled.as_micros() as u64;
-        histogram.record(micros).expect("the histogram grows by itself");
-    }
-    histogram
+    let of_class = answered.iter().filter(|call| call.class == class);
+    micros_histogram(of_class.map(|call| call.stalled))
 }
 
 fn is_in_time(call: &CallOutcome, load: &TrafficPlan) -> bool {
--- a/quillcove/src/process.rs
+++ b/quillcove/src/process.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
+use std::time::Duration;
 
+use dropshot::{HttpServer, ServerContext};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use serde::Serialize;
+use slog::{Logger, info};
 use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
 
 use crate::duty::DutyRing;
 use crate::operator::ProcessInspector;
@@ -90,6 +94,39 @@
     }
 }
 
+/// Time in which the last answers leave a process that ends.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
+
+/// Waits until a process is to end, and then until the answers of a server that ended whole have
+/// left.
+///
+/// ```no_run
+/// # async fn run(server: dropshot::HttpServer<()>, halted: tokio::sync::watch::Receiver<bool>) {
+/// quillcove::process::close_when_halted(server, halted).await;
+/// # }
+/// ```
+pub async fn close_when_halted<C: ServerContext>(
+    server: HttpServer<C>,
+    mut halted: watch::Receiver<bool>,
+) {
+    let _ = halted.wait_for(|is_halted| *is_halted).await;
+    let _ = timeout(CLOSE_TIME, server.close()).await;
+}
+
+/// Keeps the flag of readiness, and logs its changes.
+///
+/// ```
+/// use std::sync::atomic::AtomicBool;
+///
+/// let log = quillcove::logging::silent();
+/// quillcove::process::note_ready(&AtomicBool::new(false), true, &log);
+/// ```
+pub fn note_ready(flag: &AtomicBool, is_ready: bool, log: &Logger) {
+    if flag.swap(is_ready, Ordering::Relaxed) != is_ready {
+        info!(log, "readiness changed"; "ready" => is_ready);
+    }
+}
+
 /// What operators may see of a process: the state of its deciding duty.
 pub struct DumpInspector<I, V> {
     /// Ring of the deciding duty.
--- a/quillcove/tests/common/mod.rs
+++ b/quillcove/tests/common/mod.rs
@@ -313,11 +313,7 @@
 
     /// How often each booking ran, over all replicas.
     pub fn booking_runs(&self, booking: &str) -> u64 {
-        let runs = |address: &SocketAddr| {
-            let counts = get_json(&format!("http://{address}/admin-counts"));
-            counts[booking].as_u64().unwrap_or(0)
-        };
-        self.services.iter().map(|(_, address)| runs(address)).sum()
+        self.all_booking_runs().get(booking).copied().unwrap_or(0)
     }
 
     /// How often each booking ran, over all replicas.
--- a/quillcove_core/src/agent/admission.rs
+++ b/quillcove_core/src/agent/admission.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use super::event::{AgentAction, HostState, RunOrder, UpstreamKind, WithdrawAnswer, WorkTarget};
+use super::AgentMachine;
+use super::event::{AgentAction, RunOrder, UpstreamKind, WithdrawAnswer, WorkTarget};
 use super::marks::AttemptMark;
 use super::waiting::WaitingAttempt;
-use super::{AgentMachine, SOON};
 use crate::class::WorkClass;
 use crate::ids::{AttemptId, Incarnation, MonoTime};
 use crate::once::book::OnceKey;
-use crate::verdict::{RefusalReason, WorkRefusal};
+use crate::verdict::{RefusalReason, SOON, WorkRefusal};
 
 impl AgentMachine {
     pub(super) fn arrive(&mut self, now: MonoTime, order: RunOrder, out: &mut Vec<AgentAction>) {
@@ -80,8 +80,7 @@
     }
 
     pub(super) fn check_presence(&self) -> Result<(), WorkRefusal> {
-        let is_superseded = self.engine.as_ref().is_some_and(|engine| engine.is_superseded);
-        if self.is_stopping || self.host_state == HostState::Leaving || is_superseded {
+        if self.is_leaving() {
             return Err(WorkRefusal::not_run(RefusalReason::Leaving, Some(Duration::ZERO)));
         }
         let is_known = self.rules.kind == UpstreamKind::Service || self.engine.is_some();
@@ -116,7 +115,7 @@
         if self.room.len() < self.rules.queue_limit {
             return Ok(());
         }
-        let overflow = WorkRefusal::not_run(RefusalReason::Overloaded, Some(SOON));
+        let overflow = WorkRefusal::overloaded();
         match self.room.take_less_urgent(class) {
             Some(attempt) => {
                 self.refuse_waiting(now, attempt, overflow, out);
--- a/quillcove_core/src/agent/loads.rs
+++ b/quillcove_core/src/agent/loads.rs
@@ -114,13 +114,12 @@
     }
 
     fn begin_load(&mut self, now: MonoTime, bundle: &FleetBundle, out: &mut Vec<AgentAction>) {
-        self.note_wanted(now);
+        let next = self.next_load(now);
+        self.note_wanted(now, next.is_some());
         if self.is_stopping || now < self.ask_after {
             return;
         }
-        let Some((adapter, value)) = self.next_load(now) else {
-            return;
-        };
+        let Some((adapter, value)) = next else { return };
         if self.make_way(now, bundle, &adapter, value).is_none() {
             return;
         }
@@ -137,8 +136,7 @@
     }
 
     /// Notes since when a load is wanted, so that its whole wait is measured.
-    fn note_wanted(&mut self, now: MonoTime) {
-        let is_wanted = self.next_load(now).is_some();
+    fn note_wanted(&mut self, now: MonoTime, is_wanted: bool) {
         let Some(engine) = &mut self.engine else { return };
         match is_wanted {
             true => engine.wanted_since = engine.wanted_since.or(Some(now)),
--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -28,10 +28,7 @@
 use crate::demand::DemandMeter;
 use crate::ids::{AttemptId, HostId, Incarnation, MonoTime};
 use crate::once::book::{OnceBook, OnceKey};
-use crate::verdict::{RefusalReason, RunVerdict, WorkRefusal};
-
-/// When to come back after a refusal that will soon be over.
-const SOON: Duration = Duration::from_secs(1);
+use crate::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 
 /// Demand meters kept; beyond them the faded ones go.
 const METER_LIMIT: usize = 4096;
--- a/quillcove_core/src/agent/orders.rs
+++ b/quillcove_core/src/agent/orders.rs
@@ -85,11 +85,7 @@
             },
             OrderKind::Claim => {},
         }
-        let order = engine.next_order(bundle.version, kind);
-        if let Some(plan) = &mut engine.plan {
-            plan.stage = PlanStage::Ordered(order.clone());
-        }
-        out.push(AgentAction::Send(order));
+        issue(engine, bundle, kind, out);
     }
 
     /// Takes the end of the order that is out; ends of other orders are late and say nothing.
@@ -188,12 +184,22 @@
             }
             return self.drop_plan(out);
         }
-        let order = engine.next_order(bundle.version, kind);
-        if let Some(plan) = &mut engine.plan {
-            plan.stage = PlanStage::Ordered(order.clone());
-        }
-        out.push(AgentAction::Send(order));
+        issue(engine, bundle, kind, out);
+    }
+}
+
+/// Gives an order of the plan the next fence and sends it.
+fn issue(
+    engine: &mut EngineState,
+    bundle: &FleetBundle,
+    kind: OrderKind,
+    out: &mut Vec<AgentAction>,
+) {
+    let order = engine.next_order(bundle.version, kind);
+    if let Some(plan) = &mut engine.plan {
+        plan.stage = PlanStage::Ordered(order.clone());
     }
+    out.push(AgentAction::Send(order));
 }
 
 fn current_order(engine: &EngineState, fence: OrderFence) -> Option<EngineOrder> {
--- a/quillcove_core/src/bundle/mod.rs
+++ b/quillcove_core/src/bundle/mod.rs
@@ -7,7 +7,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -184,16 +183,3 @@
         self.current == version || self.keep.contains(&version)
     }
 }
-
-/// Expected time that a site needs for a number of loads.
-///
-/// ```
-/// use std::time::Duration;
-/// use quillcove_core::bundle::{LoadLimits, expected_load_time};
-///
-/// let limits = LoadLimits { per_second: 3.0, at_once: 2 };
-/// assert_eq!(expected_load_time(&limits, 6), Duration::from_secs(2));
-/// ```
-pub fn expected_load_time(limits: &LoadLimits, loads: usize) -> Duration {
-    Duration::from_secs_f64(loads as f64 / limits.per_second.max(0.001))
-}
--- a/quillcove_core/src/entry/event.rs
+++ b/quillcove_core/src/entry/event.rs
@@ -79,6 +79,27 @@
     pub serves: String,
 }
 
+impl HostRecord {
+    /// Tells whether the host's agent is for requests to this target.
+    ///
+    /// ```no_run
+    /// # use quillcove_core::entry::event::{HostRecord, RouteTarget};
+    /// # fn record() -> HostRecord { unimplemented!() }
+    /// record().fits(&RouteTarget::Service("booking".into()));
+    /// ```
+    pub fn fits(&self, target: &RouteTarget) -> bool {
+        match target {
+            RouteTarget::Adapter { model, .. } => {
+                self.kind == UpstreamKind::Engine && self.serves == *model
+            },
+            RouteTarget::Service(service) => {
+                self.kind == UpstreamKind::Service && self.serves == *service
+            },
+            RouteTarget::Owner(host) => self.host == *host,
+        }
+    }
+}
+
 /// What an agent says of itself with each answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentNews {
@@ -202,8 +223,6 @@
     pub slow_start: Duration,
     /// A gap between events that counts as a pause of the process.
     pub pause_limit: Duration,
-    /// Half-life of demand.
-    pub half_life: Duration,
 }
 
 impl Default for EntryRules {
@@ -221,7 +240,6 @@
             eject_floor: 0.5,
             slow_start: Duration::from_secs(10),
             pause_limit: Duration::from_secs(2),
-            half_life: Duration::from_secs(30),
         }
     }
 }
--- a/quillcove_core/src/entry/fleet.rs
+++ b/quillcove_core/src/entry/fleet.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::event::{AgentNews, EntryRules, HostRecord, RouteTarget};
-use crate::agent::event::{HostState, UpstreamKind};
+use crate::agent::event::HostState;
 use crate::ids::{HostId, Incarnation, MonoTime};
 
 /// Longest time that an upstream is left out.
@@ -309,7 +309,7 @@
     ) -> Vec<&UpstreamView> {
         let staying = self.upstreams.values().filter(|upstream| !upstream.is_leaving());
         let all: Vec<&UpstreamView> =
-            staying.filter(|upstream| fits(&upstream.record, target)).collect();
+            staying.filter(|upstream| upstream.record.fits(target)).collect();
         let healthy: Vec<&UpstreamView> =
             all.iter().copied().filter(|upstream| now >= upstream.ejected_until).collect();
         let floor = (all.len() as f64 * rules.eject_floor).ceil() as usize;
@@ -343,15 +343,3 @@
         self.upstreams.values().map(summary).collect()
     }
 }
-
-fn fits(record: &HostRecord, target: &RouteTarget) -> bool {
-    match target {
-        RouteTarget::Adapter { model, .. } => {
-            record.kind == UpstreamKind::Engine && record.serves == *model
-        },
-        RouteTarget::Service(service) => {
-            record.kind == UpstreamKind::Service && record.serves == *service
-        },
-        RouteTarget::Owner(host) => record.host == *host,
-    }
-}
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -19,10 +19,7 @@
 use self::retry::RetryBudget;
 use crate::bundle::FleetBundle;
 use crate::ids::{AttemptId, BundleVersion, HostId, MonoTime, RequestId};
-use crate::verdict::{RefusalReason, RunVerdict, WorkRefusal};
-
-/// When to come back after a refusal that will soon be over.
-const SOON: Duration = Duration::from_secs(1);
+use crate::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 
 /// One request in flight.
 #[derive(Clone, Debug)]
@@ -33,7 +30,6 @@
     /// Unknown incarnations cost an extra round trip, which is not counted as an attempt.
     introductions: u32,
     current: Option<(AttemptId, HostId)>,
-    is_answered: bool,
     resume_at: Option<MonoTime>,
     last_refusal: Option<WorkRefusal>,
 }
@@ -216,19 +212,7 @@
 
     fn admit(&mut self, now: MonoTime, query: RouteQuery, out: &mut Vec<EntryAction>) {
         let request = query.request;
-        let refusal = match () {
-            _ if self.is_stopping => {
-                Some(WorkRefusal::not_run(RefusalReason::Leaving, Some(Duration::ZERO)))
-            },
-            _ if self.requests.len() >= self.rules.request_limit => {
-                Some(WorkRefusal::not_run(RefusalReason::Overloaded, Some(SOON)))
-            },
-            _ if query.deadline <= now => {
-                Some(WorkRefusal::not_run(RefusalReason::DeadlinePassed, None))
-            },
-            _ => None,
-        };
-        if let Some(refusal) = refusal {
+        if let Err(refusal) = self.check_admission(now, &query) {
             out.push(EntryAction::Finish(request, refusal));
             return;
         }
@@ -239,7 +223,6 @@
             attempts: 0,
             introductions: 0,
             current: None,
-            is_answered: false,
             resume_at: None,
             last_refusal: None,
         };
@@ -247,6 +230,19 @@
         self.send(now, request, out);
     }
 
+    fn check_admission(&self, now: MonoTime, query: &RouteQuery) -> Result<(), WorkRefusal> {
+        if self.is_stopping {
+            return Err(WorkRefusal::not_run(RefusalReason::Leaving, Some(Duration::ZERO)));
+        }
+        if self.requests.len() >= self.rules.request_limit {
+            return Err(WorkRefusal::overloaded());
+        }
+        if query.deadline <= now {
+            return Err(WorkRefusal::not_run(RefusalReason::DeadlinePassed, None));
+        }
+        Ok(())
+    }
+
     /// Sends the next attempt of a request; holds it while the host list is read again, and gives
     /// it up when its deadline has passed.
     fn send(&mut self, now: MonoTime, request: RequestId, out: &mut Vec<EntryAction>) {
@@ -259,8 +255,7 @@
             return;
         }
         if open.query.deadline <= now {
-            let late = WorkRefusal::not_run(RefusalReason::DeadlinePassed, None);
-            let refusal = open.last_refusal.unwrap_or(late);
+            let refusal = late_refusal(open);
             self.finish(request, refusal, out);
             return;
         }
@@ -313,7 +308,6 @@
             return;
         };
         if end == AttemptEnd::Answered {
-            open.is_answered = true;
             self.fleet.succeed(&host);
             return;
         }
@@ -390,9 +384,8 @@
             return;
         };
         if now + pause >= open.query.deadline {
-            let refusal = open.last_refusal;
-            let late = WorkRefusal::not_run(RefusalReason::DeadlinePassed, None);
-            self.finish(request, refusal.unwrap_or(late), out);
+            let refusal = late_refusal(open);
+            self.finish(request, refusal, out);
             return;
         }
         open.resume_at = Some(now + pause);
@@ -459,6 +452,12 @@
     (request << 8) | u128::from(number & 0xff)
 }
 
+/// What is told of a request that has no time left: the refusal before, if there was one.
+fn late_refusal(open: &OpenRequest) -> WorkRefusal {
+    let late = WorkRefusal::not_run(RefusalReason::DeadlinePassed, None);
+    open.last_refusal.unwrap_or(late)
+}
+
 /// The refusal to keep: once one attempt may have run, the whole request may have.
 fn combine(before: Option<WorkRefusal>, refusal: WorkRefusal) -> WorkRefusal {
     match before {
--- a/quillcove_core/src/once/book.rs
+++ b/quillcove_core/src/once/book.rs
@@ -7,7 +7,7 @@
 
 use super::ticket::{RunTicket, TicketSecret};
 use crate::ids::{CallerId, HostId, Incarnation, MonoTime};
-use crate::verdict::{RefusalReason, RunVerdict, WorkRefusal};
+use crate::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 
 /// Names one run that must not happen twice.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -170,8 +170,7 @@
             return Err(refusal_of(run.state));
         }
         if self.runs.len() >= self.limits.entries {
-            let retry_after = Some(Duration::from_secs(1));
-            return Err(WorkRefusal::not_run(RefusalReason::Overloaded, retry_after));
+            return Err(WorkRefusal::overloaded());
         }
         self.record(key.clone(), OnceRun { state: OnceState::Underway, expires });
         Ok(key)
@@ -294,7 +293,7 @@
         OnceState::Underway | OnceState::Uncertain => RunVerdict::MayHaveRun,
     };
     let retry_after = match state {
-        OnceState::Underway => Some(Duration::from_secs(1)),
+        OnceState::Underway => Some(SOON),
         OnceState::Ran(_) | OnceState::Uncertain => None,
     };
     WorkRefusal { reason: RefusalReason::AlreadyUsed, verdict, retry_after }
--- a/quillcove_core/src/verdict.rs
+++ b/quillcove_core/src/verdict.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// When to come back after a refusal that will soon be over.
+pub const SOON: Duration = Duration::from_secs(1);
+
 /// What is known of a request when its answer or its error goes to the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -171,6 +174,17 @@
         Self { reason, verdict: RunVerdict::NotRun, retry_after }
     }
 
+    /// A refusal of work that did not run because a queue or a table is full.
+    ///
+    /// ```
+    /// use quillcove_core::verdict::{SOON, WorkRefusal};
+    ///
+    /// assert_eq!(WorkRefusal::overloaded().retry_after, Some(SOON));
+    /// ```
+    pub fn overloaded() -> Self {
+        Self::not_run(RefusalReason::Overloaded, Some(SOON))
+    }
+
     /// An error after which nothing certain is known.
     ///
     /// ```
--- a/quillcove_standin/src/service.rs
+++ b/quillcove_standin/src/service.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -25,7 +24,6 @@
 pub struct ServiceState {
     delay: Duration,
     counts: Mutex<BTreeMap<String, u64>>,
-    calls: AtomicU64,
 }
 
 type Context = Arc<ServiceState>;
@@ -77,7 +75,6 @@
     let state = context.context().clone();
     let booking = context.request.headers().get(BOOKING_HEADER);
     let booking = booking.and_then(|value| value.to_str().ok()).map(String::from);
-    state.calls.fetch_add(1, Ordering::Relaxed);
     if let Some(booking) = &booking {
         *state.counts.lock().unwrap().entry(booking.clone()).or_default() += 1;
     }
