--- a/quillcove/src/cli.rs
+++ b/quillcove/src/cli.rs
@@ -17,6 +17,8 @@
         .arg_required_else_help(true)
         .subcommand(role("entry", "Run an entry between callers and agents"))
         .subcommand(role("agent", "Run the agent beside one upstream"))
+        .subcommand(role("relay", "Run a relay between callers and a platform's upstreams"))
+        .subcommand(role("loader", "Run the loader beside one engine of a platform"))
         .subcommand(check())
         .subcommand(dump())
         .subcommand(bundle())
@@ -55,7 +57,7 @@
         .arg(text("file", "Settings in INI"))
         .arg(
             option("role", "ROLE", "Whose settings; an [upstream] section means agent")
-                .value_parser(["entry", "agent"]),
+                .value_parser(["entry", "agent", "relay", "loader"]),
         )
         .arg(overrides())
 }
--- a/quillcove/src/config/mod.rs
+++ b/quillcove/src/config/mod.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod entry;
 pub mod ini;
+pub mod relay;
 pub mod shared;
 
 use std::path::Path;
@@ -12,6 +13,7 @@
 use self::agent::AgentSettings;
 use self::entry::EntrySettings;
 use self::ini::{SettingFaults, SettingSource};
+use self::relay::{LoaderSettings, RelaySettings};
 
 /// Which process settings are for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +22,10 @@
     Entry,
     /// `quillcove agent`.
     Agent,
+    /// `quillcove relay`.
+    Relay,
+    /// `quillcove loader`.
+    Loader,
 }
 
 /// Reads the settings of an entry from a text.
@@ -60,6 +66,44 @@
     source.finish().map(|()| settings)
 }
 
+/// Reads the settings of a relay from a text.
+///
+/// # Errors
+///
+/// All faults at once.
+///
+/// ```
+/// assert!(quillcove::config::parse_relay("relay.ini", "", &[]).is_err());
+/// ```
+pub fn parse_relay(
+    file: &str,
+    text: &str,
+    overrides: &[String],
+) -> Result<RelaySettings, SettingFaults> {
+    let mut source = SettingSource::read(file, text, overrides).with_environment();
+    let settings = RelaySettings::read(&mut source);
+    source.finish().map(|()| settings)
+}
+
+/// Reads the settings of a loader from a text.
+///
+/// # Errors
+///
+/// All faults at once.
+///
+/// ```
+/// assert!(quillcove::config::parse_loader("loader.ini", "", &[]).is_err());
+/// ```
+pub fn parse_loader(
+    file: &str,
+    text: &str,
+    overrides: &[String],
+) -> Result<LoaderSettings, SettingFaults> {
+    let mut source = SettingSource::read(file, text, overrides).with_environment();
+    let settings = LoaderSettings::read(&mut source);
+    source.finish().map(|()| settings)
+}
+
 /// Reads a settings file.
 ///
 /// # Errors
--- /dev/null
+++ b/quillcove/src/config/relay.rs
@@ -0,0 +1,296 @@
+//! Settings of a relay and of a loader.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use quillcove_core::relay::machine::RelayRules;
+
+use super::ini::SettingSource;
+use super::shared::{LogSection, ProcessSection, StopSection};
+
+/// Share of the fleet's fixed repeats that one relay takes for itself. Relays do not agree on
+/// their number; with more than eight, the share of first attempts dominates.
+const RETRY_EXTRA_SHARE: f64 = 0.125;
+
+/// Share of the allowed ratio of repeats that a relay uses; the rest is for repeats that count in
+/// another window than their first attempts.
+const RETRY_RATIO_SHARE: f64 = 0.5;
+
+/// All settings of a relay.
+#[derive(Clone, Debug, Default)]
+pub struct RelaySettings {
+    /// `[process]`.
+    pub process: ProcessSection,
+    /// `[listen]`.
+    pub listen: RelayListen,
+    /// `[platform]`.
+    pub platform: StoreSection,
+    /// `[peers]`.
+    pub peers: PeerSection,
+    /// `[requests]`.
+    pub requests: RelayRequestSection,
+    /// `[routing]`.
+    pub routing: RelayRoutingSection,
+    /// `[log]`.
+    pub log: LogSection,
+    /// `[stop]`.
+    pub stop: StopSection,
+}
+
+impl RelaySettings {
+    pub(super) fn read(source: &mut SettingSource) -> Self {
+        Self {
+            process: ProcessSection::read(source),
+            listen: RelayListen::read(source),
+            platform: StoreSection::read(source),
+            peers: PeerSection::read(source),
+            requests: RelayRequestSection::read(source),
+            routing: RelayRoutingSection::read(source),
+            log: LogSection::read(source),
+            stop: StopSection::read(source),
+        }
+    }
+
+    /// Settings of the machine that decides.
+    ///
+    /// ```
+    /// use quillcove::config::relay::RelaySettings;
+    ///
+    /// assert_eq!(RelaySettings::default().rules().request_limit, 2048);
+    /// ```
+    pub fn rules(&self) -> RelayRules {
+        RelayRules {
+            hall: self.process.hall.clone(),
+            retry_share: self.routing.retry_ratio * RETRY_RATIO_SHARE,
+            retry_saving: (self.routing.retry_extra as f64 * RETRY_EXTRA_SHARE).max(1.0),
+            request_limit: self.requests.limit,
+        }
+    }
+}
+
+/// `[listen]` of a relay.
+#[derive(Clone, Debug)]
+pub struct RelayListen {
+    /// `callers`: address for callers.
+    pub callers: SocketAddr,
+    /// `control`: address for other processes of the system.
+    pub control: SocketAddr,
+    /// `operator`: address for operators, and for the balancer's question whether this process is
+    /// ready.
+    pub operator: SocketAddr,
+}
+
+impl Default for RelayListen {
+    fn default() -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self { callers: any_port, control: any_port, operator: any_port }
+    }
+}
+
+impl RelayListen {
+    fn read(source: &mut SettingSource) -> Self {
+        Self {
+            callers: source.address("listen", "callers"),
+            control: source.address("listen", "control"),
+            operator: source.address("listen", "operator"),
+        }
+    }
+}
+
+/// `[platform]` of a relay: the store that is read.
+#[derive(Clone, Debug)]
+pub struct StoreSection {
+    /// `address`: IP address and port.
+    pub address: SocketAddr,
+    /// `watch_time`: time that one watch waits for a change.
+    pub watch_time: Duration,
+    /// `gather_time`: time between two watches of the listing, in which changes gather.
+    pub gather_time: Duration,
+    /// `timeout`: longest time for a read, and for a watch beyond its own time.
+    pub timeout: Duration,
+}
+
+impl Default for StoreSection {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            watch_time: Duration::from_secs(3),
+            gather_time: Duration::from_millis(600),
+            timeout: Duration::from_millis(800),
+        }
+    }
+}
+
+impl StoreSection {
+    fn read(source: &mut SettingSource) -> Self {
+        let default = Self::default();
+        let section = "platform";
+        Self {
+            address: source.address(section, "address"),
+            watch_time: source.time(section, "watch_time", default.watch_time),
+            gather_time: source.time(section, "gather_time", default.gather_time),
+            timeout: source.time(section, "timeout", default.timeout),
+        }
+    }
+}
+
+/// `[peers]`: other processes of the system.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerSection {
+    /// `seeds`: control addresses of relays, separated by commas; some may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// `loader_port`: port on which the loader beside each engine listens.
+    pub loader_port: u16,
+}
+
+impl PeerSection {
+    fn read(source: &mut SettingSource) -> Self {
+        let section = "peers";
+        let mut seeds = Vec::new();
+        for seed in source.list(section, "seeds") {
+            match seed.parse() {
+                Ok(address) => seeds.push(address),
+                Err(_) => {
+                    let message = format!("'{seed}' is not an IP address with a port");
+                    source.reject(section, "seeds", &message);
+                },
+            }
+        }
+        let port = source.number(section, "loader_port", 0, 0, usize::from(u16::MAX));
+        Self { seeds, loader_port: port as u16 }
+    }
+}
+
+/// `[requests]` of a relay.
+#[derive(Clone, Debug)]
+pub struct RelayRequestSection {
+    /// `limit`: most requests in flight.
+    pub limit: usize,
+    /// `connect_timeout`: longest time for a connection to an upstream.
+    pub connect_timeout: Duration,
+}
+
+impl Default for RelayRequestSection {
+    fn default() -> Self {
+        Self { limit: 2048, connect_timeout: Duration::from_millis(300) }
+    }
+}
+
+impl RelayRequestSection {
+    fn read(source: &mut SettingSource) -> Self {
+        let default = Self::default();
+        let section = "requests";
+        Self {
+            limit: source.number(section, "limit", default.limit, 1, 1 << 20),
+            connect_timeout: source.time(section, "connect_timeout", default.connect_timeout),
+        }
+    }
+}
+
+/// `[routing]` of a relay.
+#[derive(Clone, Debug)]
+pub struct RelayRoutingSection {
+    /// `retry_ratio`: repeats that the whole fleet may make, as a share of requests.
+    pub retry_ratio: f64,
+    /// `retry_extra`: repeats that the whole fleet may make beyond that share, in one window.
+    pub retry_extra: usize,
+}
+
+impl Default for RelayRoutingSection {
+    fn default() -> Self {
+        Self { retry_ratio: 0.2, retry_extra: 50 }
+    }
+}
+
+impl RelayRoutingSection {
+    fn read(source: &mut SettingSource) -> Self {
+        let default = Self::default();
+        let section = "routing";
+        Self {
+            retry_ratio: source.fraction(section, "retry_ratio", default.retry_ratio, 0.0, 1.0),
+            retry_extra: source.number(section, "retry_extra", default.retry_extra, 0, 1 << 20),
+        }
+    }
+}
+
+/// All settings of a loader.
+#[derive(Clone, Debug, Default)]
+pub struct LoaderSettings {
+    /// `[process]`.
+    pub process: ProcessSection,
+    /// `[listen]`.
+    pub listen: LoaderListen,
+    /// `[engine]`.
+    pub engine: EngineSection,
+    /// `[log]`.
+    pub log: LogSection,
+}
+
+impl LoaderSettings {
+    pub(super) fn read(source: &mut SettingSource) -> Self {
+        Self {
+            process: ProcessSection::read(source),
+            listen: LoaderListen::read(source),
+            engine: EngineSection::read(source),
+            log: LogSection::read(source),
+        }
+    }
+}
+
+/// `[listen]` of a loader.
+#[derive(Clone, Debug)]
+pub struct LoaderListen {
+    /// `control`: address for relays; its port is the one that they have as `peers.loader_port`.
+    pub control: SocketAddr,
+    /// `operator`: address for operators.
+    pub operator: SocketAddr,
+}
+
+impl Default for LoaderListen {
+    fn default() -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self { control: any_port, operator: any_port }
+    }
+}
+
+impl LoaderListen {
+    fn read(source: &mut SettingSource) -> Self {
+        Self {
+            control: source.address("listen", "control"),
+            operator: source.address("listen", "operator"),
+        }
+    }
+}
+
+/// `[engine]`: the engine beside a loader.
+#[derive(Clone, Debug)]
+pub struct EngineSection {
+    /// `address`: where it listens.
+    pub address: SocketAddr,
+    /// `report_interval`: time between reads of its report while nothing is under way.
+    pub report_interval: Duration,
+    /// `order_timeout`: time after which an order counts as unanswered.
+    pub order_timeout: Duration,
+}
+
+impl Default for EngineSection {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            report_interval: Duration::from_millis(200),
+            order_timeout: Duration::from_millis(1000),
+        }
+    }
+}
+
+impl EngineSection {
+    fn read(source: &mut SettingSource) -> Self {
+        let default = Self::default();
+        let section = "engine";
+        Self {
+            address: source.address(section, "address"),
+            report_interval: source.time(section, "report_interval", default.report_interval),
+            order_timeout: source.time(section, "order_timeout", default.order_timeout),
+        }
+    }
+}
--- /dev/null
+++ b/quillcove/src/loader/mod.rs
@@ -0,0 +1,314 @@
+//! The loader: a small process beside one engine. It reads the engine's report, tells the relays,
+//! and gives the engine the orders that the keeper among the relays asks for.
+//!
+//! One duty, `serve`, does all of it: the report, orders and datagrams take turns and share the
+//! machine that decides.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use http::Method;
+use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::beacon::{EngineBeacon, EngineReport, PeerMessage};
+use quillcove_core::relay::loader::{LoadOrder, LoaderMachine, OrderOutcome};
+use quillcove_platform::engine;
+use serde::Serialize;
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use crate::clock::MonoClock;
+use crate::config::relay::LoaderSettings;
+use crate::duty;
+use crate::metrics::ProcessMetrics;
+use crate::operator::{self, ProcessInspector};
+use crate::peers::{PeerArrival, PeerSocket};
+use crate::web::client::{WebClient, WebError};
+
+/// Time for which a relay that was heard gets reports; relays announce themselves twice a second.
+const RELAY_LIFETIME: Duration = Duration::from_millis(2200);
+
+/// Longest time between two reports to the relays.
+const BEACON_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time between reads of the engine's report while loads are on their way.
+const BUSY_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Longest time for a read of the report, on the same host.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time for a connection to the engine, on the same host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time that the unused connection to the engine is kept.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+
+/// A loader's state in a dump.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LoaderView {
+    /// What the engine said last.
+    pub report: EngineReport,
+    /// Relays heard lately.
+    pub relays: Vec<SocketAddr>,
+    /// Whether the engine answers.
+    pub is_engine_up: bool,
+}
+
+struct LoaderInspector {
+    view: Arc<Mutex<LoaderView>>,
+}
+
+impl ProcessInspector for LoaderInspector {
+    fn state(&self) -> futures::future::BoxFuture<'_, serde_json::Value> {
+        let view = self.view.lock().map(|view| view.clone()).unwrap_or_default();
+        Box::pin(async move { serde_json::to_value(view).unwrap_or_default() })
+    }
+
+    fn is_ready(&self) -> bool {
+        self.view.lock().is_ok_and(|view| view.is_engine_up)
+    }
+}
+
+/// Runs a loader until the process is told to stop.
+///
+/// # Errors
+///
+/// When an address can not be bound.
+///
+/// ```no_run
+/// use quillcove::config::relay::LoaderSettings;
+///
+/// let (_stop, stopped) = tokio::sync::watch::channel(false);
+/// let log = quillcove::logging::silent();
+/// quillcove::loader::run(LoaderSettings::default(), log, stopped).unwrap();
+/// ```
+pub fn run(
+    settings: LoaderSettings,
+    log: Logger,
+    stopped: watch::Receiver<bool>,
+) -> eyre::Result<()> {
+    duty::run_async(1, async move {
+        let loader = LoaderDuty::start(settings, log).await?;
+        loader.serve(stopped).await;
+        Ok(())
+    })
+}
+
+struct LoaderDuty {
+    settings: LoaderSettings,
+    log: Logger,
+    clock: MonoClock,
+    socket: PeerSocket,
+    client: WebClient,
+    machine: LoaderMachine,
+    metrics: Arc<ProcessMetrics>,
+    view: Arc<Mutex<LoaderView>>,
+    relays: HashMap<SocketAddr, MonoTime>,
+    incarnation: u64,
+    beacons: u64,
+    last_beacon: MonoTime,
+    is_engine_up: bool,
+}
+
+impl LoaderDuty {
+    async fn start(settings: LoaderSettings, log: Logger) -> eyre::Result<Self> {
+        let socket = PeerSocket::bind(settings.listen.control).await?;
+        let metrics = Arc::new(ProcessMetrics::new("loader")?);
+        let view = Arc::new(Mutex::new(LoaderView::default()));
+        let inspector = LoaderInspector { view: view.clone() };
+        operator::start(settings.listen.operator, inspector, metrics.clone(), &log)?;
+        let fence = first_fence();
+        info!(log, "loader started"; "control" => %settings.listen.control,
+            "engine" => %settings.engine.address, "fence" => fence);
+        Ok(Self {
+            machine: LoaderMachine::new(settings.process.host.clone(), fence),
+            client: WebClient::new(CONNECT_TIMEOUT, IDLE_TIME),
+            clock: MonoClock::start(),
+            socket,
+            metrics,
+            view,
+            relays: HashMap::new(),
+            incarnation: rand::random(),
+            beacons: 0,
+            last_beacon: MonoTime::ZERO,
+            is_engine_up: false,
+            settings,
+            log,
+        })
+    }
+
+    async fn serve(mut self, mut stopped: watch::Receiver<bool>) {
+        let mut next_report = Instant::now();
+        loop {
+            tokio::select! {
+                _ = stopped.wait_for(|is_stopped| *is_stopped) => break,
+                arrival = self.socket.receive() => match arrival {
+                    Ok(arrival) => self.take(arrival),
+                    Err(error) => warn!(self.log, "datagrams can not be read"; "error" => %error),
+                },
+                () = sleep_until(next_report) => {
+                    self.read_report().await;
+                    next_report = Instant::now() + self.pause();
+                },
+            }
+            while let Some(order) = self.machine.next_order(self.clock.now()) {
+                let outcome = self.give(&order).await;
+                self.read_report().await;
+                if outcome == OrderOutcome::Busy {
+                    break;
+                }
+                next_report = Instant::now() + self.pause();
+            }
+        }
+        info!(self.log, "loader stopped");
+    }
+
+    fn pause(&self) -> Duration {
+        match self.machine.report().incoming.is_empty() && !self.machine.report().is_busy {
+            true => self.settings.engine.report_interval,
+            false => BUSY_INTERVAL,
+        }
+    }
+
+    fn take(&mut self, arrival: PeerArrival) {
+        let now = self.clock.now();
+        match arrival {
+            PeerArrival::Message(PeerMessage::Listening(relay), _) => {
+                if self.relays.insert(relay, now).is_none() {
+                    info!(self.log, "relay heard"; "relay" => %relay);
+                }
+            },
+            PeerArrival::Message(PeerMessage::Load(ask), from) => {
+                info!(self.log, "load asked for"; "relay" => %from, "replica" => &ask.replica,
+                    "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
+                    "version" => ask.version);
+                self.machine.take_ask(ask, now);
+            },
+            PeerArrival::Message(PeerMessage::Relay(_) | PeerMessage::Engine(_), _) => {},
+            PeerArrival::Garbage(from, error) => {
+                warn!(self.log, "datagram is no message"; "from" => %from, "error" => %error);
+            },
+        }
+    }
+
+    /// Reads the engine's report, and passes it on when it is due or what the engine holds
+    /// changed.
+    async fn read_report(&mut self) {
+        let report = self.fetch_report().await;
+        let is_up = report.is_some();
+        if is_up != self.is_engine_up {
+            self.is_engine_up = is_up;
+            info!(self.log, "engine reachable"; "is_up" => is_up);
+        }
+        let Some(report) = report else {
+            return;
+        };
+        let is_changed = self.machine.take_report(report);
+        let now = self.clock.now();
+        self.forget_relays(now);
+        let is_due = now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL;
+        if is_changed || is_due {
+            self.tell(now);
+        }
+    }
+
+    async fn fetch_report(&self) -> Option<EngineReport> {
+        let call = engine::report_call();
+        let uri = format!("http://{}{}", self.settings.engine.address, call.path);
+        let answer = self.client.fetch(Method::GET, &uri, call.body, REPORT_TIMEOUT).await.ok()?;
+        if !answer.status().is_success() {
+            return None;
+        }
+        match engine::read_report(answer.body()) {
+            Ok(report) => Some(report),
+            Err(fault) => {
+                warn!(self.log, "the engine's report is not understood"; "fault" => %fault);
+                None
+            },
+        }
+    }
+
+    fn forget_relays(&mut self, now: MonoTime) {
+        let log = self.log.clone();
+        self.relays.retain(|relay, heard| {
+            let is_recent = now.saturating_sub(*heard) < RELAY_LIFETIME;
+            if !is_recent {
+                info!(log, "relay no longer heard"; "relay" => %relay);
+            }
+            is_recent
+        });
+    }
+
+    fn tell(&mut self, now: MonoTime) {
+        self.beacons += 1;
+        self.last_beacon = now;
+        let relays: Vec<SocketAddr> = self.relays.keys().copied().collect();
+        let beacon = EngineBeacon {
+            host: self.settings.process.host.clone(),
+            engine: self.settings.engine.address,
+            number: self.beacons,
+            incarnation: self.incarnation,
+            report: self.machine.report().clone(),
+            recent_loads: self.machine.recent_loads(now),
+            relays: relays.clone(),
+        };
+        if let Ok(mut view) = self.view.lock() {
+            view.report = beacon.report.clone();
+            view.relays = relays.clone();
+            view.is_engine_up = self.is_engine_up;
+        }
+        self.socket.send(&PeerMessage::Engine(beacon), relays);
+    }
+
+    /// Gives one order and takes its outcome.
+    async fn give(&mut self, order: &LoadOrder) -> OrderOutcome {
+        let outcome = match self.send_order(order).await {
+            Ok(outcome) => outcome,
+            Err(WebError::NotSent(_)) => OrderOutcome::Rejected,
+            Err(WebError::Lost(_) | WebError::Status(_)) => OrderOutcome::Unanswered,
+        };
+        let is_load = order.kind == quillcove_core::relay::loader::OrderKind::Load;
+        self.metrics.ordered(is_load, outcome_label(outcome));
+        info!(self.log, "order given"; "kind" => ?order.kind, "replica" => &order.replica,
+            "model" => &order.model, "adapter" => order.adapter.as_deref().unwrap_or("-"),
+            "version" => order.version, "fence" => order.fence, "outcome" => ?outcome);
+        self.machine.end_order(outcome, self.clock.now());
+        outcome
+    }
+
+    async fn send_order(&self, order: &LoadOrder) -> Result<OrderOutcome, WebError> {
+        let call = engine::order_call(order).map_err(|fault| WebError::NotSent(fault.to_string()))?;
+        let uri = format!("http://{}{}", self.settings.engine.address, call.path);
+        let mut request = http::Request::builder().method(Method::POST).uri(uri);
+        for (name, value) in call.headers {
+            request = request.header(name, value);
+        }
+        let request = request.body(http_body_util::Full::new(call.body.into()));
+        let request = request.map_err(|error| WebError::NotSent(error.to_string()))?;
+        let answer = tokio::time::timeout(
+            self.settings.engine.order_timeout,
+            self.client.send(request),
+        );
+        let answer = answer.await.map_err(|_| WebError::Lost("time is up".to_string()))??;
+        Ok(engine::order_outcome(answer.status()))
+    }
+}
+
+/// Fences begin at the wall clock's milliseconds, so that they grow over restarts.
+fn first_fence() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |since| since.as_millis() as u64)
+}
+
+fn outcome_label(outcome: OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Begun => "begun",
+        OrderOutcome::Holds => "holds",
+        OrderOutcome::Busy => "busy",
+        OrderOutcome::FenceTooLow => "fence_too_low",
+        OrderOutcome::Rejected => "rejected",
+        OrderOutcome::Unanswered => "unanswered",
+    }
+}
--- a/quillcove/src/logging.rs
+++ b/quillcove/src/logging.rs
@@ -34,6 +34,20 @@
     }
 }
 
+/// Makes the root logger of a process whose lines go to standard output as JSON, where the
+/// platform collects them.
+///
+/// ```
+/// use quillcove::config::shared::LogSection;
+///
+/// let log = quillcove::logging::stdout_logger(&LogSection::default(), "relay", "e1");
+/// slog::info!(log, "ready");
+/// ```
+pub fn stdout_logger(section: &LogSection, role: &'static str, host: &str) -> Logger {
+    let fields = o!("role" => role, "host" => host.to_string());
+    root(slog_json::Json::default(std::io::stdout()).fuse(), section.level, fields)
+}
+
 fn root<D, T>(drain: D, level: Level, fields: slog::OwnedKV<T>) -> Logger
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
--- /dev/null
+++ b/quillcove/src/peers.rs
@@ -0,0 +1,114 @@
+//! Datagrams between relays and loaders.
+//!
+//! Each message is a whole state or a whole ask, so that a lost one is made up for by the next.
+
+use std::net::SocketAddr;
+
+use eyre::WrapErr;
+use quillcove_core::relay::beacon::PeerMessage;
+use tokio::net::UdpSocket;
+
+/// Largest datagram that is read.
+const DATAGRAM_LIMIT: usize = 16 << 10;
+
+/// The socket on which a process talks to the others.
+pub struct PeerSocket {
+    socket: UdpSocket,
+}
+
+/// What arrived at the socket.
+#[derive(Debug)]
+pub enum PeerArrival {
+    /// A message with its sender.
+    Message(PeerMessage, SocketAddr),
+    /// Bytes that are no message.
+    Garbage(SocketAddr, postcard::Error),
+}
+
+impl PeerSocket {
+    /// Binds an address.
+    ///
+    /// # Errors
+    ///
+    /// When it can not be bound.
+    ///
+    /// ```
+    /// quillcove::duty::run_async(1, async {
+    ///     let address = "127.0.0.1:0".parse().unwrap();
+    ///     quillcove::peers::PeerSocket::bind(address).await.unwrap();
+    /// });
+    /// ```
+    pub async fn bind(address: SocketAddr) -> eyre::Result<Self> {
+        let socket = UdpSocket::bind(address).await;
+        let socket = socket.wrap_err_with(|| format!("can not bind {address} for datagrams"))?;
+        Ok(Self { socket })
+    }
+
+    /// The address bound.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell.
+    ///
+    /// ```
+    /// quillcove::duty::run_async(1, async {
+    ///     let address = "127.0.0.1:0".parse().unwrap();
+    ///     let socket = quillcove::peers::PeerSocket::bind(address).await.unwrap();
+    ///     assert_ne!(socket.local_addr().unwrap().port(), 0);
+    /// });
+    /// ```
+    pub fn local_addr(&self) -> eyre::Result<SocketAddr> {
+        Ok(self.socket.local_addr()?)
+    }
+
+    /// Sends a message to some processes. One that can not be sent now is left out: the next
+    /// message tells the same or newer.
+    ///
+    /// ```
+    /// use quillcove::peers::PeerSocket;
+    /// use quillcove_core::relay::beacon::PeerMessage;
+    ///
+    /// quillcove::duty::run_async(1, async {
+    ///     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    ///     let own = socket.local_addr().unwrap();
+    ///     assert_eq!(socket.send(&PeerMessage::Listening(own), [own]), 1);
+    /// });
+    /// ```
+    pub fn send(
+        &self,
+        message: &PeerMessage,
+        receivers: impl IntoIterator<Item = SocketAddr>,
+    ) -> usize {
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            return 0;
+        };
+        let sent = receivers.into_iter().map(|to| self.socket.try_send_to(&bytes, to));
+        sent.filter(Result::is_ok).count()
+    }
+
+    /// Waits for the next datagram.
+    ///
+    /// # Errors
+    ///
+    /// When the socket fails.
+    ///
+    /// ```
+    /// use quillcove::peers::{PeerArrival, PeerSocket};
+    /// use quillcove_core::relay::beacon::PeerMessage;
+    ///
+    /// quillcove::duty::run_async(1, async {
+    ///     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    ///     let own = socket.local_addr().unwrap();
+    ///     socket.send(&PeerMessage::Listening(own), [own]);
+    ///     assert!(matches!(socket.receive().await, Ok(PeerArrival::Message(..))));
+    /// });
+    /// ```
+    pub async fn receive(&self) -> std::io::Result<PeerArrival> {
+        let mut buffer = [0u8; DATAGRAM_LIMIT];
+        let (length, from) = self.socket.recv_from(&mut buffer).await?;
+        Ok(match postcard::from_bytes(&buffer[..length]) {
+            Ok(message) => PeerArrival::Message(message, from),
+            Err(error) => PeerArrival::Garbage(from, error),
+        })
+    }
+}
--- /dev/null
+++ b/quillcove/src/relay/attempt.rs
@@ -0,0 +1,279 @@
+//! One attempt at a replica, and what its end means.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use quillcove_core::relay::machine::AttemptOrder;
+use quillcove_core::relay::replica::AttemptFate;
+use quillcove_core::relay::sheet::RouteKind;
+use quillcove_platform::heads::{self, AnswerMeaning, AttemptTerms};
+use tokio::time::timeout;
+
+use super::forward::{OpenRequest, is_event_stream};
+use super::pool::ReplicaConnection;
+
+/// Largest answer that is read whole before it is passed on.
+const ANSWER_LIMIT: usize = 8 << 20;
+
+/// Silence after which a repeatable plain call is tried elsewhere: more than the longest work that
+/// the users name for one.
+const SILENCE_LIMIT: Duration = Duration::from_millis(350);
+
+/// Longest time for which a connection may have been unused to carry a request that must not run
+/// twice: if it breaks, the request can not be sent again.
+const FRESH_ENOUGH: Duration = Duration::from_millis(800);
+
+/// Times that a kept connection may turn out closed before a new one is made.
+const STALE_LIMIT: u32 = 2;
+
+/// Added to the time that is left, so that the replica does not stop just before the relay does.
+const NO_SLACK: Duration = Duration::ZERO;
+
+/// A stream whose head has come.
+pub struct LiveStream {
+    pub head: http::response::Parts,
+    pub body: Incoming,
+    pub connection: ReplicaConnection,
+    pub order: AttemptOrder,
+}
+
+/// Why an attempt brought no answer for the caller.
+pub enum AttemptFailure {
+    /// Nothing left this process.
+    NotSent(String),
+    /// The replica says that it did not run the request.
+    Refused(u16),
+    /// The replica is another one (`true`), or does not hold what is asked for.
+    Misdirected(bool),
+    /// The replica ran the request and failed; this is its answer.
+    Errored(Response<Bytes>),
+    /// It may have run; the answer broke off, is not this request's, or never came.
+    Lost(String),
+    /// The request's own time is over.
+    TimeOver,
+}
+
+impl AttemptFailure {
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::Refused(_) => "refused",
+            Self::Misdirected(true) => "other_replica",
+            Self::Misdirected(false) => "not_held",
+            Self::Errored(_) => "errored",
+            Self::Lost(_) => "lost",
+            Self::TimeOver => "time_over",
+        }
+    }
+
+    pub fn detail(&self) -> String {
+        match self {
+            Self::NotSent(reason) | Self::Lost(reason) => reason.clone(),
+            Self::Refused(status) => status.to_string(),
+            Self::Errored(answer) => answer.status().as_u16().to_string(),
+            Self::Misdirected(_) | Self::TimeOver => String::new(),
+        }
+    }
+}
+
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// A whole answer.
+    Whole(Response<Bytes>),
+    /// A stream of events has begun.
+    Stream(Box<LiveStream>),
+    /// No answer.
+    Failed(AttemptFailure),
+}
+
+/// Counts an attempt at its replica as long as it lasts; an attempt that is dropped on the way was
+/// abandoned by its caller.
+struct AttemptGuard<'a> {
+    open: &'a OpenRequest,
+    replica: &'a str,
+    is_handed_over: bool,
+}
+
+impl Drop for AttemptGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_handed_over {
+            let now = self.open.shared.clock.now();
+            self.open.shared.machine().end(self.replica, AttemptFate::Abandoned, now);
+        }
+    }
+}
+
+/// Sends a request to one replica. When it fails, the caller tells the machine how.
+pub async fn send(
+    open: &mut OpenRequest,
+    order: &AttemptOrder,
+    last_event: Option<&str>,
+) -> AttemptEnd {
+    let now = open.shared.clock.now();
+    open.shared.machine().begin(&order.replica, now);
+    let left = open.left(now);
+    let mut guard = AttemptGuard { open, replica: &order.replica, is_handed_over: false };
+    let exchanged = timeout(left, exchange(guard.open, order, last_event)).await;
+    let end = exchanged.unwrap_or(AttemptEnd::Failed(AttemptFailure::TimeOver));
+    guard.is_handed_over = true;
+    drop(guard);
+    if let AttemptEnd::Whole(_) = end {
+        let now = open.shared.clock.now();
+        open.shared.machine().end(&order.replica, AttemptFate::Answered, now);
+    }
+    end
+}
+
+async fn exchange(
+    open: &OpenRequest,
+    order: &AttemptOrder,
+    last_event: Option<&str>,
+) -> AttemptEnd {
+    let kind = open.query.route.kind;
+    let silence = match kind {
+        RouteKind::Safe => SILENCE_LIMIT,
+        RouteKind::Unsafe | RouteKind::Stream | RouteKind::ResumableStream => Duration::MAX,
+    };
+    match timeout(silence, exchange_once(open, order, last_event)).await {
+        Ok(end) => end,
+        Err(_) => AttemptEnd::Failed(AttemptFailure::Lost("no answer in time".to_string())),
+    }
+}
+
+async fn exchange_once(
+    open: &OpenRequest,
+    order: &AttemptOrder,
+    last_event: Option<&str>,
+) -> AttemptEnd {
+    let (mut connection, head) = match send_head(open, order, last_event).await {
+        Ok(answered) => answered,
+        Err(failure) => return AttemptEnd::Failed(failure),
+    };
+    let (parts, body) = head.into_parts();
+    if let Some(keep) = keep_time(&parts.headers) {
+        connection.keep_for(keep);
+    }
+    open.shared.machine().hear(&order.replica, open.shared.clock.now());
+    match heads::read_meaning(parts.status, &parts.headers, &open.terms.id) {
+        AnswerMeaning::Foreign => {
+            let reason = "the answer belongs to another request".to_string();
+            AttemptEnd::Failed(AttemptFailure::Lost(reason))
+        },
+        AnswerMeaning::NotRun => {
+            finish_body(open, connection, body).await;
+            AttemptEnd::Failed(AttemptFailure::Refused(parts.status.as_u16()))
+        },
+        AnswerMeaning::Misdirected => {
+            let named = heads::own_instance(&parts.headers);
+            let is_other = named.is_some_and(|named| named != order.replica);
+            finish_body(open, connection, body).await;
+            AttemptEnd::Failed(AttemptFailure::Misdirected(is_other))
+        },
+        AnswerMeaning::Ran if is_event_stream(open.query.route.kind, parts.status) => {
+            let live = LiveStream { head: parts, body, connection, order: order.clone() };
+            AttemptEnd::Stream(Box::new(live))
+        },
+        AnswerMeaning::Ran => read_whole(open, connection, parts, body).await,
+    }
+}
+
+/// Sends the request over a kept connection or a new one; gives the answer's head.
+async fn send_head(
+    open: &OpenRequest,
+    order: &AttemptOrder,
+    last_event: Option<&str>,
+) -> Result<(ReplicaConnection, Response<Incoming>), AttemptFailure> {
+    let pool = &open.shared.pool;
+    let longest = match open.query.route.kind {
+        RouteKind::Safe => Duration::MAX,
+        RouteKind::Unsafe | RouteKind::Stream | RouteKind::ResumableStream => FRESH_ENOUGH,
+    };
+    let mut stale = 0;
+    loop {
+        let kept = match stale < STALE_LIMIT {
+            true => pool.take(&order.replica, longest),
+            false => None,
+        };
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => pool
+                .connect(&order.replica, order.address)
+                .await
+                .map_err(AttemptFailure::NotSent)?,
+        };
+        let request = request_for(open, order, last_event)?;
+        match connection.sender.try_send_request(request).await {
+            Ok(head) => return Ok((connection, head)),
+            // The request came back whole, so not a byte of it was sent.
+            Err(error) if error.message().is_some() && stale < STALE_LIMIT => stale += 1,
+            Err(error) => {
+                let is_unsent = error.message().is_some();
+                let reason = error.into_error().to_string();
+                return Err(match is_unsent {
+                    true => AttemptFailure::NotSent(reason),
+                    false => AttemptFailure::Lost(reason),
+                });
+            },
+        }
+    }
+}
+
+fn request_for(
+    open: &OpenRequest,
+    order: &AttemptOrder,
+    last_event: Option<&str>,
+) -> Result<Request<Full<Bytes>>, AttemptFailure> {
+    let left = open.left(open.shared.clock.now()) + NO_SLACK;
+    let priority = open.query.model.is_some().then_some(open.query.route.priority.min(9));
+    let terms = AttemptTerms { replica: &order.replica, left: Some(left), priority, last_event };
+    let path = open.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri: Uri = path.parse().map_err(|error: http::uri::InvalidUri| {
+        AttemptFailure::NotSent(error.to_string())
+    })?;
+    let mut request = Request::new(Full::new(open.body.clone()));
+    *request.method_mut() = open.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = heads::attempt_headers(&open.headers, &terms);
+    Ok(request)
+}
+
+/// Reads an answer that is of no use to the caller, so that its connection can be kept.
+async fn finish_body(open: &OpenRequest, connection: ReplicaConnection, body: Incoming) {
+    if Limited::new(body, ANSWER_LIMIT).collect().await.is_ok() {
+        open.shared.pool.put(connection);
+    }
+}
+
+async fn read_whole(
+    open: &OpenRequest,
+    connection: ReplicaConnection,
+    mut head: http::response::Parts,
+    body: Incoming,
+) -> AttemptEnd {
+    let body = match Limited::new(body, ANSWER_LIMIT).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) => {
+            let reason = format!("the answer broke off: {error}");
+            return AttemptEnd::Failed(AttemptFailure::Lost(reason));
+        },
+    };
+    open.shared.pool.put(connection);
+    head.headers = heads::end_to_end(&head.headers);
+    let status = head.status;
+    let answer = Response::from_parts(head, body);
+    match status.is_server_error() && open.query.route.kind == RouteKind::Safe {
+        true => AttemptEnd::Failed(AttemptFailure::Errored(answer)),
+        false => AttemptEnd::Whole(answer),
+    }
+}
+
+/// For how long a replica keeps an unused connection, if it says so.
+fn keep_time(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let parameters = text.split(',').map(str::trim);
+    let seconds = parameters.filter_map(|parameter| parameter.strip_prefix("timeout="));
+    seconds.filter_map(|text| text.parse().ok()).map(Duration::from_secs).next()
+}
--- /dev/null
+++ b/quillcove/src/relay/follow.rs
@@ -0,0 +1,202 @@
+//! Follows the platform's store: reads each part whole, then waits for its changes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use quillcove_core::relay::replica::ReplicaRecord;
+use quillcove_platform::store::{self, StoreAnswer, StoreEvent, StoreScope};
+use quillcove_platform::{WireCall, WireFault};
+use slog::{Logger, warn};
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+use crate::config::relay::StoreSection;
+use crate::web::client::{WebClient, WebError};
+
+/// First pause after a call that failed; doubles up to [`PAUSE_LIMIT`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between calls to a store that fails. Replicas' entries may be back within two
+/// seconds of its return, and a caller is served again soon after.
+const PAUSE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Time between two watches of what the operator writes. Storms of versions come three times a
+/// second; one in force for 200 ms more is well within the two seconds allowed.
+const OPERATOR_GATHER: Duration = Duration::from_millis(200);
+
+/// Time that unused connections to the store are kept.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// News of the store for the serving duty.
+#[derive(Debug)]
+pub enum StoreNews {
+    /// A part was read whole, or changes of it came.
+    Read {
+        scope: StoreScope,
+        is_whole: bool,
+        events: Vec<StoreEvent>,
+        revision: u64,
+    },
+    /// A call failed.
+    Failed { scope: StoreScope, reason: String },
+}
+
+/// Why a call brought nothing.
+#[derive(Debug, thiserror::Error)]
+enum FollowError {
+    #[error(transparent)]
+    Web(#[from] WebError),
+    #[error(transparent)]
+    Wire(#[from] WireFault),
+    #[error("the store forgot the changes")]
+    HistoryGone,
+}
+
+/// Follows both parts of the store.
+pub struct StoreFollower {
+    section: StoreSection,
+    address: SocketAddr,
+    client: WebClient,
+    ring: mpsc::Sender<StoreNews>,
+    hurried: watch::Receiver<u64>,
+    log: Logger,
+}
+
+impl StoreFollower {
+    pub fn new(
+        section: &StoreSection,
+        ring: mpsc::Sender<StoreNews>,
+        hurried: watch::Receiver<u64>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            section: section.clone(),
+            address: section.address,
+            client: WebClient::new(section.timeout, IDLE_TIME),
+            ring,
+            hurried,
+            log,
+        }
+    }
+
+    /// Follows until the process ends.
+    pub async fn run(self, is_over: Arc<AtomicBool>) {
+        let follower = Arc::new(self);
+        let operator = follower.clone().follow(StoreScope::Operator, is_over.clone());
+        let replicas = follower.follow(StoreScope::Replicas, is_over);
+        tokio::join!(operator, replicas);
+    }
+
+    async fn follow(self: Arc<Self>, scope: StoreScope, is_over: Arc<AtomicBool>) {
+        let mut revision = None;
+        let mut pause = FIRST_PAUSE;
+        while !is_over.load(Ordering::Relaxed) {
+            let read = match revision {
+                None => self.read_whole(scope).await,
+                Some(known) => self.watch(scope, known).await,
+            };
+            match read {
+                Ok(next) => {
+                    pause = FIRST_PAUSE;
+                    revision = Some(next);
+                    self.gather(scope).await;
+                },
+                Err(FollowError::HistoryGone) => revision = None,
+                Err(error) => {
+                    self.tell(StoreNews::Failed { scope, reason: error.to_string() }).await;
+                    sleep(pause).await;
+                    pause = (pause * 2).min(PAUSE_LIMIT);
+                },
+            }
+        }
+    }
+
+    /// Lets changes gather before the next watch, as each call has its price.
+    async fn gather(&self, scope: StoreScope) {
+        let pause = match scope {
+            StoreScope::Operator => OPERATOR_GATHER,
+            StoreScope::Replicas => self.section.gather_time,
+        };
+        sleep(pause).await;
+    }
+
+    async fn read_whole(&self, scope: StoreScope) -> Result<u64, FollowError> {
+        let mut events = Vec::new();
+        let mut after: Option<String> = None;
+        let mut revision = None;
+        loop {
+            let call = store::range_call(scope, after.as_deref());
+            let (status, body) = self.call(&call, self.section.timeout).await?;
+            if !status.is_success() {
+                return Err(WireFault::Status { what: "range", status }.into());
+            }
+            let page = store::read_range(&body)?;
+            self.report_faults(&page);
+            // Pages are no snapshot: changes since the first page are read by the watch.
+            let first = *revision.get_or_insert(page.revision);
+            events.extend(page.events);
+            after = page.next_page;
+            if after.is_none() {
+                self.tell(StoreNews::Read { scope, is_whole: true, events, revision: first }).await;
+                return Ok(first);
+            }
+        }
+    }
+
+    async fn watch(&self, scope: StoreScope, revision: u64) -> Result<u64, FollowError> {
+        let wait = self.section.watch_time;
+        let call = store::watch_call(scope, revision, wait);
+        let mut hurried = self.hurried.clone();
+        hurried.mark_unchanged();
+        let answer = tokio::select! {
+            answer = self.call(&call, wait + self.section.timeout) => answer?,
+            _ = hurried.changed() => return self.read_whole(scope).await,
+        };
+        let (status, body) = answer;
+        if store::is_history_gone(status) {
+            return Err(FollowError::HistoryGone);
+        }
+        if !status.is_success() {
+            return Err(WireFault::Status { what: "watch", status }.into());
+        }
+        let answer = store::read_watch(&body)?;
+        self.report_faults(&answer);
+        let next = answer.revision.max(revision);
+        let events = answer.events;
+        self.tell(StoreNews::Read { scope, is_whole: false, events, revision: next }).await;
+        Ok(next)
+    }
+
+    async fn call(
+        &self,
+        call: &WireCall,
+        limit: Duration,
+    ) -> Result<(StatusCode, bytes::Bytes), WebError> {
+        let uri = format!("http://{}{}", self.address, call.path);
+        let answer = self.client.fetch(Method::GET, &uri, bytes::Bytes::new(), limit).await?;
+        Ok((answer.status(), answer.into_body()))
+    }
+
+    fn report_faults(&self, answer: &StoreAnswer) {
+        for fault in &answer.faults {
+            warn!(self.log, "value of the store is not understood"; "fault" => %fault);
+        }
+    }
+
+    async fn tell(&self, news: StoreNews) {
+        // The receiver is gone only when the process ends.
+        let _ = self.ring.send(news).await;
+    }
+}
+
+/// The replicas among the events of a whole reading.
+pub fn replicas_of(events: Vec<StoreEvent>) -> Vec<ReplicaRecord> {
+    let record = |event| match event {
+        StoreEvent::Replica(record) => Some(record),
+        StoreEvent::Sheet(_) | StoreEvent::Version(..) | StoreEvent::ReplicaGone(_) => None,
+    };
+    events.into_iter().filter_map(record).collect()
+}
--- /dev/null
+++ b/quillcove/src/relay/input.rs
@@ -0,0 +1,461 @@
+//! Takes what the store and the other processes tell, and tells them what this relay knows.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use quillcove_core::ids::{HostId, MonoTime};
+use quillcove_core::relay::beacon::{EngineBeacon, PeerMessage, PlannedLoad, RelayBeacon};
+use quillcove_core::relay::keeper::LoadKeeper;
+use quillcove_core::relay::machine::BeliefChange;
+use quillcove_platform::store::{StoreEvent, StoreScope};
+use slog::{info, warn};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+use super::follow::{StoreNews, replicas_of};
+use super::shared::RelayShared;
+use crate::peers::{PeerArrival, PeerSocket};
+use crate::process::note_ready;
+
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between beacons while nothing changes.
+const BEACON_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Least time between two beacons with wants, so that a burst of them goes into one.
+const WANT_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time for which a relay that was heard counts as there: three beacons.
+const RELAY_LIFETIME: Duration = Duration::from_millis(1600);
+
+/// Time after the start, or after a pause of the process, before this relay may plan loads: two
+/// beacons of any other relay that does so already.
+const KEEPER_DELAY: Duration = Duration::from_millis(1100);
+
+/// A gap between ticks that counts as a pause of the process.
+const PAUSE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Time by which another relay may be ahead in the store before this one reads it anew.
+const BEHIND_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Everything that reaches the duty.
+enum RelayInput {
+    Store(StoreNews),
+    Peer(PeerArrival),
+    Wanted,
+    Ticked,
+}
+
+/// Another relay, as last heard.
+struct KnownRelay {
+    address: SocketAddr,
+    heard: MonoTime,
+}
+
+/// The duty's own state.
+pub struct InputDuty {
+    shared: Arc<RelayShared>,
+    socket: PeerSocket,
+    hurry: watch::Sender<u64>,
+    keeper: LoadKeeper,
+    relays: HashMap<HostId, KnownRelay>,
+    /// The last beacon of each loader: its process and number.
+    loaders: HashMap<SocketAddr, (u64, u64)>,
+    /// Whether the store answers, by part.
+    store_up: HashMap<StoreScope, bool>,
+    revision: u64,
+    /// Since when another relay has been ahead in the store.
+    behind_since: Option<MonoTime>,
+    is_keeper: bool,
+    keeper_from: MonoTime,
+    last_tick: MonoTime,
+    last_beacon: MonoTime,
+    last_wants: MonoTime,
+    has_wants: bool,
+}
+
+impl InputDuty {
+    pub fn new(shared: Arc<RelayShared>, socket: PeerSocket, hurry: watch::Sender<u64>) -> Self {
+        Self {
+            shared,
+            socket,
+            hurry,
+            keeper: LoadKeeper::default(),
+            relays: HashMap::new(),
+            loaders: HashMap::new(),
+            store_up: HashMap::new(),
+            revision: 0,
+            behind_since: None,
+            is_keeper: false,
+            keeper_from: KEEPER_DELAY,
+            last_tick: MonoTime::ZERO,
+            last_beacon: MonoTime::ZERO,
+            last_wants: MonoTime::ZERO,
+            has_wants: false,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self, mut news: mpsc::Receiver<StoreNews>) {
+        let mut next_tick = Instant::now();
+        let shared = self.shared.clone();
+        loop {
+            let input = tokio::select! {
+                Some(news) = news.recv() => RelayInput::Store(news),
+                arrival = self.socket.receive() => match arrival {
+                    Ok(arrival) => RelayInput::Peer(arrival),
+                    Err(error) => {
+                        warn!(shared.log, "datagrams can not be read"; "error" => %error);
+                        continue;
+                    },
+                },
+                () = shared.wanted.notified() => RelayInput::Wanted,
+                () = sleep_until(next_tick) => {
+                    next_tick = Instant::now() + TICK;
+                    RelayInput::Ticked
+                },
+            };
+            self.handle(input);
+        }
+    }
+
+    fn handle(&mut self, input: RelayInput) {
+        let now = self.shared.clock.now();
+        match input {
+            RelayInput::Store(news) => self.take_store(news, now),
+            RelayInput::Peer(PeerArrival::Message(message, from)) => {
+                self.take_message(message, from, now);
+            },
+            RelayInput::Peer(PeerArrival::Garbage(from, error)) => {
+                warn!(self.shared.log, "datagram is no message"; "from" => %from,
+                    "error" => %error);
+            },
+            RelayInput::Wanted => {
+                self.has_wants = true;
+                self.tell_wants(now);
+            },
+            RelayInput::Ticked => self.tick(now),
+        }
+    }
+
+    fn take_store(&mut self, news: StoreNews, now: MonoTime) {
+        let scope = match &news {
+            StoreNews::Read { scope, .. } | StoreNews::Failed { scope, .. } => *scope,
+        };
+        match news {
+            StoreNews::Failed { reason, .. } => {
+                if self.store_up.insert(scope, false) != Some(false) {
+                    warn!(self.shared.log, "store lost"; "part" => ?scope, "reason" => reason);
+                }
+            },
+            StoreNews::Read { is_whole, events, revision, .. } => {
+                if self.store_up.insert(scope, true) != Some(true) {
+                    info!(self.shared.log, "store reached"; "part" => ?scope,
+                        "revision" => revision);
+                }
+                self.note_store(now);
+                self.revision = self.revision.max(revision);
+                self.take_events(scope, is_whole, events, now);
+            },
+        }
+        self.note_store(now);
+        self.note_ready();
+    }
+
+    fn note_store(&self, now: MonoTime) {
+        let answers = self.store_up.get(&StoreScope::Replicas).copied().unwrap_or(true);
+        self.shared.machine().note_store(answers, now);
+    }
+
+    fn take_events(
+        &mut self,
+        scope: StoreScope,
+        is_whole: bool,
+        events: Vec<StoreEvent>,
+        now: MonoTime,
+    ) {
+        if is_whole && scope == StoreScope::Replicas {
+            let changes = self.shared.machine().list_all(replicas_of(events), now);
+            self.log_changes(changes);
+            self.shared.tell_news();
+            return;
+        }
+        for event in events {
+            let change = match event {
+                StoreEvent::Sheet(sheet) => {
+                    let version = sheet.version;
+                    let is_taken = self.shared.machine().take_sheet(*sheet);
+                    is_taken.then_some(BeliefChange::Sheet(version))
+                },
+                StoreEvent::Version(key, version) => {
+                    info!(self.shared.log, "adapter has a new version"; "model" => &key.model,
+                        "adapter" => &key.adapter, "version" => version);
+                    self.shared.machine().take_version(key, version, !is_whole, now);
+                    None
+                },
+                StoreEvent::Replica(record) => self.shared.machine().list(record, now),
+                StoreEvent::ReplicaGone(id) => self.shared.machine().unlist(&id, now),
+            };
+            self.log_changes(change);
+        }
+        self.shared.tell_news();
+    }
+
+    fn log_changes(&self, changes: impl IntoIterator<Item = BeliefChange>) {
+        let log = &self.shared.log;
+        let revision = self.revision;
+        for change in changes {
+            match change {
+                BeliefChange::Sheet(version) => {
+                    info!(log, "sheet in force"; "sheet" => version, "revision" => revision);
+                },
+                BeliefChange::Listed(id) => self.log_listed(&id),
+                BeliefChange::Gone(id) => {
+                    self.shared.pool.forget(&id);
+                    info!(log, "replica gone"; "replica" => id, "revision" => revision);
+                },
+                BeliefChange::Doubted(id) => {
+                    info!(log, "replica's entry lapsed"; "replica" => id, "revision" => revision);
+                },
+            }
+        }
+    }
+
+    fn log_listed(&self, id: &str) {
+        let machine = self.shared.machine();
+        let Some(view) = machine.table().get(id) else {
+            return;
+        };
+        let record = &view.record;
+        info!(self.shared.log, "replica listed"; "replica" => id, "service" => &record.service,
+            "address" => %record.address, "hall" => &record.hall, "state" => ?record.state,
+            "revision" => self.revision);
+    }
+
+    fn note_ready(&self) {
+        let is_ready = self.shared.machine().is_ready();
+        note_ready(&self.shared.is_ready, is_ready, &self.shared.log);
+    }
+
+    fn take_message(&mut self, message: PeerMessage, from: SocketAddr, now: MonoTime) {
+        match message {
+            PeerMessage::Relay(beacon) => self.take_beacon(beacon, now),
+            PeerMessage::Engine(beacon) => self.take_report(beacon, now),
+            PeerMessage::Listening(_) | PeerMessage::Load(_) => {
+                warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
+            },
+        }
+    }
+
+    fn take_beacon(&mut self, beacon: RelayBeacon, now: MonoTime) {
+        if beacon.host == self.shared.settings.process.host {
+            return;
+        }
+        let known = KnownRelay { address: beacon.address, heard: now };
+        if self.relays.insert(beacon.host.clone(), known).is_none() {
+            info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
+                "address" => %beacon.address);
+        }
+        self.compare_revision(beacon.revision, now);
+        let has_wants = !beacon.wants.is_empty();
+        self.keeper.take_wants(&beacon.host, beacon.wants, now);
+        if beacon.is_keeper && !self.is_keeper {
+            self.shared.machine().take_plan(&beacon.plan, now);
+            self.shared.tell_news();
+        }
+        if self.is_keeper && has_wants {
+            self.plan_loads(now);
+        }
+    }
+
+    /// A relay that stays behind the others in the store reads it anew, in case its watch is
+    /// stuck on a dead connection.
+    fn compare_revision(&mut self, revision: u64, now: MonoTime) {
+        if revision <= self.revision {
+            self.behind_since = None;
+            return;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        if now.saturating_sub(since) > BEHIND_LIMIT {
+            info!(self.shared.log, "behind another relay"; "own" => self.revision,
+                "other" => revision);
+            self.behind_since = None;
+            self.hurry.send_modify(|count| *count += 1);
+        }
+    }
+
+    fn take_report(&mut self, beacon: EngineBeacon, now: MonoTime) {
+        let last = self.loaders.get(&beacon.engine);
+        let is_late = last.is_some_and(|(incarnation, number)| {
+            *incarnation == beacon.incarnation && *number >= beacon.number
+        });
+        if is_late {
+            return;
+        }
+        self.loaders.insert(beacon.engine, (beacon.incarnation, beacon.number));
+        self.keeper.take_report(&beacon, now);
+        let is_changed = self.shared.machine().take_report(&beacon, now);
+        if is_changed {
+            self.shared.tell_news();
+        }
+        for relay in beacon.relays {
+            self.greet(relay);
+        }
+    }
+
+    /// Tells a relay that only loaders have heard so far that this one is there.
+    fn greet(&self, relay: SocketAddr) {
+        let is_known = self.relays.values().any(|known| known.address == relay);
+        if !is_known && relay != self.shared.settings.listen.control {
+            let beacon = self.beacon(Vec::new(), self.shared.clock.now());
+            self.socket.send(&PeerMessage::Relay(beacon), [relay]);
+        }
+    }
+
+    fn tick(&mut self, now: MonoTime) {
+        let gap = now.saturating_sub(self.last_tick);
+        self.last_tick = now;
+        if gap > PAUSE_LIMIT && now > PAUSE_LIMIT {
+            warn!(self.shared.log, "process was paused"; "gap_ms" => gap.as_millis() as u64);
+            self.keeper_from = now + KEEPER_DELAY;
+            self.hurry.send_modify(|count| *count += 1);
+        }
+        let changes = self.shared.machine().tick(now);
+        self.log_changes(changes);
+        self.note_ready();
+        self.forget_relays(now);
+        self.choose_keeper(now);
+        self.plan_loads(now);
+        if self.has_wants {
+            self.tell_wants(now);
+        }
+        if now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL {
+            self.tell_all(now);
+        }
+    }
+
+    fn forget_relays(&mut self, now: MonoTime) {
+        let log = self.shared.log.clone();
+        self.relays.retain(|host, known| {
+            let is_recent = now.saturating_sub(known.heard) < RELAY_LIFETIME;
+            if !is_recent {
+                info!(log, "relay no longer heard"; "relay" => host);
+            }
+            is_recent
+        });
+    }
+
+    /// The relay with the lowest name among those heard lately plans the loads.
+    fn choose_keeper(&mut self, now: MonoTime) {
+        let own = &self.shared.settings.process.host;
+        let is_lowest = self.relays.keys().all(|host| own < host);
+        let is_stopping = self.shared.machine().is_stopping();
+        let is_keeper = is_lowest && now >= self.keeper_from && !is_stopping;
+        if is_keeper != self.is_keeper {
+            info!(self.shared.log, "planning of loads"; "is_keeper" => is_keeper,
+                "relays" => self.relays.len());
+            self.is_keeper = is_keeper;
+        }
+    }
+
+    fn plan_loads(&mut self, now: MonoTime) {
+        if !self.is_keeper {
+            return;
+        }
+        let host = &self.shared.settings.process.host;
+        let machine = self.shared.machine();
+        self.keeper.take_wants(host, machine.wants(now), now);
+        let asks = self.keeper.plan(&machine, now);
+        drop(machine);
+        let port = self.shared.settings.peers.loader_port;
+        for addressed in &asks {
+            let ask = &addressed.ask;
+            info!(self.shared.log, "load planned"; "replica" => &ask.replica,
+                "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
+                "version" => ask.version, "evict" => ask.evict.as_ref().map(|key| &key.adapter),
+                "in_window" => self.keeper.window_count(now));
+            let loader = SocketAddr::new(addressed.engine.ip(), port);
+            self.socket.send(&PeerMessage::Load(ask.clone()), [loader]);
+        }
+        let plan = self.keeper.planned(&self.shared.machine(), now);
+        self.shared.machine().take_plan(&plan, now);
+        if !asks.is_empty() {
+            self.shared.tell_news();
+            self.tell_plan(plan, now);
+        }
+    }
+
+    fn tell_plan(&mut self, plan: Vec<PlannedLoad>, now: MonoTime) {
+        let beacon = self.beacon(plan, now);
+        self.socket.send(&PeerMessage::Relay(beacon), self.relay_addresses());
+    }
+
+    fn relay_addresses(&self) -> HashSet<SocketAddr> {
+        let own = self.shared.settings.listen.control;
+        let seeds = self.shared.settings.peers.seeds.iter().copied();
+        let heard = self.relays.values().map(|known| known.address);
+        seeds.chain(heard).filter(|address| *address != own).collect()
+    }
+
+    fn beacon(&self, plan: Vec<PlannedLoad>, now: MonoTime) -> RelayBeacon {
+        let machine = self.shared.machine();
+        RelayBeacon {
+            host: self.shared.settings.process.host.clone(),
+            address: self.shared.settings.listen.control,
+            sheet: machine.sheet().map_or(0, |sheet| sheet.version),
+            revision: self.revision,
+            wants: machine.wants(now),
+            plan,
+            is_keeper: self.is_keeper,
+        }
+    }
+
+    /// Tells the other relays what is lacked, at most once in [`WANT_INTERVAL`].
+    fn tell_wants(&mut self, now: MonoTime) {
+        if now.saturating_sub(self.last_wants) < WANT_INTERVAL {
+            return;
+        }
+        self.last_wants = now;
+        self.has_wants = false;
+        if self.is_keeper {
+            self.plan_loads(now);
+        }
+        let plan = self.current_plan(now);
+        self.tell_plan(plan, now);
+    }
+
+    fn current_plan(&self, now: MonoTime) -> Vec<PlannedLoad> {
+        match self.is_keeper {
+            true => self.keeper.planned(&self.shared.machine(), now),
+            false => Vec::new(),
+        }
+    }
+
+    fn tell_all(&mut self, now: MonoTime) {
+        self.last_beacon = now;
+        let plan = self.current_plan(now);
+        self.tell_plan(plan, now);
+        let port = self.shared.settings.peers.loader_port;
+        let own = self.shared.settings.listen.control;
+        let loaders = self.loader_addresses(port);
+        self.socket.send(&PeerMessage::Listening(own), loaders);
+        self.shared.is_ready.load(Ordering::Relaxed);
+    }
+
+    /// Loaders sit on the hosts of all engines that are listed.
+    fn loader_addresses(&self, port: u16) -> HashSet<SocketAddr> {
+        let machine = self.shared.machine();
+        let Some(sheet) = machine.sheet() else {
+            return HashSet::new();
+        };
+        let has_engine = |service: &str| {
+            sheet.service(service).is_some_and(|service| service.engine.is_some())
+        };
+        let engines = machine.table().all().filter(|view| has_engine(&view.record.service));
+        engines.map(|view| SocketAddr::new(view.record.address.ip(), port)).collect()
+    }
+}
--- /dev/null
+++ b/quillcove/src/relay/shared.rs
@@ -0,0 +1,56 @@
+//! What the parts of a relay share.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use quillcove_core::relay::machine::RelayMachine;
+use slog::Logger;
+use tokio::sync::{Notify, watch};
+
+use super::pool::ReplicaPool;
+use crate::clock::MonoClock;
+use crate::config::relay::RelaySettings;
+use crate::metrics::ProcessMetrics;
+
+/// State of one relay.
+pub struct RelayShared {
+    pub settings: RelaySettings,
+    pub log: Logger,
+    pub clock: MonoClock,
+    pub metrics: Arc<ProcessMetrics>,
+    pub pool: ReplicaPool,
+    pub is_ready: AtomicBool,
+    /// Rises when engines hold something else or the plan of loads changed.
+    pub news: watch::Sender<u64>,
+    /// Wakes the duty that tells other relays what is lacked.
+    pub wanted: Notify,
+    machine: Mutex<RelayMachine>,
+}
+
+impl RelayShared {
+    pub fn new(settings: RelaySettings, log: Logger) -> eyre::Result<Self> {
+        let machine = RelayMachine::new(settings.rules(), rand::random());
+        Ok(Self {
+            clock: MonoClock::start(),
+            metrics: Arc::new(ProcessMetrics::new("relay")?),
+            pool: ReplicaPool::new(settings.requests.connect_timeout),
+            is_ready: AtomicBool::new(false),
+            news: watch::Sender::new(0),
+            wanted: Notify::new(),
+            machine: Mutex::new(machine),
+            settings,
+            log,
+        })
+    }
+
+    /// The machine that decides. Nobody holds it across a wait, so it is never contended for
+    /// long; a panic while it was held leaves it in a usable state, as each call is whole.
+    pub fn machine(&self) -> MutexGuard<'_, RelayMachine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes requests that wait for an adapter.
+    pub fn tell_news(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+}
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -12,9 +12,10 @@
 use quillcove::config::shared::{LogSection, StopSection};
 use quillcove::config::{self, SettingRole};
 use quillcove::entry::EntryProcess;
-use quillcove::{bundle, cli, demo, dump, duty, logging, measure, standin};
+use quillcove::{bundle, cli, demo, dump, duty, loader, logging, measure, relay, standin};
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 /// Time between looks at whether a planned stop is over.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -25,6 +26,8 @@
     match name {
         "entry" => run_entry(matches),
         "agent" => run_agent(matches),
+        "relay" => run_relay(matches),
+        "loader" => run_loader(matches),
         "check" => check(matches),
         "dump" => print_dump(matches),
         "bundle" => bundle::command::run(matches).map(|()| ExitCode::SUCCESS),
@@ -59,6 +62,45 @@
     Ok(supervise(RunningRole::Agent(agent), &stop, &log))
 }
 
+fn run_relay(matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    let (file, text) = config_file(matches)?;
+    let settings = config::parse_relay(&file, &text, &cli::given_overrides(matches))?;
+    let log = logging::stdout_logger(&settings.log, "relay", &settings.process.host);
+    let stopped = stop_on_signal(log.clone());
+    relay::run(settings, log, stopped).map(|()| ExitCode::SUCCESS)
+}
+
+fn run_loader(matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    let (file, text) = config_file(matches)?;
+    let settings = config::parse_loader(&file, &text, &cli::given_overrides(matches))?;
+    let log = logging::stdout_logger(&settings.log, "loader", &settings.process.host);
+    let stopped = stop_on_signal(log.clone());
+    loader::run(settings, log, stopped).map(|()| ExitCode::SUCCESS)
+}
+
+/// Turns SIGTERM and SIGINT into a planned stop. SIGHUP is noted and changes nothing yet: what
+/// the settings name is fixed for the life of a process.
+fn stop_on_signal(log: Logger) -> watch::Receiver<bool> {
+    let (stop, stopped) = watch::channel(false);
+    duty::spawn("signals", move || {
+        duty::run_async(1, async move {
+            let mut terminate = signal(SignalKind::terminate()).expect("signals can be caught");
+            let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be caught");
+            let mut hangup = signal(SignalKind::hangup()).expect("signals can be caught");
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => break,
+                    _ = interrupt.recv() => break,
+                    _ = hangup.recv() => info!(log, "told that the settings changed"),
+                }
+            }
+            stop.send_replace(true);
+            std::future::pending::<()>().await;
+        });
+    });
+    stopped
+}
+
 fn role_logger(section: &LogSection, role: &'static str, host: &str) -> Logger {
     logging::logger(section, role, host)
 }
@@ -141,6 +183,10 @@
     let role = match matches.get_one::<String>("role").map(String::as_str) {
         Some("entry") => SettingRole::Entry,
         Some("agent") => SettingRole::Agent,
+        Some("relay") => SettingRole::Relay,
+        Some("loader") => SettingRole::Loader,
+        _ if text.contains("[peers]") => SettingRole::Relay,
+        _ if text.contains("[engine]") => SettingRole::Loader,
         _ if text.contains("[upstream]") => SettingRole::Agent,
         _ => SettingRole::Entry,
     };
@@ -148,6 +194,8 @@
     let checked = match role {
         SettingRole::Entry => config::parse_entry(file, &text, &overrides).map(|_| ()),
         SettingRole::Agent => config::parse_agent(file, &text, &overrides).map(|_| ()),
+        SettingRole::Relay => config::parse_relay(file, &text, &overrides).map(|_| ()),
+        SettingRole::Loader => config::parse_loader(file, &text, &overrides).map(|_| ()),
     };
     match checked {
         Ok(()) => {
--- a/quillcove_core/src/entry/retry.rs
+++ b/quillcove_core/src/entry/retry.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     share: f64,
+    saving: f64,
     left: f64,
 }
 
@@ -30,7 +31,18 @@
     /// assert!(RetryBudget::new(0.2).left() > 0.0);
     /// ```
     pub fn new(share: f64) -> Self {
-        Self { share, left: SAVING_LIMIT }
+        Self::with_saving(share, SAVING_LIMIT)
+    }
+
+    /// A budget that saves up no more than this many repeats, and starts with all of them.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// assert_eq!(RetryBudget::with_saving(0.2, 3.0).left(), 3.0);
+    /// ```
+    pub fn with_saving(share: f64, saving: f64) -> Self {
+        Self { share, saving, left: saving }
     }
 
     /// Counts a first attempt.
@@ -41,7 +53,7 @@
     /// RetryBudget::new(0.2).note_first();
     /// ```
     pub fn note_first(&mut self) {
-        self.left = (self.left + self.share).min(SAVING_LIMIT);
+        self.left = (self.left + self.share).min(self.saving);
     }
 
     /// Takes one repeat; `false` when there is none left.
--- a/quillcove_core/src/lib.rs
+++ b/quillcove_core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`agent`] decides for one upstream: what runs, what waits, what is loaded and unloaded.
 //! - [`entry`] decides for callers: which upstream takes a request and when a repeat is allowed.
 //! - [`once`] keeps requests that must not run twice.
+//! - [`relay`] decides for requests that are passed through unchanged, and plans adapter loads.
 //! - [`permit`] shares the weight store's rate between agents.
 //! - [`bundle`] checks, signs and compares the configuration that operators publish.
 
@@ -23,5 +24,6 @@
 pub mod ids;
 pub mod once;
 pub mod permit;
+pub mod relay;
 pub mod rendezvous;
 pub mod verdict;
--- /dev/null
+++ b/quillcove_core/src/relay/machine.rs
@@ -0,0 +1,912 @@
+//! Decisions of one relay: which replica takes a request, when it waits, and when it is refused.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::beacon::{AdapterKey, AdapterWant, EngineBeacon, PlannedLoad, ReplicaId};
+use super::replica::{AttemptFate, ReplicaRecord, ReplicaTable, ReplicaView};
+use super::routing::{self, FULL_LOAD, HoldingNeed};
+use super::sheet::{RouteRecord, RouteSheet, SheetVersion};
+use crate::demand::DemandMeter;
+use crate::entry::retry::RetryBudget;
+use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
+use crate::rendezvous;
+use crate::verdict::{RefusalReason, SOON, WorkRefusal};
+
+/// Time from the arrival of a request at an engine until its first event, when a batch is not
+/// full: reading a common prompt and two steps, as seen on the standard deployments.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(120);
+
+/// Share of a route's aim within which a request is either on its way or refused, so that a
+/// refused caller still can be served in time when it comes back.
+const DECIDE_SHARE: f64 = 0.2;
+
+/// Multiple of a route's aim up to which a request that was promised an adapter goes on waiting
+/// when the load comes later than planned.
+const PATIENCE: f64 = 2.0;
+
+/// Added to the planned time of a load in what callers are told, for the way of the news.
+const NEWS_TIME: Duration = Duration::from_millis(80);
+
+/// Share of its remaining time after which a caller is told to come back when nothing is planned;
+/// callers do not wait for longer than a third.
+const COME_BACK_SHARE: f64 = 0.3;
+
+/// Time in which requests may still begin on an adapter's version after a newer one was
+/// published. The users allow 5 s; the rest is for requests on their way.
+const VERSION_GRACE: Duration = Duration::from_secs(3);
+
+/// Half-life of the worth of requests that lacked an adapter.
+const WANT_HALF_LIFE: Duration = Duration::from_secs(4);
+
+/// Half-life of the demand for adapters, held or not.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(8);
+
+/// Worth below which a want is forgotten.
+const WANT_FLOOR: f64 = 0.05;
+
+/// Wants told to other relays, so that a beacon fits a datagram.
+const WANTS_TOLD: usize = 32;
+
+/// Time after the store's return in which entries that lapsed meanwhile may come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// Settings of the machine.
+#[derive(Clone, Debug)]
+pub struct RelayRules {
+    /// Hall of this process.
+    pub hall: HallName,
+    /// Repeats as a share of first attempts.
+    pub retry_share: f64,
+    /// Repeats that this process may save up.
+    pub retry_saving: f64,
+    /// Most requests in flight.
+    pub request_limit: usize,
+}
+
+impl Default for RelayRules {
+    fn default() -> Self {
+        Self { hall: HallName::new(), retry_share: 0.1, retry_saving: 8.0, request_limit: 2048 }
+    }
+}
+
+/// What a request needs, as far as decisions go.
+#[derive(Clone, Debug)]
+pub struct RelayQuery {
+    /// Its route.
+    pub route: Arc<RouteRecord>,
+    /// Its service, drawn by the route's weights.
+    pub service: ServiceName,
+    /// Base model that it names.
+    pub model: Option<ModelName>,
+    /// Adapter that it names.
+    pub adapter: Option<AdapterKey>,
+    /// When its head was read.
+    pub received: MonoTime,
+    /// When its caller or its route gives it up.
+    pub deadline: MonoTime,
+}
+
+/// Where an attempt goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptOrder {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+}
+
+/// The next step for a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RelayChoice {
+    /// Send it.
+    Send(AttemptOrder),
+    /// Ask again when the adapters in engines or the plan change, at this time at the latest.
+    Wait(MonoTime),
+    /// Refuse it.
+    Refuse(WorkRefusal),
+}
+
+/// A change that this process noticed, worth a line in the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BeliefChange {
+    /// A sheet came into force.
+    Sheet(SheetVersion),
+    /// A replica is new, or its state changed.
+    Listed(ReplicaId),
+    /// A replica's entry is gone.
+    Gone(ReplicaId),
+    /// A replica's entry is gone, but may come back as the store was away.
+    Doubted(ReplicaId),
+}
+
+/// A relay's state in a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct RelayView {
+    /// Version of the sheet in force, 0 for none.
+    pub sheet: SheetVersion,
+    /// Routes in it.
+    pub routes: usize,
+    /// Requests in flight.
+    pub requests: usize,
+    /// Repeats that the budget allows now.
+    pub retry_budget: f64,
+    /// Whether new connections are to end, as the process stops.
+    pub stopping: bool,
+    /// Replicas known.
+    pub replicas: Vec<ReplicaSummary>,
+}
+
+/// One replica in a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct ReplicaSummary {
+    /// As listed.
+    #[serde(flatten)]
+    pub record: ReplicaRecord,
+    /// Requests of this process in flight there.
+    pub in_flight: u32,
+    /// Its load, as a share of its places.
+    pub load: f64,
+    /// Whether it seems to work.
+    pub is_well: bool,
+    /// Whether its loader's report is fresh.
+    pub has_report: bool,
+}
+
+/// A relay's decisions.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+///
+/// let machine = RelayMachine::new(RelayRules::default(), 1);
+/// assert!(!machine.is_ready());
+/// ```
+#[derive(Debug)]
+pub struct RelayMachine {
+    rules: RelayRules,
+    sheet: Option<Arc<RouteSheet>>,
+    table: ReplicaTable,
+    versions: HashMap<AdapterKey, (AdapterVersion, MonoTime)>,
+    wants: HashMap<AdapterKey, (ServiceName, DemandMeter)>,
+    demand: HashMap<AdapterKey, DemandMeter>,
+    plan: HashMap<AdapterKey, MonoTime>,
+    budgets: HashMap<ServiceName, RetryBudget>,
+    /// Replicas whose entries lapsed while the store was away, and when they are given up.
+    doubted: HashMap<ReplicaId, MonoTime>,
+    store_returned: Option<MonoTime>,
+    is_store_away: bool,
+    requests: usize,
+    is_stopping: bool,
+    draws: u64,
+}
+
+impl RelayMachine {
+    /// A machine that knows nothing yet. The seed feeds its draws.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).sheet().is_none());
+    /// ```
+    pub fn new(rules: RelayRules, seed: u64) -> Self {
+        Self {
+            rules,
+            sheet: None,
+            table: ReplicaTable::default(),
+            versions: HashMap::new(),
+            wants: HashMap::new(),
+            demand: HashMap::new(),
+            plan: HashMap::new(),
+            budgets: HashMap::new(),
+            doubted: HashMap::new(),
+            store_returned: None,
+            is_store_away: false,
+            requests: 0,
+            is_stopping: false,
+            draws: seed,
+        }
+    }
+
+    /// The sheet in force.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).sheet().is_none());
+    /// ```
+    pub fn sheet(&self) -> Option<&Arc<RouteSheet>> {
+        self.sheet.as_ref()
+    }
+
+    /// The replicas that are known.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.table().all().count(), 0);
+    /// ```
+    pub fn table(&self) -> &ReplicaTable {
+        &self.table
+    }
+
+    /// Newest versions of adapters that the operator named.
+    ///
+    /// ```
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).newest(&key), None);
+    /// ```
+    pub fn newest(&self, key: &AdapterKey) -> Option<AdapterVersion> {
+        self.versions.get(key).map(|(version, _)| *version)
+    }
+
+    /// Adapters of which a newer version was named.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).versions().count(), 0);
+    /// ```
+    pub fn versions(&self) -> impl Iterator<Item = (&AdapterKey, AdapterVersion)> {
+        self.versions.iter().map(|(key, (version, _))| (key, *version))
+    }
+
+    /// Faded number of requests for an adapter at this relay.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.demand(&key, Duration::ZERO), 0.0);
+    /// ```
+    pub fn demand(&self, key: &AdapterKey, now: MonoTime) -> f64 {
+        self.demand.get(key).map_or(0.0, |meter| meter.level(now, DEMAND_HALF_LIFE))
+    }
+
+    /// Tells whether callers can be served: a sheet is in force, replicas are known, and the
+    /// process does not stop.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(!RelayMachine::new(RelayRules::default(), 1).is_ready());
+    /// ```
+    pub fn is_ready(&self) -> bool {
+        self.sheet.is_some() && self.table.all().next().is_some() && !self.is_stopping
+    }
+
+    /// Begins the planned stop.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.stop();
+    /// assert!(machine.is_stopping());
+    /// ```
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Tells whether the planned stop has begun.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(!RelayMachine::new(RelayRules::default(), 1).is_stopping());
+    /// ```
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
+    /// Requests in flight.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).in_flight(), 0);
+    /// ```
+    pub fn in_flight(&self) -> usize {
+        self.requests
+    }
+
+    /// The state at this time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.view(Duration::ZERO).requests, 0);
+    /// ```
+    pub fn view(&self, now: MonoTime) -> RelayView {
+        let summary = |view: &ReplicaView| ReplicaSummary {
+            record: view.record.clone(),
+            in_flight: view.in_flight,
+            load: view.load(now),
+            is_well: view.seems_well(now),
+            has_report: view.report(now).is_some(),
+        };
+        RelayView {
+            sheet: self.sheet.as_ref().map_or(0, |sheet| sheet.version),
+            routes: self.sheet.as_ref().map_or(0, |sheet| sheet.route_count()),
+            requests: self.requests,
+            retry_budget: self.budgets.values().map(RetryBudget::left).sum(),
+            stopping: self.is_stopping,
+            replicas: self.table.all().map(summary).collect(),
+        }
+    }
+
+    /// Takes a sheet unless one of the same or a higher version is in force.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// let sheet = |version| RouteSheet::new(version, vec![], vec![], CallerLimits::default());
+    /// assert!(machine.take_sheet(sheet(2)));
+    /// assert!(!machine.take_sheet(sheet(1)));
+    /// ```
+    pub fn take_sheet(&mut self, sheet: RouteSheet) -> bool {
+        let is_newer = self.sheet.as_ref().is_none_or(|held| sheet.version > held.version);
+        if is_newer {
+            self.sheet = Some(Arc::new(sheet));
+        }
+        is_newer
+    }
+
+    /// Takes the newest version of an adapter. A version that was published before this process
+    /// began to watch allows no grace.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.take_version(key.clone(), 2, true, Duration::ZERO);
+    /// assert_eq!(machine.newest(&key), Some(2));
+    /// ```
+    pub fn take_version(
+        &mut self,
+        key: AdapterKey,
+        version: AdapterVersion,
+        is_fresh: bool,
+        now: MonoTime,
+    ) {
+        let known = self.versions.get(&key).map_or(0, |(version, _)| *version);
+        if version > known {
+            let strict_from = if is_fresh { now + VERSION_GRACE } else { now };
+            self.versions.insert(key, (version, strict_from));
+        }
+    }
+
+    /// Takes a replica's entry from the platform's listing.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.list(example_record("i-1"), Duration::ZERO).is_some());
+    /// ```
+    pub fn list(&mut self, record: ReplicaRecord, now: MonoTime) -> Option<BeliefChange> {
+        self.doubted.remove(&record.id);
+        let id = record.id.clone();
+        self.table.list(record, now).then_some(BeliefChange::Listed(id))
+    }
+
+    /// Takes the news that a replica's entry is gone. While the store is away or has just come
+    /// back, the entry may have lapsed only because the replica could not renew it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.unlist("i-1", Duration::ZERO), None);
+    /// ```
+    pub fn unlist(&mut self, id: &str, now: MonoTime) -> Option<BeliefChange> {
+        self.table.get(id)?;
+        let is_recent =
+            self.store_returned.is_some_and(|back| now.saturating_sub(back) < LAPSE_GRACE);
+        if self.is_store_away || is_recent {
+            let from = self.store_returned.unwrap_or(now);
+            self.doubted.entry(id.to_string()).or_insert(from + LAPSE_GRACE);
+            return Some(BeliefChange::Doubted(id.to_string()));
+        }
+        self.table.remove(id);
+        Some(BeliefChange::Gone(id.to_string()))
+    }
+
+    /// Takes the whole listing: replicas that it does not name are gone.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.list(example_record("i-1"), Duration::ZERO);
+    /// assert_eq!(machine.list_all(Vec::new(), Duration::ZERO).len(), 1);
+    /// ```
+    pub fn list_all(&mut self, records: Vec<ReplicaRecord>, now: MonoTime) -> Vec<BeliefChange> {
+        let is_listed = |id: &ReplicaId| records.iter().any(|record| record.id == *id);
+        let known = self.table.all().map(|view| view.record.id.clone());
+        let missing: Vec<ReplicaId> = known.filter(|id| !is_listed(id)).collect();
+        let mut changes: Vec<BeliefChange> =
+            missing.iter().filter_map(|id| self.unlist(id, now)).collect();
+        changes.extend(records.into_iter().filter_map(|record| self.list(record, now)));
+        changes
+    }
+
+    /// Notes whether the store answers; tells whether that changed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.note_store(false, Duration::ZERO));
+    /// assert!(!machine.note_store(false, Duration::ZERO));
+    /// ```
+    pub fn note_store(&mut self, answers: bool, now: MonoTime) -> bool {
+        let is_changed = self.is_store_away == answers;
+        if is_changed && answers {
+            self.store_returned = Some(now);
+        }
+        self.is_store_away = !answers;
+        is_changed
+    }
+
+    /// Gives up replicas whose entries lapsed and did not come back in time, and forgets faded
+    /// wants.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.tick(Duration::ZERO).is_empty());
+    /// ```
+    pub fn tick(&mut self, now: MonoTime) -> Vec<BeliefChange> {
+        self.wants.retain(|_, (_, meter)| meter.level(now, WANT_HALF_LIFE) > WANT_FLOOR);
+        self.demand.retain(|_, meter| meter.level(now, DEMAND_HALF_LIFE) > WANT_FLOOR);
+        if self.is_store_away {
+            return Vec::new();
+        }
+        let due: Vec<ReplicaId> = self
+            .doubted
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &due {
+            self.doubted.remove(id);
+            self.table.remove(id);
+        }
+        due.into_iter().map(BeliefChange::Gone).collect()
+    }
+
+    /// Takes a loader's report; tells whether what the engine holds changed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let beacon = EngineBeacon {
+    ///     host: "e1".into(),
+    ///     engine: "127.0.0.1:1".parse().unwrap(),
+    ///     number: 1,
+    ///     incarnation: 1,
+    ///     report: EngineReport::default(),
+    ///     recent_loads: Vec::new(),
+    ///     relays: Vec::new(),
+    /// };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(!machine.take_report(&beacon, Duration::ZERO));
+    /// ```
+    pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
+        self.table.report(beacon.engine, beacon.report.clone(), now)
+    }
+
+    /// Takes the keeper's plan.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// RelayMachine::new(RelayRules::default(), 1).take_plan(&[], Duration::ZERO);
+    /// ```
+    pub fn take_plan(&mut self, plan: &[PlannedLoad], now: MonoTime) {
+        self.plan.clear();
+        self.plan.extend(plan.iter().map(|load| (load.key.clone(), now + load.ready_in)));
+    }
+
+    /// What this relay lacks, the worthiest first.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.wants(Duration::ZERO).is_empty());
+    /// ```
+    pub fn wants(&self, now: MonoTime) -> Vec<AdapterWant> {
+        let want = |(key, (service, meter)): (&AdapterKey, &(ServiceName, DemandMeter))| {
+            let worth = meter.level(now, WANT_HALF_LIFE) as f32;
+            AdapterWant { service: service.clone(), key: key.clone(), worth }
+        };
+        let mut wants: Vec<AdapterWant> = self.wants.iter().map(want).collect();
+        wants.sort_by(|a, b| b.worth.total_cmp(&a.worth));
+        wants.truncate(WANTS_TOLD);
+        wants
+    }
+
+    /// Admits a request, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when too many requests are in flight or its time is over.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.admit("s", Duration::from_secs(1), Duration::ZERO).is_ok());
+    /// assert_eq!(machine.in_flight(), 1);
+    /// ```
+    pub fn admit(
+        &mut self,
+        service: &str,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> Result<(), WorkRefusal> {
+        if deadline <= now {
+            return Err(WorkRefusal::not_run(RefusalReason::DeadlinePassed, None));
+        }
+        if self.requests >= self.rules.request_limit {
+            return Err(WorkRefusal::overloaded());
+        }
+        self.requests += 1;
+        self.budget(service).note_first();
+        Ok(())
+    }
+
+    /// Notes that an admitted request has its answer or has gone.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.finish();
+    /// assert_eq!(machine.in_flight(), 0);
+    /// ```
+    pub fn finish(&mut self) {
+        self.requests = self.requests.saturating_sub(1);
+    }
+
+    fn budget(&mut self, service: &str) -> &mut RetryBudget {
+        let (share, saving) = (self.rules.retry_share, self.rules.retry_saving);
+        let fresh = || RetryBudget::with_saving(share, saving);
+        self.budgets.entry(service.to_string()).or_insert_with(fresh)
+    }
+
+    /// Takes one repeat from the budget of a service; `false` when none is left.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_repeat("s"));
+    /// ```
+    pub fn take_repeat(&mut self, service: &str) -> bool {
+        self.budget(service).take()
+    }
+
+    /// Draws the service of a request by its route's weights.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::sheet::{RouteKind, RouteRecord, RouteTarget};
+    ///
+    /// let route = RouteRecord {
+    ///     name: "r".into(),
+    ///     host: "a.example".into(),
+    ///     prefix: "/".into(),
+    ///     kind: RouteKind::Safe,
+    ///     timeout: Duration::from_secs(1),
+    ///     aim: Duration::from_millis(100),
+    ///     priority: 0,
+    ///     attempt_limit: 1,
+    ///     targets: vec![RouteTarget { service: "s".into(), weight: 1 }],
+    /// };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.draw_service(&route), Some("s".to_string()));
+    /// ```
+    pub fn draw_service(&mut self, route: &RouteRecord) -> Option<ServiceName> {
+        let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let mut place = self.draw().checked_rem(total)?;
+        for target in &route.targets {
+            let weight = u64::from(target.weight);
+            if place < weight {
+                return Some(target.service.clone());
+            }
+            place -= weight;
+        }
+        None
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.draws = self.draws.wrapping_add(1);
+        rendezvous::weight("draw", &self.draws.to_string())
+    }
+
+    /// The least version of an adapter on which a request may begin now.
+    fn least_version(&self, key: &AdapterKey, now: MonoTime) -> AdapterVersion {
+        match self.versions.get(key) {
+            Some((version, strict_from)) if now >= *strict_from => *version,
+            _ => 0,
+        }
+    }
+
+    /// Counts a request for an adapter.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.note_demand(&key, Duration::ZERO);
+    /// assert_eq!(machine.demand(&key, Duration::ZERO), 1.0);
+    /// ```
+    pub fn note_demand(&mut self, key: &AdapterKey, now: MonoTime) {
+        self.demand.entry(key.clone()).or_default().add(now, 1.0, DEMAND_HALF_LIFE);
+    }
+
+    /// Notes that a request found no engine with its adapter, so that one is loaded. Called once
+    /// a request.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.note_want("s", &key, Duration::ZERO);
+    /// assert_eq!(machine.wants(Duration::ZERO).len(), 1);
+    /// ```
+    pub fn note_want(&mut self, service: &str, key: &AdapterKey, now: MonoTime) {
+        let fresh = || (service.to_string(), DemandMeter::default());
+        let (_, meter) = self.wants.entry(key.clone()).or_insert_with(fresh);
+        meter.add(now, 1.0, WANT_HALF_LIFE);
+    }
+
+    /// Chooses the next step of a request; replicas in `tried` are left out.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
+    /// use quillcove_core::relay::sheet::{RouteKind, RouteRecord};
+    ///
+    /// let route = RouteRecord {
+    ///     name: "r".into(),
+    ///     host: "a.example".into(),
+    ///     prefix: "/".into(),
+    ///     kind: RouteKind::Safe,
+    ///     timeout: Duration::from_secs(1),
+    ///     aim: Duration::from_millis(100),
+    ///     priority: 0,
+    ///     attempt_limit: 1,
+    ///     targets: Vec::new(),
+    /// };
+    /// let query = RelayQuery {
+    ///     route: Arc::new(route),
+    ///     service: "s".into(),
+    ///     model: None,
+    ///     adapter: None,
+    ///     received: Duration::ZERO,
+    ///     deadline: Duration::from_secs(1),
+    /// };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// let choice = machine.choose(&query, &[], Duration::ZERO);
+    /// assert!(matches!(choice, RelayChoice::Refuse(_)));
+    /// ```
+    pub fn choose(
+        &mut self,
+        query: &RelayQuery,
+        tried: &[ReplicaId],
+        now: MonoTime,
+    ) -> RelayChoice {
+        if now >= query.deadline {
+            return refuse(RefusalReason::DeadlinePassed, None);
+        }
+        let draw = self.draw();
+        let ready: Vec<&ReplicaView> = self
+            .table
+            .all()
+            .filter(|view| view.record.service == query.service && view.is_ready())
+            .collect();
+        if ready.is_empty() {
+            return refuse(RefusalReason::NoUpstream, Some(SOON));
+        }
+        let pool = well_ones(&ready, now);
+        let need = self.need_of(query, now);
+        let holds = |view: &&&ReplicaView| need.is_met_by(view, now);
+        let holders: Vec<&ReplicaView> = pool.iter().filter(holds).copied().collect();
+        let is_fresh = |view: &&&ReplicaView| !tried.contains(&view.record.id);
+        let fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
+        match routing::choose(&fresh, &self.rules.hall, now, draw) {
+            Some(view) => {
+                let order = AttemptOrder {
+                    replica: view.record.id.clone(),
+                    address: view.record.address,
+                };
+                RelayChoice::Send(order)
+            },
+            None if query.adapter.is_some() && holders.is_empty() => self.await_load(query, now),
+            None => refuse(RefusalReason::NoUpstream, Some(SOON)),
+        }
+    }
+
+    fn need_of<'a>(&self, query: &'a RelayQuery, now: MonoTime) -> HoldingNeed<'a> {
+        match (&query.adapter, &query.model) {
+            (Some(key), _) => HoldingNeed::Adapter(key, self.least_version(key, now)),
+            (None, Some(model)) => HoldingNeed::Model(model),
+            (None, None) => HoldingNeed::Nothing,
+        }
+    }
+
+    /// Tells whether every engine that holds an adapter has a full batch, so that another copy
+    /// is of use.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.is_short_of("s", &key, Duration::ZERO));
+    /// ```
+    pub fn is_short_of(&self, service: &str, key: &AdapterKey, now: MonoTime) -> bool {
+        let least = self.least_version(key, now);
+        let need = HoldingNeed::Adapter(key, least);
+        let mut holders = self.table.all().filter(|view| {
+            view.record.service == service
+                && view.is_ready()
+                && view.seems_well(now)
+                && need.is_met_by(view, now)
+        });
+        holders.all(|view| view.load(now) >= FULL_LOAD)
+    }
+
+    /// A request whose adapter is in no engine: waits when the adapter will be there in time, and
+    /// is refused at once, with the time at which to come back, when it will not.
+    fn await_load(&self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
+        let aim = query.route.aim;
+        let decide_by = query.received + aim.mul_f64(DECIDE_SHARE);
+        let Some(key) = &query.adapter else {
+            return refuse(RefusalReason::NoUpstream, Some(SOON));
+        };
+        let planned = self.plan.get(key).copied();
+        if let Some(ready_at) = planned {
+            let in_time = ready_at + FIRST_EVENT_TIME <= query.received + aim;
+            if in_time {
+                let give_up = query.received + aim.mul_f64(PATIENCE);
+                return RelayChoice::Wait(give_up.max(decide_by).min(query.deadline));
+            }
+        }
+        if now < decide_by && planned.is_none() {
+            return RelayChoice::Wait(decide_by.min(query.deadline));
+        }
+        let is_promised = now > decide_by && now < query.received + aim.mul_f64(PATIENCE);
+        if is_promised && planned.is_some() {
+            let give_up = query.received + aim.mul_f64(PATIENCE);
+            return RelayChoice::Wait(give_up.min(query.deadline));
+        }
+        let left = query.deadline.saturating_sub(now);
+        let come_back = match planned {
+            Some(ready_at) => ready_at.saturating_sub(now) + NEWS_TIME,
+            None => left.mul_f64(COME_BACK_SHARE),
+        };
+        refuse(RefusalReason::DeadlineTooShort, Some(come_back))
+    }
+
+    /// Notes that a request is sent to a replica.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// RelayMachine::new(RelayRules::default(), 1).begin("i-1", Duration::ZERO);
+    /// ```
+    pub fn begin(&mut self, replica: &str, now: MonoTime) {
+        self.table.begin(replica, now);
+    }
+
+    /// Notes that bytes came from a replica.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// RelayMachine::new(RelayRules::default(), 1).hear("i-1", Duration::ZERO);
+    /// ```
+    pub fn hear(&mut self, replica: &str, now: MonoTime) {
+        self.table.hear(replica, now);
+    }
+
+    /// Notes the end of an attempt; tells whether the replica is left out from now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::AttemptFate;
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(!machine.end("i-1", AttemptFate::Answered, Duration::ZERO));
+    /// ```
+    pub fn end(&mut self, replica: &str, fate: AttemptFate, now: MonoTime) -> bool {
+        self.table.end(replica, fate, now)
+    }
+
+    /// Notes that a replica turned out not to be the one that was meant.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// RelayMachine::new(RelayRules::default(), 1).forget("i-1");
+    /// ```
+    pub fn forget(&mut self, replica: &str) {
+        self.table.remove(replica);
+        self.doubted.remove(replica);
+    }
+
+    /// Notes that a replica does not hold an adapter that it was taken to hold.
+    ///
+    /// ```
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// RelayMachine::new(RelayRules::default(), 1).lacks("i-1", &key);
+    /// ```
+    pub fn lacks(&mut self, replica: &str, key: &AdapterKey) {
+        self.table.lacks(replica, key);
+    }
+}
+
+/// Replicas that seem to work; all of them when that would leave less than half, because then the
+/// fault may be on this side.
+fn well_ones<'a>(ready: &[&'a ReplicaView], now: MonoTime) -> Vec<&'a ReplicaView> {
+    let well: Vec<&ReplicaView> =
+        ready.iter().filter(|view| view.seems_well(now)).copied().collect();
+    match well.len() * 2 < ready.len() {
+        true => ready.to_vec(),
+        false => well,
+    }
+}
+
+fn refuse(reason: RefusalReason, retry_after: Option<Duration>) -> RelayChoice {
+    RelayChoice::Refuse(WorkRefusal::not_run(reason, retry_after))
+}
--- /dev/null
+++ b/quillcove_core/src/relay/mod.rs
@@ -0,0 +1,16 @@
+//! Decisions for requests that pass through unchanged to upstreams that a platform lists.
+//!
+//! - [`sheet`]: routes, services and limits in force.
+//! - [`replica`]: the upstreams that are known, what they hold and how they fare.
+//! - [`machine`]: admission, choice of the upstream, and repeats, for one relay.
+//! - [`keeper`]: which adapter is loaded where, and when it will be there.
+//! - [`loader`]: orders to the one engine beside a loader.
+//! - [`beacon`]: what relays and loaders tell each other.
+
+pub mod beacon;
+pub mod keeper;
+pub mod loader;
+pub mod machine;
+pub mod replica;
+pub mod routing;
+pub mod sheet;
--- /dev/null
+++ b/quillcove_core/src/relay/replica.rs
@@ -0,0 +1,425 @@
+//! The upstreams that are known: what the platform lists, what they hold, and how they fare.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::beacon::{AdapterKey, EngineReport, HeldAdapter, ReplicaId};
+use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
+
+/// Age up to which a loader's report goes before the platform's listing. Loaders report at least
+/// each 500 ms, so this bears two lost datagrams.
+pub const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
+
+/// Failures in a row after which a replica is left out for a while.
+const EJECT_AFTER: u32 = 3;
+
+/// First time that a replica is left out; doubles with each further time.
+const EJECT_TIME: Duration = Duration::from_millis(1000);
+
+/// Most doublings of [`EJECT_TIME`].
+const EJECT_DOUBLINGS: u32 = 3;
+
+/// Silence of a replica with requests in flight after which it counts as stuck. A plain call or a
+/// step of an engine takes a fraction of it.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1200);
+
+/// Whether a replica takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum ReplicaState {
+    /// It does.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// One replica as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ReplicaRecord {
+    /// Identifies this start of the replica.
+    pub id: ReplicaId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its hall.
+    pub hall: HallName,
+    /// Requests that it works on at once.
+    pub places: u32,
+    /// Whether it takes new work.
+    pub state: ReplicaState,
+    /// Base models that it holds.
+    pub models: Vec<ModelName>,
+    /// Adapters that it holds.
+    pub adapters: Vec<HeldAdapter>,
+}
+
+/// How an attempt at a replica ended, as far as the replica's health goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptFate {
+    /// It answered as it should.
+    Answered,
+    /// It refused: it is full, or not what it was taken for.
+    Refused,
+    /// It broke off, said nothing, or could not be reached.
+    Failed,
+    /// The caller left; this says nothing of the replica.
+    Abandoned,
+}
+
+/// A replica with what this process knows of it.
+#[derive(Clone, Debug)]
+pub struct ReplicaView {
+    /// As the platform lists it.
+    pub record: ReplicaRecord,
+    /// Requests of this process in flight there.
+    pub in_flight: u32,
+    /// The last report of its loader, and when it came.
+    report: Option<(EngineReport, MonoTime)>,
+    /// Requests sent since that report.
+    sent_since: u32,
+    failures: u32,
+    ejections: u32,
+    ejected_until: MonoTime,
+    last_heard: MonoTime,
+}
+
+impl ReplicaView {
+    fn new(record: ReplicaRecord, now: MonoTime) -> Self {
+        Self {
+            record,
+            in_flight: 0,
+            report: None,
+            sent_since: 0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: MonoTime::ZERO,
+            last_heard: now,
+        }
+    }
+
+    /// Tells whether it takes new work.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(table.get("i-1").unwrap().is_ready());
+    /// ```
+    pub fn is_ready(&self) -> bool {
+        self.record.state == ReplicaState::Ready
+    }
+
+    /// Tells whether it seems to work: not left out after failures, and not silent while requests
+    /// are in flight.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(table.get("i-1").unwrap().seems_well(Duration::ZERO));
+    /// ```
+    pub fn seems_well(&self, now: MonoTime) -> bool {
+        let is_silent =
+            self.in_flight > 0 && now.saturating_sub(self.last_heard) > SILENCE_LIMIT;
+        now >= self.ejected_until && !is_silent
+    }
+
+    /// The loader's report, unless it is too old.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(table.get("i-1").unwrap().report(Duration::ZERO).is_none());
+    /// ```
+    pub fn report(&self, now: MonoTime) -> Option<&EngineReport> {
+        let (report, heard) = self.report.as_ref()?;
+        (now.saturating_sub(*heard) <= REPORT_LIFETIME).then_some(report)
+    }
+
+    /// Adapters that it holds: by the loader's report, or else by the platform's listing.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(table.get("i-1").unwrap().adapters(Duration::ZERO).is_empty());
+    /// ```
+    pub fn adapters(&self, now: MonoTime) -> &[HeldAdapter] {
+        self.report(now).map_or(&self.record.adapters, |report| &report.adapters)
+    }
+
+    /// Base models that it holds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert_eq!(table.get("i-1").unwrap().models(Duration::ZERO), ["m"]);
+    /// ```
+    pub fn models(&self, now: MonoTime) -> &[ModelName] {
+        self.report(now).map_or(&self.record.models, |report| &report.models)
+    }
+
+    /// Version of an adapter that it holds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// assert_eq!(table.get("i-1").unwrap().version_of(&key, Duration::ZERO), None);
+    /// ```
+    pub fn version_of(&self, key: &AdapterKey, now: MonoTime) -> Option<AdapterVersion> {
+        let held = self.adapters(now).iter().find(|held| held.key == *key);
+        held.map(|held| held.version)
+    }
+
+    /// Requests there, as a share of its places: by the last report and what was sent since, or
+    /// by this process's own requests alone.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.begin("i-1", Duration::ZERO);
+    /// assert!(table.get("i-1").unwrap().load(Duration::ZERO) > 0.0);
+    /// ```
+    pub fn load(&self, now: MonoTime) -> f64 {
+        let requests = match self.report(now) {
+            Some(report) => (report.running + report.waiting + self.sent_since).max(self.in_flight),
+            None => self.in_flight,
+        };
+        f64::from(requests) / f64::from(self.record.places.max(1))
+    }
+}
+
+/// All replicas that are known.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicaTable {
+    replicas: HashMap<ReplicaId, ReplicaView>,
+}
+
+impl ReplicaTable {
+    /// Takes a replica's listing; tells whether it was unknown or changed its state.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// assert!(table.list(example_record("i-1"), Duration::ZERO));
+    /// assert!(!table.list(example_record("i-1"), Duration::ZERO));
+    /// ```
+    pub fn list(&mut self, record: ReplicaRecord, now: MonoTime) -> bool {
+        match self.replicas.get_mut(&record.id) {
+            Some(view) => {
+                let is_changed = view.record.state != record.state;
+                view.record = record;
+                is_changed
+            },
+            None => {
+                self.replicas.insert(record.id.clone(), ReplicaView::new(record, now));
+                true
+            },
+        }
+    }
+
+    /// Forgets a replica that has gone; tells whether it was known.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert!(!ReplicaTable::default().remove("i-1"));
+    /// ```
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.replicas.remove(id).is_some()
+    }
+
+    /// One replica.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert!(ReplicaTable::default().get("i-1").is_none());
+    /// ```
+    pub fn get(&self, id: &str) -> Option<&ReplicaView> {
+        self.replicas.get(id)
+    }
+
+    /// All replicas, in no order.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert_eq!(ReplicaTable::default().all().count(), 0);
+    /// ```
+    pub fn all(&self) -> impl Iterator<Item = &ReplicaView> {
+        self.replicas.values()
+    }
+
+    /// The replica that listens at an address now; of several, the one that is ready.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert!(ReplicaTable::default().at("127.0.0.1:1".parse().unwrap()).is_none());
+    /// ```
+    pub fn at(&self, address: SocketAddr) -> Option<&ReplicaView> {
+        let there = self.all().filter(|view| view.record.address == address);
+        there.max_by_key(|view| view.is_ready())
+    }
+
+    /// Takes a loader's report on the engine at an address; tells whether the adapters changed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::EngineReport;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// assert!(!table.report(address, EngineReport::default(), Duration::ZERO));
+    /// ```
+    pub fn report(&mut self, address: SocketAddr, report: EngineReport, now: MonoTime) -> bool {
+        let Some(id) = self.at(address).map(|view| view.record.id.clone()) else {
+            return false;
+        };
+        let Some(view) = self.replicas.get_mut(&id) else {
+            return false;
+        };
+        let is_changed = view.adapters(now) != report.adapters || view.models(now) != report.models;
+        view.report = Some((report, now));
+        view.sent_since = 0;
+        is_changed
+    }
+
+    /// Notes that a request is sent.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// ReplicaTable::default().begin("i-1", Duration::ZERO);
+    /// ```
+    pub fn begin(&mut self, id: &str, now: MonoTime) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            if view.in_flight == 0 {
+                view.last_heard = now;
+            }
+            view.in_flight += 1;
+            view.sent_since += 1;
+        }
+    }
+
+    /// Notes that bytes came from a replica.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// ReplicaTable::default().hear("i-1", Duration::ZERO);
+    /// ```
+    pub fn hear(&mut self, id: &str, now: MonoTime) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            view.last_heard = now;
+        }
+    }
+
+    /// Notes the end of an attempt; tells whether the replica is left out from now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{AttemptFate, ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let mut fail = || table.end("i-1", AttemptFate::Failed, Duration::ZERO);
+    /// assert_eq!([fail(), fail(), fail()], [false, false, true]);
+    /// ```
+    pub fn end(&mut self, id: &str, fate: AttemptFate, now: MonoTime) -> bool {
+        let Some(view) = self.replicas.get_mut(id) else {
+            return false;
+        };
+        view.in_flight = view.in_flight.saturating_sub(1);
+        match fate {
+            AttemptFate::Answered => {
+                view.failures = 0;
+                view.ejections = 0;
+                view.last_heard = now;
+                false
+            },
+            AttemptFate::Refused => {
+                view.last_heard = now;
+                false
+            },
+            AttemptFate::Abandoned => false,
+            AttemptFate::Failed => {
+                view.failures += 1;
+                let is_ejected = view.failures >= EJECT_AFTER;
+                if is_ejected {
+                    view.failures = 0;
+                    let doublings = view.ejections.min(EJECT_DOUBLINGS);
+                    view.ejected_until = now + EJECT_TIME * 2u32.pow(doublings);
+                    view.ejections += 1;
+                }
+                is_ejected
+            },
+        }
+    }
+
+    /// Drops the adapter from what a replica is taken to hold, after the replica said that it
+    /// does not have it.
+    ///
+    /// ```
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// ReplicaTable::default().lacks("i-1", &key);
+    /// ```
+    pub fn lacks(&mut self, id: &str, key: &AdapterKey) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            view.record.adapters.retain(|held| held.key != *key);
+            if let Some((report, _)) = &mut view.report {
+                report.adapters.retain(|held| held.key != *key);
+            }
+        }
+    }
+}
+
+/// A ready replica of the service `s` with the model `m`, for examples and tests.
+///
+/// ```
+/// assert_eq!(quillcove_core::relay::replica::example_record("i-1").id, "i-1");
+/// ```
+pub fn example_record(id: &str) -> ReplicaRecord {
+    ReplicaRecord {
+        id: id.to_string(),
+        service: "s".to_string(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        hall: "hall-a".to_string(),
+        places: 8,
+        state: ReplicaState::Ready,
+        models: vec!["m".to_string()],
+        adapters: Vec::new(),
+    }
+}
--- /dev/null
+++ b/quillcove_core/src/relay/sheet.rs
@@ -0,0 +1,234 @@
+//! The configuration in force: routes, services and limits.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ModelName, ServiceName};
+
+/// Version of a route sheet; the platform raises it with each change.
+pub type SheetVersion = u64;
+
+/// What may be done with a request of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteKind {
+    /// May run more than once.
+    Safe,
+    /// Runs at most once for each request id.
+    Unsafe,
+    /// Answered with events; runs at most once.
+    Stream,
+    /// Answered with events; another replica may go on after a given event.
+    ResumableStream,
+}
+
+impl RouteKind {
+    /// Tells whether a request may be sent again after it may have run.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::RouteKind;
+    ///
+    /// assert!(RouteKind::Safe.is_repeatable());
+    /// assert!(!RouteKind::Stream.is_repeatable());
+    /// ```
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Safe | Self::ResumableStream)
+    }
+
+    /// Tells whether the answer is a series of events.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::RouteKind;
+    ///
+    /// assert!(RouteKind::ResumableStream.is_stream());
+    /// ```
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+/// A service that a route leads to, with its share of the route's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTarget {
+    /// Name of the service.
+    pub service: ServiceName,
+    /// Share relative to the other targets.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteRecord {
+    /// Name, for logs.
+    pub name: String,
+    /// Host that requests name, in lower case.
+    pub host: String,
+    /// Start of the paths; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be done with its requests.
+    pub kind: RouteKind,
+    /// Longest time that a request is held.
+    pub timeout: Duration,
+    /// Time within which an answer begins to be of full use.
+    pub aim: Duration,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Most replicas that one request is sent to.
+    pub attempt_limit: u32,
+    /// Services, with their shares.
+    pub targets: Vec<RouteTarget>,
+}
+
+/// A base model of an engine service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelRecord {
+    /// Name.
+    pub name: ModelName,
+    /// Memory of its weights, in MB.
+    pub weights_mb: f64,
+    /// Memory of one adapter, in MB.
+    pub adapter_mb: f64,
+    /// Time of a load from the weight store when nothing else loads.
+    pub load_time: Duration,
+}
+
+/// What is known of the engines of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EngineRecord {
+    /// Base models that they may hold; the first is the busiest.
+    pub models: Vec<ModelRecord>,
+    /// Memory for weights and adapters, in MB.
+    pub weights_mb: f64,
+    /// Most adapters that one engine holds.
+    pub adapter_places: usize,
+    /// Loads a second that the weight store permits over all engines.
+    pub loads_per_second: f64,
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceRecord {
+    /// Name.
+    pub name: ServiceName,
+    /// Connections that one replica accepts from all callers together.
+    pub connection_limit: usize,
+    /// Given for model engines; `None` for plain services.
+    pub engine: Option<EngineRecord>,
+}
+
+/// Limits of what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerLimits {
+    /// Largest head, in bytes.
+    pub header_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a head, and for a body, to arrive.
+    pub read_timeout: Duration,
+    /// Time after which an unused connection is closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    /// Used until a sheet is in force; the values are those of hyper's own defaults or near them.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            read_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One version of the whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RouteSheet {
+    /// Version; only growing ones are taken.
+    pub version: SheetVersion,
+    /// Routes by host, the longest prefix first.
+    routes: HashMap<String, Vec<Arc<RouteRecord>>>,
+    /// Services by name.
+    services: HashMap<ServiceName, Arc<ServiceRecord>>,
+    /// Limits of what callers may send.
+    pub limits: CallerLimits,
+}
+
+impl RouteSheet {
+    /// A sheet of these parts.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
+    ///
+    /// let sheet = RouteSheet::new(7, Vec::new(), Vec::new(), CallerLimits::default());
+    /// assert!(sheet.find_route("a.example", "/").is_none());
+    /// ```
+    pub fn new(
+        version: SheetVersion,
+        routes: Vec<RouteRecord>,
+        services: Vec<ServiceRecord>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<RouteRecord>>> = HashMap::new();
+        for route in routes {
+            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let named = |service: ServiceRecord| (service.name.clone(), Arc::new(service));
+        let services = services.into_iter().map(named).collect();
+        Self { version, routes: by_host, services, limits }
+    }
+
+    /// The route of a host and path: the one with the longest prefix that begins the path.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::RouteSheet;
+    ///
+    /// assert!(RouteSheet::default().find_route("a.example", "/x/y").is_none());
+    /// ```
+    pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteRecord>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = match self.routes.get(name) {
+            Some(routes) => routes,
+            None => self.routes.get(&name.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// A service by its name.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::RouteSheet;
+    ///
+    /// assert!(RouteSheet::default().service("booking").is_none());
+    /// ```
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceRecord>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::RouteSheet;
+    ///
+    /// assert_eq!(RouteSheet::default().services().count(), 0);
+    /// ```
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceRecord>> {
+        self.services.values()
+    }
+
+    /// Number of routes.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::RouteSheet;
+    ///
+    /// assert_eq!(RouteSheet::default().route_count(), 0);
+    /// ```
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
