--- a/extra/quillcove.bash
+++ b/extra/quillcove.bash
@@ -40,9 +40,15 @@
             quillcove,help)
                 cmd="quillcove__subcmd__help"
                 ;;
+            quillcove,loader)
+                cmd="quillcove__subcmd__loader"
+                ;;
             quillcove,measure)
                 cmd="quillcove__subcmd__measure"
                 ;;
+            quillcove,relay)
+                cmd="quillcove__subcmd__relay"
+                ;;
             quillcove,standin)
                 cmd="quillcove__subcmd__standin"
                 ;;
@@ -106,9 +112,15 @@
             quillcove__subcmd__help,help)
                 cmd="quillcove__subcmd__help__subcmd__help"
                 ;;
+            quillcove__subcmd__help,loader)
+                cmd="quillcove__subcmd__help__subcmd__loader"
+                ;;
             quillcove__subcmd__help,measure)
                 cmd="quillcove__subcmd__help__subcmd__measure"
                 ;;
+            quillcove__subcmd__help,relay)
+                cmd="quillcove__subcmd__help__subcmd__relay"
+                ;;
             quillcove__subcmd__help,standin)
                 cmd="quillcove__subcmd__help__subcmd__standin"
                 ;;
@@ -191,7 +203,7 @@
 
     case "${cmd}" in
         quillcove)
-            opts="-h -V --help --version entry agent check dump bundle demo measure standin generate help"
+            opts="-h -V --help --version entry agent relay loader check dump bundle demo measure standin generate help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 1 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -440,7 +452,7 @@
             fi
             case "${prev}" in
                 --role)
-                    COMPREPLY=($(compgen -W "entry agent" -- "${cur}"))
+                    COMPREPLY=($(compgen -W "entry agent relay loader" -- "${cur}"))
                     return 0
                     ;;
                 --set)
@@ -539,7 +551,7 @@
             return 0
             ;;
         quillcove__subcmd__help)
-            opts="entry agent check dump bundle demo measure standin generate help"
+            opts="entry agent relay loader check dump bundle demo measure standin generate help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
                 COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
                 return 0
@@ -734,6 +746,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        quillcove__subcmd__help__subcmd__loader)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         quillcove__subcmd__help__subcmd__measure)
             opts="latency policy"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -776,6 +802,20 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        quillcove__subcmd__help__subcmd__relay)
+            opts=""
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         quillcove__subcmd__help__subcmd__standin)
             opts="engine service platform"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 3 ]] ; then
@@ -832,6 +872,32 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        quillcove__subcmd__loader)
+            opts="-c -h --config --set --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --config)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                -c)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --set)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         quillcove__subcmd__measure)
             opts="-h --help latency policy help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
@@ -950,6 +1016,32 @@
             COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
             return 0
             ;;
+        quillcove__subcmd__relay)
+            opts="-c -h --config --set --help"
+            if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
+                COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+                return 0
+            fi
+            case "${prev}" in
+                --config)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                -c)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                --set)
+                    COMPREPLY=($(compgen -f "${cur}"))
+                    return 0
+                    ;;
+                *)
+                    COMPREPLY=()
+                    ;;
+            esac
+            COMPREPLY=( $(compgen -W "${opts}" -- "${cur}") )
+            return 0
+            ;;
         quillcove__subcmd__standin)
             opts="-h --help engine service platform help"
             if [[ ${cur} == -* || ${COMP_CWORD} -eq 2 ]] ; then
--- a/extra/quillcove.fish
+++ b/extra/quillcove.fish
@@ -28,6 +28,8 @@
 complete -c quillcove -n "__fish_quillcove_needs_command" -s V -l version -d 'Print version'
 complete -c quillcove -n "__fish_quillcove_needs_command" -f -a "entry" -d 'Run an entry between callers and agents'
 complete -c quillcove -n "__fish_quillcove_needs_command" -f -a "agent" -d 'Run the agent beside one upstream'
+complete -c quillcove -n "__fish_quillcove_needs_command" -f -a "relay" -d 'Run a relay between callers and a platform\'s upstreams'
+complete -c quillcove -n "__fish_quillcove_needs_command" -f -a "loader" -d 'Run the loader beside one engine of a platform'
 complete -c quillcove -n "__fish_quillcove_needs_command" -f -a "check" -d 'Check a settings file and print all its faults'
 complete -c quillcove -n "__fish_quillcove_needs_command" -f -a "dump" -d 'Print the state of a running process'
 complete -c quillcove -n "__fish_quillcove_needs_command" -f -a "bundle" -d 'Author, sign and check bundles'
@@ -42,8 +44,16 @@
 complete -c quillcove -n "__fish_quillcove_using_subcommand agent" -s c -l config -d 'Settings in INI' -r
 complete -c quillcove -n "__fish_quillcove_using_subcommand agent" -l set -d 'Set one value in place of the file\'s; environment variables such as QUILLCOVE_PROCESS_HOST go before both' -r
 complete -c quillcove -n "__fish_quillcove_using_subcommand agent" -s h -l help -d 'Print help'
+complete -c quillcove -n "__fish_quillcove_using_subcommand relay" -s c -l config -d 'Settings in INI' -r
+complete -c quillcove -n "__fish_quillcove_using_subcommand relay" -l set -d 'Set one value in place of the file\'s; environment variables such as QUILLCOVE_PROCESS_HOST go before both' -r
+complete -c quillcove -n "__fish_quillcove_using_subcommand relay" -s h -l help -d 'Print help'
+complete -c quillcove -n "__fish_quillcove_using_subcommand loader" -s c -l config -d 'Settings in INI' -r
+complete -c quillcove -n "__fish_quillcove_using_subcommand loader" -l set -d 'Set one value in place of the file\'s; environment variables such as QUILLCOVE_PROCESS_HOST go before both' -r
+complete -c quillcove -n "__fish_quillcove_using_subcommand loader" -s h -l help -d 'Print help'
 complete -c quillcove -n "__fish_quillcove_using_subcommand check" -l role -d 'Whose settings; an [upstream] section means agent' -r -f -a "entry\t''
-agent\t''"
+agent\t''
+relay\t''
+loader\t''"
 complete -c quillcove -n "__fish_quillcove_using_subcommand check" -l set -d 'Set one value in place of the file\'s; environment variables such as QUILLCOVE_PROCESS_HOST go before both' -r
 complete -c quillcove -n "__fish_quillcove_using_subcommand check" -s h -l help -d 'Print help'
 complete -c quillcove -n "__fish_quillcove_using_subcommand dump" -l json -d 'Print JSON'
@@ -113,16 +123,18 @@
 complete -c quillcove -n "__fish_quillcove_using_subcommand standin; and __fish_seen_subcommand_from help" -f -a "platform" -d 'Configuration values, host list and weight store'
 complete -c quillcove -n "__fish_quillcove_using_subcommand standin; and __fish_seen_subcommand_from help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
 complete -c quillcove -n "__fish_quillcove_using_subcommand generate" -s h -l help -d 'Print help'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "entry" -d 'Run an entry between callers and agents'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "agent" -d 'Run the agent beside one upstream'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "check" -d 'Check a settings file and print all its faults'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "dump" -d 'Print the state of a running process'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "bundle" -d 'Author, sign and check bundles'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "demo" -d 'Run a whole small site in one process, with stand-ins, and print a table'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "measure" -d 'Run one of the measurements that the documentation cites'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "standin" -d 'Run a stand-in, for trials'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "generate" -d 'Write man pages and shell completions'
-complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent check dump bundle demo measure standin generate help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "entry" -d 'Run an entry between callers and agents'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "agent" -d 'Run the agent beside one upstream'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "relay" -d 'Run a relay between callers and a platform\'s upstreams'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "loader" -d 'Run the loader beside one engine of a platform'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "check" -d 'Check a settings file and print all its faults'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "dump" -d 'Print the state of a running process'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "bundle" -d 'Author, sign and check bundles'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "demo" -d 'Run a whole small site in one process, with stand-ins, and print a table'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "measure" -d 'Run one of the measurements that the documentation cites'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "standin" -d 'Run a stand-in, for trials'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "generate" -d 'Write man pages and shell completions'
+complete -c quillcove -n "__fish_quillcove_using_subcommand help; and not __fish_seen_subcommand_from entry agent relay loader check dump bundle demo measure standin generate help" -f -a "help" -d 'Print this message or the help of the given subcommand(s)'
 complete -c quillcove -n "__fish_quillcove_using_subcommand help; and __fish_seen_subcommand_from bundle" -f -a "keygen" -d 'Write a new signing key and print its public key'
 complete -c quillcove -n "__fish_quillcove_using_subcommand help; and __fish_seen_subcommand_from bundle" -f -a "sign" -d 'Check and sign a bundle, and write the values to publish'
 complete -c quillcove -n "__fish_quillcove_using_subcommand help; and __fish_seen_subcommand_from bundle" -f -a "verify" -d 'Check a bundle\'s signature'
--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use dropshot::HttpServer;
 use http::Method;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{EngineBeacon, EngineReport, PeerMessage};
@@ -23,7 +24,7 @@
 use crate::config::relay::LoaderSettings;
 use crate::duty;
 use crate::metrics::ProcessMetrics;
-use crate::operator::{self, ProcessInspector};
+use crate::operator::{self, OperatorContext, ProcessInspector};
 use crate::peers::{PeerArrival, PeerSocket};
 use crate::web::client::{WebClient, WebError};
 
@@ -110,6 +111,8 @@
     beacons: u64,
     last_beacon: MonoTime,
     is_engine_up: bool,
+    /// Closes when it is dropped.
+    _operator: HttpServer<Arc<OperatorContext>>,
 }
 
 impl LoaderDuty {
@@ -118,7 +121,8 @@
         let metrics = Arc::new(ProcessMetrics::new("loader")?);
         let view = Arc::new(Mutex::new(LoaderView::default()));
         let inspector = LoaderInspector { view: view.clone() };
-        operator::start(settings.listen.operator, inspector, metrics.clone(), &log)?;
+        let address = settings.listen.operator;
+        let operator = operator::start(address, inspector, metrics.clone(), &log)?;
         let fence = first_fence();
         info!(log, "loader started"; "control" => %settings.listen.control,
             "engine" => %settings.engine.address, "fence" => fence);
@@ -134,6 +138,7 @@
             beacons: 0,
             last_beacon: MonoTime::ZERO,
             is_engine_up: false,
+            _operator: operator,
             settings,
             log,
         })
@@ -174,21 +179,27 @@
 
     fn take(&mut self, arrival: PeerArrival) {
         let now = self.clock.now();
-        match arrival {
-            PeerArrival::Message(PeerMessage::Listening(relay), _) => {
+        let (message, from) = match arrival {
+            PeerArrival::Message(message, from) => (*message, from),
+            PeerArrival::Garbage(from, error) => {
+                warn!(self.log, "datagram is no message"; "from" => %from, "error" => %error);
+                return;
+            },
+        };
+        match message {
+            PeerMessage::Listening(relay) => {
                 if self.relays.insert(relay, now).is_none() {
                     info!(self.log, "relay heard"; "relay" => %relay);
                 }
             },
-            PeerArrival::Message(PeerMessage::Load(ask), from) => {
+            PeerMessage::Load(ask) => {
                 info!(self.log, "load asked for"; "relay" => %from, "replica" => &ask.replica,
                     "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
                     "version" => ask.version);
                 self.machine.take_ask(ask, now);
             },
-            PeerArrival::Message(PeerMessage::Relay(_) | PeerMessage::Engine(_), _) => {},
-            PeerArrival::Garbage(from, error) => {
-                warn!(self.log, "datagram is no message"; "from" => %from, "error" => %error);
+            PeerMessage::Relay(_) | PeerMessage::Engine(_) => {
+                warn!(self.log, "message is meant for a relay"; "from" => %from);
             },
         }
     }
@@ -279,7 +290,8 @@
     }
 
     async fn send_order(&self, order: &LoadOrder) -> Result<OrderOutcome, WebError> {
-        let call = engine::order_call(order).map_err(|fault| WebError::NotSent(fault.to_string()))?;
+        let call =
+            engine::order_call(order).map_err(|fault| WebError::NotSent(fault.to_string()))?;
         let uri = format!("http://{}{}", self.settings.engine.address, call.path);
         let mut request = http::Request::builder().method(Method::POST).uri(uri);
         for (name, value) in call.headers {
@@ -287,10 +299,8 @@
         }
         let request = request.body(http_body_util::Full::new(call.body.into()));
         let request = request.map_err(|error| WebError::NotSent(error.to_string()))?;
-        let answer = tokio::time::timeout(
-            self.settings.engine.order_timeout,
-            self.client.send(request),
-        );
+        let answer =
+            tokio::time::timeout(self.settings.engine.order_timeout, self.client.send(request));
         let answer = answer.await.map_err(|_| WebError::Lost("time is up".to_string()))??;
         Ok(engine::order_outcome(answer.status()))
     }
--- a/quillcove/src/peers.rs
+++ b/quillcove/src/peers.rs
@@ -20,7 +20,7 @@
 #[derive(Debug)]
 pub enum PeerArrival {
     /// A message with its sender.
-    Message(PeerMessage, SocketAddr),
+    Message(Box<PeerMessage>, SocketAddr),
     /// Bytes that are no message.
     Garbage(SocketAddr, postcard::Error),
 }
@@ -107,7 +107,7 @@
         let mut buffer = [0u8; DATAGRAM_LIMIT];
         let (length, from) = self.socket.recv_from(&mut buffer).await?;
         Ok(match postcard::from_bytes(&buffer[..length]) {
-            Ok(message) => PeerArrival::Message(message, from),
+            Ok(message) => PeerArrival::Message(Box::new(message), from),
             Err(error) => PeerArrival::Garbage(from, error),
         })
     }
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -29,9 +29,6 @@
 /// Times that a kept connection may turn out closed before a new one is made.
 const STALE_LIMIT: u32 = 2;
 
-/// Added to the time that is left, so that the replica does not stop just before the relay does.
-const NO_SLACK: Duration = Duration::ZERO;
-
 /// A stream whose head has come.
 pub struct LiveStream {
     pub head: http::response::Parts,
@@ -49,7 +46,7 @@
     /// The replica is another one (`true`), or does not hold what is asked for.
     Misdirected(bool),
     /// The replica ran the request and failed; this is its answer.
-    Errored(Response<Bytes>),
+    Errored(Box<Response<Bytes>>),
     /// It may have run; the answer broke off, is not this request's, or never came.
     Lost(String),
     /// The request's own time is over.
@@ -226,13 +223,13 @@
     order: &AttemptOrder,
     last_event: Option<&str>,
 ) -> Result<Request<Full<Bytes>>, AttemptFailure> {
-    let left = open.left(open.shared.clock.now()) + NO_SLACK;
+    let left = open.left(open.shared.clock.now());
     let priority = open.query.model.is_some().then_some(open.query.route.priority.min(9));
     let terms = AttemptTerms { replica: &order.replica, left: Some(left), priority, last_event };
     let path = open.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri: Uri = path.parse().map_err(|error: http::uri::InvalidUri| {
-        AttemptFailure::NotSent(error.to_string())
-    })?;
+    let uri: Uri = path
+        .parse()
+        .map_err(|error: http::uri::InvalidUri| AttemptFailure::NotSent(error.to_string()))?;
     let mut request = Request::new(Full::new(open.body.clone()));
     *request.method_mut() = open.method.clone();
     *request.uri_mut() = uri;
@@ -265,7 +262,7 @@
     let status = head.status;
     let answer = Response::from_parts(head, body);
     match status.is_server_error() && open.query.route.kind == RouteKind::Safe {
-        true => AttemptEnd::Failed(AttemptFailure::Errored(answer)),
+        true => AttemptEnd::Failed(AttemptFailure::Errored(Box::new(answer))),
         false => AttemptEnd::Whole(answer),
     }
 }
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -34,12 +34,7 @@
 #[derive(Debug)]
 pub enum StoreNews {
     /// A part was read whole, or changes of it came.
-    Read {
-        scope: StoreScope,
-        is_whole: bool,
-        events: Vec<StoreEvent>,
-        revision: u64,
-    },
+    Read { scope: StoreScope, is_whole: bool, events: Vec<StoreEvent>, revision: u64 },
     /// A call failed.
     Failed { scope: StoreScope, reason: String },
 }
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -114,10 +114,7 @@
 }
 
 /// Answers one request of a caller.
-pub async fn answer(
-    shared: Arc<RelayShared>,
-    request: Request<Incoming>,
-) -> Response<AnswerBody> {
+pub async fn answer(shared: Arc<RelayShared>, request: Request<Incoming>) -> Response<AnswerBody> {
     let received = shared.clock.now();
     let id = request.headers().get(heads::id_header()).cloned();
     let answer = match prepare(&shared, request, received).await {
@@ -424,7 +421,7 @@
         FailedAnswer::Refused(WorkRefusal { reason, verdict, retry_after })
     };
     match failure {
-        AttemptFailure::Errored(answer) => FailedAnswer::Passed(answer),
+        AttemptFailure::Errored(answer) => FailedAnswer::Passed(*answer),
         AttemptFailure::Refused(_) => refusal(RefusalReason::Overloaded, Some(REFUSED_PAUSE)),
         AttemptFailure::Misdirected(_) => refusal(RefusalReason::WrongIncarnation, Some(SOON)),
         AttemptFailure::NotSent(_) => refusal(RefusalReason::UpstreamDown, Some(REFUSED_PAUSE)),
--- a/quillcove/src/relay/input.rs
+++ b/quillcove/src/relay/input.rs
@@ -128,7 +128,7 @@
         match input {
             RelayInput::Store(news) => self.take_store(news, now),
             RelayInput::Peer(PeerArrival::Message(message, from)) => {
-                self.take_message(message, from, now);
+                self.take_message(*message, from, now);
             },
             RelayInput::Peer(PeerArrival::Garbage(from, error)) => {
                 warn!(self.shared.log, "datagram is no message"; "from" => %from,
@@ -452,9 +452,8 @@
         let Some(sheet) = machine.sheet() else {
             return HashSet::new();
         };
-        let has_engine = |service: &str| {
-            sheet.service(service).is_some_and(|service| service.engine.is_some())
-        };
+        let has_engine =
+            |service: &str| sheet.service(service).is_some_and(|service| service.engine.is_some());
         let engines = machine.table().all().filter(|view| has_engine(&view.record.service));
         engines.map(|view| SocketAddr::new(view.record.address.ip(), port)).collect()
     }
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -95,7 +95,8 @@
         "platform" => %settings.platform.address, "seeds" => ?settings.peers.seeds);
     let shared = Arc::new(RelayShared::new(settings, log.clone())?);
     let inspector = RelayInspector { shared: shared.clone() };
-    operator::start(operator_address, inspector, shared.metrics.clone(), &log)?;
+    // The operators' address closes when its server is dropped.
+    let _operator = operator::start(operator_address, inspector, shared.metrics.clone(), &log)?;
     let duty = InputDuty::new(shared.clone(), socket, hurry);
     tokio::spawn(duty.run(inputs));
     serve::accept(listener, shared.clone(), stopped).await;
--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -41,17 +41,19 @@
     mut stopped: watch::Receiver<bool>,
 ) {
     let (leave, leaving) = watch::channel(false);
-    let accepting = accept_all(&listener, &shared, leaving);
-    tokio::pin!(accepting);
     tokio::select! {
-        () = &mut accepting => {},
+        () = accept_all(&listener, &shared, leaving.clone()) => {},
         _ = stopped.wait_for(|is_stopped| *is_stopped) => {},
     }
     let end = Instant::now() + shared.settings.stop.limit.saturating_sub(STOP_MARGIN);
     shared.machine().stop();
     note_ready(&shared.is_ready, false, &shared.log);
     info!(shared.log, "planned stop begins"; "in_flight" => shared.machine().in_flight());
-    let _ = timeout_at(Instant::now() + LEAVE_TIME, &mut accepting).await;
+    let leave_at = Instant::now() + LEAVE_TIME;
+    let _ = timeout_at(leave_at, accept_all(&listener, &shared, leaving)).await;
+    // What is taken from now on might not end within the stop's limit: callers that still come
+    // are turned away by the closed port, which tells them to try another host at once.
+    drop(listener);
     leave.send_replace(true);
     let drained = async {
         while shared.machine().in_flight() > 0 {
@@ -60,8 +62,7 @@
         // The last answers leave.
         sleep(STOP_POLL * 5).await;
     };
-    // Connections that were accepted by the system but not by this process are served as well.
-    let _ = timeout_at(end, async { tokio::join!(drained, timeout_at(end, accepting)) }).await;
+    let _ = timeout_at(end, drained).await;
 }
 
 async fn accept_all(
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -324,7 +324,8 @@
         };
         let tie = |view: &ReplicaView| rendezvous::weight(&want.key.adapter, &view.record.id);
         let roomy = engines.iter().filter(lacks_it).filter(|view| room(view) > 0);
-        let best = roomy.min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| tie(a).cmp(&tie(b))));
+        let best =
+            roomy.min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| tie(a).cmp(&tie(b))));
         if let Some(view) = best {
             return Some(ask_for(view, want, version, None, places));
         }
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -162,8 +162,7 @@
     /// assert!(machine.next_order(Duration::ZERO).is_some());
     /// ```
     pub fn take_ask(&mut self, ask: LoadAsk, now: MonoTime) {
-        let is_same =
-            |other: &LoadAsk| other.model == ask.model && other.adapter == ask.adapter;
+        let is_same = |other: &LoadAsk| other.model == ask.model && other.adapter == ask.adapter;
         if self.under_way.as_ref().is_some_and(|(_, current)| is_same(current)) {
             return;
         }
@@ -231,9 +230,7 @@
         self.fence += 1;
         let holds = |key: &&AdapterKey| self.report.adapters.iter().any(|held| held.key == **key);
         let (kind, model, adapter, version) = match ask.evict.as_ref().filter(holds) {
-            Some(key) => {
-                (OrderKind::Unload, key.model.clone(), Some(key.adapter.clone()), None)
-            },
+            Some(key) => (OrderKind::Unload, key.model.clone(), Some(key.adapter.clone()), None),
             None => (OrderKind::Load, ask.model.clone(), ask.adapter.clone(), ask.version),
         };
         let (replica, holder) = (ask.replica.clone(), self.holder.clone());
--- a/quillcove_core/src/relay/machine.rs
+++ b/quillcove_core/src/relay/machine.rs
@@ -757,10 +757,8 @@
         let fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
         match routing::choose(&fresh, &self.rules.hall, now, draw) {
             Some(view) => {
-                let order = AttemptOrder {
-                    replica: view.record.id.clone(),
-                    address: view.record.address,
-                };
+                let order =
+                    AttemptOrder { replica: view.record.id.clone(), address: view.record.address };
                 RelayChoice::Send(order)
             },
             None if query.adapter.is_some() && holders.is_empty() => self.await_load(query, now),
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -126,8 +126,7 @@
     /// assert!(table.get("i-1").unwrap().seems_well(Duration::ZERO));
     /// ```
     pub fn seems_well(&self, now: MonoTime) -> bool {
-        let is_silent =
-            self.in_flight > 0 && now.saturating_sub(self.last_heard) > SILENCE_LIMIT;
+        let is_silent = self.in_flight > 0 && now.saturating_sub(self.last_heard) > SILENCE_LIMIT;
         now >= self.ejected_until && !is_silent
     }
 
