--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -187,10 +187,11 @@
             },
         };
         match message {
-            PeerMessage::Listening(relay) => {
-                if self.relays.insert(relay, now).is_none() {
-                    info!(self.log, "relay heard"; "relay" => %relay);
+            PeerMessage::Use(beacon) => {
+                if self.relays.insert(beacon.relay, now).is_none() {
+                    info!(self.log, "relay heard"; "relay" => %beacon.relay);
                 }
+                self.machine.take_uses(beacon, now);
             },
             PeerMessage::Load(ask) => {
                 info!(self.log, "load asked for"; "relay" => %from, "replica" => &ask.replica,
@@ -216,11 +217,16 @@
         let Some(report) = report else {
             return;
         };
-        let is_changed = self.machine.take_report(report);
         let now = self.clock.now();
+        let change = self.machine.take_report(report, now);
+        for (key, took) in change.arrived {
+            info!(self.log, "adapter held"; "model" => key.model, "adapter" => key.adapter,
+                "took_ms" => took.as_millis() as u64,
+                "incoming" => self.machine.report().incoming.len());
+        }
         self.forget_relays(now);
         let is_due = now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL;
-        if is_changed || is_due {
+        if change.is_changed || is_due {
             self.tell(now);
         }
     }
@@ -262,7 +268,7 @@
             number: self.beacons,
             incarnation: self.incarnation,
             report: self.machine.report().clone(),
-            recent_loads: self.machine.recent_loads(now),
+            model_loads: self.machine.model_loads(now),
             relays: relays.clone(),
         };
         if let Ok(mut view) = self.view.lock() {
--- a/quillcove/src/peers.rs
+++ b/quillcove/src/peers.rs
@@ -66,12 +66,13 @@
     ///
     /// ```
     /// use quillcove::peers::PeerSocket;
-    /// use quillcove_core::relay::beacon::PeerMessage;
+    /// use quillcove_core::relay::beacon::{PeerMessage, UseBeacon};
     ///
     /// quillcove::duty::run_async(1, async {
     ///     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     ///     let own = socket.local_addr().unwrap();
-    ///     assert_eq!(socket.send(&PeerMessage::Listening(own), [own]), 1);
+    ///     let beacon = UseBeacon { relay: own, uses: Vec::new() };
+    ///     assert_eq!(socket.send(&PeerMessage::Use(beacon), [own]), 1);
     /// });
     /// ```
     pub fn send(
@@ -94,12 +95,13 @@
     ///
     /// ```
     /// use quillcove::peers::{PeerArrival, PeerSocket};
-    /// use quillcove_core::relay::beacon::PeerMessage;
+    /// use quillcove_core::relay::beacon::{PeerMessage, UseBeacon};
     ///
     /// quillcove::duty::run_async(1, async {
     ///     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     ///     let own = socket.local_addr().unwrap();
-    ///     socket.send(&PeerMessage::Listening(own), [own]);
+    ///     let beacon = UseBeacon { relay: own, uses: Vec::new() };
+    ///     socket.send(&PeerMessage::Use(beacon), [own]);
     ///     assert!(matches!(socket.receive().await, Ok(PeerArrival::Message(..))));
     /// });
     /// ```
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -98,7 +98,8 @@
     fn drop(&mut self) {
         if !self.is_handed_over {
             let now = self.open.shared.clock.now();
-            self.open.shared.machine().end(self.replica, AttemptFate::Abandoned, now);
+            let key = self.open.query.adapter.as_ref();
+            self.open.shared.machine().end(self.replica, key, AttemptFate::Abandoned, now);
         }
     }
 }
@@ -110,7 +111,7 @@
     last_event: Option<&str>,
 ) -> AttemptEnd {
     let now = open.shared.clock.now();
-    open.shared.machine().begin(&order.replica, now);
+    open.shared.machine().begin(&order.replica, open.query.adapter.as_ref(), now);
     let left = open.left(now);
     let mut guard = AttemptGuard { open, replica: &order.replica, is_handed_over: false };
     let exchanged = timeout(left, exchange(guard.open, order, last_event)).await;
@@ -119,7 +120,8 @@
     drop(guard);
     if let AttemptEnd::Whole(_) = end {
         let now = open.shared.clock.now();
-        open.shared.machine().end(&order.replica, AttemptFate::Answered, now);
+        let key = open.query.adapter.as_ref();
+        open.shared.machine().end(&order.replica, key, AttemptFate::Answered, now);
     }
     end
 }
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -35,6 +35,12 @@
     TimeOver,
 }
 
+/// Refusals of replicas after which a request is refused to its caller.
+const REFUSAL_LIMIT: u32 = 2;
+
+/// Connections that may fail before a request is refused to its caller.
+const UNSENT_LIMIT: u32 = 3;
+
 /// Body of an answer to a caller.
 pub type AnswerBody = UnsyncBoxBody<Bytes, BodyBreak>;
 
@@ -50,8 +56,12 @@
     pub sheet: Arc<RouteSheet>,
     pub tried: Vec<ReplicaId>,
     pub attempts: u32,
-    /// Whether an attempt may have run, in part at least.
-    pub may_have_run: bool,
+    /// Attempts that may have run, in part at least.
+    pub runs: u32,
+    /// Attempts that their replica refused.
+    refusals: u32,
+    /// Attempts that never left this process.
+    unsent: u32,
     pub waited: Duration,
     finished: Option<FinishedRequest>,
 }
@@ -234,7 +244,9 @@
         sheet,
         tried: Vec::new(),
         attempts: 0,
-        may_have_run: false,
+        runs: 0,
+        refusals: 0,
+        unsent: 0,
         waited: Duration::ZERO,
         finished: None,
     })
@@ -254,7 +266,6 @@
 
 /// Tries until there is an answer or nothing more may be tried.
 async fn run(mut open: OpenRequest) -> Response<AnswerBody> {
-    note_demand(&open);
     loop {
         let order = match next_step(&mut open).await {
             Ok(order) => order,
@@ -277,21 +288,6 @@
     }
 }
 
-/// Counts what is asked for, and what is lacked, once a request.
-fn note_demand(open: &OpenRequest) {
-    let Some(key) = &open.query.adapter else {
-        return;
-    };
-    let now = open.shared.clock.now();
-    let service = &open.query.service;
-    let mut machine = open.shared.machine();
-    machine.note_demand(key, now);
-    if machine.is_short_of(service, key, now) {
-        machine.note_want(service, key, now);
-        open.shared.wanted.notify_one();
-    }
-}
-
 /// Waits until the request can be sent or is refused.
 async fn next_step(open: &mut OpenRequest) -> Result<AttemptOrder, WorkRefusal> {
     let shared = open.shared.clone();
@@ -301,6 +297,9 @@
         news.mark_unchanged();
         let now = shared.clock.now();
         let choice = shared.machine().choose(&open.query, &open.tried, now);
+        if open.query.adapter.is_some() {
+            shared.wanted.notify_one();
+        }
         match choice {
             RelayChoice::Send(order) => {
                 open.waited += now.saturating_sub(began);
@@ -322,9 +321,9 @@
 
 /// Ends a request for which nothing more can be sent.
 fn give_up(mut open: OpenRequest, refusal: WorkRefusal) -> Response<AnswerBody> {
-    let verdict = match open.may_have_run {
-        true => RunVerdict::MayHaveRun,
-        false => refusal.verdict,
+    let verdict = match open.runs {
+        0 => refusal.verdict,
+        _ => RunVerdict::MayHaveRun,
     };
     let refusal = WorkRefusal { verdict, ..refusal };
     open.shared.metrics.refused(refusal.reason, open.class());
@@ -364,54 +363,65 @@
         AttemptFailure::Errored(_) => AttemptFate::Failed,
         AttemptFailure::TimeOver => AttemptFate::Abandoned,
     };
-    let is_ejected = shared.machine().end(&order.replica, fate, now);
+    let is_ejected = shared.machine().end(&order.replica, open.query.adapter.as_ref(), fate, now);
     info!(shared.log, "attempt failed"; "id" => &open.terms.id, "replica" => &order.replica,
         "attempt" => open.attempts, "failure" => failure.label(), "detail" => failure.detail(),
         "ejected" => is_ejected);
     let kind = open.query.route.kind;
-    let (is_sent, may_repeat) = match &failure {
+    let is_repeated = match &failure {
         AttemptFailure::NotSent(_) => {
-            open.attempts -= 1;
-            (false, true)
+            open.unsent += 1;
+            open.unsent < UNSENT_LIMIT
         },
-        AttemptFailure::Refused(_) => (true, true),
+        AttemptFailure::Refused(_) => may_send_again(open),
         AttemptFailure::Misdirected(is_other) => {
             note_misdirected(open, order, *is_other);
-            (true, true)
+            may_send_again(open)
         },
         AttemptFailure::Lost(_) | AttemptFailure::Errored(_) => {
-            open.may_have_run = true;
-            (true, kind.is_repeatable())
+            open.runs += 1;
+            kind.is_repeatable()
+                && open.runs < open.query.route.attempt_limit
+                && shared.machine().take_repeat(&open.query.service)
         },
         AttemptFailure::TimeOver => {
-            open.may_have_run = true;
-            (true, false)
+            open.runs += 1;
+            false
         },
     };
-    let is_within = open.attempts < open.query.route.attempt_limit || !is_sent;
-    let may_send =
-        may_repeat && is_within && (!is_sent || shared.machine().take_repeat(&open.query.service));
-    if may_send {
-        return None;
+    match is_repeated {
+        true => None,
+        false => Some(final_failure(open, failure)),
     }
-    Some(final_failure(open, failure))
 }
 
-/// A replica that is another one is forgotten; one that lacks the adapter is not asked for it
-/// again until it reports it.
-fn note_misdirected(open: &OpenRequest, order: &AttemptOrder, is_other: bool) {
-    let mut machine = open.shared.machine();
+/// A request that a replica refused may go to another one. The route's limit counts replicas that
+/// may have run it; refusals have a limit of their own.
+fn may_send_again(open: &mut OpenRequest) -> bool {
+    open.refusals += 1;
+    open.refusals <= REFUSAL_LIMIT && open.shared.machine().take_repeat(&open.query.service)
+}
+
+/// A replica that is another one is forgotten; one that lacks the adapter is not sent requests for
+/// it until it reports it.
+fn note_misdirected(open: &mut OpenRequest, order: &AttemptOrder, is_other: bool) {
+    let shared = open.shared.clone();
+    let mut machine = shared.machine();
     match (&open.query.adapter, is_other) {
         (_, true) => machine.forget(&order.replica),
-        (Some(key), false) => machine.lacks(&order.replica, key),
+        (Some(key), false) => {
+            machine.lacks(&order.replica, key);
+            // Once it holds the adapter again, it may well be the only one.
+            open.tried.retain(|tried| *tried != order.replica);
+        },
         (None, false) => {},
     }
 }
 
 fn final_failure(open: &OpenRequest, failure: AttemptFailure) -> FailedAnswer {
-    let verdict = match open.may_have_run {
-        true => RunVerdict::MayHaveRun,
-        false => RunVerdict::NotRun,
+    let verdict = match open.runs {
+        0 => RunVerdict::NotRun,
+        _ => RunVerdict::MayHaveRun,
     };
     let refusal = |reason, retry_after| {
         let retry_after = match verdict {
--- a/quillcove/src/relay/input.rs
+++ b/quillcove/src/relay/input.rs
@@ -3,12 +3,13 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use quillcove_core::ids::{HostId, MonoTime};
-use quillcove_core::relay::beacon::{EngineBeacon, PeerMessage, PlannedLoad, RelayBeacon};
-use quillcove_core::relay::keeper::LoadKeeper;
+use quillcove_core::relay::beacon::{
+    AddressedAsk, EngineBeacon, PeerMessage, RelayBeacon, ReplicaId, UseBeacon,
+};
+use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::machine::BeliefChange;
 use quillcove_platform::store::{StoreEvent, StoreScope};
 use slog::{info, warn};
@@ -26,9 +27,6 @@
 /// Time between beacons while nothing changes.
 const BEACON_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Least time between two beacons with wants, so that a burst of them goes into one.
-const WANT_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Time for which a relay that was heard counts as there: three beacons.
 const RELAY_LIFETIME: Duration = Duration::from_millis(1600);
 
@@ -61,7 +59,7 @@
     shared: Arc<RelayShared>,
     socket: PeerSocket,
     hurry: watch::Sender<u64>,
-    keeper: LoadKeeper,
+    keeper: ModelKeeper,
     relays: HashMap<HostId, KnownRelay>,
     /// The last beacon of each loader: its process and number.
     loaders: HashMap<SocketAddr, (u64, u64)>,
@@ -74,8 +72,6 @@
     keeper_from: MonoTime,
     last_tick: MonoTime,
     last_beacon: MonoTime,
-    last_wants: MonoTime,
-    has_wants: bool,
 }
 
 impl InputDuty {
@@ -84,7 +80,7 @@
             shared,
             socket,
             hurry,
-            keeper: LoadKeeper::default(),
+            keeper: ModelKeeper::default(),
             relays: HashMap::new(),
             loaders: HashMap::new(),
             store_up: HashMap::new(),
@@ -94,8 +90,6 @@
             keeper_from: KEEPER_DELAY,
             last_tick: MonoTime::ZERO,
             last_beacon: MonoTime::ZERO,
-            last_wants: MonoTime::ZERO,
-            has_wants: false,
         }
     }
 
@@ -135,8 +129,8 @@
                     "error" => %error);
             },
             RelayInput::Wanted => {
-                self.has_wants = true;
-                self.tell_wants(now);
+                let asks = self.shared.machine().take_asks();
+                self.send_asks(asks);
             },
             RelayInput::Ticked => self.tick(now),
         }
@@ -245,7 +239,7 @@
         match message {
             PeerMessage::Relay(beacon) => self.take_beacon(beacon, now),
             PeerMessage::Engine(beacon) => self.take_report(beacon, now),
-            PeerMessage::Listening(_) | PeerMessage::Load(_) => {
+            PeerMessage::Use(_) | PeerMessage::Load(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
         }
@@ -261,15 +255,6 @@
                 "address" => %beacon.address);
         }
         self.compare_revision(beacon.revision, now);
-        let has_wants = !beacon.wants.is_empty();
-        self.keeper.take_wants(&beacon.host, beacon.wants, now);
-        if beacon.is_keeper && !self.is_keeper {
-            self.shared.machine().take_plan(&beacon.plan, now);
-            self.shared.tell_news();
-        }
-        if self.is_keeper && has_wants {
-            self.plan_loads(now);
-        }
     }
 
     /// A relay that stays behind the others in the store reads it anew, in case its watch is
@@ -311,7 +296,7 @@
     fn greet(&self, relay: SocketAddr) {
         let is_known = self.relays.values().any(|known| known.address == relay);
         if !is_known && relay != self.shared.settings.listen.control {
-            let beacon = self.beacon(Vec::new(), self.shared.clock.now());
+            let beacon = self.beacon();
             self.socket.send(&PeerMessage::Relay(beacon), [relay]);
         }
     }
@@ -329,10 +314,7 @@
         self.note_ready();
         self.forget_relays(now);
         self.choose_keeper(now);
-        self.plan_loads(now);
-        if self.has_wants {
-            self.tell_wants(now);
-        }
+        self.plan_models(now);
         if now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL {
             self.tell_all(now);
         }
@@ -349,49 +331,36 @@
         });
     }
 
-    /// The relay with the lowest name among those heard lately plans the loads.
+    /// The relay with the lowest name among those heard lately paces the loads of base models.
     fn choose_keeper(&mut self, now: MonoTime) {
         let own = &self.shared.settings.process.host;
         let is_lowest = self.relays.keys().all(|host| own < host);
         let is_stopping = self.shared.machine().is_stopping();
         let is_keeper = is_lowest && now >= self.keeper_from && !is_stopping;
         if is_keeper != self.is_keeper {
-            info!(self.shared.log, "planning of loads"; "is_keeper" => is_keeper,
+            info!(self.shared.log, "keeper of base models"; "is_keeper" => is_keeper,
                 "relays" => self.relays.len());
             self.is_keeper = is_keeper;
         }
     }
 
-    fn plan_loads(&mut self, now: MonoTime) {
-        if !self.is_keeper {
-            return;
+    fn plan_models(&mut self, now: MonoTime) {
+        if self.is_keeper {
+            let asks = self.keeper.plan(&self.shared.machine(), now);
+            self.send_asks(asks);
         }
-        let host = &self.shared.settings.process.host;
-        let machine = self.shared.machine();
-        self.keeper.take_wants(host, machine.wants(now), now);
-        let asks = self.keeper.plan(&machine, now);
-        drop(machine);
+    }
+
+    fn send_asks(&self, asks: Vec<AddressedAsk>) {
         let port = self.shared.settings.peers.loader_port;
-        for addressed in &asks {
+        for addressed in asks {
             let ask = &addressed.ask;
-            info!(self.shared.log, "load planned"; "replica" => &ask.replica,
+            info!(self.shared.log, "load asked for"; "replica" => &ask.replica,
                 "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
-                "version" => ask.version, "evict" => ask.evict.as_ref().map(|key| &key.adapter),
-                "in_window" => self.keeper.window_count(now));
+                "version" => ask.version);
             let loader = SocketAddr::new(addressed.engine.ip(), port);
-            self.socket.send(&PeerMessage::Load(ask.clone()), [loader]);
+            self.socket.send(&PeerMessage::Load(addressed.ask), [loader]);
         }
-        let plan = self.keeper.planned(&self.shared.machine(), now);
-        self.shared.machine().take_plan(&plan, now);
-        if !asks.is_empty() {
-            self.shared.tell_news();
-            self.tell_plan(plan, now);
-        }
-    }
-
-    fn tell_plan(&mut self, plan: Vec<PlannedLoad>, now: MonoTime) {
-        let beacon = self.beacon(plan, now);
-        self.socket.send(&PeerMessage::Relay(beacon), self.relay_addresses());
     }
 
     fn relay_addresses(&self) -> HashSet<SocketAddr> {
@@ -401,60 +370,40 @@
         seeds.chain(heard).filter(|address| *address != own).collect()
     }
 
-    fn beacon(&self, plan: Vec<PlannedLoad>, now: MonoTime) -> RelayBeacon {
+    fn beacon(&self) -> RelayBeacon {
         let machine = self.shared.machine();
         RelayBeacon {
             host: self.shared.settings.process.host.clone(),
             address: self.shared.settings.listen.control,
             sheet: machine.sheet().map_or(0, |sheet| sheet.version),
             revision: self.revision,
-            wants: machine.wants(now),
-            plan,
-            is_keeper: self.is_keeper,
-        }
-    }
-
-    /// Tells the other relays what is lacked, at most once in [`WANT_INTERVAL`].
-    fn tell_wants(&mut self, now: MonoTime) {
-        if now.saturating_sub(self.last_wants) < WANT_INTERVAL {
-            return;
-        }
-        self.last_wants = now;
-        self.has_wants = false;
-        if self.is_keeper {
-            self.plan_loads(now);
-        }
-        let plan = self.current_plan(now);
-        self.tell_plan(plan, now);
-    }
-
-    fn current_plan(&self, now: MonoTime) -> Vec<PlannedLoad> {
-        match self.is_keeper {
-            true => self.keeper.planned(&self.shared.machine(), now),
-            false => Vec::new(),
         }
     }
 
+    /// Tells relays that this one is there, and loaders how their engines' adapters are used.
     fn tell_all(&mut self, now: MonoTime) {
         self.last_beacon = now;
-        let plan = self.current_plan(now);
-        self.tell_plan(plan, now);
-        let port = self.shared.settings.peers.loader_port;
-        let own = self.shared.settings.listen.control;
-        let loaders = self.loader_addresses(port);
-        self.socket.send(&PeerMessage::Listening(own), loaders);
-        self.shared.is_ready.load(Ordering::Relaxed);
+        let beacon = PeerMessage::Relay(self.beacon());
+        self.socket.send(&beacon, self.relay_addresses());
+        let relay = self.shared.settings.listen.control;
+        for (replica, loader) in self.loaders_of_engines() {
+            let uses = self.shared.machine().take_uses(&replica);
+            let beacon = PeerMessage::Use(UseBeacon { relay, uses });
+            self.socket.send(&beacon, [loader]);
+        }
     }
 
     /// Loaders sit on the hosts of all engines that are listed.
-    fn loader_addresses(&self, port: u16) -> HashSet<SocketAddr> {
+    fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
+        let port = self.shared.settings.peers.loader_port;
         let machine = self.shared.machine();
         let Some(sheet) = machine.sheet() else {
-            return HashSet::new();
+            return Vec::new();
         };
         let has_engine =
             |service: &str| sheet.service(service).is_some_and(|service| service.engine.is_some());
         let engines = machine.table().all().filter(|view| has_engine(&view.record.service));
-        engines.map(|view| SocketAddr::new(view.record.address.ip(), port)).collect()
+        let loader = |address: SocketAddr| SocketAddr::new(address.ip(), port);
+        engines.map(|view| (view.record.id.clone(), loader(view.record.address))).collect()
     }
 }
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -20,9 +20,9 @@
     pub metrics: Arc<ProcessMetrics>,
     pub pool: ReplicaPool,
     pub is_ready: AtomicBool,
-    /// Rises when engines hold something else or the plan of loads changed.
+    /// Rises when engines hold something else.
     pub news: watch::Sender<u64>,
-    /// Wakes the duty that tells other relays what is lacked.
+    /// Wakes the duty that sends asks for adapters to loaders.
     pub wanted: Notify,
     machine: Mutex<RelayMachine>,
 }
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -136,7 +136,9 @@
     fn end(&mut self) {
         let now = self.open.shared.clock.now();
         if let Some(live) = self.live.take() {
-            self.open.shared.machine().end(&live.order.replica, AttemptFate::Answered, now);
+            let key = self.open.query.adapter.as_ref();
+            let replica = &live.order.replica;
+            self.open.shared.machine().end(replica, key, AttemptFate::Answered, now);
             self.open.shared.pool.put(live.connection);
         }
         self.open.finish(RunVerdict::Ran, 200, "streamed");
@@ -146,7 +148,8 @@
     fn close(&mut self, fate: AttemptFate) {
         let now = self.open.shared.clock.now();
         if let Some(live) = self.live.take() {
-            self.open.shared.machine().end(&live.order.replica, fate, now);
+            let key = self.open.query.adapter.as_ref();
+            self.open.shared.machine().end(&live.order.replica, key, fate, now);
         }
     }
 
@@ -157,7 +160,8 @@
         if open.query.route.kind != RouteKind::ResumableStream {
             return false;
         }
-        while open.attempts < open.query.route.attempt_limit {
+        open.runs += 1;
+        while open.runs < open.query.route.attempt_limit {
             let now = open.shared.clock.now();
             let choice = open.shared.machine().choose(&open.query, &open.tried, now);
             let RelayChoice::Send(order) = choice else {
@@ -177,10 +181,12 @@
                     self.live = Some(live);
                     return true;
                 },
-                AttemptEnd::Whole(_) => {},
+                AttemptEnd::Whole(_) => open.runs += 1,
                 AttemptEnd::Failed(_) => {
+                    open.runs += 1;
                     let now = open.shared.clock.now();
-                    open.shared.machine().end(&order.replica, AttemptFate::Failed, now);
+                    let key = open.query.adapter.as_ref();
+                    open.shared.machine().end(&order.replica, key, AttemptFate::Failed, now);
                 },
             }
         }
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::sheet::SheetVersion;
-use crate::ids::{AdapterName, AdapterVersion, HostId, ModelName, ServiceName};
+use crate::ids::{AdapterName, AdapterVersion, HostId, ModelName};
 
 /// Identifies one start of a replica.
 pub type ReplicaId = String;
@@ -63,34 +63,14 @@
     pub incarnation: u64,
     /// The engine's own words.
     pub report: EngineReport,
-    /// Ages of the loads from the weight store that this loader began lately.
-    pub recent_loads: Vec<Duration>,
+    /// Ages of the loads of base models that this loader began lately.
+    pub model_loads: Vec<Duration>,
     /// Relays that the loader has heard lately.
     pub relays: Vec<SocketAddr>,
 }
 
-/// An adapter that is asked for and that no engine has to spare.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct AdapterWant {
-    /// Service whose engines should hold it.
-    pub service: ServiceName,
-    /// Which adapter.
-    pub key: AdapterKey,
-    /// Faded worth of the requests that asked for it.
-    pub worth: f32,
-}
-
-/// When a wanted adapter will be there.
+/// What a relay tells the other relays.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlannedLoad {
-    /// Which adapter.
-    pub key: AdapterKey,
-    /// Time from the beacon until it can serve.
-    pub ready_in: Duration,
-}
-
-/// What a relay tells the others.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RelayBeacon {
     /// Host of the relay.
     pub host: HostId,
@@ -100,15 +80,29 @@
     pub sheet: SheetVersion,
     /// Revision of the store up to which it has read.
     pub revision: u64,
-    /// What it lacks, the worthiest first.
-    pub wants: Vec<AdapterWant>,
-    /// Given by the keeper: what will be loaded, in order.
-    pub plan: Vec<PlannedLoad>,
-    /// Whether this relay plans loads now.
-    pub is_keeper: bool,
 }
 
-/// What the keeper asks of a loader.
+/// How much a relay used one adapter of an engine lately.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterUse {
+    /// Which adapter.
+    pub key: AdapterKey,
+    /// Requests sent since the relay's last beacon.
+    pub sent: u32,
+    /// Requests in flight.
+    pub in_flight: u32,
+}
+
+/// What a relay tells a loader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseBeacon {
+    /// Where the relay wants reports.
+    pub relay: SocketAddr,
+    /// Adapters of the loader's engine that it uses.
+    pub uses: Vec<AdapterUse>,
+}
+
+/// What a relay asks of a loader.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadAsk {
     /// Incarnation of the engine that is meant, as the platform lists it.
@@ -119,21 +113,49 @@
     pub adapter: Option<AdapterName>,
     /// Version to load; `None` for the newest.
     pub version: Option<AdapterVersion>,
-    /// Adapter that makes room first.
-    pub evict: Option<AdapterKey>,
     /// Adapters for which the engine has room, so that its loader never orders more.
     pub places: u32,
 }
 
+impl LoadAsk {
+    /// The adapter that is asked for; `None` for a base model.
+    ///
+    /// ```
+    /// use quillcove_core::relay::beacon::LoadAsk;
+    ///
+    /// let ask = LoadAsk {
+    ///     replica: "i-1".into(),
+    ///     model: "m".into(),
+    ///     adapter: None,
+    ///     version: None,
+    ///     places: 4,
+    /// };
+    /// assert_eq!(ask.key(), None);
+    /// ```
+    pub fn key(&self) -> Option<AdapterKey> {
+        let adapter = self.adapter.clone()?;
+        Some(AdapterKey { model: self.model.clone(), adapter })
+    }
+}
+
+/// An ask with the address of the engine whose loader gets it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AddressedAsk {
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// The ask.
+    pub ask: LoadAsk,
+}
+
 /// Every message between processes of the system.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// From a relay to relays.
     Relay(RelayBeacon),
-    /// From a relay to loaders: where reports are wanted.
-    Listening(SocketAddr),
+    /// From a relay to a loader.
+    Use(UseBeacon),
     /// From a loader to relays.
     Engine(EngineBeacon),
-    /// From the keeper to a loader.
+    /// From a relay to a loader.
     Load(LoadAsk),
 }
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -1,28 +1,48 @@
 //! Orders to the one engine beside a loader.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
 
-use super::beacon::{AdapterKey, EngineReport, LoadAsk, ReplicaId};
+use super::beacon::{AdapterKey, EngineReport, LoadAsk, ReplicaId, UseBeacon};
+use crate::demand::DemandMeter;
 use crate::ids::{AdapterVersion, HostId, ModelName, MonoTime};
 
-/// Time for which begun loads are told to relays; the window in which they count, and a margin.
+/// Time for which begun loads of base models are told to relays; the window in which they count, and a margin.
 const LOADS_KEPT: Duration = Duration::from_millis(5500);
 
-/// Age at which an ask is dropped; its keeper asks again when the adapter still is wanted.
-const ASK_LIFETIME: Duration = Duration::from_millis(1000);
+/// Age at which an ask is dropped; its relay asks again when the adapter still is wanted.
+const ASK_LIFETIME: Duration = Duration::from_millis(2000);
 
-/// Asks that may wait; an engine has no more than a few loads on their way.
-const ASKS_WAITING: usize = 8;
+/// Asks that may wait.
+const ASKS_WAITING: usize = 32;
+
+/// Adapters that may be on their way to an engine at once; the engines refuse more.
+const INCOMING_LIMIT: usize = 4;
+
+/// Half-life of the demand by which the adapter that makes room is chosen.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(8);
+
+/// Time after a relay's last word for which its requests count as in flight.
+const USE_LIFETIME: Duration = Duration::from_millis(1600);
 
 /// Amount by which a fence is raised after the engine refused it as too low. Fences are
 /// milliseconds of the wall clock, which may have stepped back by some seconds.
 const FENCE_STEP: u64 = 10_000;
 
-/// Time after which an ordered load that no report shows is taken as not begun.
-const UNSEEN_LIFETIME: Duration = Duration::from_secs(5);
+/// Time after which an ordered load that did not bring its adapter is taken as lost.
+const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
+
+/// What a new report changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReportChange {
+    /// Whether the engine holds or awaits something else than before.
+    pub is_changed: bool,
+    /// Ordered adapters that the engine holds now, with the time since their order.
+    pub arrived: Vec<(AdapterKey, Duration)>,
+}
 
 /// What an order does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -84,10 +104,14 @@
     fence: u64,
     asks: VecDeque<(LoadAsk, MonoTime)>,
     under_way: Option<(LoadOrder, LoadAsk)>,
-    begun: VecDeque<MonoTime>,
-    /// Adapters whose load was ordered and that no report has shown yet.
-    unseen: Vec<(AdapterKey, MonoTime)>,
+    /// When loads of base models were begun.
+    model_loads: VecDeque<MonoTime>,
+    /// Adapters whose load was ordered and that the engine does not hold yet.
+    ordered: Vec<(AdapterKey, MonoTime)>,
     report: EngineReport,
+    demand: HashMap<AdapterKey, DemandMeter>,
+    /// Adapters with requests in flight, by relay, and when the relay said so.
+    in_flight: HashMap<SocketAddr, (Vec<AdapterKey>, MonoTime)>,
 }
 
 impl LoaderMachine {
@@ -104,12 +128,34 @@
             fence,
             asks: VecDeque::new(),
             under_way: None,
-            begun: VecDeque::new(),
-            unseen: Vec::new(),
+            model_loads: VecDeque::new(),
+            ordered: Vec::new(),
             report: EngineReport::default(),
+            demand: HashMap::new(),
+            in_flight: HashMap::new(),
         }
     }
 
+    /// Takes what a relay tells of its use of the engine's adapters.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::UseBeacon;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// let beacon = UseBeacon { relay: "127.0.0.1:1".parse().unwrap(), uses: Vec::new() };
+    /// LoaderMachine::new("e1".into(), 1).take_uses(beacon, Duration::ZERO);
+    /// ```
+    pub fn take_uses(&mut self, beacon: UseBeacon, now: MonoTime) {
+        for used in beacon.uses.iter().filter(|used| used.sent > 0) {
+            let meter = self.demand.entry(used.key.clone()).or_default();
+            meter.add(now, f64::from(used.sent), DEMAND_HALF_LIFE);
+        }
+        let busy = beacon.uses.into_iter().filter(|used| used.in_flight > 0);
+        let busy = busy.map(|used| used.key).collect();
+        self.in_flight.insert(beacon.relay, (busy, now));
+    }
+
     /// The last report of the engine.
     ///
     /// ```
@@ -121,25 +167,27 @@
         &self.report
     }
 
-    /// Takes a report of the engine; tells whether what it holds changed.
+    /// Takes a report of the engine; tells what changed in what it holds.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use quillcove_core::relay::beacon::EngineReport;
     /// use quillcove_core::relay::loader::LoaderMachine;
     ///
     /// let mut machine = LoaderMachine::new("e1".into(), 1);
-    /// assert!(!machine.take_report(EngineReport::default()));
+    /// assert!(!machine.take_report(EngineReport::default(), Duration::ZERO).is_changed);
     /// ```
-    pub fn take_report(&mut self, report: EngineReport) -> bool {
+    pub fn take_report(&mut self, report: EngineReport, now: MonoTime) -> ReportChange {
         let is_changed = report.models != self.report.models
             || report.adapters != self.report.adapters
             || report.incoming != self.report.incoming;
-        let shows = |key: &AdapterKey| {
-            report.adapters.iter().chain(&report.incoming).any(|held| held.key == *key)
-        };
-        self.unseen.retain(|(key, _)| !shows(key));
         self.report = report;
-        is_changed
+        let holds = |key: &AdapterKey| self.report.adapters.iter().any(|held| held.key == *key);
+        let (arrived, ordered): (Vec<_>, Vec<_>) =
+            self.ordered.drain(..).partition(|(key, _)| holds(key));
+        self.ordered = ordered;
+        let took = |(key, at): (AdapterKey, MonoTime)| (key, now.saturating_sub(at));
+        ReportChange { is_changed, arrived: arrived.into_iter().map(took).collect() }
     }
 
     /// Takes an ask of the keeper. A second ask for the same thing replaces the first.
@@ -154,7 +202,6 @@
     ///     model: "m".into(),
     ///     adapter: Some("a1".into()),
     ///     version: None,
-    ///     evict: None,
     ///     places: 4,
     /// };
     /// let mut machine = LoaderMachine::new("e1".into(), 1);
@@ -185,28 +232,34 @@
             return None;
         }
         self.asks.retain(|(_, taken)| now.saturating_sub(*taken) < ASK_LIFETIME);
-        self.unseen.retain(|(_, ordered)| now.saturating_sub(*ordered) < UNSEEN_LIFETIME);
-        loop {
-            let (ask, _) = self.asks.pop_front()?;
-            if self.is_done(&ask) {
+        self.ordered.retain(|(_, at)| now.saturating_sub(*at) < ORDERED_LIFETIME);
+        while let Some((ask, _)) = self.asks.front() {
+            if self.is_done(ask) {
+                self.asks.pop_front();
                 continue;
             }
-            let order = self.order_for(&ask);
+            let evicted = match self.room_for(ask, now) {
+                LoadRoom::Free => None,
+                LoadRoom::Instead(key) => Some(key),
+                LoadRoom::NotYet => return None,
+            };
+            let (ask, _) = self.asks.pop_front()?;
+            let order = self.order_for(&ask, evicted);
             if order.kind == OrderKind::Load {
-                if !self.has_room(&ask) {
-                    continue;
+                match ask.key() {
+                    Some(key) => self.ordered.push((key, now)),
+                    None => self.model_loads.push_back(now),
                 }
-                self.begun.push_back(now);
-                self.unseen.extend(key_of(&ask).map(|key| (key, now)));
             }
             self.under_way = Some((order.clone(), ask));
             return Some(order);
         }
+        None
     }
 
     /// Tells whether the engine already holds, or awaits, what is asked for.
     fn is_done(&self, ask: &LoadAsk) -> bool {
-        let Some(key) = key_of(ask) else {
+        let Some(key) = ask.key() else {
             return self.report.models.contains(&ask.model);
         };
         let all = self.report.adapters.iter().chain(&self.report.incoming);
@@ -214,23 +267,47 @@
         all.into_iter().any(|held| held.key == key && held.version >= version)
     }
 
-    /// Tells whether the engine has a place for what is asked for. A new version takes the place
-    /// of the old one.
-    fn has_room(&self, ask: &LoadAsk) -> bool {
-        let Some(key) = key_of(ask) else {
-            return self.report.models.is_empty();
+    /// Tells whether the engine has a place for what is asked for, or what makes room. A new
+    /// version takes the place of the old one.
+    fn room_for(&self, ask: &LoadAsk, now: MonoTime) -> LoadRoom {
+        let Some(key) = ask.key() else {
+            return match self.report.models.is_empty() && !self.report.is_busy {
+                true => LoadRoom::Free,
+                false => LoadRoom::NotYet,
+            };
         };
+        let is_incoming =
+            |key: &AdapterKey| self.report.incoming.iter().any(|held| held.key == *key);
+        let unseen = self.ordered.iter().filter(|(key, _)| !is_incoming(key)).count();
+        let coming = self.report.incoming.len() + unseen;
+        if coming >= INCOMING_LIMIT || self.report.is_busy {
+            return LoadRoom::NotYet;
+        }
         let replaces = self.report.adapters.iter().any(|held| held.key == key);
-        let used = self.report.adapters.len() + self.report.incoming.len() + self.unseen.len();
-        replaces || used < ask.places as usize
+        if replaces || self.report.adapters.len() + coming < ask.places as usize {
+            return LoadRoom::Free;
+        }
+        self.least_wanted(now).map_or(LoadRoom::NotYet, LoadRoom::Instead)
+    }
+
+    /// The adapter with the least demand among those that no relay has requests in flight for.
+    fn least_wanted(&self, now: MonoTime) -> Option<AdapterKey> {
+        let is_recent = |told: &MonoTime| now.saturating_sub(*told) < USE_LIFETIME;
+        let is_used = |key: &AdapterKey| {
+            self.in_flight.values().any(|(keys, told)| is_recent(told) && keys.contains(key))
+        };
+        let demand = |key: &AdapterKey| {
+            self.demand.get(key).map_or(0.0, |meter| meter.level(now, DEMAND_HALF_LIFE))
+        };
+        let idle = self.report.adapters.iter().map(|held| &held.key).filter(|key| !is_used(key));
+        idle.min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
     }
 
     /// The order for an ask: what makes room goes first.
-    fn order_for(&mut self, ask: &LoadAsk) -> LoadOrder {
+    fn order_for(&mut self, ask: &LoadAsk, evicted: Option<AdapterKey>) -> LoadOrder {
         self.fence += 1;
-        let holds = |key: &&AdapterKey| self.report.adapters.iter().any(|held| held.key == **key);
-        let (kind, model, adapter, version) = match ask.evict.as_ref().filter(holds) {
-            Some(key) => (OrderKind::Unload, key.model.clone(), Some(key.adapter.clone()), None),
+        let (kind, model, adapter, version) = match evicted {
+            Some(key) => (OrderKind::Unload, key.model, Some(key.adapter), None),
             None => (OrderKind::Load, ask.model.clone(), ask.adapter.clone(), ask.version),
         };
         let (replica, holder) = (ask.replica.clone(), self.holder.clone());
@@ -246,22 +323,19 @@
     /// LoaderMachine::new("e1".into(), 1).end_order(OrderOutcome::Begun, Duration::ZERO);
     /// ```
     pub fn end_order(&mut self, outcome: OrderOutcome, now: MonoTime) {
-        let Some((order, mut ask)) = self.under_way.take() else {
+        let Some((order, ask)) = self.under_way.take() else {
             return;
         };
-        match (outcome, order.kind) {
-            (OrderOutcome::Begun | OrderOutcome::Unanswered, OrderKind::Load) => {},
-            (_, OrderKind::Load) => {
-                self.begun.pop_back();
-                self.unseen.retain(|(key, _)| Some(key) != key_of(&ask).as_ref());
-            },
-            (_, OrderKind::Unload) => {},
+        let may_have_begun = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
+        if order.kind == OrderKind::Load && !may_have_begun {
+            match ask.key() {
+                Some(key) => self.ordered.retain(|(ordered, _)| *ordered != key),
+                None => drop(self.model_loads.pop_back()),
+            }
         }
         match (outcome, order.kind) {
-            (OrderOutcome::Begun | OrderOutcome::Holds, OrderKind::Unload) => {
-                ask.evict = None;
-                self.asks.push_front((ask, now));
-            },
+            (OrderOutcome::Begun | OrderOutcome::Holds, OrderKind::Unload)
+            | (OrderOutcome::Busy, _) => self.asks.push_front((ask, now)),
             (OrderOutcome::FenceTooLow, _) => {
                 self.fence += FENCE_STEP;
                 self.asks.push_front((ask, now));
@@ -270,21 +344,26 @@
         }
     }
 
-    /// Ages of the loads begun lately.
+    /// Ages of the loads of base models begun lately.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::loader::LoaderMachine;
     ///
-    /// assert!(LoaderMachine::new("e1".into(), 1).recent_loads(Duration::ZERO).is_empty());
+    /// assert!(LoaderMachine::new("e1".into(), 1).model_loads(Duration::ZERO).is_empty());
     /// ```
-    pub fn recent_loads(&mut self, now: MonoTime) -> Vec<Duration> {
-        self.begun.retain(|began| now.saturating_sub(*began) < LOADS_KEPT);
-        self.begun.iter().map(|began| now.saturating_sub(*began)).collect()
+    pub fn model_loads(&mut self, now: MonoTime) -> Vec<Duration> {
+        self.model_loads.retain(|began| now.saturating_sub(*began) < LOADS_KEPT);
+        self.model_loads.iter().map(|began| now.saturating_sub(*began)).collect()
     }
 }
 
-fn key_of(ask: &LoadAsk) -> Option<AdapterKey> {
-    let adapter = ask.adapter.clone()?;
-    Some(AdapterKey { model: ask.model.clone(), adapter })
+/// Whether an engine has a place for an adapter.
+enum LoadRoom {
+    /// It has.
+    Free,
+    /// It has when this one goes.
+    Instead(AdapterKey),
+    /// It has none now.
+    NotYet,
 }
--- a/quillcove_core/src/relay/machine.rs
+++ b/quillcove_core/src/relay/machine.rs
@@ -6,11 +6,11 @@
 
 use serde::Serialize;
 
-use super::beacon::{AdapterKey, AdapterWant, EngineBeacon, PlannedLoad, ReplicaId};
+use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, ReplicaId};
+use super::demand::AdapterDemand;
 use super::replica::{AttemptFate, ReplicaRecord, ReplicaTable, ReplicaView};
-use super::routing::{self, FULL_LOAD, HoldingNeed};
+use super::routing::{self, HoldingNeed, SPREAD_LOAD};
 use super::sheet::{RouteRecord, RouteSheet, SheetVersion};
-use crate::demand::DemandMeter;
 use crate::entry::retry::RetryBudget;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 use crate::rendezvous;
@@ -31,25 +31,12 @@
 /// Added to the planned time of a load in what callers are told, for the way of the news.
 const NEWS_TIME: Duration = Duration::from_millis(80);
 
-/// Share of its remaining time after which a caller is told to come back when nothing is planned;
-/// callers do not wait for longer than a third.
-const COME_BACK_SHARE: f64 = 0.3;
-
 /// Time in which requests may still begin on an adapter's version after a newer one was
 /// published. The users allow 5 s; the rest is for requests on their way.
 const VERSION_GRACE: Duration = Duration::from_secs(3);
 
-/// Half-life of the worth of requests that lacked an adapter.
-const WANT_HALF_LIFE: Duration = Duration::from_secs(4);
-
-/// Half-life of the demand for adapters, held or not.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(8);
-
-/// Worth below which a want is forgotten.
-const WANT_FLOOR: f64 = 0.05;
-
-/// Wants told to other relays, so that a beacon fits a datagram.
-const WANTS_TOLD: usize = 32;
+/// Time after which a request that waits for an adapter looks whether its ask has to be repeated.
+const ASK_CHECK: Duration = Duration::from_millis(80);
 
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
@@ -171,9 +158,7 @@
     sheet: Option<Arc<RouteSheet>>,
     table: ReplicaTable,
     versions: HashMap<AdapterKey, (AdapterVersion, MonoTime)>,
-    wants: HashMap<AdapterKey, (ServiceName, DemandMeter)>,
-    demand: HashMap<AdapterKey, DemandMeter>,
-    plan: HashMap<AdapterKey, MonoTime>,
+    demand: AdapterDemand,
     budgets: HashMap<ServiceName, RetryBudget>,
     /// Replicas whose entries lapsed while the store was away, and when they are given up.
     doubted: HashMap<ReplicaId, MonoTime>,
@@ -198,9 +183,7 @@
             sheet: None,
             table: ReplicaTable::default(),
             versions: HashMap::new(),
-            wants: HashMap::new(),
-            demand: HashMap::new(),
-            plan: HashMap::new(),
+            demand: AdapterDemand::default(),
             budgets: HashMap::new(),
             doubted: HashMap::new(),
             store_returned: None,
@@ -247,30 +230,38 @@
         self.versions.get(key).map(|(version, _)| *version)
     }
 
-    /// Adapters of which a newer version was named.
+    /// Engines of a service that take new work.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).versions().count(), 0);
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.ready_engines("s").count(), 0);
     /// ```
-    pub fn versions(&self) -> impl Iterator<Item = (&AdapterKey, AdapterVersion)> {
-        self.versions.iter().map(|(key, (version, _))| (key, *version))
+    pub fn ready_engines<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaView> {
+        self.table.all().filter(move |view| view.record.service == service && view.is_ready())
     }
 
-    /// Faded number of requests for an adapter at this relay.
+    /// Use of an engine's adapters since the last call.
     ///
     /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
-    /// let machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert_eq!(machine.demand(&key, Duration::ZERO), 0.0);
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_uses("i-1").is_empty());
+    /// ```
+    pub fn take_uses(&mut self, replica: &str) -> Vec<AdapterUse> {
+        self.table.take_uses(replica)
+    }
+
+    /// Asks for adapters that are to be sent to loaders now.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_asks().is_empty());
     /// ```
-    pub fn demand(&self, key: &AdapterKey, now: MonoTime) -> f64 {
-        self.demand.get(key).map_or(0.0, |meter| meter.level(now, DEMAND_HALF_LIFE))
+    pub fn take_asks(&mut self) -> Vec<AddressedAsk> {
+        self.demand.take_outbox()
     }
 
     /// Tells whether callers can be served: a sheet is in force, replicas are known, and the
@@ -472,8 +463,8 @@
         is_changed
     }
 
-    /// Gives up replicas whose entries lapsed and did not come back in time, and forgets faded
-    /// wants.
+    /// Gives up replicas whose entries lapsed and did not come back in time, and forgets asks whose
+    /// time is over.
     ///
     /// ```
     /// use std::time::Duration;
@@ -483,8 +474,7 @@
     /// assert!(machine.tick(Duration::ZERO).is_empty());
     /// ```
     pub fn tick(&mut self, now: MonoTime) -> Vec<BeliefChange> {
-        self.wants.retain(|_, (_, meter)| meter.level(now, WANT_HALF_LIFE) > WANT_FLOOR);
-        self.demand.retain(|_, meter| meter.level(now, DEMAND_HALF_LIFE) > WANT_FLOOR);
+        self.demand.tick(now);
         if self.is_store_away {
             return Vec::new();
         }
@@ -514,47 +504,18 @@
     ///     number: 1,
     ///     incarnation: 1,
     ///     report: EngineReport::default(),
-    ///     recent_loads: Vec::new(),
+    ///     model_loads: Vec::new(),
     ///     relays: Vec::new(),
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert!(!machine.take_report(&beacon, Duration::ZERO));
     /// ```
     pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
-        self.table.report(beacon.engine, beacon.report.clone(), now)
-    }
-
-    /// Takes the keeper's plan.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// RelayMachine::new(RelayRules::default(), 1).take_plan(&[], Duration::ZERO);
-    /// ```
-    pub fn take_plan(&mut self, plan: &[PlannedLoad], now: MonoTime) {
-        self.plan.clear();
-        self.plan.extend(plan.iter().map(|load| (load.key.clone(), now + load.ready_in)));
-    }
-
-    /// What this relay lacks, the worthiest first.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(machine.wants(Duration::ZERO).is_empty());
-    /// ```
-    pub fn wants(&self, now: MonoTime) -> Vec<AdapterWant> {
-        let want = |(key, (service, meter)): (&AdapterKey, &(ServiceName, DemandMeter))| {
-            let worth = meter.level(now, WANT_HALF_LIFE) as f32;
-            AdapterWant { service: service.clone(), key: key.clone(), worth }
-        };
-        let mut wants: Vec<AdapterWant> = self.wants.iter().map(want).collect();
-        wants.sort_by(|a, b| b.worth.total_cmp(&a.worth));
-        wants.truncate(WANTS_TOLD);
-        wants
+        let is_changed = self.table.report(beacon.engine, beacon.report.clone(), now);
+        if let Some(view) = self.table.at(beacon.engine) {
+            self.demand.note_held(view, now);
+        }
+        is_changed
     }
 
     /// Admits a request, or refuses it.
@@ -665,41 +626,6 @@
         }
     }
 
-    /// Counts a request for an adapter.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// machine.note_demand(&key, Duration::ZERO);
-    /// assert_eq!(machine.demand(&key, Duration::ZERO), 1.0);
-    /// ```
-    pub fn note_demand(&mut self, key: &AdapterKey, now: MonoTime) {
-        self.demand.entry(key.clone()).or_default().add(now, 1.0, DEMAND_HALF_LIFE);
-    }
-
-    /// Notes that a request found no engine with its adapter, so that one is loaded. Called once
-    /// a request.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// machine.note_want("s", &key, Duration::ZERO);
-    /// assert_eq!(machine.wants(Duration::ZERO).len(), 1);
-    /// ```
-    pub fn note_want(&mut self, service: &str, key: &AdapterKey, now: MonoTime) {
-        let fresh = || (service.to_string(), DemandMeter::default());
-        let (_, meter) = self.wants.entry(key.clone()).or_insert_with(fresh);
-        meter.add(now, 1.0, WANT_HALF_LIFE);
-    }
-
     /// Chooses the next step of a request; replicas in `tried` are left out.
     ///
     /// ```
@@ -755,10 +681,12 @@
         let holders: Vec<&ReplicaView> = pool.iter().filter(holds).copied().collect();
         let is_fresh = |view: &&&ReplicaView| !tried.contains(&view.record.id);
         let fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
-        match routing::choose(&fresh, &self.rules.hall, now, draw) {
+        let current = self.newest_of(query, &fresh, now);
+        match routing::choose(&current, &self.rules.hall, now, draw) {
             Some(view) => {
                 let order =
                     AttemptOrder { replica: view.record.id.clone(), address: view.record.address };
+                self.refresh_copies(query, &order.replica, now);
                 RelayChoice::Send(order)
             },
             None if query.adapter.is_some() && holders.is_empty() => self.await_load(query, now),
@@ -766,6 +694,57 @@
         }
     }
 
+    /// Of several holders of an adapter, those that have its newest version if any do.
+    fn newest_of<'a>(
+        &self,
+        query: &RelayQuery,
+        holders: &[&'a ReplicaView],
+        now: MonoTime,
+    ) -> Vec<&'a ReplicaView> {
+        let newest = query.adapter.as_ref().and_then(|key| Some((key, self.newest(key)?)));
+        let Some((key, version)) = newest else {
+            return holders.to_vec();
+        };
+        let need = HoldingNeed::Adapter(key, version);
+        let current: Vec<&ReplicaView> =
+            holders.iter().filter(|view| need.is_met_by(view, now)).copied().collect();
+        match current.is_empty() {
+            true => holders.to_vec(),
+            false => current,
+        }
+    }
+
+    /// Asks for another copy of an adapter when the engine that takes the request is loaded, or
+    /// holds an older version than the newest.
+    fn refresh_copies(&mut self, query: &RelayQuery, chosen: &str, now: MonoTime) {
+        let Some(key) = &query.adapter else {
+            return;
+        };
+        let Some(view) = self.table.get(chosen) else {
+            return;
+        };
+        let newest = self.newest(key).unwrap_or(0);
+        let is_outdated = view.version_of(key, now).is_some_and(|held| held < newest);
+        if is_outdated || view.load(now) >= SPREAD_LOAD {
+            self.ask_for(query, now);
+        }
+    }
+
+    /// Asks for the adapter of a request; gives the time at which it will be there.
+    fn ask_for(&mut self, query: &RelayQuery, now: MonoTime) -> Option<MonoTime> {
+        let key = query.adapter.as_ref()?;
+        let sheet = self.sheet.clone()?;
+        let engine = sheet.service(&query.service)?.engine.as_ref()?;
+        let engines: Vec<&ReplicaView> = self
+            .table
+            .all()
+            .filter(|view| view.record.service == query.service && view.is_ready())
+            .filter(|view| view.seems_well(now))
+            .collect();
+        let version = self.versions.get(key).map(|(version, _)| *version);
+        self.demand.ask(key, version, &engines, engine, now)
+    }
+
     fn need_of<'a>(&self, query: &'a RelayQuery, now: MonoTime) -> HoldingNeed<'a> {
         match (&query.adapter, &query.model) {
             (Some(key), _) => HoldingNeed::Adapter(key, self.least_version(key, now)),
@@ -774,59 +753,23 @@
         }
     }
 
-    /// Tells whether every engine that holds an adapter has a full batch, so that another copy
-    /// is of use.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
-    /// let machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(machine.is_short_of("s", &key, Duration::ZERO));
-    /// ```
-    pub fn is_short_of(&self, service: &str, key: &AdapterKey, now: MonoTime) -> bool {
-        let least = self.least_version(key, now);
-        let need = HoldingNeed::Adapter(key, least);
-        let mut holders = self.table.all().filter(|view| {
-            view.record.service == service
-                && view.is_ready()
-                && view.seems_well(now)
-                && need.is_met_by(view, now)
-        });
-        holders.all(|view| view.load(now) >= FULL_LOAD)
-    }
-
     /// A request whose adapter is in no engine: waits when the adapter will be there in time, and
     /// is refused at once, with the time at which to come back, when it will not.
-    fn await_load(&self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
+    fn await_load(&mut self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
         let aim = query.route.aim;
         let decide_by = query.received + aim.mul_f64(DECIDE_SHARE);
-        let Some(key) = &query.adapter else {
-            return refuse(RefusalReason::NoUpstream, Some(SOON));
-        };
-        let planned = self.plan.get(key).copied();
-        if let Some(ready_at) = planned {
-            let in_time = ready_at + FIRST_EVENT_TIME <= query.received + aim;
-            if in_time {
-                let give_up = query.received + aim.mul_f64(PATIENCE);
-                return RelayChoice::Wait(give_up.max(decide_by).min(query.deadline));
-            }
-        }
-        if now < decide_by && planned.is_none() {
-            return RelayChoice::Wait(decide_by.min(query.deadline));
+        let give_up = (query.received + aim.mul_f64(PATIENCE)).min(query.deadline);
+        let ready_at = self.ask_for(query, now);
+        let is_in_time = ready_at.is_some_and(|at| at + FIRST_EVENT_TIME <= query.received + aim);
+        if is_in_time {
+            return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
         }
-        let is_promised = now > decide_by && now < query.received + aim.mul_f64(PATIENCE);
-        if is_promised && planned.is_some() {
-            let give_up = query.received + aim.mul_f64(PATIENCE);
-            return RelayChoice::Wait(give_up.min(query.deadline));
+        // Once a request has been held beyond the time for a useful refusal, a late answer is
+        // worth more to its caller than none.
+        if now > decide_by && now < give_up {
+            return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
         }
-        let left = query.deadline.saturating_sub(now);
-        let come_back = match planned {
-            Some(ready_at) => ready_at.saturating_sub(now) + NEWS_TIME,
-            None => left.mul_f64(COME_BACK_SHARE),
-        };
+        let come_back = ready_at.map_or(SOON, |at| at.saturating_sub(now) + NEWS_TIME);
         refuse(RefusalReason::DeadlineTooShort, Some(come_back))
     }
 
@@ -836,10 +779,10 @@
     /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// RelayMachine::new(RelayRules::default(), 1).begin("i-1", Duration::ZERO);
+    /// RelayMachine::new(RelayRules::default(), 1).begin("i-1", None, Duration::ZERO);
     /// ```
-    pub fn begin(&mut self, replica: &str, now: MonoTime) {
-        self.table.begin(replica, now);
+    pub fn begin(&mut self, replica: &str, key: Option<&AdapterKey>, now: MonoTime) {
+        self.table.begin(replica, key, now);
     }
 
     /// Notes that bytes came from a replica.
@@ -862,10 +805,16 @@
     /// use quillcove_core::relay::replica::AttemptFate;
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(!machine.end("i-1", AttemptFate::Answered, Duration::ZERO));
+    /// assert!(!machine.end("i-1", None, AttemptFate::Answered, Duration::ZERO));
     /// ```
-    pub fn end(&mut self, replica: &str, fate: AttemptFate, now: MonoTime) -> bool {
-        self.table.end(replica, fate, now)
+    pub fn end(
+        &mut self,
+        replica: &str,
+        key: Option<&AdapterKey>,
+        fate: AttemptFate,
+        now: MonoTime,
+    ) -> bool {
+        self.table.end(replica, key, fate, now)
     }
 
     /// Notes that a replica turned out not to be the one that was meant.
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -3,11 +3,13 @@
 //! - [`sheet`]: routes, services and limits in force.
 //! - [`replica`]: the upstreams that are known, what they hold and how they fare.
 //! - [`machine`]: admission, choice of the upstream, and repeats, for one relay.
-//! - [`keeper`]: which adapter is loaded where, and when it will be there.
+//! - [`demand`]: which adapter is asked of which engine, and when it will be there.
+//! - [`keeper`]: base models for engines that have none, within the weight store's rate.
 //! - [`loader`]: orders to the one engine beside a loader.
 //! - [`beacon`]: what relays and loaders tell each other.
 
 pub mod beacon;
+pub mod demand;
 pub mod keeper;
 pub mod loader;
 pub mod machine;
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 
-use super::beacon::{AdapterKey, EngineReport, HeldAdapter, ReplicaId};
+use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId};
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 
 /// Age up to which a loader's report goes before the platform's listing. Loaders report at least
@@ -80,6 +80,8 @@
     report: Option<(EngineReport, MonoTime)>,
     /// Requests sent since that report.
     sent_since: u32,
+    /// Use of its adapters by this process.
+    uses: HashMap<AdapterKey, AdapterUse>,
     failures: u32,
     ejections: u32,
     ejected_until: MonoTime,
@@ -93,6 +95,7 @@
             in_flight: 0,
             report: None,
             sent_since: 0,
+            uses: HashMap::new(),
             failures: 0,
             ejections: 0,
             ejected_until: MonoTime::ZERO,
@@ -199,7 +202,7 @@
     ///
     /// let mut table = ReplicaTable::default();
     /// table.list(example_record("i-1"), Duration::ZERO);
-    /// table.begin("i-1", Duration::ZERO);
+    /// table.begin("i-1", None, Duration::ZERO);
     /// assert!(table.get("i-1").unwrap().load(Duration::ZERO) > 0.0);
     /// ```
     pub fn load(&self, now: MonoTime) -> f64 {
@@ -317,15 +320,21 @@
     /// use std::time::Duration;
     /// use quillcove_core::relay::replica::ReplicaTable;
     ///
-    /// ReplicaTable::default().begin("i-1", Duration::ZERO);
+    /// ReplicaTable::default().begin("i-1", None, Duration::ZERO);
     /// ```
-    pub fn begin(&mut self, id: &str, now: MonoTime) {
+    pub fn begin(&mut self, id: &str, key: Option<&AdapterKey>, now: MonoTime) {
         if let Some(view) = self.replicas.get_mut(id) {
             if view.in_flight == 0 {
                 view.last_heard = now;
             }
             view.in_flight += 1;
             view.sent_since += 1;
+            if let Some(key) = key {
+                let fresh = || AdapterUse { key: key.clone(), sent: 0, in_flight: 0 };
+                let used = view.uses.entry(key.clone()).or_insert_with(fresh);
+                used.sent += 1;
+                used.in_flight += 1;
+            }
         }
     }
 
@@ -351,14 +360,23 @@
     ///
     /// let mut table = ReplicaTable::default();
     /// table.list(example_record("i-1"), Duration::ZERO);
-    /// let mut fail = || table.end("i-1", AttemptFate::Failed, Duration::ZERO);
+    /// let mut fail = || table.end("i-1", None, AttemptFate::Failed, Duration::ZERO);
     /// assert_eq!([fail(), fail(), fail()], [false, false, true]);
     /// ```
-    pub fn end(&mut self, id: &str, fate: AttemptFate, now: MonoTime) -> bool {
+    pub fn end(
+        &mut self,
+        id: &str,
+        key: Option<&AdapterKey>,
+        fate: AttemptFate,
+        now: MonoTime,
+    ) -> bool {
         let Some(view) = self.replicas.get_mut(id) else {
             return false;
         };
         view.in_flight = view.in_flight.saturating_sub(1);
+        if let Some(used) = key.and_then(|key| view.uses.get_mut(key)) {
+            used.in_flight = used.in_flight.saturating_sub(1);
+        }
         match fate {
             AttemptFate::Answered => {
                 view.failures = 0;
@@ -385,6 +403,25 @@
         }
     }
 
+    /// Use of each engine's adapters since the last call; what is not used any more is left out.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert!(ReplicaTable::default().take_uses("i-1").is_empty());
+    /// ```
+    pub fn take_uses(&mut self, id: &str) -> Vec<AdapterUse> {
+        let Some(view) = self.replicas.get_mut(id) else {
+            return Vec::new();
+        };
+        view.uses.retain(|_, used| used.sent > 0 || used.in_flight > 0);
+        let uses = view.uses.values().cloned().collect();
+        for used in view.uses.values_mut() {
+            used.sent = 0;
+        }
+        uses
+    }
+
     /// Drops the adapter from what a replica is taken to hold, after the replica said that it
     /// does not have it.
     ///
--- a/quillcove_core/src/relay/routing.rs
+++ b/quillcove_core/src/relay/routing.rs
@@ -13,8 +13,8 @@
 /// millisecond apart, which is the step time that a tenth of a batch adds.
 const FAR_PENALTY: f64 = 0.1;
 
-/// Load at which a replica counts as full, in shares of its places.
-pub const FULL_LOAD: f64 = 1.0;
+/// Load of an engine at which another copy of its adapter is asked for, in shares of its places.
+pub const SPREAD_LOAD: f64 = 0.7;
 
 /// What a replica must hold to take a request.
 #[derive(Clone, Copy, Debug)]
--- a/quillcove_core/src/relay/sheet.rs
+++ b/quillcove_core/src/relay/sheet.rs
@@ -107,6 +107,51 @@
     pub loads_per_second: f64,
 }
 
+impl EngineRecord {
+    /// Adapters for which an engine has room beside a base model.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::EngineRecord;
+    ///
+    /// let engine = EngineRecord {
+    ///     models: Vec::new(),
+    ///     weights_mb: 0.0,
+    ///     adapter_places: 4,
+    ///     loads_per_second: 2.0,
+    /// };
+    /// assert_eq!(engine.places_beside("m"), 4);
+    /// ```
+    pub fn places_beside(&self, model: &str) -> usize {
+        let Some(record) = self.models.iter().find(|record| record.name == model) else {
+            return self.adapter_places;
+        };
+        let room = (self.weights_mb - record.weights_mb).max(0.0);
+        let by_memory = (room / record.adapter_mb.max(f64::MIN_POSITIVE)) as usize;
+        self.adapter_places.min(by_memory)
+    }
+
+    /// Time between the starts of two loads from the weight store.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::sheet::EngineRecord;
+    ///
+    /// let engine = EngineRecord {
+    ///     models: Vec::new(),
+    ///     weights_mb: 0.0,
+    ///     adapter_places: 4,
+    ///     loads_per_second: 2.0,
+    /// };
+    /// assert_eq!(engine.load_pace(), Duration::from_millis(500));
+    /// ```
+    pub fn load_pace(&self) -> Duration {
+        Duration::from_secs_f64(1.0 / self.loads_per_second.max(SLOWEST_RATE))
+    }
+}
+
+/// Loads a second when the platform names none, so that a pause between two is defined.
+const SLOWEST_RATE: f64 = 0.1;
+
 /// One service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRecord {
