Load no more adapters at once than the store serves at full speed

Change: a limiter learns from load times how many loads run at full speed (TCP Vegas); relays count what all loaders report and ask for the worthiest adapter first, each within its share; adapters that an engine held lately go back to it ahead of the queue, as its host has a copy; a loader never takes out an adapter that just came in, and chooses by the relays' use. Ruled out: more loads at once per engine (same throughput, later answers).

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -12,7 +12,7 @@
 use dropshot::HttpServer;
 use http::Method;
 use quillcove_core::ids::MonoTime;
-use quillcove_core::relay::beacon::{EngineBeacon, EngineReport, PeerMessage};
+use quillcove_core::relay::beacon::{ArrivedLoad, EngineBeacon, EngineReport, PeerMessage};
 use quillcove_core::relay::loader::{LoadOrder, LoaderMachine, OrderOutcome};
 use quillcove_platform::engine;
 use serde::Serialize;
@@ -109,6 +109,8 @@
     relays: HashMap<SocketAddr, MonoTime>,
     incarnation: u64,
     beacons: u64,
+    /// Loads that ended since the last beacon.
+    arrivals: Vec<ArrivedLoad>,
     last_beacon: MonoTime,
     is_engine_up: bool,
     /// Closes when it is dropped.
@@ -136,6 +138,7 @@
             relays: HashMap::new(),
             incarnation: rand::random(),
             beacons: 0,
+            arrivals: Vec::new(),
             last_beacon: MonoTime::ZERO,
             is_engine_up: false,
             _operator: operator,
@@ -219,10 +222,11 @@
         };
         let now = self.clock.now();
         let change = self.machine.take_report(report, now);
-        for (key, took) in change.arrived {
+        for (key, load) in change.arrived {
             info!(self.log, "adapter held"; "model" => key.model, "adapter" => key.adapter,
-                "took_ms" => took.as_millis() as u64,
+                "took_ms" => load.took.as_millis() as u64, "was_warm" => load.was_warm,
                 "incoming" => self.machine.report().incoming.len());
+            self.arrivals.push(load);
         }
         self.forget_relays(now);
         let is_due = now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL;
@@ -269,6 +273,7 @@
             incarnation: self.incarnation,
             report: self.machine.report().clone(),
             model_loads: self.machine.model_loads(now),
+            arrivals: std::mem::take(&mut self.arrivals),
             relays: relays.clone(),
         };
         if let Ok(mut view) = self.view.lock() {
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -232,6 +232,7 @@
         adapter: terms.adapter.clone(),
         received,
         deadline,
+        looks: 0,
     };
     Ok(OpenRequest {
         shared: shared.clone(),
@@ -297,6 +298,7 @@
         news.mark_unchanged();
         let now = shared.clock.now();
         let choice = shared.machine().choose(&open.query, &open.tried, now);
+        open.query.looks += 1;
         if open.query.adapter.is_some() {
             shared.wanted.notify_one();
         }
--- a/quillcove/src/relay/input.rs
+++ b/quillcove/src/relay/input.rs
@@ -128,10 +128,7 @@
                 warn!(self.shared.log, "datagram is no message"; "from" => %from,
                     "error" => %error);
             },
-            RelayInput::Wanted => {
-                let asks = self.shared.machine().take_asks();
-                self.send_asks(asks);
-            },
+            RelayInput::Wanted => self.send_wanted(),
             RelayInput::Ticked => self.tick(now),
         }
     }
@@ -287,6 +284,7 @@
         if is_changed {
             self.shared.tell_news();
         }
+        self.send_wanted();
         for relay in beacon.relays {
             self.greet(relay);
         }
@@ -309,8 +307,10 @@
             self.keeper_from = now + KEEPER_DELAY;
             self.hurry.send_modify(|count| *count += 1);
         }
+        self.shared.machine().set_relays(self.relays.len() + 1);
         let changes = self.shared.machine().tick(now);
         self.log_changes(changes);
+        self.send_wanted();
         self.note_ready();
         self.forget_relays(now);
         self.choose_keeper(now);
@@ -351,6 +351,12 @@
         }
     }
 
+    /// Sends the asks for adapters that the machine has made.
+    fn send_wanted(&self) {
+        let asks = self.shared.machine().take_asks();
+        self.send_asks(asks);
+    }
+
     fn send_asks(&self, asks: Vec<AddressedAsk>) {
         let port = self.shared.settings.peers.loader_port;
         for addressed in asks {
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -50,6 +50,15 @@
     pub tokens_total: u64,
 }
 
+/// An adapter that came into an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ArrivedLoad {
+    /// Time from the order until the engine reported it.
+    pub took: Duration,
+    /// Whether the engine had held it before, so that its host still had a copy.
+    pub was_warm: bool,
+}
+
 /// A loader's report on its engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineBeacon {
@@ -65,6 +74,8 @@
     pub report: EngineReport,
     /// Ages of the loads of base models that this loader began lately.
     pub model_loads: Vec<Duration>,
+    /// Adapters that came in since the last beacon.
+    pub arrivals: Vec<ArrivedLoad>,
     /// Relays that the loader has heard lately.
     pub relays: Vec<SocketAddr>,
 }
--- a/quillcove_core/src/relay/demand.rs
+++ b/quillcove_core/src/relay/demand.rs
@@ -1,19 +1,23 @@
-//! Which adapter is asked of which engine, and when it will be there.
+//! Which adapter is asked of which engine, in which order, and when it will be there.
 //!
 //! Each relay decides alone. All relays rank the engines alike for an adapter, so that two of them
-//! ask the same loader, which gives one order; and an adapter that was evicted comes back to the
-//! engine that still has a copy of it in its host's memory.
+//! ask the same loader, which gives one order; and each counts what all loaders report to be on
+//! its way, so that together they load no more at once than the weight store serves at full
+//! speed. An adapter that was evicted lately goes back to its engine, whose host still has a copy.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, AddressedAsk, LoadAsk, ReplicaId};
+use super::beacon::{AdapterKey, AddressedAsk, ArrivedLoad, LoadAsk, ReplicaId};
+use super::limiter::LoadLimiter;
 use super::replica::ReplicaView;
 use super::sheet::EngineRecord;
-use crate::ids::{AdapterVersion, MonoTime};
+use crate::demand::DemandMeter;
+use crate::ids::{AdapterVersion, MonoTime, ServiceName};
 use crate::rendezvous;
 
-/// Adapters that an engine takes in at once; more of them wait at their loader.
+/// Adapters that an engine takes in at once.
 const INCOMING_LIMIT: usize = 4;
 
 /// Load at which an engine takes in no further adapters while others do, in shares of its places.
@@ -26,14 +30,42 @@
 const ASK_LIMIT: u32 = 3;
 
 /// Time after which an ask is forgotten whatever became of it.
-const ASK_LIFETIME: Duration = Duration::from_secs(5);
+const ASK_LIFETIME: Duration = Duration::from_secs(4);
 
-/// Time of a load until the first one has been seen; what the engines of the standard deployments
-/// take.
-const FIRST_LOAD_TIME: Duration = Duration::from_millis(300);
+/// Half-life of the worth of requests that lacked an adapter.
+const WORTH_HALF_LIFE: Duration = Duration::from_secs(6);
 
-/// Weight of a newly seen load in the mean time of loads.
-const LOAD_TIME_WEIGHT: f64 = 0.1;
+/// Asks of one relay beyond its even share that may be open at once, as traffic is not even.
+const SHARE_MARGIN: usize = 1;
+
+/// Time of a load from the memory of an engine's host.
+const WARM_LOAD_TIME: Duration = Duration::from_millis(50);
+
+/// Adapters of one engine that are taken to have a copy in its host's memory: a few times those in
+/// the engine.
+const WARM_COPIES: usize = 100;
+
+/// What a request lacks.
+#[derive(Clone, Debug)]
+pub struct LackedAdapter<'a> {
+    /// Which adapter.
+    pub key: &'a AdapterKey,
+    /// Service whose engines should hold it.
+    pub service: &'a ServiceName,
+    /// Version that it should have; `None` for the newest.
+    pub version: Option<AdapterVersion>,
+    /// Until when the request, or its return, has a use for it.
+    pub useful_until: MonoTime,
+}
+
+/// An adapter that requests lacked.
+#[derive(Clone, Debug)]
+struct WantedAdapter {
+    service: ServiceName,
+    version: Option<AdapterVersion>,
+    worth: DemandMeter,
+    useful_until: MonoTime,
+}
 
 /// An adapter that was asked for and is not there yet.
 #[derive(Clone, Debug)]
@@ -45,25 +77,45 @@
     ready_at: MonoTime,
 }
 
-/// The adapters that one relay has asked for.
+/// The engines of a service, for [`AdapterDemand::pump`].
+pub struct EngineChoice<'a> {
+    /// Its name.
+    pub service: &'a ServiceName,
+    /// What its engines have room for.
+    pub engine: &'a EngineRecord,
+    /// Its engines that take new work and seem to work.
+    pub views: Vec<&'a ReplicaView>,
+}
+
+/// The adapters that one relay lacks and has asked for.
+///
+/// ```
+/// use quillcove_core::relay::demand::AdapterDemand;
+///
+/// assert!(AdapterDemand::default().take_outbox().is_empty());
+/// ```
 #[derive(Debug, Default)]
 pub struct AdapterDemand {
+    wanted: HashMap<AdapterKey, WantedAdapter>,
     open: HashMap<AdapterKey, OpenAsk>,
-    /// Asks to be sent.
+    /// When each engine was last reported to hold an adapter.
+    warm: HashMap<ReplicaId, HashMap<AdapterKey, MonoTime>>,
     outbox: Vec<AddressedAsk>,
-    load_time: Option<Duration>,
+    limiter: LoadLimiter,
+    /// Relays that are there, this one included.
+    relays: usize,
 }
 
 impl AdapterDemand {
-    /// Mean time from an ask until the adapter is reported.
+    /// Takes the number of relays that are there, this one included.
     ///
     /// ```
     /// use quillcove_core::relay::demand::AdapterDemand;
     ///
-    /// assert!(AdapterDemand::default().load_time() > std::time::Duration::ZERO);
+    /// AdapterDemand::default().set_relays(4);
     /// ```
-    pub fn load_time(&self) -> Duration {
-        self.load_time.unwrap_or(FIRST_LOAD_TIME)
+    pub fn set_relays(&mut self, relays: usize) {
+        self.relays = relays;
     }
 
     /// The asks to send now.
@@ -77,17 +129,15 @@
         std::mem::take(&mut self.outbox)
     }
 
-    /// Tells whether an adapter has been asked for and is not there yet.
+    /// Loads that may be on their way over the whole site, as far as this relay has learnt.
     ///
     /// ```
-    /// use quillcove_core::relay::beacon::AdapterKey;
     /// use quillcove_core::relay::demand::AdapterDemand;
     ///
-    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
-    /// assert!(!AdapterDemand::default().is_open(&key));
+    /// assert!(AdapterDemand::default().load_limit() > 0);
     /// ```
-    pub fn is_open(&self, key: &AdapterKey) -> bool {
-        self.open.contains_key(key)
+    pub fn load_limit(&self) -> usize {
+        self.limiter.limit()
     }
 
     /// Takes what an engine holds now: asks that it meets are done.
@@ -102,27 +152,49 @@
     /// AdapterDemand::default().note_held(table.get("i-1").unwrap(), Duration::ZERO);
     /// ```
     pub fn note_held(&mut self, view: &ReplicaView, now: MonoTime) {
+        let copies = self.warm.entry(view.record.id.clone()).or_default();
         for held in view.adapters(now) {
-            let is_met = self.open.get(&held.key).is_some_and(|ask| {
-                let ask = &ask.addressed.ask;
+            match copies.get_mut(&held.key) {
+                Some(seen) => *seen = now,
+                None => drop(copies.insert(held.key.clone(), now)),
+            }
+            let is_met = self.open.get(&held.key).is_some_and(|open| {
+                let ask = &open.addressed.ask;
                 ask.replica == view.record.id && held.version >= ask.version.unwrap_or(0)
             });
-            if !is_met {
-                continue;
-            }
-            if let Some(ask) = self.open.remove(&held.key) {
-                self.note_load_time(now.saturating_sub(ask.first_sent));
+            if is_met {
+                self.open.remove(&held.key);
+                self.wanted.remove(&held.key);
             }
         }
+        forget_oldest(copies);
+    }
+
+    /// Takes the times of loads that have ended; `at_once` were on their way over the whole site.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// AdapterDemand::default().note_arrivals(&[], 0);
+    /// ```
+    pub fn note_arrivals(&mut self, arrivals: &[ArrivedLoad], at_once: usize) {
+        for load in arrivals.iter().filter(|load| !load.was_warm) {
+            self.limiter.note_load(load.took, at_once + arrivals.len());
+        }
     }
 
-    fn note_load_time(&mut self, took: Duration) {
-        let mean = self.load_time();
-        let next = mean.mul_f64(1.0 - LOAD_TIME_WEIGHT) + took.mul_f64(LOAD_TIME_WEIGHT);
-        self.load_time = Some(next);
+    /// Forgets what is known of an engine that is gone or lost its memory.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// AdapterDemand::default().forget_engine("i-1");
+    /// ```
+    pub fn forget_engine(&mut self, replica: &str) {
+        self.warm.remove(replica);
     }
 
-    /// Forgets asks whose time is over.
+    /// Forgets asks and wants whose time is over.
     ///
     /// ```
     /// use std::time::Duration;
@@ -132,102 +204,199 @@
     /// ```
     pub fn tick(&mut self, now: MonoTime) {
         self.open.retain(|_, ask| now.saturating_sub(ask.first_sent) < ASK_LIFETIME);
+        self.wanted.retain(|_, wanted| now < wanted.useful_until + WORTH_HALF_LIFE);
     }
 
-    /// Asks for an adapter at the best of some engines, unless it is on its way already; gives the
-    /// time at which it will be there. `None` when no engine can take it in.
+    /// Notes that a request lacks an adapter; `is_new` on its first look only.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::beacon::AdapterKey;
-    /// use quillcove_core::relay::demand::AdapterDemand;
-    /// use quillcove_core::relay::sheet::EngineRecord;
+    /// use quillcove_core::relay::demand::{AdapterDemand, LackedAdapter};
     ///
-    /// let engine = EngineRecord {
-    ///     models: Vec::new(),
-    ///     weights_mb: 0.0,
-    ///     adapter_places: 4,
-    ///     loads_per_second: 3.0,
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let service = "s".to_string();
+    /// let lacked = LackedAdapter {
+    ///     key: &key,
+    ///     service: &service,
+    ///     version: None,
+    ///     useful_until: Duration::from_secs(1),
     /// };
+    /// AdapterDemand::default().want(&lacked, true, Duration::ZERO);
+    /// ```
+    pub fn want(&mut self, lacked: &LackedAdapter<'_>, is_new: bool, now: MonoTime) {
+        let fresh = || WantedAdapter {
+            service: lacked.service.clone(),
+            version: lacked.version,
+            worth: DemandMeter::default(),
+            useful_until: lacked.useful_until,
+        };
+        let wanted = self.wanted.entry(lacked.key.clone()).or_insert_with(fresh);
+        wanted.version = wanted.version.max(lacked.version);
+        wanted.useful_until = wanted.useful_until.max(lacked.useful_until);
+        if is_new {
+            wanted.worth.add(now, 1.0, WORTH_HALF_LIFE);
+        }
+    }
+
+    /// When a wanted adapter will be there, as things stand.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
-    /// let mut demand = AdapterDemand::default();
-    /// assert_eq!(demand.ask(&key, None, &[], &engine, Duration::ZERO), None);
+    /// assert!(AdapterDemand::default().ready_at(&key, Duration::ZERO) > Duration::ZERO);
     /// ```
-    pub fn ask(
-        &mut self,
-        key: &AdapterKey,
-        version: Option<AdapterVersion>,
-        engines: &[&ReplicaView],
-        engine: &EngineRecord,
-        now: MonoTime,
-    ) -> Option<MonoTime> {
-        let mut passed_over = None;
-        if let Some(open) = self.open.get_mut(key) {
-            let target = engines.iter().find(|view| view.record.id == open.addressed.ask.replica);
+    pub fn ready_at(&self, key: &AdapterKey, now: MonoTime) -> MonoTime {
+        if let Some(open) = self.open.get(key) {
+            return open.ready_at.max(now);
+        }
+        let worth = |wanted: &WantedAdapter| wanted.worth.level(now, WORTH_HALF_LIFE);
+        let own = self.wanted.get(key).map_or(0.0, worth);
+        let is_ahead = |(other, wanted): &(&AdapterKey, &WantedAdapter)| {
+            !self.open.contains_key(other) && now < wanted.useful_until && worth(wanted) > own
+        };
+        let ahead = self.wanted.iter().filter(is_ahead).count() + 1;
+        let share = (self.limiter.limit() as f64 / self.relays.max(1) as f64).max(1.0);
+        let load_time = self.limiter.load_time();
+        now + load_time + load_time.mul_f64(ahead as f64 / share)
+    }
+
+    /// Asks for the adapters that are worth most, as long as the weight store serves more loads at
+    /// full speed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// AdapterDemand::default().pump(&[], Duration::ZERO);
+    /// ```
+    pub fn pump(&mut self, choices: &[EngineChoice<'_>], now: MonoTime) {
+        if self.wanted.is_empty() {
+            return;
+        }
+        self.repeat_asks(choices, now);
+        let views = || choices.iter().flat_map(|choice| &choice.views);
+        let mut on_the_way: usize = views().map(|view| self.on_the_way(view, now)).sum();
+        let share = self.limiter.limit().div_ceil(self.relays.max(1)) + SHARE_MARGIN;
+        for key in self.ranked(now) {
+            let Some((view, places, is_warm)) = self.place(&key, choices, now) else {
+                continue;
+            };
+            let has_room = on_the_way < self.limiter.limit() && self.cold_asks(now) < share;
+            if !is_warm && !has_room {
+                continue;
+            }
+            self.send(&key, view, places, is_warm, now);
+            on_the_way += 1;
+        }
+    }
+
+    /// Asks that were sent and have not been met; old ones may have been lost.
+    fn cold_asks(&self, now: MonoTime) -> usize {
+        let is_recent = |open: &&OpenAsk| now < open.ready_at + ASK_AGAIN;
+        self.open.values().filter(is_recent).count()
+    }
+
+    /// Adapters that are wanted and not asked for, the worthiest first.
+    fn ranked(&self, now: MonoTime) -> Vec<AdapterKey> {
+        let is_due = |(key, wanted): &(&AdapterKey, &WantedAdapter)| {
+            now < wanted.useful_until && !self.open.contains_key(*key)
+        };
+        let worth = |(key, wanted): (&AdapterKey, &WantedAdapter)| {
+            (wanted.worth.level(now, WORTH_HALF_LIFE), key.clone())
+        };
+        let mut ranked: Vec<(f64, AdapterKey)> =
+            self.wanted.iter().filter(is_due).map(worth).collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        ranked.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Sends asks again that no report shows, and gives up engines that do not react.
+    fn repeat_asks(&mut self, choices: &[EngineChoice<'_>], now: MonoTime) {
+        let views: Vec<&ReplicaView> =
+            choices.iter().flat_map(|choice| choice.views.iter().copied()).collect();
+        let mut given_up = Vec::new();
+        for (key, open) in &mut self.open {
+            let replica = &open.addressed.ask.replica;
+            let target = views.iter().find(|view| view.record.id == *replica);
             let is_seen = target.is_some_and(|view| is_incoming(view, key, now));
-            let is_due = now.saturating_sub(open.last_sent) >= ASK_AGAIN;
-            match target {
-                Some(_) if is_seen || !is_due => return Some(open.ready_at.max(now)),
-                Some(_) if open.times < ASK_LIMIT => {
-                    open.times += 1;
-                    open.last_sent = now;
-                    self.outbox.push(open.addressed.clone());
-                    return Some(open.ready_at.max(now));
-                },
-                _ => passed_over = Some(open.addressed.ask.replica.clone()),
+            if is_seen || now.saturating_sub(open.last_sent) < ASK_AGAIN {
+                continue;
             }
+            if target.is_none() || open.times >= ASK_LIMIT {
+                given_up.push(key.clone());
+                continue;
+            }
+            open.times += 1;
+            open.last_sent = now;
+            self.outbox.push(open.addressed.clone());
+        }
+        for key in given_up {
+            self.open.remove(&key);
         }
-        let places = engine.places_beside(&key.model);
-        let view = self.best_engine(key, engines, places, passed_over.as_ref(), now)?;
+    }
+
+    fn send(
+        &mut self,
+        key: &AdapterKey,
+        view: &ReplicaView,
+        places: usize,
+        is_warm: bool,
+        now: MonoTime,
+    ) {
         let ask = LoadAsk {
             replica: view.record.id.clone(),
             model: key.model.clone(),
             adapter: Some(key.adapter.clone()),
-            version,
+            version: self.wanted.get(key).and_then(|wanted| wanted.version),
             places: places as u32,
         };
         let addressed = AddressedAsk { engine: view.record.address, ask };
-        let ahead = self.on_the_way(view, now);
-        let turns = 1 + (ahead / INCOMING_LIMIT) as u32;
-        let ready_at = now + self.load_time() * turns;
-        let first_sent = self.open.get(key).map_or(now, |open| open.first_sent);
+        let load_time = if is_warm { WARM_LOAD_TIME } else { self.limiter.load_time() };
         let open = OpenAsk {
             addressed: addressed.clone(),
-            first_sent,
+            first_sent: now,
             last_sent: now,
             times: 1,
-            ready_at,
+            ready_at: now + load_time,
         };
         self.open.insert(key.clone(), open);
         self.outbox.push(addressed);
-        Some(ready_at)
     }
 
-    /// The engine that ranks first for an adapter: those with a free place go before full ones,
-    /// and those that are busy taking others in come last.
-    fn best_engine<'a>(
+    /// The engine that ranks first for an adapter, with its places, and whether its host has a
+    /// copy. Engines with a copy go first, then those with a free place; engines that are busy
+    /// come last.
+    fn place<'a>(
         &self,
         key: &AdapterKey,
-        engines: &[&'a ReplicaView],
-        places: usize,
-        passed_over: Option<&ReplicaId>,
+        choices: &'a [EngineChoice<'a>],
         now: MonoTime,
-    ) -> Option<&'a ReplicaView> {
+    ) -> Option<(&'a ReplicaView, usize, bool)> {
+        let wanted = self.wanted.get(key)?;
+        let choice = choices.iter().find(|choice| *choice.service == wanted.service)?;
+        let places = choice.engine.places_beside(&key.model);
         let can_take = |view: &&&ReplicaView| {
-            let is_passed = passed_over == Some(&view.record.id);
             let report = view.report(now);
             report.is_some_and(|report| report.models.contains(&key.model) && !report.is_busy)
                 && view.version_of(key, now).is_none()
-                && !is_passed
         };
         let rank = |view: &ReplicaView| {
             let coming = self.on_the_way(view, now);
             let is_overrun = coming >= INCOMING_LIMIT || view.load(now) >= BUSY_LOAD;
             let is_full = view.adapters(now).len() + coming >= places;
             let weight = rendezvous::weight(&key.adapter, &view.record.address.to_string());
-            (is_overrun, is_full, std::cmp::Reverse(weight))
+            (is_overrun, !self.has_copy(view, key), is_full, Reverse(weight))
         };
-        engines.iter().filter(can_take).min_by_key(|view| rank(view)).copied()
+        let view = choice.views.iter().filter(can_take).min_by_key(|view| rank(view)).copied()?;
+        Some((view, places, self.has_copy(view, key)))
+    }
+
+    fn has_copy(&self, view: &ReplicaView, key: &AdapterKey) -> bool {
+        self.warm.get(&view.record.id).is_some_and(|copies| copies.contains_key(key))
     }
 
     /// Adapters on their way to an engine: those that it reports, and those asked for since.
@@ -240,6 +409,17 @@
     }
 }
 
+/// Keeps the copies that were held last.
+fn forget_oldest(copies: &mut HashMap<AdapterKey, MonoTime>) {
+    while copies.len() > WARM_COPIES {
+        let oldest = copies.iter().min_by_key(|(_, seen)| **seen).map(|(key, _)| key.clone());
+        let Some(key) = oldest else {
+            return;
+        };
+        copies.remove(&key);
+    }
+}
+
 fn is_incoming(view: &ReplicaView, key: &AdapterKey, now: MonoTime) -> bool {
     view.report(now).is_some_and(|report| report.incoming.iter().any(|held| held.key == *key))
 }
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -51,6 +51,7 @@
     ///     incarnation: 1,
     ///     report: EngineReport::default(),
     ///     model_loads: vec![Duration::from_secs(1)],
+    ///     arrivals: Vec::new(),
     ///     relays: Vec::new(),
     /// };
     /// keeper.take_report(&beacon, Duration::from_secs(2));
--- /dev/null
+++ b/quillcove_core/src/relay/limiter.rs
@@ -0,0 +1,115 @@
+//! How many adapters may be on their way from the weight store at once.
+//!
+//! The store serves a few loads at full speed and shares its bandwidth beyond that. How many is
+//! not published, so it is learnt from the time that loads take, in the manner of TCP Vegas
+//! (Brakmo and Peterson, 1995): as long as they take their least time there is room for more.
+
+use std::time::Duration;
+
+/// Loads at once before any has been seen.
+const FIRST_LIMIT: f64 = 6.0;
+
+/// Least number of loads at once, so that the limit can recover.
+const LEAST_LIMIT: f64 = 2.0;
+
+/// Most loads at once; no store of the users' serves as many at full speed.
+const MOST_LIMIT: f64 = 64.0;
+
+/// Times the least load time up to which loads count as served at full speed.
+const FULL_SPEED: f64 = 1.25;
+
+/// Growth of the limit with each load at full speed while the limit was in use.
+const GROWTH: f64 = 0.3;
+
+/// Weight of a slow load in the limit.
+const SLOW_WEIGHT: f64 = 0.1;
+
+/// Growth of the least load time with each load, so that a change of the store is noticed.
+const LEAST_DRIFT: f64 = 1.002;
+
+/// Weight of a newly seen load in the mean time of loads.
+const MEAN_WEIGHT: f64 = 0.15;
+
+/// Time of a load until one has been seen; what the engines of the standard deployments take.
+const FIRST_LOAD_TIME: Duration = Duration::from_millis(300);
+
+/// Learns the number of loads that the weight store serves at full speed.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::relay::limiter::LoadLimiter;
+///
+/// let mut limiter = LoadLimiter::default();
+/// let before = limiter.limit();
+/// limiter.note_load(Duration::from_millis(250), before);
+/// assert!(limiter.limit() >= before);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct LoadLimiter {
+    limit: f64,
+    /// Least time of a load, in seconds; `None` until one has been seen.
+    least: Option<f64>,
+    /// Mean time of a load, in seconds.
+    mean: f64,
+}
+
+impl Default for LoadLimiter {
+    fn default() -> Self {
+        Self { limit: FIRST_LIMIT, least: None, mean: FIRST_LOAD_TIME.as_secs_f64() }
+    }
+}
+
+impl LoadLimiter {
+    /// Loads that may be on their way at once.
+    ///
+    /// ```
+    /// use quillcove_core::relay::limiter::LoadLimiter;
+    ///
+    /// assert!(LoadLimiter::default().limit() > 0);
+    /// ```
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// Mean time of a load from the weight store.
+    ///
+    /// ```
+    /// use quillcove_core::relay::limiter::LoadLimiter;
+    ///
+    /// assert!(LoadLimiter::default().load_time() > std::time::Duration::ZERO);
+    /// ```
+    pub fn load_time(&self) -> Duration {
+        Duration::from_secs_f64(self.mean)
+    }
+
+    /// Takes the time of a load from the weight store, and how many were on their way when it
+    /// ended.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::limiter::LoadLimiter;
+    ///
+    /// let mut limiter = LoadLimiter::default();
+    /// limiter.note_load(Duration::from_millis(250), 1);
+    /// for _ in 0..100 {
+    ///     limiter.note_load(Duration::from_millis(2500), 6);
+    /// }
+    /// assert_eq!(limiter.limit(), 2);
+    /// ```
+    pub fn note_load(&mut self, took: Duration, at_once: usize) {
+        let took = took.as_secs_f64();
+        self.mean += (took - self.mean) * MEAN_WEIGHT;
+        let least = self.least.map_or(took, |least| (least * LEAST_DRIFT).min(took));
+        self.least = Some(least);
+        let at_once = at_once as f64;
+        if took <= least * FULL_SPEED {
+            if at_once + 1.0 >= self.limit {
+                self.limit += GROWTH;
+            }
+        } else {
+            let served = at_once * least / took.max(f64::MIN_POSITIVE) + 1.0;
+            self.limit += (served.min(self.limit) - self.limit) * SLOW_WEIGHT;
+        }
+        self.limit = self.limit.clamp(LEAST_LIMIT, MOST_LIMIT);
+    }
+}
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -1,12 +1,12 @@
 //! Orders to the one engine beside a loader.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
 
-use super::beacon::{AdapterKey, EngineReport, LoadAsk, ReplicaId, UseBeacon};
+use super::beacon::{AdapterKey, ArrivedLoad, EngineReport, LoadAsk, ReplicaId, UseBeacon};
 use crate::demand::DemandMeter;
 use crate::ids::{AdapterVersion, HostId, ModelName, MonoTime};
 
@@ -25,6 +25,13 @@
 /// Half-life of the demand by which the adapter that makes room is chosen.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(8);
 
+/// Demand that an ask counts for, in requests.
+const ASK_WORTH: f64 = 1.0;
+
+/// Time for which an adapter that came in is not taken out: the requests that waited for it are on
+/// their way, and relays tell of them only each half second.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
+
 /// Time after a relay's last word for which its requests count as in flight.
 const USE_LIFETIME: Duration = Duration::from_millis(1600);
 
@@ -40,8 +47,8 @@
 pub struct ReportChange {
     /// Whether the engine holds or awaits something else than before.
     pub is_changed: bool,
-    /// Ordered adapters that the engine holds now, with the time since their order.
-    pub arrived: Vec<(AdapterKey, Duration)>,
+    /// Ordered adapters that the engine holds now.
+    pub arrived: Vec<(AdapterKey, ArrivedLoad)>,
 }
 
 /// What an order does.
@@ -110,6 +117,10 @@
     ordered: Vec<(AdapterKey, MonoTime)>,
     report: EngineReport,
     demand: HashMap<AdapterKey, DemandMeter>,
+    /// Adapters that the engine has held since it last was empty.
+    known: HashSet<AdapterKey>,
+    /// When adapters came in.
+    came_in: HashMap<AdapterKey, MonoTime>,
     /// Adapters with requests in flight, by relay, and when the relay said so.
     in_flight: HashMap<SocketAddr, (Vec<AdapterKey>, MonoTime)>,
 }
@@ -132,6 +143,8 @@
             ordered: Vec::new(),
             report: EngineReport::default(),
             demand: HashMap::new(),
+            known: HashSet::new(),
+            came_in: HashMap::new(),
             in_flight: HashMap::new(),
         }
     }
@@ -186,8 +199,16 @@
         let (arrived, ordered): (Vec<_>, Vec<_>) =
             self.ordered.drain(..).partition(|(key, _)| holds(key));
         self.ordered = ordered;
-        let took = |(key, at): (AdapterKey, MonoTime)| (key, now.saturating_sub(at));
-        ReportChange { is_changed, arrived: arrived.into_iter().map(took).collect() }
+        if self.report.models.is_empty() {
+            self.known.clear();
+        }
+        let mut change = ReportChange { is_changed, arrived: Vec::new() };
+        for (key, at) in arrived {
+            let was_warm = !self.known.insert(key.clone());
+            self.came_in.insert(key.clone(), now);
+            change.arrived.push((key, ArrivedLoad { took: now.saturating_sub(at), was_warm }));
+        }
+        change
     }
 
     /// Takes an ask of the keeper. A second ask for the same thing replaces the first.
@@ -213,6 +234,9 @@
         if self.under_way.as_ref().is_some_and(|(_, current)| is_same(current)) {
             return;
         }
+        if let Some(key) = ask.key() {
+            self.demand.entry(key).or_default().add(now, ASK_WORTH, DEMAND_HALF_LIFE);
+        }
         self.asks.retain(|(other, _)| !is_same(other));
         if self.asks.len() < ASKS_WAITING {
             self.asks.push_back((ask, now));
@@ -299,7 +323,11 @@
         let demand = |key: &AdapterKey| {
             self.demand.get(key).map_or(0.0, |meter| meter.level(now, DEMAND_HALF_LIFE))
         };
-        let idle = self.report.adapters.iter().map(|held| &held.key).filter(|key| !is_used(key));
+        let is_new = |key: &AdapterKey| {
+            self.came_in.get(key).is_some_and(|at| now.saturating_sub(*at) < SETTLE_TIME)
+        };
+        let held = self.report.adapters.iter().map(|held| &held.key);
+        let idle = held.filter(|key| !is_used(key) && !is_new(key));
         idle.min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
     }
 
--- a/quillcove_core/src/relay/machine.rs
+++ b/quillcove_core/src/relay/machine.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, ReplicaId};
-use super::demand::AdapterDemand;
+use super::demand::{AdapterDemand, EngineChoice, LackedAdapter};
 use super::replica::{AttemptFate, ReplicaRecord, ReplicaTable, ReplicaView};
 use super::routing::{self, HoldingNeed, SPREAD_LOAD};
 use super::sheet::{RouteRecord, RouteSheet, SheetVersion};
@@ -35,6 +35,13 @@
 /// published. The users allow 5 s; the rest is for requests on their way.
 const VERSION_GRACE: Duration = Duration::from_secs(3);
 
+/// Share of its remaining time within which a caller is told to come back; callers wait for no
+/// longer than a third.
+const RETURN_SHARE: f64 = 0.33;
+
+/// Time for which another copy of a held adapter is wanted after a request that showed the need.
+const COPY_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Time after which a request that waits for an adapter looks whether its ask has to be repeated.
 const ASK_CHECK: Duration = Duration::from_millis(80);
 
@@ -75,6 +82,8 @@
     pub received: MonoTime,
     /// When its caller or its route gives it up.
     pub deadline: MonoTime,
+    /// How often a choice was made for it.
+    pub looks: u32,
 }
 
 /// Where an attempt goes.
@@ -253,6 +262,17 @@
         self.table.take_uses(replica)
     }
 
+    /// Takes the number of relays that are there, this one included.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// RelayMachine::new(RelayRules::default(), 1).set_relays(4);
+    /// ```
+    pub fn set_relays(&mut self, relays: usize) {
+        self.demand.set_relays(relays);
+    }
+
     /// Asks for adapters that are to be sent to loaders now.
     ///
     /// ```
@@ -420,6 +440,7 @@
             return Some(BeliefChange::Doubted(id.to_string()));
         }
         self.table.remove(id);
+        self.demand.forget_engine(id);
         Some(BeliefChange::Gone(id.to_string()))
     }
 
@@ -475,6 +496,7 @@
     /// ```
     pub fn tick(&mut self, now: MonoTime) -> Vec<BeliefChange> {
         self.demand.tick(now);
+        self.pump(now);
         if self.is_store_away {
             return Vec::new();
         }
@@ -487,6 +509,7 @@
         for id in &due {
             self.doubted.remove(id);
             self.table.remove(id);
+            self.demand.forget_engine(id);
         }
         due.into_iter().map(BeliefChange::Gone).collect()
     }
@@ -505,6 +528,7 @@
     ///     incarnation: 1,
     ///     report: EngineReport::default(),
     ///     model_loads: Vec::new(),
+    ///     arrivals: Vec::new(),
     ///     relays: Vec::new(),
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
@@ -513,8 +537,15 @@
     pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
         let is_changed = self.table.report(beacon.engine, beacon.report.clone(), now);
         if let Some(view) = self.table.at(beacon.engine) {
+            if beacon.report.models.is_empty() {
+                self.demand.forget_engine(&view.record.id);
+            }
             self.demand.note_held(view, now);
         }
+        self.demand.note_arrivals(&beacon.arrivals, self.incoming(now));
+        if is_changed {
+            self.pump(now);
+        }
         is_changed
     }
 
@@ -652,6 +683,7 @@
     ///     adapter: None,
     ///     received: Duration::ZERO,
     ///     deadline: Duration::from_secs(1),
+    ///     looks: 0,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// let choice = machine.choose(&query, &[], Duration::ZERO);
@@ -726,23 +758,48 @@
         let newest = self.newest(key).unwrap_or(0);
         let is_outdated = view.version_of(key, now).is_some_and(|held| held < newest);
         if is_outdated || view.load(now) >= SPREAD_LOAD {
-            self.ask_for(query, now);
+            self.ask_for(query, now + COPY_LIFETIME, now);
         }
     }
 
-    /// Asks for the adapter of a request; gives the time at which it will be there.
-    fn ask_for(&mut self, query: &RelayQuery, now: MonoTime) -> Option<MonoTime> {
+    /// Notes that a request lacks its adapter, and asks for what is worth most; gives the time at
+    /// which the adapter will be there. `useful_until` is when the request gives it up.
+    fn ask_for(
+        &mut self,
+        query: &RelayQuery,
+        useful_until: MonoTime,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
         let key = query.adapter.as_ref()?;
-        let sheet = self.sheet.clone()?;
-        let engine = sheet.service(&query.service)?.engine.as_ref()?;
-        let engines: Vec<&ReplicaView> = self
-            .table
-            .all()
-            .filter(|view| view.record.service == query.service && view.is_ready())
-            .filter(|view| view.seems_well(now))
-            .collect();
-        let version = self.versions.get(key).map(|(version, _)| *version);
-        self.demand.ask(key, version, &engines, engine, now)
+        let version = self.newest(key);
+        let lacked = LackedAdapter { key, service: &query.service, version, useful_until };
+        self.demand.want(&lacked, query.looks == 0, now);
+        self.pump(now);
+        Some(self.demand.ready_at(key, now))
+    }
+
+    /// Sends the asks for which the weight store has room.
+    fn pump(&mut self, now: MonoTime) {
+        let Some(sheet) = self.sheet.clone() else {
+            return;
+        };
+        let mut choices = Vec::new();
+        for service in sheet.services() {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let ready = self.table.all().filter(|view| {
+                view.record.service == service.name && view.is_ready() && view.seems_well(now)
+            });
+            choices.push(EngineChoice { service: &service.name, engine, views: ready.collect() });
+        }
+        self.demand.pump(&choices, now);
+    }
+
+    /// Loads on their way over the whole site, as the loaders report them.
+    fn incoming(&self, now: MonoTime) -> usize {
+        let reports = self.table.all().filter_map(|view| view.report(now));
+        reports.map(|report| report.incoming.len()).sum()
     }
 
     fn need_of<'a>(&self, query: &'a RelayQuery, now: MonoTime) -> HoldingNeed<'a> {
@@ -759,7 +816,7 @@
         let aim = query.route.aim;
         let decide_by = query.received + aim.mul_f64(DECIDE_SHARE);
         let give_up = (query.received + aim.mul_f64(PATIENCE)).min(query.deadline);
-        let ready_at = self.ask_for(query, now);
+        let ready_at = self.ask_for(query, give_up, now);
         let is_in_time = ready_at.is_some_and(|at| at + FIRST_EVENT_TIME <= query.received + aim);
         if is_in_time {
             return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
@@ -770,6 +827,8 @@
             return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
         }
         let come_back = ready_at.map_or(SOON, |at| at.saturating_sub(now) + NEWS_TIME);
+        let come_back = come_back.min((query.deadline.saturating_sub(now)).mul_f64(RETURN_SHARE));
+        self.ask_for(query, now + come_back + aim, now);
         refuse(RefusalReason::DeadlineTooShort, Some(come_back))
     }
 
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -5,12 +5,14 @@
 //! - [`machine`]: admission, choice of the upstream, and repeats, for one relay.
 //! - [`demand`]: which adapter is asked of which engine, and when it will be there.
 //! - [`keeper`]: base models for engines that have none, within the weight store's rate.
+//! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
 //! - [`beacon`]: what relays and loaders tell each other.
 
 pub mod beacon;
 pub mod demand;
 pub mod keeper;
+pub mod limiter;
 pub mod loader;
 pub mod machine;
 pub mod replica;
