Count requests that wait for their first event in an engine's load

Found by first_event_ms, new in a request's line. Change: waiting requests add a tenth each; loaders report each 100 ms while any wait.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -34,6 +34,10 @@
 /// Longest time between two reports to the relays.
 const BEACON_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Longest time between two reports while requests wait for their first event: new requests go by
+/// how many do.
+const WAITING_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time between reads of the engine's report while loads are on their way.
 const BUSY_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -174,7 +178,9 @@
     }
 
     fn pause(&self) -> Duration {
-        match self.machine.report().incoming.is_empty() && !self.machine.report().is_busy {
+        let report = self.machine.report();
+        match report.incoming.is_empty() && !report.is_busy {
+            true if report.waiting > 0 => WAITING_INTERVAL,
             true => self.settings.engine.report_interval,
             false => BUSY_INTERVAL,
         }
@@ -229,7 +235,11 @@
             self.arrivals.push(load);
         }
         self.forget_relays(now);
-        let is_due = now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL;
+        let interval = match self.machine.report().waiting {
+            0 => BEACON_INTERVAL,
+            _ => WAITING_INTERVAL,
+        };
+        let is_due = now.saturating_sub(self.last_beacon) >= interval;
         if change.is_changed || is_due {
             self.tell(now);
         }
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -63,6 +63,10 @@
     /// Attempts that never left this process.
     unsent: u32,
     pub waited: Duration,
+    /// Time from the request to the first event of its stream.
+    pub first_event: Option<Duration>,
+    /// Longest time between two events.
+    pub longest_pause: Duration,
     finished: Option<FinishedRequest>,
 }
 
@@ -113,7 +117,9 @@
             "adapter" => self.query.adapter.as_ref().map(|key| key.adapter.as_str()),
             "verdict" => end.verdict.label(), "status" => end.status, "reason" => end.reason,
             "attempts" => self.attempts, "replicas" => self.tried.join(","),
-            "waited_ms" => self.waited.as_millis() as u64, "took_ms" => took.as_millis() as u64);
+            "waited_ms" => self.waited.as_millis() as u64,
+            "first_event_ms" => self.first_event.map(|first| first.as_millis() as u64),
+            "longest_pause_ms" => self.longest_pause.as_millis() as u64, "took_ms" => took.as_millis() as u64);
     }
 }
 
@@ -249,6 +255,8 @@
         refusals: 0,
         unsent: 0,
         waited: Duration::ZERO,
+        first_event: None,
+        longest_pause: Duration::ZERO,
         finished: None,
     })
 }
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -5,6 +5,7 @@
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
 use quillcove_core::relay::replica::AttemptFate;
 use quillcove_core::relay::sheet::RouteKind;
@@ -23,7 +24,8 @@
     live: Option<Box<LiveStream>>,
     splitter: EventSplitter,
     last_event: Option<String>,
-    has_begun: bool,
+    /// When the last event was passed on.
+    passed: Option<MonoTime>,
 }
 
 /// What the upstream's side of a stream brought.
@@ -52,7 +54,7 @@
         live: Some(live),
         splitter: EventSplitter::default(),
         last_event,
-        has_begun: false,
+        passed: None,
     };
     let events = futures::stream::unfold(Some(relay), next_frame);
     let mut answer = Response::new(StreamBody::new(events).boxed_unsync());
@@ -122,11 +124,21 @@
         if let Some(live) = &self.live {
             self.open.shared.machine().hear(&live.order.replica, now);
         }
-        if !self.has_begun && !events.is_empty() {
-            self.has_begun = true;
-            let took = now.saturating_sub(self.open.query.received);
-            self.open.shared.metrics.answered(self.open.class(), took);
+        if events.is_empty() {
+            return;
         }
+        match self.passed {
+            None => {
+                let took = now.saturating_sub(self.open.query.received);
+                self.open.first_event = Some(took);
+                self.open.shared.metrics.answered(self.open.class(), took);
+            },
+            Some(passed) => {
+                let pause = now.saturating_sub(passed);
+                self.open.longest_pause = self.open.longest_pause.max(pause);
+            },
+        }
+        self.passed = Some(now);
         if let Some(id) = events::last_id(events) {
             self.last_event = Some(id);
         }
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -26,6 +26,10 @@
 /// step of an engine takes a fraction of it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1200);
 
+/// Load of a request that waits for its first event. Reading a common prompt takes some 60 ms, so
+/// ten of them are more than a caller will wait.
+const WAITING_LOAD: f64 = 0.1;
+
 /// Whether a replica takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum ReplicaState {
@@ -193,8 +197,10 @@
         held.map(|held| held.version)
     }
 
-    /// Requests there, as a share of its places: by the last report and what was sent since, or
-    /// by this process's own requests alone.
+    /// How loaded it is: 1 and more is as good as full. Requests count as a share of its places,
+    /// and those that wait for their first event on top of that, as prompts are read one after
+    /// another. Known from the last report and what was sent since, or from this process's own
+    /// requests alone.
     ///
     /// ```
     /// use std::time::Duration;
@@ -206,11 +212,15 @@
     /// assert!(table.get("i-1").unwrap().load(Duration::ZERO) > 0.0);
     /// ```
     pub fn load(&self, now: MonoTime) -> f64 {
-        let requests = match self.report(now) {
-            Some(report) => (report.running + report.waiting + self.sent_since).max(self.in_flight),
-            None => self.in_flight,
+        let (requests, waiting) = match self.report(now) {
+            Some(report) => {
+                let waiting = report.waiting + self.sent_since;
+                ((report.running + waiting).max(self.in_flight), waiting)
+            },
+            None => (self.in_flight, 0),
         };
-        f64::from(requests) / f64::from(self.record.places.max(1))
+        let share = f64::from(requests) / f64::from(self.record.places.max(1));
+        share + f64::from(waiting) * WAITING_LOAD
     }
 }
 
