--- a/quillcove/src/relay/input.rs
+++ b/quillcove/src/relay/input.rs
@@ -11,13 +11,16 @@
 };
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::machine::BeliefChange;
+use quillcove_core::relay::published::PublishedState;
 use quillcove_platform::store::{StoreEvent, StoreScope};
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
 use super::follow::{StoreNews, replicas_of};
+use super::share;
 use super::shared::RelayShared;
+use crate::config::relay::PeerSection;
 use crate::peers::{PeerArrival, PeerSocket};
 use crate::process::note_ready;
 
@@ -40,10 +43,28 @@
 /// Time by which another relay may be ahead in the store before this one reads it anew.
 const BEHIND_LIMIT: Duration = Duration::from_millis(1500);
 
+/// Shortest time between two questions to other relays for what they have read.
+const FETCH_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Answers of other relays that may wait.
+const PUBLISHED_PLACES: usize = 4;
+
+/// What feeds the duty from other threads.
+pub struct InputFeed {
+    /// News of the store.
+    pub store: mpsc::Receiver<StoreNews>,
+    /// The section `[peers]` as the settings have it now.
+    pub peers: watch::Receiver<PeerSection>,
+    /// Makes the store be read anew.
+    pub hurry: watch::Sender<u64>,
+}
+
 /// Everything that reaches the duty.
 enum RelayInput {
     Store(StoreNews),
     Peer(PeerArrival),
+    Published(Result<PublishedState, String>),
+    PeersChanged,
     Wanted,
     Ticked,
 }
@@ -58,14 +79,20 @@
 pub struct InputDuty {
     shared: Arc<RelayShared>,
     socket: PeerSocket,
+    /// Address of the socket, by which other processes know this relay.
+    control: SocketAddr,
+    peers: watch::Receiver<PeerSection>,
     hurry: watch::Sender<u64>,
+    store: mpsc::Receiver<StoreNews>,
+    published: mpsc::Receiver<Result<PublishedState, String>>,
+    publish: mpsc::Sender<Result<PublishedState, String>>,
+    last_fetch: MonoTime,
     keeper: ModelKeeper,
     relays: HashMap<HostId, KnownRelay>,
     /// The last beacon of each loader: its process and number.
     loaders: HashMap<SocketAddr, (u64, u64)>,
     /// Whether the store answers, by part.
     store_up: HashMap<StoreScope, bool>,
-    revision: u64,
     /// Since when another relay has been ahead in the store.
     behind_since: Option<MonoTime>,
     is_keeper: bool,
@@ -75,16 +102,27 @@
 }
 
 impl InputDuty {
-    pub fn new(shared: Arc<RelayShared>, socket: PeerSocket, hurry: watch::Sender<u64>) -> Self {
+    pub fn new(
+        shared: Arc<RelayShared>,
+        socket: PeerSocket,
+        control: SocketAddr,
+        feed: InputFeed,
+    ) -> Self {
+        let (publish, published) = mpsc::channel(PUBLISHED_PLACES);
         Self {
             shared,
             socket,
-            hurry,
+            control,
+            peers: feed.peers,
+            hurry: feed.hurry,
+            store: feed.store,
+            published,
+            publish,
+            last_fetch: MonoTime::ZERO,
             keeper: ModelKeeper::default(),
             relays: HashMap::new(),
             loaders: HashMap::new(),
             store_up: HashMap::new(),
-            revision: 0,
             behind_since: None,
             is_keeper: false,
             keeper_from: KEEPER_DELAY,
@@ -94,12 +132,14 @@
     }
 
     /// Runs until the process ends.
-    pub async fn run(mut self, mut news: mpsc::Receiver<StoreNews>) {
+    pub async fn run(mut self) {
         let mut next_tick = Instant::now();
         let shared = self.shared.clone();
         loop {
             let input = tokio::select! {
-                Some(news) = news.recv() => RelayInput::Store(news),
+                Some(news) = self.store.recv() => RelayInput::Store(news),
+                Some(published) = self.published.recv() => RelayInput::Published(published),
+                Ok(()) = self.peers.changed() => RelayInput::PeersChanged,
                 arrival = self.socket.receive() => match arrival {
                     Ok(arrival) => RelayInput::Peer(arrival),
                     Err(error) => {
@@ -128,6 +168,11 @@
                 warn!(self.shared.log, "datagram is no message"; "from" => %from,
                     "error" => %error);
             },
+            RelayInput::Published(published) => self.take_published(published, now),
+            RelayInput::PeersChanged => {
+                let seeds = self.peers.borrow_and_update().seeds.clone();
+                info!(self.shared.log, "seeds changed"; "seeds" => ?seeds);
+            },
             RelayInput::Wanted => self.send_wanted(),
             RelayInput::Ticked => self.tick(now),
         }
@@ -149,7 +194,7 @@
                         "revision" => revision);
                 }
                 self.note_store(now);
-                self.revision = self.revision.max(revision);
+                self.shared.machine().note_revision(revision);
                 self.take_events(scope, is_whole, events, now);
             },
         }
@@ -198,7 +243,7 @@
 
     fn log_changes(&self, changes: impl IntoIterator<Item = BeliefChange>) {
         let log = &self.shared.log;
-        let revision = self.revision;
+        let revision = self.shared.machine().revision();
         for change in changes {
             match change {
                 BeliefChange::Sheet(version) => {
@@ -224,7 +269,7 @@
         let record = &view.record;
         info!(self.shared.log, "replica listed"; "replica" => id, "service" => &record.service,
             "address" => %record.address, "hall" => &record.hall, "state" => ?record.state,
-            "revision" => self.revision);
+            "revision" => machine.revision());
     }
 
     fn note_ready(&self) {
@@ -251,23 +296,61 @@
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
                 "address" => %beacon.address);
         }
-        self.compare_revision(beacon.revision, now);
+        self.compare(&beacon, now);
     }
 
-    /// A relay that stays behind the others in the store reads it anew, in case its watch is
-    /// stuck on a dead connection.
-    fn compare_revision(&mut self, revision: u64, now: MonoTime) {
-        if revision <= self.revision {
-            self.behind_since = None;
+    /// A relay that stays behind another one asks it for what it has read. One whose own store
+    /// seems well reads that anew besides, as its watch may hang on a dead connection.
+    fn compare(&mut self, beacon: &RelayBeacon, now: MonoTime) {
+        let (own_sheet, own_revision) = {
+            let machine = self.shared.machine();
+            (machine.sheet().map_or(0, |sheet| sheet.version), machine.revision())
+        };
+        let is_store_up = self.store_up.len() == 2 && self.store_up.values().all(|up| *up);
+        let is_behind =
+            beacon.sheet > own_sheet || (!is_store_up && beacon.revision > own_revision);
+        if !is_behind {
+            if beacon.revision <= own_revision {
+                self.behind_since = None;
+            }
             return;
         }
         let since = *self.behind_since.get_or_insert(now);
-        if now.saturating_sub(since) > BEHIND_LIMIT {
-            info!(self.shared.log, "behind another relay"; "own" => self.revision,
-                "other" => revision);
-            self.behind_since = None;
+        let behind = now.saturating_sub(since);
+        if is_store_up && behind > BEHIND_LIMIT {
             self.hurry.send_modify(|count| *count += 1);
         }
+        let is_due = !is_store_up || behind > FETCH_INTERVAL;
+        if is_due && now.saturating_sub(self.last_fetch) >= FETCH_INTERVAL {
+            self.last_fetch = now;
+            info!(self.shared.log, "behind another relay"; "relay" => &beacon.host,
+                "own_sheet" => own_sheet, "sheet" => beacon.sheet,
+                "own_revision" => own_revision, "revision" => beacon.revision);
+            self.fetch(beacon.address);
+        }
+    }
+
+    fn fetch(&self, address: SocketAddr) {
+        let publish = self.publish.clone();
+        tokio::spawn(async move {
+            let published = share::fetch(address).await;
+            // The receiver is gone only when the process ends.
+            let _ = publish.send(published).await;
+        });
+    }
+
+    fn take_published(&mut self, published: Result<PublishedState, String>, now: MonoTime) {
+        match published {
+            Ok(published) => {
+                let changes = self.shared.machine().take_published(published, now);
+                self.log_changes(changes);
+                self.shared.tell_news();
+                self.note_ready();
+            },
+            Err(reason) => {
+                warn!(self.shared.log, "another relay does not answer"; "reason" => reason);
+            },
+        }
     }
 
     fn take_report(&mut self, beacon: EngineBeacon, now: MonoTime) {
@@ -293,7 +376,7 @@
     /// Tells a relay that only loaders have heard so far that this one is there.
     fn greet(&self, relay: SocketAddr) {
         let is_known = self.relays.values().any(|known| known.address == relay);
-        if !is_known && relay != self.shared.settings.listen.control {
+        if !is_known && relay != self.control {
             let beacon = self.beacon();
             self.socket.send(&PeerMessage::Relay(beacon), [relay]);
         }
@@ -370,19 +453,18 @@
     }
 
     fn relay_addresses(&self) -> HashSet<SocketAddr> {
-        let own = self.shared.settings.listen.control;
-        let seeds = self.shared.settings.peers.seeds.iter().copied();
+        let seeds = self.peers.borrow().seeds.clone().into_iter();
         let heard = self.relays.values().map(|known| known.address);
-        seeds.chain(heard).filter(|address| *address != own).collect()
+        seeds.chain(heard).filter(|address| *address != self.control).collect()
     }
 
     fn beacon(&self) -> RelayBeacon {
         let machine = self.shared.machine();
         RelayBeacon {
             host: self.shared.settings.process.host.clone(),
-            address: self.shared.settings.listen.control,
+            address: self.control,
             sheet: machine.sheet().map_or(0, |sheet| sheet.version),
-            revision: self.revision,
+            revision: machine.revision(),
         }
     }
 
@@ -391,7 +473,7 @@
         self.last_beacon = now;
         let beacon = PeerMessage::Relay(self.beacon());
         self.socket.send(&beacon, self.relay_addresses());
-        let relay = self.shared.settings.listen.control;
+        let relay = self.control;
         for (replica, loader) in self.loaders_of_engines() {
             let uses = self.shared.machine().take_uses(&replica);
             let beacon = PeerMessage::Use(UseBeacon { relay, uses });
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -11,9 +11,11 @@
 mod input;
 mod pool;
 mod serve;
+mod share;
 mod shared;
 mod stream;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -23,9 +25,9 @@
 use tokio::sync::{mpsc, watch};
 
 use self::follow::StoreFollower;
-use self::input::InputDuty;
+use self::input::{InputDuty, InputFeed};
 use self::shared::RelayShared;
-use crate::config::relay::RelaySettings;
+use crate::config::relay::{PeerSection, RelaySettings};
 use crate::duty;
 use crate::operator::{self, ProcessInspector};
 use crate::peers::PeerSocket;
@@ -48,7 +50,26 @@
     }
 }
 
-/// Runs a relay until its planned stop is over.
+/// Addresses that a relay has bound.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other processes of the system.
+    pub control: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// What reaches a relay from outside of its duties.
+pub struct RelaySignals {
+    /// `true` once the planned stop is to begin.
+    pub stopped: watch::Receiver<bool>,
+    /// The section `[peers]` as the settings have it now.
+    pub peers: watch::Receiver<PeerSection>,
+}
+
+/// Runs a relay until its planned stop is over; `bound` gets its addresses.
 ///
 /// # Errors
 ///
@@ -56,27 +77,33 @@
 ///
 /// ```no_run
 /// use quillcove::config::relay::RelaySettings;
+/// use quillcove::relay::RelaySignals;
+/// use tokio::sync::watch;
 ///
-/// let (_stop, stopped) = tokio::sync::watch::channel(false);
+/// let settings = RelaySettings::default();
+/// let (_stop, stopped) = watch::channel(false);
+/// let (_peers, peers) = watch::channel(settings.peers.clone());
+/// let signals = RelaySignals { stopped, peers };
 /// let log = quillcove::logging::silent();
-/// quillcove::relay::run(RelaySettings::default(), log, stopped).unwrap();
+/// quillcove::relay::run(settings, log, signals, |_addresses| ()).unwrap();
 /// ```
 pub fn run(
     settings: RelaySettings,
     log: Logger,
-    stopped: watch::Receiver<bool>,
+    signals: RelaySignals,
+    bound: impl FnOnce(RelayAddresses),
 ) -> eyre::Result<()> {
     let is_over = Arc::new(AtomicBool::new(false));
     let (ring, inputs) = mpsc::channel(RING_PLACES);
     let (hurry, hurried) = watch::channel(0);
     let follower = StoreFollower::new(&settings.platform, ring, hurried, log.clone());
     let watch_over = is_over.clone();
-    let follow = duty::spawn("watch", move || {
+    let _follow = duty::spawn("watch", move || {
         duty::run_async(1, follower.run(watch_over));
     });
-    let result = duty::run_async(1, serve(settings, log, stopped, inputs, hurry));
+    let feed = InputFeed { store: inputs, peers: signals.peers, hurry };
+    let result = duty::run_async(1, serve(settings, log, signals.stopped, feed, bound));
     is_over.store(true, Ordering::Relaxed);
-    drop(follow);
     result
 }
 
@@ -84,21 +111,31 @@
     settings: RelaySettings,
     log: Logger,
     stopped: watch::Receiver<bool>,
-    inputs: mpsc::Receiver<follow::StoreNews>,
-    hurry: watch::Sender<u64>,
+    feed: InputFeed,
+    bound: impl FnOnce(RelayAddresses),
 ) -> eyre::Result<()> {
     let listener = TcpListener::bind(settings.listen.callers).await?;
     let socket = PeerSocket::bind(settings.listen.control).await?;
+    let control = socket.local_addr()?;
     let operator_address = settings.listen.operator;
-    info!(log, "relay started"; "callers" => %settings.listen.callers,
-        "control" => %settings.listen.control, "operator" => %operator_address,
-        "platform" => %settings.platform.address, "seeds" => ?settings.peers.seeds);
+    let platform = settings.platform.address;
+    let seeds = settings.peers.seeds.clone();
     let shared = Arc::new(RelayShared::new(settings, log.clone())?);
+    share::serve(shared.clone(), control).await?;
     let inspector = RelayInspector { shared: shared.clone() };
     // The operators' address closes when its server is dropped.
-    let _operator = operator::start(operator_address, inspector, shared.metrics.clone(), &log)?;
-    let duty = InputDuty::new(shared.clone(), socket, hurry);
-    tokio::spawn(duty.run(inputs));
+    let operator = operator::start(operator_address, inspector, shared.metrics.clone(), &log)?;
+    let addresses = RelayAddresses {
+        callers: listener.local_addr()?,
+        control,
+        operator: operator.local_addr(),
+    };
+    info!(log, "relay started"; "callers" => %addresses.callers,
+        "control" => %addresses.control, "operator" => %addresses.operator,
+        "platform" => %platform, "seeds" => ?seeds);
+    bound(addresses);
+    let duty = InputDuty::new(shared.clone(), socket, control, feed);
+    tokio::spawn(duty.run());
     serve::accept(listener, shared.clone(), stopped).await;
     info!(log, "relay stopped"; "in_flight" => shared.machine().in_flight());
     Ok(())
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -9,9 +9,11 @@
 use clap_complete::Shell;
 use eyre::{WrapErr, eyre};
 use quillcove::agent::AgentProcess;
+use quillcove::config::relay::PeerSection;
 use quillcove::config::shared::{LogSection, StopSection};
 use quillcove::config::{self, SettingRole};
 use quillcove::entry::EntryProcess;
+use quillcove::relay::RelaySignals;
 use quillcove::{bundle, cli, demo, dump, duty, loader, logging, measure, relay, standin};
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,6 +22,9 @@
 /// Time between looks at whether a planned stop is over.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
+/// Time between looks at whether the settings file changed without a signal.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Runs a subcommand.
 pub fn run(matches: &ArgMatches) -> eyre::Result<ExitCode> {
     let (name, matches) = matches.subcommand().ok_or_else(|| eyre!("no command is named"))?;
@@ -64,35 +69,67 @@
 
 fn run_relay(matches: &ArgMatches) -> eyre::Result<ExitCode> {
     let (file, text) = config_file(matches)?;
-    let settings = config::parse_relay(&file, &text, &cli::given_overrides(matches))?;
+    let overrides = cli::given_overrides(matches);
+    let settings = config::parse_relay(&file, &text, &overrides)?;
     let log = logging::stdout_logger(&settings.log, "relay", &settings.process.host);
-    let stopped = stop_on_signal(log.clone());
-    relay::run(settings, log, stopped).map(|()| ExitCode::SUCCESS)
+    let (send_peers, peers) = watch::channel(settings.peers.clone());
+    let reload_log = log.clone();
+    let reload = move || reload_peers(&file, &overrides, &send_peers, &reload_log);
+    let stopped = stop_on_signal(log.clone(), reload);
+    let signals = RelaySignals { stopped, peers };
+    relay::run(settings, log, signals, |_addresses| ()).map(|()| ExitCode::SUCCESS)
+}
+
+/// Reads a relay's settings again and takes over the section `[peers]`; the rest is fixed for the
+/// life of a process. Settings with faults change nothing.
+fn reload_peers(
+    file: &str,
+    overrides: &[String],
+    peers: &watch::Sender<PeerSection>,
+    log: &Logger,
+) {
+    let read = config::load(Path::new(file)).map_err(|error| format!("{error:#}"));
+    let parsed = read.and_then(|text| {
+        config::parse_relay(file, &text, overrides).map_err(|faults| faults.to_string())
+    });
+    match parsed {
+        Ok(settings) => {
+            peers.send_if_modified(|held| {
+                let is_changed = *held != settings.peers;
+                *held = settings.peers;
+                is_changed
+            });
+        },
+        Err(faults) => warn!(log, "changed settings are not taken"; "faults" => faults),
+    }
 }
 
 fn run_loader(matches: &ArgMatches) -> eyre::Result<ExitCode> {
     let (file, text) = config_file(matches)?;
     let settings = config::parse_loader(&file, &text, &cli::given_overrides(matches))?;
     let log = logging::stdout_logger(&settings.log, "loader", &settings.process.host);
-    let stopped = stop_on_signal(log.clone());
+    let stopped = stop_on_signal(log.clone(), || ());
     loader::run(settings, log, stopped).map(|()| ExitCode::SUCCESS)
 }
 
-/// Turns SIGTERM and SIGINT into a planned stop. SIGHUP is noted and changes nothing yet: what
-/// the settings name is fixed for the life of a process.
-fn stop_on_signal(log: Logger) -> watch::Receiver<bool> {
+/// Turns SIGTERM and SIGINT into a planned stop. On SIGHUP, and now and then without it, the
+/// settings are read again, as the file may change with no signal.
+fn stop_on_signal(log: Logger, reload: impl Fn() + Send + 'static) -> watch::Receiver<bool> {
     let (stop, stopped) = watch::channel(false);
     duty::spawn("signals", move || {
         duty::run_async(1, async move {
             let mut terminate = signal(SignalKind::terminate()).expect("signals can be caught");
             let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be caught");
             let mut hangup = signal(SignalKind::hangup()).expect("signals can be caught");
+            let mut look = tokio::time::interval(RELOAD_INTERVAL);
             loop {
                 tokio::select! {
                     _ = terminate.recv() => break,
                     _ = interrupt.recv() => break,
                     _ = hangup.recv() => info!(log, "told that the settings changed"),
+                    _ = look.tick() => {},
                 }
+                reload();
             }
             stop.send_replace(true);
             std::future::pending::<()>().await;
--- a/quillcove_core/src/relay/demand.rs
+++ b/quillcove_core/src/relay/demand.rs
@@ -13,7 +13,6 @@
 use super::limiter::LoadLimiter;
 use super::replica::ReplicaView;
 use super::sheet::EngineRecord;
-use crate::demand::DemandMeter;
 use crate::ids::{AdapterVersion, MonoTime, ServiceName};
 use crate::rendezvous;
 
@@ -32,9 +31,6 @@
 /// Time after which an ask is forgotten whatever became of it.
 const ASK_LIFETIME: Duration = Duration::from_secs(4);
 
-/// Half-life of the worth of requests that lacked an adapter.
-const WORTH_HALF_LIFE: Duration = Duration::from_secs(6);
-
 /// Asks of one relay beyond its even share that may be open at once, as traffic is not even.
 const SHARE_MARGIN: usize = 1;
 
@@ -63,10 +59,20 @@
 struct WantedAdapter {
     service: ServiceName,
     version: Option<AdapterVersion>,
-    worth: DemandMeter,
+    /// Requests that lacked it since it was last there or useful.
+    requests: u32,
+    since: MonoTime,
     useful_until: MonoTime,
 }
 
+impl WantedAdapter {
+    /// Place in the order of loads: what most requests lack goes first, and of equals what is
+    /// lacked for longer, so that a time once told stays true.
+    fn rank(&self) -> (Reverse<u32>, MonoTime) {
+        (Reverse(self.requests), self.since)
+    }
+}
+
 /// An adapter that was asked for and is not there yet.
 #[derive(Clone, Debug)]
 struct OpenAsk {
@@ -204,7 +210,7 @@
     /// ```
     pub fn tick(&mut self, now: MonoTime) {
         self.open.retain(|_, ask| now.saturating_sub(ask.first_sent) < ASK_LIFETIME);
-        self.wanted.retain(|_, wanted| now < wanted.useful_until + WORTH_HALF_LIFE);
+        self.wanted.retain(|_, wanted| now < wanted.useful_until);
     }
 
     /// Notes that a request lacks an adapter; `is_new` on its first look only.
@@ -228,14 +234,15 @@
         let fresh = || WantedAdapter {
             service: lacked.service.clone(),
             version: lacked.version,
-            worth: DemandMeter::default(),
+            requests: 0,
+            since: now,
             useful_until: lacked.useful_until,
         };
         let wanted = self.wanted.entry(lacked.key.clone()).or_insert_with(fresh);
         wanted.version = wanted.version.max(lacked.version);
         wanted.useful_until = wanted.useful_until.max(lacked.useful_until);
         if is_new {
-            wanted.worth.add(now, 1.0, WORTH_HALF_LIFE);
+            wanted.requests += 1;
         }
     }
 
@@ -253,10 +260,10 @@
         if let Some(open) = self.open.get(key) {
             return open.ready_at.max(now);
         }
-        let worth = |wanted: &WantedAdapter| wanted.worth.level(now, WORTH_HALF_LIFE);
-        let own = self.wanted.get(key).map_or(0.0, worth);
+        let own = self.wanted.get(key).map(WantedAdapter::rank);
         let is_ahead = |(other, wanted): &(&AdapterKey, &WantedAdapter)| {
-            !self.open.contains_key(other) && now < wanted.useful_until && worth(wanted) > own
+            let goes_first = own.is_none_or(|own| (wanted.rank(), *other) < (own, key));
+            goes_first && !self.open.contains_key(*other) && now < wanted.useful_until
         };
         let ahead = self.wanted.iter().filter(is_ahead).count() + 1;
         let share = (self.limiter.limit() as f64 / self.relays.max(1) as f64).max(1.0);
@@ -264,7 +271,7 @@
         now + load_time + load_time.mul_f64(ahead as f64 / share)
     }
 
-    /// Asks for the adapters that are worth most, as long as the weight store serves more loads at
+    /// Asks for the adapters that are lacked most, as long as the weight store serves more loads at
     /// full speed.
     ///
     /// ```
@@ -300,18 +307,14 @@
         self.open.values().filter(is_recent).count()
     }
 
-    /// Adapters that are wanted and not asked for, the worthiest first.
+    /// Adapters that are wanted and not asked for, in the order of loads.
     fn ranked(&self, now: MonoTime) -> Vec<AdapterKey> {
         let is_due = |(key, wanted): &(&AdapterKey, &WantedAdapter)| {
             now < wanted.useful_until && !self.open.contains_key(*key)
         };
-        let worth = |(key, wanted): (&AdapterKey, &WantedAdapter)| {
-            (wanted.worth.level(now, WORTH_HALF_LIFE), key.clone())
-        };
-        let mut ranked: Vec<(f64, AdapterKey)> =
-            self.wanted.iter().filter(is_due).map(worth).collect();
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
-        ranked.into_iter().map(|(_, key)| key).collect()
+        let mut ranked: Vec<_> = self.wanted.iter().filter(is_due).collect();
+        ranked.sort_by_key(|(key, wanted)| (wanted.rank(), *key));
+        ranked.into_iter().map(|(key, _)| key.clone()).collect()
     }
 
     /// Sends asks again that no report shows, and gives up engines that do not react.
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -11,7 +11,7 @@
 use super::beacon::{AddressedAsk, EngineBeacon, LoadAsk, ReplicaId};
 use super::machine::RelayMachine;
 use super::sheet::{EngineRecord, ServiceRecord};
-use crate::ids::MonoTime;
+use crate::ids::{ModelName, MonoTime};
 
 /// Window over which the weight store's permits are counted.
 const PERMIT_WINDOW: Duration = Duration::from_secs(5);
@@ -99,7 +99,7 @@
         asks
     }
 
-    /// Engines that hold no base model get the busiest one.
+    /// Engines that hold no base model get the one that the fewest others hold.
     fn ask_models(
         &mut self,
         machine: &RelayMachine,
@@ -107,7 +107,12 @@
         engine: &EngineRecord,
         now: MonoTime,
     ) -> Vec<AddressedAsk> {
-        let Some(model) = engine.models.first() else {
+        let holders = |name: &ModelName| {
+            let engines = machine.ready_engines(&service.name);
+            engines.filter(|view| view.models(now).contains(name)).count()
+        };
+        // The model with the fewest engines goes first; the sheet names the busiest one first.
+        let Some(model) = engine.models.iter().min_by_key(|model| holders(&model.name)) else {
             return Vec::new();
         };
         let mut asks = Vec::new();
--- a/quillcove_core/src/relay/limiter.rs
+++ b/quillcove_core/src/relay/limiter.rs
@@ -2,12 +2,13 @@
 //!
 //! The store serves a few loads at full speed and shares its bandwidth beyond that. How many is
 //! not published, so it is learnt from the time that loads take, in the manner of TCP Vegas
-//! (Brakmo and Peterson, 1995): as long as they take their least time there is room for more.
+//! (Brakmo and Peterson, 1995): as long as they take their least time there is room for more, and
+//! what they take beyond it tells how many too many there were.
 
 use std::time::Duration;
 
 /// Loads at once before any has been seen.
-const FIRST_LIMIT: f64 = 6.0;
+const FIRST_LIMIT: f64 = 4.0;
 
 /// Least number of loads at once, so that the limit can recover.
 const LEAST_LIMIT: f64 = 2.0;
@@ -18,14 +19,22 @@
 /// Times the least load time up to which loads count as served at full speed.
 const FULL_SPEED: f64 = 1.25;
 
-/// Growth of the limit with each load at full speed while the limit was in use.
+/// Growth of the limit with each load at full speed, before the first slow one.
+const FIRST_GROWTH: f64 = 1.0;
+
+/// Growth of the limit with each load at full speed, after a slow one has been seen.
 const GROWTH: f64 = 0.3;
 
 /// Weight of a slow load in the limit.
 const SLOW_WEIGHT: f64 = 0.1;
 
-/// Growth of the least load time with each load, so that a change of the store is noticed.
-const LEAST_DRIFT: f64 = 1.002;
+/// Loads at once beyond those that the store seems to serve at full speed, so that it is never
+/// idle while adapters are wanted.
+const HEADROOM: f64 = 1.0;
+
+/// Weight of a slow load in the least load time, for loads that were nearly alone: then the store
+/// itself has become slower.
+const LEAST_WEIGHT: f64 = 0.1;
 
 /// Weight of a newly seen load in the mean time of loads.
 const MEAN_WEIGHT: f64 = 0.15;
@@ -51,11 +60,17 @@
     least: Option<f64>,
     /// Mean time of a load, in seconds.
     mean: f64,
+    has_seen_slow: bool,
 }
 
 impl Default for LoadLimiter {
     fn default() -> Self {
-        Self { limit: FIRST_LIMIT, least: None, mean: FIRST_LOAD_TIME.as_secs_f64() }
+        Self {
+            limit: FIRST_LIMIT,
+            least: None,
+            mean: FIRST_LOAD_TIME.as_secs_f64(),
+            has_seen_slow: false,
+        }
     }
 }
 
@@ -99,16 +114,18 @@
     pub fn note_load(&mut self, took: Duration, at_once: usize) {
         let took = took.as_secs_f64();
         self.mean += (took - self.mean) * MEAN_WEIGHT;
-        let least = self.least.map_or(took, |least| (least * LEAST_DRIFT).min(took));
-        self.least = Some(least);
         let at_once = at_once as f64;
-        if took <= least * FULL_SPEED {
-            if at_once + 1.0 >= self.limit {
-                self.limit += GROWTH;
-            }
-        } else {
-            let served = at_once * least / took.max(f64::MIN_POSITIVE) + 1.0;
+        let mut least = self.least.unwrap_or(took).min(took);
+        if at_once <= LEAST_LIMIT {
+            least += (took - least) * LEAST_WEIGHT;
+        }
+        self.least = Some(least);
+        if took > least * FULL_SPEED {
+            self.has_seen_slow = true;
+            let served = at_once * least / took + HEADROOM;
             self.limit += (served.min(self.limit) - self.limit) * SLOW_WEIGHT;
+        } else if at_once + 1.0 >= self.limit {
+            self.limit += if self.has_seen_slow { GROWTH } else { FIRST_GROWTH };
         }
         self.limit = self.limit.clamp(LEAST_LIMIT, MOST_LIMIT);
     }
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -292,14 +292,14 @@
     }
 
     /// Tells whether the engine has a place for what is asked for, or what makes room. A new
-    /// version takes the place of the old one.
+    /// version on its way takes a place beside the old one.
     fn room_for(&self, ask: &LoadAsk, now: MonoTime) -> LoadRoom {
-        let Some(key) = ask.key() else {
+        if ask.adapter.is_none() {
             return match self.report.models.is_empty() && !self.report.is_busy {
                 true => LoadRoom::Free,
                 false => LoadRoom::NotYet,
             };
-        };
+        }
         let is_incoming =
             |key: &AdapterKey| self.report.incoming.iter().any(|held| held.key == *key);
         let unseen = self.ordered.iter().filter(|(key, _)| !is_incoming(key)).count();
@@ -307,8 +307,7 @@
         if coming >= INCOMING_LIMIT || self.report.is_busy {
             return LoadRoom::NotYet;
         }
-        let replaces = self.report.adapters.iter().any(|held| held.key == key);
-        if replaces || self.report.adapters.len() + coming < ask.places as usize {
+        if self.report.adapters.len() + coming < ask.places as usize {
             return LoadRoom::Free;
         }
         self.least_wanted(now).map_or(LoadRoom::NotYet, LoadRoom::Instead)
--- a/quillcove_core/src/relay/machine.rs
+++ b/quillcove_core/src/relay/machine.rs
@@ -6,8 +6,9 @@
 
 use serde::Serialize;
 
-use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, ReplicaId};
+use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, HeldAdapter, ReplicaId};
 use super::demand::{AdapterDemand, EngineChoice, LackedAdapter};
+use super::published::PublishedState;
 use super::replica::{AttemptFate, ReplicaRecord, ReplicaTable, ReplicaView};
 use super::routing::{self, HoldingNeed, SPREAD_LOAD};
 use super::sheet::{RouteRecord, RouteSheet, SheetVersion};
@@ -35,6 +36,12 @@
 /// published. The users allow 5 s; the rest is for requests on their way.
 const VERSION_GRACE: Duration = Duration::from_secs(3);
 
+/// When a caller is told to come back that another relay can serve at once.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
+/// Connections to one replica that a relay may always have, however many relays there are.
+const CONNECTIONS_LEAST: usize = 4;
+
 /// Share of its remaining time within which a caller is told to come back; callers wait for no
 /// longer than a third.
 const RETURN_SHARE: f64 = 0.33;
@@ -173,6 +180,10 @@
     doubted: HashMap<ReplicaId, MonoTime>,
     store_returned: Option<MonoTime>,
     is_store_away: bool,
+    /// Relays that are there, this one included.
+    relays: usize,
+    /// Revision of the store up to which this relay has read.
+    revision: u64,
     requests: usize,
     is_stopping: bool,
     draws: u64,
@@ -197,6 +208,8 @@
             doubted: HashMap::new(),
             store_returned: None,
             is_store_away: false,
+            relays: 1,
+            revision: 0,
             requests: 0,
             is_stopping: false,
             draws: seed,
@@ -270,6 +283,7 @@
     /// RelayMachine::new(RelayRules::default(), 1).set_relays(4);
     /// ```
     pub fn set_relays(&mut self, relays: usize) {
+        self.relays = relays;
         self.demand.set_relays(relays);
     }
 
@@ -465,6 +479,92 @@
         changes
     }
 
+    /// All that this relay has read from the store.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).published().revision, 0);
+    /// ```
+    pub fn published(&self) -> PublishedState {
+        let version = |(key, (version, _)): (&AdapterKey, &(AdapterVersion, MonoTime))| {
+            HeldAdapter { key: key.clone(), version: *version }
+        };
+        PublishedState {
+            revision: self.revision,
+            sheet: self.sheet.as_deref().cloned(),
+            versions: self.versions.iter().map(version).collect(),
+            replicas: self.table.all().map(|view| view.record.clone()).collect(),
+        }
+    }
+
+    /// Takes what another relay has read, if that is newer than what this one has; tells what
+    /// changed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::published::PublishedState;
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// let published = PublishedState { revision: 3, ..PublishedState::default() };
+    /// assert!(machine.take_published(published, Duration::ZERO).is_empty());
+    /// assert_eq!(machine.revision(), 3);
+    /// ```
+    pub fn take_published(
+        &mut self,
+        published: PublishedState,
+        now: MonoTime,
+    ) -> Vec<BeliefChange> {
+        let mut changes = Vec::new();
+        if let Some(sheet) = published.sheet {
+            let version = sheet.version;
+            if self.take_sheet(sheet) {
+                changes.push(BeliefChange::Sheet(version));
+            }
+        }
+        for held in published.versions {
+            self.take_version(held.key, held.version, true, now);
+        }
+        if published.revision <= self.revision {
+            return changes;
+        }
+        self.revision = published.revision;
+        let is_listed = |id: &ReplicaId| published.replicas.iter().any(|record| record.id == *id);
+        let known = self.table.all().map(|view| view.record.id.clone());
+        let gone: Vec<ReplicaId> = known.filter(|id| !is_listed(id)).collect();
+        for id in gone {
+            self.forget(&id);
+            changes.push(BeliefChange::Gone(id));
+        }
+        changes.extend(published.replicas.into_iter().filter_map(|record| self.list(record, now)));
+        changes
+    }
+
+    /// Revision of the store up to which this relay has read.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).revision(), 0);
+    /// ```
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Notes the revision of the store up to which this relay has read.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.note_revision(5);
+    /// assert_eq!(machine.revision(), 5);
+    /// ```
+    pub fn note_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Notes whether the store answers; tells whether that changed.
     ///
     /// ```
@@ -707,7 +807,13 @@
         if ready.is_empty() {
             return refuse(RefusalReason::NoUpstream, Some(SOON));
         }
-        let pool = well_ones(&ready, now);
+        let limit = self.connection_share(&query.service);
+        let open: Vec<&ReplicaView> =
+            ready.into_iter().filter(|view| (view.in_flight as usize) < limit).collect();
+        if open.is_empty() {
+            return RelayChoice::Refuse(WorkRefusal::overloaded());
+        }
+        let pool = well_ones(&open, now);
         let need = self.need_of(query, now);
         let holds = |view: &&&ReplicaView| need.is_met_by(view, now);
         let holders: Vec<&ReplicaView> = pool.iter().filter(holds).copied().collect();
@@ -726,6 +832,14 @@
         }
     }
 
+    /// Connections that this relay may have to one replica of a service: its even share of what the
+    /// replica accepts, less a part for relays that have not been heard yet.
+    fn connection_share(&self, service: &str) -> usize {
+        let limit = self.sheet.as_ref().and_then(|sheet| sheet.service(service));
+        let limit = limit.map_or(usize::MAX, |service| service.connection_limit);
+        (limit / (self.relays + 1)).max(CONNECTIONS_LEAST)
+    }
+
     /// Of several holders of an adapter, those that have its newest version if any do.
     fn newest_of<'a>(
         &self,
@@ -826,12 +940,21 @@
         if now > decide_by && now < give_up {
             return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
         }
-        let come_back = ready_at.map_or(SOON, |at| at.saturating_sub(now) + NEWS_TIME);
+        let come_back = match self.hears_engines(&query.service, now) {
+            true => ready_at.map_or(SOON, |at| at.saturating_sub(now) + NEWS_TIME),
+            // This relay is cut off from the loaders; the caller's next try reaches another one.
+            false => ELSEWHERE,
+        };
         let come_back = come_back.min((query.deadline.saturating_sub(now)).mul_f64(RETURN_SHARE));
         self.ask_for(query, now + come_back + aim, now);
         refuse(RefusalReason::DeadlineTooShort, Some(come_back))
     }
 
+    /// Tells whether the loader of any engine of a service is heard.
+    fn hears_engines(&self, service: &str, now: MonoTime) -> bool {
+        self.ready_engines(service).any(|view| view.report(now).is_some())
+    }
+
     /// Notes that a request is sent to a replica.
     ///
     /// ```
@@ -886,6 +1009,7 @@
     pub fn forget(&mut self, replica: &str) {
         self.table.remove(replica);
         self.doubted.remove(replica);
+        self.demand.forget_engine(replica);
     }
 
     /// Notes that a replica does not hold an adapter that it was taken to hold.
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! - [`keeper`]: base models for engines that have none, within the weight store's rate.
 //! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
+//! - [`published`]: what one relay passes on to another that can not read the store.
 //! - [`beacon`]: what relays and loaders tell each other.
 
 pub mod beacon;
@@ -15,6 +16,7 @@
 pub mod limiter;
 pub mod loader;
 pub mod machine;
+pub mod published;
 pub mod replica;
 pub mod routing;
 pub mod sheet;
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId};
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
@@ -31,7 +31,7 @@
 const WAITING_LOAD: f64 = 0.1;
 
 /// Whether a replica takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReplicaState {
     /// It does.
     Ready,
@@ -40,7 +40,7 @@
 }
 
 /// One replica as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRecord {
     /// Identifies this start of the replica.
     pub id: ReplicaId,
--- /dev/null
+++ b/quillcove_core/tests/relay_loader.rs
@@ -0,0 +1,213 @@
+//! A loader's machine against a simple engine: never more adapters than places, nothing taken out
+//! that is in use or has just come in, and fences that grow.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use quillcove_core::relay::beacon::{
+    AdapterKey, AdapterUse, EngineReport, HeldAdapter, LoadAsk, UseBeacon,
+};
+use quillcove_core::relay::loader::{LoadOrder, LoaderMachine, OrderKind, OrderOutcome};
+
+const PLACES: u32 = 5;
+const INCOMING_LIMIT: usize = 4;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn key(number: u8) -> AdapterKey {
+    AdapterKey { model: "m".to_string(), adapter: format!("a{number}") }
+}
+
+fn ask(number: u8, version: Option<u32>) -> LoadAsk {
+    LoadAsk {
+        replica: "i-1".to_string(),
+        model: "m".to_string(),
+        adapter: Some(key(number).adapter),
+        version,
+        places: PLACES,
+    }
+}
+
+/// An engine that takes orders as the platform's do.
+#[derive(Default)]
+struct SimpleEngine {
+    held: BTreeMap<String, u32>,
+    incoming: Vec<(String, u32, Duration)>,
+    fence: u64,
+}
+
+impl SimpleEngine {
+    fn report(&mut self, now: Duration) -> EngineReport {
+        let (done, coming) = self.incoming.drain(..).partition(|(_, _, at)| *at <= now);
+        self.incoming = coming;
+        for (name, version, _) in done as Vec<(String, u32, Duration)> {
+            self.held.insert(name, version);
+        }
+        let held = |(adapter, version): (&String, &u32)| HeldAdapter {
+            key: AdapterKey { model: "m".to_string(), adapter: adapter.clone() },
+            version: *version,
+        };
+        EngineReport {
+            models: vec!["m".to_string()],
+            adapters: self.held.iter().map(held).collect(),
+            incoming: self
+                .incoming
+                .iter()
+                .map(|(name, version, _)| held((name, version)))
+                .collect(),
+            ..EngineReport::default()
+        }
+    }
+
+    /// Takes an order; panics where a real engine would fall over.
+    fn take(&mut self, order: &LoadOrder, now: Duration) -> OrderOutcome {
+        assert!(order.fence > self.fence, "fences grow");
+        self.fence = order.fence;
+        let name = order.adapter.clone().unwrap();
+        match order.kind {
+            OrderKind::Unload => {
+                self.held.remove(&name);
+                OrderOutcome::Holds
+            },
+            OrderKind::Load => {
+                // A new version on its way takes a place beside the old one.
+                self.incoming.push((name, order.version.unwrap_or(1), now + ms(250)));
+                let used = self.held.len() + self.incoming.len();
+                assert!(used <= PLACES as usize, "too many adapters");
+                assert!(self.incoming.len() <= INCOMING_LIMIT, "too many at once");
+                OrderOutcome::Begun
+            },
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(u8, Option<u32>),
+    Use(u8),
+    Wait(u64),
+    LoseAnswer,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u8..12, prop::option::of(1u32..4)).prop_map(|(a, v)| Step::Ask(a, v)),
+        2 => (0u8..12).prop_map(Step::Use),
+        3 => (1u64..400).prop_map(Step::Wait),
+        1 => Just(Step::LoseAnswer),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+
+    #[test]
+    fn an_engine_never_holds_too_much_and_nothing_in_use_goes(
+        steps in prop::collection::vec(step(), 1..120),
+    ) {
+        let mut machine = LoaderMachine::new("e1".to_string(), 100);
+        let mut engine = SimpleEngine::default();
+        let mut now = ms(0);
+        let mut loses = false;
+        let mut used: Option<(u8, Duration)> = None;
+        let relay = "127.0.0.1:1".parse().unwrap();
+        for step in steps {
+            match step {
+                Step::Ask(adapter, version) => machine.take_ask(ask(adapter, version), now),
+                Step::Use(adapter) => {
+                    let use_of = AdapterUse { key: key(adapter), sent: 1, in_flight: 1 };
+                    machine.take_uses(UseBeacon { relay, uses: vec![use_of] }, now);
+                    used = Some((adapter, now));
+                },
+                Step::Wait(time) => now += ms(time),
+                Step::LoseAnswer => loses = true,
+            }
+            machine.take_report(engine.report(now), now);
+            while let Some(order) = machine.next_order(now) {
+                if let (OrderKind::Unload, Some((adapter, told))) = (order.kind, used) {
+                    let is_used = now - told < ms(1600);
+                    let name = order.adapter.clone().unwrap();
+                    prop_assert!(!is_used || name != key(adapter).adapter, "taken out in use");
+                }
+                let outcome = engine.take(&order, now);
+                let outcome = if loses { OrderOutcome::Unanswered } else { outcome };
+                loses = false;
+                machine.end_order(outcome, now);
+                machine.take_report(engine.report(now), now);
+            }
+        }
+    }
+}
+
+fn settled(names: &[u8]) -> EngineReport {
+    let held = |number: &u8| HeldAdapter { key: key(*number), version: 1 };
+    EngineReport {
+        models: vec!["m".to_string()],
+        adapters: names.iter().map(held).collect(),
+        ..EngineReport::default()
+    }
+}
+
+#[test]
+fn the_adapter_that_is_asked_for_least_makes_room() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_report(settled(&[0, 1, 2, 3, 4]), ms(0));
+    let relay = "127.0.0.1:1".parse().unwrap();
+    let use_of = |number, sent| AdapterUse { key: key(number), sent, in_flight: 0 };
+    let uses = vec![use_of(0, 5), use_of(1, 2), use_of(2, 9), use_of(3, 1), use_of(4, 3)];
+    machine.take_uses(UseBeacon { relay, uses }, ms(0));
+    machine.take_ask(ask(7, None), ms(10));
+    let order = machine.next_order(ms(10)).unwrap();
+    assert_eq!((order.kind, order.adapter.as_deref()), (OrderKind::Unload, Some("a3")));
+    machine.end_order(OrderOutcome::Holds, ms(11));
+    machine.take_report(settled(&[0, 1, 2, 4]), ms(12));
+    let order = machine.next_order(ms(12)).unwrap();
+    assert_eq!((order.kind, order.adapter.as_deref()), (OrderKind::Load, Some("a7")));
+}
+
+#[test]
+fn a_refused_fence_is_raised_until_the_engine_takes_it() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_report(settled(&[]), ms(0));
+    machine.take_ask(ask(1, None), ms(0));
+    let first = machine.next_order(ms(0)).unwrap();
+    machine.end_order(OrderOutcome::FenceTooLow, ms(1));
+    let second = machine.next_order(ms(1)).unwrap();
+    assert_eq!(second.adapter, first.adapter);
+    assert!(second.fence > first.fence + 5_000, "the clock may have stepped back by seconds");
+}
+
+#[test]
+fn base_models_are_ordered_only_into_an_empty_engine_and_are_told() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    let model = LoadAsk { adapter: None, ..ask(0, None) };
+    machine.take_report(settled(&[]), ms(0));
+    machine.take_ask(model.clone(), ms(0));
+    assert!(machine.next_order(ms(0)).is_none(), "it is there already");
+    machine.take_report(EngineReport::default(), ms(10));
+    machine.take_ask(model, ms(10));
+    assert!(machine.next_order(ms(10)).is_some());
+    machine.end_order(OrderOutcome::Begun, ms(11));
+    assert_eq!(machine.model_loads(ms(1010)), [ms(1000)]);
+    assert!(machine.model_loads(ms(9000)).is_empty());
+}
+
+#[test]
+fn warm_and_cold_loads_are_told_apart() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    let load = |at: u64, machine: &mut LoaderMachine| {
+        machine.take_report(settled(&[]), ms(at));
+        machine.take_ask(ask(1, None), ms(at));
+        machine.next_order(ms(at)).unwrap();
+        machine.end_order(OrderOutcome::Begun, ms(at));
+        machine.take_report(settled(&[1]), ms(at + 250)).arrived[0].1.clone()
+    };
+    let first = load(0, &mut machine);
+    assert_eq!((first.took, first.was_warm), (ms(250), false));
+    assert!(load(5_000, &mut machine).was_warm);
+    machine.take_report(EngineReport::default(), ms(9_000));
+    assert!(!load(10_000, &mut machine).was_warm, "the engine restarted and lost its copies");
+}
--- /dev/null
+++ b/quillcove_core/tests/relay_loads.rs
@@ -0,0 +1,146 @@
+//! Loads over the whole site: base models within the weight store's rate also when the keeper
+//! changes, and adapters no more at once than the store serves at full speed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
+use quillcove_core::relay::keeper::ModelKeeper;
+use quillcove_core::relay::limiter::LoadLimiter;
+use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+use quillcove_core::relay::replica::{ReplicaRecord, example_record};
+use quillcove_core::relay::sheet::{
+    CallerLimits, EngineRecord, ModelRecord, RouteSheet, ServiceRecord,
+};
+
+const ENGINES: u16 = 40;
+const RATE: f64 = 3.3;
+const WINDOW: Duration = Duration::from_secs(5);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn machine() -> RelayMachine {
+    let model = ModelRecord {
+        name: "m".to_string(),
+        weights_mb: 10.0,
+        adapter_mb: 1.0,
+        load_time: ms(600),
+    };
+    let engine = EngineRecord {
+        models: vec![model],
+        weights_mb: 14.0,
+        adapter_places: 4,
+        loads_per_second: RATE,
+    };
+    let service =
+        ServiceRecord { name: "s".to_string(), connection_limit: 100, engine: Some(engine) };
+    let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    machine.take_sheet(RouteSheet::new(1, vec![], vec![service], CallerLimits::default()));
+    for port in 1..=ENGINES {
+        let id = format!("i-{port}");
+        machine.list(ReplicaRecord { address: address(port), ..example_record(&id) }, ms(0));
+    }
+    machine
+}
+
+/// What the loader of an engine tells: it is empty until its model's load is over.
+fn beacon(port: u16, number: u64, began: &[Duration], now: Duration) -> EngineBeacon {
+    let is_loaded = began.last().is_some_and(|at| now >= *at + ms(600));
+    let is_busy = !began.is_empty() && !is_loaded;
+    let models = if is_loaded { vec!["m".to_string()] } else { Vec::new() };
+    EngineBeacon {
+        host: format!("h{port}"),
+        engine: address(port),
+        number,
+        incarnation: 1,
+        report: EngineReport { models, is_busy, ..EngineReport::default() },
+        model_loads: began.iter().map(|at| now - *at).collect(),
+        arrivals: Vec::new(),
+        relays: Vec::new(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+
+    /// All engines restart empty at once, and another relay becomes keeper at any moment.
+    #[test]
+    fn base_models_stay_within_the_rate_over_any_change_of_keeper(
+        takeovers in prop::collection::vec(1u64..200, 0..6),
+    ) {
+        let mut machine = machine();
+        let mut keeper = ModelKeeper::default();
+        let mut began: Vec<Vec<Duration>> = vec![Vec::new(); usize::from(ENGINES) + 1];
+        let mut all: Vec<Duration> = Vec::new();
+        for tick in 0u64..300 {
+            let now = ms(tick * 50);
+            if takeovers.contains(&tick) {
+                // The new keeper has heard the same beacons as the old one.
+                keeper = ModelKeeper::default();
+            }
+            for port in 1..=ENGINES {
+                let beacon = beacon(port, tick + 1, &began[usize::from(port)], now);
+                machine.take_report(&beacon, now);
+                keeper.take_report(&beacon, now);
+            }
+            for addressed in keeper.plan(&machine, now) {
+                began[usize::from(addressed.engine.port())].push(now);
+                all.push(now);
+            }
+        }
+        let limit = RATE * WINDOW.as_secs_f64() * 1.1 + 3.0;
+        for first in &all {
+            let count = all.iter().filter(|at| *at >= first && **at < *first + WINDOW).count();
+            prop_assert!(count as f64 <= limit, "{count} loads within {WINDOW:?}");
+        }
+        prop_assert_eq!(all.len(), usize::from(ENGINES), "every engine got its model, once");
+    }
+}
+
+/// Load time of a store that serves this many at full speed.
+fn store_time(at_once: usize, full_speed: usize) -> Duration {
+    ms(250).mul_f64((at_once as f64 / full_speed as f64).max(1.0))
+}
+
+#[test]
+fn the_limit_settles_near_what_the_store_serves_at_full_speed() {
+    for full_speed in [3usize, 8, 24] {
+        let mut limiter = LoadLimiter::default();
+        let mut total = 0;
+        for _ in 0..2000 {
+            let at_once = limiter.limit();
+            limiter.note_load(store_time(at_once, full_speed), at_once);
+        }
+        for _ in 0..100 {
+            let at_once = limiter.limit();
+            limiter.note_load(store_time(at_once, full_speed), at_once);
+            total += limiter.limit();
+        }
+        let mean = total / 100;
+        let range = full_speed..=full_speed * 3 / 2 + 1;
+        assert!(range.contains(&mean), "{mean} for a store of {full_speed}");
+    }
+}
+
+#[test]
+fn the_limit_recovers_after_a_slow_spell() {
+    let mut limiter = LoadLimiter::default();
+    for _ in 0..200 {
+        limiter.note_load(store_time(limiter.limit(), 8), limiter.limit());
+    }
+    for _ in 0..30 {
+        limiter.note_load(ms(2500), limiter.limit());
+    }
+    assert!(limiter.limit() <= 4, "{}", limiter.limit());
+    for _ in 0..400 {
+        limiter.note_load(store_time(limiter.limit(), 8), limiter.limit());
+    }
+    assert!(limiter.limit() >= 8, "{}", limiter.limit());
+}
--- /dev/null
+++ b/quillcove_core/tests/relay_machine.rs
@@ -0,0 +1,364 @@
+//! A relay's machine: routes, versions of sheets, leaving replicas, repeats, and what a request
+//! does whose adapter is in no engine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillcove_core::relay::beacon::{AdapterKey, EngineBeacon, EngineReport, HeldAdapter};
+use quillcove_core::relay::machine::{
+    BeliefChange, RelayChoice, RelayMachine, RelayQuery, RelayRules,
+};
+use quillcove_core::relay::published::PublishedState;
+use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
+use quillcove_core::relay::sheet::{
+    CallerLimits, EngineRecord, ModelRecord, RouteKind, RouteRecord, RouteSheet, RouteTarget,
+    ServiceRecord,
+};
+use quillcove_core::verdict::{RefusalReason, RunVerdict};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn route(kind: RouteKind) -> RouteRecord {
+    RouteRecord {
+        name: "r".to_string(),
+        host: "a.example".to_string(),
+        prefix: "/a/".to_string(),
+        kind,
+        timeout: ms(15_000),
+        aim: ms(800),
+        priority: 1,
+        attempt_limit: 2,
+        targets: vec![RouteTarget { service: "s".to_string(), weight: 1 }],
+    }
+}
+
+fn service(connection_limit: usize) -> ServiceRecord {
+    let model = ModelRecord {
+        name: "m".to_string(),
+        weights_mb: 10.0,
+        adapter_mb: 1.0,
+        load_time: ms(600),
+    };
+    let engine = EngineRecord {
+        models: vec![model],
+        weights_mb: 14.0,
+        adapter_places: 8,
+        loads_per_second: 3.0,
+    };
+    ServiceRecord { name: "s".to_string(), connection_limit, engine: Some(engine) }
+}
+
+fn sheet(version: u64) -> RouteSheet {
+    let routes = vec![route(RouteKind::Stream)];
+    RouteSheet::new(version, routes, vec![service(100)], CallerLimits::default())
+}
+
+fn machine() -> RelayMachine {
+    let rules = RelayRules { hall: "hall-a".to_string(), ..RelayRules::default() };
+    let mut machine = RelayMachine::new(rules, 1);
+    machine.take_sheet(sheet(1));
+    machine
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn record(id: &str, port: u16) -> ReplicaRecord {
+    ReplicaRecord { address: address(port), ..example_record(id) }
+}
+
+fn key(adapter: &str) -> AdapterKey {
+    AdapterKey { model: "m".to_string(), adapter: adapter.to_string() }
+}
+
+fn held(adapter: &str, version: u32) -> HeldAdapter {
+    HeldAdapter { key: key(adapter), version }
+}
+
+fn beacon(port: u16, number: u64, adapters: &[HeldAdapter]) -> EngineBeacon {
+    EngineBeacon {
+        host: format!("host-{port}"),
+        engine: address(port),
+        number,
+        incarnation: 1,
+        report: EngineReport {
+            models: vec!["m".to_string()],
+            adapters: adapters.to_vec(),
+            ..EngineReport::default()
+        },
+        model_loads: Vec::new(),
+        arrivals: Vec::new(),
+        relays: Vec::new(),
+    }
+}
+
+fn query(adapter: Option<&str>, received: Duration) -> RelayQuery {
+    RelayQuery {
+        route: Arc::new(route(RouteKind::Stream)),
+        service: "s".to_string(),
+        model: Some("m".to_string()),
+        adapter: adapter.map(key),
+        received,
+        deadline: received + ms(15_000),
+        looks: 0,
+    }
+}
+
+fn sent_to(choice: &RelayChoice) -> Option<&str> {
+    match choice {
+        RelayChoice::Send(order) => Some(order.replica.as_str()),
+        RelayChoice::Wait(_) | RelayChoice::Refuse(_) => None,
+    }
+}
+
+#[test]
+fn an_older_sheet_never_comes_back() {
+    let mut machine = machine();
+    assert!(machine.take_sheet(sheet(5)));
+    assert!(!machine.take_sheet(sheet(4)));
+    assert!(!machine.take_sheet(sheet(5)));
+    let published = PublishedState { revision: 9, sheet: Some(sheet(3)), ..Default::default() };
+    machine.take_published(published, ms(0));
+    assert_eq!(machine.sheet().unwrap().version, 5);
+}
+
+#[test]
+fn a_relay_is_ready_with_a_sheet_and_replicas_until_it_stops() {
+    let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    machine.list(record("i-1", 1), ms(0));
+    assert!(!machine.is_ready());
+    machine.take_sheet(sheet(1));
+    assert!(machine.is_ready());
+    machine.stop();
+    assert!(!machine.is_ready());
+}
+
+#[test]
+fn a_leaving_replica_gets_nothing_new() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    assert_eq!(sent_to(&machine.choose(&query(None, ms(0)), &[], ms(0))), Some("i-1"));
+    let leaving = ReplicaRecord { state: ReplicaState::Draining, ..record("i-1", 1) };
+    assert_eq!(machine.list(leaving, ms(1)), Some(BeliefChange::Listed("i-1".to_string())));
+    let choice = machine.choose(&query(None, ms(2)), &[], ms(2));
+    let RelayChoice::Refuse(refusal) = choice else {
+        panic!("{choice:?}");
+    };
+    assert_eq!((refusal.reason, refusal.verdict), (RefusalReason::NoUpstream, RunVerdict::NotRun));
+}
+
+#[test]
+fn an_entry_that_lapsed_while_the_store_was_away_has_two_seconds_to_return() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    machine.list(record("i-2", 2), ms(0));
+    machine.note_store(false, ms(1_000));
+    machine.note_store(true, ms(5_000));
+    let changes = machine.list_all(Vec::new(), ms(5_010));
+    assert!(changes.iter().all(|change| matches!(change, BeliefChange::Doubted(_))), "{changes:?}");
+    assert!(machine.tick(ms(6_900)).is_empty());
+    machine.list(record("i-1", 1), ms(7_000));
+    assert_eq!(machine.tick(ms(7_300)), [BeliefChange::Gone("i-2".to_string())]);
+    assert!(machine.table().get("i-1").is_some());
+    assert_eq!(machine.unlist("i-1", ms(9_000)), Some(BeliefChange::Gone("i-1".to_string())));
+}
+
+#[test]
+fn a_relay_that_the_store_turns_away_takes_what_another_has_read() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    machine.note_revision(4);
+    machine.note_store(false, ms(0));
+    let published = PublishedState {
+        revision: 6,
+        sheet: Some(sheet(2)),
+        versions: vec![held("a1", 3)],
+        replicas: vec![record("i-2", 2)],
+    };
+    let changes = machine.take_published(published, ms(10));
+    assert!(changes.contains(&BeliefChange::Sheet(2)), "{changes:?}");
+    assert!(changes.contains(&BeliefChange::Gone("i-1".to_string())), "{changes:?}");
+    assert_eq!(machine.newest(&key("a1")), Some(3));
+    let older = PublishedState { revision: 5, replicas: Vec::new(), ..Default::default() };
+    assert!(machine.take_published(older, ms(20)).is_empty());
+    assert!(machine.table().get("i-2").is_some());
+}
+
+#[test]
+fn a_request_goes_where_its_adapter_is() {
+    let mut machine = machine();
+    for port in 1..=3 {
+        machine.list(record(&format!("i-{port}"), port), ms(0));
+        let adapters = if port == 2 { vec![held("a1", 1)] } else { Vec::new() };
+        machine.take_report(&beacon(port, 1, &adapters), ms(0));
+    }
+    for _ in 0..20 {
+        let choice = machine.choose(&query(Some("a1"), ms(0)), &[], ms(0));
+        assert_eq!(sent_to(&choice), Some("i-2"));
+    }
+}
+
+#[test]
+fn a_missing_adapter_is_asked_for_once_and_the_request_waits_for_it() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    machine.take_report(&beacon(1, 1, &[]), ms(0));
+    let choice = machine.choose(&query(Some("a1"), ms(0)), &[], ms(0));
+    assert!(matches!(choice, RelayChoice::Wait(_)), "{choice:?}");
+    let asks = machine.take_asks();
+    assert_eq!(asks.len(), 1);
+    assert_eq!((asks[0].ask.key(), asks[0].ask.places), (Some(key("a1")), 4));
+    machine.choose(&query(Some("a1"), ms(5)), &[], ms(5));
+    assert!(machine.take_asks().is_empty());
+    machine.take_report(&beacon(1, 2, &[held("a1", 1)]), ms(270));
+    let choice = machine.choose(&query(Some("a1"), ms(0)), &[], ms(270));
+    assert_eq!(sent_to(&choice), Some("i-1"));
+}
+
+#[test]
+fn a_request_whose_adapter_comes_too_late_is_refused_at_once_with_a_time() {
+    let mut machine = machine();
+    machine.set_relays(1);
+    machine.list(record("i-1", 1), ms(0));
+    machine.take_report(&beacon(1, 1, &[]), ms(0));
+    let mut refused = Vec::new();
+    for number in 0..40 {
+        let adapter = format!("a{number}");
+        match machine.choose(&query(Some(&adapter), ms(0)), &[], ms(0)) {
+            RelayChoice::Refuse(refusal) => refused.push(refusal),
+            RelayChoice::Wait(until) => assert!(until <= ms(1600)),
+            RelayChoice::Send(order) => panic!("sent to {order:?}"),
+        }
+    }
+    assert!(refused.len() > 20, "only {} were refused", refused.len());
+    for refusal in refused {
+        assert_eq!(refusal.verdict, RunVerdict::NotRun);
+        assert!(refusal.retry_after.unwrap() > ms(100));
+        assert!(refusal.retry_after.unwrap() <= ms(5000));
+    }
+}
+
+#[test]
+fn a_relay_that_hears_no_loader_sends_callers_elsewhere() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    machine.choose(&query(Some("a1"), ms(0)), &[], ms(0));
+    let mut late = query(Some("a1"), ms(0));
+    late.looks = 1;
+    let choice = machine.choose(&late, &[], ms(1700));
+    let RelayChoice::Refuse(refusal) = choice else {
+        panic!("{choice:?}");
+    };
+    assert!(refusal.retry_after.unwrap() < ms(100));
+}
+
+#[test]
+fn requests_move_to_a_new_version_before_the_old_one_is_forbidden() {
+    let mut machine = machine();
+    for port in 1..=2 {
+        machine.list(record(&format!("i-{port}"), port), ms(0));
+    }
+    machine.take_report(&beacon(1, 1, &[held("a1", 1)]), ms(0));
+    machine.take_report(&beacon(2, 1, &[]), ms(0));
+    machine.take_version(key("a1"), 2, true, ms(100));
+    let choice = machine.choose(&query(Some("a1"), ms(110)), &[], ms(110));
+    assert_eq!(sent_to(&choice), Some("i-1"), "the old version may still be used");
+    let asks = machine.take_asks();
+    assert_eq!((asks[0].ask.replica.as_str(), asks[0].ask.version), ("i-2", Some(2)));
+    machine.take_report(&beacon(2, 2, &[held("a1", 2)]), ms(400));
+    for _ in 0..20 {
+        let choice = machine.choose(&query(Some("a1"), ms(410)), &[], ms(410));
+        assert_eq!(sent_to(&choice), Some("i-2"));
+    }
+    machine.take_report(&beacon(1, 2, &[held("a1", 1)]), ms(4000));
+    machine.take_report(&beacon(2, 3, &[]), ms(4000));
+    let choice = machine.choose(&query(Some("a1"), ms(4000)), &[], ms(4000));
+    assert_eq!(sent_to(&choice), None, "the old version is forbidden by now");
+}
+
+#[test]
+fn a_version_published_before_the_start_allows_no_grace() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    machine.take_report(&beacon(1, 1, &[held("a1", 1)]), ms(0));
+    machine.take_version(key("a1"), 2, false, ms(0));
+    let choice = machine.choose(&query(Some("a1"), ms(1)), &[], ms(1));
+    assert_eq!(sent_to(&choice), None);
+}
+
+#[test]
+fn a_replica_that_fails_is_left_out_while_others_are_there() {
+    let mut machine = machine();
+    for port in 1..=3 {
+        machine.list(record(&format!("i-{port}"), port), ms(0));
+    }
+    for _ in 0..3 {
+        machine.begin("i-1", None, ms(0));
+        machine.end("i-1", None, AttemptFate::Failed, ms(0));
+    }
+    for _ in 0..50 {
+        let choice = machine.choose(&query(None, ms(1)), &[], ms(1));
+        assert_ne!(sent_to(&choice), Some("i-1"));
+    }
+    let choices: Vec<Option<String>> = (0..50)
+        .map(|_| sent_to(&machine.choose(&query(None, ms(1500)), &[], ms(1500))).map(String::from))
+        .collect();
+    assert!(choices.contains(&Some("i-1".to_string())), "it is back after a second");
+}
+
+#[test]
+fn a_silent_replica_with_requests_in_flight_is_avoided() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    machine.list(record("i-2", 2), ms(0));
+    machine.begin("i-1", None, ms(0));
+    for _ in 0..20 {
+        let choice = machine.choose(&query(None, ms(1500)), &[], ms(1500));
+        assert_eq!(sent_to(&choice), Some("i-2"));
+    }
+    machine.hear("i-1", ms(1500));
+    let all: Vec<Option<String>> = (0..50)
+        .map(|_| sent_to(&machine.choose(&query(None, ms(1501)), &[], ms(1501))).map(String::from))
+        .collect();
+    assert!(all.contains(&Some("i-2".to_string())));
+}
+
+#[test]
+fn connections_to_a_replica_stay_within_this_relays_share() {
+    let mut machine = machine();
+    machine.take_sheet(RouteSheet::new(
+        2,
+        vec![route(RouteKind::Stream)],
+        vec![service(50)],
+        CallerLimits::default(),
+    ));
+    machine.set_relays(4);
+    machine.list(record("i-1", 1), ms(0));
+    for _ in 0..10 {
+        assert!(sent_to(&machine.choose(&query(None, ms(0)), &[], ms(0))).is_some());
+        machine.begin("i-1", None, ms(0));
+    }
+    let choice = machine.choose(&query(None, ms(0)), &[], ms(0));
+    assert!(matches!(choice, RelayChoice::Refuse(refusal)
+        if refusal.reason == RefusalReason::Overloaded && refusal.verdict == RunVerdict::NotRun));
+}
+
+#[test]
+fn repeats_stay_within_the_budget() {
+    let rules = RelayRules { retry_share: 0.1, retry_saving: 3.0, ..RelayRules::default() };
+    let mut machine = RelayMachine::new(rules, 1);
+    let mut repeats = 0;
+    for _ in 0..1000 {
+        machine.admit("s", ms(1000), ms(0)).unwrap();
+        machine.finish();
+        while machine.take_repeat("s") {
+            repeats += 1;
+        }
+    }
+    assert!((100..=103).contains(&repeats), "{repeats}");
+    assert!(machine.take_repeat("other"), "services do not share a budget");
+}
