--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -76,7 +76,16 @@
     }
 }
 
-/// Runs a loader until the process is told to stop.
+/// Addresses that a loader has bound.
+#[derive(Clone, Copy, Debug)]
+pub struct LoaderAddresses {
+    /// For relays.
+    pub control: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
+}
+
+/// Runs a loader until the process is told to stop; `bound` gets its addresses.
 ///
 /// # Errors
 ///
@@ -87,15 +96,18 @@
 ///
 /// let (_stop, stopped) = tokio::sync::watch::channel(false);
 /// let log = quillcove::logging::silent();
-/// quillcove::loader::run(LoaderSettings::default(), log, stopped).unwrap();
+/// quillcove::loader::run(LoaderSettings::default(), log, stopped, |_addresses| ()).unwrap();
 /// ```
 pub fn run(
     settings: LoaderSettings,
     log: Logger,
     stopped: watch::Receiver<bool>,
+    bound: impl FnOnce(LoaderAddresses),
 ) -> eyre::Result<()> {
     duty::run_async(1, async move {
         let loader = LoaderDuty::start(settings, log).await?;
+        let control = loader.socket.local_addr()?;
+        bound(LoaderAddresses { control, operator: loader.operator.local_addr() });
         loader.serve(stopped).await;
         Ok(())
     })
@@ -118,7 +130,7 @@
     last_beacon: MonoTime,
     is_engine_up: bool,
     /// Closes when it is dropped.
-    _operator: HttpServer<Arc<OperatorContext>>,
+    operator: HttpServer<Arc<OperatorContext>>,
 }
 
 impl LoaderDuty {
@@ -145,7 +157,7 @@
             arrivals: Vec::new(),
             last_beacon: MonoTime::ZERO,
             is_engine_up: false,
-            _operator: operator,
+            operator,
             settings,
             log,
         })
--- a/quillcove/src/peers.rs
+++ b/quillcove/src/peers.rs
@@ -14,6 +14,9 @@
 /// The socket on which a process talks to the others.
 pub struct PeerSocket {
     socket: UdpSocket,
+    /// The same socket for sending: the runtime holds the first sends back until it has polled the
+    /// socket once, which would lose them.
+    sender: std::net::UdpSocket,
 }
 
 /// What arrived at the socket.
@@ -39,9 +42,11 @@
     /// });
     /// ```
     pub async fn bind(address: SocketAddr) -> eyre::Result<Self> {
-        let socket = UdpSocket::bind(address).await;
-        let socket = socket.wrap_err_with(|| format!("can not bind {address} for datagrams"))?;
-        Ok(Self { socket })
+        let bound = std::net::UdpSocket::bind(address);
+        let sender = bound.wrap_err_with(|| format!("can not bind {address} for datagrams"))?;
+        sender.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(sender.try_clone()?)?;
+        Ok(Self { socket, sender })
     }
 
     /// The address bound.
@@ -83,7 +88,7 @@
         let Ok(bytes) = postcard::to_stdvec(message) else {
             return 0;
         };
-        let sent = receivers.into_iter().map(|to| self.socket.try_send_to(&bytes, to));
+        let sent = receivers.into_iter().map(|to| self.sender.send_to(&bytes, to));
         sent.filter(Result::is_ok).count()
     }
 
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -109,7 +109,7 @@
     let settings = config::parse_loader(&file, &text, &cli::given_overrides(matches))?;
     let log = logging::stdout_logger(&settings.log, "loader", &settings.process.host);
     let stopped = stop_on_signal(log.clone(), || ());
-    loader::run(settings, log, stopped).map(|()| ExitCode::SUCCESS)
+    loader::run(settings, log, stopped, |_addresses| ()).map(|()| ExitCode::SUCCESS)
 }
 
 /// Turns SIGTERM and SIGINT into a planned stop. On SIGHUP, and now and then without it, the
--- a/quillcove_core/src/relay/demand.rs
+++ b/quillcove_core/src/relay/demand.rs
@@ -68,8 +68,8 @@
 impl WantedAdapter {
     /// Place in the order of loads: what most requests lack goes first, and of equals what is
     /// lacked for longer, so that a time once told stays true.
-    fn rank(&self) -> (Reverse<u32>, MonoTime) {
-        (Reverse(self.requests), self.since)
+    fn rank(&self) -> (Reverse<u32>, Reverse<MonoTime>) {
+        (Reverse(self.requests), Reverse(self.since))
     }
 }
 
