Wait for a slow answer when nothing can be asked for elsewhere

Cause: a plain call that may run again was given up after 350 ms of silence also when its route or the budget allowed no second attempt; the caller got 502 while the replica was at work. Ruled out: a limit per route, as the silence says the same for all. Change: the limit holds only while another attempt is possible.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -131,10 +131,10 @@
     order: &AttemptOrder,
     last_event: Option<&str>,
 ) -> AttemptEnd {
-    let kind = open.query.route.kind;
-    let silence = match kind {
-        RouteKind::Safe => SILENCE_LIMIT,
-        RouteKind::Unsafe | RouteKind::Stream | RouteKind::ResumableStream => Duration::MAX,
+    let silence = match open.may_repeat_lost() {
+        true => SILENCE_LIMIT,
+        // Silence alone is no reason to end the only attempt.
+        false => Duration::MAX,
     };
     match timeout(silence, exchange_once(open, order, last_event)).await {
         Ok(end) => end,
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -92,6 +92,13 @@
         }
     }
 
+    /// Tells whether a plain call could be sent again if its attempt of now were lost.
+    pub fn may_repeat_lost(&self) -> bool {
+        self.query.route.kind == RouteKind::Safe
+            && self.runs + 1 < self.query.route.attempt_limit
+            && self.shared.machine().has_repeat(&self.query.service)
+    }
+
     pub fn left(&self, now: MonoTime) -> Duration {
         self.query.deadline.saturating_sub(now)
     }
--- a/quillcove_core/src/relay/machine.rs
+++ b/quillcove_core/src/relay/machine.rs
@@ -710,6 +710,17 @@
         self.budget(service).take()
     }
 
+    /// Tells whether the budget of a service allows a repeat now.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).has_repeat("s"));
+    /// ```
+    pub fn has_repeat(&mut self, service: &str) -> bool {
+        self.budget(service).left() >= 1.0
+    }
+
     /// Draws the service of a request by its route's weights.
     ///
     /// ```
