--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use eyre::WrapErr;
 use futures::future::BoxFuture;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -35,6 +36,9 @@
 /// Answers of the store that may wait for the serving duty.
 const RING_PLACES: usize = 64;
 
+/// Ports that are tried for other processes when the settings leave the choice to the system.
+const CONTROL_TRIES: u32 = 16;
+
 struct RelayInspector {
     shared: Arc<RelayShared>,
 }
@@ -115,13 +119,13 @@
     bound: impl FnOnce(RelayAddresses),
 ) -> eyre::Result<()> {
     let listener = TcpListener::bind(settings.listen.callers).await?;
-    let socket = PeerSocket::bind(settings.listen.control).await?;
-    let control = socket.local_addr()?;
+    let control_address = settings.listen.control;
     let operator_address = settings.listen.operator;
     let platform = settings.platform.address;
     let seeds = settings.peers.seeds.clone();
     let shared = Arc::new(RelayShared::new(settings, log.clone())?);
-    share::serve(shared.clone(), control).await?;
+    let socket = bind_control(&shared, control_address).await?;
+    let control = socket.local_addr()?;
     let inspector = RelayInspector { shared: shared.clone() };
     // The operators' address closes when its server is dropped.
     let operator = operator::start(operator_address, inspector, shared.metrics.clone(), &log)?;
@@ -140,3 +144,18 @@
     info!(log, "relay stopped"; "in_flight" => shared.machine().in_flight());
     Ok(())
 }
+
+/// Binds one port for datagrams and calls of other processes. A port that the system picks for
+/// datagrams may be taken for calls, so that another one is tried.
+async fn bind_control(shared: &Arc<RelayShared>, address: SocketAddr) -> eyre::Result<PeerSocket> {
+    let mut tries = 1;
+    loop {
+        let socket = PeerSocket::bind(address).await?;
+        let bound = socket.local_addr()?;
+        match share::serve(shared.clone(), bound).await {
+            Ok(()) => return Ok(socket),
+            Err(_) if address.port() == 0 && tries < CONTROL_TRIES => tries += 1,
+            Err(error) => return Err(error).wrap_err_with(|| format!("can not bind {bound}")),
+        }
+    }
+}
