--- a/quillcove/tests/settings.rs
+++ b/quillcove/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::process::Command;
 
-use quillcove::config::{parse_agent, parse_entry};
+use quillcove::config::{parse_agent, parse_entry, parse_loader, parse_relay};
 use quillcove_core::bundle::text::parse;
 
 fn example(name: &str) -> String {
@@ -20,9 +20,22 @@
     parse_entry("entry.ini", &example("entry.ini"), &[]).unwrap();
     parse_agent("agent-engine.ini", &example("agent-engine.ini"), &[]).unwrap();
     parse_agent("agent-service.ini", &example("agent-service.ini"), &[]).unwrap();
+    parse_relay("relay.ini", &example("relay.ini"), &[]).unwrap();
+    parse_loader("loader.ini", &example("loader.ini"), &[]).unwrap();
     parse(&example("bundle.toml")).unwrap();
 }
 
+#[test]
+fn faults_of_a_relay_and_a_loader_name_line_and_key() {
+    let text = example("relay.ini").replace("seeds = 127.0.0.1:8082", "seeds = nowhere");
+    let faults = parse_relay("relay.ini", &text, &[]).unwrap_err().to_string();
+    assert!(faults.contains("peers.seeds") && faults.contains("nowhere"), "{faults}");
+    let text = example("loader.ini").replace("address = ", "adress = ");
+    let faults = parse_loader("loader.ini", &text, &[]).unwrap_err().to_string();
+    assert!(faults.contains("did you mean 'address'"), "{faults}");
+    assert!(faults.contains("engine.address"), "{faults}");
+}
+
 #[test]
 fn all_faults_are_named_at_once() {
     let text = example("agent-engine.ini")
