Split the relay's inputs, open two import circles, take an engine's own notice of leaving

The rest moves lines: input/ (store, peers), agent/input.rs, entry/context.rs, a service for two tests.

--- a/quillcove/src/agent/calls.rs
+++ b/quillcove/src/agent/calls.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout};
 use tokio_serde::formats::Bincode;
 
-use super::decide::AgentInput;
+use super::input::AgentInput;
 use crate::bundle::shelf::FleetShelf;
 use crate::clock::MonoClock;
 use crate::control::AgentControl;
--- a/quillcove/src/agent/mod.rs
+++ b/quillcove/src/agent/mod.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod decide;
+mod input;
 mod orders;
 mod serve;
 
@@ -25,7 +26,8 @@
 use tokio::sync::{mpsc, watch};
 
 use self::calls::{ControlAnswers, KeeperDesk};
-use self::decide::{AgentInput, DecideDuty};
+use self::decide::DecideDuty;
+use self::input::AgentInput;
 use self::orders::OrderDuty;
 use self::serve::ServeContext;
 use crate::bundle::shelf::FleetShelf;
--- a/quillcove/src/agent/orders.rs
+++ b/quillcove/src/agent/orders.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::decide::AgentInput;
+use super::input::AgentInput;
 use crate::bundle::shelf::FleetShelf;
 use crate::config::agent::AgentSettings;
 use crate::control::{AgentControlClient, ControlPool};
--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -18,7 +18,7 @@
 use slog::Logger;
 use tokio::sync::oneshot;
 
-use super::decide::{AgentInput, AttemptDecision};
+use super::input::{AgentInput, AttemptDecision};
 use crate::clock::MonoClock;
 use crate::config::agent::{AgentListen, AgentSettings};
 use crate::duty::DutyRing;
--- a/quillcove/src/entry/attempt.rs
+++ b/quillcove/src/entry/attempt.rs
@@ -18,8 +18,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::admit::RequestTerms;
+use super::context::ServeContext;
 use super::decide::{EntryInput, RequestStep, STEP_PLACES};
-use super::serve::ServeContext;
 use crate::control::AgentControlClient;
 use crate::duty::DutyRing;
 use crate::web::answer::{WebAnswer, explain, internal, refusal, refusal_body};
--- /dev/null
+++ b/quillcove/src/entry/context.rs
@@ -0,0 +1,54 @@
+//! What the handlers of an entry's requests share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillcove_core::bundle::FleetBundle;
+use quillcove_core::verdict::RefusalReason;
+
+use super::admit::AdmitError;
+use super::decide::EntryInput;
+use crate::bundle::shelf::FleetShelf;
+use crate::clock::MonoClock;
+use crate::config::entry::EntrySettings;
+use crate::control::ControlPool;
+use crate::duty::DutyRing;
+use crate::metrics::ProcessMetrics;
+use crate::web::answer::explain;
+use crate::web::client::WebClient;
+
+/// Time that unused connections to agents are kept.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct ServeContext {
+    pub settings: Arc<EntrySettings>,
+    pub ring: DutyRing<EntryInput>,
+    pub shelf: FleetShelf,
+    pub clock: MonoClock,
+    pub metrics: Arc<ProcessMetrics>,
+    pub client: WebClient,
+    pub pool: ControlPool,
+}
+
+impl ServeContext {
+    pub fn new(
+        settings: Arc<EntrySettings>,
+        ring: DutyRing<EntryInput>,
+        shelf: FleetShelf,
+        clock: MonoClock,
+        metrics: Arc<ProcessMetrics>,
+    ) -> Self {
+        let client = WebClient::new(settings.requests.connect_timeout, IDLE_TIME);
+        Self { settings, ring, shelf, clock, metrics, client, pool: ControlPool::default() }
+    }
+
+    pub fn bundle(&self) -> Result<Arc<FleetBundle>, AdmitError> {
+        let held = self.shelf.bundle().ok_or_else(|| AdmitError {
+            reason: RefusalReason::BundleMissing,
+            message: explain(RefusalReason::BundleMissing).to_string(),
+        })?;
+        Ok(held.content)
+    }
+}
--- a/quillcove/src/entry/mod.rs
+++ b/quillcove/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod attempt;
+mod context;
 mod decide;
 mod serve;
 
@@ -19,8 +20,8 @@
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 
+use self::context::ServeContext;
 use self::decide::{DecideDuty, EntryInput};
-use self::serve::ServeContext;
 use crate::bundle::shelf::FleetShelf;
 use crate::bundle::watch::{FleetWatch, WatchNews};
 use crate::clock::MonoClock;
--- a/quillcove/src/entry/serve.rs
+++ b/quillcove/src/entry/serve.rs
@@ -1,13 +1,11 @@
 //! The callers' address of an entry.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dropshot::{ApiDescription, HttpServer, Path, RequestContext, StreamingBody};
 use http::Method;
 use quillcove_core::agent::event::HostState;
-use quillcove_core::bundle::FleetBundle;
 use quillcove_core::entry::event::{HostRecord, RepeatRule, RouteTarget};
 use quillcove_core::ids::RequestId;
 use quillcove_core::once::ticket::RunTicket;
@@ -19,62 +17,20 @@
 
 use super::admit::{self, AdmitError};
 use super::attempt::{self, OutgoingRequest, find_control, with_request_id};
-use super::decide::EntryInput;
-use crate::bundle::shelf::FleetShelf;
-use crate::clock::MonoClock;
-use crate::config::entry::EntrySettings;
-use crate::control::{AgentControlClient, ControlPool};
-use crate::duty::DutyRing;
+use super::context::ServeContext;
+use crate::control::AgentControlClient;
 use crate::logging::quiet;
-use crate::metrics::ProcessMetrics;
 use crate::web::answer::{WebAnswer, explain, json_answer, refusal};
 use crate::web::body;
-use crate::web::client::WebClient;
 use crate::web::headers;
 use crate::web::server::{self, register, register_any_method};
 
-/// Time that unused connections to agents are kept.
-const IDLE_TIME: Duration = Duration::from_secs(30);
-
 /// Longest time for a ticket call.
 const TICKET_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Owners asked for a ticket before a caller is told to come back.
 const TICKET_TRIES: usize = 3;
 
-/// What the handlers share.
-#[derive(Clone)]
-pub struct ServeContext {
-    pub settings: Arc<EntrySettings>,
-    pub ring: DutyRing<EntryInput>,
-    pub shelf: FleetShelf,
-    pub clock: MonoClock,
-    pub metrics: Arc<ProcessMetrics>,
-    pub client: WebClient,
-    pub pool: ControlPool,
-}
-
-impl ServeContext {
-    pub fn new(
-        settings: Arc<EntrySettings>,
-        ring: DutyRing<EntryInput>,
-        shelf: FleetShelf,
-        clock: MonoClock,
-        metrics: Arc<ProcessMetrics>,
-    ) -> Self {
-        let client = WebClient::new(settings.requests.connect_timeout, IDLE_TIME);
-        Self { settings, ring, shelf, clock, metrics, client, pool: ControlPool::default() }
-    }
-
-    fn bundle(&self) -> Result<Arc<FleetBundle>, AdmitError> {
-        let held = self.shelf.bundle().ok_or_else(|| AdmitError {
-            reason: RefusalReason::BundleMissing,
-            message: explain(RefusalReason::BundleMissing).to_string(),
-        })?;
-        Ok(held.content)
-    }
-}
-
 /// A new request's id; its low bits stay free for the number of the attempt.
 fn new_request() -> RequestId {
     rand::random::<u128>() >> 8
--- /dev/null
+++ b/quillcove/src/relay/input/mod.rs
@@ -0,0 +1,190 @@
+//! Takes what the store and the other processes tell, and tells them what this relay knows.
+
+mod peers;
+mod store;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillcove_core::ids::{HostId, MonoTime};
+use quillcove_core::relay::keeper::ModelKeeper;
+use quillcove_core::relay::published::PublishedState;
+use quillcove_platform::store::StoreScope;
+use slog::{info, warn};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+use super::follow::StoreNews;
+use super::shared::RelayShared;
+use crate::config::relay::PeerSection;
+use crate::peers::{PeerArrival, PeerSocket};
+
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between beacons while nothing changes.
+const BEACON_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after the start, or after a pause of the process, before this relay may plan loads: two
+/// beacons of any other relay that does so already.
+const KEEPER_DELAY: Duration = Duration::from_millis(1100);
+
+/// A gap between ticks that counts as a pause of the process.
+const PAUSE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Answers of other relays that may wait.
+const PUBLISHED_PLACES: usize = 4;
+
+/// What feeds the duty from other threads.
+pub struct InputFeed {
+    /// News of the store.
+    pub store: mpsc::Receiver<StoreNews>,
+    /// The section `[peers]` as the settings have it now.
+    pub peers: watch::Receiver<PeerSection>,
+    /// Makes the store be read anew.
+    pub hurry: watch::Sender<u64>,
+}
+
+/// Everything that reaches the duty.
+enum RelayInput {
+    Store(StoreNews),
+    Peer(PeerArrival),
+    Published(Result<PublishedState, String>),
+    PeersChanged,
+    Wanted,
+    Ticked,
+}
+
+/// Another relay, as last heard.
+struct KnownRelay {
+    address: SocketAddr,
+    heard: MonoTime,
+}
+
+/// The duty's own state.
+pub struct InputDuty {
+    shared: Arc<RelayShared>,
+    socket: PeerSocket,
+    /// Address of the socket, by which other processes know this relay.
+    control: SocketAddr,
+    peers: watch::Receiver<PeerSection>,
+    hurry: watch::Sender<u64>,
+    store: mpsc::Receiver<StoreNews>,
+    published: mpsc::Receiver<Result<PublishedState, String>>,
+    publish: mpsc::Sender<Result<PublishedState, String>>,
+    last_fetch: MonoTime,
+    keeper: ModelKeeper,
+    relays: HashMap<HostId, KnownRelay>,
+    /// The last beacon of each loader: its process and number.
+    loaders: HashMap<SocketAddr, (u64, u64)>,
+    /// Whether the store answers, by part.
+    store_up: HashMap<StoreScope, bool>,
+    /// Since when another relay has been ahead in the store.
+    behind_since: Option<MonoTime>,
+    is_keeper: bool,
+    keeper_from: MonoTime,
+    last_tick: MonoTime,
+    last_beacon: MonoTime,
+}
+
+impl InputDuty {
+    pub fn new(
+        shared: Arc<RelayShared>,
+        socket: PeerSocket,
+        control: SocketAddr,
+        feed: InputFeed,
+    ) -> Self {
+        let (publish, published) = mpsc::channel(PUBLISHED_PLACES);
+        Self {
+            shared,
+            socket,
+            control,
+            peers: feed.peers,
+            hurry: feed.hurry,
+            store: feed.store,
+            published,
+            publish,
+            last_fetch: MonoTime::ZERO,
+            keeper: ModelKeeper::default(),
+            relays: HashMap::new(),
+            loaders: HashMap::new(),
+            store_up: HashMap::new(),
+            behind_since: None,
+            is_keeper: false,
+            keeper_from: KEEPER_DELAY,
+            last_tick: MonoTime::ZERO,
+            last_beacon: MonoTime::ZERO,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let mut next_tick = Instant::now();
+        let shared = self.shared.clone();
+        loop {
+            let input = tokio::select! {
+                Some(news) = self.store.recv() => RelayInput::Store(news),
+                Some(published) = self.published.recv() => RelayInput::Published(published),
+                Ok(()) = self.peers.changed() => RelayInput::PeersChanged,
+                arrival = self.socket.receive() => match arrival {
+                    Ok(arrival) => RelayInput::Peer(arrival),
+                    Err(error) => {
+                        warn!(shared.log, "datagrams can not be read"; "error" => %error);
+                        continue;
+                    },
+                },
+                () = shared.wanted.notified() => RelayInput::Wanted,
+                () = sleep_until(next_tick) => {
+                    next_tick = Instant::now() + TICK;
+                    RelayInput::Ticked
+                },
+            };
+            self.handle(input);
+        }
+    }
+
+    fn handle(&mut self, input: RelayInput) {
+        let now = self.shared.clock.now();
+        match input {
+            RelayInput::Store(news) => self.take_store(news, now),
+            RelayInput::Peer(PeerArrival::Message(message, from)) => {
+                self.take_message(*message, from, now);
+            },
+            RelayInput::Peer(PeerArrival::Garbage(from, error)) => {
+                warn!(self.shared.log, "datagram is no message"; "from" => %from,
+                    "error" => %error);
+            },
+            RelayInput::Published(published) => self.take_published(published, now),
+            RelayInput::PeersChanged => {
+                let seeds = self.peers.borrow_and_update().seeds.clone();
+                info!(self.shared.log, "seeds changed"; "seeds" => ?seeds);
+            },
+            RelayInput::Wanted => self.send_wanted(),
+            RelayInput::Ticked => self.tick(now),
+        }
+    }
+
+    fn tick(&mut self, now: MonoTime) {
+        let gap = now.saturating_sub(self.last_tick);
+        self.last_tick = now;
+        if gap > PAUSE_LIMIT && now > PAUSE_LIMIT {
+            warn!(self.shared.log, "process was paused"; "gap_ms" => gap.as_millis() as u64);
+            self.keeper_from = now + KEEPER_DELAY;
+            self.hurry.send_modify(|count| *count += 1);
+        }
+        self.shared.machine().set_relays(self.relays.len() + 1);
+        let changes = self.shared.machine().tick(now);
+        self.log_changes(changes);
+        self.send_wanted();
+        self.note_ready();
+        self.forget_relays(now);
+        self.forget_loaders();
+        self.choose_keeper(now);
+        self.plan_models(now);
+        if now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL {
+            self.tell_all(now);
+        }
+    }
+}
--- /dev/null
+++ b/quillcove/src/relay/input/peers.rs
@@ -0,0 +1,167 @@
+//! What relays and loaders tell each other.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::beacon::{
+    AddressedAsk, EngineBeacon, PeerMessage, RelayBeacon, ReplicaId, UseBeacon,
+};
+use slog::{info, warn};
+
+use super::{InputDuty, KnownRelay};
+
+/// Time for which a relay that was heard counts as there: three beacons.
+const RELAY_LIFETIME: Duration = Duration::from_millis(1600);
+
+impl InputDuty {
+    pub(super) fn take_message(&mut self, message: PeerMessage, from: SocketAddr, now: MonoTime) {
+        match message {
+            PeerMessage::Relay(beacon) => self.take_beacon(beacon, now),
+            PeerMessage::Engine(beacon) => self.take_report(beacon, now),
+            PeerMessage::Use(_) | PeerMessage::Load(_) => {
+                warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
+            },
+        }
+    }
+
+    fn take_beacon(&mut self, beacon: RelayBeacon, now: MonoTime) {
+        if beacon.host == self.shared.settings.process.host {
+            return;
+        }
+        let known = KnownRelay { address: beacon.address, heard: now };
+        if self.relays.insert(beacon.host.clone(), known).is_none() {
+            info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
+                "address" => %beacon.address);
+        }
+        self.compare(&beacon, now);
+    }
+
+    fn take_report(&mut self, beacon: EngineBeacon, now: MonoTime) {
+        let last = self.loaders.get(&beacon.engine);
+        let is_late = last.is_some_and(|(incarnation, number)| {
+            *incarnation == beacon.incarnation && *number >= beacon.number
+        });
+        if is_late {
+            return;
+        }
+        self.loaders.insert(beacon.engine, (beacon.incarnation, beacon.number));
+        self.keeper.take_report(&beacon, now);
+        let is_changed = self.shared.machine().take_report(&beacon, now);
+        if is_changed {
+            self.shared.tell_news();
+        }
+        self.send_wanted();
+        for relay in beacon.relays {
+            self.greet(relay);
+        }
+    }
+
+    /// Tells a relay that only loaders have heard so far that this one is there.
+    fn greet(&self, relay: SocketAddr) {
+        let is_known = self.relays.values().any(|known| known.address == relay);
+        if !is_known && relay != self.control {
+            let beacon = self.beacon();
+            self.socket.send(&PeerMessage::Relay(beacon), [relay]);
+        }
+    }
+
+    pub(super) fn forget_relays(&mut self, now: MonoTime) {
+        let log = self.shared.log.clone();
+        self.relays.retain(|host, known| {
+            let is_recent = now.saturating_sub(known.heard) < RELAY_LIFETIME;
+            if !is_recent {
+                info!(log, "relay no longer heard"; "relay" => host);
+            }
+            is_recent
+        });
+    }
+
+    /// Forgets loaders whose engines are no longer listed.
+    pub(super) fn forget_loaders(&mut self) {
+        let machine = self.shared.machine();
+        self.loaders.retain(|engine, _| machine.table().at(*engine).is_some());
+    }
+
+    /// The relay with the lowest name among those heard lately paces the loads of base models.
+    pub(super) fn choose_keeper(&mut self, now: MonoTime) {
+        let own = &self.shared.settings.process.host;
+        let is_lowest = self.relays.keys().all(|host| own < host);
+        let is_stopping = self.shared.machine().is_stopping();
+        let is_keeper = is_lowest && now >= self.keeper_from && !is_stopping;
+        if is_keeper != self.is_keeper {
+            info!(self.shared.log, "keeper of base models"; "is_keeper" => is_keeper,
+                "relays" => self.relays.len());
+            self.is_keeper = is_keeper;
+        }
+    }
+
+    pub(super) fn plan_models(&mut self, now: MonoTime) {
+        if self.is_keeper {
+            let asks = self.keeper.plan(&self.shared.machine(), now);
+            self.send_asks(asks);
+        }
+    }
+
+    /// Sends the asks for adapters that the machine has made.
+    pub(super) fn send_wanted(&self) {
+        let asks = self.shared.machine().take_asks();
+        self.send_asks(asks);
+    }
+
+    fn send_asks(&self, asks: Vec<AddressedAsk>) {
+        let port = self.shared.settings.peers.loader_port;
+        for addressed in asks {
+            let ask = &addressed.ask;
+            info!(self.shared.log, "load asked for"; "replica" => &ask.replica,
+                "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
+                "version" => ask.version);
+            let loader = SocketAddr::new(addressed.engine.ip(), port);
+            self.socket.send(&PeerMessage::Load(addressed.ask), [loader]);
+        }
+    }
+
+    fn relay_addresses(&self) -> HashSet<SocketAddr> {
+        let seeds = self.peers.borrow().seeds.clone().into_iter();
+        let heard = self.relays.values().map(|known| known.address);
+        seeds.chain(heard).filter(|address| *address != self.control).collect()
+    }
+
+    fn beacon(&self) -> RelayBeacon {
+        let machine = self.shared.machine();
+        RelayBeacon {
+            host: self.shared.settings.process.host.clone(),
+            address: self.control,
+            sheet: machine.sheet().map_or(0, |sheet| sheet.version),
+            revision: machine.revision(),
+        }
+    }
+
+    /// Tells relays that this one is there, and loaders how their engines' adapters are used.
+    pub(super) fn tell_all(&mut self, now: MonoTime) {
+        self.last_beacon = now;
+        let beacon = PeerMessage::Relay(self.beacon());
+        self.socket.send(&beacon, self.relay_addresses());
+        let relay = self.control;
+        for (replica, loader) in self.loaders_of_engines() {
+            let uses = self.shared.machine().take_uses(&replica);
+            let beacon = PeerMessage::Use(UseBeacon { relay, uses });
+            self.socket.send(&beacon, [loader]);
+        }
+    }
+
+    /// Loaders sit on the hosts of all engines that are listed.
+    fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
+        let port = self.shared.settings.peers.loader_port;
+        let machine = self.shared.machine();
+        let Some(sheet) = machine.sheet() else {
+            return Vec::new();
+        };
+        let has_engine =
+            |service: &str| sheet.service(service).is_some_and(|service| service.engine.is_some());
+        let engines = machine.table().all().filter(|view| has_engine(&view.record.service));
+        let loader = |address: SocketAddr| SocketAddr::new(address.ip(), port);
+        engines.map(|view| (view.record.id.clone(), loader(view.record.address))).collect()
+    }
+}
--- /dev/null
+++ b/quillcove/src/relay/input/store.rs
@@ -0,0 +1,181 @@
+//! What the store publishes, read from it or from another relay.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::beacon::RelayBeacon;
+use quillcove_core::relay::machine::BeliefChange;
+use quillcove_core::relay::published::PublishedState;
+use quillcove_platform::store::{StoreEvent, StoreScope};
+use slog::{info, warn};
+
+use super::InputDuty;
+use crate::process::note_ready;
+use crate::relay::follow::{StoreNews, replicas_of};
+use crate::relay::share;
+
+/// Time by which another relay may be ahead in the store before this one reads it anew.
+const BEHIND_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Shortest time between two questions to other relays for what they have read.
+const FETCH_INTERVAL: Duration = Duration::from_millis(300);
+
+impl InputDuty {
+    pub(super) fn take_store(&mut self, news: StoreNews, now: MonoTime) {
+        let scope = match &news {
+            StoreNews::Read { scope, .. } | StoreNews::Failed { scope, .. } => *scope,
+        };
+        match news {
+            StoreNews::Failed { reason, .. } => {
+                if self.store_up.insert(scope, false) != Some(false) {
+                    warn!(self.shared.log, "store lost"; "part" => ?scope, "reason" => reason);
+                }
+            },
+            StoreNews::Read { is_whole, events, revision, .. } => {
+                if self.store_up.insert(scope, true) != Some(true) {
+                    info!(self.shared.log, "store reached"; "part" => ?scope,
+                        "revision" => revision);
+                }
+                self.note_store(now);
+                self.shared.machine().note_revision(revision);
+                self.take_events(scope, is_whole, events, now);
+            },
+        }
+        self.note_store(now);
+        self.note_ready();
+    }
+
+    fn note_store(&self, now: MonoTime) {
+        let answers = self.store_up.get(&StoreScope::Replicas).copied().unwrap_or(true);
+        self.shared.machine().note_store(answers, now);
+    }
+
+    fn take_events(
+        &mut self,
+        scope: StoreScope,
+        is_whole: bool,
+        events: Vec<StoreEvent>,
+        now: MonoTime,
+    ) {
+        if is_whole && scope == StoreScope::Replicas {
+            let changes = self.shared.machine().list_all(replicas_of(events), now);
+            self.log_changes(changes);
+            self.shared.tell_news();
+            return;
+        }
+        for event in events {
+            let change = match event {
+                StoreEvent::Sheet(sheet) => {
+                    let version = sheet.version;
+                    let is_taken = self.shared.machine().take_sheet(*sheet);
+                    is_taken.then_some(BeliefChange::Sheet(version))
+                },
+                StoreEvent::Version(key, version) => {
+                    info!(self.shared.log, "adapter has a new version"; "model" => &key.model,
+                        "adapter" => &key.adapter, "version" => version);
+                    self.shared.machine().take_version(key, version, !is_whole, now);
+                    None
+                },
+                StoreEvent::Replica(record) => self.shared.machine().list(record, now),
+                StoreEvent::ReplicaGone(id) => self.shared.machine().unlist(&id, now),
+            };
+            self.log_changes(change);
+        }
+        self.shared.tell_news();
+    }
+
+    pub(super) fn log_changes(&self, changes: impl IntoIterator<Item = BeliefChange>) {
+        let log = &self.shared.log;
+        let revision = self.shared.machine().revision();
+        for change in changes {
+            match change {
+                BeliefChange::Sheet(version) => {
+                    info!(log, "sheet in force"; "sheet" => version, "revision" => revision);
+                },
+                BeliefChange::Listed(id) => self.log_listed(&id),
+                BeliefChange::Gone(id) => {
+                    self.shared.pool.forget(&id);
+                    info!(log, "replica gone"; "replica" => id, "revision" => revision);
+                },
+                BeliefChange::Doubted(id) => {
+                    info!(log, "replica's entry lapsed"; "replica" => id, "revision" => revision);
+                },
+            }
+        }
+    }
+
+    fn log_listed(&self, id: &str) {
+        let machine = self.shared.machine();
+        let Some(view) = machine.table().get(id) else {
+            return;
+        };
+        let record = &view.record;
+        info!(self.shared.log, "replica listed"; "replica" => id, "service" => &record.service,
+            "address" => %record.address, "hall" => &record.hall, "state" => ?record.state,
+            "revision" => machine.revision());
+    }
+
+    pub(super) fn note_ready(&self) {
+        let is_ready = self.shared.machine().is_ready();
+        note_ready(&self.shared.is_ready, is_ready, &self.shared.log);
+    }
+
+    /// A relay that stays behind another one asks it for what it has read. One whose own store
+    /// seems well reads that anew besides, as its watch may hang on a dead connection.
+    pub(super) fn compare(&mut self, beacon: &RelayBeacon, now: MonoTime) {
+        let (own_sheet, own_revision) = {
+            let machine = self.shared.machine();
+            (machine.sheet().map_or(0, |sheet| sheet.version), machine.revision())
+        };
+        let is_store_up = self.store_up.len() == 2 && self.store_up.values().all(|up| *up);
+        let is_behind =
+            beacon.sheet > own_sheet || (!is_store_up && beacon.revision > own_revision);
+        if !is_behind {
+            if beacon.revision <= own_revision {
+                self.behind_since = None;
+            }
+            return;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let behind = now.saturating_sub(since);
+        if is_store_up && behind > BEHIND_LIMIT {
+            self.hurry.send_modify(|count| *count += 1);
+        }
+        let is_due = !is_store_up || behind > FETCH_INTERVAL;
+        if is_due && now.saturating_sub(self.last_fetch) >= FETCH_INTERVAL {
+            self.last_fetch = now;
+            info!(self.shared.log, "behind another relay"; "relay" => &beacon.host,
+                "own_sheet" => own_sheet, "sheet" => beacon.sheet,
+                "own_revision" => own_revision, "revision" => beacon.revision);
+            self.fetch(beacon.address);
+        }
+    }
+
+    fn fetch(&self, address: SocketAddr) {
+        let publish = self.publish.clone();
+        tokio::spawn(async move {
+            let published = share::fetch(address).await;
+            // The receiver is gone only when the process ends.
+            let _ = publish.send(published).await;
+        });
+    }
+
+    pub(super) fn take_published(
+        &mut self,
+        published: Result<PublishedState, String>,
+        now: MonoTime,
+    ) {
+        match published {
+            Ok(published) => {
+                let changes = self.shared.machine().take_published(published, now);
+                self.log_changes(changes);
+                self.shared.tell_news();
+                self.note_ready();
+            },
+            Err(reason) => {
+                warn!(self.shared.log, "another relay does not answer"; "reason" => reason);
+            },
+        }
+    }
+}
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -92,7 +92,8 @@
 /// A relay's decisions.
 ///
 /// ```
-/// /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+/// use std::time::Duration;
+/// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
 ///
 /// let machine = RelayMachine::new(RelayRules::default(), 1);
 /// assert!(!machine.is_ready());
@@ -277,7 +278,8 @@
     /// Takes a loader's report; tells whether what the engine holds changed.
     ///
     /// ```
-    ///     /// use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let beacon = EngineBeacon {
@@ -315,7 +317,8 @@
     /// A refusal when too many requests are in flight or its time is over.
     ///
     /// ```
-    ///     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert!(machine.admit("s", Duration::from_secs(1), Duration::ZERO).is_ok());
@@ -382,7 +385,8 @@
     /// Draws the service of a request by its route's weights.
     ///
     /// ```
-    ///     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     /// use quillcove_core::relay::sheet::{RouteKind, RouteRecord, RouteTarget};
     ///
     /// let route = RouteRecord {
@@ -420,7 +424,8 @@
     /// Notes that a request is sent to a replica.
     ///
     /// ```
-    ///     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// RelayMachine::new(RelayRules::default(), 1).begin("i-1", None, Duration::ZERO);
     /// ```
@@ -431,7 +436,8 @@
     /// Notes that bytes came from a replica.
     ///
     /// ```
-    ///     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// RelayMachine::new(RelayRules::default(), 1).hear("i-1", Duration::ZERO);
     /// ```
@@ -442,7 +448,8 @@
     /// Notes the end of an attempt; tells whether the replica is left out from now.
     ///
     /// ```
-    ///     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     /// use quillcove_core::relay::replica::AttemptFate;
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -107,7 +107,8 @@
         }
     }
 
-    /// Tells whether it takes new work.
+    /// Tells whether it takes new work: neither the store's entry nor its own report, whatever its
+    /// age, says that it is leaving.
     ///
     /// ```
     /// use std::time::Duration;
@@ -118,7 +119,8 @@
     /// assert!(table.get("i-1").unwrap().is_ready());
     /// ```
     pub fn is_ready(&self) -> bool {
-        self.record.state == ReplicaState::Ready
+        let is_leaving = self.report.as_ref().is_some_and(|(report, _)| report.is_leaving);
+        self.record.state == ReplicaState::Ready && !is_leaving
     }
 
     /// Tells whether it seems to work: not left out after failures, and not silent while requests
--- a/quillcove_core/tests/relay_loads.rs
+++ b/quillcove_core/tests/relay_loads.rs
@@ -1,7 +1,8 @@
 //! Loads over the whole site: base models within the weight store's rate also when the keeper
 //! changes, and adapters no more at once than the store serves at full speed.
 
-use std::net::SocketAddr;
+mod relay_site;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -10,39 +11,21 @@
 use quillcove_core::relay::limiter::LoadLimiter;
 use quillcove_core::relay::machine::{RelayMachine, RelayRules};
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
-use quillcove_core::relay::sheet::{
-    CallerLimits, EngineRecord, ModelRecord, RouteSheet, ServiceRecord,
-};
+use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
+use relay_site::{address, engine_service, ms};
 
 const ENGINES: u16 = 40;
 const RATE: f64 = 3.3;
 const WINDOW: Duration = Duration::from_secs(5);
 
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-fn address(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
 fn machine() -> RelayMachine {
-    let model = ModelRecord {
-        name: "m".to_string(),
-        weights_mb: 10.0,
-        adapter_mb: 1.0,
-        load_time: ms(600),
-    };
-    let engine = EngineRecord {
-        models: vec![model],
-        weights_mb: 14.0,
-        adapter_places: 4,
-        loads_per_second: RATE,
-    };
-    let service =
-        ServiceRecord { name: "s".to_string(), connection_limit: 100, engine: Some(engine) };
     let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    machine.take_sheet(RouteSheet::new(1, vec![], vec![service], CallerLimits::default()));
+    machine.take_sheet(RouteSheet::new(
+        1,
+        vec![],
+        vec![engine_service(100, RATE)],
+        CallerLimits::default(),
+    ));
     for port in 1..=ENGINES {
         let id = format!("i-{port}");
         machine.list(ReplicaRecord { address: address(port), ..example_record(&id) }, ms(0));
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -1,7 +1,8 @@
 //! A relay's machine: routes, versions of sheets, leaving replicas, repeats, and what a request
 //! does whose adapter is in no engine.
 
-use std::net::SocketAddr;
+mod relay_site;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,15 +12,9 @@
 };
 use quillcove_core::relay::published::PublishedState;
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
-use quillcove_core::relay::sheet::{
-    CallerLimits, EngineRecord, ModelRecord, RouteKind, RouteRecord, RouteSheet, RouteTarget,
-    ServiceRecord,
-};
+use quillcove_core::relay::sheet::{CallerLimits, RouteKind, RouteRecord, RouteSheet, RouteTarget};
 use quillcove_core::verdict::{RefusalReason, RunVerdict};
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
+use relay_site::{address, engine_service, ms};
 
 fn route(kind: RouteKind) -> RouteRecord {
     RouteRecord {
@@ -35,25 +30,9 @@
     }
 }
 
-fn service(connection_limit: usize) -> ServiceRecord {
-    let model = ModelRecord {
-        name: "m".to_string(),
-        weights_mb: 10.0,
-        adapter_mb: 1.0,
-        load_time: ms(600),
-    };
-    let engine = EngineRecord {
-        models: vec![model],
-        weights_mb: 14.0,
-        adapter_places: 8,
-        loads_per_second: 3.0,
-    };
-    ServiceRecord { name: "s".to_string(), connection_limit, engine: Some(engine) }
-}
-
 fn sheet(version: u64) -> RouteSheet {
     let routes = vec![route(RouteKind::Stream)];
-    RouteSheet::new(version, routes, vec![service(100)], CallerLimits::default())
+    RouteSheet::new(version, routes, vec![engine_service(100, 3.0)], CallerLimits::default())
 }
 
 fn machine() -> RelayMachine {
@@ -63,10 +42,6 @@
     machine
 }
 
-fn address(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
 fn record(id: &str, port: u16) -> ReplicaRecord {
     ReplicaRecord { address: address(port), ..example_record(id) }
 }
@@ -151,6 +126,22 @@
     assert_eq!((refusal.reason, refusal.verdict), (RefusalReason::NoUpstream, RunVerdict::NotRun));
 }
 
+#[test]
+fn an_engine_that_says_itself_that_it_leaves_gets_nothing_new() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    machine.list(record("i-2", 2), ms(0));
+    let mut leaving = beacon(1, 1, &[]);
+    leaving.report.is_leaving = true;
+    machine.take_report(&leaving, ms(0));
+    for time in [0, 5_000] {
+        for _ in 0..20 {
+            let choice = machine.choose(&query(None, ms(time)), &[], ms(time));
+            assert_eq!(sent_to(&choice), Some("i-2"));
+        }
+    }
+}
+
 #[test]
 fn an_entry_that_lapsed_while_the_store_was_away_has_two_seconds_to_return() {
     let mut machine = machine();
@@ -333,7 +324,7 @@
     machine.take_sheet(RouteSheet::new(
         2,
         vec![route(RouteKind::Stream)],
-        vec![service(50)],
+        vec![engine_service(50, 3.0)],
         CallerLimits::default(),
     ));
     machine.set_relays(4);
--- /dev/null
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -0,0 +1,27 @@
+//! A service of engines for tests of relays.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quillcove_core::relay::sheet::{EngineRecord, ModelRecord, ServiceRecord};
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// The service `s` of engines with the model `m` and four places for adapters.
+pub fn engine_service(connection_limit: usize, loads_per_second: f64) -> ServiceRecord {
+    let model = ModelRecord {
+        name: "m".to_string(),
+        weights_mb: 10.0,
+        adapter_mb: 1.0,
+        load_time: ms(600),
+    };
+    let engine =
+        EngineRecord { models: vec![model], weights_mb: 14.0, adapter_places: 8, loads_per_second };
+    ServiceRecord { name: "s".to_string(), connection_limit, engine: Some(engine) }
+}
