--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -48,8 +48,6 @@
     pub tokens_used: u64,
     /// Tokens that the memory holds.
     pub tokens_total: u64,
-    /// Whether it takes no new work, as it is leaving.
-    pub is_leaving: bool,
 }
 
 /// An adapter that came into an engine.
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -193,8 +193,7 @@
     pub fn take_report(&mut self, report: EngineReport, now: MonoTime) -> ReportChange {
         let is_changed = report.models != self.report.models
             || report.adapters != self.report.adapters
-            || report.incoming != self.report.incoming
-            || report.is_leaving != self.report.is_leaving;
+            || report.incoming != self.report.incoming;
         self.report = report;
         let holds = |key: &AdapterKey| self.report.adapters.iter().any(|held| held.key == *key);
         let (arrived, ordered): (Vec<_>, Vec<_>) =
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -107,8 +107,7 @@
         }
     }
 
-    /// Tells whether it takes new work: neither the store's entry nor its own report, whatever its
-    /// age, says that it is leaving.
+    /// Tells whether it takes new work.
     ///
     /// ```
     /// use std::time::Duration;
@@ -119,8 +118,7 @@
     /// assert!(table.get("i-1").unwrap().is_ready());
     /// ```
     pub fn is_ready(&self) -> bool {
-        let is_leaving = self.report.as_ref().is_some_and(|(report, _)| report.is_leaving);
-        self.record.state == ReplicaState::Ready && !is_leaving
+        self.record.state == ReplicaState::Ready
     }
 
     /// Tells whether it seems to work: not left out after failures, and not silent while requests
