Never pass on a 503 that does not say that nothing ran

Cause: a replica's own 503, 429 or 408 without its word that it did not run the request was passed to the caller, for whom these statuses promise just that; a booking that ran could be asked for again. Ruled out: passing it on for repeatable requests only, as the promise is the same. Change: such an answer counts as lost: what may run again is tried elsewhere, else the caller gets 502.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -162,6 +162,11 @@
             let reason = "the answer belongs to another request".to_string();
             AttemptEnd::Failed(AttemptFailure::Lost(reason))
         },
+        AnswerMeaning::Unsure => {
+            finish_body(open, connection, body).await;
+            let reason = format!("status {} with no word that it did not run", parts.status);
+            AttemptEnd::Failed(AttemptFailure::Lost(reason))
+        },
         AnswerMeaning::NotRun => {
             finish_body(open, connection, body).await;
             AttemptEnd::Failed(AttemptFailure::Refused(parts.status.as_u16()))
