Bring base models back from the hosts' own copies at once

Three things in the logs: the keeper waited 1.1 s before it asked for a base model and then asked for one each 306 ms (the weight store's pace), although every engine's host had the model on disk, which takes nothing from the store; loaders heard of relays only with the relays' first beacon after 0.5 s; and the old and the new replica at an address were both listed until the old entry lapsed, so that asks went to either (`wrong_incarnation`).

Change: an engine's report names the models that its host has copies of; every relay asks for these at once and without a permit, and they do not count in the window. Loaders of new engines hear of a relay as soon as it lists them, and report to a new relay at once. A replica whose entry was created later replaces the one listed at its address before.

Ruled out: slow starts of the processes (0.2 s to 0.35 s after the power is back), the store (first list 15 ms after the start).

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -209,10 +209,12 @@
         };
         match message {
             PeerMessage::Use(beacon) => {
-                if self.relays.insert(beacon.relay, now).is_none() {
-                    info!(self.log, "relay heard"; "relay" => %beacon.relay);
-                }
+                let relay = beacon.relay;
                 self.machine.take_uses(beacon, now);
+                if self.relays.insert(relay, now).is_none() {
+                    info!(self.log, "relay heard"; "relay" => %relay);
+                    self.greet(relay, now);
+                }
             },
             PeerMessage::Load(ask) => {
                 info!(self.log, "load asked for"; "relay" => %from, "replica" => &ask.replica,
@@ -284,20 +286,33 @@
         });
     }
 
-    fn tell(&mut self, now: MonoTime) {
+    /// Reports to a relay that is new here, so that it need not wait for the next beacon.
+    fn greet(&mut self, relay: SocketAddr, now: MonoTime) {
+        if self.is_engine_up {
+            let beacon = self.beacon(Vec::new(), now);
+            self.socket.send(&PeerMessage::Engine(beacon), [relay]);
+        }
+    }
+
+    fn beacon(&mut self, arrivals: Vec<ArrivedLoad>, now: MonoTime) -> EngineBeacon {
         self.beacons += 1;
-        self.last_beacon = now;
-        let relays: Vec<SocketAddr> = self.relays.keys().copied().collect();
-        let beacon = EngineBeacon {
+        EngineBeacon {
             host: self.settings.process.host.clone(),
             engine: self.settings.engine.address,
             number: self.beacons,
             incarnation: self.incarnation,
             report: self.machine.report().clone(),
             model_loads: self.machine.model_loads(now),
-            arrivals: std::mem::take(&mut self.arrivals),
-            relays: relays.clone(),
-        };
+            arrivals,
+            relays: self.relays.keys().copied().collect(),
+        }
+    }
+
+    fn tell(&mut self, now: MonoTime) {
+        self.last_beacon = now;
+        let arrivals = std::mem::take(&mut self.arrivals);
+        let beacon = self.beacon(arrivals, now);
+        let relays = beacon.relays.clone();
         if let Ok(mut view) = self.view.lock() {
             view.report = beacon.report.clone();
             view.relays = relays.clone();
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -98,10 +98,8 @@
     }
 
     pub(super) fn plan_models(&mut self, now: MonoTime) {
-        if self.is_keeper {
-            let asks = self.keeper.plan(&self.shared.machine(), now);
-            self.send_asks(asks);
-        }
+        let asks = self.keeper.plan(&self.shared.machine(), self.is_keeper, now);
+        self.send_asks(asks);
     }
 
     /// Sends the asks for adapters that the machine has made.
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -60,31 +60,43 @@
     ) {
         if is_whole && scope == StoreScope::Replicas {
             let changes = self.shared.machine().list_all(replicas_of(events), now);
-            self.log_changes(changes);
+            self.take_changes(changes, now);
             self.shared.tell_news();
             return;
         }
         for event in events {
-            let change = match event {
+            let changes = match event {
                 StoreEvent::Sheet(sheet) => {
                     let version = sheet.version;
                     let is_taken = self.shared.machine().take_sheet(*sheet);
-                    is_taken.then_some(BeliefChange::Sheet(version))
+                    is_taken.then_some(BeliefChange::Sheet(version)).into_iter().collect()
                 },
                 StoreEvent::Version(key, version) => {
                     info!(self.shared.log, "adapter has a new version"; "model" => &key.model,
                         "adapter" => &key.adapter, "version" => version);
                     self.shared.machine().take_version(key, version, !is_whole, now);
-                    None
+                    Vec::new()
                 },
                 StoreEvent::Replica(record) => self.shared.machine().list(record, now),
-                StoreEvent::ReplicaGone(id) => self.shared.machine().unlist(&id, now),
+                StoreEvent::ReplicaGone(id) => {
+                    self.shared.machine().unlist(&id, now).into_iter().collect()
+                },
             };
-            self.log_changes(change);
+            self.take_changes(changes, now);
         }
         self.shared.tell_news();
     }
 
+    /// Logs what changed; loaders of new engines learn at once that this relay is there, as they
+    /// report only to relays that they have heard.
+    fn take_changes(&mut self, changes: Vec<BeliefChange>, now: MonoTime) {
+        let is_new = changes.iter().any(|change| matches!(change, BeliefChange::Listed(_)));
+        self.log_changes(changes);
+        if is_new {
+            self.tell_all(now);
+        }
+    }
+
     pub(super) fn log_changes(&self, changes: impl IntoIterator<Item = BeliefChange>) {
         let log = &self.shared.log;
         let revision = self.shared.machine().revision();
@@ -98,6 +110,10 @@
                     self.shared.pool.forget(&id);
                     info!(log, "replica gone"; "replica" => id, "revision" => revision);
                 },
+                BeliefChange::Replaced(id) => {
+                    self.shared.pool.forget(&id);
+                    info!(log, "replica replaced"; "replica" => id, "revision" => revision);
+                },
                 BeliefChange::Doubted(id) => {
                     info!(log, "replica's entry lapsed"; "replica" => id, "revision" => revision);
                 },
@@ -169,7 +185,7 @@
         match published {
             Ok(published) => {
                 let changes = self.shared.machine().take_published(published, now);
-                self.log_changes(changes);
+                self.take_changes(changes, now);
                 self.shared.tell_news();
                 self.note_ready();
             },
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -34,6 +34,9 @@
 pub struct EngineReport {
     /// Base models that it holds.
     pub models: Vec<ModelName>,
+    /// Base models that its host has a copy of, in memory or on disk, so that a load takes nothing
+    /// from the weight store.
+    pub local_models: Vec<ModelName>,
     /// Adapters that it holds.
     pub adapters: Vec<HeldAdapter>,
     /// Adapters on their way.
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -3,14 +3,18 @@
 //! The keeper is the relay with the lowest name among those heard lately. What the weight store
 //! still permits is counted from the loads that the loaders report, so that another relay can take
 //! over at any moment with nothing handed on.
+//!
+//! A model that an engine's host has a copy of takes nothing from the weight store. Every relay asks
+//! for it at once, without a permit: the loader gives one order, whoever asks.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::beacon::{AddressedAsk, EngineBeacon, LoadAsk, ReplicaId};
+use super::beacon::{AddressedAsk, EngineBeacon, EngineReport, LoadAsk, ReplicaId};
 use super::machine::RelayMachine;
-use super::sheet::{EngineRecord, ServiceRecord};
+use super::replica::ReplicaView;
+use super::sheet::{EngineRecord, ModelRecord, ServiceRecord};
 use crate::ids::{ModelName, MonoTime};
 
 /// Window over which the weight store's permits are counted.
@@ -29,7 +33,10 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct ModelKeeper {
+    /// Engines that were asked to load from the weight store; these asks count in the window.
     asked: HashMap<ReplicaId, MonoTime>,
+    /// Engines that were asked to load from their host's copy.
+    asked_locally: HashMap<ReplicaId, MonoTime>,
     /// Loads that each loader began lately, by the time at which they began.
     begun: HashMap<SocketAddr, Vec<MonoTime>>,
     next_permit: MonoTime,
@@ -75,7 +82,7 @@
         begun + self.asked.len()
     }
 
-    /// The asks to send now. Only the keeper calls this.
+    /// The asks to send now. Only the keeper may ask for loads from the weight store.
     ///
     /// ```
     /// use std::time::Duration;
@@ -83,17 +90,23 @@
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(ModelKeeper::default().plan(&machine, Duration::ZERO).is_empty());
+    /// assert!(ModelKeeper::default().plan(&machine, true, Duration::ZERO).is_empty());
     /// ```
-    pub fn plan(&mut self, machine: &RelayMachine, now: MonoTime) -> Vec<AddressedAsk> {
+    pub fn plan(
+        &mut self,
+        machine: &RelayMachine,
+        is_keeper: bool,
+        now: MonoTime,
+    ) -> Vec<AddressedAsk> {
         self.asked.retain(|_, asked| now.saturating_sub(*asked) < ASK_INTERVAL);
+        self.asked_locally.retain(|_, asked| now.saturating_sub(*asked) < ASK_INTERVAL);
         let Some(sheet) = machine.sheet() else {
             return Vec::new();
         };
         let mut asks = Vec::new();
         for service in sheet.services() {
             if let Some(engine) = &service.engine {
-                asks.extend(self.ask_models(machine, service, engine, now));
+                asks.extend(self.ask_models(machine, service, engine, is_keeper, now));
             }
         }
         asks
@@ -105,34 +118,34 @@
         machine: &RelayMachine,
         service: &ServiceRecord,
         engine: &EngineRecord,
+        is_keeper: bool,
         now: MonoTime,
     ) -> Vec<AddressedAsk> {
-        let holders = |name: &ModelName| {
-            let engines = machine.ready_engines(&service.name);
-            engines.filter(|view| view.models(now).contains(name)).count()
-        };
-        // The model with the fewest engines goes first; the sheet names the busiest one first.
-        let Some(model) = engine.models.iter().min_by_key(|model| holders(&model.name)) else {
-            return Vec::new();
-        };
+        let mut holders = holder_counts(machine, service, engine, now);
         let mut asks = Vec::new();
         for view in machine.ready_engines(&service.name) {
-            let is_empty = view.report(now).is_some_and(|r| r.models.is_empty() && !r.is_busy);
-            if !is_empty || self.asked.contains_key(&view.record.id) {
+            let Some(report) = view.report(now).filter(|report| lacks_model(report)) else {
+                continue;
+            };
+            let id = &view.record.id;
+            if self.asked.contains_key(id) || self.asked_locally.contains_key(id) {
                 continue;
             }
-            if !self.take_permit(engine, now) {
-                break;
-            }
-            self.asked.insert(view.record.id.clone(), now);
-            let ask = LoadAsk {
-                replica: view.record.id.clone(),
-                model: model.name.clone(),
-                adapter: None,
-                version: None,
-                places: engine.places_beside(&model.name) as u32,
+            let local = scarcest(engine, &holders, |name| report.local_models.contains(name));
+            let model = if let Some(model) = local {
+                self.asked_locally.insert(id.clone(), now);
+                model
+            } else if let Some(model) = scarcest(engine, &holders, |_| is_keeper) {
+                if !self.take_permit(engine, now) {
+                    continue;
+                }
+                self.asked.insert(id.clone(), now);
+                model
+            } else {
+                continue;
             };
-            asks.push(AddressedAsk { engine: view.record.address, ask });
+            *holders.entry(model.name.clone()).or_default() += 1;
+            asks.push(model_ask(view, engine, model));
         }
         asks
     }
@@ -146,3 +159,43 @@
         true
     }
 }
+
+/// How many engines hold each base model, or are loading it.
+fn holder_counts(
+    machine: &RelayMachine,
+    service: &ServiceRecord,
+    engine: &EngineRecord,
+    now: MonoTime,
+) -> HashMap<ModelName, usize> {
+    let count = |name: &ModelName| {
+        let engines = machine.ready_engines(&service.name);
+        engines.filter(|view| view.models(now).contains(name)).count()
+    };
+    engine.models.iter().map(|model| (model.name.clone(), count(&model.name))).collect()
+}
+
+/// The model that the fewest engines hold, among those that pass; of equals the one that the sheet
+/// names first, as it is the busiest.
+fn scarcest<'a>(
+    engine: &'a EngineRecord,
+    holders: &HashMap<ModelName, usize>,
+    passes: impl Fn(&ModelName) -> bool,
+) -> Option<&'a ModelRecord> {
+    let passing = engine.models.iter().filter(|model| passes(&model.name));
+    passing.min_by_key(|model| holders.get(&model.name).copied().unwrap_or(0))
+}
+
+fn model_ask(view: &ReplicaView, engine: &EngineRecord, model: &ModelRecord) -> AddressedAsk {
+    let ask = LoadAsk {
+        replica: view.record.id.clone(),
+        model: model.name.clone(),
+        adapter: None,
+        version: None,
+        places: engine.places_beside(&model.name) as u32,
+    };
+    AddressedAsk { engine: view.record.address, ask }
+}
+
+fn lacks_model(report: &EngineReport) -> bool {
+    report.models.is_empty() && !report.is_busy
+}
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -272,6 +272,7 @@
             if order.kind == OrderKind::Load {
                 match ask.key() {
                     Some(key) => self.ordered.push((key, now)),
+                    None if self.is_local(&ask) => {},
                     None => self.model_loads.push_back(now),
                 }
             }
@@ -281,6 +282,12 @@
         None
     }
 
+    /// Tells whether the engine's host has a copy of a base model, so that its load takes nothing
+    /// from the weight store and does not count there.
+    fn is_local(&self, ask: &LoadAsk) -> bool {
+        self.report.local_models.contains(&ask.model)
+    }
+
     /// Tells whether the engine already holds, or awaits, what is asked for.
     fn is_done(&self, ask: &LoadAsk) -> bool {
         let Some(key) = ask.key() else {
@@ -357,6 +364,7 @@
         if order.kind == OrderKind::Load && !may_have_begun {
             match ask.key() {
                 Some(key) => self.ordered.retain(|(ordered, _)| *ordered != key),
+                None if self.is_local(&ask) => {},
                 None => drop(self.model_loads.pop_back()),
             }
         }
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    /// Takes a replica's entry from the platform's listing.
+    /// Takes a replica's entry from the platform's listing. The replicas that were listed at its
+    /// address before it are gone, although their entries have not lapsed yet.
     ///
     /// ```
     /// use std::time::Duration;
@@ -73,12 +74,25 @@
     /// use quillcove_core::relay::replica::example_record;
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(machine.list(example_record("i-1"), Duration::ZERO).is_some());
+    /// assert_eq!(machine.list(example_record("i-1"), Duration::ZERO).len(), 1);
     /// ```
-    pub fn list(&mut self, record: ReplicaRecord, now: MonoTime) -> Option<BeliefChange> {
+    pub fn list(&mut self, record: ReplicaRecord, now: MonoTime) -> Vec<BeliefChange> {
+        let current = self.table.at(record.address);
+        if current.is_some_and(|view| view.record.created > record.created) {
+            return Vec::new();
+        }
         self.doubted.remove(&record.id);
+        let mut changes = Vec::new();
+        for id in self.table.remove_before(&record) {
+            self.doubted.remove(&id);
+            self.demand.forget_engine(&id);
+            changes.push(BeliefChange::Replaced(id));
+        }
         let id = record.id.clone();
-        self.table.list(record, now).then_some(BeliefChange::Listed(id))
+        if self.table.list(record, now) {
+            changes.push(BeliefChange::Listed(id));
+        }
+        changes
     }
 
     /// Takes the news that a replica's entry is gone. While the store is away or has just come
@@ -122,7 +136,7 @@
         let missing: Vec<ReplicaId> = known.filter(|id| !is_listed(id)).collect();
         let mut changes: Vec<BeliefChange> =
             missing.iter().filter_map(|id| self.unlist(id, now)).collect();
-        changes.extend(records.into_iter().filter_map(|record| self.list(record, now)));
+        changes.extend(records.into_iter().flat_map(|record| self.list(record, now)));
         changes
     }
 
@@ -184,7 +198,7 @@
             self.forget(&id);
             changes.push(BeliefChange::Gone(id));
         }
-        changes.extend(published.replicas.into_iter().filter_map(|record| self.list(record, now)));
+        changes.extend(published.replicas.into_iter().flat_map(|record| self.list(record, now)));
         changes
     }
 
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -46,6 +46,10 @@
     pub id: ReplicaId,
     /// Its service.
     pub service: ServiceName,
+    /// Revision of the store at which its entry was created. Of several replicas listed at one
+    /// address, only the one that was created last can be there; the entries of its predecessors
+    /// have not lapsed yet.
+    pub created: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its hall.
@@ -288,7 +292,7 @@
         self.replicas.values()
     }
 
-    /// The replica that listens at an address now; of several, the one that is ready.
+    /// The replica that listens at an address now: of several, the one that was listed last.
     ///
     /// ```
     /// use quillcove_core::relay::replica::ReplicaTable;
@@ -297,7 +301,30 @@
     /// ```
     pub fn at(&self, address: SocketAddr) -> Option<&ReplicaView> {
         let there = self.all().filter(|view| view.record.address == address);
-        there.max_by_key(|view| view.is_ready())
+        there.max_by_key(|view| view.record.created)
+    }
+
+    /// Forgets the replicas that listened at a replica's address before it; gives their ids.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaRecord, ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let next = ReplicaRecord { created: 2, ..example_record("i-2") };
+    /// assert_eq!(table.remove_before(&next), ["i-1"]);
+    /// ```
+    pub fn remove_before(&mut self, record: &ReplicaRecord) -> Vec<ReplicaId> {
+        let is_before = |view: &&ReplicaView| {
+            view.record.address == record.address && view.record.created < record.created
+        };
+        let before: Vec<ReplicaId> =
+            self.all().filter(is_before).map(|view| view.record.id.clone()).collect();
+        for id in &before {
+            self.remove(id);
+        }
+        before
     }
 
     /// Takes a loader's report on the engine at an address; tells whether the adapters changed.
@@ -461,6 +488,7 @@
     ReplicaRecord {
         id: id.to_string(),
         service: "s".to_string(),
+        created: 1,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         hall: "hall-a".to_string(),
         places: 8,
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -195,6 +195,17 @@
     assert!(machine.model_loads(ms(9000)).is_empty());
 }
 
+#[test]
+fn a_load_from_the_hosts_own_copy_does_not_count_at_the_weight_store() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    let local_models = vec!["m".to_string()];
+    machine.take_report(EngineReport { local_models, ..EngineReport::default() }, ms(0));
+    machine.take_ask(LoadAsk { adapter: None, ..ask(0, None) }, ms(0));
+    assert!(machine.next_order(ms(0)).is_some());
+    machine.end_order(OrderOutcome::Begun, ms(1));
+    assert!(machine.model_loads(ms(2)).is_empty());
+}
+
 #[test]
 fn warm_and_cold_loads_are_told_apart() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
--- a/quillcove_core/tests/relay_loads.rs
+++ b/quillcove_core/tests/relay_loads.rs
@@ -73,7 +73,7 @@
                 machine.take_report(&beacon, now);
                 keeper.take_report(&beacon, now);
             }
-            for addressed in keeper.plan(&machine, now) {
+            for addressed in keeper.plan(&machine, true, now) {
                 began[usize::from(addressed.engine.port())].push(now);
                 all.push(now);
             }
@@ -87,6 +87,35 @@
     }
 }
 
+/// Beacons of engines that restarted empty; `local` says whether their hosts have the model's copy.
+fn empty_engines(machine: &mut RelayMachine, keeper: &mut ModelKeeper, local: bool) {
+    for port in 1..=ENGINES {
+        let mut beacon = beacon(port, 1, &[], ms(0));
+        beacon.report.local_models = if local { vec!["m".to_string()] } else { Vec::new() };
+        machine.take_report(&beacon, ms(0));
+        keeper.take_report(&beacon, ms(0));
+    }
+}
+
+#[test]
+fn models_that_hosts_have_copies_of_are_asked_for_at_once_by_any_relay() {
+    let mut machine = machine();
+    let mut keeper = ModelKeeper::default();
+    empty_engines(&mut machine, &mut keeper, true);
+    assert_eq!(keeper.plan(&machine, false, ms(0)).len(), usize::from(ENGINES));
+    assert!(keeper.plan(&machine, false, ms(50)).is_empty(), "asked for already");
+    assert_eq!(keeper.window_count(ms(50)), 0, "they take nothing from the weight store");
+}
+
+#[test]
+fn models_from_the_weight_store_are_asked_for_by_the_keeper_alone() {
+    let mut machine = machine();
+    let mut keeper = ModelKeeper::default();
+    empty_engines(&mut machine, &mut keeper, false);
+    assert!(keeper.plan(&machine, false, ms(0)).is_empty());
+    assert_eq!(keeper.plan(&machine, true, ms(0)).len(), 1);
+}
+
 /// Load time of a store that serves this many at full speed.
 fn store_time(at_once: usize, full_speed: usize) -> Duration {
     ms(250).mul_f64((at_once as f64 / full_speed as f64).max(1.0))
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -118,7 +118,7 @@
     machine.list(record("i-1", 1), ms(0));
     assert_eq!(sent_to(&machine.choose(&query(None, ms(0)), &[], ms(0))), Some("i-1"));
     let leaving = ReplicaRecord { state: ReplicaState::Draining, ..record("i-1", 1) };
-    assert_eq!(machine.list(leaving, ms(1)), Some(BeliefChange::Listed("i-1".to_string())));
+    assert_eq!(machine.list(leaving, ms(1)), [BeliefChange::Listed("i-1".to_string())]);
     let choice = machine.choose(&query(None, ms(2)), &[], ms(2));
     let RelayChoice::Refuse(refusal) = choice else {
         panic!("{choice:?}");
@@ -126,6 +126,21 @@
     assert_eq!((refusal.reason, refusal.verdict), (RefusalReason::NoUpstream, RunVerdict::NotRun));
 }
 
+#[test]
+fn a_replica_that_starts_again_at_an_address_replaces_the_one_before_it() {
+    let mut machine = machine();
+    let old = ReplicaRecord { created: 5, ..record("i-old", 1) };
+    let new = ReplicaRecord { created: 9, ..record("i-new", 1) };
+    machine.list(old.clone(), ms(0));
+    let changes = machine.list(new.clone(), ms(10));
+    let replaced = BeliefChange::Replaced("i-old".to_string());
+    assert_eq!(changes, [replaced, BeliefChange::Listed("i-new".to_string())]);
+    assert_eq!(sent_to(&machine.choose(&query(None, ms(10)), &[], ms(10))), Some("i-new"));
+    // The old entry lapses only later, and until then every reading of the whole list names it.
+    assert_eq!(machine.list_all(vec![new, old], ms(20)), []);
+    assert!(machine.table().get("i-old").is_none());
+}
+
 #[test]
 fn an_entry_that_lapsed_while_the_store_was_away_has_two_seconds_to_return() {
     let mut machine = machine();
