Load no adapter that is on its way elsewhere; copy only what is in use

A relay that had wanted an adapter asked for it also after another relay had, when its own ranking of the engines differed; and a request at a loaded engine asked for a copy of its adapter even when it was the only one.

Change: a wanted adapter names how many engines should hold it; what is held or incoming at that many is not asked for. A copy is wanted only when two requests of the relay for it are in flight there.

--- a/quillcove_core/src/relay/demand.rs
+++ b/quillcove_core/src/relay/demand.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, AddressedAsk, ArrivedLoad, LoadAsk, ReplicaId};
+use super::beacon::{AdapterKey, AddressedAsk, ArrivedLoad, HeldAdapter, LoadAsk, ReplicaId};
 use super::limiter::LoadLimiter;
 use super::replica::ReplicaView;
 use super::sheet::EngineRecord;
@@ -52,6 +52,8 @@
     pub version: Option<AdapterVersion>,
     /// Until when the request, or its return, has a use for it.
     pub useful_until: MonoTime,
+    /// Engines that should hold it.
+    pub holders: usize,
 }
 
 /// An adapter that requests lacked.
@@ -63,6 +65,8 @@
     requests: u32,
     since: MonoTime,
     useful_until: MonoTime,
+    /// Engines that should hold it, those that do already included.
+    holders: usize,
 }
 
 impl WantedAdapter {
@@ -227,6 +231,7 @@
     ///     service: &service,
     ///     version: None,
     ///     useful_until: Duration::from_secs(1),
+    ///     holders: 1,
     /// };
     /// AdapterDemand::default().want(&lacked, true, Duration::ZERO);
     /// ```
@@ -237,10 +242,12 @@
             requests: 0,
             since: now,
             useful_until: lacked.useful_until,
+            holders: lacked.holders,
         };
         let wanted = self.wanted.entry(lacked.key.clone()).or_insert_with(fresh);
         wanted.version = wanted.version.max(lacked.version);
         wanted.useful_until = wanted.useful_until.max(lacked.useful_until);
+        wanted.holders = wanted.holders.max(lacked.holders);
         if is_new {
             wanted.requests += 1;
         }
@@ -289,6 +296,9 @@
         let mut on_the_way: usize = views().map(|view| self.on_the_way(view, now)).sum();
         let share = self.limiter.limit().div_ceil(self.relays.max(1)) + SHARE_MARGIN;
         for key in self.ranked(now) {
+            if self.has_enough(&key, choices, now) {
+                continue;
+            }
             let Some((view, places, is_warm)) = self.place(&key, choices, now) else {
                 continue;
             };
@@ -301,6 +311,22 @@
         }
     }
 
+    /// Tells whether as many engines as should hold an adapter do, or await it. Another relay may
+    /// have asked for it since it was wanted here.
+    fn has_enough(&self, key: &AdapterKey, choices: &[EngineChoice<'_>], now: MonoTime) -> bool {
+        let Some(wanted) = self.wanted.get(key) else {
+            return true;
+        };
+        let least = wanted.version.unwrap_or(0);
+        let meets = |held: &HeldAdapter| held.key == *key && held.version >= least;
+        let has = |view: &&&ReplicaView| {
+            let incoming = view.report(now).map_or(&[][..], |report| &report.incoming);
+            view.adapters(now).iter().chain(incoming).any(meets)
+        };
+        let of_service = choices.iter().filter(|choice| *choice.service == wanted.service);
+        of_service.flat_map(|choice| &choice.views).filter(has).count() >= wanted.holders
+    }
+
     /// Asks that were sent and have not been met; old ones may have been lost.
     fn cold_asks(&self, now: MonoTime) -> usize {
         let is_recent = |open: &&OpenAsk| now < open.ready_at + ASK_AGAIN;
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -35,6 +35,10 @@
 /// longer than a third.
 const RETURN_SHARE: f64 = 0.33;
 
+/// Requests of this relay for an adapter that are in flight at an engine from which on a loaded engine
+/// is worth another copy of it elsewhere; fewer would not relieve it.
+const COPY_USES: u32 = 2;
+
 /// Time for which another copy of a held adapter is wanted after a request that showed the need.
 const COPY_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -164,22 +168,29 @@
         };
         let newest = self.newest(key).unwrap_or(0);
         let is_outdated = view.version_of(key, now).is_some_and(|held| held < newest);
-        if is_outdated || view.load(now) >= SPREAD_LOAD {
-            self.ask_for(query, now + COPY_LIFETIME, now);
+        let is_crowded = view.load(now) >= SPREAD_LOAD && view.uses_of(key) >= COPY_USES;
+        if is_outdated || is_crowded {
+            let need = self.need_of(query, now);
+            let engines = self.ready_engines(&query.service);
+            let holders = engines.filter(|view| need.is_met_by(view, now)).count();
+            let wanted = if is_outdated { 1 } else { holders + 1 };
+            self.ask_for(query, now + COPY_LIFETIME, wanted, now);
         }
     }
 
     /// Notes that a request lacks its adapter, and asks for what is worth most; gives the time at
-    /// which the adapter will be there. `useful_until` is when the request gives it up.
+    /// which the adapter will be there. `useful_until` is when the request gives it up, `holders`
+    /// the engines that should hold it.
     fn ask_for(
         &mut self,
         query: &RelayQuery,
         useful_until: MonoTime,
+        holders: usize,
         now: MonoTime,
     ) -> Option<MonoTime> {
         let key = query.adapter.as_ref()?;
         let version = self.newest(key);
-        let lacked = LackedAdapter { key, service: &query.service, version, useful_until };
+        let lacked = LackedAdapter { key, service: &query.service, version, useful_until, holders };
         self.demand.want(&lacked, query.looks == 0, now);
         self.pump(now);
         Some(self.demand.ready_at(key, now))
@@ -223,7 +234,7 @@
         let aim = query.route.aim;
         let decide_by = query.received + aim.mul_f64(DECIDE_SHARE);
         let give_up = (query.received + aim.mul_f64(PATIENCE)).min(query.deadline);
-        let ready_at = self.ask_for(query, give_up, now);
+        let ready_at = self.ask_for(query, give_up, 1, now);
         let is_in_time = ready_at.is_some_and(|at| at + FIRST_EVENT_TIME <= query.received + aim);
         if is_in_time {
             return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
@@ -239,7 +250,7 @@
             false => ELSEWHERE,
         };
         let come_back = come_back.min((query.deadline.saturating_sub(now)).mul_f64(RETURN_SHARE));
-        self.ask_for(query, now + come_back + aim, now);
+        self.ask_for(query, now + come_back + aim, 1, now);
         refuse(RefusalReason::DeadlineTooShort, Some(come_back))
     }
 
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -201,6 +201,23 @@
         held.map(|held| held.version)
     }
 
+    /// Requests of this process for an adapter that are in flight there.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.begin("i-1", Some(&key), Duration::ZERO);
+    /// assert_eq!(table.get("i-1").unwrap().uses_of(&key), 1);
+    /// ```
+    pub fn uses_of(&self, key: &AdapterKey) -> u32 {
+        self.uses.get(key).map_or(0, |used| used.in_flight)
+    }
+
     /// How loaded it is: 1 and more is as good as full. Requests count as a share of its places,
     /// and those that wait for their first event on top of that, as prompts are read one after
     /// another. Known from the last report and what was sent since, or from this process's own
