Tell times by what is on its way, and share the weight store by what each relay lacks

Found by a new record of told times (`told time is over` in the log, promises and promise_error in the metrics): of 917 told times a quarter was more than 1.6 s too long. Three reasons: wants that another relay's ask had met stayed in the queue until their time was over; copies that had been made still counted as ahead; and each relay took a quarter of the weight store however uneven traffic was (one relay had 39 adapters waiting, another 3).

Ruled out: loads that can not be placed (none in the trace), the store's speed (0.30 s a load).

--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use quillcove_core::class::WorkClass;
+use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::verdict::{RefusalReason, RunVerdict};
 
 /// Bounds of time histograms, in seconds.
@@ -27,6 +28,8 @@
     loads: Counter<u64>,
     orders: Counter<u64>,
     load_stall: Histogram<f64>,
+    promises: Counter<u64>,
+    promise_error: Histogram<f64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
 }
@@ -62,6 +65,11 @@
             loads: counter(&meter, "quillcove.loads", "Loads by outcome"),
             orders: counter(&meter, "quillcove.orders", "Orders to the engine by outcome"),
             load_stall: time("quillcove.load_stall", "Wait before the upstream gets an attempt"),
+            promises: counter(&meter, "quillcove.promises", "Told times of adapters by fate"),
+            promise_error: time(
+                "quillcove.promise_error",
+                "Time between when an adapter was told to be there and when it was",
+            ),
             first_byte: time("quillcove.first_byte", "Time from a request to its answer's head"),
             duration: time("quillcove.request_duration", "Time from a request to its last byte"),
             registry,
@@ -125,6 +133,29 @@
         self.load_stall.record(wait.as_secs_f64(), &[class_label(class)]);
     }
 
+    /// Records what became of a time that a refused caller was told.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::promise::PromiseFate;
+    ///
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.promise_ended(PromiseFate::Late(Duration::from_millis(40)));
+    /// assert!(metrics.text().contains("quillcove_promises_total"));
+    /// ```
+    pub fn promise_ended(&self, fate: PromiseFate) {
+        let (label, error) = match fate {
+            PromiseFate::Early(error) => ("early", Some(error)),
+            PromiseFate::Late(error) => ("late", Some(error)),
+            PromiseFate::Missed => ("missed", None),
+        };
+        let labels = [KeyValue::new("fate", label)];
+        self.promises.add(1, &labels);
+        if let Some(error) = error {
+            self.promise_error.record(error.as_secs_f64(), &labels);
+        }
+    }
+
     /// Records the time to an answer's head.
     ///
     /// ```
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -108,15 +108,21 @@
 }
 
 /// Ends a request for which nothing more can be sent.
-fn give_up(mut open: OpenRequest, refusal: WorkRefusal) -> Response<AnswerBody> {
+fn give_up(open: OpenRequest, refusal: WorkRefusal) -> Response<AnswerBody> {
     let verdict = match open.runs {
         0 => refusal.verdict,
         _ => RunVerdict::MayHaveRun,
     };
     let refusal = WorkRefusal { verdict, ..refusal };
+    finish_refused(open, &refusal)
+}
+
+/// Answers with a refusal of the relay's own.
+fn finish_refused(mut open: OpenRequest, refusal: &WorkRefusal) -> Response<AnswerBody> {
     open.shared.metrics.refused(refusal.reason, open.class());
-    let answer = refusal_answer(&refusal);
-    open.finish(verdict, answer.status().as_u16(), refusal.reason.label());
+    open.come_back = refusal.retry_after;
+    let answer = refusal_answer(refusal);
+    open.finish(refusal.verdict, answer.status().as_u16(), refusal.reason.label());
     answer
 }
 
@@ -228,14 +234,9 @@
     }
 }
 
-fn finish_failed(mut open: OpenRequest, answer: FailedAnswer) -> Response<AnswerBody> {
+fn finish_failed(open: OpenRequest, answer: FailedAnswer) -> Response<AnswerBody> {
     match answer {
-        FailedAnswer::Refused(refusal) => {
-            open.shared.metrics.refused(refusal.reason, open.class());
-            let answer = refusal_answer(&refusal);
-            open.finish(refusal.verdict, answer.status().as_u16(), refusal.reason.label());
-            answer
-        },
+        FailedAnswer::Refused(refusal) => finish_refused(open, &refusal),
         FailedAnswer::Passed(answer) => pass_whole(open, answer),
     }
 }
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -10,6 +10,7 @@
 
 use quillcove_core::ids::{HostId, MonoTime};
 use quillcove_core::relay::keeper::ModelKeeper;
+use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::relay::published::PublishedState;
 use quillcove_platform::store::StoreScope;
 use slog::{info, warn};
@@ -60,6 +61,8 @@
 /// Another relay, as last heard.
 struct KnownRelay {
     address: SocketAddr,
+    /// Adapters that its requests lack.
+    lacking: u32,
     heard: MonoTime,
 }
 
@@ -174,10 +177,11 @@
             self.keeper_from = now + KEEPER_DELAY;
             self.hurry.send_modify(|count| *count += 1);
         }
-        self.shared.machine().set_relays(self.relays.len() + 1);
+        self.shared.machine().set_others(self.others());
         let changes = self.shared.machine().tick(now);
         self.log_changes(changes);
         self.send_wanted();
+        self.end_promises();
         self.note_ready();
         self.forget_relays(now);
         self.forget_loaders();
@@ -187,4 +191,19 @@
             self.tell_all(now);
         }
     }
+
+    /// Records how true the times were that refused callers were told.
+    fn end_promises(&self) {
+        let ended = self.shared.machine().take_promises();
+        for promise in ended {
+            let error_ms = match promise.fate {
+                PromiseFate::Early(early) => Some(-(early.as_millis() as i64)),
+                PromiseFate::Late(late) => Some(late.as_millis() as i64),
+                PromiseFate::Missed => None,
+            };
+            self.shared.metrics.promise_ended(promise.fate);
+            info!(self.shared.log, "told time is over"; "adapter" => promise.key.adapter,
+                "came" => error_ms.is_some(), "after_told_ms" => error_ms);
+        }
+    }
 }
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -6,7 +6,7 @@
 
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
-    AddressedAsk, EngineBeacon, PeerMessage, RelayBeacon, ReplicaId, UseBeacon,
+    AddressedAsk, EngineBeacon, OtherRelays, PeerMessage, RelayBeacon, ReplicaId, UseBeacon,
 };
 use slog::{info, warn};
 
@@ -30,7 +30,7 @@
         if beacon.host == self.shared.settings.process.host {
             return;
         }
-        let known = KnownRelay { address: beacon.address, heard: now };
+        let known = KnownRelay { address: beacon.address, lacking: beacon.lacking, heard: now };
         if self.relays.insert(beacon.host.clone(), known).is_none() {
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
                 "address" => %beacon.address);
@@ -67,6 +67,11 @@
         }
     }
 
+    pub(super) fn others(&self) -> OtherRelays {
+        let lacking = self.relays.values().map(|known| known.lacking as usize).sum();
+        OtherRelays { count: self.relays.len(), lacking }
+    }
+
     pub(super) fn forget_relays(&mut self, now: MonoTime) {
         let log = self.shared.log.clone();
         self.relays.retain(|host, known| {
@@ -133,6 +138,7 @@
             address: self.control,
             sheet: machine.sheet().map_or(0, |sheet| sheet.version),
             revision: machine.revision(),
+            lacking: machine.lacking() as u32,
         }
     }
 
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -43,6 +43,8 @@
     pub first_event: Option<Duration>,
     /// Longest time between two events.
     pub longest_pause: Duration,
+    /// When a refused caller was told to come back.
+    pub come_back: Option<Duration>,
     finished: Option<FinishedRequest>,
 }
 
@@ -100,6 +102,7 @@
             "adapter" => self.query.adapter.as_ref().map(|key| key.adapter.as_str()),
             "verdict" => end.verdict.label(), "status" => end.status, "reason" => end.reason,
             "attempts" => self.attempts, "replicas" => self.tried.join(","),
+            "come_back_ms" => self.come_back.map(|pause| pause.as_millis() as u64),
             "waited_ms" => self.waited.as_millis() as u64,
             "first_event_ms" => self.first_event.map(|first| first.as_millis() as u64),
             "longest_pause_ms" => self.longest_pause.as_millis() as u64, "took_ms" => took.as_millis() as u64);
@@ -179,6 +182,7 @@
         waited: Duration::ZERO,
         first_event: None,
         longest_pause: Duration::ZERO,
+        come_back: None,
         finished: None,
     })
 }
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -94,6 +94,17 @@
     pub sheet: SheetVersion,
     /// Revision of the store up to which it has read.
     pub revision: u64,
+    /// Adapters that its requests lack, those that it has asked for included.
+    pub lacking: u32,
+}
+
+/// The other relays, as far as one relay's share of the weight store goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OtherRelays {
+    /// How many were heard lately.
+    pub count: usize,
+    /// Adapters that their requests lack, in all.
+    pub lacking: usize,
 }
 
 /// How much a relay used one adapter of an engine lately.
--- a/quillcove_core/src/relay/demand.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -5,11 +5,16 @@
 //! its way, so that together they load no more at once than the weight store serves at full
 //! speed. An adapter that was evicted lately goes back to its engine, whose host still has a copy.
 
+mod coming;
+mod warm;
+
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, AddressedAsk, ArrivedLoad, HeldAdapter, LoadAsk, ReplicaId};
+use self::coming::ComingLoads;
+use self::warm::WarmCopies;
+use super::beacon::{AdapterKey, AddressedAsk, ArrivedLoad, HeldAdapter, LoadAsk, OtherRelays};
 use super::limiter::LoadLimiter;
 use super::replica::ReplicaView;
 use super::sheet::EngineRecord;
@@ -31,16 +36,12 @@
 /// Time after which an ask is forgotten whatever became of it.
 const ASK_LIFETIME: Duration = Duration::from_secs(4);
 
-/// Asks of one relay beyond its even share that may be open at once, as traffic is not even.
+/// Asks of one relay beyond its share that may be open at once, as shares are known with a lag.
 const SHARE_MARGIN: usize = 1;
 
 /// Time of a load from the memory of an engine's host.
 const WARM_LOAD_TIME: Duration = Duration::from_millis(50);
 
-/// Adapters of one engine that are taken to have a copy in its host's memory: a few times those in
-/// the engine.
-const WARM_COPIES: usize = 100;
-
 /// What a request lacks.
 #[derive(Clone, Debug)]
 pub struct LackedAdapter<'a> {
@@ -67,6 +68,8 @@
     useful_until: MonoTime,
     /// Engines that should hold it, those that do already included.
     holders: usize,
+    /// Whether that many held or awaited it at the last look.
+    is_met: bool,
 }
 
 impl WantedAdapter {
@@ -108,24 +111,49 @@
 pub struct AdapterDemand {
     wanted: HashMap<AdapterKey, WantedAdapter>,
     open: HashMap<AdapterKey, OpenAsk>,
-    /// When each engine was last reported to hold an adapter.
-    warm: HashMap<ReplicaId, HashMap<AdapterKey, MonoTime>>,
+    warm: WarmCopies,
+    coming: ComingLoads,
     outbox: Vec<AddressedAsk>,
     limiter: LoadLimiter,
-    /// Relays that are there, this one included.
-    relays: usize,
+    others: OtherRelays,
 }
 
 impl AdapterDemand {
-    /// Takes the number of relays that are there, this one included.
+    /// Takes what is known of the other relays.
     ///
     /// ```
+    /// use quillcove_core::relay::beacon::OtherRelays;
     /// use quillcove_core::relay::demand::AdapterDemand;
     ///
-    /// AdapterDemand::default().set_relays(4);
+    /// AdapterDemand::default().set_others(OtherRelays { count: 3, lacking: 20 });
     /// ```
-    pub fn set_relays(&mut self, relays: usize) {
-        self.relays = relays;
+    pub fn set_others(&mut self, others: OtherRelays) {
+        self.others = others;
+    }
+
+    /// Adapters that requests of this relay lack, those that it has asked for included.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// assert_eq!(AdapterDemand::default().lacking(), 0);
+    /// ```
+    pub fn lacking(&self) -> usize {
+        let is_waiting = |(key, wanted): &(&AdapterKey, &WantedAdapter)| {
+            !wanted.is_met && !self.open.contains_key(*key)
+        };
+        self.open.len() + self.wanted.iter().filter(is_waiting).count()
+    }
+
+    /// This relay's part of the loads that may be on their way at once: by how much it lacks against
+    /// all relays, as traffic is not even.
+    fn share(&self) -> f64 {
+        let limit = self.limiter.limit() as f64;
+        let own = self.lacking() as f64;
+        let all = own + self.others.lacking as f64;
+        let even = 1.0 / (self.others.count + 1) as f64;
+        let part = if all > 0.0 { own / all } else { even };
+        (limit * part).max(1.0)
     }
 
     /// The asks to send now.
@@ -162,22 +190,23 @@
     /// AdapterDemand::default().note_held(table.get("i-1").unwrap(), Duration::ZERO);
     /// ```
     pub fn note_held(&mut self, view: &ReplicaView, now: MonoTime) {
-        let copies = self.warm.entry(view.record.id.clone()).or_default();
+        self.warm.note(view, now);
+        self.coming.note(view, self.limiter.load_time(), now);
         for held in view.adapters(now) {
-            match copies.get_mut(&held.key) {
-                Some(seen) => *seen = now,
-                None => drop(copies.insert(held.key.clone(), now)),
-            }
-            let is_met = self.open.get(&held.key).is_some_and(|open| {
+            let is_answered = self.open.get(&held.key).is_some_and(|open| {
                 let ask = &open.addressed.ask;
                 ask.replica == view.record.id && held.version >= ask.version.unwrap_or(0)
             });
-            if is_met {
+            let is_enough = self.wanted.get(&held.key).is_some_and(|wanted| {
+                wanted.holders <= 1 && held.version >= wanted.version.unwrap_or(0)
+            });
+            if is_answered {
                 self.open.remove(&held.key);
+            }
+            if is_answered || is_enough {
                 self.wanted.remove(&held.key);
             }
         }
-        forget_oldest(copies);
     }
 
     /// Takes the times of loads that have ended; `at_once` were on their way over the whole site.
@@ -201,7 +230,7 @@
     /// AdapterDemand::default().forget_engine("i-1");
     /// ```
     pub fn forget_engine(&mut self, replica: &str) {
-        self.warm.remove(replica);
+        self.warm.forget(replica);
     }
 
     /// Forgets asks and wants whose time is over.
@@ -215,6 +244,7 @@
     pub fn tick(&mut self, now: MonoTime) {
         self.open.retain(|_, ask| now.saturating_sub(ask.first_sent) < ASK_LIFETIME);
         self.wanted.retain(|_, wanted| now < wanted.useful_until);
+        self.coming.tick(now);
     }
 
     /// Notes that a request lacks an adapter; `is_new` on its first look only.
@@ -243,6 +273,7 @@
             since: now,
             useful_until: lacked.useful_until,
             holders: lacked.holders,
+            is_met: false,
         };
         let wanted = self.wanted.entry(lacked.key.clone()).or_insert_with(fresh);
         wanted.version = wanted.version.max(lacked.version);
@@ -267,15 +298,19 @@
         if let Some(open) = self.open.get(key) {
             return open.ready_at.max(now);
         }
+        if let Some(expected) = self.coming.ready_at(key, now) {
+            return expected;
+        }
         let own = self.wanted.get(key).map(WantedAdapter::rank);
         let is_ahead = |(other, wanted): &(&AdapterKey, &WantedAdapter)| {
             let goes_first = own.is_none_or(|own| (wanted.rank(), *other) < (own, key));
-            goes_first && !self.open.contains_key(*other) && now < wanted.useful_until
+            let is_coming =
+                self.open.contains_key(*other) || self.coming.ready_at(other, now).is_some();
+            goes_first && !is_coming && !wanted.is_met && now < wanted.useful_until
         };
         let ahead = self.wanted.iter().filter(is_ahead).count() + 1;
-        let share = (self.limiter.limit() as f64 / self.relays.max(1) as f64).max(1.0);
         let load_time = self.limiter.load_time();
-        now + load_time + load_time.mul_f64(ahead as f64 / share)
+        now + load_time + load_time.mul_f64(ahead as f64 / self.share())
     }
 
     /// Asks for the adapters that are lacked most, as long as the weight store serves more loads at
@@ -294,9 +329,13 @@
         self.repeat_asks(choices, now);
         let views = || choices.iter().flat_map(|choice| &choice.views);
         let mut on_the_way: usize = views().map(|view| self.on_the_way(view, now)).sum();
-        let share = self.limiter.limit().div_ceil(self.relays.max(1)) + SHARE_MARGIN;
+        let share = self.share().ceil() as usize + SHARE_MARGIN;
         for key in self.ranked(now) {
-            if self.has_enough(&key, choices, now) {
+            let is_met = self.has_enough(&key, choices, now);
+            if let Some(wanted) = self.wanted.get_mut(&key) {
+                wanted.is_met = is_met;
+            }
+            if is_met {
                 continue;
             }
             let Some((view, places, is_warm)) = self.place(&key, choices, now) else {
@@ -418,14 +457,10 @@
             let is_overrun = coming >= INCOMING_LIMIT || view.load(now) >= BUSY_LOAD;
             let is_full = view.adapters(now).len() + coming >= places;
             let weight = rendezvous::weight(&key.adapter, &view.record.address.to_string());
-            (is_overrun, !self.has_copy(view, key), is_full, Reverse(weight))
+            (is_overrun, !self.warm.has(&view.record.id, key), is_full, Reverse(weight))
         };
         let view = choice.views.iter().filter(can_take).min_by_key(|view| rank(view)).copied()?;
-        Some((view, places, self.has_copy(view, key)))
-    }
-
-    fn has_copy(&self, view: &ReplicaView, key: &AdapterKey) -> bool {
-        self.warm.get(&view.record.id).is_some_and(|copies| copies.contains_key(key))
+        Some((view, places, self.warm.has(&view.record.id, key)))
     }
 
     /// Adapters on their way to an engine: those that it reports, and those asked for since.
@@ -438,17 +473,6 @@
     }
 }
 
-/// Keeps the copies that were held last.
-fn forget_oldest(copies: &mut HashMap<AdapterKey, MonoTime>) {
-    while copies.len() > WARM_COPIES {
-        let oldest = copies.iter().min_by_key(|(_, seen)| **seen).map(|(key, _)| key.clone());
-        let Some(key) = oldest else {
-            return;
-        };
-        copies.remove(&key);
-    }
-}
-
 fn is_incoming(view: &ReplicaView, key: &AdapterKey, now: MonoTime) -> bool {
     view.report(now).is_some_and(|report| report.incoming.iter().any(|held| held.key == *key))
 }
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -251,6 +251,9 @@
         };
         let come_back = come_back.min((query.deadline.saturating_sub(now)).mul_f64(RETURN_SHARE));
         self.ask_for(query, now + come_back + aim, 1, now);
+        if let Some(key) = &query.adapter {
+            self.promises.tell(key, now + come_back);
+        }
         refuse(RefusalReason::DeadlineTooShort, Some(come_back))
     }
 
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -9,8 +9,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, ReplicaId};
+use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, OtherRelays, ReplicaId};
 use super::demand::AdapterDemand;
+use super::promise::{EndedPromise, PromiseBook};
 use super::replica::{AttemptFate, ReplicaTable, ReplicaView};
 use super::sheet::{RouteRecord, RouteSheet, SheetVersion};
 use crate::entry::retry::RetryBudget;
@@ -107,6 +108,7 @@
     table: ReplicaTable,
     versions: HashMap<AdapterKey, (AdapterVersion, MonoTime)>,
     demand: AdapterDemand,
+    promises: PromiseBook,
     budgets: HashMap<ServiceName, RetryBudget>,
     /// Replicas whose entries lapsed while the store was away, and when they are given up.
     doubted: HashMap<ReplicaId, MonoTime>,
@@ -136,6 +138,7 @@
             table: ReplicaTable::default(),
             versions: HashMap::new(),
             demand: AdapterDemand::default(),
+            promises: PromiseBook::default(),
             budgets: HashMap::new(),
             doubted: HashMap::new(),
             store_returned: None,
@@ -207,16 +210,29 @@
         self.table.take_uses(replica)
     }
 
-    /// Takes the number of relays that are there, this one included.
+    /// Takes what is known of the other relays.
     ///
     /// ```
+    /// use quillcove_core::relay::beacon::OtherRelays;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// RelayMachine::new(RelayRules::default(), 1).set_relays(4);
+    /// let others = OtherRelays { count: 3, lacking: 20 };
+    /// RelayMachine::new(RelayRules::default(), 1).set_others(others);
     /// ```
-    pub fn set_relays(&mut self, relays: usize) {
-        self.relays = relays;
-        self.demand.set_relays(relays);
+    pub fn set_others(&mut self, others: OtherRelays) {
+        self.relays = others.count + 1;
+        self.demand.set_others(others);
+    }
+
+    /// Adapters that requests of this relay lack.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).lacking(), 0);
+    /// ```
+    pub fn lacking(&self) -> usize {
+        self.demand.lacking()
     }
 
     /// Asks for adapters that are to be sent to loaders now.
@@ -230,6 +246,17 @@
         self.demand.take_outbox()
     }
 
+    /// The times told to refused callers that ended since the last call.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_promises().is_empty());
+    /// ```
+    pub fn take_promises(&mut self) -> Vec<EndedPromise> {
+        self.promises.take_ended()
+    }
+
     /// Tells whether callers can be served: a sheet is in force, replicas are known, and the
     /// process does not stop.
     ///
@@ -304,6 +331,7 @@
                 self.demand.forget_engine(&view.record.id);
             }
             self.demand.note_held(view, now);
+            self.promises.note_held(|key| view.version_of(key, now).is_some(), now);
         }
         self.demand.note_arrivals(&beacon.arrivals, self.incoming(now));
         if is_changed {
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -257,6 +257,7 @@
     /// ```
     pub fn tick(&mut self, now: MonoTime) -> Vec<BeliefChange> {
         self.demand.tick(now);
+        self.promises.tick(now);
         self.pump(now);
         if self.is_store_away {
             return Vec::new();
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! - [`keeper`]: base models for engines that have none, within the weight store's rate.
 //! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
+//! - [`promise`]: how true the times were that refused callers were told.
 //! - [`published`]: what one relay passes on to another that can not read the store.
 //! - [`beacon`]: what relays and loaders tell each other.
 
@@ -16,6 +17,7 @@
 pub mod limiter;
 pub mod loader;
 pub mod machine;
+pub mod promise;
 pub mod published;
 pub mod replica;
 pub mod routing;
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::{AdapterKey, EngineBeacon, EngineReport, HeldAdapter};
+use quillcove_core::relay::beacon::{
+    AdapterKey, EngineBeacon, EngineReport, HeldAdapter, OtherRelays,
+};
 use quillcove_core::relay::machine::{
     BeliefChange, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
@@ -212,7 +214,7 @@
 #[test]
 fn a_request_whose_adapter_comes_too_late_is_refused_at_once_with_a_time() {
     let mut machine = machine();
-    machine.set_relays(1);
+    machine.set_others(OtherRelays::default());
     machine.list(record("i-1", 1), ms(0));
     machine.take_report(&beacon(1, 1, &[]), ms(0));
     let mut refused = Vec::new();
@@ -326,7 +328,7 @@
         vec![engine_service(50, 3.0)],
         CallerLimits::default(),
     ));
-    machine.set_relays(4);
+    machine.set_others(OtherRelays { count: 3, lacking: 0 });
     machine.list(record("i-1", 1), ms(0));
     for _ in 0..10 {
         assert!(sent_to(&machine.choose(&query(None, ms(0)), &[], ms(0))).is_some());
