--- a/quillcove_core/src/relay/limiter.rs
+++ b/quillcove_core/src/relay/limiter.rs
@@ -17,7 +17,7 @@
 const MOST_LIMIT: f64 = 64.0;
 
 /// Times the least load time up to which loads count as served at full speed.
-const FULL_SPEED: f64 = 1.25;
+const FULL_SPEED: f64 = 1.4;
 
 /// Growth of the limit with each load at full speed, before the first slow one.
 const FIRST_GROWTH: f64 = 1.0;
@@ -32,6 +32,10 @@
 /// idle while adapters are wanted.
 const HEADROOM: f64 = 1.0;
 
+/// The same as a share of what the store serves at full speed: reports lag, so that with no more on
+/// their way than it serves it stood idle for a fifth of a busy day.
+const HEADROOM_SHARE: f64 = 0.25;
+
 /// Weight of a slow load in the least load time, for loads that were nearly alone: then the store
 /// itself has become slower.
 const LEAST_WEIGHT: f64 = 0.1;
@@ -122,7 +126,7 @@
         self.least = Some(least);
         if took > least * FULL_SPEED {
             self.has_seen_slow = true;
-            let served = at_once * least / took + HEADROOM;
+            let served = at_once * least / took * (1.0 + HEADROOM_SHARE) + HEADROOM;
             self.limit += (served.min(self.limit) - self.limit) * SLOW_WEIGHT;
         } else if at_once + 1.0 >= self.limit {
             self.limit += if self.has_seen_slow { GROWTH } else { FIRST_GROWTH };
