Count the loads of base models in the times that callers are told

Cause: after a loss of power everywhere, relays told callers to come back after 20 ms (no loader had reported yet, which they took for being cut off) or by the queue for adapters alone, although no engine held its base model for another 1.2 s: 196 refusals within 1.4 s, all of whose adapters came later than told, and their returns were refused again.

Change: an engine that reports no base model is expected to have it after the load time that the sheet gives, from its host's disk or from the weight store; in the first half second of a relay's life engines without a report count as empty.

Test: a_relay_that_starts_beside_empty_engines_…, which failed first.

--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -25,6 +25,10 @@
 /// Added to the planned time of a load in what callers are told, for the way of the news.
 const NEWS_TIME: Duration = Duration::from_millis(80);
 
+/// Time from the start of the process within which all loaders have reported: they hear of it with
+/// the first reading of the list.
+const FIRST_REPORTS: Duration = Duration::from_millis(500);
+
 /// When a caller is told to come back that another relay can serve at once.
 const ELSEWHERE: Duration = Duration::from_millis(20);
 
@@ -193,7 +197,26 @@
         let lacked = LackedAdapter { key, service: &query.service, version, useful_until, holders };
         self.demand.want(&lacked, query.looks == 0, now);
         self.pump(now);
-        Some(self.demand.ready_at(key, now))
+        let load_wait = self.demand.ready_at(key, now).saturating_sub(now);
+        Some(self.model_ready_at(&query.service, &key.model, now) + load_wait)
+    }
+
+    /// When an engine of a service will hold a base model. Before the first reports came, the engines
+    /// may have restarted as this process did, and then load it from their hosts' disks.
+    fn model_ready_at(&self, service: &str, model: &str, now: MonoTime) -> MonoTime {
+        let record = self.sheet.as_ref().and_then(|sheet| sheet.service(service));
+        let models = record.and_then(|service| service.engine.as_ref()).map(|it| &it.models);
+        let Some(model) = models.and_then(|models| models.iter().find(|it| it.name == model))
+        else {
+            return now;
+        };
+        let engines = self.ready_engines(service);
+        let ready = engines.filter_map(|view| view.model_ready_at(model, now)).min();
+        match ready {
+            Some(ready) => ready,
+            None if now < FIRST_REPORTS => now + model.disk_load_time,
+            None => now,
+        }
     }
 
     /// Sends the asks for which the weight store has room.
@@ -244,7 +267,7 @@
         if now > decide_by && now < give_up {
             return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
         }
-        let come_back = match self.hears_engines(&query.service, now) {
+        let come_back = match self.hears_engines(&query.service, now) || now < FIRST_REPORTS {
             true => ready_at.map_or(SOON, |at| at.saturating_sub(now) + NEWS_TIME),
             // This relay is cut off from the loaders; the caller's next try reaches another one.
             false => ELSEWHERE,
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId};
+use super::sheet::ModelRecord;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 
 /// Age up to which a loader's report goes before the platform's listing. Loaders report at least
@@ -86,6 +87,8 @@
     pub in_flight: u32,
     /// The last report of its loader, and when it came.
     report: Option<(EngineReport, MonoTime)>,
+    /// Since when it has been reported to hold no base model.
+    empty_since: Option<MonoTime>,
     /// Requests sent since that report.
     sent_since: u32,
     /// Use of its adapters by this process.
@@ -102,6 +105,7 @@
             record,
             in_flight: 0,
             report: None,
+            empty_since: None,
             sent_since: 0,
             uses: HashMap::new(),
             failures: 0,
@@ -156,6 +160,38 @@
         (now.saturating_sub(*heard) <= REPORT_LIFETIME).then_some(report)
     }
 
+    /// When it will hold a base model, as far as its loader's report tells: now when it does, and
+    /// after a load from its host's copy or from the weight store when it is empty.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    /// use quillcove_core::relay::sheet::ModelRecord;
+    ///
+    /// let model = ModelRecord {
+    ///     name: "m".into(),
+    ///     weights_mb: 1.0,
+    ///     adapter_mb: 1.0,
+    ///     load_time: Duration::from_secs(1),
+    ///     disk_load_time: Duration::from_secs(2),
+    /// };
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let view = table.get("i-1").unwrap();
+    /// assert_eq!(view.model_ready_at(&model, Duration::ZERO), None, "there is no report");
+    /// ```
+    pub fn model_ready_at(&self, model: &ModelRecord, now: MonoTime) -> Option<MonoTime> {
+        let report = self.report(now)?;
+        if report.models.contains(&model.name) {
+            return Some(now);
+        }
+        let load_time = match report.local_models.contains(&model.name) {
+            true => model.disk_load_time,
+            false => model.load_time,
+        };
+        Some((self.empty_since? + load_time).max(now))
+    }
+
     /// Adapters that it holds: by the loader's report, or else by the platform's listing.
     ///
     /// ```
@@ -363,6 +399,10 @@
             return false;
         };
         let is_changed = view.adapters(now) != report.adapters || view.models(now) != report.models;
+        view.empty_since = match report.models.is_empty() {
+            true => view.empty_since.or(Some(now)),
+            false => None,
+        };
         view.report = Some((report, now));
         view.sent_since = 0;
         is_changed
--- a/quillcove_core/src/relay/sheet.rs
+++ b/quillcove_core/src/relay/sheet.rs
@@ -92,6 +92,8 @@
     pub adapter_mb: f64,
     /// Time of a load from the weight store when nothing else loads.
     pub load_time: Duration,
+    /// Time of a load from the disk of an engine's host.
+    pub disk_load_time: Duration,
 }
 
 /// What is known of the engines of a service.
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -354,3 +354,31 @@
     assert!((100..=103).contains(&repeats), "{repeats}");
     assert!(machine.take_repeat("other"), "services do not share a budget");
 }
+
+#[test]
+fn a_relay_that_starts_beside_empty_engines_tells_when_they_will_be_loaded() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(10));
+    // Before any loader has reported, the engine may be empty, and is taken to load from its disk.
+    let told = refused_until(&machine.choose(&query(Some("a1"), ms(20)), &[], ms(20)));
+    assert!(told > ms(1200), "{told:?}");
+    let mut empty = beacon(1, 1, &[]);
+    empty.report.models.clear();
+    empty.report.local_models = vec!["m".to_string()];
+    machine.take_report(&empty, ms(100));
+    let told = refused_until(&machine.choose(&query(Some("a2"), ms(400)), &[], ms(400)));
+    assert!(
+        told > ms(900) && told < ms(2500),
+        "900 ms of the base model's load are left: {told:?}"
+    );
+    machine.take_report(&beacon(1, 2, &[]), ms(1300));
+    let choice = machine.choose(&query(Some("a3"), ms(1300)), &[], ms(1300));
+    assert!(matches!(choice, RelayChoice::Wait(_)), "{choice:?}");
+}
+
+fn refused_until(choice: &RelayChoice) -> Duration {
+    match choice {
+        RelayChoice::Refuse(refusal) => refusal.retry_after.unwrap_or_default(),
+        RelayChoice::Send(_) | RelayChoice::Wait(_) => panic!("not refused: {choice:?}"),
+    }
+}
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -20,6 +20,7 @@
         weights_mb: 10.0,
         adapter_mb: 1.0,
         load_time: ms(600),
+        disk_load_time: ms(1200),
     };
     let engine =
         EngineRecord { models: vec![model], weights_mb: 14.0, adapter_places: 8, loads_per_second };
