--- a/quillcove/src/bundle/command.rs
+++ b/quillcove/src/bundle/command.rs
@@ -1,5 +1,6 @@
 //! Operators' commands for bundles.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 
@@ -11,6 +12,7 @@
 };
 use quillcove_core::bundle::text::parse;
 use quillcove_core::bundle::{FleetBundle, VALUE_LIMIT};
+use quillcove_core::route::{RouteRecord, RouteTable};
 
 use super::{HEAD_VALUE, delta_value, text_value};
 
@@ -148,12 +150,36 @@
     for (name, service) in &bundle.services {
         println!("service   {name}, keys divided among {}", service.replicas.join(", "));
     }
+    let mut routes: Vec<_> = bundle.routes.iter().collect();
+    routes.sort_by_key(|route| &route.name);
+    for route in routes {
+        println!("route     {}", route_line(route));
+    }
+    println!("bodies    {} bytes in {} ms", bundle.limits.body_bytes, bundle.limits.body_time_ms);
     println!("loads     {} a second, {} at once", bundle.loads.per_second, bundle.loads.at_once);
     println!("weights   stalls {}, batches {}", bundle.aims.stalls, bundle.aims.batches);
     Ok(())
 }
 
-/// Prints what changes between two bundles, an adapter a line.
+/// A route in one line.
+fn route_line(route: &RouteRecord) -> String {
+    let targets: Vec<String> =
+        route.targets.iter().map(|share| format!("{}:{}", share.service, share.weight)).collect();
+    format!(
+        "{}: {}{} to {}, {:?}, {}, {} ms (aim {} ms), {} attempts",
+        route.name,
+        route.host,
+        route.prefix,
+        targets.join(" "),
+        route.kind,
+        route.class().label(),
+        route.timeout.as_millis(),
+        route.aim.as_millis(),
+        route.attempt_limit
+    )
+}
+
+/// Prints what changes between two bundles, an adapter or route a line.
 fn diff(older: &str, newer: &str) -> eyre::Result<()> {
     let (older, newer) = (read(older)?, read(newer)?);
     println!("version {} -> {}", older.content.version, newer.content.version);
@@ -168,8 +194,27 @@
     for name in older.content.adapters.keys().filter(is_gone) {
         println!("- {name}");
     }
+    diff_routes(&older.content.routes, &newer.content.routes);
     let delta = compute((older.content.version, &older.text), (newer.content.version, &newer.text));
     let size = serde_json::to_string(&delta)?.len();
     println!("the difference has {size} bytes, the whole text {}", newer.text.len());
     Ok(())
 }
+
+fn diff_routes(older: &RouteTable, newer: &RouteTable) {
+    let before: BTreeMap<&str, _> =
+        older.iter().map(|route| (route.name.as_str(), route)).collect();
+    let after: BTreeMap<&str, _> = newer.iter().map(|route| (route.name.as_str(), route)).collect();
+    for (name, route) in &after {
+        match before.get(name) {
+            None => println!("+ route {}", route_line(route)),
+            Some(old) if old != route => {
+                println!("~ route {} -> {}", route_line(old), route_line(route));
+            },
+            Some(_) => {},
+        }
+    }
+    for name in before.keys().filter(|name| !after.contains_key(*name)) {
+        println!("- route {name}");
+    }
+}
--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -17,7 +17,7 @@
 const RETRY_RATIO_SHARE: f64 = 0.5;
 
 /// All settings of a relay.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RelaySettings {
     /// `[process]`.
     pub process: ProcessSection,
@@ -68,8 +68,50 @@
     }
 }
 
+/// What changed settings do to a running relay.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SettingsChange {
+    /// Sections that are taken over at once.
+    pub taken: Vec<&'static str>,
+    /// Sections that are taken over with the next start.
+    pub waiting: Vec<&'static str>,
+}
+
+impl RelaySettings {
+    /// What changes from these settings to newer ones.
+    ///
+    /// ```
+    /// use quillcove::config::relay::RelaySettings;
+    ///
+    /// let mut newer = RelaySettings::default();
+    /// newer.requests.limit = 7;
+    /// newer.process.host = "other".into();
+    /// let change = RelaySettings::default().change_to(&newer);
+    /// assert_eq!((change.taken, change.waiting), (vec!["requests"], vec!["process"]));
+    /// ```
+    pub fn change_to(&self, newer: &Self) -> SettingsChange {
+        let at_once = [
+            ("peers", self.peers != newer.peers),
+            ("requests", self.requests != newer.requests),
+            ("routing", self.routing != newer.routing),
+        ];
+        let with_start = [
+            ("process", self.process != newer.process),
+            ("listen", self.listen != newer.listen),
+            ("platform", self.platform != newer.platform),
+            ("log", self.log != newer.log),
+            ("stop", self.stop != newer.stop),
+        ];
+        let changed = |sections: &[(&'static str, bool)]| {
+            let changed = sections.iter().filter(|(_, is_changed)| *is_changed);
+            changed.map(|(section, _)| *section).collect()
+        };
+        SettingsChange { taken: changed(&at_once), waiting: changed(&with_start) }
+    }
+}
+
 /// `[listen]` of a relay.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayListen {
     /// `callers`: address for callers.
     pub callers: SocketAddr,
@@ -98,7 +140,7 @@
 }
 
 /// `[platform]` of a relay: the store that is read.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreSection {
     /// `address`: IP address and port.
     pub address: SocketAddr,
@@ -162,7 +204,7 @@
 }
 
 /// `[requests]` of a relay.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayRequestSection {
     /// `limit`: most requests in flight.
     pub limit: usize,
@@ -188,7 +230,7 @@
 }
 
 /// `[routing]` of a relay.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RelayRoutingSection {
     /// `retry_ratio`: repeats that the whole fleet may make, as a share of requests.
     pub retry_ratio: f64,
--- a/quillcove/src/config/shared.rs
+++ b/quillcove/src/config/shared.rs
@@ -9,7 +9,7 @@
 use super::ini::SettingSource;
 
 /// `[process]`: who this process is.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ProcessSection {
     /// `host`: name of the host, unique in the fleet.
     pub host: HostId,
@@ -105,7 +105,7 @@
 }
 
 /// `[log]`: what is logged, to standard error.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LogSection {
     /// `format`: `auto`, `text` or `json`.
     pub format: LogFormat,
@@ -138,7 +138,7 @@
 }
 
 /// `[stop]`: the planned stop.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSection {
     /// `limit`: longest time that requests in flight are given.
     pub limit: Duration,
--- a/quillcove/src/entry/admit.rs
+++ b/quillcove/src/entry/admit.rs
@@ -11,6 +11,7 @@
 use quillcove_core::ids::{MonoTime, RequestId};
 use quillcove_core::once::ticket::RunTicket;
 use quillcove_core::rendezvous;
+use quillcove_core::route::RouteRecord;
 use quillcove_core::verdict::RefusalReason;
 use serde_json::value::RawValue;
 
@@ -47,6 +48,8 @@
     pub caller: String,
     pub ticket: Option<String>,
     pub key: Option<String>,
+    /// Most upstreams that the request may be sent to, where its route says so.
+    pub attempt_limit: Option<u32>,
 }
 
 /// Reads the headers that belong to quillcove.
@@ -79,9 +82,33 @@
         caller: short_text(headers, headers::CALLER)?.unwrap_or_default(),
         ticket: short_text(headers, headers::TICKET)?,
         key: short_text(headers, headers::IDEMPOTENCY_KEY)?,
+        attempt_limit: None,
     })
 }
 
+/// Reads the headers of a request of a route. The route's word goes before the caller's where the two
+/// clash: what may run once is not repeated, and nothing is held longer than the route allows.
+pub fn read_route_terms(
+    headers: &HeaderMap,
+    route: &RouteRecord,
+    section: &RequestSection,
+) -> Result<RequestTerms, AdmitError> {
+    let default = match route.kind.is_repeatable() {
+        true => RepeatRule::Repeatable,
+        false => RepeatRule::Once,
+    };
+    let mut terms = read_terms(headers, default, section)?;
+    if default == RepeatRule::Once {
+        terms.repeat = RepeatRule::Once;
+    }
+    if !headers.contains_key(headers::PRIORITY) {
+        terms.class = route.class();
+    }
+    terms.limit = terms.limit.min(route.timeout);
+    terms.attempt_limit = Some(route.attempt_limit);
+    Ok(terms)
+}
+
 fn read_class(headers: &HeaderMap) -> Result<WorkClass, AdmitError> {
     let Some(label) = headers::text(headers, headers::PRIORITY) else {
         return Ok(WorkClass::default());
@@ -212,5 +239,6 @@
         deadline: now + terms.limit,
         caller: terms.caller.clone(),
         prefix,
+        attempt_limit: terms.attempt_limit,
     }
 }
--- a/quillcove/src/entry/serve.rs
+++ b/quillcove/src/entry/serve.rs
@@ -6,8 +6,9 @@
 use dropshot::{ApiDescription, HttpServer, Path, RequestContext, StreamingBody};
 use http::Method;
 use quillcove_core::agent::event::HostState;
+use quillcove_core::bundle::{BodyLimits, FleetBundle};
 use quillcove_core::entry::event::{HostRecord, RepeatRule, RouteTarget};
-use quillcove_core::ids::RequestId;
+use quillcove_core::ids::{RequestId, ServiceName};
 use quillcove_core::once::ticket::RunTicket;
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use schemars::JsonSchema;
@@ -15,7 +16,7 @@
 use serde_json::json;
 use slog::Logger;
 
-use super::admit::{self, AdmitError};
+use super::admit::{self, AdmitError, RequestTerms};
 use super::attempt::{self, OutgoingRequest, find_control, with_request_id};
 use super::context::ServeContext;
 use crate::control::AgentControlClient;
@@ -23,7 +24,7 @@
 use crate::web::answer::{WebAnswer, explain, json_answer, refusal};
 use crate::web::body;
 use crate::web::headers;
-use crate::web::server::{self, register, register_any_method};
+use crate::web::server::{self, RestPath, register, register_any_method};
 
 /// Longest time for a ticket call.
 const TICKET_TIMEOUT: Duration = Duration::from_millis(500);
@@ -46,12 +47,20 @@
     with_request_id(refusal(&refused, &error.message), request)
 }
 
-/// Reads a body within its time.
-async fn read_body(state: &ServeContext, body: StreamingBody) -> Result<Bytes, AdmitError> {
-    let limit = state.settings.requests.body_timeout;
+/// Reads a body within its time and size.
+async fn read_body(
+    state: &ServeContext,
+    bundle: &FleetBundle,
+    body: StreamingBody,
+) -> Result<Bytes, AdmitError> {
+    let BodyLimits { body_bytes, body_time_ms } = bundle.limits;
+    let limit = state.settings.requests.body_timeout.min(Duration::from_millis(body_time_ms));
     let read = tokio::time::timeout(limit, body::read(body)).await;
     let bad = |message: String| AdmitError { reason: RefusalReason::BadRequest, message };
     match read {
+        Ok(Ok(bytes)) if bytes.len() > body_bytes => {
+            Err(bad(format!("the body has {} bytes; {body_bytes} are allowed", bytes.len())))
+        },
         Ok(Ok(bytes)) => Ok(bytes),
         Ok(Err(error)) => Err(bad(format!("body: {}", error.external_message))),
         Err(_) => Err(bad(format!("the body did not arrive within {limit:?}"))),
@@ -89,8 +98,8 @@
     let given = context.request.headers();
     let section = &state.settings.requests;
     let terms = admit::read_terms(given, RepeatRule::Repeatable, section)?;
-    let body = read_body(state, body).await?;
     let bundle = state.bundle()?;
+    let body = read_body(state, &bundle, body).await?;
     let completion = admit::read_completion(&body, terms.class, &bundle)?;
     let adapter = completion.adapter.clone();
     let target = RouteTarget::Adapter { adapter, model: completion.model };
@@ -137,30 +146,86 @@
     request: RequestId,
 ) -> Result<OutgoingRequest, AdmitError> {
     let given = context.request.headers();
-    let method = context.request.method().clone();
-    let default = default_repeat(&method);
+    let default = default_repeat(context.request.method());
     let terms = admit::read_terms(given, default, &state.settings.requests)?;
-    let body = read_body(state, body).await?;
+    let call = ServiceCall { service: path.service, terms, skipped: 2, is_stream: false };
+    outgoing_call(state, context, call, body, request).await
+}
+
+/// A call to a plain service, as admitted.
+struct ServiceCall {
+    service: ServiceName,
+    terms: RequestTerms,
+    /// Segments of the path that are the entry's own and not the service's.
+    skipped: usize,
+    is_stream: bool,
+}
+
+async fn outgoing_call(
+    state: &ServeContext,
+    context: &RequestContext<ServeContext>,
+    call: ServiceCall,
+    body: StreamingBody,
+    request: RequestId,
+) -> Result<OutgoingRequest, AdmitError> {
     let bundle = state.bundle()?;
-    if !bundle.services.contains_key(&path.service) {
-        let message = format!("the bundle has no service '{}'", path.service);
+    let body = read_body(state, &bundle, body).await?;
+    let ServiceCall { service, terms, skipped, is_stream } = call;
+    if !bundle.services.contains_key(&service) {
+        let message = format!("the bundle has no service '{service}'");
         return Err(AdmitError { reason: RefusalReason::Unknown, message });
     }
-    let owner = admit::owner_of(&terms, &path.service, &bundle)?;
-    let target = owner.unwrap_or(RouteTarget::Service(path.service));
+    let owner = admit::owner_of(&terms, &service, &bundle)?;
+    let target = owner.unwrap_or(RouteTarget::Service(service));
     let now = state.clock.now();
     Ok(OutgoingRequest {
         query: admit::query(request, target, &terms, None, now),
         terms,
-        method,
-        path: server::rest_of(context.request.uri(), 2).to_string(),
-        headers: headers::passed(given),
+        method: context.request.method().clone(),
+        path: server::rest_of(context.request.uri(), skipped).to_string(),
+        headers: headers::passed(context.request.headers()),
         body,
         adapter: None,
-        is_stream: false,
+        is_stream,
     })
 }
 
+async fn call_route(
+    context: RequestContext<ServeContext>,
+    _path: Path<RestPath>,
+    body: StreamingBody,
+) -> WebAnswer {
+    let state = context.context();
+    let request = new_request();
+    match prepare_routed(state, &context, body, request).await {
+        Ok(outgoing) => attempt::run(state, outgoing).await,
+        Err(error) => reject(request, &error),
+    }
+}
+
+/// A call to the service that the bundle's route of its host and path leads to.
+async fn prepare_routed(
+    state: &ServeContext,
+    context: &RequestContext<ServeContext>,
+    body: StreamingBody,
+    request: RequestId,
+) -> Result<OutgoingRequest, AdmitError> {
+    let given = context.request.headers();
+    let unknown = |message| AdmitError { reason: RefusalReason::Unknown, message };
+    let bundle = state.bundle()?;
+    let host = headers::text(given, "host").unwrap_or_default();
+    let path = format!("/{}", server::rest_of(context.request.uri(), 1));
+    let route = bundle.routes.find(host, &path);
+    let route = route.ok_or_else(|| unknown(format!("no route for {host}{path}")))?;
+    let terms = admit::read_route_terms(given, route, &state.settings.requests)?;
+    let service = route.draw_service(rand::random());
+    let no_service = || unknown(format!("route '{}' leads to no service", route.name));
+    let service = service.cloned().ok_or_else(no_service)?;
+    let is_stream = route.kind.is_stream();
+    let call = ServiceCall { service, terms, skipped: 1, is_stream };
+    outgoing_call(state, context, call, body, request).await
+}
+
 /// Without a header, calls that HTTP calls idempotent may be repeated and others may not.
 fn default_repeat(method: &Method) -> RepeatRule {
     match method.is_idempotent() {
@@ -288,6 +353,7 @@
     register!(api, "issue_ticket", post, "/v1/tickets/{service}", issue_ticket)?;
     register!(api, "read_ticket", Method::GET, "/v1/ticket-states/{ticket}", read_ticket)?;
     register_any_method!(api, "call", "/svc/{service}/{path:.*}", call_service);
+    register_any_method!(api, "call_route", "/routes/{path:.*}", call_route);
     let address = context.settings.listen.callers;
     let body_limit = context.settings.requests.body_limit;
     server::start(api, context, address, body_limit, &quiet(log))
--- a/quillcove/src/relay/answers.rs
+++ b/quillcove/src/relay/answers.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use quillcove_core::relay::sheet::RouteKind;
+use quillcove_core::route::RouteKind;
 use quillcove_core::verdict::{RefusalReason, RunVerdict, WorkRefusal};
 use quillcove_platform::heads;
 
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptFate;
-use quillcove_core::relay::sheet::RouteKind;
+use quillcove_core::route::RouteKind;
 use quillcove_platform::heads::{self, AnswerMeaning, AttemptTerms};
 use tokio::time::timeout;
 
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -19,7 +19,7 @@
 
 use super::follow::StoreNews;
 use super::shared::RelayShared;
-use crate::config::relay::PeerSection;
+use crate::config::relay::RelaySettings;
 use crate::peers::{PeerArrival, PeerSocket};
 
 /// Time between looks at what is due.
@@ -42,8 +42,8 @@
 pub struct InputFeed {
     /// News of the store.
     pub store: mpsc::Receiver<StoreNews>,
-    /// The section `[peers]` as the settings have it now.
-    pub peers: watch::Receiver<PeerSection>,
+    /// The settings as they are now.
+    pub settings: watch::Receiver<RelaySettings>,
     /// Makes the store be read anew.
     pub hurry: watch::Sender<u64>,
 }
@@ -53,7 +53,7 @@
     Store(StoreNews),
     Peer(PeerArrival),
     Published(Result<PublishedState, String>),
-    PeersChanged,
+    SettingsChanged,
     Wanted,
     Ticked,
 }
@@ -72,7 +72,9 @@
     socket: PeerSocket,
     /// Address of the socket, by which other processes know this relay.
     control: SocketAddr,
-    peers: watch::Receiver<PeerSection>,
+    /// Settings in force; of changed ones only some sections are taken over.
+    settings: RelaySettings,
+    changed: watch::Receiver<RelaySettings>,
     hurry: watch::Sender<u64>,
     store: mpsc::Receiver<StoreNews>,
     published: mpsc::Receiver<Result<PublishedState, String>>,
@@ -100,11 +102,13 @@
         feed: InputFeed,
     ) -> Self {
         let (publish, published) = mpsc::channel(PUBLISHED_PLACES);
+        let settings = feed.settings.borrow().clone();
         Self {
             shared,
             socket,
             control,
-            peers: feed.peers,
+            settings,
+            changed: feed.settings,
             hurry: feed.hurry,
             store: feed.store,
             published,
@@ -130,7 +134,7 @@
             let input = tokio::select! {
                 Some(news) = self.store.recv() => RelayInput::Store(news),
                 Some(published) = self.published.recv() => RelayInput::Published(published),
-                Ok(()) = self.peers.changed() => RelayInput::PeersChanged,
+                Ok(()) = self.changed.changed() => RelayInput::SettingsChanged,
                 arrival = self.socket.receive() => match arrival {
                     Ok(arrival) => RelayInput::Peer(arrival),
                     Err(error) => {
@@ -160,10 +164,7 @@
                     "error" => %error);
             },
             RelayInput::Published(published) => self.take_published(published, now),
-            RelayInput::PeersChanged => {
-                let seeds = self.peers.borrow_and_update().seeds.clone();
-                info!(self.shared.log, "seeds changed"; "seeds" => ?seeds);
-            },
+            RelayInput::SettingsChanged => self.take_settings(),
             RelayInput::Wanted => self.send_wanted(),
             RelayInput::Ticked => self.tick(now),
         }
@@ -206,4 +207,17 @@
                 "came" => error_ms.is_some(), "after_told_ms" => error_ms);
         }
     }
+
+    /// Takes over the changed sections that a running process can, and names the others.
+    fn take_settings(&mut self) {
+        let newer = self.changed.borrow_and_update().clone();
+        let change = self.settings.change_to(&newer);
+        info!(self.shared.log, "settings changed"; "taken" => change.taken.join(","),
+            "waiting_for_start" => change.waiting.join(","), "seeds" => ?newer.peers.seeds);
+        self.settings.peers = newer.peers;
+        self.settings.requests = newer.requests;
+        self.settings.routing = newer.routing;
+        self.shared.pool.set_connect_timeout(self.settings.requests.connect_timeout);
+        self.shared.machine().set_rules(self.settings.rules());
+    }
 }
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -114,7 +114,7 @@
     }
 
     fn send_asks(&self, asks: Vec<AddressedAsk>) {
-        let port = self.shared.settings.peers.loader_port;
+        let port = self.settings.peers.loader_port;
         for addressed in asks {
             let ask = &addressed.ask;
             info!(self.shared.log, "load asked for"; "replica" => &ask.replica,
@@ -126,7 +126,7 @@
     }
 
     fn relay_addresses(&self) -> HashSet<SocketAddr> {
-        let seeds = self.peers.borrow().seeds.clone().into_iter();
+        let seeds = self.settings.peers.seeds.iter().copied();
         let heard = self.relays.values().map(|known| known.address);
         seeds.chain(heard).filter(|address| *address != self.control).collect()
     }
@@ -157,7 +157,7 @@
 
     /// Loaders sit on the hosts of all engines that are listed.
     fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
-        let port = self.shared.settings.peers.loader_port;
+        let port = self.settings.peers.loader_port;
         let machine = self.shared.machine();
         let Some(sheet) = machine.sheet() else {
             return Vec::new();
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -31,7 +31,7 @@
 use self::follow::StoreFollower;
 use self::input::{InputDuty, InputFeed};
 use self::shared::RelayShared;
-use crate::config::relay::{PeerSection, RelaySettings};
+use crate::config::relay::RelaySettings;
 use crate::duty;
 use crate::operator::{self, ProcessInspector};
 use crate::peers::PeerSocket;
@@ -72,8 +72,8 @@
 pub struct RelaySignals {
     /// `true` once the planned stop is to begin.
     pub stopped: watch::Receiver<bool>,
-    /// The section `[peers]` as the settings have it now.
-    pub peers: watch::Receiver<PeerSection>,
+    /// The settings as they are now.
+    pub settings: watch::Receiver<RelaySettings>,
 }
 
 /// Runs a relay until its planned stop is over; `bound` gets its addresses.
@@ -89,8 +89,8 @@
 ///
 /// let settings = RelaySettings::default();
 /// let (_stop, stopped) = watch::channel(false);
-/// let (_peers, peers) = watch::channel(settings.peers.clone());
-/// let signals = RelaySignals { stopped, peers };
+/// let (_change, changed) = watch::channel(settings.clone());
+/// let signals = RelaySignals { stopped, settings: changed };
 /// let log = quillcove::logging::silent();
 /// quillcove::relay::run(settings, log, signals, |_addresses| ()).unwrap();
 /// ```
@@ -108,7 +108,7 @@
     let _follow = duty::spawn("watch", move || {
         duty::run_async(1, follower.run(watch_over));
     });
-    let feed = InputFeed { store: inputs, peers: signals.peers, hurry };
+    let feed = InputFeed { store: inputs, settings: signals.settings, hurry };
     let result = duty::run_async(1, serve(settings, log, signals.stopped, feed, bound));
     is_over.store(true, Ordering::Relaxed);
     result
--- a/quillcove/src/relay/pool.rs
+++ b/quillcove/src/relay/pool.rs
@@ -63,12 +63,17 @@
 /// Unused connections by replica.
 pub struct ReplicaPool {
     idle: Mutex<HashMap<ReplicaId, Vec<IdleConnection>>>,
-    connect_timeout: Duration,
+    connect_timeout: Mutex<Duration>,
 }
 
 impl ReplicaPool {
     pub fn new(connect_timeout: Duration) -> Self {
-        Self { idle: Mutex::new(HashMap::new()), connect_timeout }
+        Self { idle: Mutex::new(HashMap::new()), connect_timeout: Mutex::new(connect_timeout) }
+    }
+
+    /// Takes over the longest time for a connection.
+    pub fn set_connect_timeout(&self, connect_timeout: Duration) {
+        *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner) = connect_timeout;
     }
 
     fn idle(&self) -> MutexGuard<'_, HashMap<ReplicaId, Vec<IdleConnection>>> {
@@ -94,7 +99,8 @@
         address: SocketAddr,
     ) -> Result<ReplicaConnection, String> {
         let connect = TcpStream::connect(address);
-        let stream = timeout(self.connect_timeout, connect).await;
+        let limit = *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner);
+        let stream = timeout(limit, connect).await;
         let stream = stream
             .map_err(|_| "no connection in time".to_string())?
             .map_err(|error| format!("no connection: {error}"))?;
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -12,7 +12,8 @@
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::ReplicaId;
 use quillcove_core::relay::machine::RelayQuery;
-use quillcove_core::relay::sheet::{RouteKind, RouteSheet};
+use quillcove_core::relay::sheet::RouteSheet;
+use quillcove_core::route::RouteKind;
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use quillcove_platform::heads::{self, CallerTerms};
 use slog::info;
@@ -63,11 +64,7 @@
     }
 
     pub fn class(&self) -> WorkClass {
-        match self.query.route.priority {
-            0 => WorkClass::Urgent,
-            1 => WorkClass::Normal,
-            _ => WorkClass::Batch,
-        }
+        self.query.route.class()
     }
 
     /// Tells whether a plain call could be sent again if its attempt of now were lost.
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -8,7 +8,7 @@
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
 use quillcove_core::relay::replica::AttemptFate;
-use quillcove_core::relay::sheet::RouteKind;
+use quillcove_core::route::RouteKind;
 use quillcove_core::verdict::RunVerdict;
 use quillcove_platform::heads;
 use slog::info;
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -9,7 +9,7 @@
 use clap_complete::Shell;
 use eyre::{WrapErr, eyre};
 use quillcove::agent::AgentProcess;
-use quillcove::config::relay::PeerSection;
+use quillcove::config::relay::RelaySettings;
 use quillcove::config::shared::{LogSection, StopSection};
 use quillcove::config::{self, SettingRole};
 use quillcove::entry::EntryProcess;
@@ -72,20 +72,20 @@
     let overrides = cli::given_overrides(matches);
     let settings = config::parse_relay(&file, &text, &overrides)?;
     let log = logging::stdout_logger(&settings.log, "relay", &settings.process.host);
-    let (send_peers, peers) = watch::channel(settings.peers.clone());
+    let (change, changed) = watch::channel(settings.clone());
     let reload_log = log.clone();
-    let reload = move || reload_peers(&file, &overrides, &send_peers, &reload_log);
+    let reload = move || reload_relay(&file, &overrides, &change, &reload_log);
     let stopped = stop_on_signal(log.clone(), reload);
-    let signals = RelaySignals { stopped, peers };
+    let signals = RelaySignals { stopped, settings: changed };
     relay::run(settings, log, signals, |_addresses| ()).map(|()| ExitCode::SUCCESS)
 }
 
-/// Reads a relay's settings again and takes over the section `[peers]`; the rest is fixed for the
-/// life of a process. Settings with faults change nothing.
-fn reload_peers(
+/// Reads a relay's settings again, and passes them on when they changed. Settings with faults change
+/// nothing.
+fn reload_relay(
     file: &str,
     overrides: &[String],
-    peers: &watch::Sender<PeerSection>,
+    change: &watch::Sender<RelaySettings>,
     log: &Logger,
 ) {
     let read = config::load(Path::new(file)).map_err(|error| format!("{error:#}"));
@@ -94,9 +94,9 @@
     });
     match parsed {
         Ok(settings) => {
-            peers.send_if_modified(|held| {
-                let is_changed = *held != settings.peers;
-                *held = settings.peers;
+            change.send_if_modified(|held| {
+                let is_changed = *held != settings;
+                *held = settings;
                 is_changed
             });
         },
--- a/quillcove/tests/common/mod.rs
+++ b/quillcove/tests/common/mod.rs
@@ -171,7 +171,12 @@
 fn bundle_text(adapters: usize, version: u64, current: u32) -> String {
     let mut text = format!(
         "[bundle]\nversion = {version}\n[loads]\nper_second = 50.0\nat_once = 8\n\
-         [models.small]\n[services.booking]\nreplicas = [\"s0\", \"s1\"]\n[adapters]\n"
+         [models.small]\n[services.booking]\nreplicas = [\"s0\", \"s1\"]\n\
+         [routes.seats]\nhost = \"shop.example\"\nprefix = \"/seats/\"\nkind = \"safe\"\n\
+         service = \"booking\"\ntimeout_ms = 5000\nattempts = 2\n\
+         [routes.old-seats]\nhost = \"shop.example\"\nprefix = \"/seats/old/\"\n\
+         kind = \"unsafe\"\nsplit = {{ booking = 3 }}\ntimeout_ms = 1\n\
+         [limits]\nbody_bytes = 1000000\nbody_time_ms = 5000\n[adapters]\n"
     );
     for number in 0..adapters {
         let current = if number == 0 { current } else { 1 };
--- a/quillcove/tests/whole_path.rs
+++ b/quillcove/tests/whole_path.rs
@@ -17,6 +17,8 @@
     malformed_requests_name_the_fault(&site);
     service_calls_keep_method_path_and_query(&site);
     encoded_path_arrives_as_it_was_sent(&site);
+    routes_lead_to_their_services(&site);
+    bodies_are_limited_by_the_bundle(&site);
     ticket_runs_once(&site);
     operators_see_each_process(&site);
 }
@@ -111,6 +113,32 @@
     assert_eq!(receipt["path"], "trips/a b/c");
 }
 
+fn routes_lead_to_their_services(site: &ProcessSite) {
+    let ask = |path: &str, host: &str| {
+        let uri = format!("http://{}/routes{path}", site.entry(0));
+        call_with(Method::GET, &uri, &[("host", host)], "").unwrap()
+    };
+    let answer = ask("/seats/7?day=2", "Shop.example:80");
+    assert_eq!((answer.status().as_u16(), verdict(&answer)), (200, "ran"));
+    let receipt: Value = serde_json::from_slice(answer.body()).unwrap();
+    assert_eq!(receipt["path"], "seats/7");
+    // The longest prefix counts; its route gives the request no more than a millisecond.
+    let late = ask("/seats/old/7", "shop.example");
+    assert_ne!(late.status(), 200, "{late:?}");
+    for (path, host) in [("/seats/7", "other.example"), ("/trips/7", "shop.example")] {
+        let unknown = ask(path, host);
+        assert_eq!((unknown.status().as_u16(), verdict(&unknown)), (404, "not-run"));
+        assert!(String::from_utf8_lossy(unknown.body()).contains("no route"), "{unknown:?}");
+    }
+}
+
+fn bodies_are_limited_by_the_bundle(site: &ProcessSite) {
+    let uri = format!("http://{}/svc/booking/trips", site.entry(0));
+    let answer = call(Method::POST, &uri, &"x".repeat(1_000_001)).unwrap();
+    assert_eq!((answer.status().as_u16(), verdict(&answer)), (400, "not-run"));
+    assert!(String::from_utf8_lossy(answer.body()).contains("1000000 are allowed"));
+}
+
 fn ticket_runs_once(site: &ProcessSite) {
     let ticket = site.ticket(0).unwrap();
     let first = site.book(0, &ticket, "seat-1").unwrap();
--- a/quillcove_core/src/bundle/mod.rs
+++ b/quillcove_core/src/bundle/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::adapter::AdapterRef;
 use crate::ids::{AdapterVersion, BundleVersion, HostId, ModelName, ServiceName};
+use crate::route::RouteTable;
 
 /// Largest value that the platform holds, in bytes.
 pub const VALUE_LIMIT: usize = 1_000_000;
@@ -27,6 +28,10 @@
     pub adapters: BTreeMap<Arc<str>, AdapterEntry>,
     /// Plain services by name.
     pub services: BTreeMap<ServiceName, ServiceEntry>,
+    /// Routes to plain services, by host and path.
+    pub routes: RouteTable,
+    /// Limits of what callers may send.
+    pub limits: BodyLimits,
     /// Limits of the weight store.
     pub loads: LoadLimits,
     /// What the operators weigh more.
@@ -53,6 +58,23 @@
     pub replicas: Vec<HostId>,
 }
 
+/// Limits of callers' bodies. An entry's own settings may set lower ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BodyLimits {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a body to arrive, in milliseconds.
+    pub body_time_ms: u64,
+}
+
+impl Default for BodyLimits {
+    /// No lower than the entry's own settings allow by default.
+    fn default() -> Self {
+        Self { body_bytes: 4 << 20, body_time_ms: 10_000 }
+    }
+}
+
 /// What the weight store allows.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadLimits {
--- a/quillcove_core/src/bundle/text.rs
+++ b/quillcove_core/src/bundle/text/mod.rs
@@ -1,5 +1,7 @@
 //! Reading the bundle's text. The text is TOML; each error names line, column and field.
 
+mod routes;
+
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::sync::Arc;
@@ -7,7 +9,8 @@
 use serde::Deserialize;
 use toml::Spanned;
 
-use super::{AdapterEntry, AimWeights, FleetBundle, LoadLimits, ServiceEntry};
+use self::routes::RawRoute;
+use super::{AdapterEntry, AimWeights, BodyLimits, FleetBundle, LoadLimits, ServiceEntry};
 use crate::adapter::is_valid_name;
 use crate::ids::{AdapterVersion, BundleVersion, HostId};
 
@@ -36,6 +39,10 @@
     services: BTreeMap<Spanned<String>, RawService>,
     #[serde(default)]
     adapters: BTreeMap<Spanned<String>, RawAdapter>,
+    #[serde(default)]
+    routes: BTreeMap<Spanned<String>, RawRoute>,
+    #[serde(default)]
+    limits: Option<Spanned<BodyLimits>>,
 }
 
 #[derive(Deserialize)]
@@ -92,6 +99,7 @@
     let mut check = TextCheck { text, errors: Vec::new() };
     check.header(&raw.bundle);
     check.loads(raw.loads.as_ref());
+    check.limits(raw.limits.as_ref());
     let bundle = FleetBundle {
         version: *raw.bundle.version.get_ref(),
         aims: AimWeights { stalls: raw.bundle.stall_weight, batches: raw.bundle.batch_weight },
@@ -99,6 +107,8 @@
         models: check.models(&raw.models),
         services: check.services(&raw.services),
         adapters: check.adapters(&raw),
+        routes: check.routes(&raw),
+        limits: raw.limits.as_ref().map(|limits| *limits.get_ref()).unwrap_or_default(),
     };
     match check.errors.is_empty() {
         true => Ok(bundle),
@@ -159,6 +169,15 @@
         }
     }
 
+    fn limits(&mut self, limits: Option<&Spanned<BodyLimits>>) {
+        let Some(limits) = limits else { return };
+        let BodyLimits { body_bytes, body_time_ms } = *limits.get_ref();
+        if body_bytes == 0 || body_time_ms == 0 {
+            let message = "limits.body_bytes and limits.body_time_ms are above 0".to_string();
+            self.fault(limits.span(), message);
+        }
+    }
+
     fn name(&mut self, section: &str, name: &Spanned<String>) {
         if !is_valid_name(name.get_ref()) {
             let message = format!(
--- a/quillcove_core/src/entry/event.rs
+++ b/quillcove_core/src/entry/event.rs
@@ -58,6 +58,8 @@
     pub caller: CallerId,
     /// Hash of the prompt's beginning, for engines that cache prefixes.
     pub prefix: Option<u64>,
+    /// Most upstreams that it may be sent to, where its route names fewer than the rules.
+    pub attempt_limit: Option<u32>,
 }
 
 /// One host of the platform's list.
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -363,7 +363,8 @@
             (RunVerdict::MayHaveRun, RepeatRule::Once) | (RunVerdict::Ran, _) => false,
         };
         let is_owner_bound = matches!(open.query.target, event::RouteTarget::Owner(_));
-        let is_within = open.attempts < self.rules.attempt_limit && !is_owner_bound;
+        let limit = open.query.attempt_limit.unwrap_or(u32::MAX).min(self.rules.attempt_limit);
+        let is_within = open.attempts < limit && !is_owner_bound;
         if !may_repeat || !is_within || !self.budget.take() {
             self.finish(request, kept, out);
             return;
--- a/quillcove_core/src/entry/retry.rs
+++ b/quillcove_core/src/entry/retry.rs
@@ -45,6 +45,21 @@
         Self { share, saving, left: saving }
     }
 
+    /// Takes over another share and saving; what was saved up beyond it is lost.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// let mut budget = RetryBudget::with_saving(0.2, 9.0);
+    /// budget.resize(0.1, 3.0);
+    /// assert_eq!(budget.left(), 3.0);
+    /// ```
+    pub fn resize(&mut self, share: f64, saving: f64) {
+        self.share = share;
+        self.saving = saving;
+        self.left = self.left.min(saving);
+    }
+
     /// Counts a first attempt.
     ///
     /// ```
--- a/quillcove_core/src/lib.rs
+++ b/quillcove_core/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod permit;
 pub mod relay;
 pub mod rendezvous;
+pub mod route;
 pub mod verdict;
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -64,7 +64,7 @@
     /// use std::sync::Arc;
     /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
-    /// use quillcove_core::relay::sheet::{RouteKind, RouteRecord};
+    /// use quillcove_core::route::{RouteKind, RouteRecord};
     ///
     /// let route = RouteRecord {
     ///     name: "r".into(),
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -13,10 +13,11 @@
 use super::demand::AdapterDemand;
 use super::promise::{EndedPromise, PromiseBook};
 use super::replica::{AttemptFate, ReplicaTable, ReplicaView};
-use super::sheet::{RouteRecord, RouteSheet, SheetVersion};
+use super::sheet::{RouteSheet, SheetVersion};
 use crate::entry::retry::RetryBudget;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 use crate::rendezvous;
+use crate::route::RouteRecord;
 use crate::verdict::{RefusalReason, WorkRefusal};
 
 /// Settings of the machine.
@@ -151,6 +152,21 @@
         }
     }
 
+    /// Takes over changed settings.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.set_rules(RelayRules { request_limit: 7, ..RelayRules::default() });
+    /// ```
+    pub fn set_rules(&mut self, rules: RelayRules) {
+        for budget in self.budgets.values_mut() {
+            budget.resize(rules.retry_share, rules.retry_saving);
+        }
+        self.rules = rules;
+    }
+
     /// The sheet in force.
     ///
     /// ```
@@ -428,7 +444,7 @@
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    /// use quillcove_core::relay::sheet::{RouteKind, RouteRecord, RouteTarget};
+    /// use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
     ///
     /// let route = RouteRecord {
     ///     name: "r".into(),
@@ -439,22 +455,14 @@
     ///     aim: Duration::from_millis(100),
     ///     priority: 0,
     ///     attempt_limit: 1,
-    ///     targets: vec![RouteTarget { service: "s".into(), weight: 1 }],
+    ///     targets: vec![RouteShare { service: "s".into(), weight: 1 }],
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert_eq!(machine.draw_service(&route), Some("s".to_string()));
     /// ```
     pub fn draw_service(&mut self, route: &RouteRecord) -> Option<ServiceName> {
-        let total: u64 = route.targets.iter().map(|target| u64::from(target.weight)).sum();
-        let mut place = self.draw().checked_rem(total)?;
-        for target in &route.targets {
-            let weight = u64::from(target.weight);
-            if place < weight {
-                return Some(target.service.clone());
-            }
-            place -= weight;
-        }
-        None
+        let draw = self.draw();
+        route.draw_service(draw).cloned()
     }
 
     fn draw(&mut self) -> u64 {
--- a/quillcove_core/src/relay/sheet.rs
+++ b/quillcove_core/src/relay/sheet.rs
@@ -7,80 +7,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ModelName, ServiceName};
+use crate::route::{RouteRecord, RouteTable};
 
 /// Version of a route sheet; the platform raises it with each change.
 pub type SheetVersion = u64;
 
-/// What may be done with a request of a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RouteKind {
-    /// May run more than once.
-    Safe,
-    /// Runs at most once for each request id.
-    Unsafe,
-    /// Answered with events; runs at most once.
-    Stream,
-    /// Answered with events; another replica may go on after a given event.
-    ResumableStream,
-}
-
-impl RouteKind {
-    /// Tells whether a request may be sent again after it may have run.
-    ///
-    /// ```
-    /// use quillcove_core::relay::sheet::RouteKind;
-    ///
-    /// assert!(RouteKind::Safe.is_repeatable());
-    /// assert!(!RouteKind::Stream.is_repeatable());
-    /// ```
-    pub fn is_repeatable(self) -> bool {
-        matches!(self, Self::Safe | Self::ResumableStream)
-    }
-
-    /// Tells whether the answer is a series of events.
-    ///
-    /// ```
-    /// use quillcove_core::relay::sheet::RouteKind;
-    ///
-    /// assert!(RouteKind::ResumableStream.is_stream());
-    /// ```
-    pub fn is_stream(self) -> bool {
-        matches!(self, Self::Stream | Self::ResumableStream)
-    }
-}
-
-/// A service that a route leads to, with its share of the route's requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RouteTarget {
-    /// Name of the service.
-    pub service: ServiceName,
-    /// Share relative to the other targets.
-    pub weight: u32,
-}
-
-/// One route.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RouteRecord {
-    /// Name, for logs.
-    pub name: String,
-    /// Host that requests name, in lower case.
-    pub host: String,
-    /// Start of the paths; begins and ends with a slash.
-    pub prefix: String,
-    /// What may be done with its requests.
-    pub kind: RouteKind,
-    /// Longest time that a request is held.
-    pub timeout: Duration,
-    /// Time within which an answer begins to be of full use.
-    pub aim: Duration,
-    /// Rank; 0 goes first.
-    pub priority: u8,
-    /// Most replicas that one request is sent to.
-    pub attempt_limit: u32,
-    /// Services, with their shares.
-    pub targets: Vec<RouteTarget>,
-}
-
 /// A base model of an engine service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelRecord {
@@ -195,8 +126,8 @@
 pub struct RouteSheet {
     /// Version; only growing ones are taken.
     pub version: SheetVersion,
-    /// Routes by host, the longest prefix first.
-    routes: HashMap<String, Vec<Arc<RouteRecord>>>,
+    /// Routes by host and path.
+    routes: RouteTable,
     /// Services by name.
     services: HashMap<ServiceName, Arc<ServiceRecord>>,
     /// Limits of what callers may send.
@@ -218,16 +149,9 @@
         services: Vec<ServiceRecord>,
         limits: CallerLimits,
     ) -> Self {
-        let mut by_host: HashMap<String, Vec<Arc<RouteRecord>>> = HashMap::new();
-        for route in routes {
-            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
-        }
-        for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
-        }
         let named = |service: ServiceRecord| (service.name.clone(), Arc::new(service));
         let services = services.into_iter().map(named).collect();
-        Self { version, routes: by_host, services, limits }
+        Self { version, routes: RouteTable::new(routes), services, limits }
     }
 
     /// The route of a host and path: the one with the longest prefix that begins the path.
@@ -238,12 +162,7 @@
     /// assert!(RouteSheet::default().find_route("a.example", "/x/y").is_none());
     /// ```
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Arc<RouteRecord>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let routes = match self.routes.get(name) {
-            Some(routes) => routes,
-            None => self.routes.get(&name.to_ascii_lowercase())?,
-        };
-        routes.iter().find(|route| path.starts_with(&route.prefix))
+        self.routes.find(host, path)
     }
 
     /// A service by its name.
@@ -276,6 +195,6 @@
     /// assert_eq!(RouteSheet::default().route_count(), 0);
     /// ```
     pub fn route_count(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
+        self.routes.len()
     }
 }
--- a/quillcove_core/tests/fuzz_entry.rs
+++ b/quillcove_core/tests/fuzz_entry.rs
@@ -211,6 +211,7 @@
             deadline,
             caller: String::new(),
             prefix: None,
+            attempt_limit: None,
         }));
     }
 
--- a/quillcove_core/tests/model/once_world.rs
+++ b/quillcove_core/tests/model/once_world.rs
@@ -270,6 +270,7 @@
             deadline: NOW + Duration::from_secs(30),
             caller: "app".to_string(),
             prefix: None,
+            attempt_limit: None,
         };
         self.open.insert(query.request);
         self.feed_entry(entry, EntryEvent::Admitted(query));
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -14,7 +14,8 @@
 };
 use quillcove_core::relay::published::PublishedState;
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
-use quillcove_core::relay::sheet::{CallerLimits, RouteKind, RouteRecord, RouteSheet, RouteTarget};
+use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
+use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
 use quillcove_core::verdict::{RefusalReason, RunVerdict};
 use relay_site::{address, engine_service, ms};
 
@@ -28,7 +29,7 @@
         aim: ms(800),
         priority: 1,
         attempt_limit: 2,
-        targets: vec![RouteTarget { service: "s".to_string(), weight: 1 }],
+        targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
 }
 
