Model of a relay's list of replicas; a newer version goes where no older one is held

Cause: an engine that holds an older version of an adapter could not be asked for the newer one when it was the only place left, and a loader took the older version for the arrival of the newer, so that load times were learnt wrong. Change: engines that hold an older version rank last, as they replace it only when its runs are over; a loader counts an arrival only at the ordered version. The relay's maps are ordered, so that its machine can be cloned and searched. Shown by: the model of drains, leaves and outages with a wrong variant of each rule, two keepers at once against the rate and a wrong variant, a_newer_version_has_arrived_only_when_that_version_is_held (failed before the loader's part), the fuzz test of the relay.

--- a/quillcove_core/src/relay/demand/coming.rs
+++ b/quillcove_core/src/relay/demand/coming.rs
@@ -1,6 +1,6 @@
 //! Adapters that engines report to be on their way, whichever relay asked for them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::MonoTime;
@@ -8,7 +8,7 @@
 use crate::relay::replica::{REPORT_LIFETIME, ReplicaView};
 
 /// An adapter on its way.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ComingLoad {
     expected: MonoTime,
     /// When it was last reported.
@@ -16,9 +16,9 @@
 }
 
 /// When the adapters that are on their way will be there.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ComingLoads {
-    loads: HashMap<AdapterKey, ComingLoad>,
+    loads: BTreeMap<AdapterKey, ComingLoad>,
 }
 
 impl ComingLoads {
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -9,7 +9,7 @@
 mod warm;
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use self::coming::ComingLoads;
@@ -107,10 +107,10 @@
 ///
 /// assert!(AdapterDemand::default().take_outbox().is_empty());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct AdapterDemand {
-    wanted: HashMap<AdapterKey, WantedAdapter>,
-    open: HashMap<AdapterKey, OpenAsk>,
+    wanted: BTreeMap<AdapterKey, WantedAdapter>,
+    open: BTreeMap<AdapterKey, OpenAsk>,
     warm: WarmCopies,
     coming: ComingLoads,
     outbox: Vec<AddressedAsk>,
@@ -460,15 +460,19 @@
         let places = choice.engine.places_beside(&key.model);
         let can_take = |view: &&&ReplicaView| {
             let report = view.report(now);
+            let held = view.version_of(key, now);
             report.is_some_and(|report| report.models.contains(&key.model) && !report.is_busy)
-                && view.version_of(key, now).is_none()
+                && held.is_none_or(|held| held < wanted.version.unwrap_or(0))
         };
         let rank = |view: &ReplicaView| {
             let coming = self.on_the_way(view, now);
             let is_overrun = coming >= INCOMING_LIMIT || view.load(now) >= BUSY_LOAD;
             let is_full = view.adapters(now).len() + coming >= places;
             let weight = rendezvous::weight(&key.adapter, &view.record.address.to_string());
-            (is_overrun, !self.warm.has(&view.record.id, key), is_full, Reverse(weight))
+            // An engine replaces a version only when its runs are over, and takes no new ones until then.
+            let holds_older = view.version_of(key, now).is_some();
+            let is_cold = !self.warm.has(&view.record.id, key);
+            (holds_older, is_overrun, is_cold, is_full, Reverse(weight))
         };
         let view = choice.views.iter().filter(can_take).min_by_key(|view| rank(view)).copied()?;
         Some((view, places, self.warm.has(&view.record.id, key)))
--- a/quillcove_core/src/relay/demand/warm.rs
+++ b/quillcove_core/src/relay/demand/warm.rs
@@ -1,6 +1,6 @@
 //! Which adapters the engines' hosts still have copies of.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use crate::ids::MonoTime;
 use crate::relay::beacon::{AdapterKey, ReplicaId};
@@ -11,9 +11,9 @@
 const COPY_LIMIT: usize = 100;
 
 /// When each engine was last reported to hold an adapter.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct WarmCopies {
-    engines: HashMap<ReplicaId, HashMap<AdapterKey, MonoTime>>,
+    engines: BTreeMap<ReplicaId, BTreeMap<AdapterKey, MonoTime>>,
 }
 
 impl WarmCopies {
@@ -41,7 +41,7 @@
 }
 
 /// Keeps the copies that were held last.
-fn forget_oldest(copies: &mut HashMap<AdapterKey, MonoTime>) {
+fn forget_oldest(copies: &mut BTreeMap<AdapterKey, MonoTime>) {
     while copies.len() > COPY_LIMIT {
         let oldest = copies.iter().min_by_key(|(_, seen)| **seen).map(|(key, _)| key.clone());
         let Some(key) = oldest else {
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -7,7 +7,7 @@
 //! A model that an engine's host has a copy of takes nothing from the weight store. Every relay asks
 //! for it at once, without a permit: the loader gives one order, whoever asks.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,14 +31,14 @@
 ///
 /// assert_eq!(ModelKeeper::default().window_count(std::time::Duration::ZERO), 0);
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ModelKeeper {
     /// Engines that were asked to load from the weight store; these asks count in the window.
-    asked: HashMap<ReplicaId, MonoTime>,
+    asked: BTreeMap<ReplicaId, MonoTime>,
     /// Engines that were asked to load from their host's copy.
-    asked_locally: HashMap<ReplicaId, MonoTime>,
+    asked_locally: BTreeMap<ReplicaId, MonoTime>,
     /// Loads that each loader began lately, by the time at which they began.
-    begun: HashMap<SocketAddr, Vec<MonoTime>>,
+    begun: BTreeMap<SocketAddr, Vec<MonoTime>>,
     next_permit: MonoTime,
 }
 
@@ -166,7 +166,7 @@
     service: &ServiceRecord,
     engine: &EngineRecord,
     now: MonoTime,
-) -> HashMap<ModelName, usize> {
+) -> BTreeMap<ModelName, usize> {
     let count = |name: &ModelName| {
         let engines = machine.ready_engines(&service.name);
         engines.filter(|view| view.models(now).contains(name)).count()
@@ -178,7 +178,7 @@
 /// names first, as it is the busiest.
 fn scarcest<'a>(
     engine: &'a EngineRecord,
-    holders: &HashMap<ModelName, usize>,
+    holders: &BTreeMap<ModelName, usize>,
     passes: impl Fn(&ModelName) -> bool,
 ) -> Option<&'a ModelRecord> {
     let passing = engine.models.iter().filter(|model| passes(&model.name));
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -6,7 +6,9 @@
 
 use serde::Serialize;
 
-use super::beacon::{AdapterKey, ArrivedLoad, EngineReport, LoadAsk, ReplicaId, UseBeacon};
+use super::beacon::{
+    AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadAsk, ReplicaId, UseBeacon,
+};
 use crate::demand::DemandMeter;
 use crate::ids::{AdapterVersion, HostId, ModelName, MonoTime};
 
@@ -96,6 +98,21 @@
     Unanswered,
 }
 
+/// An adapter whose load was ordered.
+#[derive(Clone, Debug)]
+struct OrderedLoad {
+    key: AdapterKey,
+    /// Least version that the load brings; an older one may be there until then.
+    least: AdapterVersion,
+    at: MonoTime,
+}
+
+impl OrderedLoad {
+    fn is_met_by(&self, adapters: &[HeldAdapter]) -> bool {
+        adapters.iter().any(|held| held.key == self.key && held.version >= self.least)
+    }
+}
+
 /// Decides on the orders to one engine.
 ///
 /// ```
@@ -114,7 +131,7 @@
     /// When loads of base models were begun.
     model_loads: VecDeque<MonoTime>,
     /// Adapters whose load was ordered and that the engine does not hold yet.
-    ordered: Vec<(AdapterKey, MonoTime)>,
+    ordered: Vec<OrderedLoad>,
     report: EngineReport,
     demand: HashMap<AdapterKey, DemandMeter>,
     /// Adapters that the engine has held since it last was empty.
@@ -195,18 +212,19 @@
             || report.adapters != self.report.adapters
             || report.incoming != self.report.incoming;
         self.report = report;
-        let holds = |key: &AdapterKey| self.report.adapters.iter().any(|held| held.key == *key);
+        let adapters = &self.report.adapters;
         let (arrived, ordered): (Vec<_>, Vec<_>) =
-            self.ordered.drain(..).partition(|(key, _)| holds(key));
+            self.ordered.drain(..).partition(|load| load.is_met_by(adapters));
         self.ordered = ordered;
         if self.report.models.is_empty() {
             self.known.clear();
         }
         let mut change = ReportChange { is_changed, arrived: Vec::new() };
-        for (key, at) in arrived {
-            let was_warm = !self.known.insert(key.clone());
-            self.came_in.insert(key.clone(), now);
-            change.arrived.push((key, ArrivedLoad { took: now.saturating_sub(at), was_warm }));
+        for load in arrived {
+            let was_warm = !self.known.insert(load.key.clone());
+            self.came_in.insert(load.key.clone(), now);
+            let took = now.saturating_sub(load.at);
+            change.arrived.push((load.key, ArrivedLoad { took, was_warm }));
         }
         change
     }
@@ -256,7 +274,7 @@
             return None;
         }
         self.asks.retain(|(_, taken)| now.saturating_sub(*taken) < ASK_LIFETIME);
-        self.ordered.retain(|(_, at)| now.saturating_sub(*at) < ORDERED_LIFETIME);
+        self.ordered.retain(|load| now.saturating_sub(load.at) < ORDERED_LIFETIME);
         while let Some((ask, _)) = self.asks.front() {
             if self.is_done(ask) {
                 self.asks.pop_front();
@@ -271,7 +289,10 @@
             let order = self.order_for(&ask, evicted);
             if order.kind == OrderKind::Load {
                 match ask.key() {
-                    Some(key) => self.ordered.push((key, now)),
+                    Some(key) => {
+                        let least = ask.version.unwrap_or(0);
+                        self.ordered.push(OrderedLoad { key, least, at: now });
+                    },
                     None if self.is_local(&ask) => {},
                     None => self.model_loads.push_back(now),
                 }
@@ -309,7 +330,7 @@
         }
         let is_incoming =
             |key: &AdapterKey| self.report.incoming.iter().any(|held| held.key == *key);
-        let unseen = self.ordered.iter().filter(|(key, _)| !is_incoming(key)).count();
+        let unseen = self.ordered.iter().filter(|load| !is_incoming(&load.key)).count();
         let coming = self.report.incoming.len() + unseen;
         if coming >= INCOMING_LIMIT || self.report.is_busy {
             return LoadRoom::NotYet;
@@ -363,7 +384,7 @@
         let may_have_begun = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
         if order.kind == OrderKind::Load && !may_have_begun {
             match ask.key() {
-                Some(key) => self.ordered.retain(|(ordered, _)| *ordered != key),
+                Some(key) => self.ordered.retain(|load| load.key != key),
                 None if self.is_local(&ask) => {},
                 None => drop(self.model_loads.pop_back()),
             }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -6,7 +6,7 @@
 
 pub use self::view::{RelayView, ReplicaSummary};
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, OtherRelays, ReplicaId};
@@ -102,17 +102,17 @@
 /// let machine = RelayMachine::new(RelayRules::default(), 1);
 /// assert!(!machine.is_ready());
 /// ```
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct RelayMachine {
     rules: RelayRules,
     sheet: Option<Arc<RouteSheet>>,
     table: ReplicaTable,
-    versions: HashMap<AdapterKey, (AdapterVersion, MonoTime)>,
+    versions: BTreeMap<AdapterKey, (AdapterVersion, MonoTime)>,
     demand: AdapterDemand,
     promises: PromiseBook,
-    budgets: HashMap<ServiceName, RetryBudget>,
+    budgets: BTreeMap<ServiceName, RetryBudget>,
     /// Replicas whose entries lapsed while the store was away, and when they are given up.
-    doubted: HashMap<ReplicaId, MonoTime>,
+    doubted: BTreeMap<ReplicaId, MonoTime>,
     store_returned: Option<MonoTime>,
     is_store_away: bool,
     /// Relays that are there, this one included.
@@ -137,11 +137,11 @@
             rules,
             sheet: None,
             table: ReplicaTable::default(),
-            versions: HashMap::new(),
+            versions: BTreeMap::new(),
             demand: AdapterDemand::default(),
             promises: PromiseBook::default(),
-            budgets: HashMap::new(),
-            doubted: HashMap::new(),
+            budgets: BTreeMap::new(),
+            doubted: BTreeMap::new(),
             store_returned: None,
             is_store_away: false,
             relays: 1,
--- a/quillcove_core/src/relay/promise.rs
+++ b/quillcove_core/src/relay/promise.rs
@@ -3,7 +3,7 @@
 //! A caller whose adapter comes too late is told when it will be there. Each such time is kept until
 //! the adapter has come, so that the difference can be seen.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::beacon::AdapterKey;
@@ -49,9 +49,9 @@
 /// book.note_held(|held| *held == key, Duration::from_secs(4));
 /// assert_eq!(book.take_ended()[0].fate, PromiseFate::Late(Duration::from_secs(1)));
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PromiseBook {
-    open: HashMap<AdapterKey, MonoTime>,
+    open: BTreeMap<AdapterKey, MonoTime>,
     ended: Vec<EndedPromise>,
 }
 
@@ -108,8 +108,14 @@
         is_over: impl Fn(&AdapterKey, MonoTime) -> bool,
         fate: impl Fn(MonoTime) -> PromiseFate,
     ) {
-        let over = self.open.extract_if(|key, told| is_over(key, *told));
-        self.ended.extend(over.map(|(key, told)| EndedPromise { key, fate: fate(told) }));
+        let ended = &mut self.ended;
+        self.open.retain(|key, told| {
+            let is_over = is_over(key, *told);
+            if is_over {
+                ended.push(EndedPromise { key: key.clone(), fate: fate(*told) });
+            }
+            !is_over
+        });
     }
 
     /// The times that ended since the last call.
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -1,6 +1,6 @@
 //! The upstreams that are known: what the platform lists, what they hold, and how they fare.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -92,7 +92,7 @@
     /// Requests sent since that report.
     sent_since: u32,
     /// Use of its adapters by this process.
-    uses: HashMap<AdapterKey, AdapterUse>,
+    uses: BTreeMap<AdapterKey, AdapterUse>,
     failures: u32,
     ejections: u32,
     ejected_until: MonoTime,
@@ -107,7 +107,7 @@
             report: None,
             empty_since: None,
             sent_since: 0,
-            uses: HashMap::new(),
+            uses: BTreeMap::new(),
             failures: 0,
             ejections: 0,
             ejected_until: MonoTime::ZERO,
@@ -284,7 +284,7 @@
 /// All replicas that are known.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaTable {
-    replicas: HashMap<ReplicaId, ReplicaView>,
+    replicas: BTreeMap<ReplicaId, ReplicaView>,
 }
 
 impl ReplicaTable {
--- a/quillcove_core/tests/model.rs
+++ b/quillcove_core/tests/model.rs
@@ -5,11 +5,14 @@
 mod engine_world;
 #[path = "model/once_world.rs"]
 mod once_world;
+#[path = "model/relay_world.rs"]
+mod relay_world;
 #[path = "model/search.rs"]
 mod search;
 
 use engine_world::{Bounds, EngineWorld, WrongRule};
 use once_world::{OnceBounds, OnceRule, OnceWorld};
+use relay_world::{ListBounds, ListRule, ListWorld};
 use search::{SearchReport, search};
 
 fn print_report(name: &str, report: &SearchReport) {
@@ -190,3 +193,39 @@
 fn repeat_of_what_may_have_run_is_caught() {
     once_catches(OnceRule::RepeatsAnyway, ASKED_ONCE, "ran twice");
 }
+
+/// Replicas that drain and leave, and a store that goes away and comes back.
+const LISTS: ListBounds = ListBounds { drains: 1, leaves: 1, outages: 1, ticks: 4 };
+
+#[test]
+fn a_relay_sends_nothing_to_what_left_and_all_to_what_only_lapsed() {
+    let report = search(ListWorld::new(ListRule::Right, LISTS), 14);
+    print_report("lists", &report);
+    assert!(report.trace.is_none(), "{}", report.text());
+}
+
+fn list_rule_is_caught(rule: ListRule, expected: &str) {
+    let report = search(ListWorld::new(rule, LISTS), 14);
+    print_report(&format!("{rule:?}"), &report);
+    assert!(report.text().contains(expected), "{rule:?}: {}", report.text());
+}
+
+#[test]
+fn a_lapse_that_counts_as_gone_is_caught() {
+    list_rule_is_caught(ListRule::LapseIsGone, "lives and gets no requests");
+}
+
+#[test]
+fn a_lapse_that_is_kept_for_ever_is_caught() {
+    list_rule_is_caught(ListRule::LapseIsKept, "is gone and gets a request");
+}
+
+#[test]
+fn a_drain_that_is_not_heard_is_caught() {
+    list_rule_is_caught(ListRule::DrainIsUnheard, "leaves and gets a request");
+}
+
+#[test]
+fn a_removal_that_is_not_heard_is_caught() {
+    list_rule_is_caught(ListRule::GoneIsUnheard, "is gone and gets a request");
+}
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -222,3 +222,17 @@
     machine.take_report(EngineReport::default(), ms(9_000));
     assert!(!load(10_000, &mut machine).was_warm, "the engine restarted and lost its copies");
 }
+
+#[test]
+fn a_newer_version_has_arrived_only_when_that_version_is_held() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_report(settled(&[1]), ms(0));
+    machine.take_ask(ask(1, Some(2)), ms(0));
+    let order = machine.next_order(ms(0)).unwrap();
+    assert_eq!((order.kind, order.version), (OrderKind::Load, Some(2)));
+    machine.end_order(OrderOutcome::Begun, ms(0));
+    assert_eq!(machine.take_report(settled(&[1]), ms(50)).arrived, []);
+    let mut newer = settled(&[1]);
+    newer.adapters[0].version = 2;
+    assert_eq!(machine.take_report(newer, ms(260)).arrived.len(), 1);
+}
--- a/quillcove_core/tests/relay_loads.rs
+++ b/quillcove_core/tests/relay_loads.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::limiter::LoadLimiter;
@@ -78,7 +79,7 @@
                 all.push(now);
             }
         }
-        let limit = RATE * WINDOW.as_secs_f64() * 1.1 + 3.0;
+        let limit = ceiling();
         for first in &all {
             let count = all.iter().filter(|at| *at >= first && **at < *first + WINDOW).count();
             prop_assert!(count as f64 <= limit, "{count} loads within {WINDOW:?}");
@@ -87,6 +88,72 @@
     }
 }
 
+/// Most loads within a window that the users allow.
+fn ceiling() -> f64 {
+    RATE * WINDOW.as_secs_f64() * 1.1 + 3.0
+}
+
+/// Most loads that begin within any window, when two keepers plan at once, as after a cut between
+/// them. Each hears the reports of all loaders with a lag of its own; `counts` is false for a wrong
+/// keeper that does not count what others asked for.
+fn most_of_two_keepers(lags: [u64; 2], counts: bool) -> usize {
+    let mut machines = [machine(), machine()];
+    let mut keepers = [ModelKeeper::default(), ModelKeeper::default()];
+    let mut began: Vec<Vec<Duration>> = vec![Vec::new(); usize::from(ENGINES) + 1];
+    let mut all: Vec<Duration> = Vec::new();
+    for tick in 0u64..300 {
+        let now = ms(tick * 50);
+        for side in 0..2 {
+            if tick % 2 != side as u64 {
+                continue;
+            }
+            for port in 1..=ENGINES {
+                let heard = now.saturating_sub(ms(lags[side]));
+                let known: Vec<Duration> =
+                    began[usize::from(port)].iter().filter(|at| **at <= heard).copied().collect();
+                let mut beacon = beacon(port, tick + 1, &known, now);
+                if !counts {
+                    beacon.model_loads.clear();
+                }
+                machines[side].take_report(&beacon, now);
+                keepers[side].take_report(&beacon, now);
+            }
+            for addressed in keepers[side].plan(&machines[side], true, now) {
+                let began = &mut began[usize::from(addressed.engine.port())];
+                // A loader orders a model only into an empty engine.
+                if began.is_empty() {
+                    began.push(now);
+                    all.push(now);
+                }
+            }
+        }
+    }
+    let within =
+        |first: &Duration| all.iter().filter(|at| *at >= first && **at < *first + WINDOW).count();
+    all.iter().map(within).max().unwrap_or(0)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 32,
+        rng_seed: RngSeed::Fixed(20261202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn two_keepers_at_once_stay_within_the_rate(one in 0u64..700, two in 0u64..700) {
+        let most = most_of_two_keepers([one, two], true);
+        prop_assert!(most as f64 <= ceiling(), "{most} loads within {WINDOW:?}");
+    }
+}
+
+#[test]
+fn keepers_that_count_only_their_own_asks_are_caught() {
+    let most = most_of_two_keepers([0, 0], false);
+    assert!(most as f64 > ceiling(), "{most} loads within {WINDOW:?}");
+}
+
 /// Beacons of engines that restarted empty; `local` says whether their hosts have the model's copy.
 fn empty_engines(machine: &mut RelayMachine, keeper: &mut ModelKeeper, local: bool) {
     for port in 1..=ENGINES {
