--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -146,6 +146,9 @@
     let route = route.ok_or_else(no_route)?;
     let terms = heads::read_terms(&parts.headers)
         .map_err(|fault| Rejection::denied(StatusCode::BAD_REQUEST, fault))?;
+    if let Some(fault) = &terms.fault {
+        info!(shared.log, "size of a prompt not understood"; "id" => &terms.id, "fault" => %fault);
+    }
     let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + patience;
     let body = read_body(&sheet, body).await?;
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -8,6 +8,7 @@
 //! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
 //! - [`promise`]: how true the times were that refused callers were told.
+//! - [`prompt`]: what a request asks an engine to read and to write.
 //! - [`published`]: what one relay passes on to another that can not read the store.
 //! - [`beacon`]: what relays and loaders tell each other.
 
@@ -18,6 +19,7 @@
 pub mod loader;
 pub mod machine;
 pub mod promise;
+pub mod prompt;
 pub mod published;
 pub mod replica;
 pub mod routing;
