Choose engines by the time until a first event; rules of a relay's policy as settings

Hypothesis: engines of a site with long prompts are bound by reading them, not by places, so a request should go where its first event comes soonest. Change: a relay counts the tokens that it sent to each engine and that have no first event yet, takes the engine's other waiting requests to be like its own, and learns the time of a token from first events. The log line of a request gives what was expected. Each rule of the policy is an enum with a setting, so that it can be switched back: routing, copies, priority, placement, waiting.

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use quillcove_core::relay::machine::RelayRules;
+use quillcove_core::relay::policy::{
+    CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, WaitingRule,
+};
 
 use super::ini::SettingSource;
 use super::shared::{LogSection, ProcessSection, StopSection};
@@ -31,6 +34,8 @@
     pub requests: RelayRequestSection,
     /// `[routing]`.
     pub routing: RelayRoutingSection,
+    /// `[policy]`.
+    pub policy: PolicySection,
     /// `[log]`.
     pub log: LogSection,
     /// `[stop]`.
@@ -46,6 +51,7 @@
             peers: PeerSection::read(source),
             requests: RelayRequestSection::read(source),
             routing: RelayRoutingSection::read(source),
+            policy: PolicySection::read(source),
             log: LogSection::read(source),
             stop: StopSection::read(source),
         }
@@ -64,6 +70,7 @@
             retry_share: self.routing.retry_ratio * RETRY_RATIO_SHARE,
             retry_saving: (self.routing.retry_extra as f64 * RETRY_EXTRA_SHARE).max(1.0),
             request_limit: self.requests.limit,
+            policy: self.policy.0,
         }
     }
 }
@@ -94,6 +101,7 @@
             ("peers", self.peers != newer.peers),
             ("requests", self.requests != newer.requests),
             ("routing", self.routing != newer.routing),
+            ("policy", self.policy != newer.policy),
         ];
         let with_start = [
             ("process", self.process != newer.process),
@@ -255,6 +263,29 @@
     }
 }
 
+/// `[policy]` of a relay: each rule can be switched back, for measurement.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PolicySection(pub RelayPolicy);
+
+impl PolicySection {
+    fn read(source: &mut SettingSource) -> Self {
+        let default = RelayPolicy::default();
+        let section = "policy";
+        let routing = [("reading", RoutingRule::Reading), ("places", RoutingRule::Places)];
+        let copies = [("backlog", CopyRule::Backlog), ("places", CopyRule::Places)];
+        let priority = [("feasible", PriorityRule::Feasible), ("route", PriorityRule::Route)];
+        let placement = [("idle", PlacementRule::Idle), ("even", PlacementRule::Even)];
+        let waiting = [("servable", WaitingRule::Servable), ("aim", WaitingRule::Aim)];
+        Self(RelayPolicy {
+            routing: source.choice(section, "routing", default.routing, &routing),
+            copies: source.choice(section, "copies", default.copies, &copies),
+            priority: source.choice(section, "priority", default.priority, &priority),
+            placement: source.choice(section, "placement", default.placement, &placement),
+            waiting: source.choice(section, "waiting", default.waiting, &waiting),
+        })
+    }
+}
+
 /// All settings of a loader.
 #[derive(Clone, Debug, Default)]
 pub struct LoaderSettings {
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -113,12 +113,16 @@
 ) -> AttemptEnd {
     let now = open.shared.clock.now();
     open.shared.machine().begin(&order.replica, open.query.adapter.as_ref(), now);
+    open.begin_reading(&order.replica, now);
     let left = open.left(now);
     let mut guard = AttemptGuard { open, replica: &order.replica, is_handed_over: false };
     let exchanged = timeout(left, exchange(guard.open, order, last_event)).await;
     let end = exchanged.unwrap_or(AttemptEnd::Failed(AttemptFailure::TimeOver));
     guard.is_handed_over = true;
     drop(guard);
+    if !matches!(end, AttemptEnd::Stream(_)) {
+        open.end_reading(None);
+    }
     if let AttemptEnd::Whole(_) = end {
         let now = open.shared.clock.now();
         let key = open.query.adapter.as_ref();
@@ -232,8 +236,8 @@
     last_event: Option<&str>,
 ) -> Result<Request<Full<Bytes>>, AttemptFailure> {
     let left = open.left(open.shared.clock.now());
-    let priority = open.query.model.is_some().then_some(open.query.route.priority.min(9));
-    let terms = AttemptTerms { replica: &order.replica, left: Some(left), priority, last_event };
+    let terms =
+        AttemptTerms { replica: &order.replica, left: Some(left), priority: open.rank, last_event };
     let path = open.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri: Uri = path
         .parse()
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -217,6 +217,7 @@
         self.settings.peers = newer.peers;
         self.settings.requests = newer.requests;
         self.settings.routing = newer.routing;
+        self.settings.policy = newer.policy;
         self.shared.pool.set_connect_timeout(self.settings.requests.connect_timeout);
         self.shared.machine().set_rules(self.settings.rules());
     }
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -12,6 +12,7 @@
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::ReplicaId;
 use quillcove_core::relay::machine::RelayQuery;
+use quillcove_core::relay::reading::ReadingNumber;
 use quillcove_core::relay::sheet::RouteSheet;
 use quillcove_core::route::RouteKind;
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
@@ -46,9 +47,22 @@
     pub longest_pause: Duration,
     /// When a refused caller was told to come back.
     pub come_back: Option<Duration>,
+    /// The attempt of now, until its first event has come.
+    reading: Option<ReadingMark>,
+    /// Rank of the last attempt at its engine.
+    pub rank: Option<u8>,
+    /// Time in which the last attempt was expected to bring its first event.
+    pub expected: Option<Duration>,
     finished: Option<FinishedRequest>,
 }
 
+/// An attempt whose prompt is being read.
+#[derive(Clone, Debug)]
+struct ReadingMark {
+    replica: ReplicaId,
+    number: ReadingNumber,
+}
+
 /// How a request ended, for its line in the log.
 #[derive(Clone, Debug)]
 struct FinishedRequest {
@@ -63,6 +77,26 @@
         self.finished = Some(FinishedRequest { verdict, status, reason: reason.into() });
     }
 
+    /// Notes that the prompt is sent to a replica.
+    pub fn begin_reading(&mut self, replica: &str, now: MonoTime) {
+        self.end_reading(None);
+        if self.query.model.is_none() {
+            return;
+        }
+        let start = self.shared.machine().begin_reading(replica, &self.query, now);
+        let mark = |number| ReadingMark { replica: replica.to_string(), number };
+        self.reading = start.number.map(mark);
+        self.rank = Some(start.rank);
+        self.expected = start.expected;
+    }
+
+    /// Notes that the first event of the attempt came at this time, or that it ended without one.
+    pub fn end_reading(&mut self, read_at: Option<MonoTime>) {
+        if let Some(mark) = self.reading.take() {
+            self.shared.machine().end_reading(&mark.replica, mark.number, read_at);
+        }
+    }
+
     pub fn class(&self) -> WorkClass {
         self.query.route.class()
     }
@@ -81,6 +115,7 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
+        self.end_reading(None);
         let now = self.shared.clock.now();
         self.shared.machine().finish();
         let took = now.saturating_sub(self.query.received);
@@ -101,6 +136,8 @@
             "attempts" => self.attempts, "replicas" => self.tried.join(","),
             "come_back_ms" => self.come_back.map(|pause| pause.as_millis() as u64),
             "waited_ms" => self.waited.as_millis() as u64,
+            "prompt_tokens" => self.query.prompt_tokens, "rank" => self.rank,
+            "expected_ms" => self.expected.map(|time| time.as_millis() as u64),
             "first_event_ms" => self.first_event.map(|first| first.as_millis() as u64),
             "longest_pause_ms" => self.longest_pause.as_millis() as u64, "took_ms" => took.as_millis() as u64);
     }
@@ -161,6 +198,7 @@
         service,
         model: terms.model.clone(),
         adapter: terms.adapter.clone(),
+        prompt_tokens: terms.prompt.as_ref().map(|prompt| prompt.tokens),
         received,
         deadline,
         looks: 0,
@@ -183,6 +221,9 @@
         first_event: None,
         longest_pause: Duration::ZERO,
         come_back: None,
+        reading: None,
+        rank: None,
+        expected: None,
         finished: None,
     })
 }
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -128,6 +128,7 @@
         if events.is_empty() {
             return;
         }
+        self.open.end_reading(Some(now));
         match self.passed {
             None => {
                 let took = now.saturating_sub(self.open.query.received);
--- a/quillcove_core/src/bundle/text/routes.rs
+++ b/quillcove_core/src/bundle/text/routes.rs
@@ -89,6 +89,7 @@
             kind: self.route_kind(name, route),
             timeout: Duration::from_millis(timeout_ms),
             aim: Duration::from_millis(aim_ms),
+            patience: None,
             priority: self.route_priority(name, route),
             attempt_limit,
             targets: self.route_targets(raw, name, route),
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -16,6 +16,8 @@
 use self::warm::WarmCopies;
 use super::beacon::{AdapterKey, AddressedAsk, ArrivedLoad, HeldAdapter, LoadAsk, OtherRelays};
 use super::limiter::LoadLimiter;
+use super::policy::PlacementRule;
+use super::reading::ReadingNorm;
 use super::replica::ReplicaView;
 use super::sheet::EngineRecord;
 use crate::ids::{AdapterVersion, MonoTime, ServiceName};
@@ -27,6 +29,10 @@
 /// Load at which an engine takes in no further adapters while others do, in shares of its places.
 const BUSY_LOAD: f64 = 0.8;
 
+/// Differences of backlogs that count when an adapter is placed. Smaller ones are over before the
+/// adapter is there, and relays see them differently.
+const BACKLOG_STEP: Duration = Duration::from_millis(250);
+
 /// Time after which an ask that no report shows is sent again; it may have been lost.
 const ASK_AGAIN: Duration = Duration::from_millis(160);
 
@@ -98,6 +104,8 @@
     pub engine: &'a EngineRecord,
     /// Its engines that take new work and seem to work.
     pub views: Vec<&'a ReplicaView>,
+    /// What its engines have in common.
+    pub norm: ReadingNorm,
 }
 
 /// The adapters that one relay lacks and has asked for.
@@ -189,6 +197,17 @@
         self.limiter.limit()
     }
 
+    /// Time of a load from the weight store, as far as this relay has learnt.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// assert!(AdapterDemand::default().load_time() > std::time::Duration::ZERO);
+    /// ```
+    pub fn load_time(&self) -> Duration {
+        self.limiter.load_time()
+    }
+
     /// Takes what an engine holds now: asks that it meets are done.
     ///
     /// ```
@@ -330,10 +349,11 @@
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::demand::AdapterDemand;
+    /// use quillcove_core::relay::policy::PlacementRule;
     ///
-    /// AdapterDemand::default().pump(&[], Duration::ZERO);
+    /// AdapterDemand::default().pump(&[], PlacementRule::Idle, Duration::ZERO);
     /// ```
-    pub fn pump(&mut self, choices: &[EngineChoice<'_>], now: MonoTime) {
+    pub fn pump(&mut self, choices: &[EngineChoice<'_>], placement: PlacementRule, now: MonoTime) {
         if self.wanted.is_empty() {
             return;
         }
@@ -349,7 +369,7 @@
             if is_met {
                 continue;
             }
-            let Some((view, places, is_warm)) = self.place(&key, choices, now) else {
+            let Some((view, places, is_warm)) = self.place(&key, choices, placement, now) else {
                 continue;
             };
             let has_room = on_the_way < self.limiter.limit() && self.cold_asks(now) < share;
@@ -453,6 +473,7 @@
         &self,
         key: &AdapterKey,
         choices: &'a [EngineChoice<'a>],
+        placement: PlacementRule,
         now: MonoTime,
     ) -> Option<(&'a ReplicaView, usize, bool)> {
         let wanted = self.wanted.get(key)?;
@@ -466,13 +487,18 @@
         };
         let rank = |view: &ReplicaView| {
             let coming = self.on_the_way(view, now);
+            let backlog = view.reading.backlog(&choice.norm);
             let is_overrun = coming >= INCOMING_LIMIT || view.load(now) >= BUSY_LOAD;
+            let busy = match placement {
+                PlacementRule::Idle => backlog.as_millis() / BACKLOG_STEP.as_millis(),
+                PlacementRule::Even => 0,
+            };
             let is_full = view.adapters(now).len() + coming >= places;
             let weight = rendezvous::weight(&key.adapter, &view.record.address.to_string());
             // An engine replaces a version only when its runs are over, and takes no new ones until then.
             let holds_older = view.version_of(key, now).is_some();
             let is_cold = !self.warm.has(&view.record.id, key);
-            (holds_older, is_overrun, is_cold, is_full, Reverse(weight))
+            (holds_older, is_overrun, is_cold, busy, is_full, Reverse(weight))
         };
         let view = choice.views.iter().filter(can_take).min_by_key(|view| rank(view)).copied()?;
         Some((view, places, self.warm.has(&view.record.id, key)))
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -6,8 +6,10 @@
 use crate::ids::{AdapterVersion, MonoTime};
 use crate::relay::beacon::{AdapterKey, ReplicaId};
 use crate::relay::demand::{EngineChoice, LackedAdapter};
+use crate::relay::policy::{CopyRule, RoutingRule, WaitingRule};
+use crate::relay::reading::ReadingPrompt;
 use crate::relay::replica::ReplicaView;
-use crate::relay::routing::{self, HoldingNeed, SPREAD_LOAD};
+use crate::relay::routing::{self, HoldingNeed, RoutingCost, SPREAD_LOAD};
 use crate::verdict::{RefusalReason, SOON, WorkRefusal};
 
 /// Time from the arrival of a request at an engine until its first event, when a batch is not
@@ -73,6 +75,7 @@
     ///     kind: RouteKind::Safe,
     ///     timeout: Duration::from_secs(1),
     ///     aim: Duration::from_millis(100),
+    ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
     ///     targets: Vec::new(),
@@ -82,6 +85,7 @@
     ///     service: "s".into(),
     ///     model: None,
     ///     adapter: None,
+    ///     prompt_tokens: None,
     ///     received: Duration::ZERO,
     ///     deadline: Duration::from_secs(1),
     ///     looks: 0,
@@ -121,7 +125,10 @@
         let is_fresh = |view: &&&ReplicaView| !tried.contains(&view.record.id);
         let fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
         let current = self.newest_of(query, &fresh, now);
-        match routing::choose(&current, &self.rules.hall, now, draw) {
+        let norm = self.table.norm(&query.service);
+        let cost =
+            RoutingCost { prompt: self.prompt_of(query), norm: &norm, hall: &self.rules.hall };
+        match routing::choose(&current, &cost, now, draw) {
             Some(view) => {
                 let order =
                     AttemptOrder { replica: view.record.id.clone(), address: view.record.address };
@@ -133,6 +140,17 @@
         }
     }
 
+    /// The prompt by which a request's replica is chosen.
+    fn prompt_of(&self, query: &RelayQuery) -> Option<ReadingPrompt> {
+        match self.rules.policy.routing {
+            RoutingRule::Reading => {
+                let rank = query.route.priority;
+                query.prompt_tokens.map(|tokens| ReadingPrompt { tokens, rank })
+            },
+            RoutingRule::Places => None,
+        }
+    }
+
     /// Connections that this relay may have to one replica of a service: its even share of what the
     /// replica accepts, less a part for relays that have not been heard yet.
     fn connection_share(&self, service: &str) -> usize {
@@ -172,7 +190,13 @@
         };
         let newest = self.newest(key).unwrap_or(0);
         let is_outdated = view.version_of(key, now).is_some_and(|held| held < newest);
-        let is_crowded = view.load(now) >= SPREAD_LOAD && view.uses_of(key) >= COPY_USES;
+        // Another copy is there sooner than this engine is done with what it has to read.
+        let backlog = view.reading.backlog(&self.table.norm(&query.service));
+        let is_slow = match self.rules.policy.copies {
+            CopyRule::Backlog => backlog >= self.demand.load_time(),
+            CopyRule::Places => view.load(now) >= SPREAD_LOAD,
+        };
+        let is_crowded = is_slow && view.uses_of(key) >= COPY_USES;
         if is_outdated || is_crowded {
             let need = self.need_of(query, now);
             let engines = self.ready_engines(&query.service);
@@ -236,9 +260,11 @@
             let ready = self.table.all().filter(|view| {
                 view.record.service == service.name && view.is_ready() && view.seems_well(now)
             });
-            choices.push(EngineChoice { service: &service.name, engine, views: ready.collect() });
+            let norm = self.table.norm(&service.name);
+            let views = ready.collect();
+            choices.push(EngineChoice { service: &service.name, engine, views, norm });
         }
-        self.demand.pump(&choices, now);
+        self.demand.pump(&choices, self.rules.policy.placement, now);
     }
 
     /// Loads on their way over the whole site, as the loaders report them.
@@ -258,6 +284,37 @@
     /// A request whose adapter is in no engine: waits when the adapter will be there in time, and
     /// is refused at once, with the time at which to come back, when it will not.
     fn await_load(&mut self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
+        match self.rules.policy.waiting {
+            WaitingRule::Servable => self.await_while_servable(query, now),
+            WaitingRule::Aim => self.await_within_aim(query, now),
+        }
+    }
+
+    /// Waits as long as the adapter and then the first event come before the caller leaves; refuses
+    /// at once what can't be served by then.
+    fn await_while_servable(&mut self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
+        let leaves = query.leaves();
+        let ready_at = self.ask_for(query, leaves, 1, now);
+        let reading = self.least_reading(query);
+        let is_servable = ready_at.is_some_and(|at| at + reading <= leaves);
+        if is_servable && (self.hears_engines(&query.service, now) || now < FIRST_REPORTS) {
+            return RelayChoice::Wait((now + ASK_CHECK).min(leaves));
+        }
+        self.refuse_unready(query, ready_at, now)
+    }
+
+    /// Time until the first event of a request at the engine that would be soonest.
+    fn least_reading(&self, query: &RelayQuery) -> Duration {
+        let rank = query.route.priority;
+        let prompt = ReadingPrompt { tokens: query.prompt_tokens.unwrap_or(0), rank };
+        let norm = self.table.norm(&query.service);
+        let engines = self.ready_engines(&query.service);
+        let times = engines.map(|view| view.reading.time_to_read(prompt, &norm));
+        times.min().unwrap_or(Duration::ZERO)
+    }
+
+    /// Waits for an adapter that comes within the aim; beyond it only when it was missed on the way.
+    fn await_within_aim(&mut self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
         let aim = query.route.aim;
         let decide_by = query.received + aim.mul_f64(DECIDE_SHARE);
         let give_up = (query.received + aim.mul_f64(PATIENCE)).min(query.deadline);
@@ -271,6 +328,17 @@
         if now > decide_by && now < give_up {
             return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
         }
+        self.refuse_unready(query, ready_at, now)
+    }
+
+    /// Refuses a request whose adapter comes too late, and tells when it will be there.
+    fn refuse_unready(
+        &mut self,
+        query: &RelayQuery,
+        ready_at: Option<MonoTime>,
+        now: MonoTime,
+    ) -> RelayChoice {
+        let aim = query.route.aim;
         let come_back = match self.hears_engines(&query.service, now) || now < FIRST_REPORTS {
             true => ready_at.map_or(SOON, |at| at.saturating_sub(now) + NEWS_TIME),
             // This relay is cut off from the loaders; the caller's next try reaches another one.
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -1,9 +1,11 @@
 //! Decisions of one relay: which replica takes a request, when it waits, and when it is refused.
 
 mod choice;
+mod priority;
 mod published;
 mod view;
 
+pub use self::priority::ReadingStart;
 pub use self::view::{RelayView, ReplicaSummary};
 
 use std::collections::BTreeMap;
@@ -11,7 +13,9 @@
 
 use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, OtherRelays, ReplicaId};
 use super::demand::AdapterDemand;
+use super::policy::RelayPolicy;
 use super::promise::{EndedPromise, PromiseBook};
+use super::reading::ReadingNumber;
 use super::replica::{AttemptFate, ReplicaTable, ReplicaView};
 use super::sheet::{RouteSheet, SheetVersion};
 use crate::entry::retry::RetryBudget;
@@ -31,11 +35,19 @@
     pub retry_saving: f64,
     /// Most requests in flight.
     pub request_limit: usize,
+    /// How it decides.
+    pub policy: RelayPolicy,
 }
 
 impl Default for RelayRules {
     fn default() -> Self {
-        Self { hall: HallName::new(), retry_share: 0.1, retry_saving: 8.0, request_limit: 2048 }
+        Self {
+            hall: HallName::new(),
+            retry_share: 0.1,
+            retry_saving: 8.0,
+            request_limit: 2048,
+            policy: RelayPolicy::default(),
+        }
     }
 }
 
@@ -50,6 +62,8 @@
     pub model: Option<ModelName>,
     /// Adapter that it names.
     pub adapter: Option<AdapterKey>,
+    /// Tokens of its prompt, when it says so.
+    pub prompt_tokens: Option<u32>,
     /// When its head was read.
     pub received: MonoTime,
     /// When its caller or its route gives it up.
@@ -58,6 +72,16 @@
     pub looks: u32,
 }
 
+impl RelayQuery {
+    /// When its caller leaves if no answer has begun.
+    ///
+    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    pub fn leaves(&self) -> MonoTime {
+        let patience = self.route.patience.map(|patience| self.received + patience);
+        patience.map_or(self.deadline, |leaves| leaves.min(self.deadline))
+    }
+}
+
 /// Where an attempt goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptOrder {
@@ -122,6 +146,8 @@
     requests: usize,
     is_stopping: bool,
     draws: u64,
+    /// Prompts that were sent.
+    readings: ReadingNumber,
 }
 
 impl RelayMachine {
@@ -149,6 +175,7 @@
             requests: 0,
             is_stopping: false,
             draws: seed,
+            readings: 0,
         }
     }
 
@@ -453,6 +480,7 @@
     ///     kind: RouteKind::Safe,
     ///     timeout: Duration::from_secs(1),
     ///     aim: Duration::from_millis(100),
+    ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
     ///     targets: vec![RouteShare { service: "s".into(), weight: 1 }],
@@ -494,6 +522,17 @@
         self.table.hear(replica, now);
     }
 
+    /// Notes that an attempt has its first event at this time, or has ended without one.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// RelayMachine::new(RelayRules::default(), 1).end_reading("i-1", 1, None);
+    /// ```
+    pub fn end_reading(&mut self, replica: &str, number: ReadingNumber, read_at: Option<MonoTime>) {
+        self.table.end_reading(replica, number, read_at);
+    }
+
     /// Notes the end of an attempt; tells whether the replica is left out from now.
     ///
     /// ```
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -7,8 +7,10 @@
 //! - [`keeper`]: base models for engines that have none, within the weight store's rate.
 //! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
+//! - [`policy`]: the rules that can be switched back for measurement.
 //! - [`promise`]: how true the times were that refused callers were told.
 //! - [`prompt`]: what a request asks an engine to read and to write.
+//! - [`reading`]: how long a request waits at an engine until its first event.
 //! - [`published`]: what one relay passes on to another that can not read the store.
 //! - [`beacon`]: what relays and loaders tell each other.
 
@@ -18,9 +20,11 @@
 pub mod limiter;
 pub mod loader;
 pub mod machine;
+pub mod policy;
 pub mod promise;
 pub mod prompt;
 pub mod published;
+pub mod reading;
 pub mod replica;
 pub mod routing;
 pub mod sheet;
--- /dev/null
+++ b/quillcove_core/src/relay/policy.rs
@@ -0,0 +1,66 @@
+//! The rules by which a relay decides, each of which can be switched back for measurement.
+
+/// How the replica for a prompt is chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RoutingRule {
+    /// By the time until the first event: what the engine has to read, and the prompt itself.
+    #[default]
+    Reading,
+    /// By the share of places in use.
+    Places,
+}
+
+/// When another copy of an adapter is asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CopyRule {
+    /// When a copy is there sooner than its engine is done with what it has to read.
+    #[default]
+    Backlog,
+    /// When the places of its engine are nearly taken.
+    Places,
+}
+
+/// With which rank a request goes to an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PriorityRule {
+    /// What is too late for its aim in any case goes behind what is not.
+    Feasible,
+    /// That of its route.
+    #[default]
+    Route,
+}
+
+/// Which of several engines that are equally fit takes an adapter in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlacementRule {
+    /// The one that has least to read.
+    Idle,
+    /// A rendezvous hash decides.
+    #[default]
+    Even,
+}
+
+/// How long a request waits for its adapter.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum WaitingRule {
+    /// As long as its caller can still be served; it is refused as soon as it can't.
+    Servable,
+    /// As long as it can be served within its aim, and up to twice the aim when that was missed.
+    #[default]
+    Aim,
+}
+
+/// All of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RelayPolicy {
+    /// How the replica for a prompt is chosen.
+    pub routing: RoutingRule,
+    /// When another copy of an adapter is asked for.
+    pub copies: CopyRule,
+    /// With which rank a request goes to an engine.
+    pub priority: PriorityRule,
+    /// Which engine takes an adapter in.
+    pub placement: PlacementRule,
+    /// How long a request waits for its adapter.
+    pub waiting: WaitingRule,
+}
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId};
+use super::reading::{ReadingNorm, ReadingNumber, ReadingPrompt, ReadingQueue};
 use super::sheet::ModelRecord;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 
@@ -91,6 +92,8 @@
     empty_since: Option<MonoTime>,
     /// Requests sent since that report.
     sent_since: u32,
+    /// Prompts that it has to read.
+    pub reading: ReadingQueue,
     /// Use of its adapters by this process.
     uses: BTreeMap<AdapterKey, AdapterUse>,
     failures: u32,
@@ -107,6 +110,7 @@
             report: None,
             empty_since: None,
             sent_since: 0,
+            reading: ReadingQueue::default(),
             uses: BTreeMap::new(),
             failures: 0,
             ejections: 0,
@@ -269,15 +273,26 @@
     /// assert!(table.get("i-1").unwrap().load(Duration::ZERO) > 0.0);
     /// ```
     pub fn load(&self, now: MonoTime) -> f64 {
-        let (requests, waiting) = match self.report(now) {
-            Some(report) => {
-                let waiting = report.waiting + self.sent_since;
-                ((report.running + waiting).max(self.in_flight), waiting)
-            },
-            None => (self.in_flight, 0),
+        let waiting = self.report(now).map_or(0, |report| report.waiting + self.sent_since);
+        self.share_of_places(now) + f64::from(waiting) * WAITING_LOAD
+    }
+
+    /// Requests that it has as a share of its places, as far as this process knows.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert_eq!(table.get("i-1").unwrap().share_of_places(Duration::ZERO), 0.0);
+    /// ```
+    pub fn share_of_places(&self, now: MonoTime) -> f64 {
+        let requests = match self.report(now) {
+            Some(report) => (report.running + report.waiting + self.sent_since).max(self.in_flight),
+            None => self.in_flight,
         };
-        let share = f64::from(requests) / f64::from(self.record.places.max(1));
-        share + f64::from(waiting) * WAITING_LOAD
+        f64::from(requests) / f64::from(self.record.places.max(1))
     }
 }
 
@@ -285,6 +300,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaTable {
     replicas: BTreeMap<ReplicaId, ReplicaView>,
+    /// What the engines of each service have in common.
+    norms: BTreeMap<ServiceName, ReadingNorm>,
 }
 
 impl ReplicaTable {
@@ -403,6 +420,7 @@
             true => view.empty_since.or(Some(now)),
             false => None,
         };
+        view.reading.report(report.waiting);
         view.report = Some((report, now));
         view.sent_since = 0;
         is_changed
@@ -432,6 +450,51 @@
         }
     }
 
+    /// What the engines of a service have in common.
+    ///
+    /// ```
+    /// quillcove_core::relay::replica::ReplicaTable::default().norm("s");
+    /// ```
+    pub fn norm(&self, service: &str) -> ReadingNorm {
+        self.norms.get(service).copied().unwrap_or_default()
+    }
+
+    /// Notes that a prompt is sent.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::reading::ReadingPrompt;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// let prompt = ReadingPrompt { tokens: 1000, rank: 0 };
+    /// ReplicaTable::default().begin_reading("i-1", 1, prompt, Duration::ZERO);
+    /// ```
+    pub fn begin_reading(
+        &mut self,
+        id: &str,
+        number: ReadingNumber,
+        prompt: ReadingPrompt,
+        now: MonoTime,
+    ) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            let norm = self.norms.entry(view.record.service.clone()).or_default();
+            norm.note_prompt(prompt.tokens);
+            view.reading.begin(number, prompt, norm, now);
+        }
+    }
+
+    /// Notes that an attempt has its first event at this time, or has ended without one.
+    ///
+    /// ```
+    /// quillcove_core::relay::replica::ReplicaTable::default().end_reading("i-1", 1, None);
+    /// ```
+    pub fn end_reading(&mut self, id: &str, number: ReadingNumber, read_at: Option<MonoTime>) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            let norm = self.norms.entry(view.record.service.clone()).or_default();
+            view.reading.end(number, read_at, norm);
+        }
+    }
+
     /// Notes that bytes came from a replica.
     ///
     /// ```
--- a/quillcove_core/src/relay/routing.rs
+++ b/quillcove_core/src/relay/routing.rs
@@ -4,15 +4,26 @@
 //! need no further affinity. Between several holders the less loaded one goes first; a hop to
 //! another hall counts as a share of a batch.
 
+use std::time::Duration;
+
 use super::beacon::AdapterKey;
+use super::reading::{ReadingNorm, ReadingPrompt};
 use super::replica::ReplicaView;
-use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime};
+use crate::ids::{AdapterVersion, ModelName, MonoTime};
 use crate::rendezvous;
 
 /// Load, in shares of a replica's places, that a hop to another hall is worth. Halls are a
 /// millisecond apart, which is the step time that a tenth of a batch adds.
 const FAR_PENALTY: f64 = 0.1;
 
+/// Time to a first event that a hop to another hall is worth. Halls are a millisecond or two apart,
+/// and what crosses them is paid for.
+const FAR_TIME: Duration = Duration::from_millis(20);
+
+/// Time to a first event that an engine's last free place is worth: a full batch makes every step
+/// of the requests in it longer, and the next request waits for one of them to end.
+const FULL_TIME: Duration = Duration::from_millis(400);
+
 /// Load of an engine at which another copy of its adapter is asked for, in shares of its places.
 pub const SPREAD_LOAD: f64 = 0.7;
 
@@ -51,29 +62,54 @@
     }
 }
 
-/// The best of several replicas: the least loaded, near ones first; the draw tells equals apart.
+/// What a choice weighs.
+#[derive(Clone, Copy, Debug)]
+pub struct RoutingCost<'a> {
+    /// The request's prompt; `None` for plain calls.
+    pub prompt: Option<ReadingPrompt>,
+    /// What the service's engines have in common.
+    pub norm: &'a ReadingNorm,
+    /// Hall of this process.
+    pub hall: &'a str,
+}
+
+impl RoutingCost<'_> {
+    /// The cost of a replica, in seconds.
+    fn of(&self, view: &ReplicaView, now: MonoTime) -> f64 {
+        let is_far = view.record.hall != self.hall;
+        match self.prompt {
+            None => view.load(now) + if is_far { FAR_PENALTY } else { 0.0 },
+            Some(prompt) => {
+                let reading = view.reading.time_to_read(prompt, self.norm).as_secs_f64();
+                let far = if is_far { FAR_TIME.as_secs_f64() } else { 0.0 };
+                reading + view.share_of_places(now) * FULL_TIME.as_secs_f64() + far
+            },
+        }
+    }
+}
+
+/// The best of several replicas: the one that answers soonest, near ones first; the draw tells equals
+/// apart.
 ///
 /// ```
 /// use std::time::Duration;
-/// use quillcove_core::relay::routing::choose;
+/// use quillcove_core::relay::reading::ReadingNorm;
+/// use quillcove_core::relay::routing::{RoutingCost, choose};
 ///
-/// assert!(choose(&[], "hall-a", Duration::ZERO, 0).is_none());
+/// let norm = ReadingNorm::default();
+/// let cost = RoutingCost { prompt: None, norm: &norm, hall: "hall-a" };
+/// assert!(choose(&[], &cost, Duration::ZERO, 0).is_none());
 /// ```
 pub fn choose<'a>(
     candidates: &[&'a ReplicaView],
-    hall: &str,
+    cost: &RoutingCost<'_>,
     now: MonoTime,
     draw: u64,
 ) -> Option<&'a ReplicaView> {
     let key = draw.to_string();
-    let cost = |view: &ReplicaView| view.load(now) + distance(&view.record.hall, hall);
     let tie = |view: &ReplicaView| rendezvous::weight(&key, &view.record.id);
-    candidates
-        .iter()
-        .copied()
-        .min_by(|a, b| cost(a).total_cmp(&cost(b)).then_with(|| tie(a).cmp(&tie(b))))
-}
-
-fn distance(hall: &HallName, own: &str) -> f64 {
-    if hall == own { 0.0 } else { FAR_PENALTY }
+    candidates.iter().copied().min_by(|a, b| {
+        let by_cost = cost.of(a, now).total_cmp(&cost.of(b, now));
+        by_cost.then_with(|| tie(a).cmp(&tie(b)))
+    })
 }
--- a/quillcove_core/src/route.rs
+++ b/quillcove_core/src/route.rs
@@ -71,6 +71,8 @@
     pub timeout: Duration,
     /// Time within which an answer begins to be of full use.
     pub aim: Duration,
+    /// Silence after which callers of a stream leave, when they do so before its timeout.
+    pub patience: Option<Duration>,
     /// Rank; 0 goes first.
     pub priority: u8,
     /// Most replicas that one request is sent to.
@@ -94,6 +96,7 @@
     ///     kind: RouteKind::Safe,
     ///     timeout: Duration::from_secs(1),
     ///     aim: Duration::from_millis(100),
+    ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
     ///     targets: Vec::new(),
@@ -122,6 +125,7 @@
     ///     kind: RouteKind::Safe,
     ///     timeout: Duration::from_secs(1),
     ///     aim: Duration::from_millis(100),
+    ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
     ///     targets: vec![share("old", 90), share("new", 10)],
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -161,6 +161,7 @@
         kind: RouteKind::Stream,
         timeout: ms(60_000),
         aim: ms(800),
+        patience: None,
         priority: 1,
         attempt_limit: 2,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
@@ -320,6 +321,7 @@
             adapter: adapter.map(key),
             received: self.now,
             deadline,
+            prompt_tokens: None,
             looks: 0,
         };
         match self.machine.choose(&query, &[], self.now) {
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -101,6 +101,7 @@
         kind: RouteKind::Unsafe,
         timeout: Duration::from_secs(60),
         aim: Duration::from_secs(1),
+        patience: None,
         priority: 0,
         attempt_limit: 1,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
@@ -251,6 +252,7 @@
             adapter: None,
             received: self.now,
             deadline: self.now + Duration::from_secs(60),
+            prompt_tokens: None,
             looks: 0,
         };
         let mut machine = self.machine.clone();
--- a/quillcove_core/tests/relay_demand.rs
+++ b/quillcove_core/tests/relay_demand.rs
@@ -7,6 +7,8 @@
 
 use quillcove_core::relay::beacon::{AdapterKey, EngineReport, HeldAdapter, OtherRelays};
 use quillcove_core::relay::demand::{AdapterDemand, EngineChoice, LackedAdapter};
+use quillcove_core::relay::policy::PlacementRule;
+use quillcove_core::relay::reading::ReadingNorm;
 use quillcove_core::relay::replica::{ReplicaRecord, ReplicaTable, ReplicaView, example_record};
 use quillcove_core::relay::sheet::EngineRecord;
 use relay_site::{address, engine_service, ms};
@@ -75,9 +77,10 @@
     fn pump(&mut self, now: Duration) -> Vec<(String, u16)> {
         let service = "s".to_string();
         let views: Vec<&ReplicaView> = (1..=ENGINES).map(|port| self.view(port)).collect();
-        let choice = EngineChoice { service: &service, engine: &self.engine, views };
+        let norm = ReadingNorm::default();
+        let choice = EngineChoice { service: &service, engine: &self.engine, views, norm };
         let mut demand = self.demand.clone();
-        demand.pump(&[choice], now);
+        demand.pump(&[choice], PlacementRule::default(), now);
         let asks = demand.take_outbox();
         self.demand = demand;
         asks.into_iter()
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -27,6 +27,7 @@
         kind,
         timeout: ms(15_000),
         aim: ms(800),
+        patience: None,
         priority: 1,
         attempt_limit: 2,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
@@ -82,6 +83,7 @@
         adapter: adapter.map(key),
         received,
         deadline: received + ms(15_000),
+        prompt_tokens: None,
         looks: 0,
     }
 }
