Load adapters only where an engine has a place for them, and rank requests by whether they can be in time

Cause: an ask went to the engine that a hash named. Change: loaders tell how many adapters their engine can take in now; relays ask only engines with a place, first those with least to read. A relay tells the loader of a full engine at once when an adapter there went out of use, and the loader passes it on at once. A request that would miss its aim at its route's rank goes behind those that can make it. Tests: spare places of a loader, where adapters go, notices of full engines, the rank.

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -274,7 +274,11 @@
         let routing = [("reading", RoutingRule::Reading), ("places", RoutingRule::Places)];
         let copies = [("backlog", CopyRule::Backlog), ("places", CopyRule::Places)];
         let priority = [("feasible", PriorityRule::Feasible), ("route", PriorityRule::Route)];
-        let placement = [("idle", PlacementRule::Idle), ("even", PlacementRule::Even)];
+        let placement = [
+            ("spare_idle", PlacementRule::SpareIdle),
+            ("spare", PlacementRule::Spare),
+            ("even", PlacementRule::Even),
+        ];
         let waiting = [("servable", WaitingRule::Servable), ("aim", WaitingRule::Aim)];
         Self(RelayPolicy {
             routing: source.choice(section, "routing", default.routing, &routing),
--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -129,6 +129,8 @@
     arrivals: Vec<ArrivedLoad>,
     last_beacon: MonoTime,
     is_engine_up: bool,
+    /// Whether the last beacon said that the engine can take in no adapter.
+    told_full: bool,
     /// Closes when it is dropped.
     operator: HttpServer<Arc<OperatorContext>>,
 }
@@ -157,6 +159,7 @@
             arrivals: Vec::new(),
             last_beacon: MonoTime::ZERO,
             is_engine_up: false,
+            told_full: false,
             operator,
             settings,
             log,
@@ -211,6 +214,7 @@
             PeerMessage::Use(beacon) => {
                 let relay = beacon.relay;
                 self.machine.take_uses(beacon, now);
+                self.tell_room(now);
                 if self.relays.insert(relay, now).is_none() {
                     info!(self.log, "relay heard"; "relay" => %relay);
                     self.greet(relay, now);
@@ -257,6 +261,7 @@
         if change.is_changed || is_due {
             self.tell(now);
         }
+        self.tell_room(now);
     }
 
     async fn fetch_report(&self) -> Option<EngineReport> {
@@ -303,16 +308,25 @@
             incarnation: self.incarnation,
             report: self.machine.report().clone(),
             model_loads: self.machine.model_loads(now),
+            spare_places: self.machine.spare_places(now),
             arrivals,
             relays: self.relays.keys().copied().collect(),
         }
     }
 
+    /// Tells relays at once when the engine can take in adapters again.
+    fn tell_room(&mut self, now: MonoTime) {
+        if self.told_full && self.machine.spare_places(now) != Some(0) {
+            self.tell(now);
+        }
+    }
+
     fn tell(&mut self, now: MonoTime) {
         self.last_beacon = now;
         let arrivals = std::mem::take(&mut self.arrivals);
         let beacon = self.beacon(arrivals, now);
         let relays = beacon.relays.clone();
+        self.told_full = beacon.spare_places == Some(0);
         if let Ok(mut view) = self.view.lock() {
             view.report = beacon.report.clone();
             view.relays = relays.clone();
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -165,7 +165,10 @@
             },
             RelayInput::Published(published) => self.take_published(published, now),
             RelayInput::SettingsChanged => self.take_settings(),
-            RelayInput::Wanted => self.send_wanted(),
+            RelayInput::Wanted => {
+                self.send_wanted();
+                self.tell_freed();
+            },
             RelayInput::Ticked => self.tick(now),
         }
     }
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -147,14 +147,29 @@
         self.last_beacon = now;
         let beacon = PeerMessage::Relay(self.beacon());
         self.socket.send(&beacon, self.relay_addresses());
-        let relay = self.control;
         for (replica, loader) in self.loaders_of_engines() {
-            let uses = self.shared.machine().take_uses(&replica);
-            let beacon = PeerMessage::Use(UseBeacon { relay, uses });
-            self.socket.send(&beacon, [loader]);
+            self.tell_uses(&replica, loader);
         }
     }
 
+    /// Tells the loaders of full engines at once that an adapter of theirs went out of use.
+    pub(super) fn tell_freed(&self) {
+        let freed = self.shared.machine().take_freed();
+        if freed.is_empty() {
+            return;
+        }
+        let loaders = self.loaders_of_engines();
+        for (replica, loader) in loaders.iter().filter(|(replica, _)| freed.contains(replica)) {
+            self.tell_uses(replica, *loader);
+        }
+    }
+
+    fn tell_uses(&self, replica: &str, loader: SocketAddr) {
+        let uses = self.shared.machine().take_uses(replica);
+        let beacon = PeerMessage::Use(UseBeacon { relay: self.control, uses });
+        self.socket.send(&beacon, [loader]);
+    }
+
     /// Loaders sit on the hosts of all engines that are listed.
     fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
         let port = self.settings.peers.loader_port;
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -117,7 +117,12 @@
     fn drop(&mut self) {
         self.end_reading(None);
         let now = self.shared.clock.now();
-        self.shared.machine().finish();
+        let mut machine = self.shared.machine();
+        machine.finish();
+        if machine.has_asks() {
+            self.shared.wanted.notify_one();
+        }
+        drop(machine);
         let took = now.saturating_sub(self.query.received);
         let end = self.finished.take().unwrap_or(FinishedRequest {
             verdict: match self.attempts {
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -79,6 +79,9 @@
     pub model_loads: Vec<Duration>,
     /// Adapters that came in since the last beacon.
     pub arrivals: Vec<ArrivedLoad>,
+    /// Adapters that the engine can take in now, in free places or for ones that nobody uses; `None`
+    /// until the loader knows how many places there are.
+    pub spare_places: Option<u32>,
     /// Relays that the loader has heard lately.
     pub relays: Vec<SocketAddr>,
 }
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -351,7 +351,7 @@
     /// use quillcove_core::relay::demand::AdapterDemand;
     /// use quillcove_core::relay::policy::PlacementRule;
     ///
-    /// AdapterDemand::default().pump(&[], PlacementRule::Idle, Duration::ZERO);
+    /// AdapterDemand::default().pump(&[], PlacementRule::Even, Duration::ZERO);
     /// ```
     pub fn pump(&mut self, choices: &[EngineChoice<'_>], placement: PlacementRule, now: MonoTime) {
         if self.wanted.is_empty() {
@@ -482,7 +482,10 @@
         let can_take = |view: &&&ReplicaView| {
             let report = view.report(now);
             let held = view.version_of(key, now);
-            report.is_some_and(|report| report.models.contains(&key.model) && !report.is_busy)
+            let has_place = !placement.needs_spare() || self.has_spare(view, now);
+            has_place
+                && report
+                    .is_some_and(|report| report.models.contains(&key.model) && !report.is_busy)
                 && held.is_none_or(|held| held < wanted.version.unwrap_or(0))
         };
         let rank = |view: &ReplicaView| {
@@ -490,8 +493,8 @@
             let backlog = view.reading.backlog(&choice.norm);
             let is_overrun = coming >= INCOMING_LIMIT || view.load(now) >= BUSY_LOAD;
             let busy = match placement {
-                PlacementRule::Idle => backlog.as_millis() / BACKLOG_STEP.as_millis(),
-                PlacementRule::Even => 0,
+                PlacementRule::SpareIdle => backlog.as_millis() / BACKLOG_STEP.as_millis(),
+                PlacementRule::Spare | PlacementRule::Even => 0,
             };
             let is_full = view.adapters(now).len() + coming >= places;
             let weight = rendezvous::weight(&key.adapter, &view.record.address.to_string());
@@ -504,13 +507,24 @@
         Some((view, places, self.warm.has(&view.record.id, key)))
     }
 
-    /// Adapters on their way to an engine: those that it reports, and those asked for since.
-    fn on_the_way(&self, view: &ReplicaView, now: MonoTime) -> usize {
-        let reported = view.report(now).map_or(0, |report| report.incoming.len());
+    /// Tells whether an engine can take in one more adapter now, as far as its loader told.
+    fn has_spare(&self, view: &ReplicaView, now: MonoTime) -> bool {
+        let asked = self.unseen_asks(view, now);
+        view.spare_places(now).is_none_or(|spare| (spare as usize) > asked)
+    }
+
+    /// Asks to an engine that its reports do not show yet.
+    fn unseen_asks(&self, view: &ReplicaView, now: MonoTime) -> usize {
         let is_unseen = |(key, open): &(&AdapterKey, &OpenAsk)| {
             open.addressed.ask.replica == view.record.id && !is_incoming(view, key, now)
         };
-        reported + self.open.iter().filter(is_unseen).count()
+        self.open.iter().filter(is_unseen).count()
+    }
+
+    /// Adapters on their way to an engine: those that it reports, and those asked for since.
+    fn on_the_way(&self, view: &ReplicaView, now: MonoTime) -> usize {
+        let reported = view.report(now).map_or(0, |report| report.incoming.len());
+        reported + self.unseen_asks(view, now)
     }
 }
 
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -130,6 +130,8 @@
     under_way: Option<(LoadOrder, LoadAsk)>,
     /// When loads of base models were begun.
     model_loads: VecDeque<MonoTime>,
+    /// Adapters for which the engine has room, by the last ask.
+    places: Option<u32>,
     /// Adapters whose load was ordered and that the engine does not hold yet.
     ordered: Vec<OrderedLoad>,
     report: EngineReport,
@@ -157,6 +159,7 @@
             asks: VecDeque::new(),
             under_way: None,
             model_loads: VecDeque::new(),
+            places: None,
             ordered: Vec::new(),
             report: EngineReport::default(),
             demand: HashMap::new(),
@@ -253,6 +256,7 @@
             return;
         }
         if let Some(key) = ask.key() {
+            self.places = Some(ask.places);
             self.demand.entry(key).or_default().add(now, ASK_WORTH, DEMAND_HALF_LIFE);
         }
         self.asks.retain(|(other, _)| !is_same(other));
@@ -319,6 +323,31 @@
         all.into_iter().any(|held| held.key == key && held.version >= version)
     }
 
+    /// Adapters that the engine can take in now beyond those that are asked for: in free places, and for
+    /// those that nobody uses. `None` until an ask told how many places there are.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert_eq!(LoaderMachine::new("e1".into(), 1).spare_places(Duration::ZERO), None);
+    /// ```
+    pub fn spare_places(&self, now: MonoTime) -> Option<u32> {
+        let places = self.places? as usize;
+        let free = places.saturating_sub(self.report.adapters.len() + self.coming());
+        let waiting = self.asks.iter().filter(|(ask, _)| ask.adapter.is_some()).count();
+        let spare = (free + self.idle_adapters(now).count()).saturating_sub(waiting);
+        Some(spare as u32)
+    }
+
+    /// Adapters on their way, those included that the engine does not report yet.
+    fn coming(&self) -> usize {
+        let is_incoming =
+            |key: &AdapterKey| self.report.incoming.iter().any(|held| held.key == *key);
+        let unseen = self.ordered.iter().filter(|load| !is_incoming(&load.key)).count();
+        self.report.incoming.len() + unseen
+    }
+
     /// Tells whether the engine has a place for what is asked for, or what makes room. A new
     /// version on its way takes a place beside the old one.
     fn room_for(&self, ask: &LoadAsk, now: MonoTime) -> LoadRoom {
@@ -328,10 +357,7 @@
                 false => LoadRoom::NotYet,
             };
         }
-        let is_incoming =
-            |key: &AdapterKey| self.report.incoming.iter().any(|held| held.key == *key);
-        let unseen = self.ordered.iter().filter(|load| !is_incoming(&load.key)).count();
-        let coming = self.report.incoming.len() + unseen;
+        let coming = self.coming();
         if coming >= INCOMING_LIMIT || self.report.is_busy {
             return LoadRoom::NotYet;
         }
@@ -343,19 +369,23 @@
 
     /// The adapter with the least demand among those that no relay has requests in flight for.
     fn least_wanted(&self, now: MonoTime) -> Option<AdapterKey> {
-        let is_recent = |told: &MonoTime| now.saturating_sub(*told) < USE_LIFETIME;
-        let is_used = |key: &AdapterKey| {
-            self.in_flight.values().any(|(keys, told)| is_recent(told) && keys.contains(key))
-        };
         let demand = |key: &AdapterKey| {
             self.demand.get(key).map_or(0.0, |meter| meter.level(now, DEMAND_HALF_LIFE))
         };
-        let is_new = |key: &AdapterKey| {
+        self.idle_adapters(now).min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
+    }
+
+    /// Adapters that may be taken out.
+    fn idle_adapters(&self, now: MonoTime) -> impl Iterator<Item = &AdapterKey> {
+        let is_recent = move |told: &MonoTime| now.saturating_sub(*told) < USE_LIFETIME;
+        let is_used = move |key: &AdapterKey| {
+            self.in_flight.values().any(|(keys, told)| is_recent(told) && keys.contains(key))
+        };
+        let is_new = move |key: &AdapterKey| {
             self.came_in.get(key).is_some_and(|at| now.saturating_sub(*at) < SETTLE_TIME)
         };
         let held = self.report.adapters.iter().map(|held| &held.key);
-        let idle = held.filter(|key| !is_used(key) && !is_new(key));
-        idle.min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
+        held.filter(move |key| !is_used(key) && !is_new(key))
     }
 
     /// The order for an ask: what makes room goes first.
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -253,6 +253,17 @@
         self.table.take_uses(replica)
     }
 
+    /// Engines whose loaders are to hear at once that an adapter went out of use.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_freed().is_empty());
+    /// ```
+    pub fn take_freed(&mut self) -> Vec<ReplicaId> {
+        self.table.take_freed()
+    }
+
     /// Takes what is known of the other relays.
     ///
     /// ```
@@ -289,7 +300,8 @@
         self.demand.take_outbox()
     }
 
-    /// Tells whether asks wait for [`RelayMachine::take_asks`].
+    /// Tells whether there is something for [`RelayMachine::take_asks`] or
+    /// [`RelayMachine::take_freed`].
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
@@ -297,7 +309,7 @@
     /// assert!(!RelayMachine::new(RelayRules::default(), 1).has_asks());
     /// ```
     pub fn has_asks(&self) -> bool {
-        self.demand.has_asks()
+        self.demand.has_asks() || self.table.has_freed()
     }
 
     /// The times told to refused callers that ended since the last call.
@@ -372,6 +384,7 @@
     ///     incarnation: 1,
     ///     report: EngineReport::default(),
     ///     model_loads: Vec::new(),
+    ///     spare_places: None,
     ///     arrivals: Vec::new(),
     ///     relays: Vec::new(),
     /// };
@@ -380,6 +393,7 @@
     /// ```
     pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
         let is_changed = self.table.report(beacon.engine, beacon.report.clone(), now);
+        let has_room = self.table.note_spare(beacon.engine, beacon.spare_places);
         if let Some(view) = self.table.at(beacon.engine) {
             if beacon.report.models.is_empty() {
                 self.demand.forget_engine(&view.record.id);
@@ -388,7 +402,7 @@
             self.promises.note_held(|key| view.version_of(key, now).is_some(), now);
         }
         self.demand.note_arrivals(&beacon.arrivals, self.incoming(now));
-        if is_changed {
+        if is_changed || has_room {
             self.pump(now);
         }
         is_changed
--- a/quillcove_core/src/relay/policy.rs
+++ b/quillcove_core/src/relay/policy.rs
@@ -24,22 +24,34 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PriorityRule {
     /// What is too late for its aim in any case goes behind what is not.
+    #[default]
     Feasible,
     /// That of its route.
-    #[default]
     Route,
 }
 
-/// Which of several engines that are equally fit takes an adapter in.
+/// Which of several engines takes an adapter in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PlacementRule {
-    /// The one that has least to read.
-    Idle,
-    /// A rendezvous hash decides.
+    /// One that has a place for it now, and of these the one that has least to read.
     #[default]
+    SpareIdle,
+    /// One that has a place for it now; a rendezvous hash decides between them.
+    Spare,
+    /// Any; a rendezvous hash decides.
     Even,
 }
 
+impl PlacementRule {
+    /// Whether an engine must have a place now.
+    pub(super) fn needs_spare(self) -> bool {
+        match self {
+            Self::SpareIdle | Self::Spare => true,
+            Self::Even => false,
+        }
+    }
+}
+
 /// How long a request waits for its adapter.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WaitingRule {
--- a/quillcove_core/src/relay/replica.rs
+++ b/quillcove_core/src/relay/replica.rs
@@ -1,6 +1,6 @@
 //! The upstreams that are known: what the platform lists, what they hold, and how they fare.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -88,6 +88,8 @@
     pub in_flight: u32,
     /// The last report of its loader, and when it came.
     report: Option<(EngineReport, MonoTime)>,
+    /// Adapters that it can take in, by that report.
+    spare_places: Option<u32>,
     /// Since when it has been reported to hold no base model.
     empty_since: Option<MonoTime>,
     /// Requests sent since that report.
@@ -108,6 +110,7 @@
             record,
             in_flight: 0,
             report: None,
+            spare_places: None,
             empty_since: None,
             sent_since: 0,
             reading: ReadingQueue::default(),
@@ -164,6 +167,21 @@
         (now.saturating_sub(*heard) <= REPORT_LIFETIME).then_some(report)
     }
 
+    /// Adapters that it can take in now, if its loader told so lately.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert_eq!(table.get("i-1").unwrap().spare_places(Duration::ZERO), None);
+    /// ```
+    pub fn spare_places(&self, now: MonoTime) -> Option<u32> {
+        self.report(now)?;
+        self.spare_places
+    }
+
     /// When it will hold a base model, as far as its loader's report tells: now when it does, and
     /// after a load from its host's copy or from the weight store when it is empty.
     ///
@@ -302,6 +320,8 @@
     replicas: BTreeMap<ReplicaId, ReplicaView>,
     /// What the engines of each service have in common.
     norms: BTreeMap<ServiceName, ReadingNorm>,
+    /// Full engines where an adapter went out of use.
+    freed: BTreeSet<ReplicaId>,
 }
 
 impl ReplicaTable {
@@ -533,6 +553,9 @@
         view.in_flight = view.in_flight.saturating_sub(1);
         if let Some(used) = key.and_then(|key| view.uses.get_mut(key)) {
             used.in_flight = used.in_flight.saturating_sub(1);
+            if used.in_flight == 0 && view.spare_places == Some(0) {
+                self.freed.insert(id.to_string());
+            }
         }
         match fate {
             AttemptFate::Answered => {
@@ -560,6 +583,48 @@
         }
     }
 
+    /// Takes how many adapters the engine at an address can take in; tells whether there is room now
+    /// and was none before.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// assert!(!ReplicaTable::default().note_spare(address, Some(2)));
+    /// ```
+    pub fn note_spare(&mut self, address: SocketAddr, spare: Option<u32>) -> bool {
+        let id = self.at(address).map(|view| view.record.id.clone());
+        let Some(view) = id.and_then(|id| self.replicas.get_mut(&id)) else {
+            return false;
+        };
+        let had_none = view.spare_places == Some(0);
+        view.spare_places = spare;
+        had_none && spare != Some(0)
+    }
+
+    /// Engines without a place for another adapter where this process has stopped to use one since the
+    /// last call. Their loaders are to hear of it before the next regular beacon.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert!(ReplicaTable::default().take_freed().is_empty());
+    /// ```
+    pub fn take_freed(&mut self) -> Vec<ReplicaId> {
+        std::mem::take(&mut self.freed).into_iter().collect()
+    }
+
+    /// Tells whether [`Self::take_freed`] would give any.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert!(!ReplicaTable::default().has_freed());
+    /// ```
+    pub fn has_freed(&self) -> bool {
+        !self.freed.is_empty()
+    }
+
     /// Use of each engine's adapters since the last call; what is not used any more is left out.
     ///
     /// ```
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -292,6 +292,7 @@
                 ..EngineReport::default()
             },
             model_loads: Vec::new(),
+            spare_places: None,
             arrivals: Vec::new(),
             relays: Vec::new(),
         };
--- a/quillcove_core/tests/relay_demand.rs
+++ b/quillcove_core/tests/relay_demand.rs
@@ -8,7 +8,7 @@
 use quillcove_core::relay::beacon::{AdapterKey, EngineReport, HeldAdapter, OtherRelays};
 use quillcove_core::relay::demand::{AdapterDemand, EngineChoice, LackedAdapter};
 use quillcove_core::relay::policy::PlacementRule;
-use quillcove_core::relay::reading::ReadingNorm;
+use quillcove_core::relay::reading::{ReadingNorm, ReadingPrompt};
 use quillcove_core::relay::replica::{ReplicaRecord, ReplicaTable, ReplicaView, example_record};
 use quillcove_core::relay::sheet::EngineRecord;
 use relay_site::{address, engine_service, ms};
@@ -188,3 +188,35 @@
     let asked = site.pump(ms(0));
     assert_eq!(asked.len(), 1, "else its requests would find no engine for as long as that lasts");
 }
+
+#[test]
+fn an_adapter_goes_where_a_place_is_to_be_had() {
+    let mut site = Site::new();
+    for port in 1..=ENGINES {
+        site.table.note_spare(address(port), Some(u32::from(port == 3)));
+    }
+    site.want(1, None, 1, ms(0));
+    assert_eq!(site.pump(ms(0)), [("a1".to_string(), 3)]);
+    // The one place is taken by what is on its way there.
+    site.want(2, None, 1, ms(1));
+    assert_eq!(site.pump(ms(1)), []);
+    assert!(site.table.note_spare(address(2), Some(1)));
+    assert_eq!(site.pump(ms(2)), [("a2".to_string(), 2)]);
+}
+
+#[test]
+fn of_engines_with_places_the_one_with_least_to_read_takes_an_adapter_in() {
+    let mut site = Site::new();
+    for port in 1..=ENGINES {
+        site.table.note_spare(address(port), Some(3));
+        if port != 2 {
+            let prompt = ReadingPrompt { tokens: 50_000, rank: 0 };
+            site.table.begin_reading(&format!("i-{port}"), u64::from(port), prompt, ms(0));
+        }
+    }
+    for number in 1..=3 {
+        site.want(number, None, 1, ms(0));
+    }
+    let ports: Vec<u16> = site.pump(ms(0)).into_iter().map(|(_, port)| port).collect();
+    assert_eq!(ports, [2, 2, 2]);
+}
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -236,3 +236,23 @@
     newer.adapters[0].version = 2;
     assert_eq!(machine.take_report(newer, ms(260)).arrived.len(), 1);
 }
+
+#[test]
+fn spare_places_are_those_that_are_free_or_that_nobody_uses() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    assert_eq!(machine.spare_places(ms(0)), None, "no ask told the places");
+    machine.take_report(settled(&[1, 2, 3]), ms(0));
+    machine.take_ask(ask(1, None), ms(0));
+    assert!(machine.next_order(ms(0)).is_none());
+    assert_eq!(machine.spare_places(ms(0)), Some(PLACES));
+    let used = |in_flight| AdapterUse { key: key(1), sent: 1, in_flight };
+    let relay = "127.0.0.1:1".parse().unwrap();
+    machine.take_uses(UseBeacon { relay, uses: vec![used(1)] }, ms(1));
+    assert_eq!(machine.spare_places(ms(1)), Some(PLACES - 1));
+    machine.take_uses(UseBeacon { relay, uses: vec![used(0)] }, ms(2));
+    assert_eq!(machine.spare_places(ms(2)), Some(PLACES));
+    machine.take_ask(ask(4, None), ms(3));
+    assert_eq!(machine.spare_places(ms(3)), Some(PLACES - 1));
+    assert!(machine.next_order(ms(3)).is_some());
+    assert_eq!(machine.spare_places(ms(3)), Some(PLACES - 1));
+}
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -12,6 +12,7 @@
 use quillcove_core::relay::machine::{
     BeliefChange, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
+use quillcove_core::relay::policy::{PriorityRule, RelayPolicy};
 use quillcove_core::relay::published::PublishedState;
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
@@ -70,6 +71,7 @@
             ..EngineReport::default()
         },
         model_loads: Vec::new(),
+        spare_places: None,
         arrivals: Vec::new(),
         relays: Vec::new(),
     }
@@ -385,3 +387,41 @@
         RelayChoice::Send(_) | RelayChoice::Wait(_) => panic!("not refused: {choice:?}"),
     }
 }
+
+#[test]
+fn a_full_engine_hears_at_once_that_an_adapter_went_out_of_use() {
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    let full = EngineBeacon { spare_places: Some(0), ..beacon(1, 1, &[held("a1", 1)]) };
+    machine.take_report(&full, ms(0));
+    for _ in 0..2 {
+        machine.begin("i-1", Some(&key("a1")), ms(1));
+    }
+    machine.end("i-1", Some(&key("a1")), AttemptFate::Answered, ms(2));
+    assert!(!machine.has_asks(), "another request still uses it");
+    machine.end("i-1", Some(&key("a1")), AttemptFate::Answered, ms(3));
+    assert!(machine.has_asks());
+    assert_eq!(machine.take_freed(), ["i-1"]);
+    assert!(machine.take_freed().is_empty());
+}
+
+#[test]
+fn what_misses_its_aim_in_any_case_goes_behind_what_does_not() {
+    let rules = |priority| RelayRules {
+        hall: "hall-a".to_string(),
+        policy: RelayPolicy { priority, ..RelayPolicy::default() },
+        ..RelayRules::default()
+    };
+    let mut machine = machine();
+    machine.list(record("i-1", 1), ms(0));
+    let sized = |tokens| RelayQuery { prompt_tokens: Some(tokens), ..query(None, ms(0)) };
+    machine.set_rules(rules(PriorityRule::Feasible));
+    let timely = machine.begin_reading("i-1", &sized(500), ms(0));
+    let late = machine.begin_reading("i-1", &sized(500_000), ms(0));
+    let next = machine.begin_reading("i-1", &sized(500), ms(0));
+    assert!(timely.rank < late.rank, "{timely:?} {late:?}");
+    assert_eq!(next.rank, timely.rank);
+    assert!(next.expected < late.expected, "the late one is not waited for");
+    machine.set_rules(rules(PriorityRule::Route));
+    assert_eq!(machine.begin_reading("i-1", &sized(500_000), ms(0)).rank, timely.rank);
+}
