--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -279,7 +279,11 @@
             ("spare", PlacementRule::Spare),
             ("even", PlacementRule::Even),
         ];
-        let waiting = [("servable", WaitingRule::Servable), ("aim", WaitingRule::Aim)];
+        let waiting = [
+            ("returned", WaitingRule::Returned),
+            ("servable", WaitingRule::Servable),
+            ("aim", WaitingRule::Aim),
+        ];
         Self(RelayPolicy {
             routing: source.choice(section, "routing", default.routing, &routing),
             copies: source.choice(section, "copies", default.copies, &copies),
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -138,7 +138,7 @@
             "service" => &self.query.service,
             "adapter" => self.query.adapter.as_ref().map(|key| key.adapter.as_str()),
             "verdict" => end.verdict.label(), "status" => end.status, "reason" => end.reason,
-            "attempts" => self.attempts, "replicas" => self.tried.join(","),
+            "age_ms" => self.query.age.as_millis() as u64, "attempts" => self.attempts, "replicas" => self.tried.join(","),
             "come_back_ms" => self.come_back.map(|pause| pause.as_millis() as u64),
             "waited_ms" => self.waited.as_millis() as u64,
             "prompt_tokens" => self.query.prompt_tokens, "rank" => self.rank,
@@ -193,6 +193,8 @@
     }
     let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + patience;
+    let said = terms.patience.unwrap_or(route.timeout);
+    let age = shared.machine().age_of(&route.name, said);
     let body = read_body(&sheet, body).await?;
     let service = shared.machine().draw_service(&route);
     let no_service = || WorkRefusal::not_run(RefusalReason::NoUpstream, Some(SOON));
@@ -205,6 +207,7 @@
         adapter: terms.adapter.clone(),
         prompt_tokens: terms.prompt.as_ref().map(|prompt| prompt.tokens),
         received,
+        age,
         deadline,
         looks: 0,
     };
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -87,6 +87,7 @@
     ///     adapter: None,
     ///     prompt_tokens: None,
     ///     received: Duration::ZERO,
+    ///     age: Duration::ZERO,
     ///     deadline: Duration::from_secs(1),
     ///     looks: 0,
     /// };
@@ -285,8 +286,9 @@
     /// is refused at once, with the time at which to come back, when it will not.
     fn await_load(&mut self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
         match self.rules.policy.waiting {
+            WaitingRule::Returned if query.is_return() => self.await_while_servable(query, now),
             WaitingRule::Servable => self.await_while_servable(query, now),
-            WaitingRule::Aim => self.await_within_aim(query, now),
+            WaitingRule::Returned | WaitingRule::Aim => self.await_within_aim(query, now),
         }
     }
 
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -10,6 +10,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, OtherRelays, ReplicaId};
 use super::demand::AdapterDemand;
@@ -18,6 +19,7 @@
 use super::reading::ReadingNumber;
 use super::replica::{AttemptFate, ReplicaTable, ReplicaView};
 use super::sheet::{RouteSheet, SheetVersion};
+use super::tries::CallerTries;
 use crate::entry::retry::RetryBudget;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 use crate::rendezvous;
@@ -66,6 +68,8 @@
     pub prompt_tokens: Option<u32>,
     /// When its head was read.
     pub received: MonoTime,
+    /// Time since its caller's first try, as far as that can be told.
+    pub age: Duration,
     /// When its caller or its route gives it up.
     pub deadline: MonoTime,
     /// How often a choice was made for it.
@@ -73,6 +77,20 @@
 }
 
 impl RelayQuery {
+    /// Until when its answer is in time.
+    ///
+    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    pub fn due(&self) -> MonoTime {
+        (self.received + self.route.aim).saturating_sub(self.age)
+    }
+
+    /// Tells whether its caller has tried before.
+    ///
+    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    pub fn is_return(&self) -> bool {
+        self.age > Duration::ZERO
+    }
+
     /// When its caller leaves if no answer has begun.
     ///
     /// See [`RelayMachine::begin_reading`] for an example of a query.
@@ -135,6 +153,8 @@
     demand: AdapterDemand,
     promises: PromiseBook,
     budgets: BTreeMap<ServiceName, RetryBudget>,
+    /// What callers say of their time, by route.
+    tries: BTreeMap<String, CallerTries>,
     /// Replicas whose entries lapsed while the store was away, and when they are given up.
     doubted: BTreeMap<ReplicaId, MonoTime>,
     store_returned: Option<MonoTime>,
@@ -167,6 +187,7 @@
             demand: AdapterDemand::default(),
             promises: PromiseBook::default(),
             budgets: BTreeMap::new(),
+            tries: BTreeMap::new(),
             doubted: BTreeMap::new(),
             store_returned: None,
             is_store_away: false,
@@ -439,6 +460,19 @@
         Ok(())
     }
 
+    /// Time since the first try of a caller that will wait this long for its answer.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.age_of("r", Duration::from_secs(1)), Duration::ZERO);
+    /// ```
+    pub fn age_of(&mut self, route: &str, patience: Duration) -> Duration {
+        self.tries.entry(route.to_string()).or_default().age_of(patience)
+    }
+
     /// Notes that an admitted request has its answer or has gone.
     ///
     /// ```
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -55,6 +55,7 @@
     ///     adapter: None,
     ///     prompt_tokens: None,
     ///     received: Duration::ZERO,
+    ///     age: Duration::ZERO,
     ///     deadline: Duration::from_secs(1),
     ///     looks: 0,
     /// };
@@ -74,7 +75,7 @@
         let norm = self.table.norm(&query.service);
         let prompt = ReadingPrompt { tokens, rank };
         let timely = view.reading.time_to_read(prompt, &norm);
-        let is_late = now + timely > query.received + query.route.aim;
+        let is_late = now + timely > query.due();
         let rank = match self.rules.policy.priority {
             PriorityRule::Feasible if is_late => (rank + LAST_TIMELY_RANK + 1).min(LAST_RANK),
             PriorityRule::Feasible | PriorityRule::Route => rank,
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -12,6 +12,7 @@
 //! - [`prompt`]: what a request asks an engine to read and to write.
 //! - [`reading`]: how long a request waits at an engine until its first event.
 //! - [`published`]: what one relay passes on to another that can not read the store.
+//! - [`tries`]: whether a request is its caller's first try.
 //! - [`beacon`]: what relays and loaders tell each other.
 
 pub mod beacon;
@@ -28,3 +29,4 @@
 pub mod replica;
 pub mod routing;
 pub mod sheet;
+pub mod tries;
--- a/quillcove_core/src/relay/policy.rs
+++ b/quillcove_core/src/relay/policy.rs
@@ -55,10 +55,13 @@
 /// How long a request waits for its adapter.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum WaitingRule {
+    /// A first try as long as it can be served within its aim; a caller that has come back as long as it
+    /// can still be served.
+    #[default]
+    Returned,
     /// As long as its caller can still be served; it is refused as soon as it can't.
     Servable,
     /// As long as it can be served within its aim, and up to twice the aim when that was missed.
-    #[default]
     Aim,
 }
 
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -323,6 +323,7 @@
             received: self.now,
             deadline,
             prompt_tokens: None,
+            age: Duration::ZERO,
             looks: 0,
         };
         match self.machine.choose(&query, &[], self.now) {
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -253,6 +253,7 @@
             received: self.now,
             deadline: self.now + Duration::from_secs(60),
             prompt_tokens: None,
+            age: Duration::ZERO,
             looks: 0,
         };
         let mut machine = self.machine.clone();
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -86,6 +86,7 @@
         received,
         deadline: received + ms(15_000),
         prompt_tokens: None,
+        age: Duration::ZERO,
         looks: 0,
     }
 }
