--- a/quillcove/tests/settings.rs
+++ b/quillcove/tests/settings.rs
@@ -30,6 +30,9 @@
     let text = example("relay.ini").replace("seeds = 127.0.0.1:8082", "seeds = nowhere");
     let faults = parse_relay("relay.ini", &text, &[]).unwrap_err().to_string();
     assert!(faults.contains("peers.seeds") && faults.contains("nowhere"), "{faults}");
+    let text = format!("{}\n[policy]\nwaiting = long\n", example("relay.ini"));
+    let faults = parse_relay("relay.ini", &text, &[]).unwrap_err().to_string();
+    assert!(faults.contains("policy.waiting") && faults.contains("returned, servable"), "{faults}");
     let text = example("loader.ini").replace("address = ", "adress = ");
     let faults = parse_loader("loader.ini", &text, &[]).unwrap_err().to_string();
     assert!(faults.contains("did you mean 'address'"), "{faults}");
