--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -58,6 +58,7 @@
     ///     incarnation: 1,
     ///     report: EngineReport::default(),
     ///     model_loads: vec![Duration::from_secs(1)],
+    ///     spare_places: None,
     ///     arrivals: Vec::new(),
     ///     relays: Vec::new(),
     /// };
