Say in which order equal loads go, as the code does

Cause: the comment on WantedAdapter::rank said that what is lacked for longer goes first; the code, by an earlier measurement (docs/DECISIONS.md), takes what was lacked last. Change: the comment only. Ruled out: the code being wrong, as the measured order is the last one first.

--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -79,8 +79,8 @@
 }
 
 impl WantedAdapter {
-    /// Place in the order of loads: what most requests lack goes first, and of equals what is
-    /// lacked for longer, so that a time once told stays true.
+    /// Place in the order of loads: what most requests lack goes first, and of equals what was
+    /// lacked last, as it can still be in time.
     fn rank(&self) -> (Reverse<u32>, Reverse<MonoTime>) {
         (Reverse(self.requests), Reverse(self.since))
     }
