--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -13,7 +13,8 @@
 use http::Method;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{ArrivedLoad, EngineBeacon, EngineReport, PeerMessage};
-use quillcove_core::relay::loader::{LoadOrder, LoaderMachine, OrderOutcome};
+use quillcove_core::relay::loader::LoaderMachine;
+use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_platform::engine;
 use serde::Serialize;
 use slog::{Logger, info, warn};
@@ -342,11 +343,14 @@
             Err(WebError::NotSent(_)) => OrderOutcome::Rejected,
             Err(WebError::Lost(_) | WebError::Status(_)) => OrderOutcome::Unanswered,
         };
-        let is_load = order.kind == quillcove_core::relay::loader::OrderKind::Load;
+        let is_load = order.kind == OrderKind::Load;
         self.metrics.ordered(is_load, outcome_label(outcome));
+        let basis = &order.basis;
         info!(self.log, "order given"; "kind" => ?order.kind, "replica" => &order.replica,
             "model" => &order.model, "adapter" => order.adapter.as_deref().unwrap_or("-"),
-            "version" => order.version, "fence" => order.fence, "outcome" => ?outcome);
+            "version" => order.version, "fence" => order.fence, "outcome" => ?outcome,
+            "held" => basis.held, "coming" => basis.coming, "places" => basis.places,
+            "report_age_ms" => basis.report_age.map(|age| age.as_millis() as u64));
         self.machine.end_order(outcome, self.clock.now());
         outcome
     }
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -11,7 +11,7 @@
 use quillcove_platform::{WireCall, WireFault};
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::config::relay::StoreSection;
 use crate::web::client::{WebClient, WebError};
@@ -89,6 +89,7 @@
         let mut revision = None;
         let mut pause = FIRST_PAUSE;
         while !is_over.load(Ordering::Relaxed) {
+            let began = Instant::now();
             let read = match revision {
                 None => self.read_whole(scope).await,
                 Some(known) => self.watch(scope, known).await,
@@ -101,6 +102,11 @@
                 },
                 Err(FollowError::HistoryGone) => revision = None,
                 Err(error) => {
+                    // Each one is told, not only the first: the time that a call takes to fail
+                    // decides how old this relay's knowledge gets.
+                    warn!(self.log, "call of the store failed"; "part" => ?scope,
+                        "revision" => revision, "took_ms" => began.elapsed().as_millis() as u64,
+                        "reason" => %error);
                     self.tell(StoreNews::Failed { scope, reason: error.to_string() }).await;
                     sleep(pause).await;
                     pause = (pause * 2).min(PAUSE_LIMIT);
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -4,13 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Serialize;
-
-use super::beacon::{
-    AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadAsk, ReplicaId, UseBeacon,
-};
+use super::beacon::{AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadAsk, UseBeacon};
+use super::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
 use crate::demand::DemandMeter;
-use crate::ids::{AdapterVersion, HostId, ModelName, MonoTime};
+use crate::ids::{AdapterVersion, HostId, MonoTime};
 
 /// Time for which begun loads of base models are told to relays; the window in which they count, and a margin.
 const LOADS_KEPT: Duration = Duration::from_millis(5500);
@@ -53,51 +50,6 @@
     pub arrived: Vec<(AdapterKey, ArrivedLoad)>,
 }
 
-/// What an order does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-pub enum OrderKind {
-    /// Brings a base model or an adapter in.
-    Load,
-    /// Takes an adapter out.
-    Unload,
-}
-
-/// An order to the engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct LoadOrder {
-    /// What it does.
-    pub kind: OrderKind,
-    /// Incarnation of the engine that is meant.
-    pub replica: ReplicaId,
-    /// Base model.
-    pub model: ModelName,
-    /// Adapter; `None` for the base model itself.
-    pub adapter: Option<String>,
-    /// Version of the adapter; `None` for the newest.
-    pub version: Option<AdapterVersion>,
-    /// Host that gives the order.
-    pub holder: HostId,
-    /// Grows over all orders of one holder.
-    pub fence: u64,
-}
-
-/// How an order ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-pub enum OrderOutcome {
-    /// It is being carried out.
-    Begun,
-    /// What it asks for holds already.
-    Holds,
-    /// Another order is under way.
-    Busy,
-    /// The engine has seen a higher fence.
-    FenceTooLow,
-    /// The engine is another incarnation, or does not take such an order.
-    Rejected,
-    /// No answer came; it may have been taken.
-    Unanswered,
-}
-
 /// An adapter whose load was ordered.
 #[derive(Clone, Debug)]
 struct OrderedLoad {
@@ -135,6 +87,8 @@
     /// Adapters whose load was ordered and that the engine does not hold yet.
     ordered: Vec<OrderedLoad>,
     report: EngineReport,
+    /// When the report was read; `None` before the first.
+    reported_at: Option<MonoTime>,
     demand: HashMap<AdapterKey, DemandMeter>,
     /// Adapters that the engine has held since it last was empty.
     known: HashSet<AdapterKey>,
@@ -162,6 +116,7 @@
             places: None,
             ordered: Vec::new(),
             report: EngineReport::default(),
+            reported_at: None,
             demand: HashMap::new(),
             known: HashSet::new(),
             came_in: HashMap::new(),
@@ -215,6 +170,7 @@
             || report.adapters != self.report.adapters
             || report.incoming != self.report.incoming;
         self.report = report;
+        self.reported_at = Some(now);
         let adapters = &self.report.adapters;
         let (arrived, ordered): (Vec<_>, Vec<_>) =
             self.ordered.drain(..).partition(|load| load.is_met_by(adapters));
@@ -290,7 +246,7 @@
                 LoadRoom::NotYet => return None,
             };
             let (ask, _) = self.asks.pop_front()?;
-            let order = self.order_for(&ask, evicted);
+            let order = self.order_for(&ask, evicted, now);
             if order.kind == OrderKind::Load {
                 match ask.key() {
                     Some(key) => {
@@ -389,21 +345,38 @@
     }
 
     /// The order for an ask: what makes room goes first.
-    fn order_for(&mut self, ask: &LoadAsk, evicted: Option<AdapterKey>) -> LoadOrder {
+    fn order_for(
+        &mut self,
+        ask: &LoadAsk,
+        evicted: Option<AdapterKey>,
+        now: MonoTime,
+    ) -> LoadOrder {
+        let basis = self.basis(ask, now);
         self.fence += 1;
         let (kind, model, adapter, version) = match evicted {
             Some(key) => (OrderKind::Unload, key.model, Some(key.adapter), None),
             None => (OrderKind::Load, ask.model.clone(), ask.adapter.clone(), ask.version),
         };
         let (replica, holder) = (ask.replica.clone(), self.holder.clone());
-        LoadOrder { kind, replica, model, adapter, version, holder, fence: self.fence }
+        LoadOrder { kind, replica, model, adapter, version, holder, fence: self.fence, basis }
+    }
+
+    /// What is known of the engine now.
+    fn basis(&self, ask: &LoadAsk, now: MonoTime) -> OrderBasis {
+        OrderBasis {
+            report_age: self.reported_at.map(|read| now.saturating_sub(read)),
+            held: self.report.adapters.len(),
+            coming: self.coming(),
+            places: ask.places,
+        }
     }
 
     /// Takes the end of the order under way.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::loader::{LoaderMachine, OrderOutcome};
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    /// use quillcove_core::relay::order::OrderOutcome;
     ///
     /// LoaderMachine::new("e1".into(), 1).end_order(OrderOutcome::Begun, Duration::ZERO);
     /// ```
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -7,6 +7,7 @@
 //! - [`keeper`]: base models for engines that have none, within the weight store's rate.
 //! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
+//! - [`order`]: what an order says, and how it ended.
 //! - [`policy`]: the rules that can be switched back for measurement.
 //! - [`promise`]: how true the times were that refused callers were told.
 //! - [`prompt`]: what a request asks an engine to read and to write.
@@ -21,6 +22,7 @@
 pub mod limiter;
 pub mod loader;
 pub mod machine;
+pub mod order;
 pub mod policy;
 pub mod promise;
 pub mod prompt;
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -8,7 +8,8 @@
 use quillcove_core::relay::beacon::{
     AdapterKey, AdapterUse, EngineReport, HeldAdapter, LoadAsk, UseBeacon,
 };
-use quillcove_core::relay::loader::{LoadOrder, LoaderMachine, OrderKind, OrderOutcome};
+use quillcove_core::relay::loader::LoaderMachine;
+use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 
 const PLACES: u32 = 5;
 const INCOMING_LIMIT: usize = 4;
