A loader orders nothing before its engine's first report, and names the orders that it knows of

Change: no order before a report. The loop also ends when a report can not be read after an order, instead of ordering the same unload again. Ruled out: places counted wrong while versions are replaced (the order log shows held and coming at 20 of 21 and less), a report of an earlier incarnation (it counts too much).

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -177,14 +177,16 @@
                     Err(error) => warn!(self.log, "datagrams can not be read"; "error" => %error),
                 },
                 () = sleep_until(next_report) => {
-                    self.read_report().await;
+                    // One that can not be read is logged there; the next one is due after a pause.
+                    let _ = self.read_report().await;
                     next_report = Instant::now() + self.pause();
                 },
             }
             while let Some(order) = self.machine.next_order(self.clock.now()) {
                 let outcome = self.give(&order).await;
-                self.read_report().await;
-                if outcome == OrderOutcome::Busy {
+                let is_read = self.read_report().await;
+                // Without a newer report the next order would be decided on what this one changed.
+                if outcome == OrderOutcome::Busy || !is_read {
                     break;
                 }
                 next_report = Instant::now() + self.pause();
@@ -234,8 +236,8 @@
     }
 
     /// Reads the engine's report, and passes it on when it is due or what the engine holds
-    /// changed.
-    async fn read_report(&mut self) {
+    /// changed; tells whether it could be read.
+    async fn read_report(&mut self) -> bool {
         let report = self.fetch_report().await;
         let is_up = report.is_some();
         if is_up != self.is_engine_up {
@@ -243,7 +245,7 @@
             info!(self.log, "engine reachable"; "is_up" => is_up);
         }
         let Some(report) = report else {
-            return;
+            return false;
         };
         let now = self.clock.now();
         let change = self.machine.take_report(report, now);
@@ -263,6 +265,7 @@
             self.tell(now);
         }
         self.tell_room(now);
+        true
     }
 
     async fn fetch_report(&self) -> Option<EngineReport> {
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -11,6 +11,9 @@
 /// Identifies one start of a replica.
 pub type ReplicaId = String;
 
+/// Number of orders that an engine has taken since its start.
+pub type OrderCount = u64;
+
 /// Names an adapter of a base model.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AdapterKey {
@@ -43,6 +46,8 @@
     pub incoming: Vec<HeldAdapter>,
     /// Whether an order is under way that excludes others.
     pub is_busy: bool,
+    /// Orders that it has taken since its start; `None` for an engine that does not count them.
+    pub orders_taken: Option<OrderCount>,
     /// Requests that run.
     pub running: u32,
     /// Requests that wait.
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -192,7 +192,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::LoadAsk;
+    /// use quillcove_core::relay::beacon::{EngineReport, LoadAsk};
     /// use quillcove_core::relay::loader::LoaderMachine;
     ///
     /// let ask = LoadAsk {
@@ -203,6 +203,7 @@
     ///     places: 4,
     /// };
     /// let mut machine = LoaderMachine::new("e1".into(), 1);
+    /// machine.take_report(EngineReport::default(), Duration::ZERO);
     /// machine.take_ask(ask, Duration::ZERO);
     /// assert!(machine.next_order(Duration::ZERO).is_some());
     /// ```
@@ -221,7 +222,7 @@
         }
     }
 
-    /// The next order to give, when none is under way.
+    /// The next order to give, when none is under way and the engine has reported.
     ///
     /// ```
     /// use std::time::Duration;
@@ -230,7 +231,9 @@
     /// assert!(LoaderMachine::new("e1".into(), 1).next_order(Duration::ZERO).is_none());
     /// ```
     pub fn next_order(&mut self, now: MonoTime) -> Option<LoadOrder> {
-        if self.under_way.is_some() {
+        // Before the first report an engine would be taken for empty, but it may have been full for
+        // long: only this process is new.
+        if self.under_way.is_some() || self.reported_at.is_none() {
             return None;
         }
         self.asks.retain(|(_, taken)| now.saturating_sub(*taken) < ASK_LIFETIME);
@@ -280,7 +283,8 @@
     }
 
     /// Adapters that the engine can take in now beyond those that are asked for: in free places, and for
-    /// those that nobody uses. `None` until an ask told how many places there are.
+    /// those that nobody uses. `None` until an ask told how many places there are, and before the
+    /// first report.
     ///
     /// ```
     /// use std::time::Duration;
@@ -289,6 +293,7 @@
     /// assert_eq!(LoaderMachine::new("e1".into(), 1).spare_places(Duration::ZERO), None);
     /// ```
     pub fn spare_places(&self, now: MonoTime) -> Option<u32> {
+        self.reported_at?;
         let places = self.places? as usize;
         let free = places.saturating_sub(self.report.adapters.len() + self.coming());
         let waiting = self.asks.iter().filter(|(ask, _)| ask.adapter.is_some()).count();
@@ -358,7 +363,17 @@
             None => (OrderKind::Load, ask.model.clone(), ask.adapter.clone(), ask.version),
         };
         let (replica, holder) = (ask.replica.clone(), self.holder.clone());
-        LoadOrder { kind, replica, model, adapter, version, holder, fence: self.fence, basis }
+        LoadOrder {
+            kind,
+            replica,
+            model,
+            adapter,
+            version,
+            holder,
+            fence: self.fence,
+            orders_seen: self.report.orders_taken,
+            basis,
+        }
     }
 
     /// What is known of the engine now.
--- a/quillcove_core/src/relay/order.rs
+++ b/quillcove_core/src/relay/order.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::beacon::ReplicaId;
+use super::beacon::{OrderCount, ReplicaId};
 use crate::ids::{AdapterVersion, HostId, ModelName};
 
 /// What an order does.
@@ -33,6 +33,9 @@
     pub holder: HostId,
     /// Grows over all orders of one holder.
     pub fence: u64,
+    /// Orders that the engine had taken when this one was decided on. The engine refuses it when it
+    /// has taken others since, so that two orders which fit one by one are not carried out together.
+    pub orders_seen: Option<OrderCount>,
     /// What it was decided on.
     pub basis: OrderBasis,
 }
@@ -57,7 +60,7 @@
     Begun,
     /// What it asks for holds already.
     Holds,
-    /// Another order is under way.
+    /// Another order is under way, or the engine has taken orders that this one did not know of.
     Busy,
     /// The engine has seen a higher fence.
     FenceTooLow,
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -38,6 +38,7 @@
     held: BTreeMap<String, u32>,
     incoming: Vec<(String, u32, Duration)>,
     fence: u64,
+    taken: u64,
 }
 
 impl SimpleEngine {
@@ -53,6 +54,7 @@
         };
         EngineReport {
             models: vec!["m".to_string()],
+            orders_taken: Some(self.taken),
             adapters: self.held.iter().map(held).collect(),
             incoming: self
                 .incoming
@@ -65,8 +67,14 @@
 
     /// Takes an order; panics where a real engine would fall over.
     fn take(&mut self, order: &LoadOrder, now: Duration) -> OrderOutcome {
-        assert!(order.fence > self.fence, "fences grow");
+        if order.fence <= self.fence {
+            return OrderOutcome::FenceTooLow;
+        }
         self.fence = order.fence;
+        if order.orders_seen.is_some_and(|seen| seen != self.taken) {
+            return OrderOutcome::Busy;
+        }
+        self.taken += 1;
         let name = order.adapter.clone().unwrap();
         match order.kind {
             OrderKind::Unload => {
@@ -91,6 +99,12 @@
     Use(u8),
     Wait(u64),
     LoseAnswer,
+    /// The loader's process is replaced; the new one knows nothing.
+    Replace,
+    /// The same while an order is on its way, which the engine takes just before the next one.
+    ReplaceMidOrder,
+    /// The engine gives no report in the steps that follow, or gives them again.
+    HideReports(bool),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -99,6 +113,9 @@
         2 => (0u8..12).prop_map(Step::Use),
         3 => (1u64..400).prop_map(Step::Wait),
         1 => Just(Step::LoseAnswer),
+        1 => Just(Step::Replace),
+        1 => Just(Step::ReplaceMidOrder),
+        1 => any::<bool>().prop_map(Step::HideReports),
     ]
 }
 
@@ -113,6 +130,10 @@
         let mut engine = SimpleEngine::default();
         let mut now = ms(0);
         let mut loses = false;
+        let mut hides_reports = false;
+        let mut late: Option<LoadOrder> = None;
+        // Each new process begins above all fences of the one before, as its clock says.
+        let mut first_fence = 100;
         let mut used: Option<(u8, Duration)> = None;
         let relay = "127.0.0.1:1".parse().unwrap();
         for step in steps {
@@ -125,18 +146,37 @@
                 },
                 Step::Wait(time) => now += ms(time),
                 Step::LoseAnswer => loses = true,
+                Step::Replace | Step::ReplaceMidOrder => {
+                    if matches!(step, Step::ReplaceMidOrder) {
+                        late = machine.next_order(now).or(late);
+                    }
+                    first_fence += 1_000;
+                    machine = LoaderMachine::new("e1".to_string(), first_fence);
+                    // The new process has not heard yet which adapters are in use.
+                    used = None;
+                },
+                Step::HideReports(hides) => hides_reports = hides,
+            }
+            if !hides_reports {
+                machine.take_report(engine.report(now), now);
             }
-            machine.take_report(engine.report(now), now);
             while let Some(order) = machine.next_order(now) {
                 if let (OrderKind::Unload, Some((adapter, told))) = (order.kind, used) {
                     let is_used = now - told < ms(1600);
                     let name = order.adapter.clone().unwrap();
                     prop_assert!(!is_used || name != key(adapter).adapter, "taken out in use");
                 }
+                if let Some(late) = late.take() {
+                    engine.take(&late, now);
+                }
                 let outcome = engine.take(&order, now);
+                prop_assert_ne!(outcome, OrderOutcome::FenceTooLow, "fences grow");
                 let outcome = if loses { OrderOutcome::Unanswered } else { outcome };
                 loses = false;
                 machine.end_order(outcome, now);
+                if hides_reports {
+                    break;
+                }
                 machine.take_report(engine.report(now), now);
             }
         }
@@ -169,6 +209,31 @@
     assert_eq!((order.kind, order.adapter.as_deref()), (OrderKind::Load, Some("a7")));
 }
 
+#[test]
+fn a_new_loader_waits_for_its_engines_report() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_ask(ask(7, None), ms(0));
+    machine.take_ask(LoadAsk { adapter: None, ..ask(0, None) }, ms(0));
+    assert!(machine.next_order(ms(0)).is_none(), "the engine may be full");
+    assert_eq!(machine.spare_places(ms(0)), None);
+    machine.take_report(settled(&[0, 1, 2, 3, 4]), ms(10));
+    let order = machine.next_order(ms(10)).unwrap();
+    assert_eq!(order.kind, OrderKind::Unload, "the ask has waited, and the engine is full");
+}
+
+#[test]
+fn an_order_names_the_orders_that_it_knows_of() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_report(EngineReport { orders_taken: Some(6), ..settled(&[]) }, ms(0));
+    machine.take_ask(ask(1, None), ms(0));
+    assert_eq!(machine.next_order(ms(0)).unwrap().orders_seen, Some(6));
+    // The engine has taken others since: the ask waits for a report that shows them.
+    machine.end_order(OrderOutcome::Busy, ms(1));
+    machine.take_report(EngineReport { orders_taken: Some(7), ..settled(&[2]) }, ms(2));
+    let order = machine.next_order(ms(2)).unwrap();
+    assert_eq!((order.adapter.as_deref(), order.orders_seen), (Some("a1"), Some(7)));
+}
+
 #[test]
 fn a_refused_fence_is_raised_until_the_engine_takes_it() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
