A relay knows what was published within the contact time after any trouble with the store

The users count a machine as in touch contactMs (3 s) after the trouble, so the newest sheet came up to 0.9 s late, at all relays alike, as all had timed out and asked again at once. Change: the decision which call comes next and how long it is waited for moves out of the process into quillcove_core (relay/follower.rs). A watch is cut so that its limit, a pause and one more failed call fit into platform.contact_time, which the platform's settings give (1.3 s at 3 s, 2.3 s at 4 s); a call that follows a failed one asks for an answer at once; it goes over a new connection. Ruled out: the sheet read and not taken (store reached and sheet in force come in one millisecond); relays keeping each other back (no relay had the sheet before 18.83 s).

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -152,8 +152,12 @@
 pub struct StoreSection {
     /// `address`: IP address and port.
     pub address: SocketAddr,
-    /// `watch_time`: time that one watch waits for a change.
+    /// `watch_time`: longest time that one watch waits for a change; less where `contact_time`
+    /// leaves less.
     pub watch_time: Duration,
+    /// `contact_time`: time after the end of any trouble with the store by which this relay knows
+    /// what was published; the platform gives it.
+    pub contact_time: Duration,
     /// `gather_time`: time between two watches of the listing, in which changes gather.
     pub gather_time: Duration,
     /// `timeout`: longest time for a read, and for a watch beyond its own time.
@@ -165,6 +169,7 @@
         Self {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             watch_time: Duration::from_secs(3),
+            contact_time: Duration::from_secs(3),
             gather_time: Duration::from_millis(600),
             timeout: Duration::from_millis(800),
         }
@@ -178,6 +183,7 @@
         Self {
             address: source.address(section, "address"),
             watch_time: source.time(section, "watch_time", default.watch_time),
+            contact_time: source.time(section, "contact_time", default.contact_time),
             gather_time: source.time(section, "gather_time", default.gather_time),
             timeout: source.time(section, "timeout", default.timeout),
         }
--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -299,7 +299,7 @@
     fn greet(&mut self, relay: SocketAddr, now: MonoTime) {
         if self.is_engine_up {
             let beacon = self.beacon(Vec::new(), now);
-            self.socket.send(&PeerMessage::Engine(beacon), [relay]);
+            self.socket.send(&PeerMessage::Engine(Box::new(beacon)), [relay]);
         }
     }
 
@@ -336,7 +336,7 @@
             view.relays = relays.clone();
             view.is_engine_up = self.is_engine_up;
         }
-        self.socket.send(&PeerMessage::Engine(beacon), relays);
+        self.socket.send(&PeerMessage::Engine(Box::new(beacon)), relays);
     }
 
     /// Gives one order and takes its outcome.
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
 use quillcove_core::relay::replica::ReplicaRecord;
 use quillcove_platform::store::{self, StoreAnswer, StoreEvent, StoreScope};
 use quillcove_platform::{WireCall, WireFault};
@@ -16,13 +17,6 @@
 use crate::config::relay::StoreSection;
 use crate::web::client::{WebClient, WebError};
 
-/// First pause after a call that failed; doubles up to [`PAUSE_LIMIT`].
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-
-/// Longest pause between calls to a store that fails. Replicas' entries may be back within two
-/// seconds of its return, and a caller is served again soon after.
-const PAUSE_LIMIT: Duration = Duration::from_millis(600);
-
 /// Time between two watches of what the operator writes. Storms of versions come three times a
 /// second; one in force for 200 ms more is well within the two seconds allowed.
 const OPERATOR_GATHER: Duration = Duration::from_millis(200);
@@ -54,7 +48,6 @@
 pub struct StoreFollower {
     section: StoreSection,
     address: SocketAddr,
-    client: WebClient,
     ring: mpsc::Sender<StoreNews>,
     hurried: watch::Receiver<u64>,
     log: Logger,
@@ -67,14 +60,7 @@
         hurried: watch::Receiver<u64>,
         log: Logger,
     ) -> Self {
-        Self {
-            section: section.clone(),
-            address: section.address,
-            client: WebClient::new(section.timeout, IDLE_TIME),
-            ring,
-            hurried,
-            log,
-        }
+        Self { section: section.clone(), address: section.address, ring, hurried, log }
     }
 
     /// Follows until the process ends.
@@ -86,51 +72,59 @@
     }
 
     async fn follow(self: Arc<Self>, scope: StoreScope, is_over: Arc<AtomicBool>) {
-        let mut revision = None;
-        let mut pause = FIRST_PAUSE;
+        let mut part = PartFollower::new(self.rules(scope));
+        let mut client = self.new_client();
         while !is_over.load(Ordering::Relaxed) {
             let began = Instant::now();
-            let read = match revision {
-                None => self.read_whole(scope).await,
-                Some(known) => self.watch(scope, known).await,
+            let call = part.next_call();
+            let limit = part.limit(call);
+            let read = match call {
+                StoreCall::Whole => self.read_whole(&client, scope).await,
+                StoreCall::Changes { after, wait } => {
+                    let call = store::watch_call(scope, after, wait);
+                    self.read_changes(&client, scope, &call, limit).await
+                },
             };
             match read {
-                Ok(next) => {
-                    pause = FIRST_PAUSE;
-                    revision = Some(next);
-                    self.gather(scope).await;
-                },
-                Err(FollowError::HistoryGone) => revision = None,
+                Ok(revision) => sleep(part.take_answer(revision)).await,
+                Err(FollowError::HistoryGone) => part.forget(),
                 Err(error) => {
                     // Each one is told, not only the first: the time that a call takes to fail
                     // decides how old this relay's knowledge gets.
                     warn!(self.log, "call of the store failed"; "part" => ?scope,
-                        "revision" => revision, "took_ms" => began.elapsed().as_millis() as u64,
+                        "revision" => part.revision(), "wait_ms" => wait_ms(call),
+                        "took_ms" => began.elapsed().as_millis() as u64,
                         "reason" => %error);
                     self.tell(StoreNews::Failed { scope, reason: error.to_string() }).await;
-                    sleep(pause).await;
-                    pause = (pause * 2).min(PAUSE_LIMIT);
+                    // Connections that are kept may be as silent as the one that failed.
+                    client = self.new_client();
+                    sleep(part.take_failure()).await;
                 },
             }
         }
     }
 
-    /// Lets changes gather before the next watch, as each call has its price.
-    async fn gather(&self, scope: StoreScope) {
-        let pause = match scope {
+    fn new_client(&self) -> WebClient {
+        WebClient::new(self.section.timeout, IDLE_TIME)
+    }
+
+    fn rules(&self, scope: StoreScope) -> FollowRules {
+        // Changes gather before the next watch, as each call has its price.
+        let gather_time = match scope {
             StoreScope::Operator => OPERATOR_GATHER,
             StoreScope::Replicas => self.section.gather_time,
         };
-        sleep(pause).await;
+        let StoreSection { watch_time, timeout, contact_time, .. } = self.section;
+        FollowRules { watch_time, timeout, contact_time, gather_time }
     }
 
-    async fn read_whole(&self, scope: StoreScope) -> Result<u64, FollowError> {
+    async fn read_whole(&self, client: &WebClient, scope: StoreScope) -> Result<u64, FollowError> {
         let mut events = Vec::new();
         let mut after: Option<String> = None;
         let mut revision = None;
         loop {
             let call = store::range_call(scope, after.as_deref());
-            let (status, body) = self.call(&call, self.section.timeout).await?;
+            let (status, body) = self.call(client, &call, self.section.timeout).await?;
             if !status.is_success() {
                 return Err(WireFault::Status { what: "range", status }.into());
             }
@@ -147,14 +141,18 @@
         }
     }
 
-    async fn watch(&self, scope: StoreScope, revision: u64) -> Result<u64, FollowError> {
-        let wait = self.section.watch_time;
-        let call = store::watch_call(scope, revision, wait);
+    async fn read_changes(
+        &self,
+        client: &WebClient,
+        scope: StoreScope,
+        call: &WireCall,
+        limit: Duration,
+    ) -> Result<u64, FollowError> {
         let mut hurried = self.hurried.clone();
         hurried.mark_unchanged();
         let answer = tokio::select! {
-            answer = self.call(&call, wait + self.section.timeout) => answer?,
-            _ = hurried.changed() => return self.read_whole(scope).await,
+            answer = self.call(client, call, limit) => answer?,
+            _ = hurried.changed() => return self.read_whole(client, scope).await,
         };
         let (status, body) = answer;
         if store::is_history_gone(status) {
@@ -165,19 +163,19 @@
         }
         let answer = store::read_watch(&body)?;
         self.report_faults(&answer);
-        let next = answer.revision.max(revision);
-        let events = answer.events;
-        self.tell(StoreNews::Read { scope, is_whole: false, events, revision: next }).await;
-        Ok(next)
+        let StoreAnswer { events, revision, .. } = answer;
+        self.tell(StoreNews::Read { scope, is_whole: false, events, revision }).await;
+        Ok(revision)
     }
 
     async fn call(
         &self,
+        client: &WebClient,
         call: &WireCall,
         limit: Duration,
     ) -> Result<(StatusCode, bytes::Bytes), WebError> {
         let uri = format!("http://{}{}", self.address, call.path);
-        let answer = self.client.fetch(Method::GET, &uri, bytes::Bytes::new(), limit).await?;
+        let answer = client.fetch(Method::GET, &uri, bytes::Bytes::new(), limit).await?;
         Ok((answer.status(), answer.into_body()))
     }
 
@@ -193,6 +191,14 @@
     }
 }
 
+/// Time that a call asked the store to wait, for logs; `None` for one that reads a whole part.
+fn wait_ms(call: StoreCall) -> Option<u64> {
+    match call {
+        StoreCall::Whole => None,
+        StoreCall::Changes { wait, .. } => Some(wait.as_millis() as u64),
+    }
+}
+
 /// The replicas among the events of a whole reading.
 pub fn replicas_of(events: Vec<StoreEvent>) -> Vec<ReplicaRecord> {
     let record = |event| match event {
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -19,7 +19,7 @@
     pub(super) fn take_message(&mut self, message: PeerMessage, from: SocketAddr, now: MonoTime) {
         match message {
             PeerMessage::Relay(beacon) => self.take_beacon(beacon, now),
-            PeerMessage::Engine(beacon) => self.take_report(beacon, now),
+            PeerMessage::Engine(beacon) => self.take_report(*beacon, now),
             PeerMessage::Use(_) | PeerMessage::Load(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -188,7 +188,7 @@
     /// From a relay to a loader.
     Use(UseBeacon),
     /// From a loader to relays.
-    Engine(EngineBeacon),
+    Engine(Box<EngineBeacon>),
     /// From a relay to a loader.
     Load(LoadAsk),
 }
--- /dev/null
+++ b/quillcove_core/src/relay/follower.rs
@@ -0,0 +1,199 @@
+//! When a part of the platform's store is read again, and how long an answer is waited for.
+//!
+//! A call that begins while the store answers nobody, or whose connection has gone silent, is never
+//! answered, and only its own time limit shows it. What was published meanwhile stays unknown until
+//! then. So two rules hold: a watch, from its start to its limit, is shorter than the time after
+//! which this process counts as in touch again; and a call that follows a failed one asks for an
+//! answer at once, since nothing says yet that the store answers at all.
+
+use std::time::Duration;
+
+/// First pause after a call that failed; doubles up to [`PAUSE_LIMIT`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between calls to a store that fails. Replicas' entries may be back within two
+/// seconds of its return, and a caller is served again soon after.
+const PAUSE_LIMIT: Duration = Duration::from_millis(600);
+
+/// Shortest time of a watch, so that a small contact time does not turn watches into a busy loop.
+const LEAST_WATCH: Duration = Duration::from_millis(200);
+
+/// How one part of the store is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowRules {
+    /// Longest time that a watch waits for a change.
+    pub watch_time: Duration,
+    /// Longest time for an answer, and for that of a watch beyond its own time.
+    pub timeout: Duration,
+    /// Time after the end of any trouble by which what was published has to be known.
+    pub contact_time: Duration,
+    /// Pause after an answer, in which changes gather.
+    pub gather_time: Duration,
+}
+
+impl Default for FollowRules {
+    /// The times of the users' first deployments.
+    fn default() -> Self {
+        Self {
+            watch_time: Duration::from_secs(3),
+            timeout: Duration::from_millis(800),
+            contact_time: Duration::from_secs(3),
+            gather_time: Duration::from_millis(600),
+        }
+    }
+}
+
+impl FollowRules {
+    /// Time that a watch waits for a change. When it is never answered, its limit, a pause and one
+    /// more call that fails still fit into the contact time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::follower::FollowRules;
+    ///
+    /// assert_eq!(FollowRules::default().watch_time(), Duration::from_millis(1300));
+    /// ```
+    pub fn watch_time(&self) -> Duration {
+        let used = self.timeout * 2 + FIRST_PAUSE;
+        let longest = self.contact_time.saturating_sub(used).max(LEAST_WATCH);
+        self.watch_time.min(longest)
+    }
+}
+
+/// The next call of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// Reads all of it.
+    Whole,
+    /// Asks for the changes after a revision, to be answered after so long at the latest.
+    Changes {
+        /// Revision up to which the part is known.
+        after: u64,
+        /// Time to wait for a change; zero for an answer at once.
+        wait: Duration,
+    },
+}
+
+/// Where one part of the store stands.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+///
+/// let rules = FollowRules::default();
+/// let mut part = PartFollower::new(rules);
+/// assert_eq!(part.next_call(), StoreCall::Whole);
+/// part.take_answer(7);
+/// assert_eq!(part.next_call(), StoreCall::Changes { after: 7, wait: rules.watch_time() });
+/// part.take_failure();
+/// assert_eq!(part.next_call(), StoreCall::Changes { after: 7, wait: Duration::ZERO });
+/// ```
+#[derive(Clone, Debug)]
+pub struct PartFollower {
+    rules: FollowRules,
+    /// Revision up to which the part is known; `None` when all of it has to be read.
+    revision: Option<u64>,
+    /// Calls that failed since the last answer.
+    failures: u32,
+}
+
+impl PartFollower {
+    /// A follower of a part of which nothing is known.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    ///
+    /// assert_eq!(PartFollower::new(FollowRules::default()).revision(), None);
+    /// ```
+    pub fn new(rules: FollowRules) -> Self {
+        Self { rules, revision: None, failures: 0 }
+    }
+
+    /// The next call.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+    ///
+    /// assert_eq!(PartFollower::new(FollowRules::default()).next_call(), StoreCall::Whole);
+    /// ```
+    pub fn next_call(&self) -> StoreCall {
+        let Some(after) = self.revision else {
+            return StoreCall::Whole;
+        };
+        let wait = match self.failures {
+            0 => self.rules.watch_time(),
+            _ => Duration::ZERO,
+        };
+        StoreCall::Changes { after, wait }
+    }
+
+    /// Longest time for the answer of a call.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+    ///
+    /// let rules = FollowRules::default();
+    /// assert_eq!(PartFollower::new(rules).limit(StoreCall::Whole), rules.timeout);
+    /// ```
+    pub fn limit(&self, call: StoreCall) -> Duration {
+        match call {
+            StoreCall::Whole => self.rules.timeout,
+            StoreCall::Changes { wait, .. } => wait + self.rules.timeout,
+        }
+    }
+
+    /// Revision up to which the part is known.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    ///
+    /// let mut part = PartFollower::new(FollowRules::default());
+    /// part.take_answer(7);
+    /// assert_eq!(part.revision(), Some(7));
+    /// ```
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// Takes an answer that goes up to a revision; tells the pause until the next call.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    ///
+    /// let rules = FollowRules::default();
+    /// assert_eq!(PartFollower::new(rules).take_answer(7), rules.gather_time);
+    /// ```
+    pub fn take_answer(&mut self, revision: u64) -> Duration {
+        self.revision = Some(self.revision.map_or(revision, |known| known.max(revision)));
+        self.failures = 0;
+        self.rules.gather_time
+    }
+
+    /// Takes the failure of a call; tells the pause until the next one.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    ///
+    /// let mut part = PartFollower::new(FollowRules::default());
+    /// assert!(part.take_failure() < part.take_failure(), "pauses grow");
+    /// ```
+    pub fn take_failure(&mut self) -> Duration {
+        let doubled = FIRST_PAUSE.saturating_mul(2u32.saturating_pow(self.failures));
+        self.failures = self.failures.saturating_add(1);
+        doubled.min(PAUSE_LIMIT)
+    }
+
+    /// Takes the news that the changes after the known revision are forgotten.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+    ///
+    /// let mut part = PartFollower::new(FollowRules::default());
+    /// part.take_answer(7);
+    /// part.forget();
+    /// assert_eq!(part.next_call(), StoreCall::Whole);
+    /// ```
+    pub fn forget(&mut self) {
+        self.revision = None;
+    }
+}
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! - [`replica`]: the upstreams that are known, what they hold and how they fare.
 //! - [`machine`]: admission, choice of the upstream, and repeats, for one relay.
 //! - [`demand`]: which adapter is asked of which engine, and when it will be there.
+//! - [`follower`]: when a part of the platform's store is read again.
 //! - [`keeper`]: base models for engines that have none, within the weight store's rate.
 //! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
@@ -18,6 +19,7 @@
 
 pub mod beacon;
 pub mod demand;
+pub mod follower;
 pub mod keeper;
 pub mod limiter;
 pub mod loader;
