--- a/quillcove_core/tests/relay_follower.rs
+++ b/quillcove_core/tests/relay_follower.rs
@@ -174,7 +174,7 @@
 #[test]
 fn after_a_long_silence_the_first_answer_comes_soon() {
     let slowest = |variant| {
-        let late_by = |length| {
+        let late_by = |length: Millis| {
             let day = incident(8_000..8_000 + length);
             follow(&day, variant)[0].1 - day.silences[0].end
         };
