Each part of the store has a revision of its own, so that no older list of replicas is taken

Cause: the revision that relays compare was the highest of both parts. A relay whose list of replicas stood still while it went on reading sheets seemed to be ahead; another one that asked it took that list, in which replicas that were gone stood again and newer ones were missing. Change: ReadRevisions names a revision a part, in beacons, in what relays pass on and in the machine; a relay lags in a part, and takes a part, by that part's revision. StorePart moves to the core and replaces the adapter's StoreScope.

--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -7,8 +7,9 @@
 
 use http::{Method, StatusCode};
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+use quillcove_core::relay::published::StorePart;
 use quillcove_core::relay::replica::ReplicaRecord;
-use quillcove_platform::store::{self, StoreAnswer, StoreEvent, StoreScope};
+use quillcove_platform::store::{self, StoreAnswer, StoreEvent};
 use quillcove_platform::{WireCall, WireFault};
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, watch};
@@ -28,9 +29,9 @@
 #[derive(Debug)]
 pub enum StoreNews {
     /// A part was read whole, or changes of it came.
-    Read { scope: StoreScope, is_whole: bool, events: Vec<StoreEvent>, revision: u64 },
+    Read { part: StorePart, is_whole: bool, events: Vec<StoreEvent>, revision: u64 },
     /// A call failed.
-    Failed { scope: StoreScope, reason: String },
+    Failed { part: StorePart, reason: String },
 }
 
 /// Why a call brought nothing.
@@ -66,39 +67,39 @@
     /// Follows until the process ends.
     pub async fn run(self, is_over: Arc<AtomicBool>) {
         let follower = Arc::new(self);
-        let operator = follower.clone().follow(StoreScope::Operator, is_over.clone());
-        let replicas = follower.follow(StoreScope::Replicas, is_over);
+        let operator = follower.clone().follow(StorePart::Operator, is_over.clone());
+        let replicas = follower.follow(StorePart::Replicas, is_over);
         tokio::join!(operator, replicas);
     }
 
-    async fn follow(self: Arc<Self>, scope: StoreScope, is_over: Arc<AtomicBool>) {
-        let mut part = PartFollower::new(self.rules(scope));
+    async fn follow(self: Arc<Self>, part: StorePart, is_over: Arc<AtomicBool>) {
+        let mut follower = PartFollower::new(self.rules(part));
         let mut client = self.new_client();
         while !is_over.load(Ordering::Relaxed) {
             let began = Instant::now();
-            let call = part.next_call();
-            let limit = part.limit(call);
+            let call = follower.next_call();
+            let limit = follower.limit(call);
             let read = match call {
-                StoreCall::Whole => self.read_whole(&client, scope).await,
+                StoreCall::Whole => self.read_whole(&client, part).await,
                 StoreCall::Changes { after, wait } => {
-                    let call = store::watch_call(scope, after, wait);
-                    self.read_changes(&client, scope, &call, limit).await
+                    let call = store::watch_call(part, after, wait);
+                    self.read_changes(&client, part, &call, limit).await
                 },
             };
             match read {
-                Ok(revision) => sleep(part.take_answer(revision)).await,
-                Err(FollowError::HistoryGone) => part.forget(),
+                Ok(revision) => sleep(follower.take_answer(revision)).await,
+                Err(FollowError::HistoryGone) => follower.forget(),
                 Err(error) => {
                     // Each one is told, not only the first: the time that a call takes to fail
                     // decides how old this relay's knowledge gets.
-                    warn!(self.log, "call of the store failed"; "part" => ?scope,
-                        "revision" => part.revision(), "wait_ms" => wait_ms(call),
+                    warn!(self.log, "call of the store failed"; "part" => ?part,
+                        "revision" => follower.revision(), "wait_ms" => wait_ms(call),
                         "took_ms" => began.elapsed().as_millis() as u64,
                         "reason" => %error);
-                    self.tell(StoreNews::Failed { scope, reason: error.to_string() }).await;
+                    self.tell(StoreNews::Failed { part, reason: error.to_string() }).await;
                     // Connections that are kept may be as silent as the one that failed.
                     client = self.new_client();
-                    sleep(part.take_failure()).await;
+                    sleep(follower.take_failure()).await;
                 },
             }
         }
@@ -108,22 +109,22 @@
         WebClient::new(self.section.timeout, IDLE_TIME)
     }
 
-    fn rules(&self, scope: StoreScope) -> FollowRules {
+    fn rules(&self, part: StorePart) -> FollowRules {
         // Changes gather before the next watch, as each call has its price.
-        let gather_time = match scope {
-            StoreScope::Operator => OPERATOR_GATHER,
-            StoreScope::Replicas => self.section.gather_time,
+        let gather_time = match part {
+            StorePart::Operator => OPERATOR_GATHER,
+            StorePart::Replicas => self.section.gather_time,
         };
         let StoreSection { watch_time, timeout, contact_time, .. } = self.section;
         FollowRules { watch_time, timeout, contact_time, gather_time }
     }
 
-    async fn read_whole(&self, client: &WebClient, scope: StoreScope) -> Result<u64, FollowError> {
+    async fn read_whole(&self, client: &WebClient, part: StorePart) -> Result<u64, FollowError> {
         let mut events = Vec::new();
         let mut after: Option<String> = None;
         let mut revision = None;
         loop {
-            let call = store::range_call(scope, after.as_deref());
+            let call = store::range_call(part, after.as_deref());
             let (status, body) = self.call(client, &call, self.section.timeout).await?;
             if !status.is_success() {
                 return Err(WireFault::Status { what: "range", status }.into());
@@ -135,7 +136,7 @@
             events.extend(page.events);
             after = page.next_page;
             if after.is_none() {
-                self.tell(StoreNews::Read { scope, is_whole: true, events, revision: first }).await;
+                self.tell(StoreNews::Read { part, is_whole: true, events, revision: first }).await;
                 return Ok(first);
             }
         }
@@ -144,7 +145,7 @@
     async fn read_changes(
         &self,
         client: &WebClient,
-        scope: StoreScope,
+        part: StorePart,
         call: &WireCall,
         limit: Duration,
     ) -> Result<u64, FollowError> {
@@ -152,7 +153,7 @@
         hurried.mark_unchanged();
         let answer = tokio::select! {
             answer = self.call(client, call, limit) => answer?,
-            _ = hurried.changed() => return self.read_whole(client, scope).await,
+            _ = hurried.changed() => return self.read_whole(client, part).await,
         };
         let (status, body) = answer;
         if store::is_history_gone(status) {
@@ -164,7 +165,7 @@
         let answer = store::read_watch(&body)?;
         self.report_faults(&answer);
         let StoreAnswer { events, revision, .. } = answer;
-        self.tell(StoreNews::Read { scope, is_whole: false, events, revision }).await;
+        self.tell(StoreNews::Read { part, is_whole: false, events, revision }).await;
         Ok(revision)
     }
 
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -11,8 +11,7 @@
 use quillcove_core::ids::{HostId, MonoTime};
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::promise::PromiseFate;
-use quillcove_core::relay::published::PublishedState;
-use quillcove_platform::store::StoreScope;
+use quillcove_core::relay::published::{PublishedState, StorePart};
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -85,7 +84,7 @@
     /// The last beacon of each loader: its process and number.
     loaders: HashMap<SocketAddr, (u64, u64)>,
     /// Whether the store answers, by part.
-    store_up: HashMap<StoreScope, bool>,
+    store_up: HashMap<StorePart, bool>,
     /// Since when another relay has been ahead in the store.
     behind_since: Option<MonoTime>,
     is_keeper: bool,
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -137,7 +137,7 @@
             host: self.shared.settings.process.host.clone(),
             address: self.control,
             sheet: machine.sheet().map_or(0, |sheet| sheet.version),
-            revision: machine.revision(),
+            read: machine.read(),
             lacking: machine.lacking() as u32,
         }
     }
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -6,8 +6,8 @@
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::RelayBeacon;
 use quillcove_core::relay::machine::BeliefChange;
-use quillcove_core::relay::published::PublishedState;
-use quillcove_platform::store::{StoreEvent, StoreScope};
+use quillcove_core::relay::published::{PublishedState, StorePart};
+use quillcove_platform::store::StoreEvent;
 use slog::{info, warn};
 
 use super::InputDuty;
@@ -23,42 +23,42 @@
 
 impl InputDuty {
     pub(super) fn take_store(&mut self, news: StoreNews, now: MonoTime) {
-        let scope = match &news {
-            StoreNews::Read { scope, .. } | StoreNews::Failed { scope, .. } => *scope,
+        let part = match &news {
+            StoreNews::Read { part, .. } | StoreNews::Failed { part, .. } => *part,
         };
         match news {
             StoreNews::Failed { reason, .. } => {
-                if self.store_up.insert(scope, false) != Some(false) {
-                    warn!(self.shared.log, "store lost"; "part" => ?scope, "reason" => reason);
+                if self.store_up.insert(part, false) != Some(false) {
+                    warn!(self.shared.log, "store lost"; "part" => ?part, "reason" => reason);
                 }
                 self.note_store(now);
             },
             StoreNews::Read { is_whole, events, revision, .. } => {
-                if self.store_up.insert(scope, true) != Some(true) {
-                    info!(self.shared.log, "store reached"; "part" => ?scope,
+                if self.store_up.insert(part, true) != Some(true) {
+                    info!(self.shared.log, "store reached"; "part" => ?part,
                         "revision" => revision);
                 }
                 self.note_store(now);
-                self.shared.machine().note_revision(revision);
-                self.take_events(scope, is_whole, events, now);
+                self.shared.machine().note_read(part, revision);
+                self.take_events(part, is_whole, events, now);
             },
         }
         self.note_ready();
     }
 
     fn note_store(&self, now: MonoTime) {
-        let answers = self.store_up.get(&StoreScope::Replicas).copied().unwrap_or(true);
+        let answers = self.store_up.get(&StorePart::Replicas).copied().unwrap_or(true);
         self.shared.machine().note_store(answers, now);
     }
 
     fn take_events(
         &mut self,
-        scope: StoreScope,
+        part: StorePart,
         is_whole: bool,
         events: Vec<StoreEvent>,
         now: MonoTime,
     ) {
-        if is_whole && scope == StoreScope::Replicas {
+        if is_whole && part == StorePart::Replicas {
             let changes = self.shared.machine().list_all(replicas_of(events), now);
             self.take_changes(changes, now);
             self.shared.waiters.tell_all();
@@ -99,11 +99,12 @@
 
     pub(super) fn log_changes(&self, changes: impl IntoIterator<Item = BeliefChange>) {
         let log = &self.shared.log;
-        let revision = self.shared.machine().revision();
+        let read = self.shared.machine().read();
+        let revision = read.replicas;
         for change in changes {
             match change {
                 BeliefChange::Sheet(version) => {
-                    info!(log, "sheet in force"; "sheet" => version, "revision" => revision);
+                    info!(log, "sheet in force"; "sheet" => version, "revision" => read.operator);
                 },
                 BeliefChange::Listed(id) => self.log_listed(&id),
                 BeliefChange::Gone(id) => {
@@ -129,7 +130,7 @@
         let record = &view.record;
         info!(self.shared.log, "replica listed"; "replica" => id, "service" => &record.service,
             "address" => %record.address, "hall" => &record.hall, "state" => ?record.state,
-            "revision" => machine.revision());
+            "revision" => machine.read().replicas);
     }
 
     pub(super) fn note_ready(&self) {
@@ -140,21 +141,23 @@
     /// A relay that stays behind another one asks it for what it has read. One whose own store
     /// seems well reads that anew besides, as its watch may hang on a dead connection.
     pub(super) fn compare(&mut self, beacon: &RelayBeacon, now: MonoTime) {
-        let (own_sheet, own_revision) = {
+        let (own_sheet, own) = {
             let machine = self.shared.machine();
-            (machine.sheet().map_or(0, |sheet| sheet.version), machine.revision())
+            (machine.sheet().map_or(0, |sheet| sheet.version), machine.read())
         };
-        let is_store_up = self.store_up.len() == 2 && self.store_up.values().all(|up| *up);
+        let lags = |part| !self.is_part_up(part) && beacon.read.of(part) > own.of(part);
         let is_behind =
-            beacon.sheet > own_sheet || (!is_store_up && beacon.revision > own_revision);
+            beacon.sheet > own_sheet || lags(StorePart::Operator) || lags(StorePart::Replicas);
         if !is_behind {
-            if beacon.revision <= own_revision {
+            if beacon.read.is_covered_by(&own) {
                 self.behind_since = None;
             }
             return;
         }
         let since = *self.behind_since.get_or_insert(now);
         let behind = now.saturating_sub(since);
+        let is_store_up =
+            self.is_part_up(StorePart::Operator) && self.is_part_up(StorePart::Replicas);
         if is_store_up && behind > BEHIND_LIMIT {
             self.hurry.send_modify(|count| *count += 1);
         }
@@ -163,11 +166,19 @@
             self.last_fetch = now;
             info!(self.shared.log, "behind another relay"; "relay" => &beacon.host,
                 "own_sheet" => own_sheet, "sheet" => beacon.sheet,
-                "own_revision" => own_revision, "revision" => beacon.revision);
+                "own_operator_revision" => own.operator,
+                "operator_revision" => beacon.read.operator,
+                "own_replica_revision" => own.replicas,
+                "replica_revision" => beacon.read.replicas);
             self.fetch(beacon.address);
         }
     }
 
+    /// Whether the last call of a part was answered.
+    fn is_part_up(&self, part: StorePart) -> bool {
+        self.store_up.get(&part).copied().unwrap_or(false)
+    }
+
     fn fetch(&self, address: SocketAddr) {
         let publish = self.publish.clone();
         tokio::spawn(async move {
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::published::ReadRevisions;
 use super::sheet::SheetVersion;
 use crate::ids::{AdapterName, AdapterVersion, HostId, ModelName};
 
@@ -100,8 +101,8 @@
     pub address: SocketAddr,
     /// Version of the sheet in force there.
     pub sheet: SheetVersion,
-    /// Revision of the store up to which it has read.
-    pub revision: u64,
+    /// Revisions of the store up to which it has read its parts.
+    pub read: ReadRevisions,
     /// Adapters that its requests lack, those that it has asked for included.
     pub lacking: u32,
 }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -16,6 +16,7 @@
 use super::demand::AdapterDemand;
 use super::policy::RelayPolicy;
 use super::promise::{EndedPromise, PromiseBook};
+use super::published::ReadRevisions;
 use super::reading::ReadingNumber;
 use super::replica::{AttemptFate, ReplicaTable, ReplicaView};
 use super::sheet::{RouteSheet, SheetVersion};
@@ -161,8 +162,8 @@
     is_store_away: bool,
     /// Relays that are there, this one included.
     relays: usize,
-    /// Revision of the store up to which this relay has read.
-    revision: u64,
+    /// Revisions of the store up to which this relay knows its parts.
+    read: ReadRevisions,
     requests: usize,
     is_stopping: bool,
     draws: u64,
@@ -192,7 +193,7 @@
             store_returned: None,
             is_store_away: false,
             relays: 1,
-            revision: 0,
+            read: ReadRevisions::default(),
             requests: 0,
             is_stopping: false,
             draws: seed,
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -7,7 +7,7 @@
 use super::{BeliefChange, RelayMachine};
 use crate::ids::{AdapterVersion, MonoTime};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
-use crate::relay::published::PublishedState;
+use crate::relay::published::{PublishedState, ReadRevisions, StorePart};
 use crate::relay::replica::ReplicaRecord;
 use crate::relay::sheet::RouteSheet;
 
@@ -145,32 +145,33 @@
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).published().revision, 0);
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).published().sheet, None);
     /// ```
     pub fn published(&self) -> PublishedState {
         let version = |(key, (version, _)): (&AdapterKey, &(AdapterVersion, MonoTime))| {
             HeldAdapter { key: key.clone(), version: *version }
         };
         PublishedState {
-            revision: self.revision,
+            read: self.read,
             sheet: self.sheet.as_deref().cloned(),
             versions: self.versions.iter().map(version).collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
         }
     }
 
-    /// Takes what another relay has read, if that is newer than what this one has; tells what
-    /// changed.
+    /// Takes what another relay has read, part by part, where that is newer than what this one has;
+    /// tells what changed.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    /// use quillcove_core::relay::published::PublishedState;
+    /// use quillcove_core::relay::published::{PublishedState, ReadRevisions};
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// let published = PublishedState { revision: 3, ..PublishedState::default() };
+    /// let read = ReadRevisions { operator: 3, replicas: 3 };
+    /// let published = PublishedState { read, ..PublishedState::default() };
     /// assert!(machine.take_published(published, Duration::ZERO).is_empty());
-    /// assert_eq!(machine.revision(), 3);
+    /// assert_eq!(machine.read(), read);
     /// ```
     pub fn take_published(
         &mut self,
@@ -187,10 +188,12 @@
         for held in published.versions {
             self.take_version(held.key, held.version, true, now);
         }
-        if published.revision <= self.revision {
+        self.read.note(StorePart::Operator, published.read.operator);
+        // The other relay may know more of what the operator wrote and less of the replicas.
+        if published.read.replicas <= self.read.replicas {
             return changes;
         }
-        self.revision = published.revision;
+        self.read.note(StorePart::Replicas, published.read.replicas);
         let is_listed = |id: &ReplicaId| published.replicas.iter().any(|record| record.id == *id);
         let known = self.table.all().map(|view| view.record.id.clone());
         let gone: Vec<ReplicaId> = known.filter(|id| !is_listed(id)).collect();
@@ -202,28 +205,29 @@
         changes
     }
 
-    /// Revision of the store up to which this relay has read.
+    /// Revisions of the store up to which this relay knows its parts.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).revision(), 0);
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).read().operator, 0);
     /// ```
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn read(&self) -> ReadRevisions {
+        self.read
     }
 
-    /// Notes the revision of the store up to which this relay has read.
+    /// Notes the revision of the store up to which this relay has read a part.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::published::StorePart;
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// machine.note_revision(5);
-    /// assert_eq!(machine.revision(), 5);
+    /// machine.note_read(StorePart::Operator, 5);
+    /// assert_eq!((machine.read().operator, machine.read().replicas), (5, 0));
     /// ```
-    pub fn note_revision(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    pub fn note_read(&mut self, part: StorePart, revision: u64) {
+        self.read.note(part, revision);
     }
 
     /// Notes whether the store answers; tells whether that changed.
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -7,11 +7,75 @@
 use super::replica::ReplicaRecord;
 use super::sheet::RouteSheet;
 
+/// A part of the platform's store; each is read by itself, so that one may be known further than
+/// the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StorePart {
+    /// What the operator writes: the sheet and versions of adapters.
+    Operator,
+    /// The listing of replicas.
+    Replicas,
+}
+
+/// Revisions of the store up to which a relay knows its parts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadRevisions {
+    /// For what the operator writes.
+    pub operator: u64,
+    /// For the listing of replicas.
+    pub replicas: u64,
+}
+
+impl ReadRevisions {
+    /// The revision of one part.
+    ///
+    /// ```
+    /// use quillcove_core::relay::published::{ReadRevisions, StorePart};
+    ///
+    /// assert_eq!(ReadRevisions { operator: 3, replicas: 5 }.of(StorePart::Replicas), 5);
+    /// ```
+    pub fn of(&self, part: StorePart) -> u64 {
+        match part {
+            StorePart::Operator => self.operator,
+            StorePart::Replicas => self.replicas,
+        }
+    }
+
+    /// Notes that a part is known up to a revision; it never goes back.
+    ///
+    /// ```
+    /// use quillcove_core::relay::published::{ReadRevisions, StorePart};
+    ///
+    /// let mut read = ReadRevisions::default();
+    /// read.note(StorePart::Operator, 3);
+    /// assert_eq!((read.operator, read.replicas), (3, 0));
+    /// ```
+    pub fn note(&mut self, part: StorePart, revision: u64) {
+        let known = match part {
+            StorePart::Operator => &mut self.operator,
+            StorePart::Replicas => &mut self.replicas,
+        };
+        *known = revision.max(*known);
+    }
+
+    /// Tells whether no part is known further than by another relay.
+    ///
+    /// ```
+    /// use quillcove_core::relay::published::ReadRevisions;
+    ///
+    /// let (ours, theirs) = (ReadRevisions::default(), ReadRevisions { operator: 3, replicas: 0 });
+    /// assert!(ours.is_covered_by(&theirs) && !theirs.is_covered_by(&ours));
+    /// ```
+    pub fn is_covered_by(&self, other: &Self) -> bool {
+        self.operator <= other.operator && self.replicas <= other.replicas
+    }
+}
+
 /// All that a relay has read from the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PublishedState {
-    /// Revision of the store up to which it was read.
-    pub revision: u64,
+    /// Revisions of the store up to which its parts were read.
+    pub read: ReadRevisions,
     /// The sheet in force; `None` before the first.
     pub sheet: Option<RouteSheet>,
     /// Newest versions of adapters.
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -12,7 +12,7 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use quillcove_core::relay::beacon::{AdapterKey, EngineBeacon, EngineReport, HeldAdapter};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
-use quillcove_core::relay::published::PublishedState;
+use quillcove_core::relay::published::{PublishedState, ReadRevisions};
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
@@ -218,8 +218,9 @@
 
     fn published(&mut self, version: u64) {
         let replicas = self.machine.table().all().map(|view| view.record.clone()).collect();
+        let ReadRevisions { operator, replicas: listed } = self.machine.read();
         let published = PublishedState {
-            revision: self.machine.revision() + 1,
+            read: ReadRevisions { operator: operator + 1, replicas: listed + 1 },
             sheet: Some(self.sheet_of(version)),
             versions: Vec::new(),
             replicas,
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -13,7 +13,7 @@
     BeliefChange, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
 use quillcove_core::relay::policy::{PriorityRule, RelayPolicy};
-use quillcove_core::relay::published::PublishedState;
+use quillcove_core::relay::published::{PublishedState, ReadRevisions, StorePart};
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
@@ -98,13 +98,18 @@
     }
 }
 
+/// Both parts, read up to a revision.
+fn read(revision: u64) -> ReadRevisions {
+    ReadRevisions { operator: revision, replicas: revision }
+}
+
 #[test]
 fn an_older_sheet_never_comes_back() {
     let mut machine = machine();
     assert!(machine.take_sheet(sheet(5)));
     assert!(!machine.take_sheet(sheet(4)));
     assert!(!machine.take_sheet(sheet(5)));
-    let published = PublishedState { revision: 9, sheet: Some(sheet(3)), ..Default::default() };
+    let published = PublishedState { read: read(9), sheet: Some(sheet(3)), ..Default::default() };
     machine.take_published(published, ms(0));
     assert_eq!(machine.sheet().unwrap().version, 5);
 }
@@ -169,10 +174,11 @@
 fn a_relay_that_the_store_turns_away_takes_what_another_has_read() {
     let mut machine = machine();
     machine.list(record("i-1", 1), ms(0));
-    machine.note_revision(4);
+    machine.note_read(StorePart::Operator, 4);
+    machine.note_read(StorePart::Replicas, 4);
     machine.note_store(false, ms(0));
     let published = PublishedState {
-        revision: 6,
+        read: read(6),
         sheet: Some(sheet(2)),
         versions: vec![held("a1", 3)],
         replicas: vec![record("i-2", 2)],
@@ -181,11 +187,28 @@
     assert!(changes.contains(&BeliefChange::Sheet(2)), "{changes:?}");
     assert!(changes.contains(&BeliefChange::Gone("i-1".to_string())), "{changes:?}");
     assert_eq!(machine.newest(&key("a1")), Some(3));
-    let older = PublishedState { revision: 5, replicas: Vec::new(), ..Default::default() };
+    let older = PublishedState { read: read(5), replicas: Vec::new(), ..Default::default() };
     assert!(machine.take_published(older, ms(20)).is_empty());
     assert!(machine.table().get("i-2").is_some());
 }
 
+#[test]
+fn an_older_list_is_not_taken_from_a_relay_that_is_ahead_in_the_other_part() {
+    let mut machine = machine();
+    machine.list(record("i-2", 2), ms(0));
+    machine.note_read(StorePart::Replicas, 7);
+    let published = PublishedState {
+        read: ReadRevisions { operator: 12, replicas: 5 },
+        sheet: Some(sheet(2)),
+        versions: vec![held("a1", 3)],
+        replicas: vec![record("i-1", 1)],
+    };
+    let changes = machine.take_published(published, ms(10));
+    assert_eq!(changes, [BeliefChange::Sheet(2)]);
+    assert_eq!(machine.newest(&key("a1")), Some(3));
+    assert_eq!(machine.read(), ReadRevisions { operator: 12, replicas: 7 });
+}
+
 #[test]
 fn a_request_goes_where_its_adapter_is() {
     let mut machine = machine();
