The product's own watch of the platform asks for an answer at once after a failed call

FleetWatch asked for a full watch, 30 s and in a large fleet minutes, right after a call that had failed, so that a platform which came back a moment later was heard only when that watch timed out. Change: NextCall holds when a part is asked and whether the call before failed; such a call waits for nothing. Left open: a watch that is already under way when its connection goes silent for good is still waited for to its end; shorter ones cost calls in proportion to the fleet (docs/CAPACITY.md), so this needs another sign of life.

--- a/quillcove/src/bundle/watch.rs
+++ b/quillcove/src/bundle/watch.rs
@@ -129,18 +129,18 @@
         self.read_bundle(Duration::ZERO).await;
         // The platform may be stale, and this process has nothing yet to tell.
         self.ask_peers().await;
-        let mut next_hosts = Instant::now();
-        let mut next_bundle = Instant::now();
+        let mut hosts_call = NextCall::new();
+        let mut bundle_call = NextCall::new();
         loop {
             // Watches that are dropped lose nothing: the next ones name the same revisions.
             let wait = self.watch_time();
             let hosts = async {
-                sleep_until(next_hosts).await;
-                self.platform.hosts(self.hosts_revision, wait).await
+                sleep_until(hosts_call.at).await;
+                self.platform.hosts(self.hosts_revision, hosts_call.wait(wait)).await
             };
             let bundle = async {
-                sleep_until(next_bundle).await;
-                self.platform.value(HEAD_VALUE, self.revision, wait).await
+                sleep_until(bundle_call.at).await;
+                self.platform.value(HEAD_VALUE, self.revision, bundle_call.wait(wait)).await
             };
             tokio::select! {
                 ask = asks.recv() => match ask {
@@ -150,23 +150,23 @@
                     Some(WatchAsk::Witness(version)) => self.witness(version).await,
                 },
                 found = hosts => {
-                    next_hosts = match found.is_ok() {
-                        true => Instant::now() + self.platform_section.hosts_interval,
-                        false => after_failure(),
+                    hosts_call = match found.is_ok() {
+                        true => NextCall::after(self.platform_section.hosts_interval),
+                        false => NextCall::after_failure(),
                     };
                     self.take_hosts(found);
                 },
                 found = bundle => match found {
                     Ok(Some(value)) => {
-                        next_bundle = match self.take_head(value.revision, &value.content).await {
-                            true => Instant::now(),
-                            false => after_failure(),
+                        bundle_call = match self.take_head(value.revision, &value.content).await {
+                            true => NextCall::new(),
+                            false => NextCall::after_failure(),
                         };
                     },
-                    Ok(None) => {},
+                    Ok(None) => bundle_call = NextCall::new(),
                     Err(_) => {
                         self.ask_peers().await;
-                        next_bundle = after_failure();
+                        bundle_call = NextCall::after_failure();
                     },
                 },
             }
@@ -329,6 +329,34 @@
     }
 }
 
-fn after_failure() -> Instant {
-    Instant::now() + FAILURE_PAUSE.mul_f64(rand::rng().random_range(0.5..2.0))
+/// When the platform is asked next.
+#[derive(Clone, Copy, Debug)]
+struct NextCall {
+    at: Instant,
+    /// Whether the call before failed. Nothing says then that the platform answers, and a watch
+    /// that it swallows would be waited for to its end.
+    follows_failure: bool,
+}
+
+impl NextCall {
+    fn new() -> Self {
+        Self::after(Duration::ZERO)
+    }
+
+    fn after(pause: Duration) -> Self {
+        Self { at: Instant::now() + pause, follows_failure: false }
+    }
+
+    fn after_failure() -> Self {
+        let pause = FAILURE_PAUSE.mul_f64(rand::rng().random_range(0.5..2.0));
+        Self { follows_failure: true, ..Self::after(pause) }
+    }
+
+    /// Time that the platform is asked to wait, of the time of a watch.
+    fn wait(self, watch_time: Duration) -> Duration {
+        match self.follows_failure {
+            true => Duration::ZERO,
+            false => watch_time,
+        }
+    }
 }
