Log a refused request's id as other lines do

It stood as Some("...") in 'request refused' and 'request denied', so that a search for the id with its quotes did not find these lines.

--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -40,18 +40,24 @@
         Ok(open) => run(open).await,
         Err(Rejection::Refused(refusal)) => {
             shared.metrics.refused(refusal.reason, WorkClass::Normal);
-            info!(shared.log, "request refused"; "id" => ?id, "reason" => refusal.reason.label());
+            info!(shared.log, "request refused"; "id" => logged(&id),
+                "reason" => refusal.reason.label());
             refusal_answer(&refusal)
         },
         Err(Rejection::Denied(denial)) => {
-            info!(shared.log, "request denied"; "id" => ?id, "status" => denial.status.as_u16(),
-                "reason" => denial.reason);
+            info!(shared.log, "request denied"; "id" => logged(&id),
+                "status" => denial.status.as_u16(), "reason" => denial.reason);
             own_answer(denial.status, None)
         },
     };
     close_when_stopping(&shared, with_id(answer, id))
 }
 
+/// A request's id as the other lines of the log give it.
+fn logged(id: &Option<HeaderValue>) -> Option<String> {
+    id.as_ref().map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned())
+}
+
 /// Tries until there is an answer or nothing more may be tried.
 async fn run(mut open: OpenRequest) -> Response<AnswerBody> {
     loop {
