--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -54,7 +54,7 @@
 }
 
 /// A request's id as the other lines of the log give it.
-fn logged(id: &Option<HeaderValue>) -> Option<String> {
+fn logged(id: &Option<http::HeaderValue>) -> Option<String> {
     id.as_ref().map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned())
 }
 
