--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -177,8 +177,8 @@
                     Err(error) => warn!(self.log, "datagrams can not be read"; "error" => %error),
                 },
                 () = sleep_until(next_report) => {
-                    // One that can not be read is logged there; the next one is due after a pause.
-                    let _ = self.read_report().await;
+                    // When it can not be read, the next one is due after a pause all the same.
+                    self.read_report().await;
                     next_report = Instant::now() + self.pause();
                 },
             }
@@ -353,7 +353,7 @@
             "model" => &order.model, "adapter" => order.adapter.as_deref().unwrap_or("-"),
             "version" => order.version, "fence" => order.fence, "outcome" => ?outcome,
             "held" => basis.held, "coming" => basis.coming, "places" => basis.places,
-            "report_age_ms" => basis.report_age.map(|age| age.as_millis() as u64));
+            "report_age_ms" => basis.report_age.as_millis() as u64);
         self.machine.end_order(outcome, self.clock.now());
         outcome
     }
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -231,11 +231,12 @@
     /// assert!(LoaderMachine::new("e1".into(), 1).next_order(Duration::ZERO).is_none());
     /// ```
     pub fn next_order(&mut self, now: MonoTime) -> Option<LoadOrder> {
-        // Before the first report an engine would be taken for empty, but it may have been full for
-        // long: only this process is new.
-        if self.under_way.is_some() || self.reported_at.is_none() {
+        if self.under_way.is_some() {
             return None;
         }
+        // Before the first report an engine would be taken for empty, but it may have been full for
+        // long: only this process is new.
+        let reported_at = self.reported_at?;
         self.asks.retain(|(_, taken)| now.saturating_sub(*taken) < ASK_LIFETIME);
         self.ordered.retain(|load| now.saturating_sub(load.at) < ORDERED_LIFETIME);
         while let Some((ask, _)) = self.asks.front() {
@@ -249,7 +250,8 @@
                 LoadRoom::NotYet => return None,
             };
             let (ask, _) = self.asks.pop_front()?;
-            let order = self.order_for(&ask, evicted, now);
+            let basis = self.basis(&ask, now.saturating_sub(reported_at));
+            let order = self.order_for(&ask, evicted, basis);
             if order.kind == OrderKind::Load {
                 match ask.key() {
                     Some(key) => {
@@ -354,9 +356,8 @@
         &mut self,
         ask: &LoadAsk,
         evicted: Option<AdapterKey>,
-        now: MonoTime,
+        basis: OrderBasis,
     ) -> LoadOrder {
-        let basis = self.basis(ask, now);
         self.fence += 1;
         let (kind, model, adapter, version) = match evicted {
             Some(key) => (OrderKind::Unload, key.model, Some(key.adapter), None),
@@ -376,10 +377,10 @@
         }
     }
 
-    /// What is known of the engine now.
-    fn basis(&self, ask: &LoadAsk, now: MonoTime) -> OrderBasis {
+    /// What is known of the engine from a report of this age.
+    fn basis(&self, ask: &LoadAsk, report_age: Duration) -> OrderBasis {
         OrderBasis {
-            report_age: self.reported_at.map(|read| now.saturating_sub(read)),
+            report_age,
             held: self.report.adapters.len(),
             coming: self.coming(),
             places: ask.places,
--- a/quillcove_core/src/relay/order.rs
+++ b/quillcove_core/src/relay/order.rs
@@ -43,8 +43,8 @@
 /// What a loader knew of its engine when it decided on an order; for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct OrderBasis {
-    /// Age of the engine's last report; `None` before the first.
-    pub report_age: Option<Duration>,
+    /// Age of the engine's last report.
+    pub report_age: Duration,
     /// Adapters that the engine held.
     pub held: usize,
     /// Adapters on their way.
