--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -221,6 +221,21 @@
     assert_eq!(order.kind, OrderKind::Unload, "the ask has waited, and the engine is full");
 }
 
+#[test]
+fn a_new_loader_takes_nothing_out_before_relays_have_told_their_use() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_report(settled(&[0, 1, 2, 3, 4]), ms(10));
+    machine.take_ask(ask(7, None), ms(10));
+    assert!(machine.next_order(ms(10)).is_none(), "any of them may be in use");
+    assert_eq!(machine.spare_places(ms(10)), Some(0));
+    // Relays tell twice a second.
+    let relay = "127.0.0.1:1".parse().unwrap();
+    let in_use = |number| AdapterUse { key: key(number), sent: 0, in_flight: 1 };
+    machine.take_uses(UseBeacon { relay, uses: (0..4).map(in_use).collect() }, ms(500));
+    let order = machine.next_order(ms(620)).unwrap();
+    assert_eq!((order.kind, order.adapter.as_deref()), (OrderKind::Unload, Some("a4")));
+}
+
 #[test]
 fn an_order_names_the_orders_that_it_knows_of() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
