A new loader takes no adapter out before relays have told it which are in use

Change: for 0.6 s after its first report, a little more than the 0.5 s between two tellings of a relay, a loader takes no adapter for unused.

--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -31,6 +31,10 @@
 /// their way, and relays tell of them only each half second.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 
+/// Time after a loader's first report in which the relays that are there tell it their use, which
+/// they do twice a second; the rest is for the way and for a busy host.
+const USES_TOLD_TIME: Duration = Duration::from_millis(600);
+
 /// Time after a relay's last word for which its requests count as in flight.
 const USE_LIFETIME: Duration = Duration::from_millis(1600);
 
@@ -89,6 +93,8 @@
     report: EngineReport,
     /// When the report was read; `None` before the first.
     reported_at: Option<MonoTime>,
+    /// When the first report was read.
+    first_report_at: Option<MonoTime>,
     demand: HashMap<AdapterKey, DemandMeter>,
     /// Adapters that the engine has held since it last was empty.
     known: HashSet<AdapterKey>,
@@ -117,6 +123,7 @@
             ordered: Vec::new(),
             report: EngineReport::default(),
             reported_at: None,
+            first_report_at: None,
             demand: HashMap::new(),
             known: HashSet::new(),
             came_in: HashMap::new(),
@@ -171,6 +178,7 @@
             || report.incoming != self.report.incoming;
         self.report = report;
         self.reported_at = Some(now);
+        self.first_report_at.get_or_insert(now);
         let adapters = &self.report.adapters;
         let (arrived, ordered): (Vec<_>, Vec<_>) =
             self.ordered.drain(..).partition(|load| load.is_met_by(adapters));
@@ -338,8 +346,10 @@
         self.idle_adapters(now).min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
     }
 
-    /// Adapters that may be taken out.
+    /// Adapters that may be taken out: none before relays have told which are in use.
     fn idle_adapters(&self, now: MonoTime) -> impl Iterator<Item = &AdapterKey> {
+        let knows_uses =
+            self.first_report_at.is_some_and(|at| now.saturating_sub(at) >= USES_TOLD_TIME);
         let is_recent = move |told: &MonoTime| now.saturating_sub(*told) < USE_LIFETIME;
         let is_used = move |key: &AdapterKey| {
             self.in_flight.values().any(|(keys, told)| is_recent(told) && keys.contains(key))
@@ -348,7 +358,7 @@
             self.came_in.get(key).is_some_and(|at| now.saturating_sub(*at) < SETTLE_TIME)
         };
         let held = self.report.adapters.iter().map(|held| &held.key);
-        held.filter(move |key| !is_used(key) && !is_new(key))
+        held.filter(move |key| knows_uses && !is_used(key) && !is_new(key))
     }
 
     /// The order for an ask: what makes room goes first.
