--- a/quillcove_core/tests/relay_follower.rs
+++ b/quillcove_core/tests/relay_follower.rs
@@ -1,11 +1,13 @@
 //! The follower of a part of the store against a store that is silent at times, and connections that
 //! go silent for good: what was published is known in time, whenever the trouble begins and ends.
 
+#[allow(dead_code, unused_imports, unused_macros)]
+mod fuzz;
+
 use std::ops::Range;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
 
 /// Milliseconds since the start of a run.
@@ -143,11 +145,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 2000,
-        rng_seed: RngSeed::Fixed(20261202),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz::config_of(2000))]
 
     #[test]
     fn what_was_published_is_known_in_time_after_any_trouble(day in day()) {
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -1,11 +1,13 @@
 //! A loader's machine against a simple engine: never more adapters than places, nothing taken out
 //! that is in use or has just come in, and fences that grow.
 
+#[allow(dead_code, unused_imports, unused_macros)]
+mod fuzz;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use quillcove_core::relay::beacon::{
     AdapterKey, AdapterUse, EngineReport, HeldAdapter, LoadAsk, UseBeacon,
 };
@@ -131,9 +133,9 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 1024,
-        rng_seed: RngSeed::Fixed(20261202),
-        ..ProptestConfig::default()
+        // Cases that once failed stay beside this file, and are tried first.
+        failure_persistence: ProptestConfig::default().failure_persistence,
+        ..fuzz::config_of(1024)
     })]
 
     #[test]
--- a/quillcove_core/tests/relay_loads.rs
+++ b/quillcove_core/tests/relay_loads.rs
@@ -1,12 +1,14 @@
 //! Loads over the whole site: base models within the weight store's rate also when the keeper
 //! changes, and adapters no more at once than the store serves at full speed.
 
+#[allow(dead_code, unused_imports, unused_macros)]
+mod fuzz;
+
 mod relay_site;
 
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::limiter::LoadLimiter;
@@ -53,11 +55,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 48,
-        rng_seed: RngSeed::Fixed(20261202),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz::config_of(48))]
 
     /// All engines restart empty at once, and another relay becomes keeper at any moment.
     #[test]
@@ -139,12 +137,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 32,
-        rng_seed: RngSeed::Fixed(20261202),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz::config_of(32))]
 
     #[test]
     fn two_keepers_at_once_stay_within_the_rate(one in 0u64..700, two in 0u64..700) {
--- a/quillcove_core/tests/relay_reading.rs
+++ b/quillcove_core/tests/relay_reading.rs
@@ -1,9 +1,11 @@
 //! The time to a first event, as a relay learns it, and the choice of engines by it.
 
+#[allow(dead_code, unused_imports, unused_macros)]
+mod fuzz;
+
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use quillcove_core::relay::reading::{ReadingNorm, ReadingPrompt, ReadingQueue};
 use quillcove_core::relay::replica::{ReplicaTable, ReplicaView, example_record};
 use quillcove_core::relay::routing::{RoutingCost, choose};
@@ -81,12 +83,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 64,
-        rng_seed: RngSeed::Fixed(20261202),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz::config_of(64))]
 
     /// Whatever begins and ends in whichever order, nothing is left over and times stay finite.
     #[test]
--- a/quillcove_core/tests/relay_tries.rs
+++ b/quillcove_core/tests/relay_tries.rs
@@ -1,12 +1,14 @@
 //! How long ago callers tried first, and how long requests of first and later tries wait.
 
+#[allow(dead_code, unused_imports, unused_macros)]
+mod fuzz;
+
 mod relay_site;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use quillcove_core::relay::beacon::{AdapterKey, EngineBeacon, EngineReport};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
 use quillcove_core::relay::policy::{RelayPolicy, WaitingRule};
@@ -111,12 +113,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 64,
-        rng_seed: RngSeed::Fixed(20261202),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fuzz::config_of(64))]
 
     /// The age never exceeds what the caller's time fell short of the longest.
     #[test]
