Settings take numbers and times with fractions; a relay's repeats are its even part of the fleet's

A time with a fraction ('7.6s') and a place that the platform leaves empty ended it too.

A relay saves up the fleet's extra repeats divided by the most relays it has known at once, one before it has heard any other and one at its start.

A budget of one lost every eleventh repeat to rounding, found by an existing test; mended in RetryBudget.

Ruled out: a count of relays that falls with those heard (two halves of a parted fleet would each take all). Not bounded: relays that restart in islands and hear only their island.

--- a/quillcove/src/config/ini.rs
+++ b/quillcove/src/config/ini.rs
@@ -58,6 +58,12 @@
     line: Option<usize>,
 }
 
+impl RawSetting {
+    fn is_given(&self) -> bool {
+        !self.value.trim().is_empty()
+    }
+}
+
 /// The settings of one process before they are given types.
 #[derive(Debug)]
 pub struct SettingSource {
@@ -217,7 +223,8 @@
         accepted: &str,
         parse: impl Fn(&str) -> Option<T>,
     ) -> T {
-        let Some(setting) = self.find(section, key) else {
+        // A key without a value is what a template leaves where the platform gives none.
+        let Some(setting) = self.find(section, key).filter(RawSetting::is_given) else {
             return default;
         };
         match parse(setting.value.trim()) {
@@ -281,7 +288,7 @@
         value: Option<T>,
         accepted: &str,
     ) -> Option<T> {
-        if value.is_none() && self.find(section, key).is_none() {
+        if value.is_none() && !self.find(section, key).is_some_and(|found| found.is_given()) {
             self.faults.push(SettingFault {
                 origin: self.file.clone(),
                 line: None,
@@ -342,8 +349,9 @@
     /// assert_eq!(source.time("a", "b", Duration::ZERO), Duration::from_millis(250));
     /// ```
     pub fn time(&mut self, section: &str, key: &str, default: Duration) -> Duration {
-        let accepted = "a time such as 250ms, 5s, 2m or 1h";
-        let parse = |text: &str| humantime::parse_duration(text).ok();
+        let accepted = "a time such as 250ms, 2.5s, 2m or 1h";
+        let parse =
+            |text: &str| humantime::parse_duration(text).ok().or_else(|| fractional_time(text));
         self.parsed(section, key, default, accepted, parse)
     }
 
@@ -482,6 +490,21 @@
     line.trim().strip_prefix('[')?.split(']').next().map(str::trim)
 }
 
+/// A time with a fraction, such as `2.5s`, which the library for whole ones does not take.
+fn fractional_time(text: &str) -> Option<Duration> {
+    let unit_at = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (number, unit) = text.split_at(unit_at);
+    let seconds = match unit.trim() {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3600.0,
+        _ => return None,
+    };
+    let number: f64 = number.parse().ok()?;
+    Duration::try_from_secs_f64(number * seconds).ok()
+}
+
 /// Lines on which each key of each section stands; the parser itself does not tell.
 fn locate_lines(text: &str) -> Vec<((String, String), usize)> {
     let mut section = String::new();
--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -11,14 +11,16 @@
 use super::ini::SettingSource;
 use super::shared::{LogSection, ProcessSection, StopSection};
 
-/// Share of the fleet's fixed repeats that one relay takes for itself. Relays do not agree on
-/// their number; with more than eight, the share of first attempts dominates.
-const RETRY_EXTRA_SHARE: f64 = 0.125;
-
 /// Share of the allowed ratio of repeats that a relay uses; the rest is for repeats that count in
 /// another window than their first attempts.
 const RETRY_RATIO_SHARE: f64 = 0.5;
 
+/// Largest ratio of repeats to requests that is taken; beyond it there is in effect no bound.
+const RETRY_RATIO_MOST: f64 = 100.0;
+
+/// Largest fixed number of repeats that is taken; beyond it there is in effect no bound.
+const RETRY_EXTRA_MOST: f64 = 1e9;
+
 /// All settings of a relay.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RelaySettings {
@@ -68,7 +70,7 @@
         RelayRules {
             hall: self.process.hall.clone(),
             retry_share: self.routing.retry_ratio * RETRY_RATIO_SHARE,
-            retry_saving: (self.routing.retry_extra as f64 * RETRY_EXTRA_SHARE).max(1.0),
+            retry_extra: self.routing.retry_extra,
             request_limit: self.requests.limit,
             policy: self.policy.0,
         }
@@ -248,13 +250,14 @@
 pub struct RelayRoutingSection {
     /// `retry_ratio`: repeats that the whole fleet may make, as a share of requests.
     pub retry_ratio: f64,
-    /// `retry_extra`: repeats that the whole fleet may make beyond that share, in one window.
-    pub retry_extra: usize,
+    /// `retry_extra`: repeats that the whole fleet may make beyond that share, in one window. It may
+    /// have a fraction; each relay's part of it is rounded down.
+    pub retry_extra: f64,
 }
 
 impl Default for RelayRoutingSection {
     fn default() -> Self {
-        Self { retry_ratio: 0.2, retry_extra: 50 }
+        Self { retry_ratio: 0.2, retry_extra: 50.0 }
     }
 }
 
@@ -262,9 +265,10 @@
     fn read(source: &mut SettingSource) -> Self {
         let default = Self::default();
         let section = "routing";
+        let (ratio, extra) = (default.retry_ratio, default.retry_extra);
         Self {
-            retry_ratio: source.fraction(section, "retry_ratio", default.retry_ratio, 0.0, 1.0),
-            retry_extra: source.number(section, "retry_extra", default.retry_extra, 0, 1 << 20),
+            retry_ratio: source.fraction(section, "retry_ratio", ratio, 0.0, RETRY_RATIO_MOST),
+            retry_extra: source.fraction(section, "retry_extra", extra, 0.0, RETRY_EXTRA_MOST),
         }
     }
 }
--- a/quillcove_core/src/entry/retry.rs
+++ b/quillcove_core/src/entry/retry.rs
@@ -3,6 +3,10 @@
 /// Repeats that may be saved up.
 const SAVING_LIMIT: f64 = 20.0;
 
+/// What sums of shares lose by rounding: ten times a tenth is a little less than one, which would cost
+/// a budget that saves up a single repeat every eleventh.
+const ROUNDING: f64 = 1e-9;
+
 /// Allows repeats as a share of first attempts.
 ///
 /// ```
@@ -42,7 +46,18 @@
     /// assert_eq!(RetryBudget::with_saving(0.2, 3.0).left(), 3.0);
     /// ```
     pub fn with_saving(share: f64, saving: f64) -> Self {
-        Self { share, saving, left: saving }
+        Self::starting_with(share, saving, saving)
+    }
+
+    /// A budget that saves up no more than this many repeats, and starts with some of them.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// assert_eq!(RetryBudget::starting_with(0.2, 3.0, 1.0).left(), 1.0);
+    /// ```
+    pub fn starting_with(share: f64, saving: f64, left: f64) -> Self {
+        Self { share, saving, left }
     }
 
     /// Takes over another share and saving; what was saved up beyond it is lost.
@@ -79,13 +94,24 @@
     /// assert!(RetryBudget::new(0.2).take());
     /// ```
     pub fn take(&mut self) -> bool {
-        if self.left < 1.0 {
+        if !self.allows() {
             return false;
         }
         self.left -= 1.0;
         true
     }
 
+    /// Tells whether there is a repeat left.
+    ///
+    /// ```
+    /// use quillcove_core::entry::retry::RetryBudget;
+    ///
+    /// assert!(RetryBudget::new(0.2).allows());
+    /// ```
+    pub fn allows(&self) -> bool {
+        self.left + ROUNDING >= 1.0
+    }
+
     /// Repeats allowed now.
     ///
     /// ```
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -27,6 +27,10 @@
 use crate::route::RouteRecord;
 use crate::verdict::{RefusalReason, WorkRefusal};
 
+/// Repeats that a relay has from its start, and may save up however many relays there are. As many
+/// relays as the fleet may save up repeats for bear it: the users' deployments allow 2.6 to 13 a relay.
+const FIRST_REPEATS: f64 = 1.0;
+
 /// Settings of the machine.
 #[derive(Clone, Debug)]
 pub struct RelayRules {
@@ -34,8 +38,8 @@
     pub hall: HallName,
     /// Repeats as a share of first attempts.
     pub retry_share: f64,
-    /// Repeats that this process may save up.
-    pub retry_saving: f64,
+    /// Repeats that all relays together may save up; each takes its part of it.
+    pub retry_extra: f64,
     /// Most requests in flight.
     pub request_limit: usize,
     /// How it decides.
@@ -47,7 +51,7 @@
         Self {
             hall: HallName::new(),
             retry_share: 0.1,
-            retry_saving: 8.0,
+            retry_extra: 50.0,
             request_limit: 2048,
             policy: RelayPolicy::default(),
         }
@@ -162,6 +166,9 @@
     is_store_away: bool,
     /// Relays that are there, this one included.
     relays: usize,
+    /// Most relays that were there at once. It does not fall: a relay that hears fewer may be cut off
+    /// from the others, which go on with their parts of what is shared.
+    most_relays: usize,
     /// Revisions of the store up to which this relay knows its parts.
     read: ReadRevisions,
     requests: usize,
@@ -193,6 +200,7 @@
             store_returned: None,
             is_store_away: false,
             relays: 1,
+            most_relays: 1,
             read: ReadRevisions::default(),
             requests: 0,
             is_stopping: false,
@@ -210,10 +218,8 @@
     /// machine.set_rules(RelayRules { request_limit: 7, ..RelayRules::default() });
     /// ```
     pub fn set_rules(&mut self, rules: RelayRules) {
-        for budget in self.budgets.values_mut() {
-            budget.resize(rules.retry_share, rules.retry_saving);
-        }
         self.rules = rules;
+        self.resize_budgets();
     }
 
     /// The sheet in force.
@@ -297,6 +303,10 @@
     /// ```
     pub fn set_others(&mut self, others: OtherRelays) {
         self.relays = others.count + 1;
+        if self.relays > self.most_relays {
+            self.most_relays = self.relays;
+            self.resize_budgets();
+        }
         self.demand.set_others(others);
     }
 
@@ -488,11 +498,28 @@
     }
 
     fn budget(&mut self, service: &str) -> &mut RetryBudget {
-        let (share, saving) = (self.rules.retry_share, self.rules.retry_saving);
-        let fresh = || RetryBudget::with_saving(share, saving);
+        let (share, saving) = (self.rules.retry_share, self.retry_saving());
+        let fresh = || RetryBudget::starting_with(share, saving, saving.min(FIRST_REPEATS));
         self.budgets.entry(service.to_string()).or_insert_with(fresh)
     }
 
+    /// Repeats that this relay may save up: its even part of what the fleet may, so that all savings
+    /// together stay within it. A relay that has heard no other may be one of many.
+    fn retry_saving(&self) -> f64 {
+        let part = match self.most_relays {
+            1 => FIRST_REPEATS,
+            relays => self.rules.retry_extra / relays as f64,
+        };
+        part.max(FIRST_REPEATS).min(self.rules.retry_extra)
+    }
+
+    fn resize_budgets(&mut self) {
+        let (share, saving) = (self.rules.retry_share, self.retry_saving());
+        for budget in self.budgets.values_mut() {
+            budget.resize(share, saving);
+        }
+    }
+
     /// Takes one repeat from the budget of a service; `false` when none is left.
     ///
     /// ```
@@ -512,7 +539,7 @@
     /// assert!(RelayMachine::new(RelayRules::default(), 1).has_repeat("s"));
     /// ```
     pub fn has_repeat(&mut self, service: &str) -> bool {
-        self.budget(service).left() >= 1.0
+        self.budget(service).allows()
     }
 
     /// Draws the service of a request by its route's weights.
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -170,8 +170,7 @@
 
 impl Watched {
     fn new(rule: WrongRule) -> Self {
-        let rules =
-            RelayRules { retry_share: SHARE, retry_saving: SAVING, ..RelayRules::default() };
+        let rules = RelayRules { retry_share: SHARE, retry_extra: SAVING, ..RelayRules::default() };
         let mut watched = Self {
             machine: RelayMachine::new(rules, 1),
             rule,
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -370,7 +370,7 @@
 
 #[test]
 fn repeats_stay_within_the_budget() {
-    let rules = RelayRules { retry_share: 0.1, retry_saving: 3.0, ..RelayRules::default() };
+    let rules = RelayRules { retry_share: 0.1, retry_extra: 3.0, ..RelayRules::default() };
     let mut machine = RelayMachine::new(rules, 1);
     let mut repeats = 0;
     for _ in 0..1000 {
