Loaders send gauges between whole reports; whole reports name models once and four relays

Cause: most of the bytes between halls were reports of loaders. Each went whole to each relay 2.5 to 10 times a second, with the addresses of all 68 relays (half of it) and the model's name with each of 14 adapters.

Change: a whole report when what the engine holds has changed, for new relays, on request and each second; between them gauges that name the content they belong to. A relay that has not had that content takes nothing from them and asks for a whole report. A whole report names four relays in turn and each base model once. Bytes of messages by kind in the metrics (quillcove.peer_bytes). The gauges carry how much all relays use each adapter, for the choice of copies that comes next.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -4,7 +4,6 @@
 //! One duty, `serve`, does all of it: the report, orders and datagrams take turns and share the
 //! machine that decides.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -12,9 +11,13 @@
 use dropshot::HttpServer;
 use http::Method;
 use quillcove_core::ids::MonoTime;
-use quillcove_core::relay::beacon::{ArrivedLoad, EngineBeacon, EngineReport, PeerMessage};
+use quillcove_core::relay::beacon::{
+    ArrivedLoad, EngineBeacon, EngineGauges, EngineReport, GaugeBeacon, PeerMessage,
+};
 use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
+use quillcove_core::relay::report_stream::ReportSender;
+use quillcove_core::relay::roll::RelayRoll;
 use quillcove_platform::engine;
 use serde::Serialize;
 use slog::{Logger, info, warn};
@@ -29,9 +32,6 @@
 use crate::peers::{PeerArrival, PeerSocket};
 use crate::web::client::{WebClient, WebError};
 
-/// Time for which a relay that was heard gets reports; relays announce themselves twice a second.
-const RELAY_LIFETIME: Duration = Duration::from_millis(2200);
-
 /// Longest time between two reports to the relays.
 const BEACON_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -123,9 +123,10 @@
     machine: LoaderMachine,
     metrics: Arc<ProcessMetrics>,
     view: Arc<Mutex<LoaderView>>,
-    relays: HashMap<SocketAddr, MonoTime>,
+    relays: RelayRoll,
     incarnation: u64,
     beacons: u64,
+    sender: ReportSender,
     /// Loads that ended since the last beacon.
     arrivals: Vec<ArrivedLoad>,
     last_beacon: MonoTime,
@@ -147,6 +148,7 @@
         let fence = first_fence();
         info!(log, "loader started"; "control" => %settings.listen.control,
             "engine" => %settings.engine.address, "fence" => fence);
+        let incarnation = rand::random();
         Ok(Self {
             machine: LoaderMachine::new(settings.process.host.clone(), fence),
             client: WebClient::new(CONNECT_TIMEOUT, IDLE_TIME),
@@ -154,9 +156,10 @@
             socket,
             metrics,
             view,
-            relays: HashMap::new(),
-            incarnation: rand::random(),
+            relays: RelayRoll::new(incarnation),
+            incarnation,
             beacons: 0,
+            sender: ReportSender::default(),
             arrivals: Vec::new(),
             last_beacon: MonoTime::ZERO,
             is_engine_up: false,
@@ -218,18 +221,19 @@
                 let relay = beacon.relay;
                 self.machine.take_uses(beacon, now);
                 self.tell_room(now);
-                if self.relays.insert(relay, now).is_none() {
+                if self.relays.hear(relay, now) {
                     info!(self.log, "relay heard"; "relay" => %relay);
                     self.greet(relay, now);
                 }
             },
+            PeerMessage::Resend(ask) => self.greet(ask.relay, now),
             PeerMessage::Load(ask) => {
                 info!(self.log, "load asked for"; "relay" => %from, "replica" => &ask.replica,
                     "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
                     "version" => ask.version);
                 self.machine.take_ask(ask, now);
             },
-            PeerMessage::Relay(_) | PeerMessage::Engine(_) => {
+            PeerMessage::Relay(_) | PeerMessage::Engine(_) | PeerMessage::Gauges(_) => {
                 warn!(self.log, "message is meant for a relay"; "from" => %from);
             },
         }
@@ -285,36 +289,52 @@
     }
 
     fn forget_relays(&mut self, now: MonoTime) {
-        let log = self.log.clone();
-        self.relays.retain(|relay, heard| {
-            let is_recent = now.saturating_sub(*heard) < RELAY_LIFETIME;
-            if !is_recent {
-                info!(log, "relay no longer heard"; "relay" => %relay);
-            }
-            is_recent
-        });
+        for relay in self.relays.forget(now) {
+            info!(self.log, "relay no longer heard"; "relay" => %relay);
+        }
     }
 
-    /// Reports to a relay that is new here, so that it need not wait for the next beacon.
+    /// Sends a whole report to one relay: one that is new here, so that it need not wait for the next
+    /// report, or one that has missed some.
     fn greet(&mut self, relay: SocketAddr, now: MonoTime) {
         if self.is_engine_up {
             let beacon = self.beacon(Vec::new(), now);
-            self.socket.send(&PeerMessage::Engine(Box::new(beacon)), [relay]);
+            self.send(&PeerMessage::Engine(Box::new(beacon)), [relay]);
         }
     }
 
-    fn beacon(&mut self, arrivals: Vec<ArrivedLoad>, now: MonoTime) -> EngineBeacon {
+    fn next_number(&mut self) -> u64 {
         self.beacons += 1;
+        self.beacons
+    }
+
+    fn beacon(&mut self, arrivals: Vec<ArrivedLoad>, now: MonoTime) -> EngineBeacon {
         EngineBeacon {
             host: self.settings.process.host.clone(),
             engine: self.settings.engine.address,
-            number: self.beacons,
+            number: self.next_number(),
             incarnation: self.incarnation,
+            content: self.sender.content(),
             report: self.machine.report().clone(),
+            uses: self.machine.fleet_uses(now),
             model_loads: self.machine.model_loads(now),
             spare_places: self.machine.spare_places(now),
             arrivals,
-            relays: self.relays.keys().copied().collect(),
+            relays: self.relays.name_some(),
+        }
+    }
+
+    fn gauges(&mut self, now: MonoTime) -> GaugeBeacon {
+        let report = self.machine.report();
+        let (running, waiting, is_busy) = (report.running, report.waiting, report.is_busy);
+        let spare_places = self.machine.spare_places(now);
+        let uses = self.machine.fleet_uses(now);
+        GaugeBeacon {
+            engine: self.settings.engine.address,
+            number: self.next_number(),
+            incarnation: self.incarnation,
+            content: self.sender.content(),
+            gauges: EngineGauges { running, waiting, is_busy, spare_places, uses },
         }
     }
 
@@ -328,15 +348,24 @@
     fn tell(&mut self, now: MonoTime) {
         self.last_beacon = now;
         let arrivals = std::mem::take(&mut self.arrivals);
-        let beacon = self.beacon(arrivals, now);
-        let relays = beacon.relays.clone();
-        self.told_full = beacon.spare_places == Some(0);
+        let is_whole = self.sender.takes_whole(self.machine.report(), now);
+        self.told_full = self.machine.spare_places(now) == Some(0);
+        let message = match is_whole || !arrivals.is_empty() {
+            true => PeerMessage::Engine(Box::new(self.beacon(arrivals, now))),
+            false => PeerMessage::Gauges(self.gauges(now)),
+        };
+        let relays: Vec<SocketAddr> = self.relays.all().collect();
         if let Ok(mut view) = self.view.lock() {
-            view.report = beacon.report.clone();
-            view.relays = relays.clone();
+            view.report = self.machine.report().clone();
+            view.relays.clone_from(&relays);
             view.is_engine_up = self.is_engine_up;
         }
-        self.socket.send(&PeerMessage::Engine(Box::new(beacon)), relays);
+        self.send(&message, relays);
+    }
+
+    fn send(&self, message: &PeerMessage, relays: impl IntoIterator<Item = SocketAddr>) {
+        let sent = self.socket.send(message, relays);
+        self.metrics.told(message.kind(), sent);
     }
 
     /// Gives one order and takes its outcome.
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -8,9 +8,12 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use quillcove_core::class::WorkClass;
+use quillcove_core::relay::beacon::PeerMessageKind;
 use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::verdict::{RefusalReason, RunVerdict};
 
+use crate::peers::SentMessage;
+
 /// Bounds of time histograms, in seconds.
 const TIME_BOUNDS: [f64; 16] = [
     0.0001, 0.00025, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.31, 0.5, 1.0, 2.5,
@@ -27,6 +30,8 @@
     retries: Counter<u64>,
     loads: Counter<u64>,
     orders: Counter<u64>,
+    peer_messages: Counter<u64>,
+    peer_bytes: Counter<u64>,
     load_stall: Histogram<f64>,
     promises: Counter<u64>,
     promise_error: Histogram<f64>,
@@ -64,6 +69,16 @@
             retries: counter(&meter, "quillcove.retries", "Attempts after the first"),
             loads: counter(&meter, "quillcove.loads", "Loads by outcome"),
             orders: counter(&meter, "quillcove.orders", "Orders to the engine by outcome"),
+            peer_messages: counter(
+                &meter,
+                "quillcove.peer_messages",
+                "Datagrams sent to other processes of the system, by kind",
+            ),
+            peer_bytes: counter(
+                &meter,
+                "quillcove.peer_bytes",
+                "Bytes of these datagrams, without the network's headers",
+            ),
             load_stall: time("quillcove.load_stall", "Wait before the upstream gets an attempt"),
             promises: counter(&meter, "quillcove.promises", "Told times of adapters by fate"),
             promise_error: time(
@@ -182,6 +197,23 @@
         }
     }
 
+    /// Counts a message that went to other processes of the system.
+    ///
+    /// ```
+    /// use quillcove::metrics::ProcessMetrics;
+    /// use quillcove::peers::SentMessage;
+    /// use quillcove_core::relay::beacon::PeerMessageKind;
+    ///
+    /// let metrics = ProcessMetrics::new("relay").unwrap();
+    /// metrics.told(PeerMessageKind::Use, SentMessage { datagrams: 2, bytes: 60 });
+    /// assert!(metrics.text().contains("quillcove_peer_bytes_total{kind=\"use\""));
+    /// ```
+    pub fn told(&self, kind: PeerMessageKind, sent: SentMessage) {
+        let labels = [KeyValue::new("kind", kind.label())];
+        self.peer_messages.add(sent.datagrams as u64, &labels);
+        self.peer_bytes.add(sent.bytes as u64, &labels);
+    }
+
     /// All metrics in Prometheus text.
     ///
     /// ```
--- a/quillcove/src/peers.rs
+++ b/quillcove/src/peers.rs
@@ -19,6 +19,15 @@
     sender: std::net::UdpSocket,
 }
 
+/// What went out of one message.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentMessage {
+    /// Datagrams, one a receiver.
+    pub datagrams: usize,
+    /// Bytes of all of them, without the headers of the network.
+    pub bytes: usize,
+}
+
 /// What arrived at the socket.
 #[derive(Debug)]
 pub enum PeerArrival {
@@ -77,19 +86,20 @@
     ///     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
     ///     let own = socket.local_addr().unwrap();
     ///     let beacon = UseBeacon { relay: own, uses: Vec::new() };
-    ///     assert_eq!(socket.send(&PeerMessage::Use(beacon), [own]), 1);
+    ///     assert_eq!(socket.send(&PeerMessage::Use(beacon), [own]).datagrams, 1);
     /// });
     /// ```
     pub fn send(
         &self,
         message: &PeerMessage,
         receivers: impl IntoIterator<Item = SocketAddr>,
-    ) -> usize {
+    ) -> SentMessage {
         let Ok(bytes) = postcard::to_stdvec(message) else {
-            return 0;
+            return SentMessage::default();
         };
         let sent = receivers.into_iter().map(|to| self.sender.send_to(&bytes, to));
-        sent.filter(Result::is_ok).count()
+        let datagrams = sent.filter(Result::is_ok).count();
+        SentMessage { datagrams, bytes: datagrams * bytes.len() }
     }
 
     /// Waits for the next datagram.
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -12,6 +12,7 @@
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::relay::published::{PublishedState, StorePart};
+use quillcove_core::relay::report_stream::ReportLedger;
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -81,8 +82,8 @@
     last_fetch: MonoTime,
     keeper: ModelKeeper,
     relays: HashMap<HostId, KnownRelay>,
-    /// The last beacon of each loader: its process and number.
-    loaders: HashMap<SocketAddr, (u64, u64)>,
+    /// What was heard of each loader.
+    loaders: ReportLedger,
     /// Whether the store answers, by part.
     store_up: HashMap<StorePart, bool>,
     /// Since when another relay has been ahead in the store.
@@ -115,7 +116,7 @@
             last_fetch: MonoTime::ZERO,
             keeper: ModelKeeper::default(),
             relays: HashMap::new(),
-            loaders: HashMap::new(),
+            loaders: ReportLedger::default(),
             store_up: HashMap::new(),
             behind_since: None,
             is_keeper: false,
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -6,8 +6,10 @@
 
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
-    AddressedAsk, EngineBeacon, OtherRelays, PeerMessage, RelayBeacon, ReplicaId, UseBeacon,
+    AddressedAsk, EngineBeacon, GaugeBeacon, OtherRelays, PeerMessage, RelayBeacon, ReplicaId,
+    ResendAsk, UseBeacon,
 };
+use quillcove_core::relay::report_stream::GaugeFate;
 use slog::{info, warn};
 
 use super::{InputDuty, KnownRelay};
@@ -20,7 +22,8 @@
         match message {
             PeerMessage::Relay(beacon) => self.take_beacon(beacon, now),
             PeerMessage::Engine(beacon) => self.take_report(*beacon, now),
-            PeerMessage::Use(_) | PeerMessage::Load(_) => {
+            PeerMessage::Gauges(beacon) => self.take_gauges(&beacon, now),
+            PeerMessage::Use(_) | PeerMessage::Load(_) | PeerMessage::Resend(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
         }
@@ -39,14 +42,9 @@
     }
 
     fn take_report(&mut self, beacon: EngineBeacon, now: MonoTime) {
-        let last = self.loaders.get(&beacon.engine);
-        let is_late = last.is_some_and(|(incarnation, number)| {
-            *incarnation == beacon.incarnation && *number >= beacon.number
-        });
-        if is_late {
+        if !self.loaders.take_whole(&beacon) {
             return;
         }
-        self.loaders.insert(beacon.engine, (beacon.incarnation, beacon.number));
         self.keeper.take_report(&beacon, now);
         let is_changed = self.shared.machine().take_report(&beacon, now);
         if is_changed {
@@ -58,12 +56,43 @@
         }
     }
 
+    fn take_gauges(&mut self, beacon: &GaugeBeacon, now: MonoTime) {
+        match self.loaders.take_gauges(beacon, now) {
+            GaugeFate::Late | GaugeFate::Lacks { asks: false } => {},
+            GaugeFate::Lacks { asks: true } => self.ask_for_whole(beacon.engine),
+            GaugeFate::Fits => {
+                let is_taken =
+                    self.shared.machine().take_gauges(beacon.engine, &beacon.gauges, now);
+                if !is_taken {
+                    // The engine has restarted, so that its last report is gone.
+                    self.loaders.forget(beacon.engine);
+                }
+                self.send_wanted();
+            },
+        }
+    }
+
+    fn ask_for_whole(&self, engine: SocketAddr) {
+        let ask = PeerMessage::Resend(ResendAsk { relay: self.control });
+        self.send(&ask, [self.loader_of(engine)]);
+    }
+
+    /// The loader on the host of an engine.
+    fn loader_of(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.settings.peers.loader_port)
+    }
+
+    fn send(&self, message: &PeerMessage, receivers: impl IntoIterator<Item = SocketAddr>) {
+        let sent = self.socket.send(message, receivers);
+        self.shared.metrics.told(message.kind(), sent);
+    }
+
     /// Tells a relay that only loaders have heard so far that this one is there.
     fn greet(&self, relay: SocketAddr) {
         let is_known = self.relays.values().any(|known| known.address == relay);
         if !is_known && relay != self.control {
             let beacon = self.beacon();
-            self.socket.send(&PeerMessage::Relay(beacon), [relay]);
+            self.send(&PeerMessage::Relay(beacon), [relay]);
         }
     }
 
@@ -86,7 +115,7 @@
     /// Forgets loaders whose engines are no longer listed.
     pub(super) fn forget_loaders(&mut self) {
         let machine = self.shared.machine();
-        self.loaders.retain(|engine, _| machine.table().at(*engine).is_some());
+        self.loaders.retain(|engine| machine.table().at(engine).is_some());
     }
 
     /// The relay with the lowest name among those heard lately paces the loads of base models.
@@ -114,14 +143,13 @@
     }
 
     fn send_asks(&self, asks: Vec<AddressedAsk>) {
-        let port = self.settings.peers.loader_port;
         for addressed in asks {
             let ask = &addressed.ask;
             info!(self.shared.log, "load asked for"; "replica" => &ask.replica,
                 "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
                 "version" => ask.version);
-            let loader = SocketAddr::new(addressed.engine.ip(), port);
-            self.socket.send(&PeerMessage::Load(addressed.ask), [loader]);
+            let loader = self.loader_of(addressed.engine);
+            self.send(&PeerMessage::Load(addressed.ask), [loader]);
         }
     }
 
@@ -146,7 +174,7 @@
     pub(super) fn tell_all(&mut self, now: MonoTime) {
         self.last_beacon = now;
         let beacon = PeerMessage::Relay(self.beacon());
-        self.socket.send(&beacon, self.relay_addresses());
+        self.send(&beacon, self.relay_addresses());
         for (replica, loader) in self.loaders_of_engines() {
             self.tell_uses(&replica, loader);
         }
@@ -167,12 +195,11 @@
     fn tell_uses(&self, replica: &str, loader: SocketAddr) {
         let uses = self.shared.machine().take_uses(replica);
         let beacon = PeerMessage::Use(UseBeacon { relay: self.control, uses });
-        self.socket.send(&beacon, [loader]);
+        self.send(&beacon, [loader]);
     }
 
     /// Loaders sit on the hosts of all engines that are listed.
     fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
-        let port = self.settings.peers.loader_port;
         let machine = self.shared.machine();
         let Some(sheet) = machine.sheet() else {
             return Vec::new();
@@ -180,7 +207,6 @@
         let has_engine =
             |service: &str| sheet.service(service).is_some_and(|service| service.engine.is_some());
         let engines = machine.table().all().filter(|view| has_engine(&view.record.service));
-        let loader = |address: SocketAddr| SocketAddr::new(address.ip(), port);
-        engines.map(|view| (view.record.id.clone(), loader(view.record.address))).collect()
+        engines.map(|view| (view.record.id.clone(), self.loader_of(view.record.address))).collect()
     }
 }
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -79,8 +79,14 @@
     pub number: u64,
     /// Random number of the loader process.
     pub incarnation: u64,
-    /// The engine's own words.
+    /// Grows with each change of what the engine holds, so that gauges tell to which report they
+    /// belong.
+    pub content: u64,
+    /// The engine's own words, less what only its loader needs.
+    #[serde(with = "super::packed")]
     pub report: EngineReport,
+    /// Requests in flight for each adapter of the report, in its order, over all relays.
+    pub uses: Vec<u32>,
     /// Ages of the loads of base models that this loader began lately.
     pub model_loads: Vec<Duration>,
     /// Adapters that came in since the last beacon.
@@ -88,10 +94,48 @@
     /// Adapters that the engine can take in now, in free places or for ones that nobody uses; `None`
     /// until the loader knows how many places there are.
     pub spare_places: Option<u32>,
-    /// Relays that the loader has heard lately.
+    /// Some of the relays that the loader has heard lately, others with each beacon.
     pub relays: Vec<SocketAddr>,
 }
 
+/// What changes of an engine with each request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineGauges {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Whether an order is under way that excludes others.
+    pub is_busy: bool,
+    /// Adapters that the engine can take in now, as in [`EngineBeacon::spare_places`].
+    pub spare_places: Option<u32>,
+    /// Requests in flight for each adapter, as in [`EngineBeacon::uses`].
+    pub uses: Vec<u32>,
+}
+
+/// A loader's report on an engine that still holds what the last whole report said. Of the bytes of
+/// a whole report it takes about a fifth.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GaugeBeacon {
+    /// Where callers reach the engine.
+    pub engine: SocketAddr,
+    /// Grows with each beacon of one loader process, whole or not.
+    pub number: u64,
+    /// Random number of the loader process.
+    pub incarnation: u64,
+    /// Which content the gauges belong to, as in [`EngineBeacon::content`].
+    pub content: u64,
+    /// The gauges.
+    pub gauges: EngineGauges,
+}
+
+/// A relay's wish for a whole report, as it has not had the one that the gauges belong to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResendAsk {
+    /// Where the relay wants the report.
+    pub relay: SocketAddr,
+}
+
 /// What a relay tells the other relays.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayBeacon {
@@ -192,4 +236,66 @@
     Engine(Box<EngineBeacon>),
     /// From a relay to a loader.
     Load(LoadAsk),
+    /// From a loader to relays.
+    Gauges(GaugeBeacon),
+    /// From a relay to a loader.
+    Resend(ResendAsk),
+}
+
+/// The kinds of [`PeerMessage`], for counting their bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum PeerMessageKind {
+    /// [`PeerMessage::Relay`].
+    Relay,
+    /// [`PeerMessage::Use`].
+    Use,
+    /// [`PeerMessage::Engine`].
+    Engine,
+    /// [`PeerMessage::Load`].
+    Load,
+    /// [`PeerMessage::Gauges`].
+    Gauges,
+    /// [`PeerMessage::Resend`].
+    Resend,
+}
+
+impl PeerMessageKind {
+    /// Its name in metrics.
+    ///
+    /// ```
+    /// use quillcove_core::relay::beacon::PeerMessageKind;
+    ///
+    /// assert_eq!(PeerMessageKind::Use.label(), "use");
+    /// ```
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Relay => "relay",
+            Self::Use => "use",
+            Self::Engine => "engine",
+            Self::Load => "load",
+            Self::Gauges => "gauges",
+            Self::Resend => "resend",
+        }
+    }
+}
+
+impl PeerMessage {
+    /// Its kind.
+    ///
+    /// ```
+    /// use quillcove_core::relay::beacon::{PeerMessage, PeerMessageKind, ResendAsk};
+    ///
+    /// let ask = ResendAsk { relay: "127.0.0.1:1".parse().unwrap() };
+    /// assert_eq!(PeerMessage::Resend(ask).kind(), PeerMessageKind::Resend);
+    /// ```
+    pub fn kind(&self) -> PeerMessageKind {
+        match self {
+            Self::Relay(_) => PeerMessageKind::Relay,
+            Self::Use(_) => PeerMessageKind::Use,
+            Self::Engine(_) => PeerMessageKind::Engine,
+            Self::Load(_) => PeerMessageKind::Load,
+            Self::Gauges(_) => PeerMessageKind::Gauges,
+            Self::Resend(_) => PeerMessageKind::Resend,
+        }
+    }
 }
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -57,6 +57,8 @@
     ///     number: 1,
     ///     incarnation: 1,
     ///     report: EngineReport::default(),
+    ///     content: 1,
+    ///     uses: Vec::new(),
     ///     model_loads: vec![Duration::from_secs(1)],
     ///     spare_places: None,
     ///     arrivals: Vec::new(),
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -100,8 +100,8 @@
     known: HashSet<AdapterKey>,
     /// When adapters came in.
     came_in: HashMap<AdapterKey, MonoTime>,
-    /// Adapters with requests in flight, by relay, and when the relay said so.
-    in_flight: HashMap<SocketAddr, (Vec<AdapterKey>, MonoTime)>,
+    /// Requests in flight for each adapter, by relay, and when the relay said so.
+    in_flight: HashMap<SocketAddr, (HashMap<AdapterKey, u32>, MonoTime)>,
 }
 
 impl LoaderMachine {
@@ -147,10 +147,26 @@
             meter.add(now, f64::from(used.sent), DEMAND_HALF_LIFE);
         }
         let busy = beacon.uses.into_iter().filter(|used| used.in_flight > 0);
-        let busy = busy.map(|used| used.key).collect();
+        let busy = busy.map(|used| (used.key, used.in_flight)).collect();
         self.in_flight.insert(beacon.relay, (busy, now));
     }
 
+    /// Requests in flight for each adapter that the engine holds, in the report's order, over all
+    /// relays that told of them lately.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert!(LoaderMachine::new("e1".into(), 1).fleet_uses(Duration::ZERO).is_empty());
+    /// ```
+    pub fn fleet_uses(&self, now: MonoTime) -> Vec<u32> {
+        let is_recent = |told: &MonoTime| now.saturating_sub(*told) < USE_LIFETIME;
+        let relays = || self.in_flight.values().filter(|(_, told)| is_recent(told));
+        let uses = |held: &HeldAdapter| relays().filter_map(|(uses, _)| uses.get(&held.key)).sum();
+        self.report.adapters.iter().map(uses).collect()
+    }
+
     /// The last report of the engine.
     ///
     /// ```
@@ -352,7 +368,7 @@
             self.first_report_at.is_some_and(|at| now.saturating_sub(at) >= USES_TOLD_TIME);
         let is_recent = move |told: &MonoTime| now.saturating_sub(*told) < USE_LIFETIME;
         let is_used = move |key: &AdapterKey| {
-            self.in_flight.values().any(|(keys, told)| is_recent(told) && keys.contains(key))
+            self.in_flight.values().any(|(uses, told)| is_recent(told) && uses.contains_key(key))
         };
         let is_new = move |key: &AdapterKey| {
             self.came_in.get(key).is_some_and(|at| now.saturating_sub(*at) < SETTLE_TIME)
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -9,10 +9,13 @@
 pub use self::view::{RelayView, ReplicaSummary};
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, OtherRelays, ReplicaId};
+use super::beacon::{
+    AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, EngineGauges, OtherRelays, ReplicaId,
+};
 use super::demand::AdapterDemand;
 use super::policy::RelayPolicy;
 use super::promise::{EndedPromise, PromiseBook};
@@ -111,7 +114,7 @@
     /// The replica.
     pub replica: ReplicaId,
     /// Its address.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
 }
 
 /// The next step for a request.
@@ -415,6 +418,8 @@
     ///     number: 1,
     ///     incarnation: 1,
     ///     report: EngineReport::default(),
+    ///     content: 1,
+    ///     uses: Vec::new(),
     ///     model_loads: Vec::new(),
     ///     spare_places: None,
     ///     arrivals: Vec::new(),
@@ -425,7 +430,8 @@
     /// ```
     pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
         let is_changed = self.table.report(beacon.engine, beacon.report.clone(), now);
-        let has_room = self.table.note_spare(beacon.engine, beacon.spare_places);
+        let uses = beacon.uses.clone();
+        let has_room = self.table.note_spare(beacon.engine, beacon.spare_places, uses);
         if let Some(view) = self.table.at(beacon.engine) {
             if beacon.report.models.is_empty() {
                 self.demand.forget_engine(&view.record.id);
@@ -440,6 +446,33 @@
         is_changed
     }
 
+    /// Takes gauges that belong to the last report of a loader; `false` when there is none, so that
+    /// nothing was taken.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::EngineGauges;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let engine = "127.0.0.1:1".parse().unwrap();
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(!machine.take_gauges(engine, &EngineGauges::default(), Duration::ZERO));
+    /// ```
+    pub fn take_gauges(
+        &mut self,
+        engine: SocketAddr,
+        gauges: &EngineGauges,
+        now: MonoTime,
+    ) -> bool {
+        if !self.table.gauge(engine, gauges, now) {
+            return false;
+        }
+        if self.table.note_spare(engine, gauges.spare_places, gauges.uses.clone()) {
+            self.pump(now);
+        }
+        true
+    }
+
     /// Admits a request, or refuses it.
     ///
     /// # Errors
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -9,6 +9,8 @@
 //! - [`limiter`]: how many adapters may be on their way at once.
 //! - [`loader`]: orders to the one engine beside a loader.
 //! - [`order`]: what an order says, and how it ended.
+//! - [`report_stream`]: what a loader sends of its engine's report, and what a relay makes of it.
+//! - [`roll`]: the relays that a loader hears, and which of them it names.
 //! - [`policy`]: the rules that can be switched back for measurement.
 //! - [`promise`]: how true the times were that refused callers were told.
 //! - [`prompt`]: what a request asks an engine to read and to write.
@@ -25,12 +27,15 @@
 pub mod loader;
 pub mod machine;
 pub mod order;
+mod packed;
 pub mod policy;
 pub mod promise;
 pub mod prompt;
 pub mod published;
 pub mod reading;
 pub mod replica;
+pub mod report_stream;
+pub mod roll;
 pub mod routing;
 pub mod sheet;
 pub mod tries;
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -84,6 +84,8 @@
     report: Option<(EngineReport, MonoTime)>,
     /// Adapters that it can take in, by that report.
     spare_places: Option<u32>,
+    /// Requests of all relays in flight for each adapter of that report, in its order.
+    fleet_uses: Vec<u32>,
     /// Since when it has been reported to hold no base model.
     empty_since: Option<MonoTime>,
     /// Requests sent since that report.
@@ -105,6 +107,7 @@
             in_flight: 0,
             report: None,
             spare_places: None,
+            fleet_uses: Vec::new(),
             empty_since: None,
             sent_since: 0,
             reading: ReadingQueue::default(),
@@ -270,6 +273,33 @@
         self.uses.get(key).map_or(0, |used| used.in_flight)
     }
 
+    /// Requests of all relays for an adapter that are in flight there, as far as this process knows:
+    /// its own, or more by the loader's last word, which relays' uses reach twice a second.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.begin("i-1", Some(&key), Duration::ZERO);
+    /// assert_eq!(table.get("i-1").unwrap().fleet_uses_of(&key, Duration::ZERO), 1);
+    /// ```
+    pub fn fleet_uses_of(&self, key: &AdapterKey, now: MonoTime) -> u32 {
+        let own = self.uses_of(key);
+        let Some(report) = self.report(now) else {
+            return own;
+        };
+        // After an adapter turned out to be missing, the two lists differ until the next report.
+        if report.adapters.len() != self.fleet_uses.len() {
+            return own;
+        }
+        let place = report.adapters.iter().position(|held| held.key == *key);
+        place.map_or(own, |place| self.fleet_uses[place].max(own))
+    }
+
     /// How loaded it is: 1 and more is as good as full. Requests count as a share of its places,
     /// and those that wait for their first event on top of that, as prompts are read one after
     /// another. Known from the last report and what was sent since, or from this process's own
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -6,7 +6,7 @@
 
 use super::{AttemptFate, ReplicaRecord, ReplicaView};
 use crate::ids::{MonoTime, ServiceName};
-use crate::relay::beacon::{AdapterKey, AdapterUse, EngineReport, ReplicaId};
+use crate::relay::beacon::{AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId};
 use crate::relay::reading::{ReadingNorm, ReadingNumber, ReadingPrompt};
 
 /// Failures in a row after which a replica is left out for a while.
@@ -150,6 +150,35 @@
         is_changed
     }
 
+    /// Takes an engine's gauges into its loader's last report, which is as good as new with them;
+    /// `false` when there is none.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::EngineGauges;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// let engine = "127.0.0.1:1".parse().unwrap();
+    /// let gauges = EngineGauges::default();
+    /// assert!(!ReplicaTable::default().gauge(engine, &gauges, Duration::ZERO));
+    /// ```
+    pub fn gauge(&mut self, address: SocketAddr, gauges: &EngineGauges, now: MonoTime) -> bool {
+        let id = self.at(address).map(|view| view.record.id.clone());
+        let Some(view) = id.and_then(|id| self.replicas.get_mut(&id)) else {
+            return false;
+        };
+        let Some((report, heard)) = &mut view.report else {
+            return false;
+        };
+        report.running = gauges.running;
+        report.waiting = gauges.waiting;
+        report.is_busy = gauges.is_busy;
+        *heard = now;
+        view.reading.report(gauges.waiting);
+        view.sent_since = 0;
+        true
+    }
+
     /// Notes that a request is sent.
     ///
     /// ```
@@ -287,22 +316,28 @@
         }
     }
 
-    /// Takes how many adapters the engine at an address can take in; tells whether there is room now
-    /// and was none before.
+    /// Takes how many adapters the engine at an address can take in, and how much all relays use those
+    /// that it holds; tells whether there is room now and was none before.
     ///
     /// ```
     /// use quillcove_core::relay::replica::ReplicaTable;
     ///
     /// let address = "127.0.0.1:1".parse().unwrap();
-    /// assert!(!ReplicaTable::default().note_spare(address, Some(2)));
+    /// assert!(!ReplicaTable::default().note_spare(address, Some(2), Vec::new()));
     /// ```
-    pub fn note_spare(&mut self, address: SocketAddr, spare: Option<u32>) -> bool {
+    pub fn note_spare(
+        &mut self,
+        address: SocketAddr,
+        spare: Option<u32>,
+        fleet_uses: Vec<u32>,
+    ) -> bool {
         let id = self.at(address).map(|view| view.record.id.clone());
         let Some(view) = id.and_then(|id| self.replicas.get_mut(&id)) else {
             return false;
         };
         let had_none = view.spare_places == Some(0);
         view.spare_places = spare;
+        view.fleet_uses = fleet_uses;
         had_none && spare != Some(0)
     }
 
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -292,6 +292,8 @@
                 ..EngineReport::default()
             },
             model_loads: Vec::new(),
+            content: 1,
+            uses: Vec::new(),
             spare_places: None,
             arrivals: Vec::new(),
             relays: Vec::new(),
--- a/quillcove_core/tests/relay_demand.rs
+++ b/quillcove_core/tests/relay_demand.rs
@@ -193,14 +193,14 @@
 fn an_adapter_goes_where_a_place_is_to_be_had() {
     let mut site = Site::new();
     for port in 1..=ENGINES {
-        site.table.note_spare(address(port), Some(u32::from(port == 3)));
+        site.table.note_spare(address(port), Some(u32::from(port == 3)), Vec::new());
     }
     site.want(1, None, 1, ms(0));
     assert_eq!(site.pump(ms(0)), [("a1".to_string(), 3)]);
     // The one place is taken by what is on its way there.
     site.want(2, None, 1, ms(1));
     assert_eq!(site.pump(ms(1)), []);
-    assert!(site.table.note_spare(address(2), Some(1)));
+    assert!(site.table.note_spare(address(2), Some(1), Vec::new()));
     assert_eq!(site.pump(ms(2)), [("a2".to_string(), 2)]);
 }
 
@@ -208,7 +208,7 @@
 fn of_engines_with_places_the_one_with_least_to_read_takes_an_adapter_in() {
     let mut site = Site::new();
     for port in 1..=ENGINES {
-        site.table.note_spare(address(port), Some(3));
+        site.table.note_spare(address(port), Some(3), Vec::new());
         if port != 2 {
             let prompt = ReadingPrompt { tokens: 50_000, rank: 0 };
             site.table.begin_reading(&format!("i-{port}"), u64::from(port), prompt, ms(0));
--- a/quillcove_core/tests/relay_loads.rs
+++ b/quillcove_core/tests/relay_loads.rs
@@ -49,6 +49,8 @@
         report: EngineReport { models, is_busy, ..EngineReport::default() },
         model_loads: began.iter().map(|at| now - *at).collect(),
         arrivals: Vec::new(),
+        content: 1,
+        uses: Vec::new(),
         spare_places: None,
         relays: Vec::new(),
     }
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -71,6 +71,8 @@
             ..EngineReport::default()
         },
         model_loads: Vec::new(),
+        content: 1,
+        uses: Vec::new(),
         spare_places: None,
         arrivals: Vec::new(),
         relays: Vec::new(),
--- a/quillcove_core/tests/relay_tries.rs
+++ b/quillcove_core/tests/relay_tries.rs
@@ -48,6 +48,8 @@
         incarnation: 1,
         report: EngineReport { models: vec!["m".into()], ..EngineReport::default() },
         model_loads: Vec::new(),
+        content: 1,
+        uses: Vec::new(),
         spare_places: Some(1),
         arrivals: Vec::new(),
         relays: Vec::new(),
