Another copy of an adapter is asked for by the use of all relays, not of one

Cause: an engine's copy was wanted only when this relay had two requests for its adapter in flight. With 68 relays each has one, so that what is asked for most stayed in one engine while others were idle.

Change: the loader tells with its report how many requests all relays have in flight for each adapter that its engine holds; four of them at an engine whose backlog takes longer than a load are worth a copy.

--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -41,9 +41,9 @@
 /// longer than a third.
 const RETURN_SHARE: f64 = 0.33;
 
-/// Requests of this relay for an adapter that are in flight at an engine from which on a loaded engine
+/// Requests of all relays for an adapter that are in flight at an engine from which on a loaded engine
 /// is worth another copy of it elsewhere; fewer would not relieve it.
-const COPY_USES: u32 = 2;
+const COPY_USES: u32 = 4;
 
 /// Time for which another copy of a held adapter is wanted after a request that showed the need.
 const COPY_LIFETIME: Duration = Duration::from_secs(1);
@@ -197,7 +197,7 @@
             CopyRule::Backlog => backlog >= self.demand.load_time(),
             CopyRule::Places => view.load(now) >= SPREAD_LOAD,
         };
-        let is_crowded = is_slow && view.uses_of(key) >= COPY_USES;
+        let is_crowded = is_slow && view.fleet_uses_of(key, now) >= COPY_USES;
         if is_outdated || is_crowded {
             let need = self.need_of(query, now);
             let engines = self.ready_engines(&query.service);
