In a large fleet a few relays read the store and the others are told, with the age of what is told

Change: relays tell with their beacons up to which revision they know each part, how old their own last reading of it is, and at which revision something last changed that matters. In fleets of more than eight relays, where the users' bounds leave time for it, some of each hall (four or more over all) watch the store; the others take over revisions and ages, and read for themselves when a change is told that they lack, or when their knowledge gets older than the bound less 0.9 s. A relay whose last call failed follows the store as before. An answer to a watch that ended without a change is as young as its end. A replica's entry that comes back after a lapse is a change of its own, with a line in the log. Where no listing is taken for long, the last report of an engine's loader goes before an older listing.

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -7,6 +7,7 @@
 use quillcove_core::relay::policy::{
     CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, WaitingRule,
 };
+use quillcove_core::relay::store_duty::DutyRules;
 
 use super::ini::SettingSource;
 use super::shared::{LogSection, ProcessSection, StopSection};
@@ -160,6 +161,11 @@
     /// `contact_time`: time after the end of any trouble with the store by which this relay knows
     /// what was published; the platform gives it.
     pub contact_time: Duration,
+    /// `apply_time`: time within which what the operator writes has to be in force; the platform gives
+    /// it. With `drain_time` it decides whether relays of a large fleet are told of the store by a few.
+    pub apply_time: Duration,
+    /// `drain_time`: time within which replicas that leave get no more work; the platform gives it.
+    pub drain_time: Duration,
     /// `gather_time`: time between two watches of the listing, in which changes gather.
     pub gather_time: Duration,
     /// `timeout`: longest time for a read, and for a watch beyond its own time.
@@ -172,6 +178,8 @@
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             watch_time: Duration::from_secs(3),
             contact_time: Duration::from_secs(3),
+            apply_time: DutyRules::default().apply_time,
+            drain_time: DutyRules::default().drain_time,
             gather_time: Duration::from_millis(600),
             timeout: Duration::from_millis(800),
         }
@@ -179,6 +187,17 @@
 }
 
 impl StoreSection {
+    /// The users' bounds by which relays decide who reads the store.
+    ///
+    /// ```
+    /// use quillcove::config::relay::StoreSection;
+    ///
+    /// assert_eq!(StoreSection::default().duty_rules().watch_time(), None);
+    /// ```
+    pub fn duty_rules(&self) -> DutyRules {
+        DutyRules { apply_time: self.apply_time, drain_time: self.drain_time }
+    }
+
     fn read(source: &mut SettingSource) -> Self {
         let default = Self::default();
         let section = "platform";
@@ -186,6 +205,8 @@
             address: source.address(section, "address"),
             watch_time: source.time(section, "watch_time", default.watch_time),
             contact_time: source.time(section, "contact_time", default.contact_time),
+            apply_time: source.time(section, "apply_time", default.apply_time),
+            drain_time: source.time(section, "drain_time", default.drain_time),
             gather_time: source.time(section, "gather_time", default.gather_time),
             timeout: source.time(section, "timeout", default.timeout),
         }
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -32,6 +32,7 @@
     orders: Counter<u64>,
     peer_messages: Counter<u64>,
     peer_bytes: Counter<u64>,
+    own_reads: Counter<u64>,
     load_stall: Histogram<f64>,
     promises: Counter<u64>,
     promise_error: Histogram<f64>,
@@ -79,6 +80,11 @@
                 "quillcove.peer_bytes",
                 "Bytes of these datagrams, without the network's headers",
             ),
+            own_reads: counter(
+                &meter,
+                "quillcove.own_reads",
+                "Reads of the store by a relay that is told of it by others, by reason",
+            ),
             load_stall: time("quillcove.load_stall", "Wait before the upstream gets an attempt"),
             promises: counter(&meter, "quillcove.promises", "Told times of adapters by fate"),
             promise_error: time(
@@ -197,6 +203,19 @@
         }
     }
 
+    /// Counts a read of the store by a relay that is told of it by others.
+    ///
+    /// ```
+    /// use quillcove::metrics::ProcessMetrics;
+    ///
+    /// let metrics = ProcessMetrics::new("relay").unwrap();
+    /// metrics.read_itself("knowledge is old");
+    /// assert!(metrics.text().contains("quillcove_own_reads_total"));
+    /// ```
+    pub fn read_itself(&self, reason: &str) {
+        self.own_reads.add(1, &[KeyValue::new("reason", reason.to_string())]);
+    }
+
     /// Counts a message that went to other processes of the system.
     ///
     /// ```
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -7,13 +7,14 @@
 
 use http::{Method, StatusCode};
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
-use quillcove_core::relay::published::StorePart;
+use quillcove_core::relay::published::{ReadRevisions, StorePart};
 use quillcove_core::relay::replica::ReplicaRecord;
+use quillcove_core::relay::store_duty::StoreDuty;
 use quillcove_platform::store::{self, StoreAnswer, StoreEvent};
 use quillcove_platform::{WireCall, WireFault};
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::config::relay::StoreSection;
 use crate::web::client::{WebClient, WebError};
@@ -22,6 +23,9 @@
 /// second; one in force for 200 ms more is well within the two seconds allowed.
 const OPERATOR_GATHER: Duration = Duration::from_millis(200);
 
+/// Longest time between looks whether the process is over while nothing is to be read.
+const ORDER_CHECK: Duration = Duration::from_secs(1);
+
 /// Time that unused connections to the store are kept.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
@@ -29,11 +33,81 @@
 #[derive(Debug)]
 pub enum StoreNews {
     /// A part was read whole, or changes of it came.
-    Read { part: StorePart, is_whole: bool, events: Vec<StoreEvent>, revision: u64 },
+    Read(StoreReading),
     /// A call failed.
     Failed { part: StorePart, reason: String },
 }
 
+/// What a call brought.
+#[derive(Debug)]
+pub struct StoreReading {
+    /// Which part.
+    pub part: StorePart,
+    /// Whether all of it was read.
+    pub is_whole: bool,
+    /// What is there, or what changed.
+    pub events: Vec<StoreEvent>,
+    /// Revision of each event.
+    pub changed_at: Vec<u64>,
+    /// Revision up to which the part is known.
+    pub revision: u64,
+    /// A moment of which it is known that all that was published before is among what is known now.
+    pub complete_at: Instant,
+}
+
+/// What the serving duty wants to be read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FollowOrder {
+    /// Whether this relay watches the store.
+    pub duty: StoreDuty,
+    /// Longest watch; `None` for as long as the settings allow.
+    pub watch_time: Option<Duration>,
+    /// Grows with each reading of the operator's part that is wanted of a relay that is told.
+    pub wanted_operator: u64,
+    /// The same for the replicas' part.
+    pub wanted_replicas: u64,
+    /// Revisions up to which the parts are known.
+    pub known: ReadRevisions,
+}
+
+impl FollowOrder {
+    fn wanted(&self, part: StorePart) -> u64 {
+        match part {
+            StorePart::Operator => self.wanted_operator,
+            StorePart::Replicas => self.wanted_replicas,
+        }
+    }
+
+    /// Asks for one reading of a part.
+    pub fn want(&mut self, part: StorePart) {
+        match part {
+            StorePart::Operator => self.wanted_operator += 1,
+            StorePart::Replicas => self.wanted_replicas += 1,
+        }
+    }
+
+    /// Longest time that a call may wait for a change.
+    fn longest_watch(&self) -> Duration {
+        match self.duty {
+            StoreDuty::Watches => self.watch_time.unwrap_or(Duration::MAX),
+            StoreDuty::IsTold => Duration::ZERO,
+        }
+    }
+}
+
+/// A call for the changes of a part.
+#[derive(Clone, Copy, Debug)]
+struct PartCall {
+    part: StorePart,
+    /// Revision after which changes are asked for.
+    after: u64,
+    /// Time that the store may wait for one.
+    wait: Duration,
+    /// Longest time for the answer.
+    limit: Duration,
+    began: Instant,
+}
+
 /// Why a call brought nothing.
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
@@ -51,6 +125,7 @@
     address: SocketAddr,
     ring: mpsc::Sender<StoreNews>,
     hurried: watch::Receiver<u64>,
+    orders: watch::Receiver<FollowOrder>,
     log: Logger,
 }
 
@@ -59,9 +134,10 @@
         section: &StoreSection,
         ring: mpsc::Sender<StoreNews>,
         hurried: watch::Receiver<u64>,
+        orders: watch::Receiver<FollowOrder>,
         log: Logger,
     ) -> Self {
-        Self { section: section.clone(), address: section.address, ring, hurried, log }
+        Self { section: section.clone(), address: section.address, ring, hurried, orders, log }
     }
 
     /// Follows until the process ends.
@@ -75,15 +151,26 @@
     async fn follow(self: Arc<Self>, part: StorePart, is_over: Arc<AtomicBool>) {
         let mut follower = PartFollower::new(self.rules(part));
         let mut client = self.new_client();
+        let mut orders = self.orders.clone();
+        let mut done = 0;
         while !is_over.load(Ordering::Relaxed) {
+            let order = *orders.borrow_and_update();
+            let is_wanted = order.duty == StoreDuty::Watches || order.wanted(part) != done;
+            if follower.is_settled() && !is_wanted {
+                // Either there is a new order, or the process may be over.
+                let _ = timeout(ORDER_CHECK, orders.changed()).await;
+                continue;
+            }
+            done = order.wanted(part);
+            follower.know(order.known.of(part));
             let began = Instant::now();
-            let call = follower.next_call();
+            let call = follower.next_call_within(order.longest_watch());
             let limit = follower.limit(call);
             let read = match call {
-                StoreCall::Whole => self.read_whole(&client, part).await,
+                StoreCall::Whole => self.read_whole(&client, part, began).await,
                 StoreCall::Changes { after, wait } => {
-                    let call = store::watch_call(part, after, wait);
-                    self.read_changes(&client, part, &call, limit).await
+                    let call = PartCall { part, after, wait, limit, began };
+                    self.read_changes(&client, &call).await
                 },
             };
             match read {
@@ -119,8 +206,14 @@
         FollowRules { watch_time, timeout, contact_time, gather_time }
     }
 
-    async fn read_whole(&self, client: &WebClient, part: StorePart) -> Result<u64, FollowError> {
+    async fn read_whole(
+        &self,
+        client: &WebClient,
+        part: StorePart,
+        began: Instant,
+    ) -> Result<u64, FollowError> {
         let mut events = Vec::new();
+        let mut changed_at = Vec::new();
         let mut after: Option<String> = None;
         let mut revision = None;
         loop {
@@ -134,26 +227,28 @@
             // Pages are no snapshot: changes since the first page are read by the watch.
             let first = *revision.get_or_insert(page.revision);
             events.extend(page.events);
+            changed_at.extend(page.changed_at);
             after = page.next_page;
             if after.is_none() {
-                self.tell(StoreNews::Read { part, is_whole: true, events, revision: first }).await;
+                let (is_whole, revision) = (true, first);
+                // All that was published before the call began is in its answer.
+                let complete_at = began;
+                let reading =
+                    StoreReading { part, is_whole, events, changed_at, revision, complete_at };
+                self.tell(StoreNews::Read(reading)).await;
                 return Ok(first);
             }
         }
     }
 
-    async fn read_changes(
-        &self,
-        client: &WebClient,
-        part: StorePart,
-        call: &WireCall,
-        limit: Duration,
-    ) -> Result<u64, FollowError> {
+    async fn read_changes(&self, client: &WebClient, call: &PartCall) -> Result<u64, FollowError> {
+        let PartCall { part, after, wait, limit, began } = *call;
+        let call = store::watch_call(part, after, wait);
         let mut hurried = self.hurried.clone();
         hurried.mark_unchanged();
         let answer = tokio::select! {
-            answer = self.call(client, call, limit) => answer?,
-            _ = hurried.changed() => return self.read_whole(client, part).await,
+            answer = self.call(client, &call, limit) => answer?,
+            _ = hurried.changed() => return self.read_whole(client, part, Instant::now()).await,
         };
         let (status, body) = answer;
         if store::is_history_gone(status) {
@@ -164,8 +259,15 @@
         }
         let answer = store::read_watch(&body)?;
         self.report_faults(&answer);
-        let StoreAnswer { events, revision, .. } = answer;
-        self.tell(StoreNews::Read { part, is_whole: false, events, revision }).await;
+        let StoreAnswer { events, changed_at, is_empty, revision, .. } = answer;
+        // A watch that ends without a change was answered after its whole time, not before.
+        let complete_at = match is_empty && began.elapsed() >= wait {
+            true => began + wait,
+            false => began,
+        };
+        let is_whole = false;
+        let reading = StoreReading { part, is_whole, events, changed_at, revision, complete_at };
+        self.tell(StoreNews::Read(reading)).await;
         Ok(revision)
     }
 
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -1,6 +1,7 @@
 //! Takes what the store and the other processes tell, and tells them what this relay knows.
 
 mod peers;
+mod readers;
 mod store;
 
 use std::collections::HashMap;
@@ -8,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillcove_core::ids::{HostId, MonoTime};
+use quillcove_core::ids::{HallName, HostId, MonoTime};
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::relay::published::{PublishedState, StorePart};
@@ -17,7 +18,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
-use super::follow::StoreNews;
+use super::follow::{FollowOrder, StoreNews};
 use super::shared::RelayShared;
 use crate::config::relay::RelaySettings;
 use crate::peers::{PeerArrival, PeerSocket};
@@ -46,6 +47,8 @@
     pub settings: watch::Receiver<RelaySettings>,
     /// Makes the store be read anew.
     pub hurry: watch::Sender<u64>,
+    /// Says what is to be read of the store.
+    pub order: watch::Sender<FollowOrder>,
 }
 
 /// Everything that reaches the duty.
@@ -61,6 +64,9 @@
 /// Another relay, as last heard.
 struct KnownRelay {
     address: SocketAddr,
+    hall: HallName,
+    /// Whether the store answered its last call.
+    is_up: bool,
     /// Adapters that its requests lack.
     lacking: u32,
     heard: MonoTime,
@@ -76,6 +82,9 @@
     settings: RelaySettings,
     changed: watch::Receiver<RelaySettings>,
     hurry: watch::Sender<u64>,
+    order: watch::Sender<FollowOrder>,
+    /// When readings were asked for that have not come, by part.
+    wanted: HashMap<StorePart, MonoTime>,
     store: mpsc::Receiver<StoreNews>,
     published: mpsc::Receiver<Result<PublishedState, String>>,
     publish: mpsc::Sender<Result<PublishedState, String>>,
@@ -110,6 +119,8 @@
             settings,
             changed: feed.settings,
             hurry: feed.hurry,
+            order: feed.order,
+            wanted: HashMap::new(),
             store: feed.store,
             published,
             publish,
@@ -189,6 +200,8 @@
         self.note_ready();
         self.forget_relays(now);
         self.forget_loaders();
+        self.choose_duty(now);
+        self.read_what_is_old(now);
         self.choose_keeper(now);
         self.plan_models(now);
         if now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL {
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -33,11 +33,18 @@
         if beacon.host == self.shared.settings.process.host {
             return;
         }
-        let known = KnownRelay { address: beacon.address, lacking: beacon.lacking, heard: now };
+        let known = KnownRelay {
+            address: beacon.address,
+            hall: beacon.hall.clone(),
+            is_up: beacon.word.is_up,
+            lacking: beacon.lacking,
+            heard: now,
+        };
         if self.relays.insert(beacon.host.clone(), known).is_none() {
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
                 "address" => %beacon.address);
         }
+        self.take_word(&beacon.word, now);
         self.compare(&beacon, now);
     }
 
@@ -91,7 +98,7 @@
     fn greet(&self, relay: SocketAddr) {
         let is_known = self.relays.values().any(|known| known.address == relay);
         if !is_known && relay != self.control {
-            let beacon = self.beacon();
+            let beacon = self.beacon(self.shared.clock.now());
             self.send(&PeerMessage::Relay(beacon), [relay]);
         }
     }
@@ -159,13 +166,15 @@
         seeds.chain(heard).filter(|address| *address != self.control).collect()
     }
 
-    fn beacon(&self) -> RelayBeacon {
+    fn beacon(&self, now: MonoTime) -> RelayBeacon {
+        let is_up = self.is_store_up();
         let machine = self.shared.machine();
         RelayBeacon {
             host: self.shared.settings.process.host.clone(),
+            hall: self.shared.settings.process.hall.clone(),
             address: self.control,
             sheet: machine.sheet().map_or(0, |sheet| sheet.version),
-            read: machine.read(),
+            word: machine.knowledge().word(is_up, now),
             lacking: machine.lacking() as u32,
         }
     }
@@ -173,13 +182,18 @@
     /// Tells relays that this one is there, and loaders how their engines' adapters are used.
     pub(super) fn tell_all(&mut self, now: MonoTime) {
         self.last_beacon = now;
-        let beacon = PeerMessage::Relay(self.beacon());
-        self.send(&beacon, self.relay_addresses());
+        self.tell_relays(now);
         for (replica, loader) in self.loaders_of_engines() {
             self.tell_uses(&replica, loader);
         }
     }
 
+    /// Tells relays what this one knows.
+    pub(super) fn tell_relays(&self, now: MonoTime) {
+        let beacon = PeerMessage::Relay(self.beacon(now));
+        self.send(&beacon, self.relay_addresses());
+    }
+
     /// Tells the loaders of full engines at once that an adapter of theirs went out of use.
     pub(super) fn tell_freed(&self) {
         let freed = self.shared.machine().take_freed();
--- /dev/null
+++ b/quillcove/src/relay/input/readers.rs
@@ -0,0 +1,97 @@
+//! Whether this relay watches the store or is told by others, and when it reads for itself.
+
+use std::time::Duration;
+
+use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::published::StorePart;
+use quillcove_core::relay::store_duty::{self, ReaderCandidate, StoreDuty, StoreWord};
+use slog::info;
+
+use super::InputDuty;
+
+/// Both parts of the store.
+const PARTS: [StorePart; 2] = [StorePart::Operator, StorePart::Replicas];
+
+/// Time after which a reading that was asked for and has not come is asked for again: the longest that
+/// a call of the store may take, and a pause.
+const WANT_AGAIN: Duration = Duration::from_millis(1500);
+
+/// Time from the start of the process within which the other relays have been heard: three beacons.
+const RELAYS_HEARD: Duration = Duration::from_millis(1600);
+
+impl InputDuty {
+    /// Whether the store answered the last call of each part. Before the first call nothing speaks
+    /// against it.
+    pub(super) fn is_store_up(&self) -> bool {
+        self.store_up.values().all(|is_up| *is_up)
+    }
+
+    /// Watches the store or leaves that to others, by which relays are heard.
+    pub(super) fn choose_duty(&mut self, now: MonoTime) {
+        let process = &self.shared.settings.process;
+        let own =
+            ReaderCandidate { host: &process.host, hall: &process.hall, is_up: self.is_store_up() };
+        let others: Vec<ReaderCandidate<'_>> = self
+            .relays
+            .iter()
+            .map(|(host, known)| ReaderCandidate { host, hall: &known.hall, is_up: known.is_up })
+            .collect();
+        let rules = self.settings.platform.duty_rules();
+        let duty = store_duty::duty(&rules, own, &others);
+        // A first watch that lasts longer would leave the others without word of a reader.
+        let may_be_large = store_duty::is_large(others.len()) || now < RELAYS_HEARD;
+        let watch_time = rules.watch_time().filter(|_| may_be_large);
+        let known = self.shared.machine().read();
+        let before = self.order.borrow().duty;
+        if duty != before {
+            info!(self.shared.log, "duty at the store"; "duty" => ?duty,
+                "relays" => others.len(), "is_up" => own.is_up);
+        }
+        // Orders are sent only when they say something new, as each one wakes the watch duty.
+        self.order.send_if_modified(|order| {
+            order.known = known;
+            let is_new = order.duty != duty || order.watch_time != watch_time;
+            order.duty = duty;
+            order.watch_time = watch_time;
+            is_new
+        });
+    }
+
+    /// Takes another relay's word on the store; reads what it knows and this one does not.
+    pub(super) fn take_word(&mut self, word: &StoreWord, now: MonoTime) {
+        for part in PARTS {
+            let is_known = self.shared.machine().knowledge_mut().take_word(part, word, now);
+            if !is_known {
+                self.want(part, "another relay knows of a change", now);
+            }
+        }
+    }
+
+    /// Reads what nobody has told of for too long.
+    pub(super) fn read_what_is_old(&mut self, now: MonoTime) {
+        let rules = self.settings.platform.duty_rules();
+        for part in PARTS {
+            let limit = rules.age_limit(part, &self.shared.settings.process.host);
+            let is_old = self.shared.machine().knowledge().is_old(part, limit, now);
+            if is_old {
+                self.want(part, "knowledge is old", now);
+            }
+        }
+    }
+
+    fn want(&mut self, part: StorePart, reason: &str, now: MonoTime) {
+        let is_under_way = |asked: &MonoTime| now.saturating_sub(*asked) < WANT_AGAIN;
+        let is_told = self.order.borrow().duty == StoreDuty::IsTold;
+        if !is_told || self.wanted.get(&part).is_some_and(is_under_way) {
+            return;
+        }
+        self.wanted.insert(part, now);
+        info!(self.shared.log, "reads the store itself"; "part" => ?part, "reason" => reason);
+        self.shared.metrics.read_itself(reason);
+        let known = self.shared.machine().read();
+        self.order.send_modify(|order| {
+            order.known = known;
+            order.want(part);
+        });
+    }
+}
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -12,7 +12,7 @@
 
 use super::InputDuty;
 use crate::process::note_ready;
-use crate::relay::follow::{StoreNews, replicas_of};
+use crate::relay::follow::{StoreNews, StoreReading, replicas_of};
 use crate::relay::share;
 
 /// Time by which another relay may be ahead in the store before this one reads it anew.
@@ -24,8 +24,10 @@
 impl InputDuty {
     pub(super) fn take_store(&mut self, news: StoreNews, now: MonoTime) {
         let part = match &news {
-            StoreNews::Read { part, .. } | StoreNews::Failed { part, .. } => *part,
+            StoreNews::Read(reading) => reading.part,
+            StoreNews::Failed { part, .. } => *part,
         };
+        self.wanted.remove(&part);
         match news {
             StoreNews::Failed { reason, .. } => {
                 if self.store_up.insert(part, false) != Some(false) {
@@ -33,14 +35,13 @@
                 }
                 self.note_store(now);
             },
-            StoreNews::Read { is_whole, events, revision, .. } => {
+            StoreNews::Read(reading) => {
                 if self.store_up.insert(part, true) != Some(true) {
                     info!(self.shared.log, "store reached"; "part" => ?part,
-                        "revision" => revision);
+                        "revision" => reading.revision);
                 }
                 self.note_store(now);
-                self.shared.machine().note_read(part, revision);
-                self.take_events(part, is_whole, events, now);
+                self.take_reading(reading, now);
             },
         }
         self.note_ready();
@@ -51,20 +52,41 @@
         self.shared.machine().note_store(answers, now);
     }
 
-    fn take_events(
-        &mut self,
-        part: StorePart,
-        is_whole: bool,
-        events: Vec<StoreEvent>,
-        now: MonoTime,
-    ) {
-        if is_whole && part == StorePart::Replicas {
-            let changes = self.shared.machine().list_all(replicas_of(events), now);
-            self.take_changes(changes, now);
-            self.shared.waiters.tell_all();
-            return;
+    /// Takes what was read, and tells other relays at once when something changed that matters.
+    fn take_reading(&mut self, reading: StoreReading, now: MonoTime) {
+        let complete_at = now.saturating_sub(reading.complete_at.elapsed());
+        let (part, revision) = (reading.part, reading.revision);
+        let changed = match reading.is_whole && part == StorePart::Replicas {
+            true => self.take_listing(reading, now),
+            false => self.take_events(reading, now),
+        };
+        self.shared.waiters.tell_all();
+        let mut machine = self.shared.machine();
+        machine.knowledge_mut().note_read(part, revision, complete_at);
+        if let Some(changed) = changed {
+            machine.knowledge_mut().note_change(part, changed);
+            drop(machine);
+            self.tell_relays(now);
         }
-        for event in events {
+    }
+
+    /// Takes the whole listing; gives the revision of the last change, if anything changed.
+    fn take_listing(&mut self, reading: StoreReading, now: MonoTime) -> Option<u64> {
+        let last = reading.changed_at.iter().copied().max();
+        let changes = self.shared.machine().list_all(replicas_of(reading.events), now);
+        let has_lost = changes.iter().any(|change| !matches!(change, BeliefChange::Listed(_)));
+        // What is gone has no entry that could tell when it went.
+        let changed = if has_lost { Some(reading.revision) } else { last };
+        let is_changed = !changes.is_empty();
+        self.take_changes(changes, now);
+        changed.filter(|_| is_changed)
+    }
+
+    /// Takes changes one after the other; gives the revision of the last one that matters.
+    fn take_events(&mut self, reading: StoreReading, now: MonoTime) -> Option<u64> {
+        let mut last = None;
+        for (event, revision) in reading.events.into_iter().zip(reading.changed_at) {
+            let mut matters = false;
             let changes = match event {
                 StoreEvent::Sheet(sheet) => {
                     let version = sheet.version;
@@ -72,9 +94,11 @@
                     is_taken.then_some(BeliefChange::Sheet(version)).into_iter().collect()
                 },
                 StoreEvent::Version(key, version) => {
+                    matters = self.shared.machine().newest(&key) != Some(version);
                     info!(self.shared.log, "adapter has a new version"; "model" => &key.model,
                         "adapter" => &key.adapter, "version" => version);
-                    self.shared.machine().take_version(key, version, !is_whole, now);
+                    let is_fresh = !reading.is_whole;
+                    self.shared.machine().take_version(key, version, is_fresh, now);
                     Vec::new()
                 },
                 StoreEvent::Replica(record) => self.shared.machine().list(record, now),
@@ -82,9 +106,12 @@
                     self.shared.machine().unlist(&id, now).into_iter().collect()
                 },
             };
+            if matters || !changes.is_empty() {
+                last = last.max(Some(revision));
+            }
             self.take_changes(changes, now);
         }
-        self.shared.waiters.tell_all();
+        last
     }
 
     /// Logs what changed; loaders of new engines learn at once that this relay is there, as they
@@ -118,6 +145,9 @@
                 BeliefChange::Doubted(id) => {
                     info!(log, "replica's entry lapsed"; "replica" => id, "revision" => revision);
                 },
+                BeliefChange::Returned(id) => {
+                    info!(log, "replica's entry is back"; "replica" => id, "revision" => revision);
+                },
             }
         }
     }
@@ -145,11 +175,11 @@
             let machine = self.shared.machine();
             (machine.sheet().map_or(0, |sheet| sheet.version), machine.read())
         };
-        let lags = |part| !self.is_part_up(part) && beacon.read.of(part) > own.of(part);
+        let lags = |part| !self.is_part_up(part) && beacon.word.read.of(part) > own.of(part);
         let is_behind =
             beacon.sheet > own_sheet || lags(StorePart::Operator) || lags(StorePart::Replicas);
         if !is_behind {
-            if beacon.read.is_covered_by(&own) {
+            if beacon.word.read.is_covered_by(&own) {
                 self.behind_since = None;
             }
             return;
@@ -167,9 +197,9 @@
             info!(self.shared.log, "behind another relay"; "relay" => &beacon.host,
                 "own_sheet" => own_sheet, "sheet" => beacon.sheet,
                 "own_operator_revision" => own.operator,
-                "operator_revision" => beacon.read.operator,
+                "operator_revision" => beacon.word.read.operator,
                 "own_replica_revision" => own.replicas,
-                "replica_revision" => beacon.read.replicas);
+                "replica_revision" => beacon.word.read.replicas);
             self.fetch(beacon.address);
         }
     }
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -28,7 +28,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use self::follow::StoreFollower;
+use self::follow::{FollowOrder, StoreFollower};
 use self::input::{InputDuty, InputFeed};
 use self::shared::RelayShared;
 use crate::config::relay::RelaySettings;
@@ -103,12 +103,14 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let (ring, inputs) = mpsc::channel(RING_PLACES);
     let (hurry, hurried) = watch::channel(0);
-    let follower = StoreFollower::new(&settings.platform, ring, hurried, log.clone());
+    let watch_time = settings.platform.duty_rules().watch_time();
+    let (order, orders) = watch::channel(FollowOrder { watch_time, ..FollowOrder::default() });
+    let follower = StoreFollower::new(&settings.platform, ring, hurried, orders, log.clone());
     let watch_over = is_over.clone();
     let _follow = duty::spawn("watch", move || {
         duty::run_async(1, follower.run(watch_over));
     });
-    let feed = InputFeed { store: inputs, settings: signals.settings, hurry };
+    let feed = InputFeed { store: inputs, settings: signals.settings, hurry, order };
     let result = duty::run_async(1, serve(settings, log, signals.stopped, feed, bound));
     is_over.store(true, Ordering::Relaxed);
     result
--- a/quillcove/tests/deploy_templates.rs
+++ b/quillcove/tests/deploy_templates.rs
@@ -9,7 +9,7 @@
 use quillcove::config::{parse_loader, parse_relay};
 
 /// Values of a common deployment, by the platform's names.
-const COMMON: [(&str, &str); 13] = [
+const COMMON: [(&str, &str); 15] = [
     ("nodeName", "front-a-1"),
     ("zone", "hall-a"),
     ("listenAddresses.frontend", "10.1.0.38:8149"),
@@ -17,6 +17,8 @@
     ("listenAddresses.controlPlane", "10.1.0.38:8144"),
     ("platform.address", "10.200.1.7:8142"),
     ("bounds.contactMs", "3000"),
+    ("bounds.configApplyMs", "2000"),
+    ("bounds.drainTimeoutMs", "2000"),
     ("seedNodes", "10.1.0.38:8144,10.2.0.40:8144"),
     ("internalPortRange.0", "7380"),
     ("internalPortRange.1", "7395"),
@@ -91,6 +93,12 @@
         ("bounds.contactMs", "0"),
         ("bounds.contactMs", ""),
         ("bounds.contactMs", "86400000"),
+        ("bounds.configApplyMs", "0"),
+        ("bounds.configApplyMs", "3000.25"),
+        ("bounds.configApplyMs", ""),
+        ("bounds.drainTimeoutMs", "0"),
+        ("bounds.drainTimeoutMs", "86400000"),
+        ("bounds.drainTimeoutMs", ""),
         ("bounds.gracePeriodS", "7.6"),
         ("bounds.gracePeriodS", "0"),
         ("bounds.gracePeriodS", ""),
@@ -121,6 +129,8 @@
         ("bounds.budgetExtraRetries", "many", "routing.retry_extra"),
         ("bounds.retryBudgetRatio", "-0.1", "routing.retry_ratio"),
         ("bounds.contactMs", "-1", "platform.contact_time"),
+        ("bounds.configApplyMs", "-1", "platform.apply_time"),
+        ("bounds.drainTimeoutMs", "soon", "platform.drain_time"),
         ("bounds.gracePeriodS", "99999999999999999999999", "stop.limit"),
         ("internalPortRange.0", "70000", "peers.loader_port"),
         ("platform.address", "", "platform.address"),
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -5,9 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::published::ReadRevisions;
 use super::sheet::SheetVersion;
-use crate::ids::{AdapterName, AdapterVersion, HostId, ModelName};
+use super::store_duty::StoreWord;
+use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
 
 /// Identifies one start of a replica.
 pub type ReplicaId = String;
@@ -141,12 +141,14 @@
 pub struct RelayBeacon {
     /// Host of the relay.
     pub host: HostId,
+    /// Its hall.
+    pub hall: HallName,
     /// Its address for other processes of the system.
     pub address: SocketAddr,
     /// Version of the sheet in force there.
     pub sheet: SheetVersion,
-    /// Revisions of the store up to which it has read its parts.
-    pub read: ReadRevisions,
+    /// What it knows of the store.
+    pub word: StoreWord,
     /// Adapters that its requests lack, those that it has asked for included.
     pub lacking: u32,
 }
--- a/quillcove_core/src/relay/follower.rs
+++ b/quillcove_core/src/relay/follower.rs
@@ -117,11 +117,26 @@
     /// assert_eq!(PartFollower::new(FollowRules::default()).next_call(), StoreCall::Whole);
     /// ```
     pub fn next_call(&self) -> StoreCall {
+        self.next_call_within(Duration::MAX)
+    }
+
+    /// The next call, waiting for a change for no longer than this.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+    ///
+    /// let mut part = PartFollower::new(FollowRules::default());
+    /// part.take_answer(7);
+    /// let call = part.next_call_within(Duration::ZERO);
+    /// assert_eq!(call, StoreCall::Changes { after: 7, wait: Duration::ZERO });
+    /// ```
+    pub fn next_call_within(&self, longest: Duration) -> StoreCall {
         let Some(after) = self.revision else {
             return StoreCall::Whole;
         };
         let wait = match self.failures {
-            0 => self.rules.watch_time(),
+            0 => self.rules.watch_time().min(longest),
             _ => Duration::ZERO,
         };
         StoreCall::Changes { after, wait }
@@ -155,6 +170,34 @@
         self.revision
     }
 
+    /// Tells whether the part is known and the last call was answered.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    ///
+    /// assert!(!PartFollower::new(FollowRules::default()).is_settled());
+    /// ```
+    pub fn is_settled(&self) -> bool {
+        self.revision.is_some() && self.failures == 0
+    }
+
+    /// Takes a revision up to which the part is known from elsewhere, so that older changes are not
+    /// asked for; the store may have forgotten them. Where nothing is known yet, all is read.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    ///
+    /// let mut part = PartFollower::new(FollowRules::default());
+    /// part.take_answer(7);
+    /// part.know(9);
+    /// assert_eq!(part.revision(), Some(9));
+    /// ```
+    pub fn know(&mut self, revision: u64) {
+        if let Some(known) = &mut self.revision {
+            *known = revision.max(*known);
+        }
+    }
+
     /// Takes an answer that goes up to a revision; tells the pause until the next call.
     ///
     /// ```
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -19,10 +19,10 @@
 use super::demand::AdapterDemand;
 use super::policy::RelayPolicy;
 use super::promise::{EndedPromise, PromiseBook};
-use super::published::ReadRevisions;
 use super::reading::ReadingNumber;
 use super::replica::{AttemptFate, ReplicaTable, ReplicaView};
 use super::sheet::{RouteSheet, SheetVersion};
+use super::store_duty::StoreKnowledge;
 use super::tries::CallerTries;
 use crate::entry::retry::RetryBudget;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
@@ -141,6 +141,8 @@
     Replaced(ReplicaId),
     /// A replica's entry is gone, but may come back as the store was away.
     Doubted(ReplicaId),
+    /// The entry of a replica that was doubted is back.
+    Returned(ReplicaId),
 }
 
 /// A relay's decisions.
@@ -172,8 +174,8 @@
     /// Most relays that were there at once. It does not fall: a relay that hears fewer may be cut off
     /// from the others, which go on with their parts of what is shared.
     most_relays: usize,
-    /// Revisions of the store up to which this relay knows its parts.
-    read: ReadRevisions,
+    /// What this relay knows of the store.
+    knowledge: StoreKnowledge,
     requests: usize,
     is_stopping: bool,
     draws: u64,
@@ -204,7 +206,7 @@
             is_store_away: false,
             relays: 1,
             most_relays: 1,
-            read: ReadRevisions::default(),
+            knowledge: StoreKnowledge::default(),
             requests: 0,
             is_stopping: false,
             draws: seed,
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -10,6 +10,7 @@
 use crate::relay::published::{PublishedState, ReadRevisions, StorePart};
 use crate::relay::replica::ReplicaRecord;
 use crate::relay::sheet::RouteSheet;
+use crate::relay::store_duty::StoreKnowledge;
 
 /// Time in which requests may still begin on an adapter's version after a newer one was
 /// published. The users allow 5 s; the rest is for requests on their way.
@@ -81,7 +82,7 @@
         if current.is_some_and(|view| view.record.created > record.created) {
             return Vec::new();
         }
-        self.doubted.remove(&record.id);
+        let was_doubted = self.doubted.remove(&record.id).is_some();
         let mut changes = Vec::new();
         for id in self.table.remove_before(&record) {
             self.doubted.remove(&id);
@@ -91,6 +92,8 @@
         let id = record.id.clone();
         if self.table.list(record, now) {
             changes.push(BeliefChange::Listed(id));
+        } else if was_doubted {
+            changes.push(BeliefChange::Returned(id));
         }
         changes
     }
@@ -152,7 +155,7 @@
             HeldAdapter { key: key.clone(), version: *version }
         };
         PublishedState {
-            read: self.read,
+            read: self.read(),
             sheet: self.sheet.as_deref().cloned(),
             versions: self.versions.iter().map(version).collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
@@ -188,12 +191,12 @@
         for held in published.versions {
             self.take_version(held.key, held.version, true, now);
         }
-        self.read.note(StorePart::Operator, published.read.operator);
+        self.note_read(StorePart::Operator, published.read.operator);
         // The other relay may know more of what the operator wrote and less of the replicas.
-        if published.read.replicas <= self.read.replicas {
+        if published.read.replicas <= self.read().replicas {
             return changes;
         }
-        self.read.note(StorePart::Replicas, published.read.replicas);
+        self.note_read(StorePart::Replicas, published.read.replicas);
         let is_listed = |id: &ReplicaId| published.replicas.iter().any(|record| record.id == *id);
         let known = self.table.all().map(|view| view.record.id.clone());
         let gone: Vec<ReplicaId> = known.filter(|id| !is_listed(id)).collect();
@@ -213,7 +216,32 @@
     /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).read().operator, 0);
     /// ```
     pub fn read(&self) -> ReadRevisions {
-        self.read
+        self.knowledge.read()
+    }
+
+    /// What this relay knows of the store, and since when.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.knowledge().read().operator, 0);
+    /// ```
+    pub fn knowledge(&self) -> &StoreKnowledge {
+        &self.knowledge
+    }
+
+    /// The same, to note what was read or told.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::published::StorePart;
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.knowledge_mut().note_change(StorePart::Operator, 5);
+    /// ```
+    pub fn knowledge_mut(&mut self) -> &mut StoreKnowledge {
+        &mut self.knowledge
     }
 
     /// Notes the revision of the store up to which this relay has read a part.
@@ -227,7 +255,7 @@
     /// assert_eq!((machine.read().operator, machine.read().replicas), (5, 0));
     /// ```
     pub fn note_read(&mut self, part: StorePart, revision: u64) {
-        self.read.note(part, revision);
+        self.knowledge.note_revision(part, revision);
     }
 
     /// Notes whether the store answers; tells whether that changed.
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -16,6 +16,7 @@
 //! - [`prompt`]: what a request asks an engine to read and to write.
 //! - [`reading`]: how long a request waits at an engine until its first event.
 //! - [`published`]: what one relay passes on to another that can not read the store.
+//! - [`store_duty`]: who reads the platform's store, and how old a relay's knowledge may get.
 //! - [`tries`]: whether a request is its caller's first try.
 //! - [`beacon`]: what relays and loaders tell each other.
 
@@ -38,4 +39,5 @@
 pub mod roll;
 pub mod routing;
 pub mod sheet;
+pub mod store_duty;
 pub mod tries;
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -80,6 +80,8 @@
     pub record: ReplicaRecord,
     /// Requests of this process in flight there.
     pub in_flight: u32,
+    /// When the platform's listing was last taken.
+    listed_at: MonoTime,
     /// The last report of its loader, and when it came.
     report: Option<(EngineReport, MonoTime)>,
     /// Adapters that it can take in, by that report.
@@ -105,6 +107,7 @@
         Self {
             record,
             in_flight: 0,
+            listed_at: now,
             report: None,
             spare_places: None,
             fleet_uses: Vec::new(),
@@ -211,6 +214,15 @@
         Some((self.empty_since? + load_time).max(now))
     }
 
+    /// The last word on what it holds: the loader's report, unless that is too old and the platform's
+    /// listing was taken after it. A relay that is told of the store takes listings only when they
+    /// matter, so that an old report may be the newer word.
+    fn held_report(&self, now: MonoTime) -> Option<&EngineReport> {
+        let (report, heard) = self.report.as_ref()?;
+        let is_last_word = *heard >= self.listed_at;
+        (is_last_word || self.report(now).is_some()).then_some(report)
+    }
+
     /// Adapters that it holds: by the loader's report, or else by the platform's listing.
     ///
     /// ```
@@ -222,7 +234,7 @@
     /// assert!(table.get("i-1").unwrap().adapters(Duration::ZERO).is_empty());
     /// ```
     pub fn adapters(&self, now: MonoTime) -> &[HeldAdapter] {
-        self.report(now).map_or(&self.record.adapters, |report| &report.adapters)
+        self.held_report(now).map_or(&self.record.adapters, |report| &report.adapters)
     }
 
     /// Base models that it holds.
@@ -236,7 +248,7 @@
     /// assert_eq!(table.get("i-1").unwrap().models(Duration::ZERO), ["m"]);
     /// ```
     pub fn models(&self, now: MonoTime) -> &[ModelName] {
-        self.report(now).map_or(&self.record.models, |report| &report.models)
+        self.held_report(now).map_or(&self.record.models, |report| &report.models)
     }
 
     /// Version of an adapter that it holds.
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -44,6 +44,7 @@
             Some(view) => {
                 let is_changed = view.record.state != record.state;
                 view.record = record;
+                view.listed_at = now;
                 is_changed
             },
             None => {
