Each of many relays chooses among three drawn holders of an adapter

Cause: relays choose the engine where the first event comes soonest by reports that are some hundred milliseconds old; 68 relays choose the same one in that time.

Change: from sixteen relays on, a request chooses among three holders that are drawn for it. Fewer relays choose as before.

--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -129,7 +129,8 @@
         let norm = self.table.norm(&query.service);
         let cost =
             RoutingCost { prompt: self.prompt_of(query), norm: &norm, hall: &self.rules.hall };
-        match routing::choose(&current, &cost, now, draw) {
+        let sampled = routing::sample(&current, self.relays, draw);
+        match routing::choose(&sampled, &cost, now, draw) {
             Some(view) => {
                 let order =
                     AttemptOrder { replica: view.record.id.clone(), address: view.record.address };
--- a/quillcove_core/src/relay/routing.rs
+++ b/quillcove_core/src/relay/routing.rs
@@ -88,6 +88,36 @@
     }
 }
 
+/// Relays from which on each chooses among a few candidates only.
+const MANY_RELAYS: usize = 16;
+
+/// Candidates among which each of many relays chooses.
+const SAMPLE: usize = 3;
+
+/// The candidates among which one of so many relays chooses. What relays know of an engine's queue is
+/// some hundred milliseconds old; if each of many chose the best of all, they would all choose the same
+/// one in that time. Choosing the better of a few drawn ones spreads them (Mitzenmacher, 2001, "The
+/// power of two choices in randomized load balancing").
+///
+/// ```
+/// use quillcove_core::relay::routing::sample;
+///
+/// assert!(sample(&[], 68, 0).is_empty());
+/// ```
+pub fn sample<'a>(
+    candidates: &[&'a ReplicaView],
+    relays: usize,
+    draw: u64,
+) -> Vec<&'a ReplicaView> {
+    let mut sampled = candidates.to_vec();
+    if relays >= MANY_RELAYS && sampled.len() > SAMPLE {
+        let key = draw.to_string();
+        sampled.sort_by_cached_key(|view| rendezvous::weight(&key, &view.record.id));
+        sampled.truncate(SAMPLE);
+    }
+    sampled
+}
+
 /// The best of several replicas: the one that answers soonest, near ones first; the draw tells equals
 /// apart.
 ///
