A change that came from another relay is told on, and who has just read all carries nobody past it

Seen in the logs of all relays: relays that a cut had kept from the store took the state of others by one call (revision 664); their words said that nothing had changed up to 664, as what came so was not noted as a change; relays that were told, and readers, took the revision over and asked the store only for what came after. The reading whole at a start had the same hole, found by reading: an entry that went before it is in no item that it reads.

Change: a relay's state that is passed on names its last changes and the revision from which on it has followed them; both are told on. A word that begins after what one knows is not taken. An entry that goes always counts as a change.

Tests, failing before: relay_store_duty.rs, a_change_that_came_from_another_relay_... and a_relay_that_has_just_started_...

Ruled out: revisions of entries that go (the store names them), the order of notes within a reading.

--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -56,13 +56,17 @@
     fn take_reading(&mut self, reading: StoreReading, now: MonoTime) {
         let complete_at = now.saturating_sub(reading.complete_at.elapsed());
         let (part, revision) = (reading.part, reading.revision);
-        let changed = match reading.is_whole && part == StorePart::Replicas {
+        let is_whole = reading.is_whole;
+        let changed = match is_whole && part == StorePart::Replicas {
             true => self.take_listing(reading, now),
             false => self.take_events(reading, now),
         };
         self.shared.waiters.tell_all();
         let mut machine = self.shared.machine();
         machine.knowledge_mut().note_read(part, revision, complete_at);
+        if is_whole {
+            machine.knowledge_mut().note_whole(part, revision);
+        }
         if let Some(changed) = changed {
             machine.knowledge_mut().note_change(part, changed);
             drop(machine);
@@ -103,6 +107,8 @@
                 },
                 StoreEvent::Replica(record) => self.shared.machine().list(record, now),
                 StoreEvent::ReplicaGone(id) => {
+                    // It may be gone here already for another reason, and still be listed elsewhere.
+                    matters = true;
                     self.shared.machine().unlist(&id, now).into_iter().collect()
                 },
             };
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -154,8 +154,11 @@
         let version = |(key, (version, _)): (&AdapterKey, &(AdapterVersion, MonoTime))| {
             HeldAdapter { key: key.clone(), version: *version }
         };
+        let word = self.knowledge.word(true, Duration::ZERO);
         PublishedState {
-            read: self.read(),
+            read: word.read,
+            changed: word.changed,
+            since: word.since,
             sheet: self.sheet.as_deref().cloned(),
             versions: self.versions.iter().map(version).collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
@@ -178,25 +181,25 @@
     /// ```
     pub fn take_published(
         &mut self,
-        published: PublishedState,
+        mut published: PublishedState,
         now: MonoTime,
     ) -> Vec<BeliefChange> {
         let mut changes = Vec::new();
-        if let Some(sheet) = published.sheet {
+        if let Some(sheet) = published.sheet.take() {
             let version = sheet.version;
             if self.take_sheet(sheet) {
                 changes.push(BeliefChange::Sheet(version));
             }
         }
-        for held in published.versions {
+        for held in std::mem::take(&mut published.versions) {
             self.take_version(held.key, held.version, true, now);
         }
-        self.note_read(StorePart::Operator, published.read.operator);
+        self.note_told(StorePart::Operator, &published);
         // The other relay may know more of what the operator wrote and less of the replicas.
         if published.read.replicas <= self.read().replicas {
             return changes;
         }
-        self.note_read(StorePart::Replicas, published.read.replicas);
+        self.note_told(StorePart::Replicas, &published);
         let is_listed = |id: &ReplicaId| published.replicas.iter().any(|record| record.id == *id);
         let known = self.table.all().map(|view| view.record.id.clone());
         let gone: Vec<ReplicaId> = known.filter(|id| !is_listed(id)).collect();
@@ -208,6 +211,14 @@
         changes
     }
 
+    /// Notes what another relay's state says of a part. What changed in it changed for this relay too,
+    /// so that a third one does not take its revision without the change.
+    fn note_told(&mut self, part: StorePart, published: &PublishedState) {
+        self.knowledge.note_revision(part, published.read.of(part));
+        self.knowledge.note_change(part, published.changed.of(part));
+        self.knowledge.note_whole(part, published.since.of(part));
+    }
+
     /// Revisions of the store up to which this relay knows its parts.
     ///
     /// ```
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -76,6 +76,10 @@
 pub struct PublishedState {
     /// Revisions of the store up to which its parts were read.
     pub read: ReadRevisions,
+    /// Revisions at which something last changed that matters to relays.
+    pub changed: ReadRevisions,
+    /// Revisions from which on its changes were followed.
+    pub since: ReadRevisions,
     /// The sheet in force; `None` before the first.
     pub sheet: Option<RouteSheet>,
     /// Newest versions of adapters.
--- a/quillcove_core/src/relay/store_duty.rs
+++ b/quillcove_core/src/relay/store_duty.rs
@@ -89,6 +89,9 @@
     pub read: ReadRevisions,
     /// Revisions at which something last changed that matters to relays.
     pub changed: ReadRevisions,
+    /// Revisions from which on it has followed the changes. Of what went before them it does not know,
+    /// so that its word is worth nothing to a relay that knows less.
+    pub since: ReadRevisions,
     /// How old its own last readings are.
     pub ages: PartAges,
     /// Whether the store answered its last call.
@@ -234,6 +237,7 @@
 pub struct StoreKnowledge {
     read: ReadRevisions,
     changed: ReadRevisions,
+    since: ReadRevisions,
     operator: PartKnowledge,
     replicas: PartKnowledge,
 }
@@ -260,6 +264,21 @@
         known.complete_at = known.complete_at.max(Some(complete_at));
     }
 
+    /// Notes that a part was read whole at a revision: what had gone before that is not known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::published::StorePart;
+    /// use quillcove_core::relay::store_duty::StoreKnowledge;
+    ///
+    /// let mut knowledge = StoreKnowledge::default();
+    /// knowledge.note_whole(StorePart::Replicas, 7);
+    /// assert_eq!(knowledge.word(true, Duration::ZERO).since.replicas, 7);
+    /// ```
+    pub fn note_whole(&mut self, part: StorePart, revision: u64) {
+        self.since.note(part, revision);
+    }
+
     /// Notes a revision up to which a part is known, with no moment.
     ///
     /// ```
@@ -297,7 +316,8 @@
     pub fn word(&self, is_up: bool, now: MonoTime) -> StoreWord {
         let age = |known: &PartKnowledge| known.read_at.map(|at| now.saturating_sub(at));
         let ages = PartAges { operator: age(&self.operator), replicas: age(&self.replicas) };
-        StoreWord { read: self.read, changed: self.changed, ages, is_up }
+        let Self { read, changed, since, .. } = *self;
+        StoreWord { read, changed, since, ages, is_up }
     }
 
     /// Takes another relay's word on one part; `false` when it knows of a change that this relay does
@@ -318,6 +338,9 @@
         if word.changed.of(part) > self.read.of(part) {
             return false;
         }
+        if word.since.of(part) > self.read.of(part) {
+            return true;
+        }
         let known = self.part_mut(part);
         // Who has read nothing yet has nothing that a revision could belong to.
         if let Some(age) = word.ages.of(part)
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -223,6 +223,7 @@
             sheet: Some(self.sheet_of(version)),
             versions: Vec::new(),
             replicas,
+            ..PublishedState::default()
         };
         self.machine.take_published(published, self.now);
         self.check_sheet(version);
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -181,6 +181,8 @@
     machine.note_store(false, ms(0));
     let published = PublishedState {
         read: read(6),
+        changed: read(6),
+        since: read(1),
         sheet: Some(sheet(2)),
         versions: vec![held("a1", 3)],
         replicas: vec![record("i-2", 2)],
@@ -201,6 +203,8 @@
     machine.note_read(StorePart::Replicas, 7);
     let published = PublishedState {
         read: ReadRevisions { operator: 12, replicas: 5 },
+        changed: ReadRevisions::default(),
+        since: ReadRevisions::default(),
         sheet: Some(sheet(2)),
         versions: vec![held("a1", 3)],
         replicas: vec![record("i-1", 1)],
--- a/quillcove_core/tests/relay_store_duty.rs
+++ b/quillcove_core/tests/relay_store_duty.rs
@@ -12,7 +12,9 @@
 
 use proptest::prelude::*;
 use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::machine::{RelayMachine, RelayRules};
 use quillcove_core::relay::published::{ReadRevisions, StorePart};
+use quillcove_core::relay::replica::example_record;
 use quillcove_core::relay::store_duty::{
     DutyRules, PartAges, ReaderCandidate, StoreDuty, StoreKnowledge, StoreWord, duty,
 };
@@ -459,6 +461,52 @@
     assert!(knowledge.is_old(StorePart::Operator, ms(1_000), ms(10)));
 }
 
+/// A relay that knows the listing up to a revision by its own reading, with one replica in it.
+fn knowing(revision: u64) -> RelayMachine {
+    let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    machine.list(example_record("i-1"), ms(0));
+    machine.knowledge_mut().note_read(StorePart::Replicas, revision, ms(0));
+    machine
+}
+
+/// Tells one relay's word to another; gives whether the other has to read, and what it takes itself to
+/// know then.
+fn told(to: &mut RelayMachine, from: &RelayMachine) -> (bool, u64) {
+    let word = from.knowledge().word(true, ms(10));
+    let knows = to.knowledge_mut().take_word(StorePart::Replicas, &word, ms(10));
+    (!knows, to.read().replicas)
+}
+
+/// Seen on a day of the users' largest deployment: relays that the store did not answer took the state
+/// of others, and the word of theirs carried everybody past a replica that had gone; work was sent to
+/// it 4.0 s after.
+#[test]
+fn a_change_that_came_from_another_relay_is_not_passed_over_by_a_third() {
+    let mut source = knowing(50);
+    source.unlist("i-1", ms(5_000));
+    source.knowledge_mut().note_read(StorePart::Replicas, 60, ms(5_000));
+    source.knowledge_mut().note_change(StorePart::Replicas, 55);
+    let mut cut_off = knowing(40);
+    cut_off.take_published(source.published(), ms(5_000));
+    assert!(cut_off.table().get("i-1").is_none());
+    let mut third = knowing(50);
+    assert_eq!(told(&mut third, &cut_off), (true, 50));
+}
+
+#[test]
+fn a_relay_that_has_just_started_carries_nobody_past_what_went_before() {
+    let mut started = RelayMachine::new(RelayRules::default(), 1);
+    started.list_all(vec![], ms(5_000));
+    started.knowledge_mut().note_read(StorePart::Replicas, 60, ms(5_000));
+    started.knowledge_mut().note_whole(StorePart::Replicas, 60);
+    started.knowledge_mut().note_change(StorePart::Replicas, 48);
+    let mut other = knowing(50);
+    assert_eq!(told(&mut other, &started), (false, 50));
+    let mut newer = knowing(60);
+    started.knowledge_mut().note_read(StorePart::Replicas, 70, ms(6_000));
+    assert_eq!(told(&mut newer, &started), (false, 70));
+}
+
 fn incident(count: usize) -> impl Strategy<Value = Incident> {
     let trouble = prop_oneof![
         Just(Trouble::Paused),
