--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -10,6 +10,7 @@
 use quillcove_core::class::WorkClass;
 use quillcove_core::relay::beacon::PeerMessageKind;
 use quillcove_core::relay::promise::PromiseFate;
+use quillcove_core::relay::store_duty::ReadReason;
 use quillcove_core::verdict::{RefusalReason, RunVerdict};
 
 use crate::peers::SentMessage;
@@ -207,13 +208,14 @@
     ///
     /// ```
     /// use quillcove::metrics::ProcessMetrics;
+    /// use quillcove_core::relay::store_duty::ReadReason;
     ///
     /// let metrics = ProcessMetrics::new("relay").unwrap();
-    /// metrics.read_itself("knowledge is old");
+    /// metrics.read_itself(ReadReason::KnowledgeOld);
     /// assert!(metrics.text().contains("quillcove_own_reads_total"));
     /// ```
-    pub fn read_itself(&self, reason: &str) {
-        self.own_reads.add(1, &[KeyValue::new("reason", reason.to_string())]);
+    pub fn read_itself(&self, reason: ReadReason) {
+        self.own_reads.add(1, &[KeyValue::new("reason", reason.label())]);
     }
 
     /// Counts a message that went to other processes of the system.
--- a/quillcove/src/relay/input/readers.rs
+++ b/quillcove/src/relay/input/readers.rs
@@ -4,14 +4,11 @@
 
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::published::StorePart;
-use quillcove_core::relay::store_duty::{self, ReaderCandidate, StoreDuty, StoreWord};
+use quillcove_core::relay::store_duty::{self, ReadReason, ReaderCandidate, StoreDuty, StoreWord};
 use slog::info;
 
 use super::InputDuty;
 
-/// Both parts of the store.
-const PARTS: [StorePart; 2] = [StorePart::Operator, StorePart::Replicas];
-
 /// Time after which a reading that was asked for and has not come is asked for again: the longest that
 /// a call of the store may take, and a pause.
 const WANT_AGAIN: Duration = Duration::from_millis(1500);
@@ -59,10 +56,10 @@
 
     /// Takes another relay's word on the store; reads what it knows and this one does not.
     pub(super) fn take_word(&mut self, word: &StoreWord, now: MonoTime) {
-        for part in PARTS {
+        for part in StorePart::ALL {
             let is_known = self.shared.machine().knowledge_mut().take_word(part, word, now);
             if !is_known {
-                self.want(part, "another relay knows of a change", now);
+                self.want(part, ReadReason::ChangeTold, now);
             }
         }
     }
@@ -70,23 +67,24 @@
     /// Reads what nobody has told of for too long.
     pub(super) fn read_what_is_old(&mut self, now: MonoTime) {
         let rules = self.settings.platform.duty_rules();
-        for part in PARTS {
+        for part in StorePart::ALL {
             let limit = rules.age_limit(part, &self.shared.settings.process.host);
             let is_old = self.shared.machine().knowledge().is_old(part, limit, now);
             if is_old {
-                self.want(part, "knowledge is old", now);
+                self.want(part, ReadReason::KnowledgeOld, now);
             }
         }
     }
 
-    fn want(&mut self, part: StorePart, reason: &str, now: MonoTime) {
+    fn want(&mut self, part: StorePart, reason: ReadReason, now: MonoTime) {
         let is_under_way = |asked: &MonoTime| now.saturating_sub(*asked) < WANT_AGAIN;
         let is_told = self.order.borrow().duty == StoreDuty::IsTold;
         if !is_told || self.wanted.get(&part).is_some_and(is_under_way) {
             return;
         }
         self.wanted.insert(part, now);
-        info!(self.shared.log, "reads the store itself"; "part" => ?part, "reason" => reason);
+        info!(self.shared.log, "reads the store itself"; "part" => ?part,
+            "reason" => reason.label());
         self.shared.metrics.read_itself(reason);
         let known = self.shared.machine().read();
         self.order.send_modify(|order| {
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -17,6 +17,11 @@
     Replicas,
 }
 
+impl StorePart {
+    /// All parts.
+    pub const ALL: [Self; 2] = [Self::Operator, Self::Replicas];
+}
+
 /// Revisions of the store up to which a relay knows its parts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadRevisions {
--- a/quillcove_core/src/relay/store_duty.rs
+++ b/quillcove_core/src/relay/store_duty.rs
@@ -56,6 +56,31 @@
     IsTold,
 }
 
+/// Why a relay that is told reads the store for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadReason {
+    /// Another relay knows of a change that this one does not.
+    ChangeTold,
+    /// What it was told last is too old.
+    KnowledgeOld,
+}
+
+impl ReadReason {
+    /// Its name in log lines and metrics.
+    ///
+    /// ```
+    /// use quillcove_core::relay::store_duty::ReadReason;
+    ///
+    /// assert_eq!(ReadReason::KnowledgeOld.label(), "knowledge is old");
+    /// ```
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::ChangeTold => "another relay knows of a change",
+            Self::KnowledgeOld => "knowledge is old",
+        }
+    }
+}
+
 /// Times since a relay's own last reading of each part was known to be complete.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartAges {
