--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -3,6 +3,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use quillcove_core::access::limit::{LimitRule, LimitRules};
+use quillcove_core::access::right::RightRules;
 use quillcove_core::relay::machine::RelayRules;
 use quillcove_core::relay::policy::{
     CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, WaitingRule,
@@ -22,6 +24,9 @@
 /// Largest fixed number of repeats that is taken; beyond it there is in effect no bound.
 const RETRY_EXTRA_MOST: f64 = 1e9;
 
+/// Largest overshoot and tolerance of limits that are taken; beyond it there is in effect no limit.
+const LIMIT_MOST: f64 = 1e12;
+
 /// All settings of a relay.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RelaySettings {
@@ -37,6 +42,8 @@
     pub requests: RelayRequestSection,
     /// `[routing]`.
     pub routing: RelayRoutingSection,
+    /// `[access]`.
+    pub access: AccessSection,
     /// `[policy]`.
     pub policy: PolicySection,
     /// `[log]`.
@@ -54,6 +61,7 @@
             peers: PeerSection::read(source),
             requests: RelayRequestSection::read(source),
             routing: RelayRoutingSection::read(source),
+            access: AccessSection::read(source),
             policy: PolicySection::read(source),
             log: LogSection::read(source),
             stop: StopSection::read(source),
@@ -74,6 +82,13 @@
             retry_extra: self.routing.retry_extra,
             request_limit: self.requests.limit,
             policy: self.policy.0,
+            right: RightRules { bound: self.access.revocation_time },
+            limits: LimitRules {
+                window: self.access.limit_window,
+                overshoot: self.access.limit_overshoot,
+                tolerance: self.access.limit_tolerance,
+                rule: self.policy.0.limits,
+            },
         }
     }
 }
@@ -104,6 +119,7 @@
             ("peers", self.peers != newer.peers),
             ("requests", self.requests != newer.requests),
             ("routing", self.routing != newer.routing),
+            ("access", self.access != newer.access),
             ("policy", self.policy != newer.policy),
         ];
         let with_start = [
@@ -294,6 +310,59 @@
     }
 }
 
+/// `[access]` of a relay: how the users judge keys and limits of workspaces.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccessSection {
+    /// `revocation_time`: longest time for which a key may go on working after it was taken away;
+    /// absent when there is no bound.
+    pub revocation_time: Option<Duration>,
+    /// `limit_window`: span over which a workspace's use is summed.
+    pub limit_window: Duration,
+    /// `limit_overshoot`: share of what is allowed in a window by which it may be passed.
+    pub limit_overshoot: f64,
+    /// `limit_tolerance`: units by which it may be passed besides.
+    pub limit_tolerance: f64,
+}
+
+impl Default for AccessSection {
+    fn default() -> Self {
+        let LimitRules { window, overshoot, tolerance, .. } = LimitRules::default();
+        Self {
+            revocation_time: None,
+            limit_window: window,
+            limit_overshoot: overshoot,
+            limit_tolerance: tolerance,
+        }
+    }
+}
+
+impl AccessSection {
+    fn read(source: &mut SettingSource) -> Self {
+        let default = Self::default();
+        let section = "access";
+        let revocation_time = source.time(section, "revocation_time", Duration::ZERO);
+        let (overshoot, tolerance) = (default.limit_overshoot, default.limit_tolerance);
+        Self {
+            revocation_time: (revocation_time > Duration::ZERO).then_some(revocation_time),
+            limit_window: source.time(section, "limit_window", default.limit_window),
+            limit_overshoot: source.fraction(
+                section,
+                "limit_overshoot",
+                overshoot,
+                0.0,
+                LIMIT_MOST,
+            ),
+            limit_tolerance: source.fraction(
+                section,
+                "limit_tolerance",
+                tolerance,
+                0.0,
+                LIMIT_MOST,
+            ),
+        }
+    }
+}
+
 /// `[policy]` of a relay: each rule can be switched back, for measurement.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PolicySection(pub RelayPolicy);
@@ -315,12 +384,18 @@
             ("servable", WaitingRule::Servable),
             ("aim", WaitingRule::Aim),
         ];
+        let limits = [
+            ("prompt", LimitRule::Prompt),
+            ("beacons", LimitRule::Beacons),
+            ("even", LimitRule::Even),
+        ];
         Self(RelayPolicy {
             routing: source.choice(section, "routing", default.routing, &routing),
             copies: source.choice(section, "copies", default.copies, &copies),
             priority: source.choice(section, "priority", default.priority, &priority),
             placement: source.choice(section, "placement", default.placement, &placement),
             waiting: source.choice(section, "waiting", default.waiting, &waiting),
+            limits: source.choice(section, "limits", default.limits, &limits),
         })
     }
 }
--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -233,7 +233,12 @@
                     "version" => ask.version);
                 self.machine.take_ask(ask, now);
             },
-            PeerMessage::Relay(_) | PeerMessage::Engine(_) | PeerMessage::Gauges(_) => {
+            PeerMessage::Relay(_)
+            | PeerMessage::Engine(_)
+            | PeerMessage::Gauges(_)
+            | PeerMessage::Spend(_)
+            | PeerMessage::ProofAsk(_)
+            | PeerMessage::Proof(_) => {
                 warn!(self.log, "message is meant for a relay"; "from" => %from);
             },
         }
--- a/quillcove/src/relay/answers.rs
+++ b/quillcove/src/relay/answers.rs
@@ -59,9 +59,11 @@
     answer
 }
 
-/// The answer for a refusal: 503 promises that the request did not run and never will.
+/// The answer for a refusal: 401, 429 and 503 promise that the request did not run and never will.
 pub fn refusal_answer(refusal: &WorkRefusal) -> Response<AnswerBody> {
     let status = match (refusal.verdict, refusal.reason) {
+        (RunVerdict::NotRun, RefusalReason::KeyUnknown) => StatusCode::UNAUTHORIZED,
+        (RunVerdict::NotRun, RefusalReason::LimitReached) => StatusCode::TOO_MANY_REQUESTS,
         (RunVerdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
         (_, RefusalReason::DeadlinePassed) => StatusCode::GATEWAY_TIMEOUT,
         (RunVerdict::MayHaveRun | RunVerdict::Ran, _) => StatusCode::BAD_GATEWAY,
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -236,8 +236,13 @@
     last_event: Option<&str>,
 ) -> Result<Request<Full<Bytes>>, AttemptFailure> {
     let left = open.left(open.shared.clock.now());
-    let terms =
-        AttemptTerms { replica: &order.replica, left: Some(left), priority: open.rank, last_event };
+    let terms = AttemptTerms {
+        replica: &order.replica,
+        left: Some(left),
+        priority: open.rank,
+        last_event,
+        workspace: open.workspace(),
+    };
     let path = open.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri: Uri = path
         .parse()
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -53,6 +53,9 @@
     pub revision: u64,
     /// A moment of which it is known that all that was published before is among what is known now.
     pub complete_at: Instant,
+    /// The same, proved: when the call began. The store may have answered a watch early and its answer
+    /// may have been long on its way, so that the time at which it came proves nothing.
+    pub proved_at: Option<Instant>,
 }
 
 /// What the serving duty wants to be read.
@@ -216,6 +219,7 @@
         let mut changed_at = Vec::new();
         let mut after: Option<String> = None;
         let mut revision = None;
+        let mut is_sheet_lost = false;
         loop {
             let call = store::range_call(part, after.as_deref());
             let (status, body) = self.call(client, &call, self.section.timeout).await?;
@@ -226,15 +230,23 @@
             self.report_faults(&page);
             // Pages are no snapshot: changes since the first page are read by the watch.
             let first = *revision.get_or_insert(page.revision);
+            is_sheet_lost |= page.is_sheet_lost;
             events.extend(page.events);
             changed_at.extend(page.changed_at);
             after = page.next_page;
             if after.is_none() {
                 let (is_whole, revision) = (true, first);
                 // All that was published before the call began is in its answer.
-                let complete_at = began;
-                let reading =
-                    StoreReading { part, is_whole, events, changed_at, revision, complete_at };
+                let (complete_at, proved_at) = (began, (!is_sheet_lost).then_some(began));
+                let reading = StoreReading {
+                    part,
+                    is_whole,
+                    events,
+                    changed_at,
+                    revision,
+                    complete_at,
+                    proved_at,
+                };
                 self.tell(StoreNews::Read(reading)).await;
                 return Ok(first);
             }
@@ -259,14 +271,21 @@
         }
         let answer = store::read_watch(&body)?;
         self.report_faults(&answer);
-        let StoreAnswer { events, changed_at, is_empty, revision, .. } = answer;
+        let StoreAnswer { events, changed_at, is_empty, revision, is_sheet_lost, .. } = answer;
         // A watch that ends without a change was answered after its whole time, not before.
         let complete_at = match is_empty && began.elapsed() >= wait {
             true => began + wait,
             false => began,
         };
-        let is_whole = false;
-        let reading = StoreReading { part, is_whole, events, changed_at, revision, complete_at };
+        let reading = StoreReading {
+            part,
+            is_whole: false,
+            events,
+            changed_at,
+            revision,
+            complete_at,
+            proved_at: (!is_sheet_lost).then_some(began),
+        };
         self.tell(StoreNews::Read(reading)).await;
         Ok(revision)
     }
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -41,7 +41,8 @@
         Err(Rejection::Refused(refusal)) => {
             shared.metrics.refused(refusal.reason, WorkClass::Normal);
             info!(shared.log, "request refused"; "id" => logged(&id),
-                "reason" => refusal.reason.label());
+                "reason" => refusal.reason.label(),
+                "come_back_ms" => refusal.retry_after.map(|pause| pause.as_millis() as u64));
             refusal_answer(&refusal)
         },
         Err(Rejection::Denied(denial)) => {
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 mod readers;
+mod right;
 mod store;
 
 use std::collections::HashMap;
@@ -9,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillcove_core::ids::{HallName, HostId, MonoTime};
+use quillcove_core::ids::{HallName, HostId, Incarnation, MonoTime};
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::relay::published::{PublishedState, StorePart};
@@ -18,6 +19,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
+use self::right::ProofQuestions;
 use super::follow::{FollowOrder, StoreNews};
 use super::shared::RelayShared;
 use crate::config::relay::RelaySettings;
@@ -55,12 +57,18 @@
 enum RelayInput {
     Store(StoreNews),
     Peer(PeerArrival),
-    Published(Result<PublishedState, String>),
+    Published(Result<FetchedState, String>),
     SettingsChanged,
     Wanted,
     Ticked,
 }
 
+/// What another relay has read, and when it was asked for it.
+struct FetchedState {
+    state: PublishedState,
+    asked_at: MonoTime,
+}
+
 /// Another relay, as last heard.
 struct KnownRelay {
     address: SocketAddr,
@@ -70,6 +78,8 @@
     /// Adapters that its requests lack.
     lacking: u32,
     heard: MonoTime,
+    /// When its own last reading of the operator's part began, by what it says.
+    read_at: Option<MonoTime>,
 }
 
 /// The duty's own state.
@@ -86,8 +96,8 @@
     /// When readings were asked for that have not come, by part.
     wanted: HashMap<StorePart, MonoTime>,
     store: mpsc::Receiver<StoreNews>,
-    published: mpsc::Receiver<Result<PublishedState, String>>,
-    publish: mpsc::Sender<Result<PublishedState, String>>,
+    published: mpsc::Receiver<Result<FetchedState, String>>,
+    publish: mpsc::Sender<Result<FetchedState, String>>,
     last_fetch: MonoTime,
     keeper: ModelKeeper,
     relays: HashMap<HostId, KnownRelay>,
@@ -97,6 +107,12 @@
     store_up: HashMap<StorePart, bool>,
     /// Since when another relay has been ahead in the store.
     behind_since: Option<MonoTime>,
+    /// Whether a sheet was published that could not be read.
+    is_sheet_lost: bool,
+    /// Random number of this process, by which others tell its totals from those of an earlier one.
+    incarnation: Incarnation,
+    /// Questions for proofs.
+    proofs: ProofQuestions,
     is_keeper: bool,
     keeper_from: MonoTime,
     last_tick: MonoTime,
@@ -130,6 +146,9 @@
             loaders: ReportLedger::default(),
             store_up: HashMap::new(),
             behind_since: None,
+            is_sheet_lost: false,
+            incarnation: rand::random(),
+            proofs: ProofQuestions::default(),
             is_keeper: false,
             keeper_from: KEEPER_DELAY,
             last_tick: MonoTime::ZERO,
@@ -192,7 +211,7 @@
             self.keeper_from = now + KEEPER_DELAY;
             self.hurry.send_modify(|count| *count += 1);
         }
-        self.shared.machine().set_others(self.others());
+        self.shared.machine().set_others(self.others(), now);
         let changes = self.shared.machine().tick(now);
         self.log_changes(changes);
         self.send_wanted();
@@ -202,6 +221,8 @@
         self.forget_loaders();
         self.choose_duty(now);
         self.read_what_is_old(now);
+        self.renew_right(now);
+        self.tell_spent(now, false);
         self.choose_keeper(now);
         self.plan_models(now);
         if now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL {
@@ -233,6 +254,7 @@
         self.settings.peers = newer.peers;
         self.settings.requests = newer.requests;
         self.settings.routing = newer.routing;
+        self.settings.access = newer.access;
         self.settings.policy = newer.policy;
         self.shared.pool.set_connect_timeout(self.settings.requests.connect_timeout);
         self.shared.machine().set_rules(self.settings.rules());
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use quillcove_core::access::limit::SpendBeacon;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
     AddressedAsk, EngineBeacon, GaugeBeacon, OtherRelays, PeerMessage, RelayBeacon, ReplicaId,
@@ -23,6 +24,9 @@
             PeerMessage::Relay(beacon) => self.take_beacon(beacon, now),
             PeerMessage::Engine(beacon) => self.take_report(*beacon, now),
             PeerMessage::Gauges(beacon) => self.take_gauges(&beacon, now),
+            PeerMessage::Spend(told) => self.shared.machine().take_spent(&told, now),
+            PeerMessage::ProofAsk(ask) => self.answer_proof(&ask, now),
+            PeerMessage::Proof(answer) => self.take_proof(&answer, now),
             PeerMessage::Use(_) | PeerMessage::Load(_) | PeerMessage::Resend(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
@@ -39,6 +43,7 @@
             is_up: beacon.word.is_up,
             lacking: beacon.lacking,
             heard: now,
+            read_at: beacon.word.ages.operator.map(|age| now.saturating_sub(age)),
         };
         if self.relays.insert(beacon.host.clone(), known).is_none() {
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
@@ -89,7 +94,7 @@
         SocketAddr::new(engine.ip(), self.settings.peers.loader_port)
     }
 
-    fn send(&self, message: &PeerMessage, receivers: impl IntoIterator<Item = SocketAddr>) {
+    pub(super) fn send(&self, message: &PeerMessage, receivers: impl IntoIterator<Item = SocketAddr>) {
         let sent = self.socket.send(message, receivers);
         self.shared.metrics.told(message.kind(), sent);
     }
@@ -109,11 +114,12 @@
     }
 
     pub(super) fn forget_relays(&mut self, now: MonoTime) {
-        let log = self.shared.log.clone();
+        let shared = self.shared.clone();
         self.relays.retain(|host, known| {
             let is_recent = now.saturating_sub(known.heard) < RELAY_LIFETIME;
             if !is_recent {
-                info!(log, "relay no longer heard"; "relay" => host);
+                info!(shared.log, "relay no longer heard"; "relay" => host);
+                shared.machine().ledger_mut().forget(host);
             }
             is_recent
         });
@@ -183,6 +189,7 @@
     pub(super) fn tell_all(&mut self, now: MonoTime) {
         self.last_beacon = now;
         self.tell_relays(now);
+        self.tell_spent(now, true);
         for (replica, loader) in self.loaders_of_engines() {
             self.tell_uses(&replica, loader);
         }
@@ -194,6 +201,18 @@
         self.send(&beacon, self.relay_addresses());
     }
 
+    /// Tells relays what was spent here of workspaces' limits: with each beacon, and before the next one
+    /// when that is much.
+    pub(super) fn tell_spent(&self, now: MonoTime, is_beacon: bool) {
+        let spent = self.shared.machine().ledger_mut().tell(is_beacon, now);
+        if spent.is_empty() {
+            return;
+        }
+        let host = self.shared.settings.process.host.clone();
+        let beacon = SpendBeacon { host, incarnation: self.incarnation, uptime: now, spent };
+        self.send(&PeerMessage::Spend(beacon), self.relays.values().map(|known| known.address));
+    }
+
     /// Tells the loaders of full engines at once that an adapter of theirs went out of use.
     pub(super) fn tell_freed(&self) {
         let freed = self.shared.machine().take_freed();
--- a/quillcove/src/relay/input/readers.rs
+++ b/quillcove/src/relay/input/readers.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    fn want(&mut self, part: StorePart, reason: ReadReason, now: MonoTime) {
+    pub(super) fn want(&mut self, part: StorePart, reason: ReadReason, now: MonoTime) {
         let is_under_way = |asked: &MonoTime| now.saturating_sub(*asked) < WANT_AGAIN;
         let is_told = self.order.borrow().duty == StoreDuty::IsTold;
         if !is_told || self.wanted.get(&part).is_some_and(is_under_way) {
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -6,11 +6,11 @@
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::RelayBeacon;
 use quillcove_core::relay::machine::BeliefChange;
-use quillcove_core::relay::published::{PublishedState, StorePart};
+use quillcove_core::relay::published::StorePart;
 use quillcove_platform::store::StoreEvent;
 use slog::{info, warn};
 
-use super::InputDuty;
+use super::{FetchedState, InputDuty};
 use crate::process::note_ready;
 use crate::relay::follow::{StoreNews, StoreReading, replicas_of};
 use crate::relay::share;
@@ -57,6 +57,8 @@
         let complete_at = now.saturating_sub(reading.complete_at.elapsed());
         let (part, revision) = (reading.part, reading.revision);
         let is_whole = reading.is_whole;
+        self.note_lost_sheet(&reading);
+        let proved_at = reading.proved_at.map(|at| now.saturating_sub(at.elapsed()));
         let changed = match is_whole && part == StorePart::Replicas {
             true => self.take_listing(reading, now),
             false => self.take_events(reading, now),
@@ -64,6 +66,9 @@
         self.shared.waiters.tell_all();
         let mut machine = self.shared.machine();
         machine.knowledge_mut().note_read(part, revision, complete_at);
+        if let Some(at) = proved_at.filter(|_| part == StorePart::Operator && !self.is_sheet_lost) {
+            machine.knowledge_mut().note_proof(at);
+        }
         if is_whole {
             machine.knowledge_mut().note_whole(part, revision);
         }
@@ -74,6 +79,17 @@
         }
     }
 
+    /// A sheet that was published and could not be read leaves what is in force unknown until one can.
+    fn note_lost_sheet(&mut self, reading: &StoreReading) {
+        let has_sheet = reading.events.iter().any(|event| matches!(event, StoreEvent::Sheet(_)));
+        self.is_sheet_lost = match reading.part {
+            StorePart::Operator => {
+                reading.proved_at.is_none() || (self.is_sheet_lost && !has_sheet)
+            },
+            StorePart::Replicas => self.is_sheet_lost,
+        };
+    }
+
     /// Takes the whole listing; gives the revision of the last change, if anything changed.
     fn take_listing(&mut self, reading: StoreReading, now: MonoTime) -> Option<u64> {
         let last = reading.changed_at.iter().copied().max();
@@ -217,8 +233,10 @@
 
     fn fetch(&self, address: SocketAddr) {
         let publish = self.publish.clone();
+        let asked_at = self.shared.clock.now();
         tokio::spawn(async move {
             let published = share::fetch(address).await;
+            let published = published.map(|state| FetchedState { state, asked_at });
             // The receiver is gone only when the process ends.
             let _ = publish.send(published).await;
         });
@@ -226,12 +244,18 @@
 
     pub(super) fn take_published(
         &mut self,
-        published: Result<PublishedState, String>,
+        published: Result<FetchedState, String>,
         now: MonoTime,
     ) {
         match published {
-            Ok(published) => {
-                let changes = self.shared.machine().take_published(published, now);
+            Ok(FetchedState { state, asked_at }) => {
+                let proof = state.proof;
+                let mut machine = self.shared.machine();
+                let changes = machine.take_published(state, now);
+                if let Some(word) = proof {
+                    machine.knowledge_mut().take_proof(&word, asked_at);
+                }
+                drop(machine);
                 self.take_changes(changes, now);
                 self.shared.waiters.tell_all();
                 self.note_ready();
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -8,13 +8,16 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use quillcove_core::access::grant::AccessGrant;
+use quillcove_core::access::limit::UseCharge;
 use quillcove_core::class::WorkClass;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::ReplicaId;
-use quillcove_core::relay::machine::RelayQuery;
+use quillcove_core::relay::machine::{RelayMachine, RelayQuery};
+use quillcove_core::relay::prompt::PromptSize;
 use quillcove_core::relay::reading::ReadingNumber;
 use quillcove_core::relay::sheet::RouteSheet;
-use quillcove_core::route::RouteKind;
+use quillcove_core::route::{RouteKind, RouteRecord};
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use quillcove_platform::heads::{self, CallerTerms};
 use slog::info;
@@ -53,6 +56,7 @@
     pub rank: Option<u8>,
     /// Time in which the last attempt was expected to bring its first event.
     pub expected: Option<Duration>,
+    charge: HeldCharge,
     finished: Option<FinishedRequest>,
 }
 
@@ -108,6 +112,11 @@
             && self.shared.machine().has_repeat(&self.query.service)
     }
 
+    /// Name of the request's workspace.
+    pub fn workspace(&self) -> Option<&str> {
+        self.query.grant.as_ref().map(|grant| grant.workspace.name.as_str())
+    }
+
     pub fn left(&self, now: MonoTime) -> Duration {
         self.query.deadline.saturating_sub(now)
     }
@@ -117,12 +126,6 @@
     fn drop(&mut self) {
         self.end_reading(None);
         let now = self.shared.clock.now();
-        let mut machine = self.shared.machine();
-        machine.finish();
-        if machine.has_asks() {
-            self.shared.wanted.notify_one();
-        }
-        drop(machine);
         let took = now.saturating_sub(self.query.received);
         let end = self.finished.take().unwrap_or(FinishedRequest {
             verdict: match self.attempts {
@@ -132,10 +135,20 @@
             status: 0,
             reason: "caller left".to_string(),
         });
+        let mut machine = self.shared.machine();
+        machine.finish();
+        if end.verdict == RunVerdict::NotRun {
+            self.charge.give_back(&mut machine);
+        }
+        if machine.has_asks() {
+            self.shared.wanted.notify_one();
+        }
+        drop(machine);
+        self.charge.settle();
         self.shared.metrics.finished(end.verdict, self.class(), took);
         info!(self.shared.log, "request"; "id" => &self.terms.id,
             "route" => &self.query.route.name, "sheet" => self.sheet.version,
-            "service" => &self.query.service,
+            "service" => &self.query.service, "workspace" => self.workspace(),
             "adapter" => self.query.adapter.as_ref().map(|key| key.adapter.as_str()),
             "verdict" => end.verdict.label(), "status" => end.status, "reason" => end.reason,
             "age_ms" => self.query.age.as_millis() as u64, "attempts" => self.attempts, "replicas" => self.tried.join(","),
@@ -172,6 +185,54 @@
     }
 }
 
+/// What a request was charged with. It is given back when the request ends before it is open.
+pub struct HeldCharge {
+    shared: Arc<RelayShared>,
+    charge: Option<UseCharge>,
+}
+
+impl HeldCharge {
+    fn give_back(&mut self, machine: &mut RelayMachine) {
+        if let Some(charge) = self.charge.take() {
+            machine.give_back(&charge);
+        }
+    }
+
+    /// Nothing is given back any more.
+    fn settle(&mut self) {
+        self.charge = None;
+    }
+}
+
+impl Drop for HeldCharge {
+    fn drop(&mut self) {
+        if self.charge.is_some() {
+            let shared = self.shared.clone();
+            self.give_back(&mut shared.machine());
+        }
+    }
+}
+
+/// Lets a request in by its key, before its body is taken.
+fn let_in(
+    shared: &Arc<RelayShared>,
+    route: &RouteRecord,
+    terms: &CallerTerms,
+    now: MonoTime,
+) -> Result<Option<AccessGrant>, Rejection> {
+    let tokens = terms.prompt.as_ref().map(PromptSize::all_tokens);
+    let granted = shared.machine().let_in(route, terms.key, tokens, now);
+    granted.map_err(|refusal| {
+        let machine = shared.machine();
+        let proved_at = machine.knowledge().proved_at();
+        let age = proved_at.map(|at| now.saturating_sub(at).as_millis() as u64);
+        info!(shared.log, "not let in"; "id" => &terms.id, "route" => &route.name,
+            "has_key" => terms.key.is_some(), "tokens" => tokens, "knowledge_age_ms" => age,
+            "sheet" => machine.sheet().map(|sheet| sheet.version));
+        Rejection::Refused(refusal.into())
+    })
+}
+
 /// Reads a request whole and admits it.
 pub async fn prepare(
     shared: &Arc<RelayShared>,
@@ -191,6 +252,9 @@
     if let Some(fault) = &terms.fault {
         info!(shared.log, "size of a prompt not understood"; "id" => &terms.id, "fault" => %fault);
     }
+    let grant = let_in(shared, &route, &terms, received)?;
+    let charge = grant.as_ref().and_then(|grant| grant.charge.clone());
+    let charge = HeldCharge { shared: shared.clone(), charge };
     let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + patience;
     let said = terms.patience.unwrap_or(route.timeout);
@@ -210,6 +274,7 @@
         age,
         deadline,
         looks: 0,
+        grant,
     };
     Ok(OpenRequest {
         shared: shared.clone(),
@@ -232,6 +297,7 @@
         reading: None,
         rank: None,
         expected: None,
+        charge,
         finished: None,
     })
 }
--- a/quillcove/src/relay/share.rs
+++ b/quillcove/src/relay/share.rs
@@ -33,7 +33,7 @@
 
 impl RelayShare for ShareAnswers {
     async fn published(self, _context: Context) -> PublishedState {
-        self.shared.machine().published()
+        self.shared.machine().published(self.shared.clock.now())
     }
 }
 
--- a/quillcove/src/web/answer.rs
+++ b/quillcove/src/web/answer.rs
@@ -23,7 +23,8 @@
     match reason {
         RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
         RefusalReason::Unknown => StatusCode::NOT_FOUND,
-        RefusalReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::KeyUnknown => StatusCode::UNAUTHORIZED,
+        RefusalReason::Overloaded | RefusalReason::LimitReached => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::UpstreamBroke => StatusCode::BAD_GATEWAY,
         RefusalReason::TicketUnknown
@@ -31,6 +32,7 @@
         | RefusalReason::KeyUncertain
         | RefusalReason::Duplicate => StatusCode::CONFLICT,
         RefusalReason::BundleMissing
+        | RefusalReason::KnowledgeOld
         | RefusalReason::NoUpstream
         | RefusalReason::DeadlineTooShort
         | RefusalReason::Leaving
@@ -147,6 +149,9 @@
         RefusalReason::UpstreamBroke => "the answer broke off",
         RefusalReason::TicketUnknown => "the ticket is not valid here any more",
         RefusalReason::AlreadyUsed => "the ticket or key was used before",
+        RefusalReason::KeyUnknown => "the request needs a workspace's key",
+        RefusalReason::KnowledgeOld => "what is known of keys is too old; come back later",
+        RefusalReason::LimitReached => "the workspace has used what it may; come back later",
         RefusalReason::KeyUncertain => {
             "the owner of this key restarted lately; take a ticket or come back later"
         },
--- a/quillcove/tests/deploy_templates.rs
+++ b/quillcove/tests/deploy_templates.rs
@@ -9,7 +9,7 @@
 use quillcove::config::{parse_loader, parse_relay};
 
 /// Values of a common deployment, by the platform's names.
-const COMMON: [(&str, &str); 15] = [
+const COMMON: [(&str, &str); 20] = [
     ("nodeName", "front-a-1"),
     ("zone", "hall-a"),
     ("listenAddresses.frontend", "10.1.0.38:8149"),
@@ -25,6 +25,11 @@
     ("bounds.retryBudgetRatio", "0.2"),
     ("bounds.budgetExtraRetries", "54"),
     ("bounds.gracePeriodS", "8"),
+    ("bounds.revocationMs", "5000"),
+    ("bounds.strictRevocation", "true"),
+    ("bounds.quotaWindowS", "8"),
+    ("bounds.quotaOvershoot", "0.25"),
+    ("bounds.quotaTolerance", "11000"),
 ];
 
 /// What else the loader's template names.
@@ -74,9 +79,22 @@
     let settings = relay("zone", "hall-a").unwrap();
     assert_eq!(settings.routing.retry_extra, 54.0);
     assert_eq!(settings.platform.contact_time, Duration::from_secs(3));
+    assert_eq!(settings.access.revocation_time, Some(Duration::from_secs(5)));
+    assert_eq!(settings.access.limit_tolerance, 11000.0);
     loader("zone", "hall-a").unwrap();
 }
 
+#[test]
+fn keys_have_a_bound_only_where_the_platform_is_strict() {
+    let access = |value| relay("bounds.strictRevocation", value).unwrap().access;
+    assert_eq!(access("").revocation_time, None);
+    let access = |name, value| relay(name, value).unwrap().access;
+    let default = RelaySettings::default().access;
+    assert_eq!(access("bounds.quotaOvershoot", "").limit_overshoot, default.limit_overshoot);
+    assert_eq!(access("bounds.quotaWindowS", "").limit_window, default.limit_window);
+    assert_eq!(access("bounds.quotaTolerance", "").limit_tolerance, default.limit_tolerance);
+}
+
 #[test]
 fn numbers_of_any_form_have_a_meaning() {
     for (name, value) in [
@@ -103,6 +121,10 @@
         ("bounds.gracePeriodS", "0"),
         ("bounds.gracePeriodS", ""),
         ("seedNodes", ""),
+        ("bounds.revocationMs", "0"),
+        ("bounds.revocationMs", "2500.5"),
+        ("bounds.quotaOvershoot", "0"),
+        ("bounds.quotaWindowS", "0.5"),
     ] {
         relay(name, value).unwrap_or_else(|faults| panic!("{name} = '{value}': {faults}"));
     }
@@ -136,6 +158,9 @@
         ("platform.address", "", "platform.address"),
         ("nodeName", "", "process.host"),
         ("seedNodes", "nowhere", "peers.seeds"),
+        ("bounds.revocationMs", "-1", "access.revocation_time"),
+        ("bounds.quotaOvershoot", "-0.5", "access.limit_overshoot"),
+        ("bounds.quotaTolerance", "few", "access.limit_tolerance"),
     ] {
         let faults = relay(name, value).expect_err(name);
         assert!(faults.contains(key), "{name} = '{value}': {faults}");
--- a/quillcove_core/src/bundle/text/routes.rs
+++ b/quillcove_core/src/bundle/text/routes.rs
@@ -92,6 +92,8 @@
             patience: None,
             priority: self.route_priority(name, route),
             attempt_limit,
+            // A bundle names no workspaces.
+            is_public: true,
             targets: self.route_targets(raw, name, route),
         }
     }
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -477,9 +477,12 @@
         | RefusalReason::Withdrawn
         | RefusalReason::TicketUnknown
         | RefusalReason::AlreadyUsed
-        | RefusalReason::KeyUncertain => false,
+        | RefusalReason::KeyUncertain
+        | RefusalReason::KeyUnknown
+        | RefusalReason::LimitReached => false,
         RefusalReason::Unknown
         | RefusalReason::BundleMissing
+        | RefusalReason::KnowledgeOld
         | RefusalReason::NoUpstream
         | RefusalReason::Overloaded
         | RefusalReason::Leaving
--- a/quillcove_core/src/ids.rs
+++ b/quillcove_core/src/ids.rs
@@ -14,6 +14,8 @@
 pub type HostId = String;
 /// Name of a hall.
 pub type HallName = String;
+/// Name of a workspace, whose callers share keys, a rank and a limit.
+pub type WorkspaceName = String;
 /// Name of the caller's organisation, used for fair shares.
 pub type CallerId = String;
 /// Identifies one caller's request from admission to its last byte.
--- a/quillcove_core/src/lib.rs
+++ b/quillcove_core/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions come out. Nothing here opens a socket, reads a clock or needs a runtime, so the
 //! daemons, the model checker and the fuzz tests all run the same code, and others can embed it.
 //!
+//! - [`access`] decides for workspaces: whose key may do what, and how much.
 //! - [`agent`] decides for one upstream: what runs, what waits, what is loaded and unloaded.
 //! - [`entry`] decides for callers: which upstream takes a request and when a repeat is allowed.
 //! - [`once`] keeps requests that must not run twice.
@@ -14,6 +15,7 @@
 #![deny(rustdoc::broken_intra_doc_links, missing_docs, unsafe_code)]
 #![deny(clippy::all)]
 
+pub mod access;
 pub mod adapter;
 pub mod agent;
 pub mod bundle;
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::sheet::SheetVersion;
-use super::store_duty::StoreWord;
+use super::store_duty::{ProofWord, StoreWord};
+use crate::access::limit::SpendBeacon;
 use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
 
 /// Identifies one start of a replica.
@@ -242,6 +243,30 @@
     Gauges(GaugeBeacon),
     /// From a relay to a loader.
     Resend(ResendAsk),
+    /// From a relay to relays.
+    Spend(SpendBeacon),
+    /// From a relay to a relay.
+    ProofAsk(ProofAsk),
+    /// From a relay to the relay that asked.
+    Proof(ProofAnswer),
+}
+
+/// A relay's question to another one how old its proof is that it knows all that the operator wrote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofAsk {
+    /// Where the relay wants the answer.
+    pub relay: SocketAddr,
+    /// Names the question, so that an answer counts from when it was asked.
+    pub number: u64,
+}
+
+/// The answer to a [`ProofAsk`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofAnswer {
+    /// The question.
+    pub number: u64,
+    /// What the relay knows.
+    pub word: ProofWord,
 }
 
 /// The kinds of [`PeerMessage`], for counting their bytes.
@@ -259,6 +284,10 @@
     Gauges,
     /// [`PeerMessage::Resend`].
     Resend,
+    /// [`PeerMessage::Spend`].
+    Spend,
+    /// [`PeerMessage::ProofAsk`] and [`PeerMessage::Proof`].
+    Proof,
 }
 
 impl PeerMessageKind {
@@ -277,6 +306,8 @@
             Self::Load => "load",
             Self::Gauges => "gauges",
             Self::Resend => "resend",
+            Self::Spend => "spend",
+            Self::Proof => "proof",
         }
     }
 }
@@ -298,6 +329,8 @@
             Self::Load(_) => PeerMessageKind::Load,
             Self::Gauges(_) => PeerMessageKind::Gauges,
             Self::Resend(_) => PeerMessageKind::Resend,
+            Self::Spend(_) => PeerMessageKind::Spend,
+            Self::ProofAsk(_) | Self::Proof(_) => PeerMessageKind::Proof,
         }
     }
 }
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -78,6 +78,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     is_public: true,
     ///     targets: Vec::new(),
     /// };
     /// let query = RelayQuery {
@@ -90,6 +91,7 @@
     ///     age: Duration::ZERO,
     ///     deadline: Duration::from_secs(1),
     ///     looks: 0,
+    ///     grant: None,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// let choice = machine.choose(&query, &[], Duration::ZERO);
@@ -104,6 +106,9 @@
         if now >= query.deadline {
             return refuse(RefusalReason::DeadlinePassed, None);
         }
+        if self.is_revoked(query) {
+            return refuse(RefusalReason::KeyUnknown, None);
+        }
         let draw = self.draw();
         let ready: Vec<&ReplicaView> = self
             .table
@@ -146,7 +151,7 @@
     fn prompt_of(&self, query: &RelayQuery) -> Option<ReadingPrompt> {
         match self.rules.policy.routing {
             RoutingRule::Reading => {
-                let rank = query.route.priority;
+                let rank = query.rank();
                 query.prompt_tokens.map(|tokens| ReadingPrompt { tokens, rank })
             },
             RoutingRule::Places => None,
@@ -308,7 +313,7 @@
 
     /// Time until the first event of a request at the engine that would be soonest.
     fn least_reading(&self, query: &RelayQuery) -> Duration {
-        let rank = query.route.priority;
+        let rank = query.rank();
         let prompt = ReadingPrompt { tokens: query.prompt_tokens.unwrap_or(0), rank };
         let norm = self.table.norm(&query.service);
         let engines = self.ready_engines(&query.service);
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of one relay: which replica takes a request, when it waits, and when it is refused.
 
+mod access;
 mod choice;
 mod priority;
 mod published;
@@ -25,6 +26,9 @@
 use super::sheet::{RouteSheet, SheetVersion};
 use super::store_duty::StoreKnowledge;
 use super::tries::CallerTries;
+use crate::access::grant::AccessGrant;
+use crate::access::limit::{FleetSize, LimitLedger, LimitRules};
+use crate::access::right::RightRules;
 use crate::entry::retry::RetryBudget;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 use crate::rendezvous;
@@ -44,6 +48,10 @@
     pub request_limit: usize,
     /// How it decides.
     pub policy: RelayPolicy,
+    /// How long keys work after they were taken away.
+    pub right: RightRules,
+    /// How limits of workspaces are judged and shared.
+    pub limits: LimitRules,
 }
 
 impl Default for RelayRules {
@@ -54,6 +62,8 @@
             retry_extra: 50.0,
             request_limit: 2048,
             policy: RelayPolicy::default(),
+            right: RightRules::default(),
+            limits: LimitRules::default(),
         }
     }
 }
@@ -79,9 +89,19 @@
     pub deadline: MonoTime,
     /// How often a choice was made for it.
     pub looks: u32,
+    /// By which right it came in; `None` where no key is needed.
+    pub grant: Option<AccessGrant>,
 }
 
 impl RelayQuery {
+    /// Its rank, 0 first: that of its workspace, else that of its route.
+    ///
+    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    pub fn rank(&self) -> u8 {
+        let workspace = self.grant.as_ref().and_then(|grant| grant.workspace.priority);
+        workspace.unwrap_or(self.route.priority)
+    }
+
     /// Until when its answer is in time.
     ///
     /// See [`RelayMachine::begin_reading`] for an example of a query.
@@ -173,6 +193,8 @@
     most_relays: usize,
     /// What this relay knows of the store.
     knowledge: StoreKnowledge,
+    /// What workspaces have used.
+    ledger: LimitLedger,
     requests: usize,
     is_stopping: bool,
     draws: u64,
@@ -189,8 +211,10 @@
     /// assert!(RelayMachine::new(RelayRules::default(), 1).sheet().is_none());
     /// ```
     pub fn new(rules: RelayRules, seed: u64) -> Self {
+        let ledger = LimitLedger::new(rules.limits);
         Self {
             rules,
+            ledger,
             sheet: None,
             table: ReplicaTable::default(),
             versions: BTreeMap::new(),
@@ -220,6 +244,7 @@
     /// machine.set_rules(RelayRules { request_limit: 7, ..RelayRules::default() });
     /// ```
     pub fn set_rules(&mut self, rules: RelayRules) {
+        self.ledger.set_rules(rules.limits);
         self.rules = rules;
         self.resize_budgets();
     }
@@ -297,18 +322,21 @@
     /// Takes what is known of the other relays.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use quillcove_core::relay::beacon::OtherRelays;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let others = OtherRelays { count: 3, lacking: 20 };
-    /// RelayMachine::new(RelayRules::default(), 1).set_others(others);
+    /// RelayMachine::new(RelayRules::default(), 1).set_others(others, Duration::ZERO);
     /// ```
-    pub fn set_others(&mut self, others: OtherRelays) {
+    pub fn set_others(&mut self, others: OtherRelays, now: MonoTime) {
         self.relays = others.count + 1;
         if self.relays > self.most_relays {
             self.most_relays = self.relays;
             self.resize_budgets();
         }
+        let fleet = FleetSize { heard: self.relays, most: self.most_relays };
+        self.ledger.set_fleet(fleet, now);
         self.demand.set_others(others);
     }
 
@@ -546,6 +574,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     is_public: true,
     ///     targets: vec![RouteShare { service: "s".into(), weight: 1 }],
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -46,6 +46,7 @@
     ///     patience: None,
     ///     priority: 2,
     ///     attempt_limit: 1,
+    ///     is_public: true,
     ///     targets: Vec::new(),
     /// };
     /// let query = RelayQuery {
@@ -58,6 +59,7 @@
     ///     age: Duration::ZERO,
     ///     deadline: Duration::from_secs(1),
     ///     looks: 0,
+    ///     grant: None,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert_eq!(machine.begin_reading("i-1", &query, Duration::ZERO).rank, 2);
@@ -68,7 +70,7 @@
         query: &RelayQuery,
         now: MonoTime,
     ) -> ReadingStart {
-        let rank = query.route.priority.min(LAST_TIMELY_RANK);
+        let rank = query.rank().min(LAST_TIMELY_RANK);
         let (Some(view), Some(tokens)) = (self.table.get(replica), query.prompt_tokens) else {
             return ReadingStart { number: None, rank, expected: None };
         };
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -146,11 +146,13 @@
     /// All that this relay has read from the store.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).published().sheet, None);
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.published(Duration::ZERO).sheet, None);
     /// ```
-    pub fn published(&self) -> PublishedState {
+    pub fn published(&self, now: MonoTime) -> PublishedState {
         let version = |(key, (version, _)): (&AdapterKey, &(AdapterVersion, MonoTime))| {
             HeldAdapter { key: key.clone(), version: *version }
         };
@@ -159,6 +161,7 @@
             read: word.read,
             changed: word.changed,
             since: word.since,
+            proof: self.knowledge.proof(now),
             sheet: self.sheet.as_deref().cloned(),
             versions: self.versions.iter().map(version).collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
--- a/quillcove_core/src/relay/policy.rs
+++ b/quillcove_core/src/relay/policy.rs
@@ -1,5 +1,7 @@
 //! The rules by which a relay decides, each of which can be switched back for measurement.
 
+use crate::access::limit::LimitRule;
+
 /// How the replica for a prompt is chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RoutingRule {
@@ -78,4 +80,6 @@
     pub placement: PlacementRule,
     /// How long a request waits for its adapter.
     pub waiting: WaitingRule,
+    /// How the relays share limits of workspaces.
+    pub limits: LimitRule,
 }
--- a/quillcove_core/src/relay/prompt.rs
+++ b/quillcove_core/src/relay/prompt.rs
@@ -19,3 +19,17 @@
     /// Parts of the prompt, in their order.
     pub parts: Vec<PromptPart>,
 }
+
+impl PromptSize {
+    /// Tokens of the prompt and the most of the answer, as limits of workspaces count them.
+    ///
+    /// ```
+    /// use quillcove_core::relay::prompt::PromptSize;
+    ///
+    /// let size = PromptSize { tokens: 1460, answer_tokens: 80, parts: Vec::new() };
+    /// assert_eq!(size.all_tokens(), 1540);
+    /// ```
+    pub fn all_tokens(&self) -> u64 {
+        u64::from(self.tokens) + u64::from(self.answer_tokens)
+    }
+}
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -6,6 +6,7 @@
 use super::beacon::HeldAdapter;
 use super::replica::ReplicaRecord;
 use super::sheet::RouteSheet;
+use super::store_duty::ProofWord;
 
 /// A part of the platform's store; each is read by itself, so that one may be known further than
 /// the other.
@@ -85,6 +86,8 @@
     pub changed: ReadRevisions,
     /// Revisions from which on its changes were followed.
     pub since: ReadRevisions,
+    /// How old the proof is that all that the operator wrote is known; `None` without one.
+    pub proof: Option<ProofWord>,
     /// The sheet in force; `None` before the first.
     pub sheet: Option<RouteSheet>,
     /// Newest versions of adapters.
--- a/quillcove_core/src/relay/sheet.rs
+++ b/quillcove_core/src/relay/sheet.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::access::workspace::AccessTable;
 use crate::ids::{ModelName, ServiceName};
 use crate::route::{RouteRecord, RouteTable};
 
@@ -132,6 +133,8 @@
     services: HashMap<ServiceName, Arc<ServiceRecord>>,
     /// Limits of what callers may send.
     pub limits: CallerLimits,
+    /// Workspaces; `None` where requests need no key.
+    access: Option<Arc<AccessTable>>,
 }
 
 impl RouteSheet {
@@ -151,7 +154,28 @@
     ) -> Self {
         let named = |service: ServiceRecord| (service.name.clone(), Arc::new(service));
         let services = services.into_iter().map(named).collect();
-        Self { version, routes: RouteTable::new(routes), services, limits }
+        Self { version, routes: RouteTable::new(routes), services, limits, access: None }
+    }
+
+    /// The same sheet with workspaces, so that routes which are not public need a key.
+    ///
+    /// ```
+    /// use quillcove_core::access::workspace::AccessTable;
+    /// use quillcove_core::relay::sheet::RouteSheet;
+    ///
+    /// let sheet = RouteSheet::default().with_access(AccessTable::default());
+    /// assert!(sheet.access().is_some());
+    /// ```
+    pub fn with_access(mut self, access: AccessTable) -> Self {
+        self.access = Some(Arc::new(access));
+        self
+    }
+
+    /// The workspaces; `None` where requests need no key.
+    ///
+    /// See [`RouteSheet::with_access`] for an example.
+    pub fn access(&self) -> Option<&Arc<AccessTable>> {
+        self.access.as_ref()
     }
 
     /// The route of a host and path: the one with the longest prefix that begins the path.
--- a/quillcove_core/src/relay/store_duty.rs
+++ b/quillcove_core/src/relay/store_duty.rs
@@ -123,6 +123,17 @@
     pub is_up: bool,
 }
 
+/// A relay's answer to the question how old its proof is that it knows all that the operator wrote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProofWord {
+    /// Revision at which something last changed that matters.
+    pub changed: u64,
+    /// Revision from which on it has followed the changes.
+    pub since: u64,
+    /// Age of the proof when the answer was given.
+    pub age: Duration,
+}
+
 /// The users' bounds for what is published.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyRules {
@@ -265,6 +276,8 @@
     since: ReadRevisions,
     operator: PartKnowledge,
     replicas: PartKnowledge,
+    /// A moment of which it is proved that all that the operator had written by then is known.
+    proved_at: Option<MonoTime>,
 }
 
 impl StoreKnowledge {
@@ -330,6 +343,68 @@
         self.changed.note(part, revision);
     }
 
+    /// The moment of which it is proved that all that the operator had written by then is known.
+    ///
+    /// ```
+    /// use quillcove_core::relay::store_duty::StoreKnowledge;
+    ///
+    /// assert_eq!(StoreKnowledge::default().proved_at(), None);
+    /// ```
+    pub fn proved_at(&self) -> Option<MonoTime> {
+        self.proved_at
+    }
+
+    /// Notes such a moment: the beginning of a reading of this relay's own.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::store_duty::StoreKnowledge;
+    ///
+    /// let mut knowledge = StoreKnowledge::default();
+    /// knowledge.note_proof(Duration::from_secs(3));
+    /// assert_eq!(knowledge.proved_at(), Some(Duration::from_secs(3)));
+    /// ```
+    pub fn note_proof(&mut self, at: MonoTime) {
+        self.proved_at = self.proved_at.max(Some(at));
+    }
+
+    /// Takes another relay's answer to a question for its proof. It counts from when it was asked, and
+    /// only where that relay knows of nothing that this one does not.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::store_duty::{ProofWord, StoreKnowledge};
+    ///
+    /// let word = ProofWord { changed: 7, since: 3, age: Duration::from_secs(1) };
+    /// let mut knowledge = StoreKnowledge::default();
+    /// knowledge.take_proof(&word, Duration::from_secs(9));
+    /// assert_eq!(knowledge.proved_at(), None);
+    /// knowledge.note_read(StorePart::Operator, 8, Duration::ZERO);
+    /// knowledge.take_proof(&word, Duration::from_secs(9));
+    /// assert_eq!(knowledge.proved_at(), Some(Duration::from_secs(8)));
+    /// # use quillcove_core::relay::published::StorePart;
+    /// ```
+    pub fn take_proof(&mut self, word: &ProofWord, asked_at: MonoTime) {
+        let known = self.read.operator;
+        // Who has read nothing yet has nothing that a proof could be of.
+        if known > 0 && word.changed <= known && word.since <= known {
+            self.note_proof(asked_at.saturating_sub(word.age));
+        }
+    }
+
+    /// The answer to another relay's question for a proof; `None` without one.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::store_duty::StoreKnowledge;
+    ///
+    /// assert!(StoreKnowledge::default().proof(Duration::ZERO).is_none());
+    /// ```
+    pub fn proof(&self, now: MonoTime) -> Option<ProofWord> {
+        let age = now.saturating_sub(self.proved_at?);
+        Some(ProofWord { changed: self.changed.operator, since: self.since.operator, age })
+    }
+
     /// What to tell other relays.
     ///
     /// ```
--- a/quillcove_core/src/route.rs
+++ b/quillcove_core/src/route.rs
@@ -77,6 +77,8 @@
     pub priority: u8,
     /// Most replicas that one request is sent to.
     pub attempt_limit: u32,
+    /// Whether its requests need no key where there are workspaces.
+    pub is_public: bool,
     /// Services, with their shares.
     pub targets: Vec<RouteShare>,
 }
@@ -99,6 +101,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     is_public: true,
     ///     targets: Vec::new(),
     /// };
     /// assert_eq!(route.class(), WorkClass::Urgent);
@@ -128,6 +131,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     is_public: true,
     ///     targets: vec![share("old", 90), share("new", 10)],
     /// };
     /// assert_eq!(route.draw_service(89).unwrap(), "old");
--- a/quillcove_core/src/verdict.rs
+++ b/quillcove_core/src/verdict.rs
@@ -85,6 +85,12 @@
     AlreadyUsed,
     /// The agent restarted lately and can not tell whether the key was used before.
     KeyUncertain,
+    /// The request needs a workspace's key and has none that is valid.
+    KeyUnknown,
+    /// What is known of workspaces' keys is too old to let a request in by its key.
+    KnowledgeOld,
+    /// The request's workspace has used what it may.
+    LimitReached,
 }
 
 impl RefusalReason {
@@ -114,6 +120,9 @@
             Self::TicketUnknown => "ticket_unknown",
             Self::AlreadyUsed => "already_used",
             Self::KeyUncertain => "key_uncertain",
+            Self::KeyUnknown => "key_unknown",
+            Self::KnowledgeOld => "knowledge_old",
+            Self::LimitReached => "limit_reached",
         }
     }
 
@@ -129,7 +138,7 @@
     }
 
     /// All reasons.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::Unknown,
         Self::BundleMissing,
@@ -147,6 +156,9 @@
         Self::TicketUnknown,
         Self::AlreadyUsed,
         Self::KeyUncertain,
+        Self::KeyUnknown,
+        Self::KnowledgeOld,
+        Self::LimitReached,
     ];
 }
 
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -164,6 +164,7 @@
         patience: None,
         priority: 1,
         attempt_limit: 2,
+        is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
 }
@@ -328,6 +329,7 @@
             prompt_tokens: None,
             age: Duration::ZERO,
             looks: 0,
+            grant: None,
         };
         match self.machine.choose(&query, &[], self.now) {
             RelayChoice::Send(order) => self.send(order.replica, adapter),
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -104,6 +104,7 @@
         patience: None,
         priority: 0,
         attempt_limit: 1,
+        is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
 }
@@ -255,6 +256,7 @@
             prompt_tokens: None,
             age: Duration::ZERO,
             looks: 0,
+            grant: None,
         };
         let mut machine = self.machine.clone();
         let mut tried = Vec::new();
--- a/quillcove_core/tests/relay_budget.rs
+++ b/quillcove_core/tests/relay_budget.rs
@@ -32,7 +32,7 @@
         let mut relays: Vec<RelayMachine> =
             (0..count).map(|seed| RelayMachine::new(rules.clone(), seed as u64)).collect();
         for relay in &mut relays {
-            relay.set_others(OtherRelays { count: heard, lacking: 0 });
+            relay.set_others(OtherRelays { count: heard, lacking: 0 }, Duration::ZERO);
         }
         Self { relays, extra }
     }
@@ -108,7 +108,7 @@
     for (count, extra) in FLEETS {
         let mut fleet = Fleet::new(count, extra, count - 1);
         for relay in &mut fleet.relays {
-            relay.set_others(OtherRelays::default());
+            relay.set_others(OtherRelays::default(), Duration::ZERO);
         }
         for relay in 0..count {
             (0..BEFORE).for_each(|_| fleet.request(relay));
--- a/quillcove_core/tests/relay_copies.rs
+++ b/quillcove_core/tests/relay_copies.rs
@@ -34,6 +34,7 @@
         patience: None,
         priority: 1,
         attempt_limit: 1,
+        is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
 }
@@ -85,6 +86,7 @@
         age: Duration::ZERO,
         deadline: ms(15_000),
         looks: 0,
+        grant: None,
     };
     let choice = machine.choose(&query, &[], ms(10));
     assert!(matches!(choice, RelayChoice::Send(order) if order.replica == "i-1"));
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -31,6 +31,7 @@
         patience: None,
         priority: 1,
         attempt_limit: 2,
+        is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
 }
@@ -90,6 +91,7 @@
         prompt_tokens: None,
         age: Duration::ZERO,
         looks: 0,
+        grant: None,
     }
 }
 
@@ -180,6 +182,7 @@
     machine.note_read(StorePart::Replicas, 4);
     machine.note_store(false, ms(0));
     let published = PublishedState {
+        proof: None,
         read: read(6),
         changed: read(6),
         since: read(1),
@@ -202,6 +205,7 @@
     machine.list(record("i-2", 2), ms(0));
     machine.note_read(StorePart::Replicas, 7);
     let published = PublishedState {
+        proof: None,
         read: ReadRevisions { operator: 12, replicas: 5 },
         changed: ReadRevisions::default(),
         since: ReadRevisions::default(),
@@ -249,7 +253,7 @@
 #[test]
 fn a_request_whose_adapter_comes_too_late_is_refused_at_once_with_a_time() {
     let mut machine = machine();
-    machine.set_others(OtherRelays::default());
+    machine.set_others(OtherRelays::default(), Duration::ZERO);
     machine.list(record("i-1", 1), ms(0));
     machine.take_report(&beacon(1, 1, &[]), ms(0));
     let mut refused = Vec::new();
@@ -363,7 +367,7 @@
         vec![engine_service(50, 3.0)],
         CallerLimits::default(),
     ));
-    machine.set_others(OtherRelays { count: 3, lacking: 0 });
+    machine.set_others(OtherRelays { count: 3, lacking: 0 }, Duration::ZERO);
     machine.list(record("i-1", 1), ms(0));
     for _ in 0..10 {
         assert!(sent_to(&machine.choose(&query(None, ms(0)), &[], ms(0))).is_some());
--- a/quillcove_core/tests/relay_store_duty.rs
+++ b/quillcove_core/tests/relay_store_duty.rs
@@ -487,7 +487,7 @@
     source.knowledge_mut().note_read(StorePart::Replicas, 60, ms(5_000));
     source.knowledge_mut().note_change(StorePart::Replicas, 55);
     let mut cut_off = knowing(40);
-    cut_off.take_published(source.published(), ms(5_000));
+    cut_off.take_published(source.published(ms(5_000)), ms(5_000));
     assert!(cut_off.table().get("i-1").is_none());
     let mut third = knowing(50);
     assert_eq!(told(&mut third, &cut_off), (true, 50));
--- a/quillcove_core/tests/relay_tries.rs
+++ b/quillcove_core/tests/relay_tries.rs
@@ -29,6 +29,7 @@
         patience: Some(ms(2_000)),
         priority: 0,
         attempt_limit: 1,
+        is_public: true,
         targets: vec![RouteShare { service: "s".into(), weight: 1 }],
     }
 }
@@ -69,6 +70,7 @@
         age,
         deadline: ms(1_000) + patience,
         looks: 0,
+        grant: None,
     }
 }
 
