--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use quillcove_core::access::right::RightRules;
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
 use quillcove_core::relay::published::{ReadRevisions, StorePart};
 use quillcove_core::relay::replica::ReplicaRecord;
@@ -126,6 +127,8 @@
 pub struct StoreFollower {
     section: StoreSection,
     address: SocketAddr,
+    /// Longest watch of what the operator writes that keeps the proof of valid keys young enough.
+    proof_watch: Duration,
     ring: mpsc::Sender<StoreNews>,
     hurried: watch::Receiver<u64>,
     orders: watch::Receiver<FollowOrder>,
@@ -135,12 +138,15 @@
 impl StoreFollower {
     pub fn new(
         section: &StoreSection,
+        right: &RightRules,
         ring: mpsc::Sender<StoreNews>,
         hurried: watch::Receiver<u64>,
         orders: watch::Receiver<FollowOrder>,
         log: Logger,
     ) -> Self {
-        Self { section: section.clone(), address: section.address, ring, hurried, orders, log }
+        let proof_watch = right.watch_time().unwrap_or(Duration::MAX);
+        let (section, address) = (section.clone(), section.address);
+        Self { section, address, proof_watch, ring, hurried, orders, log }
     }
 
     /// Follows until the process ends.
@@ -201,11 +207,12 @@
 
     fn rules(&self, part: StorePart) -> FollowRules {
         // Changes gather before the next watch, as each call has its price.
-        let gather_time = match part {
-            StorePart::Operator => OPERATOR_GATHER,
-            StorePart::Replicas => self.section.gather_time,
+        let (gather_time, longest_watch) = match part {
+            StorePart::Operator => (OPERATOR_GATHER, self.proof_watch),
+            StorePart::Replicas => (self.section.gather_time, Duration::MAX),
         };
         let StoreSection { watch_time, timeout, contact_time, .. } = self.section;
+        let watch_time = watch_time.min(longest_watch);
         FollowRules { watch_time, timeout, contact_time, gather_time }
     }
 
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -57,7 +57,7 @@
 enum RelayInput {
     Store(StoreNews),
     Peer(PeerArrival),
-    Published(Result<FetchedState, String>),
+    Published(Result<Box<FetchedState>, String>),
     SettingsChanged,
     Wanted,
     Ticked,
@@ -96,8 +96,8 @@
     /// When readings were asked for that have not come, by part.
     wanted: HashMap<StorePart, MonoTime>,
     store: mpsc::Receiver<StoreNews>,
-    published: mpsc::Receiver<Result<FetchedState, String>>,
-    publish: mpsc::Sender<Result<FetchedState, String>>,
+    published: mpsc::Receiver<Result<Box<FetchedState>, String>>,
+    publish: mpsc::Sender<Result<Box<FetchedState>, String>>,
     last_fetch: MonoTime,
     keeper: ModelKeeper,
     relays: HashMap<HostId, KnownRelay>,
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -94,7 +94,11 @@
         SocketAddr::new(engine.ip(), self.settings.peers.loader_port)
     }
 
-    pub(super) fn send(&self, message: &PeerMessage, receivers: impl IntoIterator<Item = SocketAddr>) {
+    pub(super) fn send(
+        &self,
+        message: &PeerMessage,
+        receivers: impl IntoIterator<Item = SocketAddr>,
+    ) {
         let sent = self.socket.send(message, receivers);
         self.shared.metrics.told(message.kind(), sent);
     }
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -236,7 +236,7 @@
         let asked_at = self.shared.clock.now();
         tokio::spawn(async move {
             let published = share::fetch(address).await;
-            let published = published.map(|state| FetchedState { state, asked_at });
+            let published = published.map(|state| Box::new(FetchedState { state, asked_at }));
             // The receiver is gone only when the process ends.
             let _ = publish.send(published).await;
         });
@@ -244,11 +244,12 @@
 
     pub(super) fn take_published(
         &mut self,
-        published: Result<FetchedState, String>,
+        published: Result<Box<FetchedState>, String>,
         now: MonoTime,
     ) {
         match published {
-            Ok(FetchedState { state, asked_at }) => {
+            Ok(fetched) => {
+                let FetchedState { state, asked_at } = *fetched;
                 let proof = state.proof;
                 let mut machine = self.shared.machine();
                 let changes = machine.take_published(state, now);
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -105,7 +105,9 @@
     let (hurry, hurried) = watch::channel(0);
     let watch_time = settings.platform.duty_rules().watch_time();
     let (order, orders) = watch::channel(FollowOrder { watch_time, ..FollowOrder::default() });
-    let follower = StoreFollower::new(&settings.platform, ring, hurried, orders, log.clone());
+    let right = settings.rules().right;
+    let follower =
+        StoreFollower::new(&settings.platform, &right, ring, hurried, orders, log.clone());
     let watch_over = is_over.clone();
     let _follow = duty::spawn("watch", move || {
         duty::run_async(1, follower.run(watch_over));
--- a/quillcove_core/src/access/account.rs
+++ b/quillcove_core/src/access/account.rs
@@ -33,6 +33,19 @@
 }
 
 /// The account of one workspace at one relay.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::access::limit::{LimitLedger, LimitRules, UseLimit, UseUnit};
+/// use quillcove_core::access::workspace::WorkspaceRecord;
+///
+/// let limit = UseLimit { unit: UseUnit::Requests, rate: 1.0, burst: 5.0 };
+/// let record = WorkspaceRecord { name: "w".into(), priority: None, limit: Some(limit) };
+/// let mut ledger = LimitLedger::new(LimitRules::default());
+/// ledger.charge(&record, None, 0, Duration::from_secs(10)).unwrap();
+/// let account = ledger.account_of("w").unwrap();
+/// assert_eq!((account.level(), account.spent()), (4.0, 1));
+/// ```
 #[derive(Clone, Debug)]
 pub struct LimitAccount {
     limit: UseLimit,
@@ -164,24 +177,14 @@
 
     /// Units that the workspace may still use, as far as is known here.
     ///
-    /// ```
-    /// use quillcove_core::access::limit::{LimitLedger, LimitRules};
-    ///
-    /// let ledger = LimitLedger::new(LimitRules::default());
-    /// assert_eq!(ledger.accounts().map(|(_, account)| account.level()).sum::<f64>(), 0.0);
-    /// ```
+    /// See [`LimitAccount`] for an example.
     pub fn level(&self) -> f64 {
         self.level
     }
 
     /// Units spent here since the start of the process.
     ///
-    /// ```
-    /// use quillcove_core::access::limit::{LimitLedger, LimitRules};
-    ///
-    /// let ledger = LimitLedger::new(LimitRules::default());
-    /// assert_eq!(ledger.accounts().map(|(_, account)| account.spent()).sum::<i64>(), 0);
-    /// ```
+    /// See [`LimitAccount`] for an example.
     pub fn spent(&self) -> i64 {
         self.spent
     }
--- a/quillcove_core/src/access/limit.rs
+++ b/quillcove_core/src/access/limit.rs
@@ -383,14 +383,14 @@
             && self.accounts.values().any(|account| account.is_urgent(rules, relays))
     }
 
-    /// The accounts, for a dump: the workspace, what it may still use, and what was spent here.
+    /// The account of a workspace that was met here.
     ///
     /// ```
     /// use quillcove_core::access::limit::{LimitLedger, LimitRules};
     ///
-    /// assert_eq!(LimitLedger::new(LimitRules::default()).accounts().count(), 0);
+    /// assert!(LimitLedger::new(LimitRules::default()).account_of("w").is_none());
     /// ```
-    pub fn accounts(&self) -> impl Iterator<Item = (&WorkspaceName, &LimitAccount)> {
-        self.accounts.iter()
+    pub fn account_of(&self, workspace: &str) -> Option<&LimitAccount> {
+        self.accounts.get(workspace)
     }
 }
--- a/quillcove_core/src/access/right.rs
+++ b/quillcove_core/src/access/right.rs
@@ -16,6 +16,11 @@
 /// drift of a computer's clock.
 const RIGHT_MARGIN: Duration = Duration::from_millis(100);
 
+/// Share of the bound that a watch of the store may take. A proof counts from the beginning of a watch, so
+/// that it is two watches old when the next one ends: at this share it stays younger than the share at
+/// which others are asked, and one watch that is never answered still leaves time for another call.
+const WATCH_SHARE: f64 = 0.2;
+
 /// Share of the bound at which a relay asks others for a younger proof. Half of it leaves time for
 /// several lost questions and then for a reading of the store of its own.
 const ASK_SHARE: f64 = 0.5;
@@ -73,6 +78,19 @@
         proved_at.is_some_and(|at| now.saturating_sub(at) < bound.saturating_sub(RIGHT_MARGIN))
     }
 
+    /// Longest watch of the store that keeps proofs young enough; `None` when there is no bound.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::access::right::RightRules;
+    ///
+    /// let rules = RightRules { bound: Some(Duration::from_secs(5)) };
+    /// assert_eq!(rules.watch_time(), Some(Duration::from_secs(1)));
+    /// ```
+    pub fn watch_time(&self) -> Option<Duration> {
+        self.bound.map(|bound| bound.mul_f64(WATCH_SHARE))
+    }
+
     /// What to do about the age of the right; `asked_at` is when others were asked last.
     ///
     /// ```
--- a/quillcove_core/src/relay/machine/access.rs
+++ b/quillcove_core/src/relay/machine/access.rs
@@ -92,7 +92,7 @@
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
-    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).ledger().accounts().count(), 0);
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).ledger().account_of("w").is_none());
     /// ```
     pub fn ledger(&self) -> &LimitLedger {
         &self.ledger
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -1,8 +1,12 @@
 //! A relay's state in a dump.
 
+use std::sync::Arc;
+
 use serde::Serialize;
 
 use super::RelayMachine;
+use crate::access::account::LimitAccount;
+use crate::access::workspace::WorkspaceRecord;
 use crate::entry::retry::RetryBudget;
 use crate::ids::MonoTime;
 use crate::relay::replica::{ReplicaRecord, ReplicaView};
@@ -21,10 +25,26 @@
     pub retry_budget: f64,
     /// Whether new connections are to end, as the process stops.
     pub stopping: bool,
+    /// Age in milliseconds of the proof that all keys that were taken away are known; absent without one.
+    pub key_age_ms: Option<u64>,
+    /// Workspaces in force.
+    pub workspaces: Vec<WorkspaceSummary>,
     /// Replicas known.
     pub replicas: Vec<ReplicaSummary>,
 }
 
+/// One workspace in a dump. Its keys are not shown.
+#[derive(Clone, Debug, Serialize)]
+pub struct WorkspaceSummary {
+    /// As published.
+    #[serde(flatten)]
+    pub record: WorkspaceRecord,
+    /// Units that it may still use, as far as this relay knows; absent before its first request.
+    pub left: Option<f64>,
+    /// Units that it used through this relay.
+    pub used: i64,
+}
+
 /// One replica in a dump.
 #[derive(Clone, Debug, Serialize)]
 pub struct ReplicaSummary {
@@ -59,7 +79,10 @@
             is_well: view.seems_well(now),
             has_report: view.report(now).is_some(),
         };
+        let age = |at| now.saturating_sub(at).as_millis() as u64;
         RelayView {
+            key_age_ms: self.knowledge.proved_at().map(age),
+            workspaces: self.workspace_summaries(),
             sheet: self.sheet.as_ref().map_or(0, |sheet| sheet.version),
             routes: self.sheet.as_ref().map_or(0, |sheet| sheet.route_count()),
             requests: self.requests,
@@ -68,4 +91,18 @@
             replicas: self.table.all().map(summary).collect(),
         }
     }
+
+    fn workspace_summaries(&self) -> Vec<WorkspaceSummary> {
+        let access = self.sheet.as_ref().and_then(|sheet| sheet.access());
+        let records = access.into_iter().flat_map(|access| access.workspaces());
+        let summary = |record: &Arc<WorkspaceRecord>| {
+            let account = self.ledger.account_of(&record.name);
+            WorkspaceSummary {
+                record: WorkspaceRecord::clone(record),
+                left: account.map(LimitAccount::level),
+                used: account.map_or(0, LimitAccount::spent),
+            }
+        };
+        records.map(summary).collect()
+    }
 }
--- /dev/null
+++ b/quillcove_core/tests/access_limits.rs
@@ -0,0 +1,141 @@
+//! A workspace's limit over a fleet: what passes it, and what is wrongly refused. The patterns are those
+//! of the users' days: a workspace at eight times its usual, callers spread unevenly by the balancer,
+//! links that lose datagrams, halls that do not hear each other, relays that all start again.
+//!
+//! `cargo test -p quillcove_core --test access_limits table -- --nocapture` prints the table of rules and
+//! patterns.
+
+mod limit_fleet;
+
+use std::time::Duration;
+
+use limit_fleet::{FleetResult, LoadPattern, play};
+use proptest::prelude::*;
+use quillcove_core::access::limit::LimitRule;
+
+const RULES: [LimitRule; 3] = [LimitRule::Prompt, LimitRule::Beacons, LimitRule::Even];
+
+fn patterns() -> Vec<LoadPattern> {
+    let flood = LoadPattern::FLOOD;
+    let usual = LoadPattern::USUAL;
+    vec![
+        LoadPattern { name: "usual, 4", relays: 4, ..usual },
+        LoadPattern { name: "usual, 25", ..usual },
+        LoadPattern { name: "usual, 68", relays: 68, ..usual },
+        LoadPattern { name: "usual, uneven", first_share: 0.5, ..usual },
+        LoadPattern { name: "usual, 10 % lost", loss: 0.1, ..usual },
+        LoadPattern { name: "usual, restart", restarts: &[8], ..usual },
+        LoadPattern { name: "flood, 4", relays: 4, ..flood },
+        LoadPattern { name: "flood, 25", ..flood },
+        LoadPattern { name: "flood, 68", relays: 68, ..flood },
+        LoadPattern { name: "flood, uneven", first_share: 0.5, ..flood },
+        LoadPattern { name: "flood, 30 % lost", loss: 0.3, ..flood },
+        LoadPattern { name: "flood, slow", delay: Duration::from_millis(300), ..flood },
+        LoadPattern { name: "flood, halves", parts: 2, cut_from: 6, cut_until: 12, ..flood },
+        LoadPattern { name: "flood, thirds", parts: 3, cut_from: 3, cut_until: 12, ..flood },
+        LoadPattern { name: "flood, restarts", restarts: &[6, 8], ..flood },
+    ]
+}
+
+fn worst(pattern: LoadPattern, rule: LimitRule) -> FleetResult {
+    let results = (1..=3).map(|seed| play(pattern, rule, seed));
+    results.reduce(worse).expect("there are seeds")
+}
+
+fn worse(a: FleetResult, b: FleetResult) -> FleetResult {
+    FleetResult {
+        worst_window: a.worst_window.max(b.worst_window),
+        wrongly_refused: a.wrongly_refused.max(b.wrongly_refused),
+        flood_use: a.flood_use.min(b.flood_use),
+        messages: a.messages.max(b.messages),
+    }
+}
+
+#[test]
+fn the_table_of_rules_and_patterns() {
+    println!("| pattern | rule | worst window | wrongly refused | use in the flood | messages |");
+    println!("|---|---|---|---|---|---|");
+    for pattern in patterns() {
+        for rule in RULES {
+            let result = worst(pattern, rule);
+            println!(
+                "| {} | {rule:?} | {:.2} | {:.4} | {:.2} | {:.1} |",
+                pattern.name,
+                result.worst_window,
+                result.wrongly_refused,
+                result.flood_use,
+                result.messages
+            );
+        }
+    }
+}
+
+#[test]
+fn what_passes_a_limit_stays_within_what_the_users_let_pass() {
+    for pattern in patterns() {
+        let result = worst(pattern, LimitRule::default());
+        assert!(result.worst_window < 1.0, "{}: {result:?}", pattern.name);
+    }
+}
+
+#[test]
+fn within_the_limit_nearly_nothing_is_refused() {
+    for pattern in patterns() {
+        let result = worst(pattern, LimitRule::default());
+        assert!(result.wrongly_refused <= 0.005, "{}: {result:?}", pattern.name);
+    }
+}
+
+#[test]
+fn a_flooding_workspace_gets_what_its_limit_allows() {
+    for pattern in patterns().into_iter().filter(|pattern| pattern.flood > 1.0) {
+        // While relays do not hear each other, or know nothing, less is let through.
+        let least = if pattern.parts > 1 || !pattern.restarts.is_empty() { 0.6 } else { 0.9 };
+        let result = worst(pattern, LimitRule::default());
+        assert!(result.flood_use >= least, "{}: {result:?}", pattern.name);
+    }
+}
+
+#[test]
+fn even_shares_refuse_what_is_spread_unevenly() {
+    let pattern = LoadPattern { first_share: 0.5, ..LoadPattern::USUAL };
+    let even = worst(pattern, LimitRule::Even);
+    assert!(even.wrongly_refused > 0.3, "{even:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 24,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    })]
+
+    /// Fleets, floods, losses, delays and cuts of any kind.
+    #[test]
+    fn no_trouble_lets_much_more_pass(
+        relays in prop::sample::select(vec![1usize, 4, 25, 68]),
+        flood in 1.0f64..4.5,
+        first_share in 0.0f64..0.9,
+        loss in 0.0f64..0.3,
+        delay in 0u64..300,
+        parts in 1usize..4,
+        cut_from in 0u64..10,
+        cut_for in 0u64..10,
+        seed in 1u64..1000,
+    ) {
+        let pattern = LoadPattern {
+            name: "drawn",
+            relays,
+            flood,
+            first_share,
+            loss,
+            delay: Duration::from_millis(delay),
+            parts,
+            cut_from,
+            cut_until: cut_from + cut_for,
+            ..LoadPattern::FLOOD
+        };
+        let result = play(pattern, LimitRule::default(), seed);
+        prop_assert!(result.worst_window < 1.0, "{:?}", result);
+    }
+}
