--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -10,9 +10,12 @@
 use crate::access::limit::SpendBeacon;
 use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
 
-/// Identifies one start of a replica.
+/// Names a replica, as the platform lists it. It may start again under the same id.
 pub type ReplicaId = String;
 
+/// When a replica started, in milliseconds of the wall clock; later ones are restarts.
+pub type StartTime = u64;
+
 /// Number of orders that an engine has taken since its start.
 pub type OrderCount = u64;
 
@@ -37,6 +40,8 @@
 /// What an engine says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineReport {
+    /// When it started; `None` for an engine that does not say.
+    pub born: Option<StartTime>,
     /// Base models that it holds.
     pub models: Vec<ModelName>,
     /// Base models that its host has a copy of, in memory or on disk, so that a load takes nothing
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -192,6 +192,9 @@
         let is_changed = report.models != self.report.models
             || report.adapters != self.report.adapters
             || report.incoming != self.report.incoming;
+        if self.has_restarted(&report) {
+            self.forget_engine();
+        }
         self.report = report;
         self.reported_at = Some(now);
         self.first_report_at.get_or_insert(now);
@@ -212,6 +215,26 @@
         change
     }
 
+    /// Whether a report is that of an engine which has started since the last one. One that does not say
+    /// when it started has taken fewer orders.
+    fn has_restarted(&self, report: &EngineReport) -> bool {
+        match (report.born, self.report.born) {
+            (Some(born), Some(before)) => born != before,
+            _ => match (report.orders_taken, self.report.orders_taken) {
+                (Some(taken), Some(before)) => taken < before,
+                _ => false,
+            },
+        }
+    }
+
+    /// Forgets what an engine held and was ordered before it started again. What its host has copies of
+    /// it says itself.
+    fn forget_engine(&mut self) {
+        self.ordered.clear();
+        self.known.clear();
+        self.came_in.clear();
+    }
+
     /// Takes an ask of the keeper. A second ask for the same thing replaces the first.
     ///
     /// ```
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -154,7 +154,8 @@
     Listed(ReplicaId),
     /// A replica's entry is gone.
     Gone(ReplicaId),
-    /// Another replica was listed at a replica's address, so that the older one is gone.
+    /// Another replica was listed at a replica's address, so that the older one is gone, or it has itself
+    /// started again.
     Replaced(ReplicaId),
     /// A replica's entry is gone, but may come back as the store was away.
     Doubted(ReplicaId),
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -8,7 +8,7 @@
 use crate::ids::{AdapterVersion, MonoTime};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
 use crate::relay::published::{PublishedState, ReadRevisions, StorePart};
-use crate::relay::replica::ReplicaRecord;
+use crate::relay::replica::{RecordOrder, ReplicaRecord};
 use crate::relay::sheet::RouteSheet;
 use crate::relay::store_duty::StoreKnowledge;
 
@@ -82,8 +82,17 @@
         if current.is_some_and(|view| view.record.created > record.created) {
             return Vec::new();
         }
+        let known = self.table.get(&record.id);
+        let order = known.map_or(RecordOrder::SameStart, |known| record.follows(&known.record));
+        if order == RecordOrder::Late {
+            return Vec::new();
+        }
         let was_doubted = self.doubted.remove(&record.id).is_some();
         let mut changes = Vec::new();
+        if order == RecordOrder::Restart {
+            self.forget(&record.id);
+            changes.push(BeliefChange::Replaced(record.id.clone()));
+        }
         for id in self.table.remove_before(&record) {
             self.doubted.remove(&id);
             self.demand.forget_engine(&id);
--- a/quillcove_core/src/relay/packed.rs
+++ b/quillcove_core/src/relay/packed.rs
@@ -1,7 +1,7 @@
 //! The form in which an engine's report goes over the wire.
 //!
 //! Adapters name their base model by its place in a list of names, which halves a report of fourteen
-//! adapters. What only the loader beside the engine needs is not sent: the count of orders and the
+//! adapters. What only the loader beside the engine needs is not sent: the time of its start, the count of orders and the
 //! tokens in memory.
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
@@ -75,6 +75,7 @@
             Some(HeldAdapter { key, version: packed.version })
         };
         Some(EngineReport {
+            born: None,
             models: models.into_iter().map(name).collect::<Option<_>>()?,
             local_models: local_models.into_iter().map(name).collect::<Option<_>>()?,
             adapters: adapters.into_iter().map(held).collect::<Option<_>>()?,
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::table::ReplicaTable;
-use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId};
+use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId, StartTime};
 use super::reading::ReadingQueue;
 use super::sheet::ModelRecord;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
@@ -38,10 +38,13 @@
 /// One replica as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaRecord {
-    /// Identifies this start of the replica.
+    /// Names the replica; with [`ReplicaRecord::born`] it identifies one start of it.
     pub id: ReplicaId,
     /// Its service.
     pub service: ServiceName,
+    /// When it started, in milliseconds of the wall clock; a replica that starts again under its id has a
+    /// later one. `None` when the platform does not say.
+    pub born: Option<StartTime>,
     /// Revision of the store at which its entry was created. Of several replicas listed at one
     /// address, only the one that was created last can be there; the entries of its predecessors
     /// have not lapsed yet.
@@ -60,6 +63,38 @@
     pub adapters: Vec<HeldAdapter>,
 }
 
+impl ReplicaRecord {
+    /// How this record follows an earlier one of the same id.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::{RecordOrder, ReplicaRecord, example_record};
+    ///
+    /// let before = ReplicaRecord { born: Some(5), ..example_record("i-1") };
+    /// let after = ReplicaRecord { born: Some(6), ..example_record("i-1") };
+    /// assert_eq!(after.follows(&before), RecordOrder::Restart);
+    /// assert_eq!(before.follows(&after), RecordOrder::Late);
+    /// assert_eq!(before.follows(&before), RecordOrder::SameStart);
+    /// ```
+    pub fn follows(&self, earlier: &Self) -> RecordOrder {
+        match (self.born, earlier.born) {
+            (Some(born), Some(before)) if born > before => RecordOrder::Restart,
+            (Some(born), Some(before)) if born < before => RecordOrder::Late,
+            _ => RecordOrder::SameStart,
+        }
+    }
+}
+
+/// How a record follows an earlier one of the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordOrder {
+    /// It tells of the same start of the replica.
+    SameStart,
+    /// The replica has started again; nothing that was known of it holds.
+    Restart,
+    /// It tells of a start before the known one.
+    Late,
+}
+
 /// How an attempt at a replica ended, as far as the replica's health goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFate {
@@ -359,6 +394,7 @@
     ReplicaRecord {
         id: id.to_string(),
         service: "s".to_string(),
+        born: None,
         created: 1,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         hall: "hall-a".to_string(),
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -366,3 +366,35 @@
     assert!(machine.next_order(ms(3)).is_some());
     assert_eq!(machine.spare_places(ms(3)), Some(PLACES - 1));
 }
+
+#[test]
+fn an_engine_that_starts_again_under_its_id_has_places_for_what_was_on_its_way() {
+    let ask = |adapter: &str| LoadAsk {
+        replica: "i-1".into(),
+        model: "m".into(),
+        adapter: Some(adapter.into()),
+        version: None,
+        places: 4,
+    };
+    let report = |born, taken| EngineReport {
+        born: Some(born),
+        models: vec!["m".into()],
+        orders_taken: Some(taken),
+        ..EngineReport::default()
+    };
+    let mut machine = LoaderMachine::new("e1".into(), 1);
+    machine.take_report(report(5, 7), Duration::ZERO);
+    for (number, adapter) in ["a1", "a2", "a3", "a4"].into_iter().enumerate() {
+        let now = Duration::from_millis(number as u64);
+        machine.take_ask(ask(adapter), now);
+        assert!(machine.next_order(now).is_some());
+        machine.end_order(OrderOutcome::Begun, now);
+    }
+    let now = Duration::from_millis(100);
+    machine.take_ask(ask("a5"), now);
+    assert!(machine.next_order(now).is_none(), "four are on their way");
+    machine.take_report(report(9, 0), now);
+    let order =
+        machine.next_order(now).expect("nothing is on its way to an engine that has started");
+    assert_eq!(order.orders_seen, Some(0));
+}
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -459,3 +459,38 @@
     machine.set_rules(rules(PriorityRule::Route));
     assert_eq!(machine.begin_reading("i-1", &sized(500_000), ms(0)).rank, timely.rank);
 }
+
+fn born(id: &str, port: u16, born: u64) -> ReplicaRecord {
+    ReplicaRecord { born: Some(born), ..record(id, port) }
+}
+
+#[test]
+fn a_replica_that_starts_again_under_its_id_is_another_one() {
+    let mut machine = machine();
+    let old = ReplicaRecord { adapters: vec![held("a1", 1)], ..born("i-1", 1, 5) };
+    machine.list(old, ms(0));
+    machine.begin("i-1", None, ms(0));
+    let changes = machine.list(born("i-1", 1, 9), ms(10));
+    let expected =
+        [BeliefChange::Replaced("i-1".to_string()), BeliefChange::Listed("i-1".to_string())];
+    assert_eq!(changes, expected);
+    let view = machine.table().get("i-1").unwrap();
+    assert!(view.adapters(ms(10)).is_empty(), "it holds nothing of before");
+    assert_eq!(view.in_flight, 0);
+    // What was written before its start and comes late says nothing of it.
+    assert!(machine.list(born("i-1", 1, 5), ms(20)).is_empty());
+    assert_eq!(machine.table().get("i-1").unwrap().record.born, Some(9));
+    // The end of a request at the start before does not count against the new one.
+    machine.end("i-1", None, AttemptFate::Failed, ms(30));
+    assert!(machine.table().get("i-1").unwrap().seems_well(ms(30)));
+}
+
+#[test]
+fn the_same_start_of_a_replica_is_not_taken_for_another() {
+    let mut machine = machine();
+    machine.list(born("i-1", 1, 5), ms(0));
+    machine.begin("i-1", None, ms(0));
+    assert!(machine.list(born("i-1", 1, 5), ms(10)).is_empty());
+    assert!(machine.list(record("i-1", 1), ms(20)).is_empty());
+    assert_eq!(machine.table().get("i-1").unwrap().in_flight, 1);
+}
