Three readers of the store, one of each hall at least, and a watch for each of its parts

Beside it, one lint in the simulation of ages.

Ruled out: fewer than one a hall (a hall that is cut from the others would begin with old knowledge each time); a longer pause for the listing (a replica that leaves is then known later).

The simulation of who reads (any troubles, wrong variants) holds.

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -208,10 +208,16 @@
     /// ```
     /// use quillcove::config::relay::StoreSection;
     ///
-    /// assert_eq!(StoreSection::default().duty_rules().watch_time(), None);
+    /// let section = StoreSection::default();
+    /// assert_eq!(section.duty_rules().drain_time, section.drain_time);
     /// ```
     pub fn duty_rules(&self) -> DutyRules {
-        DutyRules { apply_time: self.apply_time, drain_time: self.drain_time }
+        DutyRules {
+            apply_time: self.apply_time,
+            drain_time: self.drain_time,
+            replica_gather: self.gather_time,
+            ..DutyRules::default()
+        }
     }
 
     fn read(source: &mut SettingSource) -> Self {
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -10,7 +10,7 @@
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
 use quillcove_core::relay::published::{ReadRevisions, StorePart};
 use quillcove_core::relay::replica::ReplicaRecord;
-use quillcove_core::relay::store_duty::StoreDuty;
+use quillcove_core::relay::store_duty::{DutyRules, StoreDuty};
 use quillcove_platform::store::{self, StoreAnswer, StoreEvent};
 use quillcove_platform::{WireCall, WireFault};
 use slog::{Logger, warn};
@@ -20,10 +20,6 @@
 use crate::config::relay::StoreSection;
 use crate::web::client::{WebClient, WebError};
 
-/// Time between two watches of what the operator writes. Storms of versions come three times a
-/// second; one in force for 200 ms more is well within the two seconds allowed.
-const OPERATOR_GATHER: Duration = Duration::from_millis(200);
-
 /// Longest time between looks whether the process is over while nothing is to be read.
 const ORDER_CHECK: Duration = Duration::from_secs(1);
 
@@ -64,8 +60,8 @@
 pub struct FollowOrder {
     /// Whether this relay watches the store.
     pub duty: StoreDuty,
-    /// Longest watch; `None` for as long as the settings allow.
-    pub watch_time: Option<Duration>,
+    /// Longest watches.
+    pub watch_times: WatchTimes,
     /// Grows with each reading of the operator's part that is wanted of a relay that is told.
     pub wanted_operator: u64,
     /// The same for the replicas' part.
@@ -74,6 +70,25 @@
     pub known: ReadRevisions,
 }
 
+/// Longest watches of a relay that watches the store; `None` for as long as the settings allow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WatchTimes {
+    /// Of what the operator writes.
+    pub operator: Option<Duration>,
+    /// Of the listing of replicas.
+    pub replicas: Option<Duration>,
+}
+
+impl WatchTimes {
+    /// The watches of one of many relays that tell each other.
+    pub fn of(rules: &DutyRules) -> Self {
+        Self {
+            operator: rules.watch_time(StorePart::Operator),
+            replicas: rules.watch_time(StorePart::Replicas),
+        }
+    }
+}
+
 impl FollowOrder {
     fn wanted(&self, part: StorePart) -> u64 {
         match part {
@@ -90,10 +105,14 @@
         }
     }
 
-    /// Longest time that a call may wait for a change.
-    fn longest_watch(&self) -> Duration {
+    /// Longest time that a call may wait for a change of a part.
+    fn longest_watch(&self, part: StorePart) -> Duration {
+        let longest = match part {
+            StorePart::Operator => self.watch_times.operator,
+            StorePart::Replicas => self.watch_times.replicas,
+        };
         match self.duty {
-            StoreDuty::Watches => self.watch_time.unwrap_or(Duration::MAX),
+            StoreDuty::Watches => longest.unwrap_or(Duration::MAX),
             StoreDuty::IsTold => Duration::ZERO,
         }
     }
@@ -173,7 +192,7 @@
             done = order.wanted(part);
             follower.know(order.known.of(part));
             let began = Instant::now();
-            let call = follower.next_call_within(order.longest_watch());
+            let call = follower.next_call_within(order.longest_watch(part));
             let limit = follower.limit(call);
             let read = match call {
                 StoreCall::Whole => self.read_whole(&client, part, began).await,
@@ -208,7 +227,7 @@
     fn rules(&self, part: StorePart) -> FollowRules {
         // Changes gather before the next watch, as each call has its price.
         let (gather_time, longest_watch) = match part {
-            StorePart::Operator => (OPERATOR_GATHER, self.proof_watch),
+            StorePart::Operator => (self.section.duty_rules().operator_gather, self.proof_watch),
             StorePart::Replicas => (self.section.gather_time, Duration::MAX),
         };
         let StoreSection { watch_time, timeout, contact_time, .. } = self.section;
--- a/quillcove/src/relay/input/readers.rs
+++ b/quillcove/src/relay/input/readers.rs
@@ -8,6 +8,7 @@
 use slog::info;
 
 use super::InputDuty;
+use crate::relay::follow::WatchTimes;
 
 /// Time after which a reading that was asked for and has not come is asked for again: the longest that
 /// a call of the store may take, and a pause.
@@ -37,7 +38,7 @@
         let duty = store_duty::duty(&rules, own, &others);
         // A first watch that lasts longer would leave the others without word of a reader.
         let may_be_large = store_duty::is_large(others.len()) || now < RELAYS_HEARD;
-        let watch_time = rules.watch_time().filter(|_| may_be_large);
+        let watch_times = if may_be_large { WatchTimes::of(&rules) } else { WatchTimes::default() };
         let known = self.shared.machine().read();
         let before = self.order.borrow().duty;
         if duty != before {
@@ -47,9 +48,9 @@
         // Orders are sent only when they say something new, as each one wakes the watch duty.
         self.order.send_if_modified(|order| {
             order.known = known;
-            let is_new = order.duty != duty || order.watch_time != watch_time;
+            let is_new = order.duty != duty || order.watch_times != watch_times;
             order.duty = duty;
-            order.watch_time = watch_time;
+            order.watch_times = watch_times;
             is_new
         });
     }
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -28,7 +28,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use self::follow::{FollowOrder, StoreFollower};
+use self::follow::{FollowOrder, StoreFollower, WatchTimes};
 use self::input::{InputDuty, InputFeed};
 use self::shared::RelayShared;
 use crate::config::relay::RelaySettings;
@@ -103,8 +103,8 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let (ring, inputs) = mpsc::channel(RING_PLACES);
     let (hurry, hurried) = watch::channel(0);
-    let watch_time = settings.platform.duty_rules().watch_time();
-    let (order, orders) = watch::channel(FollowOrder { watch_time, ..FollowOrder::default() });
+    let watch_times = WatchTimes::of(&settings.platform.duty_rules());
+    let (order, orders) = watch::channel(FollowOrder { watch_times, ..FollowOrder::default() });
     let right = settings.rules().right;
     let follower =
         StoreFollower::new(&settings.platform, &right, ring, hurried, orders, log.clone());
--- a/quillcove_core/src/relay/store_duty.rs
+++ b/quillcove_core/src/relay/store_duty.rs
@@ -25,8 +25,9 @@
 /// Relays of a fleet in which all read: fewer calls would save less than they risk.
 const SMALL_FLEET: usize = 8;
 
-/// Relays that read, over all halls: so many may be lost at once before others wait for their limit.
-const READERS: usize = 4;
+/// Relays that read, over all halls, and one of each hall at least: so many may be lost at once before
+/// others wait for their limit. Every relay hears the readers of all halls.
+const READERS: usize = 3;
 
 /// Part of the users' bounds that is left for a relay's own read of the store and for the way of a
 /// beacon through a busy host.
@@ -36,9 +37,9 @@
 /// heard; those that come first tell the others.
 const LIMIT_SPREAD: Duration = Duration::from_millis(400);
 
-/// Time between a reader's answer and its word of the next one when nothing changes, beside its watch:
-/// the pause in which changes gather, the beacon that tells of it, and their ways.
-const TELLING_TIME: Duration = Duration::from_millis(1300);
+/// Time between a reader's answer and its word of the next one when nothing changes, beside its watch
+/// and the pause in which changes gather: the beacon that tells of it, and the ways.
+const TELLING_TIME: Duration = Duration::from_millis(700);
 
 /// Shortest watch of a reader; with less, being told would not save calls.
 const LEAST_WATCH: Duration = Duration::from_millis(300);
@@ -141,12 +142,21 @@
     pub apply_time: Duration,
     /// Time within which replicas that leave get no more work.
     pub drain_time: Duration,
+    /// Pause between two readings of what the operator writes, in which changes gather.
+    pub operator_gather: Duration,
+    /// The same for the listing of replicas.
+    pub replica_gather: Duration,
 }
 
 impl Default for DutyRules {
     /// Those of the users' smaller deployments, with which every relay reads.
     fn default() -> Self {
-        Self { apply_time: Duration::from_secs(2), drain_time: Duration::from_secs(2) }
+        Self {
+            apply_time: Duration::from_secs(2),
+            drain_time: Duration::from_secs(2),
+            operator_gather: Duration::from_millis(200),
+            replica_gather: Duration::from_millis(600),
+        }
     }
 }
 
@@ -174,22 +184,32 @@
         bound.saturating_sub(OWN_READ_TIME)
     }
 
-    /// Longest watch of a reader whose knowledge stays younger than every limit; `None` when the users'
-    /// bounds leave no time for being told.
+    /// Longest watch of a reader whose knowledge of a part stays younger than every limit; `None` when
+    /// the users' bounds leave no time for being told of both parts.
     ///
     /// ```
     /// use std::time::Duration;
+    /// use quillcove_core::relay::published::StorePart;
     /// use quillcove_core::relay::store_duty::DutyRules;
     ///
-    /// assert_eq!(DutyRules::default().watch_time(), None);
+    /// assert_eq!(DutyRules::default().watch_time(StorePart::Operator), None);
     /// let bound = Duration::from_secs(4);
-    /// let rules = DutyRules { apply_time: bound, drain_time: bound };
-    /// assert_eq!(rules.watch_time(), Some(Duration::from_millis(1400)));
+    /// let rules = DutyRules { apply_time: bound, drain_time: bound, ..DutyRules::default() };
+    /// let watch = rules.watch_time(StorePart::Replicas);
+    /// assert_eq!(watch, Some(Duration::from_millis(1400)));
     /// ```
-    pub fn watch_time(&self) -> Option<Duration> {
-        let most_age = self.most_age(StorePart::Operator).min(self.most_age(StorePart::Replicas));
-        let left = most_age.checked_sub(LIMIT_SPREAD + TELLING_TIME)?;
-        (left >= LEAST_WATCH).then(|| left.min(MOST_WATCH))
+    pub fn watch_time(&self, part: StorePart) -> Option<Duration> {
+        let is_told = StorePart::ALL.into_iter().all(|part| self.time_left(part) >= LEAST_WATCH);
+        is_told.then(|| self.time_left(part).min(MOST_WATCH))
+    }
+
+    /// Time that a watch of a part may take.
+    fn time_left(&self, part: StorePart) -> Duration {
+        let gather_time = match part {
+            StorePart::Operator => self.operator_gather,
+            StorePart::Replicas => self.replica_gather,
+        };
+        self.most_age(part).saturating_sub(LIMIT_SPREAD + TELLING_TIME + gather_time)
     }
 }
 
@@ -230,7 +250,7 @@
 ) -> StoreDuty {
     // A relay whose last call failed follows the store until it answers: only so does it know when
     // its own way to the store is back.
-    if !is_large(others.len()) || !own.is_up || rules.watch_time().is_none() {
+    if !is_large(others.len()) || !own.is_up || rules.watch_time(StorePart::Replicas).is_none() {
         return StoreDuty::Watches;
     }
     let up = others.iter().filter(|other| other.is_up).chain([&own]);
--- a/quillcove_core/tests/access_right.rs
+++ b/quillcove_core/tests/access_right.rs
@@ -169,7 +169,7 @@
 
     /// Pauses, and starts again.
     fn strike(&mut self, place: usize, now: u64) {
-        if now % 1_000 != 0 || self.relays[place].paused_until > now {
+        if !now.is_multiple_of(1_000) || self.relays[place].paused_until > now {
             return;
         }
         if self.draws.is(self.trouble / 4) {
--- a/quillcove_core/tests/relay_store_duty.rs
+++ b/quillcove_core/tests/relay_store_duty.rs
@@ -43,7 +43,7 @@
 
 fn rules() -> DutyRules {
     let bound = Duration::from_millis(BOUND);
-    DutyRules { apply_time: bound, drain_time: bound }
+    DutyRules { apply_time: bound, drain_time: bound, ..DutyRules::default() }
 }
 
 fn ms(millis: u64) -> MonoTime {
@@ -298,7 +298,7 @@
         }
         let wait = match relay.duty {
             StoreDuty::Watches if relay.is_up && !is_first => {
-                rules().watch_time().unwrap().as_millis() as u64
+                rules().watch_time(StorePart::Replicas).unwrap().as_millis() as u64
             },
             _ => 0,
         };
