--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillcove_core::access::limit::{HEARD_LIFETIME, SpendBeacon, SpentTotal, WorkspaceLevel};
+use quillcove_core::access::ledger::HEARD_LIFETIME;
+use quillcove_core::access::spending::{SpendBeacon, SpentTotal, WorkspaceLevel};
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
     AddressedAsk, EngineBeacon, GaugeBeacon, OtherRelays, PeerMessage, RelayBeacon, ReplicaId,
@@ -26,7 +27,7 @@
             PeerMessage::Gauges(beacon) => self.take_gauges(&beacon, now),
             PeerMessage::Spend(told) => self.shared.machine().take_spent(&told, now),
             PeerMessage::ProofAsk(ask) => self.answer_proof(&ask, now),
-            PeerMessage::Proof(answer) => self.take_proof(&answer, now),
+            PeerMessage::Proof(answer) => self.take_proof(&answer),
             PeerMessage::Use(_) | PeerMessage::Load(_) | PeerMessage::Resend(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
--- a/quillcove/src/relay/input/right.rs
+++ b/quillcove/src/relay/input/right.rs
@@ -46,7 +46,7 @@
     }
 
     /// Takes the answer to the last question.
-    pub(super) fn take_proof(&mut self, answer: &ProofAnswer, _now: MonoTime) {
+    pub(super) fn take_proof(&mut self, answer: &ProofAnswer) {
         let asked_at = self.proofs.asked_at.filter(|_| answer.number == self.proofs.number);
         if let Some(asked_at) = asked_at {
             self.shared.machine().knowledge_mut().take_proof(&answer.word, asked_at);
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -233,8 +233,8 @@
         let knowledge_age = proved_at.map(|at| now.saturating_sub(at).as_millis() as u64);
         info!(shared.log, "not let in"; "id" => &terms.id, "route" => &route.name,
             "has_key" => terms.key.is_some(), "workspace" => holder.map(|holder| &holder.name),
-            "left" => account.map(LimitAccount::level), "tokens" => tokens, "knowledge_age_ms" => knowledge_age,
-            "sheet" => machine.sheet().map(|sheet| sheet.version));
+            "left" => account.map(LimitAccount::level), "tokens" => tokens,
+            "knowledge_age_ms" => knowledge_age, "sheet" => machine.sheet().map(|sheet| sheet.version));
         Rejection::Refused(refusal.into())
     })
 }
--- a/quillcove_core/src/access/account.rs
+++ b/quillcove_core/src/access/account.rs
@@ -4,7 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::limit::{HEARD_LIFETIME, LimitRules, UseLimit};
+use super::ledger::HEARD_LIFETIME;
+use super::limit::{LimitRules, UseLimit};
 use crate::ids::{HostId, Incarnation, MonoTime};
 
 /// Part of the slack of a limit that all relays together may have spent without telling. The rest is for
@@ -29,7 +30,8 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use quillcove_core::access::limit::{LimitLedger, LimitRules, UseClaim, UseLimit, UseUnit};
+/// use quillcove_core::access::ledger::LimitLedger;
+/// use quillcove_core::access::limit::{LimitRules, UseClaim, UseLimit, UseUnit};
 /// use quillcove_core::access::workspace::WorkspaceRecord;
 ///
 /// let limit = UseLimit { unit: UseUnit::Requests, rate: 1.0, burst: 5.0 };
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -7,7 +7,7 @@
 
 use super::sheet::SheetVersion;
 use super::store_duty::{ProofWord, StoreWord};
-use crate::access::limit::SpendBeacon;
+use crate::access::spending::SpendBeacon;
 use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
 
 /// Names a replica, as the platform lists it. It may start again under the same id.
--- a/quillcove_core/src/relay/machine/access.rs
+++ b/quillcove_core/src/relay/machine/access.rs
@@ -3,8 +3,10 @@
 use super::{RelayMachine, RelayQuery};
 use crate::access::grant::{AccessGrant, AccessRefusal};
 use crate::access::key::KeyDigest;
-use crate::access::limit::{LimitLedger, SpendBeacon, UseCharge, UseClaim};
+use crate::access::ledger::LimitLedger;
+use crate::access::limit::{UseCharge, UseClaim};
 use crate::access::right::{RENEWAL_TIME, RightStep};
+use crate::access::spending::SpendBeacon;
 use crate::ids::MonoTime;
 use crate::route::RouteRecord;
 
@@ -113,7 +115,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::access::limit::SpendBeacon;
+    /// use quillcove_core::access::spending::SpendBeacon;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let (uptime, spent, levels) = (Duration::ZERO, Vec::new(), Vec::new());
--- /dev/null
+++ b/quillcove_core/src/relay/machine/engines.rs
@@ -0,0 +1,134 @@
+//! What loaders tell of their engines, and what they are told.
+
+use std::net::SocketAddr;
+
+use super::RelayMachine;
+use crate::ids::MonoTime;
+use crate::relay::beacon::{AdapterUse, AddressedAsk, EngineBeacon, EngineGauges, ReplicaId};
+use crate::relay::promise::EndedPromise;
+
+impl RelayMachine {
+    /// Takes a loader's report; tells whether what the engine holds changed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let beacon = EngineBeacon {
+    ///     host: "e1".into(),
+    ///     engine: "127.0.0.1:1".parse().unwrap(),
+    ///     number: 1,
+    ///     incarnation: 1,
+    ///     report: EngineReport::default(),
+    ///     content: 1,
+    ///     uses: Vec::new(),
+    ///     model_loads: Vec::new(),
+    ///     spare_places: None,
+    ///     arrivals: Vec::new(),
+    ///     relays: Vec::new(),
+    /// };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(!machine.take_report(&beacon, Duration::ZERO));
+    /// ```
+    pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
+        let is_changed = self.table.report(beacon.engine, beacon.report.clone(), now);
+        let uses = beacon.uses.clone();
+        let has_room = self.table.note_spare(beacon.engine, beacon.spare_places, uses);
+        if let Some(view) = self.table.at(beacon.engine) {
+            if beacon.report.models.is_empty() {
+                self.demand.forget_engine(&view.record.id);
+            }
+            self.demand.note_held(view, now);
+            self.promises.note_held(|key| view.version_of(key, now).is_some(), now);
+        }
+        self.demand.note_arrivals(&beacon.arrivals, self.incoming(now));
+        if is_changed || has_room {
+            self.pump(now);
+        }
+        is_changed
+    }
+
+    /// Takes gauges that belong to the last report of a loader; `false` when there is none, so that
+    /// nothing was taken.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::EngineGauges;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let engine = "127.0.0.1:1".parse().unwrap();
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(!machine.take_gauges(engine, &EngineGauges::default(), Duration::ZERO));
+    /// ```
+    pub fn take_gauges(
+        &mut self,
+        engine: SocketAddr,
+        gauges: &EngineGauges,
+        now: MonoTime,
+    ) -> bool {
+        if !self.table.gauge(engine, gauges, now) {
+            return false;
+        }
+        if self.table.note_spare(engine, gauges.spare_places, gauges.uses.clone()) {
+            self.pump(now);
+        }
+        true
+    }
+
+    /// Use of an engine's adapters since the last call.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_uses("i-1").is_empty());
+    /// ```
+    pub fn take_uses(&mut self, replica: &str) -> Vec<AdapterUse> {
+        self.table.take_uses(replica)
+    }
+
+    /// Engines whose loaders are to hear at once that an adapter went out of use.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_freed().is_empty());
+    /// ```
+    pub fn take_freed(&mut self) -> Vec<ReplicaId> {
+        self.table.take_freed()
+    }
+
+    /// Asks for adapters that are to be sent to loaders now.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_asks().is_empty());
+    /// ```
+    pub fn take_asks(&mut self) -> Vec<AddressedAsk> {
+        self.demand.take_outbox()
+    }
+
+    /// Tells whether there is something for [`RelayMachine::take_asks`] or
+    /// [`RelayMachine::take_freed`].
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(!RelayMachine::new(RelayRules::default(), 1).has_asks());
+    /// ```
+    pub fn has_asks(&self) -> bool {
+        self.demand.has_asks() || self.table.has_freed()
+    }
+
+    /// The times told to refused callers that ended since the last call.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_promises().is_empty());
+    /// ```
+    pub fn take_promises(&mut self) -> Vec<EndedPromise> {
+        self.promises.take_ended()
+    }
+}
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -1,7 +1,9 @@
 //! Decisions of one relay: which replica takes a request, when it waits, and when it is refused.
 
 mod access;
+mod attempts;
 mod choice;
+mod engines;
 mod priority;
 mod published;
 mod repeats;
@@ -15,19 +17,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::beacon::{
-    AdapterKey, AdapterUse, AddressedAsk, EngineBeacon, EngineGauges, OtherRelays, ReplicaId,
-};
+use super::beacon::{AdapterKey, OtherRelays, ReplicaId};
 use super::demand::AdapterDemand;
 use super::policy::RelayPolicy;
-use super::promise::{EndedPromise, PromiseBook};
+use super::promise::PromiseBook;
 use super::reading::ReadingNumber;
-use super::replica::{AttemptFate, ReplicaTable, ReplicaView};
+use super::replica::{ReplicaTable, ReplicaView};
 use super::sheet::{RouteSheet, SheetVersion};
 use super::store_duty::StoreKnowledge;
 use super::tries::CallerTries;
 use crate::access::grant::AccessGrant;
-use crate::access::limit::{FleetSize, LimitLedger, LimitRules};
+use crate::access::ledger::{FleetSize, LimitLedger};
+use crate::access::limit::LimitRules;
 use crate::access::right::RightRules;
 use crate::entry::retry::RetryBudget;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
@@ -298,28 +299,6 @@
         self.table.all().filter(move |view| view.record.service == service && view.is_ready())
     }
 
-    /// Use of an engine's adapters since the last call.
-    ///
-    /// ```
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_uses("i-1").is_empty());
-    /// ```
-    pub fn take_uses(&mut self, replica: &str) -> Vec<AdapterUse> {
-        self.table.take_uses(replica)
-    }
-
-    /// Engines whose loaders are to hear at once that an adapter went out of use.
-    ///
-    /// ```
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_freed().is_empty());
-    /// ```
-    pub fn take_freed(&mut self) -> Vec<ReplicaId> {
-        self.table.take_freed()
-    }
-
     /// Takes what is known of the other relays.
     ///
     /// ```
@@ -352,40 +331,6 @@
         self.demand.lacking()
     }
 
-    /// Asks for adapters that are to be sent to loaders now.
-    ///
-    /// ```
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_asks().is_empty());
-    /// ```
-    pub fn take_asks(&mut self) -> Vec<AddressedAsk> {
-        self.demand.take_outbox()
-    }
-
-    /// Tells whether there is something for [`RelayMachine::take_asks`] or
-    /// [`RelayMachine::take_freed`].
-    ///
-    /// ```
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// assert!(!RelayMachine::new(RelayRules::default(), 1).has_asks());
-    /// ```
-    pub fn has_asks(&self) -> bool {
-        self.demand.has_asks() || self.table.has_freed()
-    }
-
-    /// The times told to refused callers that ended since the last call.
-    ///
-    /// ```
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_promises().is_empty());
-    /// ```
-    pub fn take_promises(&mut self) -> Vec<EndedPromise> {
-        self.promises.take_ended()
-    }
-
     /// Tells whether callers can be served: a sheet is in force, replicas are known, and the
     /// process does not stop.
     ///
@@ -433,74 +378,6 @@
         self.requests
     }
 
-    /// Takes a loader's report; tells whether what the engine holds changed.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::{EngineBeacon, EngineReport};
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let beacon = EngineBeacon {
-    ///     host: "e1".into(),
-    ///     engine: "127.0.0.1:1".parse().unwrap(),
-    ///     number: 1,
-    ///     incarnation: 1,
-    ///     report: EngineReport::default(),
-    ///     content: 1,
-    ///     uses: Vec::new(),
-    ///     model_loads: Vec::new(),
-    ///     spare_places: None,
-    ///     arrivals: Vec::new(),
-    ///     relays: Vec::new(),
-    /// };
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(!machine.take_report(&beacon, Duration::ZERO));
-    /// ```
-    pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
-        let is_changed = self.table.report(beacon.engine, beacon.report.clone(), now);
-        let uses = beacon.uses.clone();
-        let has_room = self.table.note_spare(beacon.engine, beacon.spare_places, uses);
-        if let Some(view) = self.table.at(beacon.engine) {
-            if beacon.report.models.is_empty() {
-                self.demand.forget_engine(&view.record.id);
-            }
-            self.demand.note_held(view, now);
-            self.promises.note_held(|key| view.version_of(key, now).is_some(), now);
-        }
-        self.demand.note_arrivals(&beacon.arrivals, self.incoming(now));
-        if is_changed || has_room {
-            self.pump(now);
-        }
-        is_changed
-    }
-
-    /// Takes gauges that belong to the last report of a loader; `false` when there is none, so that
-    /// nothing was taken.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::EngineGauges;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let engine = "127.0.0.1:1".parse().unwrap();
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(!machine.take_gauges(engine, &EngineGauges::default(), Duration::ZERO));
-    /// ```
-    pub fn take_gauges(
-        &mut self,
-        engine: SocketAddr,
-        gauges: &EngineGauges,
-        now: MonoTime,
-    ) -> bool {
-        if !self.table.gauge(engine, gauges, now) {
-            return false;
-        }
-        if self.table.note_spare(engine, gauges.spare_places, gauges.uses.clone()) {
-            self.pump(now);
-        }
-        true
-    }
-
     /// Admits a request, or refuses it.
     ///
     /// # Errors
@@ -590,85 +467,4 @@
         self.draws = self.draws.wrapping_add(1);
         rendezvous::weight("draw", &self.draws.to_string())
     }
-
-    /// Notes that a request is sent to a replica.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// RelayMachine::new(RelayRules::default(), 1).begin("i-1", None, Duration::ZERO);
-    /// ```
-    pub fn begin(&mut self, replica: &str, key: Option<&AdapterKey>, now: MonoTime) {
-        self.table.begin(replica, key, now);
-    }
-
-    /// Notes that bytes came from a replica.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// RelayMachine::new(RelayRules::default(), 1).hear("i-1", Duration::ZERO);
-    /// ```
-    pub fn hear(&mut self, replica: &str, now: MonoTime) {
-        self.table.hear(replica, now);
-    }
-
-    /// Notes that an attempt has its first event at this time, or has ended without one.
-    ///
-    /// ```
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// RelayMachine::new(RelayRules::default(), 1).end_reading("i-1", 1, None);
-    /// ```
-    pub fn end_reading(&mut self, replica: &str, number: ReadingNumber, read_at: Option<MonoTime>) {
-        self.table.end_reading(replica, number, read_at);
-    }
-
-    /// Notes the end of an attempt; tells whether the replica is left out from now.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    /// use quillcove_core::relay::replica::AttemptFate;
-    ///
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(!machine.end("i-1", None, AttemptFate::Answered, Duration::ZERO));
-    /// ```
-    pub fn end(
-        &mut self,
-        replica: &str,
-        key: Option<&AdapterKey>,
-        fate: AttemptFate,
-        now: MonoTime,
-    ) -> bool {
-        self.table.end(replica, key, fate, now)
-    }
-
-    /// Notes that a replica turned out not to be the one that was meant.
-    ///
-    /// ```
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// RelayMachine::new(RelayRules::default(), 1).forget("i-1");
-    /// ```
-    pub fn forget(&mut self, replica: &str) {
-        self.table.remove(replica);
-        self.doubted.remove(replica);
-        self.demand.forget_engine(replica);
-    }
-
-    /// Notes that a replica does not hold an adapter that it was taken to hold.
-    ///
-    /// ```
-    /// use quillcove_core::relay::beacon::AdapterKey;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
-    /// RelayMachine::new(RelayRules::default(), 1).lacks("i-1", &key);
-    /// ```
-    pub fn lacks(&mut self, replica: &str, key: &AdapterKey) {
-        self.table.lacks(replica, key);
-    }
 }
--- a/quillcove_core/tests/limit_fleet/mod.rs
+++ b/quillcove_core/tests/limit_fleet/mod.rs
@@ -4,10 +4,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use quillcove_core::access::limit::{
-    FleetSize, HEARD_LIFETIME, LimitLedger, LimitRule, LimitRules, SpendBeacon, UseClaim, UseLimit,
-    UseUnit,
-};
+use quillcove_core::access::ledger::{FleetSize, HEARD_LIFETIME, LimitLedger};
+use quillcove_core::access::limit::{LimitRule, LimitRules, UseClaim, UseLimit, UseUnit};
+use quillcove_core::access::spending::SpendBeacon;
 use quillcove_core::access::workspace::WorkspaceRecord;
 
 /// Time between two steps of the fleet.
