--- a/quillcove_core/tests/access_limits.rs
+++ b/quillcove_core/tests/access_limits.rs
@@ -142,6 +142,14 @@
     assert!(result.refused_by_most <= 0.01, "{result:?}");
 }
 
+/// Without being told what is left, 0.95 of what may pass is reached.
+#[test]
+fn relays_that_start_in_a_flood_learn_from_others_what_is_left() {
+    let pattern = LoadPattern { roll: 0.15, ..LoadPattern::FLOOD };
+    let result = worst(pattern, LimitRule::default());
+    assert!(result.worst_window <= 0.85, "{result:?}");
+}
+
 #[test]
 fn even_shares_refuse_what_is_spread_unevenly() {
     let pattern = LoadPattern { first_share: 0.5, ..LoadPattern::USUAL };
