Sight: what a broken request is, whose it is, and whether its replica has ended

Cause: the lines of a broken request name an id, which is new with each try, and say that a connection closed, not whether its replica lives. So neither could it be told that 13 ids were one request, nor that an engine had ended under it. No body, key or address is logged. No decision changes.

--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use quillcove_core::class::WorkClass;
+use quillcove_core::crash::digest::CallerDigest;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::{AttemptOrder, RelayChoice};
 use quillcove_core::relay::replica::AttemptFate;
@@ -18,6 +19,7 @@
 
 use super::answers::{AnswerBody, close_when_stopping, own_answer, refusal_answer, with_id};
 use super::attempt::{self, AttemptEnd, AttemptFailure};
+use super::ends;
 use super::request::{OpenRequest, Rejection, prepare};
 use super::shared::RelayShared;
 use super::stream;
@@ -33,10 +35,14 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answers one request of a caller.
-pub async fn answer(shared: Arc<RelayShared>, request: Request<Incoming>) -> Response<AnswerBody> {
+pub async fn answer(
+    shared: Arc<RelayShared>,
+    request: Request<Incoming>,
+    caller: CallerDigest,
+) -> Response<AnswerBody> {
     let received = shared.clock.now();
     let id = request.headers().get(heads::id_header()).cloned();
-    let answer = match prepare(&shared, request, received).await {
+    let answer = match prepare(&shared, request, caller, received).await {
         Ok(open) => run(open).await,
         Err(Rejection::Refused(refusal)) => {
             shared.metrics.refused(refusal.reason, WorkClass::Normal);
@@ -178,6 +184,9 @@
     info!(shared.log, "attempt failed"; "id" => &open.terms.id, "replica" => &order.replica,
         "attempt" => open.attempts, "failure" => failure.label(), "detail" => failure.detail(),
         "ejected" => is_ejected);
+    if matches!(failure, AttemptFailure::Lost(_)) {
+        ends::note_broken(open, order);
+    }
     let kind = open.query.route.kind;
     let is_repeated = match &failure {
         AttemptFailure::NotSent(_) => {
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod attempt;
+mod ends;
 mod events;
 mod follow;
 mod forward;
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -12,6 +12,7 @@
 use quillcove_core::access::grant::AccessGrant;
 use quillcove_core::access::limit::{UseCharge, UseClaim};
 use quillcove_core::class::WorkClass;
+use quillcove_core::crash::digest::{CallerDigest, RequestIdentity, RequestParts};
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::ReplicaId;
 use quillcove_core::relay::machine::{RelayMachine, RelayQuery};
@@ -31,6 +32,7 @@
     pub shared: Arc<RelayShared>,
     pub query: RelayQuery,
     pub terms: CallerTerms,
+    pub caller: CallerDigest,
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
@@ -118,6 +120,20 @@
         self.query.grant.as_ref().map(|grant| grant.workspace.name.as_str())
     }
 
+    /// What the request is, whatever its id, and who sent it.
+    pub fn identity(&self) -> RequestIdentity {
+        let host = self.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let parts = RequestParts {
+            method: self.method.as_str(),
+            host: host.or(self.uri.host()).unwrap_or_default(),
+            path,
+            key: self.query.grant.as_ref().map(|grant| grant.key),
+            body: &self.body,
+        };
+        RequestIdentity { digest: parts.digest(), caller: self.caller }
+    }
+
     pub fn left(&self, now: MonoTime) -> Duration {
         self.query.deadline.saturating_sub(now)
     }
@@ -243,6 +259,7 @@
 pub async fn prepare(
     shared: &Arc<RelayShared>,
     request: Request<Incoming>,
+    caller: CallerDigest,
     received: MonoTime,
 ) -> Result<OpenRequest, Rejection> {
     let (parts, body) = request.into_parts();
@@ -285,6 +302,7 @@
         shared: shared.clone(),
         query,
         terms,
+        caller,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -8,6 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use quillcove_core::crash::digest::{CallerDigest, caller_digest};
 use quillcove_core::relay::sheet::CallerLimits;
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -72,8 +73,9 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, shared.clone(), leaving.clone()));
+            Ok((stream, peer)) => {
+                let caller = caller_digest(peer.ip());
+                tokio::spawn(serve_connection(stream, caller, shared.clone(), leaving.clone()));
             },
             Err(error) => {
                 warn!(shared.log, "connection not accepted"; "error" => %error);
@@ -89,6 +91,7 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    caller: CallerDigest,
     shared: Arc<RelayShared>,
     mut leaving: watch::Receiver<bool>,
 ) {
@@ -99,7 +102,7 @@
     let limits = limits_of(&shared);
     let service = service_fn(move |request: hyper::Request<Incoming>| {
         let shared = shared.clone();
-        async move { Ok::<_, Infallible>(forward::answer(shared, request).await) }
+        async move { Ok::<_, Infallible>(forward::answer(shared, request, caller).await) }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -16,6 +16,7 @@
 
 use super::answers::{AnswerBody, BodyBreak};
 use super::attempt::{self, AttemptEnd, LiveStream};
+use super::ends;
 use super::events::{self, EventSplitter};
 use super::request::OpenRequest;
 
@@ -84,6 +85,9 @@
                 return Some((Err(BodyBreak::TimeOver), None));
             },
             StreamStep::Broken(reason) => {
+                if let Some(live) = &relay.live {
+                    ends::note_broken(&relay.open, &live.order);
+                }
                 relay.close(AttemptFate::Failed);
                 if !relay.resume(&reason).await {
                     relay.open.finish(RunVerdict::MayHaveRun, 0, reason.as_str());
--- a/quillcove_core/src/access/key.rs
+++ b/quillcove_core/src/access/key.rs
@@ -32,6 +32,11 @@
         digest.update(key.as_bytes());
         Self(digest.finalize().into())
     }
+
+    /// Its bytes, to be part of another digest.
+    pub(crate) fn to_bytes(self) -> [u8; 32] {
+        self.0
+    }
 }
 
 impl fmt::Debug for KeyDigest {
--- /dev/null
+++ b/quillcove_core/src/crash/digest.rs
@@ -0,0 +1,100 @@
+//! What makes two requests the same one: where they go, what they hold, and whose they are. Their ids
+//! are new with each try of a caller and tell nothing.
+
+use std::fmt;
+use std::net::IpAddr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::access::key::KeyDigest;
+
+/// Put before each request, so that a digest of another purpose is never one of a request.
+const DIGEST_DOMAIN: &[u8] = b"quillcove request\0";
+
+/// Bytes of a digest that are kept: two of a thousand million different requests are alike by chance with
+/// a probability of 1 in 10^20.
+const DIGEST_BYTES: usize = 16;
+
+/// The digest of what a request is: its method, its host, its path with the query, the key of its workspace
+/// and its body. It is all that leaves a process of a request.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestDigest([u8; DIGEST_BYTES]);
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "RequestDigest({self})")
+    }
+}
+
+/// Which caller sent a request, as a short digest of its network address.
+pub type CallerDigest = u64;
+
+/// What is looked at to tell whether two requests are the same one.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestParts<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host that it names.
+    pub host: &'a str,
+    /// Path and query, as they came.
+    pub path: &'a str,
+    /// The key of its workspace, where it has one.
+    pub key: Option<KeyDigest>,
+    /// Its whole body.
+    pub body: &'a [u8],
+}
+
+impl RequestParts<'_> {
+    /// The digest. It reads the whole body: 2.5 kB take about 10 microseconds.
+    ///
+    /// ```
+    /// use quillcove_core::crash::digest::RequestParts;
+    ///
+    /// let parts = RequestParts { method: "POST", host: "h", path: "/p", key: None, body: b"text" };
+    /// assert_eq!(parts.digest(), parts.digest());
+    /// assert_ne!(parts.digest(), RequestParts { body: b"other", ..parts }.digest());
+    /// ```
+    pub fn digest(&self) -> RequestDigest {
+        let mut digest = Sha256::new();
+        digest.update(DIGEST_DOMAIN);
+        let key = self.key.map(KeyDigest::to_bytes);
+        let key = key.as_ref().map_or(&[][..], |key| &key[..]);
+        for part in [self.method.as_bytes(), self.host.as_bytes(), self.path.as_bytes(), key] {
+            // With its length before it, no part can pass for the end of the one before.
+            digest.update((part.len() as u64).to_le_bytes());
+            digest.update(part);
+        }
+        digest.update(self.body);
+        let mut bytes = [0; DIGEST_BYTES];
+        bytes.copy_from_slice(&digest.finalize()[..DIGEST_BYTES]);
+        RequestDigest(bytes)
+    }
+}
+
+/// The digest of a caller's network address.
+///
+/// ```
+/// use quillcove_core::crash::digest::caller_digest;
+///
+/// let (one, two) = ("10.0.0.1".parse().unwrap(), "10.0.0.2".parse().unwrap());
+/// assert_ne!(caller_digest(one), caller_digest(two));
+/// ```
+pub fn caller_digest(address: IpAddr) -> CallerDigest {
+    crate::rendezvous::weight("caller", &address.to_string())
+}
+
+/// What a request is and who sent it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestIdentity {
+    /// What it is.
+    pub digest: RequestDigest,
+    /// Who sent it.
+    pub caller: CallerDigest,
+}
--- a/quillcove_core/src/lib.rs
+++ b/quillcove_core/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`access`] decides for workspaces: whose key may do what, and how much.
 //! - [`agent`] decides for one upstream: what runs, what waits, what is loaded and unloaded.
+//! - [`crash`] tells under which requests upstreams end.
 //! - [`entry`] decides for callers: which upstream takes a request and when a repeat is allowed.
 //! - [`once`] keeps requests that must not run twice.
 //! - [`relay`] decides for requests that are passed through unchanged, and plans adapter loads.
@@ -20,6 +21,7 @@
 pub mod agent;
 pub mod bundle;
 pub mod class;
+pub mod crash;
 pub mod demand;
 pub mod entry;
 pub mod fence;
