A request under which three replicas ended is refused, over all relays

Cause: what a relay counted of a request (attempts, runs, replicas tried) ended with the answer to one id. A caller's return has a new id and may reach another relay, so that it was a first try on a replica chosen anew each time. Class: a count by id, by connection or by process that a return starts anew. Change: quillcove_core::crash counts a request by what it is (digest of method, host, path, key, body) and by its caller's address, over all relays. A broken answer counts only when its replica's port turns out closed. Relays tell each other at once and with the next three beacons; two loaders keep each end for relays that start again. An end counts against a request only if no other request there was at more ends; a run to a good end clears its caller; what lately ran well is not suspected.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -10,6 +10,8 @@
 
 use dropshot::HttpServer;
 use http::Method;
+use quillcove_core::crash::book::CrashBook;
+use quillcove_core::crash::teller::in_messages;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
     ArrivedLoad, EngineBeacon, EngineGauges, EngineReport, GaugeBeacon, PeerMessage,
@@ -124,6 +126,8 @@
     metrics: Arc<ProcessMetrics>,
     view: Arc<Mutex<LoaderView>>,
     relays: RelayRoll,
+    /// What relays have told of requests under which replicas end.
+    crashes: CrashBook,
     incarnation: u64,
     beacons: u64,
     sender: ReportSender,
@@ -157,6 +161,7 @@
             metrics,
             view,
             relays: RelayRoll::new(incarnation),
+            crashes: CrashBook::default(),
             incarnation,
             beacons: 0,
             sender: ReportSender::default(),
@@ -227,6 +232,9 @@
                 }
             },
             PeerMessage::Resend(ask) => self.greet(ask.relay, now),
+            // Kept for relays that start again, and of no use here.
+            PeerMessage::Crash(told) => drop(self.crashes.take(&told, now)),
+            PeerMessage::CrashAsk(ask) => self.tell_crashes(ask.relay, now),
             PeerMessage::Load(ask) => {
                 info!(self.log, "load asked for"; "relay" => %from, "replica" => &ask.replica,
                     "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
@@ -293,7 +301,14 @@
         }
     }
 
+    fn tell_crashes(&self, relay: SocketAddr, now: MonoTime) {
+        for message in in_messages(self.crashes.all(now)) {
+            self.send(&PeerMessage::Crash(message), [relay]);
+        }
+    }
+
     fn forget_relays(&mut self, now: MonoTime) {
+        self.crashes.forget(now);
         for relay in self.relays.forget(now) {
             info!(self.log, "relay no longer heard"; "relay" => %relay);
         }
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -32,6 +32,7 @@
     loads: Counter<u64>,
     orders: Counter<u64>,
     peer_messages: Counter<u64>,
+    replica_ends: Counter<u64>,
     peer_bytes: Counter<u64>,
     own_reads: Counter<u64>,
     load_stall: Histogram<f64>,
@@ -71,6 +72,11 @@
             retries: counter(&meter, "quillcove.retries", "Attempts after the first"),
             loads: counter(&meter, "quillcove.loads", "Loads by outcome"),
             orders: counter(&meter, "quillcove.orders", "Orders to the engine by outcome"),
+            replica_ends: counter(
+                &meter,
+                "quillcove.replica_ends",
+                "Replicas that were found to have ended with requests of this process",
+            ),
             peer_messages: counter(
                 &meter,
                 "quillcove.peer_messages",
@@ -218,6 +224,17 @@
         self.own_reads.add(1, &[KeyValue::new("reason", reason.label())]);
     }
 
+    /// Counts a replica that was found to have ended with requests of this process.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.replica_ended();
+    /// assert!(metrics.text().contains("quillcove_replica_ends_total"));
+    /// ```
+    pub fn replica_ended(&self) {
+        self.replica_ends.add(1, &[]);
+    }
+
     /// Counts a message that went to other processes of the system.
     ///
     /// ```
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -132,6 +132,9 @@
 
 /// Ends a request for which nothing more can be sent.
 fn give_up(open: OpenRequest, refusal: WorkRefusal) -> Response<AnswerBody> {
+    if refusal.reason == RefusalReason::EndsUpstreams {
+        ends::log_cause(&open);
+    }
     let verdict = match open.runs {
         0 => refusal.verdict,
         _ => RunVerdict::MayHaveRun,
@@ -151,6 +154,9 @@
 
 fn pass_whole(mut open: OpenRequest, answer: Response<Bytes>) -> Response<AnswerBody> {
     let status = answer.status().as_u16();
+    if answer.status().is_success() {
+        open.note_good();
+    }
     open.finish(RunVerdict::Ran, status, "answered");
     let now = open.shared.clock.now();
     let took = now.saturating_sub(open.query.received);
--- /dev/null
+++ b/quillcove/src/relay/input/crashes.rs
@@ -0,0 +1,97 @@
+//! What this relay and others tell each other of requests under which replicas end.
+//!
+//! Each relay tells all others at once. Loaders keep what they are told, two of them for each end, for relays
+//! that start again: after a loss of all relays they are the ones who remember.
+
+use std::net::SocketAddr;
+
+use quillcove_core::crash::teller::in_messages;
+use quillcove_core::crash::telling::{CrashAsk, CrashBeacon, EndId};
+use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::beacon::PeerMessage;
+use quillcove_core::rendezvous;
+use slog::info;
+
+use super::InputDuty;
+
+/// Loaders that are told of each end. One of them may be lost with the engine's host.
+const KEEPERS_OF_END: usize = 2;
+
+/// Times that a relay asks for what it may have missed, one beacon apart: an ask or its answer may be lost.
+const ASK_TIMES: u32 = 3;
+
+/// Part of the relays that it ever heard below which a relay takes itself to be cut off from them, and goes
+/// on asking loaders.
+const CUT_OFF_SHARE: f64 = 0.5;
+
+impl InputDuty {
+    /// Takes what another process tells.
+    pub(super) fn take_crashes(&mut self, beacon: &CrashBeacon, from: SocketAddr, now: MonoTime) {
+        let news = self.shared.machine().crashes_mut().take(beacon, now);
+        if news > 0 {
+            info!(self.shared.log, "told of ended replicas"; "from" => %from, "news" => news);
+        }
+    }
+
+    /// Answers a relay that may have missed something.
+    pub(super) fn answer_crashes(&self, ask: CrashAsk, now: MonoTime) {
+        let known = self.shared.machine().crashes().book().all(now);
+        for message in in_messages(known) {
+            self.send(&PeerMessage::Crash(message), [ask.relay]);
+        }
+    }
+
+    /// Tells what is new, and with a beacon what was told lately.
+    pub(super) fn tell_crashes(&self, is_beacon: bool, now: MonoTime) {
+        let messages = self.shared.machine().crashes_mut().tell(is_beacon, now);
+        for message in messages {
+            let keepers = self.keepers_of(&message);
+            let relays = self.relays.values().map(|known| known.address);
+            let receivers: Vec<SocketAddr> = relays.chain(keepers).collect();
+            self.send(&PeerMessage::Crash(message), receivers);
+        }
+    }
+
+    /// Loaders that keep what a message tells.
+    fn keepers_of(&self, message: &CrashBeacon) -> Vec<SocketAddr> {
+        let loaders = self.loaders_of_engines();
+        let mut keepers: Vec<SocketAddr> = Vec::new();
+        for report in &message.ends {
+            let mut ranked: Vec<(u64, SocketAddr)> =
+                loaders.iter().map(|(_, loader)| (rank(report.end, *loader), *loader)).collect();
+            ranked.sort_unstable_by(|one, other| other.cmp(one));
+            keepers.extend(ranked.into_iter().take(KEEPERS_OF_END).map(|(_, loader)| loader));
+        }
+        keepers.sort_unstable();
+        keepers.dedup();
+        keepers
+    }
+
+    /// Begins to ask for what this relay may have missed, as it has just started, was paused or cut off.
+    pub(super) fn miss_crashes(&mut self) {
+        self.crash_asks = ASK_TIMES;
+    }
+
+    /// Asks for what this relay may have missed: one other relay, in turn, and the loaders.
+    pub(super) fn ask_for_crashes(&mut self) {
+        let heard = self.relays.len() + 1;
+        self.most_relays = self.most_relays.max(heard);
+        let is_cut_off = (heard as f64) < self.most_relays as f64 * CUT_OFF_SHARE;
+        if self.crash_asks == 0 && !is_cut_off {
+            return;
+        }
+        let loaders = self.loaders_of_engines();
+        if loaders.is_empty() && self.relays.is_empty() {
+            return;
+        }
+        self.crash_asks = self.crash_asks.saturating_sub(1);
+        let ask = PeerMessage::CrashAsk(CrashAsk { relay: self.control });
+        let place = self.crash_asks as usize % self.relays.len().max(1);
+        let relay = self.relays.values().map(|known| known.address).nth(place);
+        self.send(&ask, loaders.into_iter().map(|(_, loader)| loader).chain(relay));
+    }
+}
+
+fn rank(end: EndId, loader: SocketAddr) -> u64 {
+    rendezvous::weight(&format!("{end:x}"), &loader.to_string())
+}
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -1,5 +1,6 @@
 //! Takes what the store and the other processes tell, and tells them what this relay knows.
 
+mod crashes;
 mod peers;
 mod readers;
 mod right;
@@ -113,6 +114,10 @@
     incarnation: Incarnation,
     /// Questions for proofs.
     proofs: ProofQuestions,
+    /// Times that this relay will still ask for ends of replicas that it may have missed.
+    crash_asks: u32,
+    /// Most relays that it heard at once, this one included.
+    most_relays: usize,
     is_keeper: bool,
     keeper_from: MonoTime,
     last_tick: MonoTime,
@@ -149,6 +154,8 @@
             is_sheet_lost: false,
             incarnation: rand::random(),
             proofs: ProofQuestions::default(),
+            crash_asks: 0,
+            most_relays: 1,
             is_keeper: false,
             keeper_from: KEEPER_DELAY,
             last_tick: MonoTime::ZERO,
@@ -158,6 +165,7 @@
 
     /// Runs until the process ends.
     pub async fn run(mut self) {
+        self.miss_crashes();
         let mut next_tick = Instant::now();
         let shared = self.shared.clone();
         loop {
@@ -198,6 +206,7 @@
             RelayInput::Wanted => {
                 self.send_wanted();
                 self.tell_freed();
+                self.tell_crashes(false, now);
             },
             RelayInput::Ticked => self.tick(now),
         }
@@ -209,6 +218,7 @@
         if gap > PAUSE_LIMIT && now > PAUSE_LIMIT {
             warn!(self.shared.log, "process was paused"; "gap_ms" => gap.as_millis() as u64);
             self.keeper_from = now + KEEPER_DELAY;
+            self.miss_crashes();
             self.hurry.send_modify(|count| *count += 1);
         }
         self.shared.machine().set_others(self.others(now), now);
@@ -223,6 +233,7 @@
         self.read_what_is_old(now);
         self.renew_right(now);
         self.tell_spent(now, false);
+        self.tell_crashes(false, now);
         self.choose_keeper(now);
         self.plan_models(now);
         if now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL {
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -28,6 +28,8 @@
             PeerMessage::Spend(told) => self.shared.machine().take_spent(&told, now),
             PeerMessage::ProofAsk(ask) => self.answer_proof(&ask, now),
             PeerMessage::Proof(answer) => self.take_proof(&answer),
+            PeerMessage::Crash(told) => self.take_crashes(&told, from, now),
+            PeerMessage::CrashAsk(ask) => self.answer_crashes(ask, now),
             PeerMessage::Use(_) | PeerMessage::Load(_) | PeerMessage::Resend(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
@@ -50,6 +52,7 @@
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
                 "address" => %beacon.address);
             self.tell_levels(beacon.address, now);
+            self.miss_crashes();
         }
         self.take_word(&beacon.word, now);
         self.compare(&beacon, now);
@@ -198,6 +201,8 @@
         self.last_beacon = now;
         self.tell_relays(now);
         self.tell_spent(now, true);
+        self.tell_crashes(true, now);
+        self.ask_for_crashes();
         for (replica, loader) in self.loaders_of_engines() {
             self.tell_uses(&replica, loader);
         }
@@ -258,7 +263,7 @@
     }
 
     /// Loaders sit on the hosts of all engines that are listed.
-    fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
+    pub(super) fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
         let machine = self.shared.machine();
         let Some(sheet) = machine.sheet() else {
             return Vec::new();
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -32,7 +32,6 @@
     pub shared: Arc<RelayShared>,
     pub query: RelayQuery,
     pub terms: CallerTerms,
-    pub caller: CallerDigest,
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
@@ -120,18 +119,12 @@
         self.query.grant.as_ref().map(|grant| grant.workspace.name.as_str())
     }
 
-    /// What the request is, whatever its id, and who sent it.
-    pub fn identity(&self) -> RequestIdentity {
-        let host = self.headers.get(HOST).and_then(|host| host.to_str().ok());
-        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        let parts = RequestParts {
-            method: self.method.as_str(),
-            host: host.or(self.uri.host()).unwrap_or_default(),
-            path,
-            key: self.query.grant.as_ref().map(|grant| grant.key),
-            body: &self.body,
-        };
-        RequestIdentity { digest: parts.digest(), caller: self.caller }
+    /// Notes that a replica ran the request to a good end.
+    pub fn note_good(&self) {
+        let now = self.shared.clock.now();
+        if let Some(identity) = self.query.identity {
+            self.shared.machine().crashes_mut().note_good(identity, now);
+        }
     }
 
     pub fn left(&self, now: MonoTime) -> Duration {
@@ -282,6 +275,14 @@
     let age = shared.machine().age_of(&route.name, said);
     let deadline = received + said.min(route.timeout);
     let body = read_body(&sheet, body).await?;
+    let parts_of = RequestParts {
+        method: parts.method.as_str(),
+        host,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        key: grant.as_ref().map(|grant| grant.key),
+        body: &body,
+    };
+    let identity = RequestIdentity { digest: parts_of.digest(), caller };
     let service = shared.machine().draw_service(&route);
     let no_service = || WorkRefusal::not_run(RefusalReason::NoUpstream, Some(SOON));
     let service = service.ok_or_else(no_service)?;
@@ -297,12 +298,12 @@
         deadline,
         looks: 0,
         grant,
+        identity: Some(identity),
     };
     Ok(OpenRequest {
         shared: shared.clone(),
         query,
         terms,
-        caller,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -159,6 +159,7 @@
             self.open.shared.machine().end(replica, key, AttemptFate::Answered, now);
             self.open.shared.pool.put(live.connection);
         }
+        self.open.note_good();
         self.open.finish(RunVerdict::Ran, 200, "streamed");
     }
 
--- a/quillcove/src/web/answer.rs
+++ b/quillcove/src/web/answer.rs
@@ -24,6 +24,8 @@
         RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
         RefusalReason::Unknown => StatusCode::NOT_FOUND,
         RefusalReason::KeyUnknown => StatusCode::UNAUTHORIZED,
+        // Nothing but another request helps, so that clients must not repeat this one.
+        RefusalReason::EndsUpstreams => StatusCode::UNPROCESSABLE_ENTITY,
         RefusalReason::Overloaded | RefusalReason::LimitReached => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::UpstreamBroke => StatusCode::BAD_GATEWAY,
@@ -46,9 +48,10 @@
 /// The type that OpenAI's clients expect with a status.
 fn error_type(status: StatusCode) -> &'static str {
     match status {
-        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND | StatusCode::CONFLICT => {
-            "invalid_request_error"
-        },
+        StatusCode::BAD_REQUEST
+        | StatusCode::NOT_FOUND
+        | StatusCode::CONFLICT
+        | StatusCode::UNPROCESSABLE_ENTITY => "invalid_request_error",
         StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
         _ => "server_error",
     }
@@ -151,6 +154,7 @@
         RefusalReason::AlreadyUsed => "the ticket or key was used before",
         RefusalReason::KeyUnknown => "the request needs a workspace's key",
         RefusalReason::KnowledgeOld => "what is known of keys is too old; come back later",
+        RefusalReason::EndsUpstreams => "upstreams end when they begin to run this request",
         RefusalReason::LimitReached => "the workspace has used what it may; come back later",
         RefusalReason::KeyUncertain => {
             "the owner of this key restarted lately; take a ticket or come back later"
--- /dev/null
+++ b/quillcove_core/src/crash/watch.rs
@@ -0,0 +1,266 @@
+//! What one process that sends requests to replicas knows of those under which replicas end.
+//!
+//! A broken answer may be a lost connection. Only when the replica is found to have ended as well does the
+//! request count as one that was there.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::book::{CrashBook, CrashCause};
+use super::digest::RequestIdentity;
+use super::good::GoodRuns;
+use super::teller::CrashTeller;
+use super::telling::{CrashBeacon, EndId, EndedRequest, end_id};
+use crate::ids::MonoTime;
+use crate::relay::beacon::{ReplicaId, StartTime};
+
+/// Time between a broken answer and the end of its replica within which the one is due to the other, when
+/// the end is heard of elsewhere. Processes notice an end within some milliseconds of each other.
+const SAME_END: Duration = Duration::from_millis(1500);
+
+/// Time for which ends are kept to which answers may still be found to belong.
+const END_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Broken answers that wait for word of their replica at most; past that the oldest goes.
+const MOST_BROKEN: usize = 1024;
+
+/// A run of a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaRun {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// When it started, where it says so.
+    pub born: Option<StartTime>,
+}
+
+impl ReplicaRun {
+    fn end(&self) -> EndId {
+        end_id(&self.replica, self.born)
+    }
+}
+
+/// An answer that broke off, as long as it is not known whether its replica ended.
+#[derive(Clone, Copy, Debug)]
+struct BrokenAnswer {
+    end: EndId,
+    identity: RequestIdentity,
+    at: MonoTime,
+}
+
+/// What one process knows of requests under which replicas end.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+/// use quillcove_core::crash::watch::{CrashWatch, ReplicaRun};
+///
+/// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
+/// let request = RequestIdentity { digest: parts.digest(), caller: 1 };
+/// let now = Duration::from_secs(5);
+/// let mut watch = CrashWatch::default();
+/// for replica in ["i-1", "i-2", "i-3"] {
+///     let run = ReplicaRun { replica: replica.into(), born: None };
+///     watch.note_broken(&run, request, now);
+///     assert!(watch.cause(request, now).is_none());
+///     assert_eq!(watch.confirm_end(&run, now), 1);
+/// }
+/// assert!(watch.cause(request, now).is_some());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct CrashWatch {
+    book: CrashBook,
+    good: GoodRuns,
+    teller: CrashTeller,
+    broken: Vec<BrokenAnswer>,
+    /// Ends that are known, and when they were noticed.
+    ended: BTreeMap<EndId, MonoTime>,
+}
+
+impl CrashWatch {
+    /// What is known of requests.
+    ///
+    /// ```
+    /// assert!(quillcove_core::crash::watch::CrashWatch::default().book().is_empty());
+    /// ```
+    pub fn book(&self) -> &CrashBook {
+        &self.book
+    }
+
+    /// Notes that an answer of a replica broke off. Tells whether it is the first one with that replica, so
+    /// that somebody has to find out whether the replica ended.
+    ///
+    /// See [`CrashWatch`] for an example.
+    pub fn note_broken(
+        &mut self,
+        run: &ReplicaRun,
+        identity: RequestIdentity,
+        now: MonoTime,
+    ) -> bool {
+        let broken = BrokenAnswer { end: run.end(), identity, at: now };
+        if self.ended.contains_key(&broken.end) {
+            self.count(broken, now);
+            return false;
+        }
+        let is_first = !self.broken.iter().any(|other| other.end == broken.end);
+        if self.broken.len() >= MOST_BROKEN {
+            self.broken.remove(0);
+        }
+        self.broken.push(broken);
+        is_first
+    }
+
+    /// Notes that a replica was found to have ended; gives the number of answers that broke off with it.
+    ///
+    /// See [`CrashWatch`] for an example.
+    pub fn confirm_end(&mut self, run: &ReplicaRun, now: MonoTime) -> usize {
+        let end = run.end();
+        self.ended.entry(end).or_insert(now);
+        self.count_broken(end, |_| true, now)
+    }
+
+    /// Notes that a replica was found to live: the answers broke off for another reason.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::watch::{CrashWatch, ReplicaRun};
+    ///
+    /// let run = ReplicaRun { replica: "i-1".into(), born: None };
+    /// CrashWatch::default().deny_end(&run);
+    /// ```
+    pub fn deny_end(&mut self, run: &ReplicaRun) {
+        let end = run.end();
+        self.broken.retain(|broken| broken.end != end);
+    }
+
+    /// Counts the answers that broke off with an end.
+    fn count_broken(
+        &mut self,
+        end: EndId,
+        belongs: impl Fn(&BrokenAnswer) -> bool,
+        now: MonoTime,
+    ) -> usize {
+        let is_due = |broken: &BrokenAnswer| broken.end == end && belongs(broken);
+        let due: Vec<BrokenAnswer> = self.broken.iter().copied().filter(is_due).collect();
+        self.broken.retain(|broken| !is_due(broken));
+        for broken in &due {
+            self.count(*broken, now);
+        }
+        due.len()
+    }
+
+    /// Counts one request at an end, unless it has just run well for the same caller.
+    fn count(&mut self, broken: BrokenAnswer, now: MonoTime) {
+        if self.good.has_caller(broken.identity) {
+            return;
+        }
+        let runs_well = self.good.has_request(broken.identity.digest);
+        let identity = broken.identity;
+        if self.book.note_end(broken.end, identity, runs_well, broken.at, now) {
+            self.teller.note_end(broken.end, EndedRequest { identity, runs_well }, broken.at);
+        }
+    }
+
+    /// Notes that a request ran to a good end.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+    /// use quillcove_core::crash::watch::CrashWatch;
+    ///
+    /// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
+    /// let request = RequestIdentity { digest: parts.digest(), caller: 1 };
+    /// CrashWatch::default().note_good(request, Duration::ZERO);
+    /// ```
+    pub fn note_good(&mut self, identity: RequestIdentity, now: MonoTime) {
+        self.good.note(identity, now);
+        if self.book.note_good(identity, now) {
+            self.teller.note_good(identity, now);
+        }
+    }
+
+    /// Why a request is to be refused; `None` when it may run.
+    ///
+    /// See [`CrashWatch`] for an example.
+    pub fn cause(&self, identity: RequestIdentity, now: MonoTime) -> Option<CrashCause> {
+        self.book.cause(identity, now)
+    }
+
+    /// Notes that a request was refused for what is known of it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+    /// use quillcove_core::crash::watch::CrashWatch;
+    ///
+    /// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
+    /// let request = RequestIdentity { digest: parts.digest(), caller: 1 };
+    /// CrashWatch::default().note_refused(request, Duration::ZERO);
+    /// ```
+    pub fn note_refused(&mut self, identity: RequestIdentity, now: MonoTime) {
+        for report in self.book.note_refused(identity.digest, now).ends {
+            let at = now.saturating_sub(report.age);
+            for ended in report.requests {
+                self.teller.note_end(report.end, ended, at);
+            }
+        }
+    }
+
+    /// Takes what another process tells; gives back how much of it was news.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::telling::CrashBeacon;
+    /// use quillcove_core::crash::watch::CrashWatch;
+    ///
+    /// let now = Duration::from_secs(1);
+    /// assert_eq!(CrashWatch::default().take(&CrashBeacon::default(), now), 0);
+    /// ```
+    pub fn take(&mut self, beacon: &CrashBeacon, now: MonoTime) -> usize {
+        for report in &beacon.ends {
+            let at = now.saturating_sub(report.age);
+            if report.age < END_LIFETIME {
+                self.ended.entry(report.end).or_insert(at);
+                let belongs = |broken: &BrokenAnswer| broken.at.abs_diff(at) <= SAME_END;
+                self.count_broken(report.end, belongs, now);
+            }
+        }
+        self.book.take(beacon, now)
+    }
+
+    /// Tells whether something is to be told at once.
+    ///
+    /// ```
+    /// assert!(!quillcove_core::crash::watch::CrashWatch::default().has_news());
+    /// ```
+    pub fn has_news(&self) -> bool {
+        self.teller.has_news()
+    }
+
+    /// What is to be told now, in messages that fit into a datagram: what is new, and with a beacon what was
+    /// told lately.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::watch::CrashWatch;
+    ///
+    /// assert!(CrashWatch::default().tell(true, Duration::ZERO).is_empty());
+    /// ```
+    pub fn tell(&mut self, is_beacon: bool, now: MonoTime) -> Vec<CrashBeacon> {
+        self.teller.tell(is_beacon, now)
+    }
+
+    /// Forgets what is over.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::watch::CrashWatch;
+    ///
+    /// CrashWatch::default().tick(Duration::from_secs(1));
+    /// ```
+    pub fn tick(&mut self, now: MonoTime) {
+        let is_fresh = |at: MonoTime| now.saturating_sub(at) < END_LIFETIME;
+        self.broken.retain(|broken| is_fresh(broken.at));
+        self.ended.retain(|_, at| is_fresh(*at));
+        self.book.forget(now);
+    }
+}
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -479,7 +479,8 @@
         | RefusalReason::AlreadyUsed
         | RefusalReason::KeyUncertain
         | RefusalReason::KeyUnknown
-        | RefusalReason::LimitReached => false,
+        | RefusalReason::LimitReached
+        | RefusalReason::EndsUpstreams => false,
         RefusalReason::Unknown
         | RefusalReason::BundleMissing
         | RefusalReason::KnowledgeOld
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -8,6 +8,7 @@
 use super::sheet::SheetVersion;
 use super::store_duty::{ProofWord, StoreWord};
 use crate::access::spending::SpendBeacon;
+use crate::crash::telling::{CrashAsk, CrashBeacon};
 use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
 
 /// Names a replica, as the platform lists it. It may start again under the same id.
@@ -256,6 +257,10 @@
     ProofAsk(ProofAsk),
     /// From a relay to the relay that asked.
     Proof(ProofAnswer),
+    /// From a relay to relays and loaders, and from a loader to relays.
+    Crash(CrashBeacon),
+    /// From a relay to a relay or a loader.
+    CrashAsk(CrashAsk),
 }
 
 /// A relay's question to another one how old its proof is that it knows all that the operator wrote.
@@ -295,6 +300,8 @@
     Spend,
     /// [`PeerMessage::ProofAsk`] and [`PeerMessage::Proof`].
     Proof,
+    /// [`PeerMessage::Crash`] and [`PeerMessage::CrashAsk`].
+    Crash,
 }
 
 impl PeerMessageKind {
@@ -315,6 +322,7 @@
             Self::Resend => "resend",
             Self::Spend => "spend",
             Self::Proof => "proof",
+            Self::Crash => "crash",
         }
     }
 }
@@ -338,6 +346,7 @@
             Self::Resend(_) => PeerMessageKind::Resend,
             Self::Spend(_) => PeerMessageKind::Spend,
             Self::ProofAsk(_) | Self::Proof(_) => PeerMessageKind::Proof,
+            Self::Crash(_) | Self::CrashAsk(_) => PeerMessageKind::Crash,
         }
     }
 }
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{AttemptOrder, RelayChoice, RelayMachine, RelayQuery};
+use crate::crash::book::FORGET_TIME;
 use crate::ids::{AdapterVersion, MonoTime};
 use crate::relay::beacon::{AdapterKey, ReplicaId};
 use crate::relay::demand::{EngineChoice, LackedAdapter};
@@ -92,6 +93,7 @@
     ///     deadline: Duration::from_secs(1),
     ///     looks: 0,
     ///     grant: None,
+    ///     identity: None,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// let choice = machine.choose(&query, &[], Duration::ZERO);
@@ -109,6 +111,9 @@
         if self.is_revoked(query) {
             return refuse(RefusalReason::KeyUnknown, None);
         }
+        if self.ends_upstreams(query, now) {
+            return refuse(RefusalReason::EndsUpstreams, Some(FORGET_TIME));
+        }
         let draw = self.draw();
         let ready: Vec<&ReplicaView> = self
             .table
@@ -137,8 +142,11 @@
         let sampled = routing::sample(&current, self.relays, draw);
         match routing::choose(&sampled, &cost, now, draw) {
             Some(view) => {
-                let order =
-                    AttemptOrder { replica: view.record.id.clone(), address: view.record.address };
+                let order = AttemptOrder {
+                    replica: view.record.id.clone(),
+                    born: view.record.born,
+                    address: view.record.address,
+                };
                 self.refresh_copies(query, &order.replica, now);
                 RelayChoice::Send(order)
             },
--- /dev/null
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -0,0 +1,137 @@
+//! Which requests are refused because replicas end under them.
+
+use super::{AttemptOrder, RelayMachine, RelayQuery};
+use crate::crash::digest::RequestIdentity;
+use crate::crash::watch::{CrashWatch, ReplicaRun};
+use crate::ids::MonoTime;
+use crate::relay::replica::ReplicaState;
+
+/// What is to be done about an answer that broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BreakStep {
+    /// Find out whether the replica has ended.
+    Ask,
+    /// Nothing: its end is known, somebody is asking, or it was about to leave.
+    Rest,
+}
+
+fn run_of(order: &AttemptOrder) -> ReplicaRun {
+    ReplicaRun { replica: order.replica.clone(), born: order.born }
+}
+
+impl RelayMachine {
+    /// What is known of requests under which replicas end.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).crashes().book().is_empty());
+    /// ```
+    pub fn crashes(&self) -> &CrashWatch {
+        &self.crashes
+    }
+
+    /// The same, to tell others of it and to take what they tell.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.crashes_mut().tell(true, Duration::ZERO).is_empty());
+    /// ```
+    pub fn crashes_mut(&mut self) -> &mut CrashWatch {
+        &mut self.crashes
+    }
+
+    /// Tells whether replicas end under a request, so that it is refused.
+    pub(super) fn ends_upstreams(&mut self, query: &RelayQuery, now: MonoTime) -> bool {
+        let Some(identity) = query.identity else {
+            return false;
+        };
+        let is_refused = self.crashes.cause(identity, now).is_some();
+        if is_refused {
+            self.crashes.note_refused(identity, now);
+        }
+        is_refused
+    }
+
+    /// Notes that a replica's answer broke off. One that was about to leave ended for that.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+    /// use quillcove_core::relay::machine::{AttemptOrder, BreakStep, RelayMachine, RelayRules};
+    ///
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let order = AttemptOrder { replica: "i-1".into(), born: None, address };
+    /// let parts = RequestParts { method: "GET", host: "h", path: "/", key: None, body: b"" };
+    /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// // The replica is not listed any more.
+    /// assert_eq!(machine.note_broken(&order, identity, Duration::ZERO), BreakStep::Rest);
+    /// ```
+    pub fn note_broken(
+        &mut self,
+        order: &AttemptOrder,
+        identity: RequestIdentity,
+        now: MonoTime,
+    ) -> BreakStep {
+        let Some(view) = self.table.get(&order.replica) else {
+            return BreakStep::Rest;
+        };
+        if view.record.state == ReplicaState::Draining {
+            return BreakStep::Rest;
+        }
+        let has_restarted = view.record.born != order.born;
+        let run = run_of(order);
+        let is_first = self.crashes.note_broken(&run, identity, now);
+        if has_restarted {
+            self.crashes.confirm_end(&run, now);
+        }
+        match is_first && !has_restarted {
+            true => BreakStep::Ask,
+            false => BreakStep::Rest,
+        }
+    }
+
+    /// Tells whether bytes came from a replica after this time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(!RelayMachine::new(RelayRules::default(), 1).is_heard_since("i-1", Duration::ZERO));
+    /// ```
+    pub fn is_heard_since(&self, replica: &str, at: MonoTime) -> bool {
+        self.table.get(replica).is_some_and(|view| view.is_heard_since(at))
+    }
+
+    /// Notes that a replica has ended; gives the number of answers that broke off with it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    ///
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let order = AttemptOrder { replica: "i-1".into(), born: None, address };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.confirm_end(&order, Duration::ZERO), 0);
+    /// ```
+    pub fn confirm_end(&mut self, order: &AttemptOrder, now: MonoTime) -> usize {
+        self.crashes.confirm_end(&run_of(order), now)
+    }
+
+    /// Notes that a replica lives, or that nobody can tell.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    ///
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let order = AttemptOrder { replica: "i-1".into(), born: None, address };
+    /// RelayMachine::new(RelayRules::default(), 1).deny_end(&order);
+    /// ```
+    pub fn deny_end(&mut self, order: &AttemptOrder) {
+        self.crashes.deny_end(&run_of(order));
+    }
+}
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -3,12 +3,14 @@
 mod access;
 mod attempts;
 mod choice;
+mod crashes;
 mod engines;
 mod priority;
 mod published;
 mod repeats;
 mod view;
 
+pub use self::crashes::BreakStep;
 pub use self::priority::ReadingStart;
 pub use self::view::{RelayView, ReplicaSummary};
 
@@ -17,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, OtherRelays, ReplicaId};
+use super::beacon::{AdapterKey, OtherRelays, ReplicaId, StartTime};
 use super::demand::AdapterDemand;
 use super::policy::RelayPolicy;
 use super::promise::PromiseBook;
@@ -30,6 +32,8 @@
 use crate::access::ledger::{FleetSize, LimitLedger};
 use crate::access::limit::LimitRules;
 use crate::access::right::RightRules;
+use crate::crash::digest::RequestIdentity;
+use crate::crash::watch::CrashWatch;
 use crate::entry::retry::RetryBudget;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
 use crate::rendezvous;
@@ -92,6 +96,8 @@
     pub looks: u32,
     /// By which right it came in; `None` where no key is needed.
     pub grant: Option<AccessGrant>,
+    /// What it is, whatever its id; `None` where that is not known.
+    pub identity: Option<RequestIdentity>,
 }
 
 impl RelayQuery {
@@ -131,6 +137,8 @@
 pub struct AttemptOrder {
     /// The replica.
     pub replica: ReplicaId,
+    /// When it started, where it says so.
+    pub born: Option<StartTime>,
     /// Its address.
     pub address: SocketAddr,
 }
@@ -197,6 +205,8 @@
     knowledge: StoreKnowledge,
     /// What workspaces have used.
     ledger: LimitLedger,
+    /// Under which requests replicas end.
+    crashes: CrashWatch,
     requests: usize,
     is_stopping: bool,
     draws: u64,
@@ -230,6 +240,7 @@
             relays: 1,
             most_relays: 1,
             knowledge: StoreKnowledge::default(),
+            crashes: CrashWatch::default(),
             requests: 0,
             is_stopping: false,
             draws: seed,
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -60,6 +60,7 @@
     ///     deadline: Duration::from_secs(1),
     ///     looks: 0,
     ///     grant: None,
+    ///     identity: None,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert_eq!(machine.begin_reading("i-1", &query, Duration::ZERO).rank, 2);
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -314,6 +314,7 @@
     /// assert!(machine.tick(Duration::ZERO).is_empty());
     /// ```
     pub fn tick(&mut self, now: MonoTime) -> Vec<BeliefChange> {
+        self.crashes.tick(now);
         self.demand.tick(now);
         self.promises.tick(now);
         self.pump(now);
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -29,6 +29,9 @@
     pub key_age_ms: Option<u64>,
     /// Workspaces in force.
     pub workspaces: Vec<WorkspaceSummary>,
+    /// Requests that were at replicas which ended, and those of them under which so many did that they may
+    /// be refused.
+    pub suspected: (usize, usize),
     /// Replicas known.
     pub replicas: Vec<ReplicaSummary>,
 }
@@ -86,6 +89,7 @@
             sheet: self.sheet.as_ref().map_or(0, |sheet| sheet.version),
             routes: self.sheet.as_ref().map_or(0, |sheet| sheet.route_count()),
             requests: self.requests,
+            suspected: self.crashes.book().sizes(),
             retry_budget: self.budgets.values().map(RetryBudget::left).sum(),
             stopping: self.is_stopping,
             replicas: self.table.all().map(summary).collect(),
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -187,6 +187,20 @@
         now >= self.ejected_until && !is_silent
     }
 
+    /// Tells whether bytes came from it after this time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().is_heard_since(Duration::ZERO));
+    /// ```
+    pub fn is_heard_since(&self, at: MonoTime) -> bool {
+        self.last_heard > at
+    }
+
     /// The loader's report, unless it is too old.
     ///
     /// ```
--- a/quillcove_core/src/verdict.rs
+++ b/quillcove_core/src/verdict.rs
@@ -91,6 +91,8 @@
     KnowledgeOld,
     /// The request's workspace has used what it may.
     LimitReached,
+    /// Upstreams end when they begin to run the request.
+    EndsUpstreams,
 }
 
 impl RefusalReason {
@@ -123,6 +125,7 @@
             Self::KeyUnknown => "key_unknown",
             Self::KnowledgeOld => "knowledge_old",
             Self::LimitReached => "limit_reached",
+            Self::EndsUpstreams => "ends_upstreams",
         }
     }
 
@@ -138,7 +141,7 @@
     }
 
     /// All reasons.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::Unknown,
         Self::BundleMissing,
@@ -159,6 +162,7 @@
         Self::KeyUnknown,
         Self::KnowledgeOld,
         Self::LimitReached,
+        Self::EndsUpstreams,
     ];
 }
 
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -330,6 +330,7 @@
             age: Duration::ZERO,
             looks: 0,
             grant: None,
+            identity: None,
         };
         match self.machine.choose(&query, &[], self.now) {
             RelayChoice::Send(order) => self.send(order.replica, adapter),
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -257,6 +257,7 @@
             age: Duration::ZERO,
             looks: 0,
             grant: None,
+            identity: None,
         };
         let mut machine = self.machine.clone();
         let mut tried = Vec::new();
--- a/quillcove_core/tests/relay_copies.rs
+++ b/quillcove_core/tests/relay_copies.rs
@@ -87,6 +87,7 @@
         deadline: ms(15_000),
         looks: 0,
         grant: None,
+        identity: None,
     };
     let choice = machine.choose(&query, &[], ms(10));
     assert!(matches!(choice, RelayChoice::Send(order) if order.replica == "i-1"));
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -92,6 +92,7 @@
         age: Duration::ZERO,
         looks: 0,
         grant: None,
+        identity: None,
     }
 }
 
--- a/quillcove_core/tests/relay_tries.rs
+++ b/quillcove_core/tests/relay_tries.rs
@@ -71,6 +71,7 @@
         deadline: ms(1_000) + patience,
         looks: 0,
         grant: None,
+        identity: None,
     }
 }
 
