One clock that counts suspensions, for all ages; waits that end when the host wakes

Cause: ages were measured by the system's steady clock, which stands still while a host is suspended. So a relay took what it knew for younger than it was, did not notice that it had been away, and its timers ended requests too late by as long.

--- a/quillcove/src/agent/calls.rs
+++ b/quillcove/src/agent/calls.rs
@@ -14,7 +14,7 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 use tokio_serde::formats::Bincode;
 
 use super::input::AgentInput;
@@ -56,14 +56,14 @@
     /// Holds an ask for a while rather than have its agent come back: a permit that becomes free
     /// goes on at once. With many asks each keeps to the keeper's pace instead.
     async fn ask(&self, clock: &MonoClock, ask: &PermitAsk) -> PermitAnswer {
-        let until = Instant::now() + ASK_HOLD;
+        let until = clock.now() + ASK_HOLD;
         loop {
             let freed = self.freed.notified();
             let answer = self.keeper().ask(clock.now(), ask);
             if answer == PermitAnswer::Granted || self.keeper().is_crowded() {
                 return answer;
             }
-            if Instant::now() > until {
+            if clock.now() > until {
                 return PermitAnswer::Wait(Duration::ZERO);
             }
             let _ = timeout(ASK_RECHECK, freed).await;
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -114,9 +114,10 @@
     let now = open.shared.clock.now();
     open.shared.machine().begin(&order.replica, open.query.adapter.as_ref(), now);
     open.begin_reading(&order.replica, now);
-    let left = open.left(now);
+    let (shared, deadline) = (open.shared.clone(), open.query.deadline);
     let mut guard = AttemptGuard { open, replica: &order.replica, is_handed_over: false };
-    let exchanged = timeout(left, exchange(guard.open, order, last_event)).await;
+    let exchanging = exchange(guard.open, order, last_event);
+    let exchanged = shared.wakes.wait_until(&shared.clock, deadline, exchanging).await;
     let end = exchanged.unwrap_or(AttemptEnd::Failed(AttemptFailure::TimeOver));
     guard.is_handed_over = true;
     drop(guard);
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -7,6 +7,7 @@
 
 use http::{Method, StatusCode};
 use quillcove_core::access::right::RightRules;
+use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
 use quillcove_core::relay::published::{ReadRevisions, StorePart};
 use quillcove_core::relay::replica::ReplicaRecord;
@@ -15,8 +16,9 @@
 use quillcove_platform::{WireCall, WireFault};
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
+use crate::clock::MonoClock;
 use crate::config::relay::StoreSection;
 use crate::web::client::{WebClient, WebError};
 
@@ -49,10 +51,10 @@
     /// Revision up to which the part is known.
     pub revision: u64,
     /// A moment of which it is known that all that was published before is among what is known now.
-    pub complete_at: Instant,
+    pub complete_at: MonoTime,
     /// The same, proved: when the call began. The store may have answered a watch early and its answer
     /// may have been long on its way, so that the time at which it came proves nothing.
-    pub proved_at: Option<Instant>,
+    pub proved_at: Option<MonoTime>,
 }
 
 /// What the serving duty wants to be read.
@@ -128,7 +130,7 @@
     wait: Duration,
     /// Longest time for the answer.
     limit: Duration,
-    began: Instant,
+    began: MonoTime,
 }
 
 /// Why a call brought nothing.
@@ -151,6 +153,7 @@
     ring: mpsc::Sender<StoreNews>,
     hurried: watch::Receiver<u64>,
     orders: watch::Receiver<FollowOrder>,
+    clock: MonoClock,
     log: Logger,
 }
 
@@ -161,11 +164,12 @@
         ring: mpsc::Sender<StoreNews>,
         hurried: watch::Receiver<u64>,
         orders: watch::Receiver<FollowOrder>,
+        clock: MonoClock,
         log: Logger,
     ) -> Self {
         let proof_watch = right.watch_time().unwrap_or(Duration::MAX);
         let (section, address) = (section.clone(), section.address);
-        Self { section, address, proof_watch, ring, hurried, orders, log }
+        Self { section, address, proof_watch, ring, hurried, orders, clock, log }
     }
 
     /// Follows until the process ends.
@@ -191,7 +195,7 @@
             }
             done = order.wanted(part);
             follower.know(order.known.of(part));
-            let began = Instant::now();
+            let began = self.clock.now();
             let call = follower.next_call_within(order.longest_watch(part));
             let limit = follower.limit(call);
             let read = match call {
@@ -209,7 +213,7 @@
                     // decides how old this relay's knowledge gets.
                     warn!(self.log, "call of the store failed"; "part" => ?part,
                         "revision" => follower.revision(), "wait_ms" => wait_ms(call),
-                        "took_ms" => began.elapsed().as_millis() as u64,
+                        "took_ms" => self.clock.now().saturating_sub(began).as_millis() as u64,
                         "reason" => %error);
                     self.tell(StoreNews::Failed { part, reason: error.to_string() }).await;
                     // Connections that are kept may be as silent as the one that failed.
@@ -239,7 +243,7 @@
         &self,
         client: &WebClient,
         part: StorePart,
-        began: Instant,
+        began: MonoTime,
     ) -> Result<u64, FollowError> {
         let mut events = Vec::new();
         let mut changed_at = Vec::new();
@@ -286,7 +290,7 @@
         hurried.mark_unchanged();
         let answer = tokio::select! {
             answer = self.call(client, &call, limit) => answer?,
-            _ = hurried.changed() => return self.read_whole(client, part, Instant::now()).await,
+            _ = hurried.changed() => return self.read_whole(client, part, self.clock.now()).await,
         };
         let (status, body) = answer;
         if store::is_history_gone(status) {
@@ -299,7 +303,7 @@
         self.report_faults(&answer);
         let StoreAnswer { events, changed_at, is_empty, revision, is_sheet_lost, .. } = answer;
         // A watch that ends without a change was answered after its whole time, not before.
-        let complete_at = match is_empty && began.elapsed() >= wait {
+        let complete_at = match is_empty && self.clock.now().saturating_sub(began) >= wait {
             true => began + wait,
             false => began,
         };
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -1,5 +1,6 @@
 //! The way of one request: admission, attempts, and its one final answer.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,6 @@
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use quillcove_platform::heads;
 use slog::info;
-use tokio::time::{sleep_until, timeout_at};
 
 use super::answers::{AnswerBody, close_when_stopping, own_answer, refusal_answer, with_id};
 use super::attempt::{self, AttemptEnd, AttemptFailure};
@@ -105,12 +105,14 @@
             },
             RelayChoice::Refuse(refusal) => break Err(refusal),
             RelayChoice::Wait(until) => {
-                let until = tokio::time::Instant::now() + until.saturating_sub(now);
+                let news = async {
+                    match news {
+                        Some(news) => news.await,
+                        None => pending().await,
+                    }
+                };
                 // Either the news or the time is a reason to look again.
-                match news {
-                    Some(news) => drop(timeout_at(until, news).await),
-                    None => sleep_until(until).await,
-                }
+                let _ = shared.wakes.wait_until(&shared.clock, until, news).await;
             },
         }
     };
--- a/quillcove/src/relay/input/crashes.rs
+++ b/quillcove/src/relay/input/crashes.rs
@@ -4,6 +4,7 @@
 //! that start again: after a loss of all relays they are the ones who remember.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use quillcove_core::crash::teller::in_messages;
 use quillcove_core::crash::telling::{CrashAsk, CrashBeacon, EndId};
@@ -18,7 +19,13 @@
 const KEEPERS_OF_END: usize = 2;
 
 /// Times that a relay asks for what it may have missed, one beacon apart: an ask or its answer may be lost.
-const ASK_TIMES: u32 = 3;
+pub(super) const ASK_TIMES: u32 = 3;
+
+/// Relays that tell one which starts what they know, before it has heard of them.
+const GREETERS: usize = 3;
+
+/// Shortest time between two asks, so that a relay which hears hundreds at once asks few of them.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
 
 /// Part of the relays that it ever heard below which a relay takes itself to be cut off from them, and goes
 /// on asking loaders.
@@ -41,6 +48,17 @@
         }
     }
 
+    /// Tells a relay that was heard for the first time what is known, if it is this relay's turn: three do, of
+    /// however many there are.
+    pub(super) fn greet_with_crashes(&self, host: &str, relay: SocketAddr, now: MonoTime) {
+        let own = rendezvous::weight(host, &self.shared.settings.process.host);
+        let others = self.relays.keys().filter(|other| *other != host);
+        let before = others.filter(|other| rendezvous::weight(host, other) > own).count();
+        if before < GREETERS {
+            self.answer_crashes(CrashAsk { relay }, now);
+        }
+    }
+
     /// Tells what is new, and with a beacon what was told lately.
     pub(super) fn tell_crashes(&self, is_beacon: bool, now: MonoTime) {
         let messages = self.shared.machine().crashes_mut().tell(is_beacon, now);
@@ -68,12 +86,15 @@
     }
 
     /// Begins to ask for what this relay may have missed, as it has just started, was paused or cut off.
-    pub(super) fn miss_crashes(&mut self) {
+    pub(super) fn miss_crashes(&mut self, now: MonoTime) {
         self.crash_asks = ASK_TIMES;
+        if now.saturating_sub(self.crash_asked_at) >= ASK_PAUSE {
+            self.ask_for_crashes(now);
+        }
     }
 
     /// Asks for what this relay may have missed: one other relay, in turn, and the loaders.
-    pub(super) fn ask_for_crashes(&mut self) {
+    pub(super) fn ask_for_crashes(&mut self, now: MonoTime) {
         let heard = self.relays.len() + 1;
         self.most_relays = self.most_relays.max(heard);
         let is_cut_off = (heard as f64) < self.most_relays as f64 * CUT_OFF_SHARE;
@@ -85,6 +106,7 @@
             return;
         }
         self.crash_asks = self.crash_asks.saturating_sub(1);
+        self.crash_asked_at = now;
         let ask = PeerMessage::CrashAsk(CrashAsk { relay: self.control });
         let place = self.crash_asks as usize % self.relays.len().max(1);
         let relay = self.relays.values().map(|known| known.address).nth(place);
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
+use self::crashes::ASK_TIMES;
 use self::right::ProofQuestions;
 use super::follow::{FollowOrder, StoreNews};
 use super::shared::RelayShared;
@@ -116,6 +117,8 @@
     proofs: ProofQuestions,
     /// Times that this relay will still ask for ends of replicas that it may have missed.
     crash_asks: u32,
+    /// When it last asked.
+    crash_asked_at: MonoTime,
     /// Most relays that it heard at once, this one included.
     most_relays: usize,
     is_keeper: bool,
@@ -154,7 +157,8 @@
             is_sheet_lost: false,
             incarnation: rand::random(),
             proofs: ProofQuestions::default(),
-            crash_asks: 0,
+            crash_asks: ASK_TIMES,
+            crash_asked_at: MonoTime::ZERO,
             most_relays: 1,
             is_keeper: false,
             keeper_from: KEEPER_DELAY,
@@ -165,7 +169,6 @@
 
     /// Runs until the process ends.
     pub async fn run(mut self) {
-        self.miss_crashes();
         let mut next_tick = Instant::now();
         let shared = self.shared.clone();
         loop {
@@ -216,9 +219,10 @@
         let gap = now.saturating_sub(self.last_tick);
         self.last_tick = now;
         if gap > PAUSE_LIMIT && now > PAUSE_LIMIT {
+            self.shared.wakes.ring();
             warn!(self.shared.log, "process was paused"; "gap_ms" => gap.as_millis() as u64);
             self.keeper_from = now + KEEPER_DELAY;
-            self.miss_crashes();
+            self.miss_crashes(now);
             self.hurry.send_modify(|count| *count += 1);
         }
         self.shared.machine().set_others(self.others(now), now);
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -52,7 +52,8 @@
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
                 "address" => %beacon.address);
             self.tell_levels(beacon.address, now);
-            self.miss_crashes();
+            self.miss_crashes(now);
+            self.greet_with_crashes(&beacon.host, beacon.address, now);
         }
         self.take_word(&beacon.word, now);
         self.compare(&beacon, now);
@@ -202,7 +203,7 @@
         self.tell_relays(now);
         self.tell_spent(now, true);
         self.tell_crashes(true, now);
-        self.ask_for_crashes();
+        self.ask_for_crashes(now);
         for (replica, loader) in self.loaders_of_engines() {
             self.tell_uses(&replica, loader);
         }
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -54,11 +54,11 @@
 
     /// Takes what was read, and tells other relays at once when something changed that matters.
     fn take_reading(&mut self, reading: StoreReading, now: MonoTime) {
-        let complete_at = now.saturating_sub(reading.complete_at.elapsed());
+        let complete_at = reading.complete_at;
         let (part, revision) = (reading.part, reading.revision);
         let is_whole = reading.is_whole;
         self.note_lost_sheet(&reading);
-        let proved_at = reading.proved_at.map(|at| now.saturating_sub(at.elapsed()));
+        let proved_at = reading.proved_at;
         let changed = match is_whole && part == StorePart::Replicas {
             true => self.take_listing(reading, now),
             false => self.take_events(reading, now),
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod shared;
 mod stream;
 mod waiters;
+mod wake;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 use self::follow::{FollowOrder, StoreFollower, WatchTimes};
 use self::input::{InputDuty, InputFeed};
 use self::shared::RelayShared;
+use crate::clock::MonoClock;
 use crate::config::relay::RelaySettings;
 use crate::duty;
 use crate::operator::{self, ProcessInspector};
@@ -75,6 +77,8 @@
     pub stopped: watch::Receiver<bool>,
     /// The settings as they are now.
     pub settings: watch::Receiver<RelaySettings>,
+    /// The process's clock.
+    pub clock: MonoClock,
 }
 
 /// Runs a relay until its planned stop is over; `bound` gets its addresses.
@@ -91,7 +95,8 @@
 /// let settings = RelaySettings::default();
 /// let (_stop, stopped) = watch::channel(false);
 /// let (_change, changed) = watch::channel(settings.clone());
-/// let signals = RelaySignals { stopped, settings: changed };
+/// let clock = quillcove::clock::MonoClock::start();
+/// let signals = RelaySignals { stopped, settings: changed, clock };
 /// let log = quillcove::logging::silent();
 /// quillcove::relay::run(settings, log, signals, |_addresses| ()).unwrap();
 /// ```
@@ -107,20 +112,22 @@
     let watch_times = WatchTimes::of(&settings.platform.duty_rules());
     let (order, orders) = watch::channel(FollowOrder { watch_times, ..FollowOrder::default() });
     let right = settings.rules().right;
+    let clock = signals.clock;
     let follower =
-        StoreFollower::new(&settings.platform, &right, ring, hurried, orders, log.clone());
+        StoreFollower::new(&settings.platform, &right, ring, hurried, orders, clock, log.clone());
     let watch_over = is_over.clone();
     let _follow = duty::spawn("watch", move || {
         duty::run_async(1, follower.run(watch_over));
     });
     let feed = InputFeed { store: inputs, settings: signals.settings, hurry, order };
-    let result = duty::run_async(1, serve(settings, log, signals.stopped, feed, bound));
+    let result = duty::run_async(1, serve(settings, clock, log, signals.stopped, feed, bound));
     is_over.store(true, Ordering::Relaxed);
     result
 }
 
 async fn serve(
     settings: RelaySettings,
+    clock: MonoClock,
     log: Logger,
     stopped: watch::Receiver<bool>,
     feed: InputFeed,
@@ -131,7 +138,7 @@
     let operator_address = settings.listen.operator;
     let platform = settings.platform.address;
     let seeds = settings.peers.seeds.clone();
-    let shared = Arc::new(RelayShared::new(settings, log.clone())?);
+    let shared = Arc::new(RelayShared::new(settings, clock, log.clone())?);
     let socket = bind_control(&shared, control_address).await?;
     let control = socket.local_addr()?;
     let inspector = RelayInspector { shared: shared.clone() };
--- a/quillcove/src/relay/pool.rs
+++ b/quillcove/src/relay/pool.rs
@@ -4,17 +4,20 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::ReplicaId;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::clock::MonoClock;
+
 /// Time for which an unused connection is kept when the replica does not say for how long.
 const KEEP_TIME: Duration = Duration::from_secs(2);
 
@@ -50,12 +53,12 @@
 
 struct IdleConnection {
     connection: ReplicaConnection,
-    since: Instant,
+    since: MonoTime,
 }
 
 impl IdleConnection {
-    fn is_usable(&self, longest: Duration) -> bool {
-        let idle = self.since.elapsed();
+    fn is_usable(&self, longest: Duration, now: MonoTime) -> bool {
+        let idle = now.saturating_sub(self.since);
         idle < self.connection.keep.min(longest) && self.connection.sender.is_ready()
     }
 }
@@ -64,11 +67,13 @@
 pub struct ReplicaPool {
     idle: Mutex<HashMap<ReplicaId, Vec<IdleConnection>>>,
     connect_timeout: Mutex<Duration>,
+    clock: MonoClock,
 }
 
 impl ReplicaPool {
-    pub fn new(connect_timeout: Duration) -> Self {
-        Self { idle: Mutex::new(HashMap::new()), connect_timeout: Mutex::new(connect_timeout) }
+    pub fn new(connect_timeout: Duration, clock: MonoClock) -> Self {
+        let connect_timeout = Mutex::new(connect_timeout);
+        Self { idle: Mutex::new(HashMap::new()), connect_timeout, clock }
     }
 
     /// Takes over the longest time for a connection.
@@ -82,10 +87,11 @@
 
     /// The kept connection that was used last, unless that is longer ago than this.
     pub fn take(&self, replica: &str, longest: Duration) -> Option<ReplicaConnection> {
+        let now = self.clock.now();
         let mut idle = self.idle();
         let kept = idle.get_mut(replica)?;
         while let Some(candidate) = kept.pop() {
-            if candidate.is_usable(longest) {
+            if candidate.is_usable(longest, now) {
                 return Some(candidate.connection);
             }
         }
@@ -124,11 +130,12 @@
         if connection.sender.is_closed() {
             return;
         }
+        let now = self.clock.now();
         let mut idle = self.idle();
         let kept = idle.entry(connection.replica.clone()).or_default();
-        kept.retain(|other| other.since.elapsed() < other.connection.keep);
+        kept.retain(|other| now.saturating_sub(other.since) < other.connection.keep);
         if kept.len() < IDLE_LIMIT {
-            kept.push(IdleConnection { connection, since: Instant::now() });
+            kept.push(IdleConnection { connection, since: now });
         }
     }
 
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -9,6 +9,7 @@
 
 use super::pool::ReplicaPool;
 use super::waiters::AdapterWaiters;
+use super::wake::WakeBell;
 use crate::clock::MonoClock;
 use crate::config::relay::RelaySettings;
 use crate::metrics::ProcessMetrics;
@@ -20,6 +21,8 @@
     pub clock: MonoClock,
     pub metrics: Arc<ProcessMetrics>,
     pub pool: ReplicaPool,
+    /// Rings when the process was suspended.
+    pub wakes: WakeBell,
     pub is_ready: AtomicBool,
     pub waiters: AdapterWaiters,
     /// Wakes the duty that sends asks for adapters to loaders.
@@ -28,12 +31,13 @@
 }
 
 impl RelayShared {
-    pub fn new(settings: RelaySettings, log: Logger) -> eyre::Result<Self> {
+    pub fn new(settings: RelaySettings, clock: MonoClock, log: Logger) -> eyre::Result<Self> {
         let machine = RelayMachine::new(settings.rules(), rand::random());
         Ok(Self {
-            clock: MonoClock::start(),
+            pool: ReplicaPool::new(settings.requests.connect_timeout, clock),
+            clock,
+            wakes: WakeBell::new(),
             metrics: Arc::new(ProcessMetrics::new("relay")?),
-            pool: ReplicaPool::new(settings.requests.connect_timeout),
             is_ready: AtomicBool::new(false),
             waiters: AdapterWaiters::default(),
             wanted: Notify::new(),
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -12,7 +12,6 @@
 use quillcove_core::verdict::RunVerdict;
 use quillcove_platform::heads;
 use slog::info;
-use tokio::time::timeout;
 
 use super::answers::{AnswerBody, BodyBreak};
 use super::attempt::{self, AttemptEnd, LiveStream};
@@ -100,12 +99,12 @@
 
 impl EventRelay {
     async fn step(&mut self) -> StreamStep {
-        let now = self.open.shared.clock.now();
-        let left = self.open.left(now);
+        let (shared, deadline) = (self.open.shared.clone(), self.open.query.deadline);
         let Some(live) = &mut self.live else {
             return StreamStep::Broken("no upstream".to_string());
         };
-        let Ok(frame) = timeout(left, live.body.frame()).await else {
+        let framed = shared.wakes.wait_until(&shared.clock, deadline, live.body.frame()).await;
+        let Some(frame) = framed else {
             return StreamStep::TimeOver;
         };
         match frame {
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -9,6 +9,7 @@
 use clap_complete::Shell;
 use eyre::{WrapErr, eyre};
 use quillcove::agent::AgentProcess;
+use quillcove::clock::MonoClock;
 use quillcove::config::relay::RelaySettings;
 use quillcove::config::shared::{LogSection, StopSection};
 use quillcove::config::{self, SettingRole};
@@ -76,7 +77,7 @@
     let reload_log = log.clone();
     let reload = move || reload_relay(&file, &overrides, &change, &reload_log);
     let stopped = stop_on_signal(log.clone(), reload);
-    let signals = RelaySignals { stopped, settings: changed };
+    let signals = RelaySignals { stopped, settings: changed, clock: MonoClock::start() };
     relay::run(settings, log, signals, |_addresses| ()).map(|()| ExitCode::SUCCESS)
 }
 
