Entry and agent: a request under which upstreams ended is refused at the product's own edge

Change: an agent notes which runs broke off when its upstream ended, and tells entries with each answer; entries keep the same book as relays. The refusal is final (422): nothing but another request helps. Left: an entry knows of ends at an agent from that agent's next answer on.

--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -366,6 +366,7 @@
         class: class.unwrap_or_default(),
         deadline: state.clock.now() + limit,
         claim: read_claim(headers, &caller),
+        identity: headers::text(headers, headers::IDENTITY).and_then(|text| text.parse().ok()),
         caller,
     })
 }
--- a/quillcove/src/entry/admit.rs
+++ b/quillcove/src/entry/admit.rs
@@ -1,5 +1,6 @@
 //! Reading callers' requests: target, class, deadline and whether they may run twice.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use quillcove_core::adapter::AdapterRef;
 use quillcove_core::bundle::FleetBundle;
 use quillcove_core::class::WorkClass;
+use quillcove_core::crash::digest::{CallerDigest, caller_digest, named_caller_digest};
 use quillcove_core::entry::event::{RepeatRule, RouteQuery, RouteTarget};
 use quillcove_core::ids::{MonoTime, RequestId};
 use quillcove_core::once::ticket::RunTicket;
@@ -240,5 +242,14 @@
         caller: terms.caller.clone(),
         prefix,
         attempt_limit: terms.attempt_limit,
+        identity: None,
+    }
+}
+
+/// Who sent a request: the caller that it names, else where it came from.
+pub fn caller_of(terms: &RequestTerms, address: IpAddr) -> CallerDigest {
+    match terms.caller.as_str() {
+        "" => caller_digest(address),
+        name => named_caller_digest(name),
     }
 }
--- a/quillcove/src/entry/attempt.rs
+++ b/quillcove/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One request on its way: attempts at agents until one answers or the machine gives up.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 use quillcove_core::adapter::AdapterRef;
 use quillcove_core::agent::event::WithdrawAnswer;
 use quillcove_core::class::WorkClass;
+use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
 use quillcove_core::entry::event::{
     AgentNews, AttemptEnd, AttemptOrder, EntryEvent, RepeatRule, RouteQuery,
 };
@@ -17,7 +19,7 @@
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use tokio::sync::{mpsc, oneshot};
 
-use super::admit::RequestTerms;
+use super::admit::{self, RequestTerms};
 use super::context::ServeContext;
 use super::decide::{EntryInput, RequestStep, STEP_PLACES};
 use crate::control::AgentControlClient;
@@ -51,6 +53,22 @@
     pub is_stream: bool,
 }
 
+impl OutgoingRequest {
+    /// The same with what it is, for a caller at this address.
+    pub fn identified(mut self, address: IpAddr) -> Self {
+        let parts = RequestParts {
+            method: self.method.as_str(),
+            host: "",
+            path: &self.path,
+            key: None,
+            body: &self.body,
+        };
+        let caller = admit::caller_of(&self.terms, address);
+        self.query.identity = Some(RequestIdentity { digest: parts.digest(), caller });
+        self
+    }
+}
+
 /// Tells the machine when a request is over, whichever way its handler ends.
 struct RequestGuard {
     ring: DutyRing<EntryInput>,
@@ -226,6 +244,9 @@
         .header(headers::DEADLINE_MS, left.as_millis() as u64)
         .header(headers::PRIORITY, terms.class.label())
         .header(headers::CALLER, terms.caller.as_str());
+    if let Some(identity) = &outgoing.query.identity {
+        request = request.header(headers::IDENTITY, identity.to_string());
+    }
     if let Some(adapter) = &outgoing.adapter {
         request = request.header(headers::ADAPTER, adapter.to_string());
     }
--- a/quillcove/src/entry/serve.rs
+++ b/quillcove/src/entry/serve.rs
@@ -104,7 +104,7 @@
     let adapter = completion.adapter.clone();
     let target = RouteTarget::Adapter { adapter, model: completion.model };
     let now = state.clock.now();
-    Ok(OutgoingRequest {
+    let outgoing = OutgoingRequest {
         query: admit::query(request, target, &terms, completion.prefix, now),
         terms,
         method: Method::POST,
@@ -113,7 +113,8 @@
         is_stream: completion.is_stream,
         body: completion.body,
         adapter: Some(completion.adapter),
-    })
+    };
+    Ok(outgoing.identified(context.request.remote_addr().ip()))
 }
 
 /// Path of a call to a plain service.
@@ -178,7 +179,7 @@
     let owner = admit::owner_of(&terms, &service, &bundle)?;
     let target = owner.unwrap_or(RouteTarget::Service(service));
     let now = state.clock.now();
-    Ok(OutgoingRequest {
+    let outgoing = OutgoingRequest {
         query: admit::query(request, target, &terms, None, now),
         terms,
         method: context.request.method().clone(),
@@ -187,7 +188,8 @@
         body,
         adapter: None,
         is_stream,
-    })
+    };
+    Ok(outgoing.identified(context.request.remote_addr().ip()))
 }
 
 async fn call_route(
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -43,6 +43,9 @@
 /// News of an agent about itself, as JSON, on each of its answers.
 pub const NEWS: &str = "quillcove-news";
 
+/// What a request is, whatever its ids, from entry to agent.
+pub const IDENTITY: &str = "quillcove-identity";
+
 /// Reads a header as text.
 ///
 /// ```
--- a/quillcove_core/src/agent/event.rs
+++ b/quillcove_core/src/agent/event.rs
@@ -8,6 +8,7 @@
 use crate::adapter::AdapterRef;
 use crate::bundle::FleetBundle;
 use crate::class::WorkClass;
+use crate::crash::digest::RequestIdentity;
 use crate::fence::OrderFence;
 use crate::ids::{AttemptId, BundleVersion, CallerId, Incarnation, MonoTime};
 use crate::once::book::{OnceClaim, OnceState};
@@ -40,6 +41,8 @@
     pub caller: CallerId,
     /// Set for a request that must not run twice.
     pub claim: Option<OnceClaim>,
+    /// What it is, whatever its ids; `None` where that is not known.
+    pub identity: Option<RequestIdentity>,
 }
 
 /// How a started attempt ended.
--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -2,6 +2,7 @@
 //! and work, so no agreement with others is needed for what must always hold.
 
 mod admission;
+mod crashes;
 pub mod engine;
 pub mod event;
 mod loads;
@@ -25,6 +26,8 @@
 use crate::adapter::AdapterRef;
 use crate::bundle::FleetBundle;
 use crate::class::WorkClass;
+use crate::crash::digest::RequestIdentity;
+use crate::crash::watch::CrashWatch;
 use crate::demand::DemandMeter;
 use crate::ids::{AttemptId, HostId, Incarnation, MonoTime};
 use crate::once::book::{OnceBook, OnceKey};
@@ -42,6 +45,7 @@
     target: WorkTarget,
     class: WorkClass,
     once: Option<OnceKey>,
+    identity: Option<RequestIdentity>,
 }
 
 /// A pin of a run whose answer broke off: the engine may still work on it for a while.
@@ -84,6 +88,12 @@
     is_stopping: bool,
     has_stopped: bool,
     is_confirmed: bool,
+    /// Under which requests the upstream ends.
+    crashes: CrashWatch,
+    /// Runs of the upstream that this process has met.
+    upstream_runs: u64,
+    /// What the upstream named as its run last.
+    seen_incarnation: Incarnation,
     last_event: MonoTime,
 }
 
@@ -124,6 +134,9 @@
             is_stopping: false,
             has_stopped: false,
             is_confirmed: true,
+            crashes: CrashWatch::default(),
+            upstream_runs: 0,
+            seen_incarnation: 0,
             last_event: now,
         }
     }
@@ -205,6 +218,11 @@
     }
 
     fn take_report(&mut self, now: MonoTime, report: &EngineReport, out: &mut Vec<AgentAction>) {
+        if !self.is_upstream_up || self.seen_incarnation != report.incarnation {
+            self.note_upstream_end(now);
+            self.upstream_runs += 1;
+            self.seen_incarnation = report.incarnation;
+        }
         self.is_upstream_up = true;
         if self.rules.kind == UpstreamKind::Service {
             return;
@@ -256,6 +274,7 @@
 
     fn lose_upstream(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         self.is_upstream_up = false;
+        self.note_upstream_end(now);
         let refusal = WorkRefusal::not_run(RefusalReason::UpstreamDown, Some(SOON));
         self.refuse_all(now, refusal, out);
     }
--- a/quillcove_core/src/agent/running.rs
+++ b/quillcove_core/src/agent/running.rs
@@ -55,6 +55,7 @@
             target: attempt.order.target,
             class: attempt.order.class,
             once: attempt.once,
+            identity: attempt.order.identity,
         };
         self.running.insert(id, running);
         out.push(AgentAction::Start(id));
@@ -84,6 +85,7 @@
             RunEnd::Complete(_) | RunEnd::Broken => AttemptMark::Started,
         };
         self.marks.close(attempt, mark, now, self.rules.mark_lifetime);
+        self.note_run_end(now, running.identity, end);
         self.note_use(now, &running.target);
         if let (WorkTarget::Adapter(adapter), RunEnd::Broken) = (running.target, end) {
             let until = now + self.rules.settle_time;
--- a/quillcove_core/src/agent/view.rs
+++ b/quillcove_core/src/agent/view.rs
@@ -155,6 +155,7 @@
             waiting: self.room.len(),
             capacity: self.capacity(),
             bundle: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
+            crashes: self.crash_news(),
         }
     }
 
--- a/quillcove_core/src/crash/digest.rs
+++ b/quillcove_core/src/crash/digest.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 use std::net::IpAddr;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -91,6 +92,14 @@
 }
 
 /// What a request is and who sent it.
+///
+/// ```
+/// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+///
+/// let parts = RequestParts { method: "GET", host: "h", path: "/", key: None, body: b"" };
+/// let identity = RequestIdentity { digest: parts.digest(), caller: 5 };
+/// assert_eq!(identity.to_string().parse(), Ok(identity));
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestIdentity {
     /// What it is.
@@ -98,3 +107,39 @@
     /// Who sent it.
     pub caller: CallerDigest,
 }
+
+impl fmt::Display for RequestIdentity {
+    /// Both digests in hex, as processes of the system hand them on.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:016x}", self.digest, self.caller)
+    }
+}
+
+/// A text is no identity of a request.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("'{0}' is not the identity of a request")]
+pub struct IdentityFault(String);
+
+impl FromStr for RequestIdentity {
+    type Err = IdentityFault;
+
+    fn from_str(text: &str) -> Result<Self, IdentityFault> {
+        let fault = || IdentityFault(text.to_string());
+        let (digest, caller) = text.split_once('-').ok_or_else(fault)?;
+        let mut bytes = [0; DIGEST_BYTES];
+        hex::decode_to_slice(digest, &mut bytes).map_err(|_| fault())?;
+        let caller = CallerDigest::from_str_radix(caller, 16).map_err(|_| fault())?;
+        Ok(Self { digest: RequestDigest(bytes), caller })
+    }
+}
+
+/// The digest of a caller who says its name.
+///
+/// ```
+/// use quillcove_core::crash::digest::named_caller_digest;
+///
+/// assert_ne!(named_caller_digest("coop-a"), named_caller_digest("coop-b"));
+/// ```
+pub fn named_caller_digest(name: &str) -> CallerDigest {
+    crate::rendezvous::weight("named caller", name)
+}
--- a/quillcove_core/src/entry/event.rs
+++ b/quillcove_core/src/entry/event.rs
@@ -9,6 +9,8 @@
 use crate::agent::event::{HostState, UpstreamKind};
 use crate::bundle::FleetBundle;
 use crate::class::WorkClass;
+use crate::crash::digest::RequestIdentity;
+use crate::crash::telling::CrashBeacon;
 use crate::ids::{
     AttemptId, BundleVersion, CallerId, HallName, HostId, Incarnation, ModelName, MonoTime,
     RequestId, ServiceName,
@@ -60,6 +62,8 @@
     pub prefix: Option<u64>,
     /// Most upstreams that it may be sent to, where its route names fewer than the rules.
     pub attempt_limit: Option<u32>,
+    /// What it is, whatever its id; `None` where that is not known.
+    pub identity: Option<RequestIdentity>,
 }
 
 /// One host of the platform's list.
@@ -117,6 +121,9 @@
     pub capacity: usize,
     /// Bundle in force there.
     pub bundle: BundleVersion,
+    /// Requests that were at its upstream when that ended.
+    #[serde(default, skip_serializing_if = "CrashBeacon::is_empty")]
+    pub crashes: CrashBeacon,
 }
 
 /// How one attempt ended, as far as the entry can tell.
--- a/quillcove_core/src/entry/fleet.rs
+++ b/quillcove_core/src/entry/fleet.rs
@@ -175,6 +175,7 @@
     ///     waiting: 0,
     ///     capacity: 8,
     ///     bundle: 1,
+    ///     crashes: Default::default(),
     /// };
     /// UpstreamTable::default().hear("e1", &news);
     /// ```
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -18,6 +18,7 @@
 use self::fleet::{UpstreamSummary, UpstreamTable};
 use self::retry::RetryBudget;
 use crate::bundle::FleetBundle;
+use crate::crash::book::CrashBook;
 use crate::ids::{AttemptId, BundleVersion, HostId, MonoTime, RequestId};
 use crate::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 
@@ -68,6 +69,8 @@
     requests: BTreeMap<RequestId, OpenRequest>,
     attempts: BTreeMap<AttemptId, RequestId>,
     budget: RetryBudget,
+    /// Under which requests upstreams end, as agents tell.
+    crashes: CrashBook,
     bundle: Option<Arc<FleetBundle>>,
     /// Highest version that agents were asked for.
     sought: BundleVersion,
@@ -91,6 +94,7 @@
     pub fn new(rules: EntryRules, seed: u64, now: MonoTime) -> Self {
         Self {
             budget: RetryBudget::new(rules.retry_share),
+            crashes: CrashBook::default(),
             rules,
             fleet: UpstreamTable::default(),
             requests: BTreeMap::new(),
@@ -186,12 +190,16 @@
             EntryEvent::Done(request) => self.close(request),
             EntryEvent::Heard(host, news) => {
                 self.fleet.hear(&host, &news);
+                self.crashes.take(&news.crashes, now);
                 self.seek_newer(news.bundle, out);
             },
             EntryEvent::HostsSeen(records) => self.see_hosts(now, records, out),
             EntryEvent::BundleTaken(bundle) => self.take_bundle(bundle),
             EntryEvent::StopAsked => self.is_stopping = true,
-            EntryEvent::Ticked => self.resume_due(now, out),
+            EntryEvent::Ticked => {
+                self.crashes.forget(now);
+                self.resume_due(now, out);
+            },
         }
         if self.is_stopping && self.requests.is_empty() && !self.has_stopped {
             self.has_stopped = true;
@@ -259,6 +267,13 @@
             self.finish(request, refusal, out);
             return;
         }
+        let cause = open.query.identity.and_then(|identity| self.crashes.cause(identity, now));
+        if cause.is_some() {
+            let refusal = WorkRefusal::not_run(RefusalReason::EndsUpstreams, None);
+            let refusal = combine(open.last_refusal, refusal);
+            self.finish(request, refusal, out);
+            return;
+        }
         let target = &open.query.target;
         let candidates = self.fleet.candidates(target, now, &self.rules);
         let chosen = routing::choose(&candidates, target, &open.tried, now, &self.rules, draw);
--- a/quillcove_core/tests/fuzz_agent.rs
+++ b/quillcove_core/tests/fuzz_agent.rs
@@ -332,6 +332,7 @@
             deadline: self.now + Duration::from_secs(seconds),
             caller: String::new(),
             claim: None,
+            identity: None,
         };
         self.attempts.push(order.clone());
         self.fates.insert(order.attempt, Fate::Waiting);
--- a/quillcove_core/tests/fuzz_entry.rs
+++ b/quillcove_core/tests/fuzz_entry.rs
@@ -212,6 +212,7 @@
             caller: String::new(),
             prefix: None,
             attempt_limit: None,
+            identity: None,
         }));
     }
 
@@ -279,6 +280,7 @@
                     waiting: 0,
                     capacity: 4,
                     bundle: 1,
+                    crashes: Default::default(),
                 };
                 watched.feed(EntryEvent::Heard(format!("h{host}"), news));
             },
--- a/quillcove_core/tests/model/engine_world.rs
+++ b/quillcove_core/tests/model/engine_world.rs
@@ -316,6 +316,7 @@
                     deadline: Duration::from_secs(100),
                     caller: String::new(),
                     claim: None,
+                    identity: None,
                 };
                 let next = self.with(|world| {
                     world.left.arrivals -= 1;
--- a/quillcove_core/tests/model/once_world.rs
+++ b/quillcove_core/tests/model/once_world.rs
@@ -271,6 +271,7 @@
             caller: "app".to_string(),
             prefix: None,
             attempt_limit: None,
+            identity: None,
         };
         self.open.insert(query.request);
         self.feed_entry(entry, EntryEvent::Admitted(query));
@@ -290,6 +291,7 @@
             deadline: NOW + Duration::from_secs(30),
             caller: "app".to_string(),
             claim: self.claim.clone(),
+            identity: None,
         };
         self.feed_agent(agent, AgentEvent::Ticked);
         self.feed_agent(agent, AgentEvent::Arrived(order));
