A load under which three engines ended is asked for no more

Change: a loader whose engine restarted tells relays which loads were under way; relays count them in the same book by model, adapter and version, and from the third end on ask for it no more and refuse what needs it at once. A version that any engine holds loads well. Proof: fatal_load.rs.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -10,13 +10,14 @@
 
 use dropshot::HttpServer;
 use http::Method;
-use quillcove_core::crash::book::CrashBook;
+use quillcove_core::crash::digest::load_identity;
 use quillcove_core::crash::teller::in_messages;
+use quillcove_core::crash::watch::CrashWatch;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
     ArrivedLoad, EngineBeacon, EngineGauges, EngineReport, GaugeBeacon, PeerMessage,
 };
-use quillcove_core::relay::loader::LoaderMachine;
+use quillcove_core::relay::loader::{BrokenLoad, LoaderMachine};
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_core::relay::report_stream::ReportSender;
 use quillcove_core::relay::roll::RelayRoll;
@@ -127,7 +128,7 @@
     view: Arc<Mutex<LoaderView>>,
     relays: RelayRoll,
     /// What relays have told of requests under which replicas end.
-    crashes: CrashBook,
+    crashes: CrashWatch,
     incarnation: u64,
     beacons: u64,
     sender: ReportSender,
@@ -161,7 +162,7 @@
             metrics,
             view,
             relays: RelayRoll::new(incarnation),
-            crashes: CrashBook::default(),
+            crashes: CrashWatch::default(),
             incarnation,
             beacons: 0,
             sender: ReportSender::default(),
@@ -232,7 +233,7 @@
                 }
             },
             PeerMessage::Resend(ask) => self.greet(ask.relay, now),
-            // Kept for relays that start again, and of no use here.
+            // Kept for relays that start again.
             PeerMessage::Crash(told) => drop(self.crashes.take(&told, now)),
             PeerMessage::CrashAsk(ask) => self.tell_crashes(ask.relay, now),
             PeerMessage::Load(ask) => {
@@ -266,10 +267,13 @@
         };
         let now = self.clock.now();
         let change = self.machine.take_report(report, now);
-        for (key, load) in change.arrived {
-            info!(self.log, "adapter held"; "model" => key.model, "adapter" => key.adapter,
+        self.note_broken_loads(&change.broken, now);
+        for (held, load) in change.arrived {
+            info!(self.log, "adapter held"; "model" => &held.model, "adapter" => &held.adapter,
                 "took_ms" => load.took.as_millis() as u64, "was_warm" => load.was_warm,
                 "incoming" => self.machine.report().incoming.len());
+            let version = self.machine.report().version_of(&held);
+            self.crashes.note_good(load_identity(&held, version), now);
             self.arrivals.push(load);
         }
         self.forget_relays(now);
@@ -281,6 +285,7 @@
         if change.is_changed || is_due {
             self.tell(now);
         }
+        self.tell_ends(is_due, now);
         self.tell_room(now);
         true
     }
@@ -301,14 +306,33 @@
         }
     }
 
+    /// Notes the loads under which the engine ended.
+    fn note_broken_loads(&mut self, broken: &[BrokenLoad], now: MonoTime) {
+        for load in broken {
+            info!(self.log, "engine ended while it loaded"; "model" => &load.key.model,
+                "adapter" => &load.key.adapter, "version" => load.version,
+                "replica" => &load.run.replica);
+            let identity = load_identity(&load.key, load.version);
+            self.crashes.note_broken(&load.run, identity, false, now);
+            self.crashes.confirm_end(&load.run, now);
+        }
+    }
+
+    /// Tells relays of the loads under which the engine ended.
+    fn tell_ends(&mut self, is_beacon: bool, now: MonoTime) {
+        for message in self.crashes.tell(is_beacon, now) {
+            self.send(&PeerMessage::Crash(message), self.relays.all());
+        }
+    }
+
     fn tell_crashes(&self, relay: SocketAddr, now: MonoTime) {
-        for message in in_messages(self.crashes.all(now)) {
+        for message in in_messages(self.crashes.book().all(now)) {
             self.send(&PeerMessage::Crash(message), [relay]);
         }
     }
 
     fn forget_relays(&mut self, now: MonoTime) {
-        self.crashes.forget(now);
+        self.crashes.tick(now);
         for relay in self.relays.forget(now) {
             info!(self.log, "relay no longer heard"; "relay" => %relay);
         }
--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::digest::{CallerDigest, RequestDigest, RequestIdentity};
+use super::digest::{CallerDigest, LOAD_CALLER, RequestDigest, RequestIdentity};
 use super::record::{EndMark, RequestRecord, SuspectWeight};
 use super::telling::{CrashBeacon, EndId, EndReport, EndedRequest};
 use crate::ids::MonoTime;
@@ -63,6 +63,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashBook {
     records: HashMap<RequestDigest, RequestRecord>,
+    /// Whether ends under loads were ever noted.
+    has_loads: bool,
 }
 
 impl CrashBook {
@@ -75,6 +77,16 @@
         self.records.is_empty()
     }
 
+    /// Tells whether ends under loads are among what is kept. Mostly there are none, so that reports of engines
+    /// need not be looked through.
+    ///
+    /// ```
+    /// assert!(!quillcove_core::crash::book::CrashBook::default().has_loads());
+    /// ```
+    pub fn has_loads(&self) -> bool {
+        self.has_loads && !self.is_empty()
+    }
+
     /// How many requests are kept, and how many of them were at so many ends that they may be refused.
     ///
     /// ```
@@ -99,6 +111,7 @@
         if self.records.len() >= MOST_REQUESTS && !self.records.contains_key(&identity.digest) {
             self.make_room();
         }
+        self.has_loads |= identity.caller == LOAD_CALLER;
         let record = self.records.entry(identity.digest).or_default();
         record.seen_at = now;
         record.runs_well |= runs_well;
--- a/quillcove_core/src/crash/digest.rs
+++ b/quillcove_core/src/crash/digest.rs
@@ -9,6 +9,8 @@
 use sha2::{Digest, Sha256};
 
 use crate::access::key::KeyDigest;
+use crate::ids::AdapterVersion;
+use crate::relay::beacon::AdapterKey;
 
 /// Put before each request, so that a digest of another purpose is never one of a request.
 const DIGEST_DOMAIN: &[u8] = b"quillcove request\0";
@@ -143,3 +145,23 @@
 pub fn named_caller_digest(name: &str) -> CallerDigest {
     crate::rendezvous::weight("named caller", name)
 }
+
+/// Stands for the caller of a load: it is the same load whoever wants it.
+pub(super) const LOAD_CALLER: CallerDigest = 0;
+
+/// What the load of an adapter is. An engine may end whenever it loads a broken one, as it may under a
+/// request; a newer version is another load.
+///
+/// ```
+/// use quillcove_core::crash::digest::load_identity;
+/// use quillcove_core::relay::beacon::AdapterKey;
+///
+/// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+/// assert_ne!(load_identity(&key, 1), load_identity(&key, 2));
+/// ```
+pub fn load_identity(key: &AdapterKey, version: AdapterVersion) -> RequestIdentity {
+    let body = version.to_le_bytes();
+    let (host, path) = (key.model.as_str(), key.adapter.as_str());
+    let parts = RequestParts { method: "load", host, path, key: None, body: &body };
+    RequestIdentity { digest: parts.digest(), caller: LOAD_CALLER }
+}
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -181,6 +181,21 @@
         }
     }
 
+    /// Notes a good end that every process sees for itself, so that nobody is told of it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::load_identity;
+    /// use quillcove_core::crash::watch::CrashWatch;
+    /// use quillcove_core::relay::beacon::AdapterKey;
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// CrashWatch::default().note_seen_good(load_identity(&key, 1), Duration::ZERO);
+    /// ```
+    pub fn note_seen_good(&mut self, identity: RequestIdentity, now: MonoTime) {
+        self.book.note_good(identity, now);
+    }
+
     /// Why a request is to be refused; `None` when it may run.
     ///
     /// See [`CrashWatch`] for an example.
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -66,6 +66,21 @@
     pub tokens_total: u64,
 }
 
+impl EngineReport {
+    /// The version in which an adapter is held; 0 where it is not.
+    ///
+    /// ```
+    /// use quillcove_core::relay::beacon::{AdapterKey, EngineReport};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// assert_eq!(EngineReport::default().version_of(&key), 0);
+    /// ```
+    pub fn version_of(&self, key: &AdapterKey) -> AdapterVersion {
+        let held = self.adapters.iter().find(|held| held.key == *key);
+        held.map_or(0, |held| held.version)
+    }
+}
+
 /// An adapter that came into an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ArrivedLoad {
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader.rs
@@ -4,8 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadAsk, UseBeacon};
+use super::beacon::{
+    AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadAsk, ReplicaId, UseBeacon,
+};
 use super::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
+use crate::crash::watch::ReplicaRun;
 use crate::demand::DemandMeter;
 use crate::ids::{AdapterVersion, HostId, MonoTime};
 
@@ -42,6 +45,10 @@
 /// milliseconds of the wall clock, which may have stepped back by some seconds.
 const FENCE_STEP: u64 = 10_000;
 
+/// Time for which a load that was ordered and has not come is kept, in case the engine ended under it: an
+/// engine is back some seconds after its end.
+const UNSEEN_LIFETIME: Duration = Duration::from_secs(30);
+
 /// Time after which an ordered load that did not bring its adapter is taken as lost.
 const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
 
@@ -52,6 +59,19 @@
     pub is_changed: bool,
     /// Ordered adapters that the engine holds now.
     pub arrived: Vec<(AdapterKey, ArrivedLoad)>,
+    /// Loads that were under way when the engine ended, if it has restarted.
+    pub broken: Vec<BrokenLoad>,
+}
+
+/// A load that was under way when its engine ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenLoad {
+    /// Which adapter.
+    pub key: AdapterKey,
+    /// Version that was ordered; 0 for the newest.
+    pub version: AdapterVersion,
+    /// The run of the engine that ended.
+    pub run: ReplicaRun,
 }
 
 /// An adapter whose load was ordered.
@@ -60,6 +80,7 @@
     key: AdapterKey,
     /// Least version that the load brings; an older one may be there until then.
     least: AdapterVersion,
+    replica: ReplicaId,
     at: MonoTime,
 }
 
@@ -90,6 +111,8 @@
     places: Option<u32>,
     /// Adapters whose load was ordered and that the engine does not hold yet.
     ordered: Vec<OrderedLoad>,
+    /// Loads that have not come, for longer: the engine may have ended under one.
+    unseen: Vec<OrderedLoad>,
     report: EngineReport,
     /// When the report was read; `None` before the first.
     reported_at: Option<MonoTime>,
@@ -121,6 +144,7 @@
             model_loads: VecDeque::new(),
             places: None,
             ordered: Vec::new(),
+            unseen: Vec::new(),
             report: EngineReport::default(),
             reported_at: None,
             first_report_at: None,
@@ -192,20 +216,22 @@
         let is_changed = report.models != self.report.models
             || report.adapters != self.report.adapters
             || report.incoming != self.report.incoming;
-        if self.has_restarted(&report) {
-            self.forget_engine();
-        }
+        let broken = match self.has_restarted(&report) {
+            true => self.forget_engine(),
+            false => Vec::new(),
+        };
         self.report = report;
         self.reported_at = Some(now);
         self.first_report_at.get_or_insert(now);
         let adapters = &self.report.adapters;
+        self.unseen.retain(|load| !load.is_met_by(adapters));
         let (arrived, ordered): (Vec<_>, Vec<_>) =
             self.ordered.drain(..).partition(|load| load.is_met_by(adapters));
         self.ordered = ordered;
         if self.report.models.is_empty() {
             self.known.clear();
         }
-        let mut change = ReportChange { is_changed, arrived: Vec::new() };
+        let mut change = ReportChange { is_changed, broken, arrived: Vec::new() };
         for load in arrived {
             let was_warm = !self.known.insert(load.key.clone());
             self.came_in.insert(load.key.clone(), now);
@@ -229,10 +255,18 @@
 
     /// Forgets what an engine held and was ordered before it started again. What its host has copies of
     /// it says itself.
-    fn forget_engine(&mut self) {
+    /// Forgets what a run of the engine held; gives the loads that were under way at its end.
+    fn forget_engine(&mut self) -> Vec<BrokenLoad> {
         self.ordered.clear();
         self.known.clear();
         self.came_in.clear();
+        let born = self.report.born;
+        let broken = |load: OrderedLoad| BrokenLoad {
+            key: load.key,
+            version: load.least,
+            run: ReplicaRun { replica: load.replica, born },
+        };
+        self.unseen.drain(..).map(broken).collect()
     }
 
     /// Takes an ask of the keeper. A second ask for the same thing replaces the first.
@@ -286,6 +320,7 @@
         let reported_at = self.reported_at?;
         self.asks.retain(|(_, taken)| now.saturating_sub(*taken) < ASK_LIFETIME);
         self.ordered.retain(|load| now.saturating_sub(load.at) < ORDERED_LIFETIME);
+        self.unseen.retain(|load| now.saturating_sub(load.at) < UNSEEN_LIFETIME);
         while let Some((ask, _)) = self.asks.front() {
             if self.is_done(ask) {
                 self.asks.pop_front();
@@ -303,7 +338,10 @@
                 match ask.key() {
                     Some(key) => {
                         let least = ask.version.unwrap_or(0);
-                        self.ordered.push(OrderedLoad { key, least, at: now });
+                        let replica = ask.replica.clone();
+                        let load = OrderedLoad { key, least, replica, at: now };
+                        self.unseen.push(load.clone());
+                        self.ordered.push(load);
                     },
                     None if self.is_local(&ask) => {},
                     None => self.model_loads.push_back(now),
@@ -452,7 +490,10 @@
         let may_have_begun = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
         if order.kind == OrderKind::Load && !may_have_begun {
             match ask.key() {
-                Some(key) => self.ordered.retain(|load| load.key != key),
+                Some(key) => {
+                    self.ordered.retain(|load| load.key != key);
+                    self.unseen.retain(|load| load.key != key);
+                },
                 None if self.is_local(&ask) => {},
                 None => drop(self.model_loads.pop_back()),
             }
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -150,11 +150,19 @@
                 self.refresh_copies(query, &order.replica, now);
                 RelayChoice::Send(order)
             },
+            None if holders.is_empty() && self.is_load_fatal(query, now) => {
+                refuse(RefusalReason::EndsUpstreams, Some(FORGET_TIME))
+            },
             None if query.adapter.is_some() && holders.is_empty() => self.await_load(query, now),
             None => refuse(RefusalReason::NoUpstream, Some(SOON)),
         }
     }
 
+    /// Tells whether engines end when they load what a request needs.
+    fn is_load_fatal(&self, query: &RelayQuery, now: MonoTime) -> bool {
+        query.adapter.as_ref().is_some_and(|key| self.load_ends_engines(key, now))
+    }
+
     /// The prompt by which a request's replica is chosen.
     fn prompt_of(&self, query: &RelayQuery) -> Option<ReadingPrompt> {
         match self.rules.policy.routing {
@@ -232,6 +240,9 @@
         now: MonoTime,
     ) -> Option<MonoTime> {
         let key = query.adapter.as_ref()?;
+        if self.load_ends_engines(key, now) {
+            return None;
+        }
         let version = self.newest(key);
         let lacked = LackedAdapter { key, service: &query.service, version, useful_until, holders };
         let is_new = query.looks == 0;
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -1,9 +1,10 @@
 //! Which requests are refused because replicas end under them.
 
 use super::{AttemptOrder, RelayMachine, RelayQuery};
-use crate::crash::digest::RequestIdentity;
+use crate::crash::digest::{RequestIdentity, load_identity};
 use crate::crash::watch::{CrashWatch, ReplicaRun};
 use crate::ids::MonoTime;
+use crate::relay::beacon::{AdapterKey, EngineReport};
 use crate::relay::replica::ReplicaState;
 
 /// What is to be done about an answer that broke off.
@@ -56,6 +57,27 @@
         is_refused
     }
 
+    /// Tells whether engines end when they load an adapter, in the version that would be ordered.
+    pub(super) fn load_ends_engines(&self, key: &AdapterKey, now: MonoTime) -> bool {
+        if !self.crashes.book().has_loads() {
+            return false;
+        }
+        let version = self.newest(key).unwrap_or(0);
+        self.crashes.cause(load_identity(key, version), now).is_some()
+    }
+
+    /// Notes which adapters an engine holds: their loads ended well.
+    pub(super) fn note_held_loads(&mut self, report: &EngineReport, now: MonoTime) {
+        if !self.crashes.book().has_loads() {
+            return;
+        }
+        for held in &report.adapters {
+            self.crashes.note_seen_good(load_identity(&held.key, held.version), now);
+            // A load of the newest version names none.
+            self.crashes.note_seen_good(load_identity(&held.key, 0), now);
+        }
+    }
+
     /// Notes that a replica's answer broke off. One that was about to leave ended for that.
     ///
     /// ```
--- a/quillcove_core/src/relay/machine/engines.rs
+++ b/quillcove_core/src/relay/machine/engines.rs
@@ -33,6 +33,9 @@
     /// ```
     pub fn take_report(&mut self, beacon: &EngineBeacon, now: MonoTime) -> bool {
         let is_changed = self.table.report(beacon.engine, beacon.report.clone(), now);
+        if is_changed {
+            self.note_held_loads(&beacon.report, now);
+        }
         let uses = beacon.uses.clone();
         let has_room = self.table.note_spare(beacon.engine, beacon.spare_places, uses);
         if let Some(view) = self.table.at(beacon.engine) {
--- /dev/null
+++ b/quillcove_core/tests/fatal_load.rs
@@ -0,0 +1,146 @@
+//! An adapter whose load ends its engine: it is asked of one engine after the other as long as callers want it,
+//! and each of them ends. What was known of a load ended with the engine that it ended.
+
+mod relay_site;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillcove_core::crash::digest::load_identity;
+use quillcove_core::crash::telling::CrashBeacon;
+use quillcove_core::crash::watch::CrashWatch;
+use quillcove_core::relay::beacon::{AdapterKey, EngineReport, HeldAdapter, LoadAsk};
+use quillcove_core::relay::loader::LoaderMachine;
+use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
+use quillcove_core::relay::order::OrderOutcome;
+use quillcove_core::relay::replica::{ReplicaRecord, example_record};
+use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
+use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
+use quillcove_core::verdict::RefusalReason;
+use relay_site::{address, engine_service, ms};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn broken_key() -> AdapterKey {
+    AdapterKey { model: "m".to_string(), adapter: "a1".to_string() }
+}
+
+fn report(born: u64) -> EngineReport {
+    EngineReport {
+        born: Some(born),
+        models: vec!["m".to_string()],
+        orders_taken: Some(0),
+        ..EngineReport::default()
+    }
+}
+
+/// A loader whose engine ends under the load, if it is broken; what it tells.
+fn load_at(replica: &str, is_broken: bool) -> CrashBeacon {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_report(report(1), NOW);
+    let ask = LoadAsk {
+        replica: replica.to_string(),
+        model: "m".to_string(),
+        adapter: Some("a1".to_string()),
+        version: Some(2),
+        places: 4,
+    };
+    machine.take_ask(ask, NOW);
+    assert!(machine.next_order(NOW).is_some());
+    machine.end_order(OrderOutcome::Begun, NOW);
+    let later = NOW + Duration::from_secs(6);
+    assert!(machine.next_order(later).is_none());
+    let mut after = report(if is_broken { 2 } else { 1 });
+    if !is_broken {
+        after.adapters.push(HeldAdapter { key: broken_key(), version: 2 });
+    }
+    let change = machine.take_report(after, later);
+    let mut watch = CrashWatch::default();
+    for load in change.broken {
+        watch.note_broken(&load.run, load_identity(&load.key, load.version), false, NOW);
+        watch.confirm_end(&load.run, NOW);
+    }
+    watch.tell(false, NOW).pop().unwrap_or_default()
+}
+
+#[test]
+fn a_load_under_which_three_engines_ended_is_told_to_relays_and_refused() {
+    let mut relay = CrashWatch::default();
+    for replica in ["i-1", "i-2", "i-3"] {
+        assert!(relay.cause(load_identity(&broken_key(), 2), NOW).is_none());
+        relay.take(&load_at(replica, true), NOW);
+    }
+    assert!(relay.book().has_loads());
+    assert!(relay.cause(load_identity(&broken_key(), 2), NOW).is_some());
+    // A newer version is another load.
+    assert!(relay.cause(load_identity(&broken_key(), 3), NOW).is_none());
+}
+
+#[test]
+fn a_load_that_came_is_not_blamed_for_a_later_end() {
+    assert!(load_at("i-1", false).is_empty());
+}
+
+#[test]
+fn an_adapter_that_some_engine_holds_loads_well() {
+    let mut relay = CrashWatch::default();
+    for replica in ["i-1", "i-2", "i-3"] {
+        relay.take(&load_at(replica, true), NOW);
+    }
+    relay.note_seen_good(load_identity(&broken_key(), 2), NOW + Duration::from_secs(1));
+    assert!(relay.cause(load_identity(&broken_key(), 2), NOW).is_none());
+}
+
+/// A relay before three engines without the adapter.
+fn relay_machine() -> (RelayMachine, RelayQuery) {
+    let route = RouteRecord {
+        name: "r".to_string(),
+        host: "a.example".to_string(),
+        prefix: "/".to_string(),
+        kind: RouteKind::Stream,
+        timeout: ms(15_000),
+        aim: ms(800),
+        patience: None,
+        priority: 1,
+        attempt_limit: 1,
+        is_public: true,
+        targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
+    };
+    let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    let services = vec![engine_service(100, 3.0)];
+    machine.take_sheet(RouteSheet::new(1, vec![route.clone()], services, CallerLimits::default()));
+    for port in 1..=3 {
+        let record = example_record(&format!("i-{port}"));
+        machine.list(ReplicaRecord { address: address(port), ..record }, NOW);
+    }
+    let query = RelayQuery {
+        route: Arc::new(route),
+        service: "s".to_string(),
+        model: Some("m".to_string()),
+        adapter: Some(broken_key()),
+        prompt_tokens: Some(1_100),
+        received: NOW,
+        age: Duration::ZERO,
+        deadline: NOW + ms(15_000),
+        looks: 0,
+        grant: None,
+        identity: None,
+    };
+    (machine, query)
+}
+
+#[test]
+fn a_relay_asks_for_no_load_that_ends_engines_and_refuses_what_needs_it_at_once() {
+    let (mut machine, query) = relay_machine();
+    machine.take_version(broken_key(), 2, false, NOW);
+    assert!(matches!(machine.choose(&query, &[], NOW), RelayChoice::Wait(_)));
+    for replica in ["i-1", "i-2", "i-3"] {
+        machine.crashes_mut().take(&load_at(replica, true), NOW);
+    }
+    machine.take_asks();
+    let choice = machine.choose(&query, &[], NOW);
+    assert!(
+        matches!(choice, RelayChoice::Refuse(refusal) if refusal.reason == RefusalReason::EndsUpstreams)
+    );
+    assert!(machine.take_asks().is_empty());
+}
