--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::sleep;
 
 use super::forward;
 use super::shared::RelayShared;
@@ -46,12 +46,14 @@
         () = accept_all(&listener, &shared, leaving.clone()) => {},
         _ = stopped.wait_for(|is_stopped| *is_stopped) => {},
     }
-    let end = Instant::now() + shared.settings.stop.limit.saturating_sub(STOP_MARGIN);
+    let now = shared.clock.now();
+    let end = now + shared.settings.stop.limit.saturating_sub(STOP_MARGIN);
     shared.machine().stop();
     note_ready(&shared.is_ready, false, &shared.log);
     info!(shared.log, "planned stop begins"; "in_flight" => shared.machine().in_flight());
-    let leave_at = Instant::now() + LEAVE_TIME;
-    let _ = timeout_at(leave_at, accept_all(&listener, &shared, leaving)).await;
+    let leave_at = now + LEAVE_TIME;
+    let accepted = accept_all(&listener, &shared, leaving);
+    let _ = shared.wakes.wait_until(&shared.clock, leave_at, accepted).await;
     // What is taken from now on might not end within the stop's limit: callers that still come
     // are turned away by the closed port, which tells them to try another host at once.
     drop(listener);
@@ -63,7 +65,7 @@
         // The last answers leave.
         sleep(STOP_POLL * 5).await;
     };
-    let _ = timeout_at(end, drained).await;
+    let _ = shared.wakes.wait_until(&shared.clock, end, drained).await;
 }
 
 async fn accept_all(
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use clap::ArgMatches;
 use clap_complete::Shell;
@@ -191,12 +191,12 @@
         }
         info!(log, "planned stop begins"; "in_flight" => role.in_flight());
         role.stop();
-        let limit = Instant::now() + stop.limit;
+        let clock = MonoClock::start();
         while !role.has_stopped() {
             let is_ended = tokio::select! {
                 _ = terminate.recv() => true,
                 _ = interrupt.recv() => true,
-                () = tokio::time::sleep(STOP_POLL) => Instant::now() > limit,
+                () = tokio::time::sleep(STOP_POLL) => clock.now() > stop.limit,
             };
             if is_ended {
                 return false;
