--- a/quillcove/src/clock.rs
+++ b/quillcove/src/clock.rs
@@ -32,7 +32,7 @@
     /// Starts a clock that can be put ahead by so many milliseconds, as a suspension does.
     ///
     /// ```
-    ///     /// use std::sync::atomic::{AtomicU64, Ordering};
+    /// use std::sync::atomic::{AtomicU64, Ordering};
     ///
     /// let ahead: &'static AtomicU64 = Box::leak(Box::new(AtomicU64::new(0)));
     /// let clock = quillcove::clock::MonoClock::start_shifted(ahead);
