--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use serde::Serialize;
+
 use super::digest::{CallerDigest, LOAD_CALLER, RequestDigest, RequestIdentity};
 use super::record::{EndMark, RequestRecord, SuspectWeight};
 use super::telling::{CrashBeacon, EndId, EndReport, EndedRequest};
@@ -41,6 +43,17 @@
     pub last_end: Duration,
 }
 
+/// What is known of ends, in a dump.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct CrashSummary {
+    /// Requests that were at replicas which ended.
+    pub requests: usize,
+    /// Those of them that were at so many ends that they may be refused.
+    pub fatal: usize,
+    /// Ends at which they were.
+    pub ends: usize,
+}
+
 /// Requests that were at replicas which ended.
 ///
 /// ```
@@ -87,14 +100,20 @@
         self.has_loads && !self.is_empty()
     }
 
-    /// How many requests are kept, and how many of them were at so many ends that they may be refused.
+    /// What is kept, in numbers.
     ///
     /// ```
-    /// assert_eq!(quillcove_core::crash::book::CrashBook::default().sizes(), (0, 0));
+    /// assert_eq!(quillcove_core::crash::book::CrashBook::default().summary().requests, 0);
     /// ```
-    pub fn sizes(&self) -> (usize, usize) {
+    pub fn summary(&self) -> CrashSummary {
         let is_many = |record: &&RequestRecord| record.weight().ends >= MOST_ENDS;
-        (self.records.len(), self.records.values().filter(is_many).count())
+        let ends: BTreeSet<EndId> =
+            self.records.values().flat_map(|record| record.ends_of(None)).collect();
+        CrashSummary {
+            requests: self.records.len(),
+            fatal: self.records.values().filter(is_many).count(),
+            ends: ends.len(),
+        }
     }
 
     /// Notes that a request was at a replica which ended; tells whether that is news.
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -7,6 +7,7 @@
 use super::RelayMachine;
 use crate::access::account::LimitAccount;
 use crate::access::workspace::WorkspaceRecord;
+use crate::crash::book::CrashSummary;
 use crate::entry::retry::RetryBudget;
 use crate::ids::MonoTime;
 use crate::relay::replica::{ReplicaRecord, ReplicaView};
@@ -29,9 +30,8 @@
     pub key_age_ms: Option<u64>,
     /// Workspaces in force.
     pub workspaces: Vec<WorkspaceSummary>,
-    /// Requests that were at replicas which ended, and those of them under which so many did that they may
-    /// be refused.
-    pub suspected: (usize, usize),
+    /// What is known of requests under which replicas end.
+    pub suspected: CrashSummary,
     /// Replicas known.
     pub replicas: Vec<ReplicaSummary>,
 }
@@ -89,7 +89,7 @@
             sheet: self.sheet.as_ref().map_or(0, |sheet| sheet.version),
             routes: self.sheet.as_ref().map_or(0, |sheet| sheet.route_count()),
             requests: self.requests,
-            suspected: self.crashes.book().sizes(),
+            suspected: self.crashes.book().summary(),
             retry_budget: self.budgets.values().map(RetryBudget::left).sum(),
             stopping: self.is_stopping,
             replicas: self.table.all().map(summary).collect(),
--- a/quillcove_core/tests/crash_book.rs
+++ b/quillcove_core/tests/crash_book.rs
@@ -128,7 +128,7 @@
     for body in 0..20_000 {
         end_with(&mut book, 100 + EndId::from(body), &[request(body, 2)]);
     }
-    assert!(book.sizes().0 <= 4096, "{:?}", book.sizes());
+    assert!(book.summary().requests <= 4096, "{:?}", book.summary());
     assert!(book.cause(fatal, NOW).is_some());
     let told: usize = in_messages(book.all(NOW)).iter().map(|message| message.ends.len()).sum();
     assert!(told <= 300, "{told}");
@@ -169,7 +169,7 @@
     let told = book.note_refused(request(1, 1).digest, later);
     assert_eq!(told.ends.len(), 3, "others may not have met it for long");
     book.forget(NOW + FORGET_TIME);
-    assert_eq!(book.sizes().0, 1);
+    assert_eq!(book.summary().requests, 1);
 }
 
 /// One thing that a process tells.
