An answer that ends with its connection and its replica is no good run

Found by reading: an answer that says nothing of where it ends looks whole also when its replica ended in the middle of it, and as a good run it cleared the request each time, so that it was never refused. Now only an answer that says where it ends counts as a good run; of another one the replica's port is looked at.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -276,8 +277,11 @@
         },
     };
     open.shared.pool.put(connection);
-    head.headers = heads::end_to_end(&head.headers);
     let status = head.status;
+    if status.is_success() && is_framed(&head.headers) {
+        open.note_good();
+    }
+    head.headers = heads::end_to_end(&head.headers);
     let answer = Response::from_parts(head, body);
     match status.is_server_error() && open.query.route.kind == RouteKind::Safe {
         true => AttemptEnd::Failed(AttemptFailure::Errored(Box::new(answer))),
@@ -285,6 +289,12 @@
     }
 }
 
+/// Tells whether an answer says where it ends. One that ends with its connection looks whole also when its
+/// replica ended in the middle of it.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// For how long a replica keeps an unused connection, if it says so.
 fn keep_time(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -156,9 +156,6 @@
 
 fn pass_whole(mut open: OpenRequest, answer: Response<Bytes>) -> Response<AnswerBody> {
     let status = answer.status().as_u16();
-    if answer.status().is_success() {
-        open.note_good();
-    }
     open.finish(RunVerdict::Ran, status, "answered");
     let now = open.shared.clock.now();
     let took = now.saturating_sub(open.query.received);
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -156,9 +156,13 @@
             let key = self.open.query.adapter.as_ref();
             let replica = &live.order.replica;
             self.open.shared.machine().end(replica, key, AttemptFate::Answered, now);
+            match attempt::is_framed(&live.head.headers) {
+                true => self.open.note_good(),
+                // Whether it is whole shows only in whether the replica lives.
+                false => ends::note_broken(&self.open, &live.order),
+            }
             self.open.shared.pool.put(live.connection);
         }
-        self.open.note_good();
         self.open.finish(RunVerdict::Ran, 200, "streamed");
     }
 
