--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -4,20 +4,20 @@
 //! One duty, `serve`, does all of it: the report, orders and datagrams take turns and share the
 //! machine that decides.
 
+mod crashes;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use dropshot::HttpServer;
 use http::Method;
-use quillcove_core::crash::digest::load_identity;
-use quillcove_core::crash::teller::in_messages;
 use quillcove_core::crash::watch::CrashWatch;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
     ArrivedLoad, EngineBeacon, EngineGauges, EngineReport, GaugeBeacon, PeerMessage,
 };
-use quillcove_core::relay::loader::{BrokenLoad, LoaderMachine};
+use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_core::relay::report_stream::ReportSender;
 use quillcove_core::relay::roll::RelayRoll;
@@ -272,8 +272,7 @@
             info!(self.log, "adapter held"; "model" => &held.model, "adapter" => &held.adapter,
                 "took_ms" => load.took.as_millis() as u64, "was_warm" => load.was_warm,
                 "incoming" => self.machine.report().incoming.len());
-            let version = self.machine.report().version_of(&held);
-            self.crashes.note_good(load_identity(&held, version), now);
+            self.note_good_load(&held, now);
             self.arrivals.push(load);
         }
         self.forget_relays(now);
@@ -306,31 +305,6 @@
         }
     }
 
-    /// Notes the loads under which the engine ended.
-    fn note_broken_loads(&mut self, broken: &[BrokenLoad], now: MonoTime) {
-        for load in broken {
-            info!(self.log, "engine ended while it loaded"; "model" => &load.key.model,
-                "adapter" => &load.key.adapter, "version" => load.version,
-                "replica" => &load.run.replica);
-            let identity = load_identity(&load.key, load.version);
-            self.crashes.note_broken(&load.run, identity, false, now);
-            self.crashes.confirm_end(&load.run, now);
-        }
-    }
-
-    /// Tells relays of the loads under which the engine ended.
-    fn tell_ends(&mut self, is_beacon: bool, now: MonoTime) {
-        for message in self.crashes.tell(is_beacon, now) {
-            self.send(&PeerMessage::Crash(message), self.relays.all());
-        }
-    }
-
-    fn tell_crashes(&self, relay: SocketAddr, now: MonoTime) {
-        for message in in_messages(self.crashes.book().all(now)) {
-            self.send(&PeerMessage::Crash(message), [relay]);
-        }
-    }
-
     fn forget_relays(&mut self, now: MonoTime) {
         self.crashes.tick(now);
         for relay in self.relays.forget(now) {
--- a/quillcove_core/src/relay/loader.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -1,16 +1,17 @@
 //! Orders to the one engine beside a loader.
 
+mod ordered;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::beacon::{
-    AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadAsk, ReplicaId, UseBeacon,
-};
+pub use self::ordered::BrokenLoad;
+use self::ordered::OrderedLoads;
+use super::beacon::{AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadAsk, UseBeacon};
 use super::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
-use crate::crash::watch::ReplicaRun;
 use crate::demand::DemandMeter;
-use crate::ids::{AdapterVersion, HostId, MonoTime};
+use crate::ids::{HostId, MonoTime};
 
 /// Time for which begun loads of base models are told to relays; the window in which they count, and a margin.
 const LOADS_KEPT: Duration = Duration::from_millis(5500);
@@ -45,13 +46,6 @@
 /// milliseconds of the wall clock, which may have stepped back by some seconds.
 const FENCE_STEP: u64 = 10_000;
 
-/// Time for which a load that was ordered and has not come is kept, in case the engine ended under it: an
-/// engine is back some seconds after its end.
-const UNSEEN_LIFETIME: Duration = Duration::from_secs(30);
-
-/// Time after which an ordered load that did not bring its adapter is taken as lost.
-const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
-
 /// What a new report changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReportChange {
@@ -63,33 +57,6 @@
     pub broken: Vec<BrokenLoad>,
 }
 
-/// A load that was under way when its engine ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BrokenLoad {
-    /// Which adapter.
-    pub key: AdapterKey,
-    /// Version that was ordered; 0 for the newest.
-    pub version: AdapterVersion,
-    /// The run of the engine that ended.
-    pub run: ReplicaRun,
-}
-
-/// An adapter whose load was ordered.
-#[derive(Clone, Debug)]
-struct OrderedLoad {
-    key: AdapterKey,
-    /// Least version that the load brings; an older one may be there until then.
-    least: AdapterVersion,
-    replica: ReplicaId,
-    at: MonoTime,
-}
-
-impl OrderedLoad {
-    fn is_met_by(&self, adapters: &[HeldAdapter]) -> bool {
-        adapters.iter().any(|held| held.key == self.key && held.version >= self.least)
-    }
-}
-
 /// Decides on the orders to one engine.
 ///
 /// ```
@@ -110,9 +77,7 @@
     /// Adapters for which the engine has room, by the last ask.
     places: Option<u32>,
     /// Adapters whose load was ordered and that the engine does not hold yet.
-    ordered: Vec<OrderedLoad>,
-    /// Loads that have not come, for longer: the engine may have ended under one.
-    unseen: Vec<OrderedLoad>,
+    ordered: OrderedLoads,
     report: EngineReport,
     /// When the report was read; `None` before the first.
     reported_at: Option<MonoTime>,
@@ -143,8 +108,7 @@
             under_way: None,
             model_loads: VecDeque::new(),
             places: None,
-            ordered: Vec::new(),
-            unseen: Vec::new(),
+            ordered: OrderedLoads::default(),
             report: EngineReport::default(),
             reported_at: None,
             first_report_at: None,
@@ -223,11 +187,7 @@
         self.report = report;
         self.reported_at = Some(now);
         self.first_report_at.get_or_insert(now);
-        let adapters = &self.report.adapters;
-        self.unseen.retain(|load| !load.is_met_by(adapters));
-        let (arrived, ordered): (Vec<_>, Vec<_>) =
-            self.ordered.drain(..).partition(|load| load.is_met_by(adapters));
-        self.ordered = ordered;
+        let arrived = self.ordered.arrive(&self.report.adapters);
         if self.report.models.is_empty() {
             self.known.clear();
         }
@@ -257,16 +217,9 @@
     /// it says itself.
     /// Forgets what a run of the engine held; gives the loads that were under way at its end.
     fn forget_engine(&mut self) -> Vec<BrokenLoad> {
-        self.ordered.clear();
         self.known.clear();
         self.came_in.clear();
-        let born = self.report.born;
-        let broken = |load: OrderedLoad| BrokenLoad {
-            key: load.key,
-            version: load.least,
-            run: ReplicaRun { replica: load.replica, born },
-        };
-        self.unseen.drain(..).map(broken).collect()
+        self.ordered.restart(self.report.born)
     }
 
     /// Takes an ask of the keeper. A second ask for the same thing replaces the first.
@@ -319,8 +272,7 @@
         // long: only this process is new.
         let reported_at = self.reported_at?;
         self.asks.retain(|(_, taken)| now.saturating_sub(*taken) < ASK_LIFETIME);
-        self.ordered.retain(|load| now.saturating_sub(load.at) < ORDERED_LIFETIME);
-        self.unseen.retain(|load| now.saturating_sub(load.at) < UNSEEN_LIFETIME);
+        self.ordered.expire(now);
         while let Some((ask, _)) = self.asks.front() {
             if self.is_done(ask) {
                 self.asks.pop_front();
@@ -339,9 +291,7 @@
                     Some(key) => {
                         let least = ask.version.unwrap_or(0);
                         let replica = ask.replica.clone();
-                        let load = OrderedLoad { key, least, replica, at: now };
-                        self.unseen.push(load.clone());
-                        self.ordered.push(load);
+                        self.ordered.begin(key, least, replica, now);
                     },
                     None if self.is_local(&ask) => {},
                     None => self.model_loads.push_back(now),
@@ -390,10 +340,7 @@
 
     /// Adapters on their way, those included that the engine does not report yet.
     fn coming(&self) -> usize {
-        let is_incoming =
-            |key: &AdapterKey| self.report.incoming.iter().any(|held| held.key == *key);
-        let unseen = self.ordered.iter().filter(|load| !is_incoming(&load.key)).count();
-        self.report.incoming.len() + unseen
+        self.report.incoming.len() + self.ordered.unseen(&self.report.incoming)
     }
 
     /// Tells whether the engine has a place for what is asked for, or what makes room. A new
@@ -490,10 +437,7 @@
         let may_have_begun = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
         if order.kind == OrderKind::Load && !may_have_begun {
             match ask.key() {
-                Some(key) => {
-                    self.ordered.retain(|load| load.key != key);
-                    self.unseen.retain(|load| load.key != key);
-                },
+                Some(key) => self.ordered.cancel(&key),
                 None if self.is_local(&ask) => {},
                 None => drop(self.model_loads.pop_back()),
             }
--- a/quillcove_core/tests/fatal_load.rs
+++ b/quillcove_core/tests/fatal_load.rs
@@ -15,9 +15,8 @@
 use quillcove_core::relay::order::OrderOutcome;
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
-use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
 use quillcove_core::verdict::RefusalReason;
-use relay_site::{address, engine_service, ms};
+use relay_site::{address, engine_service, ms, stream_route};
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -93,19 +92,7 @@
 
 /// A relay before three engines without the adapter.
 fn relay_machine() -> (RelayMachine, RelayQuery) {
-    let route = RouteRecord {
-        name: "r".to_string(),
-        host: "a.example".to_string(),
-        prefix: "/".to_string(),
-        kind: RouteKind::Stream,
-        timeout: ms(15_000),
-        aim: ms(800),
-        patience: None,
-        priority: 1,
-        attempt_limit: 1,
-        is_public: true,
-        targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
-    };
+    let route = stream_route();
     let mut machine = RelayMachine::new(RelayRules::default(), 1);
     let services = vec![engine_service(100, 3.0)];
     machine.take_sheet(RouteSheet::new(1, vec![route.clone()], services, CallerLimits::default()));
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -2,6 +2,7 @@
 //! sheets and adapters, repeats, and connections.
 
 mod fuzz;
+#[allow(dead_code)]
 mod relay_site;
 
 use std::collections::BTreeMap;
--- a/quillcove_core/tests/relay_copies.rs
+++ b/quillcove_core/tests/relay_copies.rs
@@ -14,8 +14,7 @@
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
-use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
-use relay_site::{address, engine_service, ms};
+use relay_site::{address, engine_service, ms, stream_route};
 
 const HOLDER: u16 = 1;
 
@@ -23,29 +22,13 @@
     AdapterKey { model: "m".to_string(), adapter: "a1".to_string() }
 }
 
-fn route() -> RouteRecord {
-    RouteRecord {
-        name: "r".to_string(),
-        host: "a.example".to_string(),
-        prefix: "/".to_string(),
-        kind: RouteKind::Stream,
-        timeout: ms(15_000),
-        aim: ms(800),
-        patience: None,
-        priority: 1,
-        attempt_limit: 1,
-        is_public: true,
-        targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
-    }
-}
-
 /// A relay that knows three engines, of which one holds the adapter; `waiting` prompts wait there, and
 /// all relays have `uses` requests for the adapter in flight.
 fn relay(waiting: u32, uses: u32) -> RelayMachine {
     let rules = RelayRules { hall: "hall-a".to_string(), ..RelayRules::default() };
     let mut machine = RelayMachine::new(rules, 1);
     let services = vec![engine_service(100, 3.0)];
-    machine.take_sheet(RouteSheet::new(1, vec![route()], services, CallerLimits::default()));
+    machine.take_sheet(RouteSheet::new(1, vec![stream_route()], services, CallerLimits::default()));
     for port in HOLDER..=3 {
         let record = example_record(&format!("i-{port}"));
         machine.list(ReplicaRecord { address: address(port), ..record }, ms(0));
@@ -77,7 +60,7 @@
 /// Sends one request for the adapter; gives the engines that were asked to load it.
 fn asked_after_one_request(machine: &mut RelayMachine) -> Vec<u16> {
     let query = RelayQuery {
-        route: Arc::new(route()),
+        route: Arc::new(stream_route()),
         service: "s".to_string(),
         model: Some("m".to_string()),
         adapter: Some(key()),
--- a/quillcove_core/tests/relay_demand.rs
+++ b/quillcove_core/tests/relay_demand.rs
@@ -1,6 +1,7 @@
 //! Which adapters a relay asks for: nothing that is there or coming, copies only where wanted, and its
 //! share of the weight store by what it lacks.
 
+#[allow(dead_code)]
 mod relay_site;
 
 use std::time::Duration;
--- a/quillcove_core/tests/relay_loads.rs
+++ b/quillcove_core/tests/relay_loads.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, unused_imports, unused_macros)]
 mod fuzz;
 
+#[allow(dead_code)]
 mod relay_site;
 
 use std::time::Duration;
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -1,6 +1,7 @@
 //! A relay's machine: routes, versions of sheets, leaving replicas, repeats, and what a request
 //! does whose adapter is in no engine.
 
+#[allow(dead_code)]
 mod relay_site;
 
 use std::sync::Arc;
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quillcove_core::relay::sheet::{EngineRecord, ModelRecord, ServiceRecord};
+use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
 
 pub fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -26,3 +27,20 @@
         EngineRecord { models: vec![model], weights_mb: 14.0, adapter_places: 8, loads_per_second };
     ServiceRecord { name: "s".to_string(), connection_limit, engine: Some(engine) }
 }
+
+/// A route for streams to the service `s`.
+pub fn stream_route() -> RouteRecord {
+    RouteRecord {
+        name: "r".to_string(),
+        host: "a.example".to_string(),
+        prefix: "/".to_string(),
+        kind: RouteKind::Stream,
+        timeout: ms(15_000),
+        aim: ms(800),
+        patience: None,
+        priority: 1,
+        attempt_limit: 1,
+        is_public: true,
+        targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
+    }
+}
--- a/quillcove_core/tests/relay_tries.rs
+++ b/quillcove_core/tests/relay_tries.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code, unused_imports, unused_macros)]
 mod fuzz;
 
+#[allow(dead_code)]
 mod relay_site;
 
 use std::sync::Arc;
