Ends of a replica whose restart is not known yet count each

Found by reading: a replica may restart under its id, and a relay knows it by its earlier run until the list is read again. Its next end had the name of the last one and was not counted. What was sent 1.5 s after an end that is known now belongs to the next end. Proof: a test in crash_book.rs, which fails with the wrong variant (one name for all ends).

--- a/quillcove/src/loader/crashes.rs
+++ b/quillcove/src/loader/crashes.rs
@@ -4,6 +4,7 @@
 
 use quillcove_core::crash::digest::load_identity;
 use quillcove_core::crash::teller::in_messages;
+use quillcove_core::crash::watch::AnswerBreak;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{AdapterKey, PeerMessage};
 use quillcove_core::relay::loader::BrokenLoad;
@@ -25,7 +26,8 @@
                 "adapter" => &load.key.adapter, "version" => load.version,
                 "replica" => &load.run.replica);
             let identity = load_identity(&load.key, load.version);
-            self.crashes.note_broken(&load.run, identity, false, now);
+            let broke = AnswerBreak { identity, has_begun: false, sent_at: now };
+            self.crashes.note_broken(&load.run, broke, now);
             self.crashes.confirm_end(&load.run, now);
         }
     }
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -113,6 +113,7 @@
     last_event: Option<&str>,
 ) -> AttemptEnd {
     let now = open.shared.clock.now();
+    open.sent_at = now;
     open.shared.machine().begin(&order.replica, open.query.adapter.as_ref(), now);
     open.begin_reading(&order.replica, now);
     let (shared, deadline) = (open.shared.clone(), open.query.deadline);
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quillcove_core::crash::watch::AnswerBreak;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::{AttemptOrder, BreakStep};
 use slog::info;
@@ -73,7 +74,8 @@
     info!(open.shared.log, "answer broke off"; "id" => &open.terms.id,
         "request" => %identity.digest, "caller" => format!("{:016x}", identity.caller),
         "replica" => &order.replica, "has_begun" => has_begun);
-    let step = open.shared.machine().note_broken(order, identity, has_begun, now);
+    let broke = AnswerBreak { identity, has_begun, sent_at: open.sent_at };
+    let step = open.shared.machine().note_broken(order, broke, now);
     match step {
         BreakStep::Ask => drop(tokio::spawn(find_out(open.shared.clone(), order.clone(), now))),
         // The end may be known already, and then this request is news.
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -45,6 +45,8 @@
     pub refusals: u32,
     /// Attempts that never left this process.
     pub unsent: u32,
+    /// When the last attempt was sent.
+    pub sent_at: MonoTime,
     pub waited: Duration,
     /// Time from the request to the first event of its stream.
     pub first_event: Option<Duration>,
@@ -314,6 +316,7 @@
         runs: 0,
         refusals: 0,
         unsent: 0,
+        sent_at: received,
         waited: Duration::ZERO,
         first_event: None,
         longest_pause: Duration::ZERO,
--- a/quillcove_core/src/agent/crashes.rs
+++ b/quillcove_core/src/agent/crashes.rs
@@ -4,7 +4,7 @@
 use super::event::RunEnd;
 use crate::crash::digest::RequestIdentity;
 use crate::crash::telling::CrashBeacon;
-use crate::crash::watch::ReplicaRun;
+use crate::crash::watch::{AnswerBreak, ReplicaRun};
 use crate::ids::MonoTime;
 
 /// Requests of which each answer tells at most: in JSON they take about 150 bytes each.
@@ -30,7 +30,8 @@
         match end {
             RunEnd::Broken => {
                 let run = self.upstream_run();
-                self.crashes.note_broken(&run, identity, false, now);
+                let broke = AnswerBreak { identity, has_begun: false, sent_at: now };
+                self.crashes.note_broken(&run, broke, now);
             },
             RunEnd::Complete(status) if (200..300).contains(&status) => {
                 self.crashes.note_good(identity, now);
--- a/quillcove_core/src/crash/telling.rs
+++ b/quillcove_core/src/crash/telling.rs
@@ -29,6 +29,21 @@
     hasher.finish()
 }
 
+/// Name of the end after this one, of a later run that goes by the same name: a replica that is back may be known
+/// by its earlier run for a while.
+///
+/// ```
+/// use quillcove_core::crash::telling::{end_id, next_end};
+///
+/// let end = end_id("i-1", None);
+/// assert_ne!(next_end(end), end);
+/// ```
+pub fn next_end(end: EndId) -> EndId {
+    let mut hasher = SipHasher13::new();
+    end.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// A request that was at a replica when that ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRequest {
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -10,7 +10,7 @@
 use super::digest::RequestIdentity;
 use super::good::GoodRuns;
 use super::teller::CrashTeller;
-use super::telling::{CrashBeacon, EndId, EndedRequest, end_id};
+use super::telling::{CrashBeacon, EndId, EndedRequest, end_id, next_end};
 use crate::ids::MonoTime;
 use crate::relay::beacon::{ReplicaId, StartTime};
 
@@ -18,8 +18,9 @@
 /// the end is heard of elsewhere. Processes notice an end within some milliseconds of each other.
 const SAME_END: Duration = Duration::from_millis(1500);
 
-/// Time for which ends are kept to which answers may still be found to belong.
-const END_LIFETIME: Duration = Duration::from_secs(10);
+/// Time for which ends are kept, to which answers may still be found to belong, and after which those of the
+/// replica's next run may be told apart.
+const END_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Broken answers that wait for word of their replica at most; past that the oldest goes.
 const MOST_BROKEN: usize = 1024;
@@ -39,9 +40,23 @@
     }
 }
 
+/// An answer that broke off.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerBreak {
+    /// The request.
+    pub identity: RequestIdentity,
+    /// Whether bytes of the answer had come.
+    pub has_begun: bool,
+    /// When the request was sent: a replica that has ended and is back may be known by its earlier run still.
+    pub sent_at: MonoTime,
+}
+
 /// An answer that broke off, as long as it is not known whether its replica ended.
 #[derive(Clone, Copy, Debug)]
 struct BrokenAnswer {
+    /// The run of the replica, as this process knows it.
+    run: EndId,
+    /// The end that it would be due to: that of the run, or of a later one under the same name.
     end: EndId,
     identity: RequestIdentity,
     has_begun: bool,
@@ -53,7 +68,7 @@
 /// ```
 /// use std::time::Duration;
 /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
-/// use quillcove_core::crash::watch::{CrashWatch, ReplicaRun};
+/// use quillcove_core::crash::watch::{AnswerBreak, CrashWatch, ReplicaRun};
 ///
 /// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
 /// let request = RequestIdentity { digest: parts.digest(), caller: 1 };
@@ -61,7 +76,8 @@
 /// let mut watch = CrashWatch::default();
 /// for replica in ["i-1", "i-2", "i-3"] {
 ///     let run = ReplicaRun { replica: replica.into(), born: None };
-///     watch.note_broken(&run, request, false, now);
+///     let broke = AnswerBreak { identity: request, has_begun: false, sent_at: now };
+///     watch.note_broken(&run, broke, now);
 ///     assert!(watch.cause(request, now).is_none());
 ///     assert_eq!(watch.confirm_end(&run, now), 1);
 /// }
@@ -88,17 +104,13 @@
     }
 
     /// Notes that an answer of a replica broke off. Tells whether it is the first one with that replica, so
-    /// that somebody has to find out whether the replica ended. `has_begun` tells whether bytes of it had come.
+    /// that somebody has to find out whether the replica ended.
     ///
     /// See [`CrashWatch`] for an example.
-    pub fn note_broken(
-        &mut self,
-        run: &ReplicaRun,
-        identity: RequestIdentity,
-        has_begun: bool,
-        now: MonoTime,
-    ) -> bool {
-        let broken = BrokenAnswer { end: run.end(), identity, has_begun, at: now };
+    pub fn note_broken(&mut self, run: &ReplicaRun, broke: AnswerBreak, now: MonoTime) -> bool {
+        let AnswerBreak { identity, has_begun, sent_at } = broke;
+        let end = self.end_after(run.end(), sent_at);
+        let broken = BrokenAnswer { run: run.end(), end, identity, has_begun, at: now };
         if self.ended.contains_key(&broken.end) {
             self.count(broken, now);
             return false;
@@ -116,10 +128,21 @@
     /// See [`CrashWatch`] for an example.
     pub fn confirm_end(&mut self, run: &ReplicaRun, now: MonoTime) -> usize {
         let end = run.end();
+        let broken = self.broken.iter().find(|broken| broken.run == end);
+        let end = broken.map_or(end, |broken| broken.end);
         self.ended.entry(end).or_insert(now);
         self.count_broken(end, |_| true, now)
     }
 
+    /// The first end of a run, and of later runs under its name, that was not known before this time.
+    fn end_after(&self, run: EndId, sent_at: MonoTime) -> EndId {
+        let mut end = run;
+        while self.ended.get(&end).is_some_and(|at| sent_at > *at + SAME_END) {
+            end = next_end(end);
+        }
+        end
+    }
+
     /// Notes that a replica was found to live: the answers broke off for another reason.
     ///
     /// ```
@@ -131,7 +154,7 @@
     /// ```
     pub fn deny_end(&mut self, run: &ReplicaRun) {
         let end = run.end();
-        self.broken.retain(|broken| broken.end != end);
+        self.broken.retain(|broken| broken.run != end);
     }
 
     /// Counts the answers that broke off with an end.
@@ -156,7 +179,7 @@
             return;
         }
         let runs_well = self.good.has_request(broken.identity.digest);
-        let BrokenAnswer { end, identity, has_begun, at } = broken;
+        let BrokenAnswer { end, identity, has_begun, at, .. } = broken;
         let ended = EndedRequest { identity, has_begun, runs_well };
         if self.book.note_end(end, ended, at, now) {
             self.teller.note_end(end, ended, at);
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -1,8 +1,8 @@
 //! Which requests are refused because replicas end under them.
 
 use super::{AttemptOrder, RelayMachine, RelayQuery};
-use crate::crash::digest::{RequestIdentity, load_identity};
-use crate::crash::watch::{CrashWatch, ReplicaRun};
+use crate::crash::digest::load_identity;
+use crate::crash::watch::{AnswerBreak, CrashWatch, ReplicaRun};
 use crate::ids::MonoTime;
 use crate::relay::beacon::{AdapterKey, EngineReport};
 use crate::relay::replica::ReplicaState;
@@ -83,6 +83,7 @@
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+    /// use quillcove_core::crash::watch::AnswerBreak;
     /// use quillcove_core::relay::machine::{AttemptOrder, BreakStep, RelayMachine, RelayRules};
     ///
     /// let address = "127.0.0.1:1".parse().unwrap();
@@ -91,13 +92,14 @@
     /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// // The replica is not listed any more.
-    /// assert_eq!(machine.note_broken(&order, identity, false, Duration::ZERO), BreakStep::Rest);
+    /// let now = Duration::ZERO;
+    /// let broke = AnswerBreak { identity, has_begun: false, sent_at: now };
+    /// assert_eq!(machine.note_broken(&order, broke, now), BreakStep::Rest);
     /// ```
     pub fn note_broken(
         &mut self,
         order: &AttemptOrder,
-        identity: RequestIdentity,
-        has_begun: bool,
+        broke: AnswerBreak,
         now: MonoTime,
     ) -> BreakStep {
         let Some(view) = self.table.get(&order.replica) else {
@@ -108,7 +110,7 @@
         }
         let has_restarted = view.record.born != order.born;
         let run = run_of(order);
-        let is_first = self.crashes.note_broken(&run, identity, has_begun, now);
+        let is_first = self.crashes.note_broken(&run, broke, now);
         if has_restarted {
             self.crashes.confirm_end(&run, now);
         }
--- a/quillcove_core/tests/crash_book.rs
+++ b/quillcove_core/tests/crash_book.rs
@@ -8,10 +8,14 @@
 use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
 use quillcove_core::crash::teller::{CrashTeller, in_messages};
 use quillcove_core::crash::telling::{CrashBeacon, EndId, EndReport, EndedRequest, GoodReport};
-use quillcove_core::crash::watch::{CrashWatch, ReplicaRun};
+use quillcove_core::crash::watch::{AnswerBreak, CrashWatch, ReplicaRun};
 
 const NOW: Duration = Duration::from_secs(1000);
 
+fn broke(identity: RequestIdentity, sent_at: Duration) -> AnswerBreak {
+    AnswerBreak { identity, has_begun: false, sent_at }
+}
+
 fn request(body: u32, caller: u64) -> RequestIdentity {
     let body = body.to_string();
     let parts =
@@ -89,7 +93,7 @@
     watch.note_good(popular, NOW);
     for replica in 0..20 {
         let run = ReplicaRun { replica: format!("i-{replica}"), born: None };
-        watch.note_broken(&run, popular, false, NOW);
+        watch.note_broken(&run, broke(popular, NOW), NOW);
         watch.confirm_end(&run, NOW);
     }
     assert!(watch.cause(popular, NOW).is_none());
@@ -104,18 +108,41 @@
     for replica in 0..4u32 {
         let at = NOW + Duration::from_secs(1) * replica;
         let run = ReplicaRun { replica: format!("i-{replica}"), born: None };
-        watch.note_broken(&run, request, false, at);
+        watch.note_broken(&run, broke(request, at), at);
         watch.confirm_end(&run, at);
     }
     assert!(watch.cause(request, NOW + Duration::from_secs(5)).is_some());
 }
 
+/// A replica that restarts under its id is known by its earlier run until the store's list is read again.
+#[test]
+fn ends_of_a_replica_whose_restarts_are_not_known_yet_count_each() {
+    let fatal = request(1, 1);
+    let mut watch = CrashWatch::default();
+    let mut other = CrashWatch::default();
+    let run = ReplicaRun { replica: "i-1".to_string(), born: Some(5) };
+    for round in 0..3u32 {
+        let at = NOW + Duration::from_secs(3) * round;
+        assert!(watch.cause(fatal, at).is_none());
+        watch.note_broken(&run, broke(fatal, at), at);
+        // One that was sent before belongs to the same end.
+        watch.note_broken(&run, broke(fatal, at - Duration::from_millis(200)), at);
+        assert_eq!(watch.confirm_end(&run, at), 2);
+        for message in watch.tell(false, at) {
+            other.take(&message, at);
+        }
+    }
+    let after = NOW + Duration::from_secs(10);
+    assert_eq!(watch.cause(fatal, after).map(|cause| cause.ends), Some(3));
+    assert_eq!(other.cause(fatal, after).map(|cause| cause.ends), Some(3));
+}
+
 #[test]
 fn an_answer_that_breaks_off_at_a_replica_that_lives_counts_for_nothing() {
     let mut watch = CrashWatch::default();
     for replica in 0..9 {
         let run = ReplicaRun { replica: format!("i-{replica}"), born: None };
-        watch.note_broken(&run, request(1, 1), false, NOW);
+        watch.note_broken(&run, broke(request(1, 1), NOW), NOW);
         watch.deny_end(&run);
         // The end of it that is heard of later has nothing to do with the answer.
         let later = CrashBeacon {
--- a/quillcove_core/tests/crash_fleet/mod.rs
+++ b/quillcove_core/tests/crash_fleet/mod.rs
@@ -8,7 +8,7 @@
 use quillcove_core::crash::digest::{RequestDigest, RequestIdentity, RequestParts};
 use quillcove_core::crash::teller::in_messages;
 use quillcove_core::crash::telling::CrashBeacon;
-use quillcove_core::crash::watch::{CrashWatch, ReplicaRun};
+use quillcove_core::crash::watch::{AnswerBreak, CrashWatch, ReplicaRun};
 
 /// Time between two steps of the fleet.
 const STEP: Duration = Duration::from_millis(10);
@@ -179,6 +179,10 @@
 }
 
 impl Running {
+    fn answer_break(&self, now: Duration) -> AnswerBreak {
+        AnswerBreak { identity: self.identity, has_begun: self.has_begun(now), sent_at: now }
+    }
+
     fn has_begun(&self, now: Duration) -> bool {
         matches!(self.kind, RunKind::Innocent { .. }) && now + RUN_TIME >= self.until + BEGIN_TIME
     }
@@ -391,12 +395,7 @@
         let hit: Vec<Running> = hit;
         for broken in hit {
             let relay = broken.relay;
-            if self.relays[relay].watch.note_broken(
-                &run,
-                broken.identity,
-                broken.has_begun(now),
-                now,
-            ) {
+            if self.relays[relay].watch.note_broken(&run, broken.answer_break(now), now) {
                 self.confirms.push_back((now + CONFIRM_TIME, relay, run.clone()));
             }
             if let RunKind::Innocent { tries } = broken.kind {
--- a/quillcove_core/tests/fatal_load.rs
+++ b/quillcove_core/tests/fatal_load.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillcove_core::crash::digest::load_identity;
+use quillcove_core::crash::digest::{RequestIdentity, load_identity};
 use quillcove_core::crash::telling::CrashBeacon;
-use quillcove_core::crash::watch::CrashWatch;
+use quillcove_core::crash::watch::{AnswerBreak, CrashWatch};
 use quillcove_core::relay::beacon::{AdapterKey, EngineReport, HeldAdapter, LoadAsk};
 use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
@@ -20,6 +20,10 @@
 
 const NOW: Duration = Duration::from_secs(10);
 
+fn broke(identity: RequestIdentity, sent_at: Duration) -> AnswerBreak {
+    AnswerBreak { identity, has_begun: false, sent_at }
+}
+
 fn broken_key() -> AdapterKey {
     AdapterKey { model: "m".to_string(), adapter: "a1".to_string() }
 }
@@ -56,7 +60,7 @@
     let change = machine.take_report(after, later);
     let mut watch = CrashWatch::default();
     for load in change.broken {
-        watch.note_broken(&load.run, load_identity(&load.key, load.version), false, NOW);
+        watch.note_broken(&load.run, broke(load_identity(&load.key, load.version), NOW), NOW);
         watch.confirm_end(&load.run, NOW);
     }
     watch.tell(false, NOW).pop().unwrap_or_default()
