A relay that takes over a list takes over what is in doubt

Change: what is in doubt is passed on as such, with the time that is left. Ruled out: leaving it out of the list (all replicas would be lost at once where entries lapse while the store is away); a slower reading of the store. Proof: a test in relay_machine.rs, which fails without the mend.

--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -8,7 +8,7 @@
 use super::{BeliefChange, RelayMachine};
 use crate::ids::{AdapterVersion, MonoTime};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
-use crate::relay::published::{PublishedState, ReadRevisions, StorePart};
+use crate::relay::published::{LapsedEntry, PublishedState, ReadRevisions, StorePart};
 use crate::relay::replica::{RecordOrder, ReplicaRecord};
 use crate::relay::sheet::RouteSheet;
 use crate::relay::store_duty::StoreKnowledge;
@@ -172,6 +172,10 @@
             HeldAdapter { key: key.clone(), version: *version }
         };
         let word = self.knowledge.word(true, Duration::ZERO);
+        let lapsed = |(id, until): (&ReplicaId, &MonoTime)| LapsedEntry {
+            replica: id.clone(),
+            left: until.saturating_sub(now),
+        };
         PublishedState {
             read: word.read,
             changed: word.changed,
@@ -180,6 +184,7 @@
             sheet: self.sheet.as_deref().cloned(),
             versions: self.versions.iter().map(version).collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
+            lapsed: self.doubted.iter().map(lapsed).collect(),
         }
     }
 
@@ -223,6 +228,11 @@
             changes.push(BeliefChange::Gone(id));
         }
         changes.extend(published.replicas.into_iter().flat_map(|record| self.list(record, now)));
+        // The other relay's doubt is this one's as well: the removal of their entries is older than what this
+        // one reads from now on, so that it would never hear of it.
+        for entry in published.lapsed {
+            self.doubted.entry(entry.replica).or_insert(now + entry.left);
+        }
         changes
     }
 
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -1,9 +1,11 @@
 //! What the platform has published, as one relay passes it on to another that can not read the
 //! store.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
-use super::beacon::HeldAdapter;
+use super::beacon::{HeldAdapter, ReplicaId};
 use super::replica::ReplicaRecord;
 use super::sheet::RouteSheet;
 use super::store_duty::ProofWord;
@@ -77,6 +79,15 @@
     }
 }
 
+/// A replica whose entry lapsed while the store was away.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LapsedEntry {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Time that its entry has left to return.
+    pub left: Duration,
+}
+
 /// All that a relay has read from the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PublishedState {
@@ -94,4 +105,6 @@
     pub versions: Vec<HeldAdapter>,
     /// Replicas that are listed.
     pub replicas: Vec<ReplicaRecord>,
+    /// Those of them whose entries lapsed while the store was away, and are given up unless they return.
+    pub lapsed: Vec<LapsedEntry>,
 }
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -191,6 +191,7 @@
         sheet: Some(sheet(2)),
         versions: vec![held("a1", 3)],
         replicas: vec![record("i-2", 2)],
+        lapsed: Vec::new(),
     };
     let changes = machine.take_published(published, ms(10));
     assert!(changes.contains(&BeliefChange::Sheet(2)), "{changes:?}");
@@ -214,6 +215,7 @@
         sheet: Some(sheet(2)),
         versions: vec![held("a1", 3)],
         replicas: vec![record("i-1", 1)],
+        lapsed: Vec::new(),
     };
     let changes = machine.take_published(published, ms(10));
     assert_eq!(changes, [BeliefChange::Sheet(2)]);
@@ -522,3 +524,26 @@
         }
     }
 }
+
+/// Seen: a request reached a replica four seconds after its entry had gone. A relay that the store had turned away
+/// read a list without the entry, doubted the replica for 2.2 s, and passed its list on meanwhile with a
+/// revision after the removal. Who took it over never heard of the removal.
+#[test]
+fn a_relay_that_takes_over_a_list_takes_over_what_is_in_doubt() {
+    let now = ms(1_000);
+    let (mut reader, mut told) =
+        (RelayMachine::new(RelayRules::default(), 1), RelayMachine::new(RelayRules::default(), 2));
+    for machine in [&mut reader, &mut told] {
+        machine.list(example_record("i-1"), now);
+        machine.list(example_record("i-2"), now);
+    }
+    reader.note_store(false, now);
+    reader.note_store(true, now);
+    let listed = reader.list_all(vec![example_record("i-2")], now);
+    assert_eq!(listed, [BeliefChange::Doubted("i-1".to_string())]);
+    reader.note_read(StorePart::Replicas, 9);
+    told.take_published(reader.published(now), now);
+    let after = now + ms(2_200);
+    assert_eq!(reader.tick(after), [BeliefChange::Gone("i-1".to_string())]);
+    assert_eq!(told.tick(after), [BeliefChange::Gone("i-1".to_string())]);
+}
