Two functions that nobody called are gone from the words on ends

Cause: CrashWatch::has_news and CrashTeller::has_news were written for a duty that asks before it tells; the duty tells at once and nothing to tell costs nothing, so that they were dead from the start, and the second one was right only while new words come last. Change: both removed, nothing else.

--- a/quillcove_core/src/crash/teller.rs
+++ b/quillcove_core/src/crash/teller.rs
@@ -91,15 +91,6 @@
         self.words.push_back(ToldWord { word, at, told: 0 });
     }
 
-    /// Tells whether something waits that was not told yet.
-    ///
-    /// ```
-    /// assert!(!quillcove_core::crash::teller::CrashTeller::default().has_news());
-    /// ```
-    pub fn has_news(&self) -> bool {
-        self.words.back().is_some_and(|word| word.told == 0)
-    }
-
     /// What is due now, in messages that fit into a datagram.
     ///
     /// See [`CrashTeller::note_end`] for an example.
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -268,15 +268,6 @@
         self.book.take(beacon, now)
     }
 
-    /// Tells whether something is to be told at once.
-    ///
-    /// ```
-    /// assert!(!quillcove_core::crash::watch::CrashWatch::default().has_news());
-    /// ```
-    pub fn has_news(&self) -> bool {
-        self.teller.has_news()
-    }
-
     /// What is to be told now, in messages that fit into a datagram: what is new, and with a beacon what was
     /// told lately.
     ///
