Sight: what replicas say of themselves in answers is decoded and logged

Cause: neither the relays' lines nor their figures tell whether an answer said that its replica leaves or wants rest, so that 'read by nobody' and 'read and wiped' could not be told apart. No decision reads it yet.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -1,16 +1,17 @@
 //! One attempt at a replica, and what its end means.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Request, Response, Uri};
+use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptFate;
 use quillcove_core::route::RouteKind;
 use quillcove_platform::heads::{self, AnswerMeaning, AttemptTerms};
+use slog::{info, warn};
 use tokio::time::timeout;
 
 use super::answers::is_event_stream;
@@ -164,6 +165,7 @@
         connection.keep_for(keep);
     }
     open.shared.machine().hear(&order.replica, open.shared.clock.now());
+    note_said(open, order, parts.status, &parts.headers);
     match heads::read_meaning(parts.status, &parts.headers, &open.terms.id) {
         AnswerMeaning::Foreign => {
             let reason = "the answer belongs to another request".to_string();
@@ -192,6 +194,22 @@
     }
 }
 
+/// Notes what a replica says of itself with an answer, whatever the answer means for the request.
+fn note_said(open: &OpenRequest, order: &AttemptOrder, status: StatusCode, headers: &HeaderMap) {
+    let (notice, fault) = heads::read_notice(status, headers, SystemTime::now());
+    let log = &open.shared.log;
+    if let Some(fault) = fault {
+        warn!(log, "word of a replica not understood"; "id" => &open.terms.id,
+            "replica" => &order.replica, "fault" => %fault);
+    }
+    if notice.is_blank() {
+        return;
+    }
+    info!(log, "replica said of itself"; "id" => &open.terms.id, "replica" => &order.replica,
+        "born" => order.born, "status" => status.as_u16(), "is_leaving" => notice.is_leaving,
+        "rest_ms" => notice.rest.map(|rest| rest.as_millis() as u64));
+}
+
 /// Sends the request over a kept connection or a new one; gives the answer's head.
 async fn send_head(
     open: &OpenRequest,
--- a/quillcove_core/src/lib.rs
+++ b/quillcove_core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`entry`] decides for callers: which upstream takes a request and when a repeat is allowed.
 //! - [`once`] keeps requests that must not run twice.
 //! - [`relay`] decides for requests that are passed through unchanged, and plans adapter loads.
+//! - [`standing`] keeps what upstreams say of themselves: that they leave, or want to rest.
 //! - [`permit`] shares the weight store's rate between agents.
 //! - [`bundle`] checks, signs and compares the configuration that operators publish.
 
@@ -31,4 +32,5 @@
 pub mod relay;
 pub mod rendezvous;
 pub mod route;
+pub mod standing;
 pub mod verdict;
