What replicas say of themselves in answers holds for all new work

Cause of both incidents: what a replica says with an answer ended with the attempt that the answer belonged to; a relay knew of a replica what is listed, what its loader reports and whether attempts fail. Class: a fact about an upstream that is kept by the request in which it was learnt.

Heard in any answer, whatever it means for the request. A replica that leaves is treated as one that is listed so; what it held is wanted elsewhere at once, and orders are given no more (its loader hears the word in reports and answers to orders, and tells relays). Looked at again where a request is sent, as a connection may have taken long. No list, report or good answer takes a word back; it stays while the entry is gone, and a new start under the same id is clean. All resting: refused at once with the soonest end, callers spread. All leaving: used for half of the drain time for what nobody else can take. Passed on to relays that ask for the list, as a hint.

Ruled out: read and wiped again by lists (nothing read it).

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -81,6 +81,7 @@
             retry_share: self.routing.retry_ratio * RETRY_RATIO_SHARE,
             retry_extra: self.routing.retry_extra,
             request_limit: self.requests.limit,
+            drain_time: self.platform.drain_time,
             policy: self.policy.0,
             right: RightRules { bound: self.access.revocation_time },
             limits: LimitRules {
--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use dropshot::HttpServer;
-use http::Method;
+use http::{HeaderMap, Method, StatusCode};
 use quillcove_core::crash::watch::CrashWatch;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::{
@@ -21,7 +21,8 @@
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_core::relay::report_stream::ReportSender;
 use quillcove_core::relay::roll::RelayRoll;
-use quillcove_platform::engine;
+use quillcove_core::standing::notice::UpstreamNotice;
+use quillcove_platform::{engine, heads};
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
@@ -266,6 +267,9 @@
             return false;
         };
         let now = self.clock.now();
+        if report.is_leaving && !self.machine.report().is_leaving {
+            info!(self.log, "engine says that it leaves"; "born" => report.born);
+        }
         let change = self.machine.take_report(report, now);
         self.note_broken_loads(&change.broken, now);
         for (held, load) in change.arrived {
@@ -296,8 +300,12 @@
         if !answer.status().is_success() {
             return None;
         }
+        let notice = self.read_notice(answer.status(), answer.headers());
         match engine::read_report(answer.body()) {
-            Ok(report) => Some(report),
+            Ok(report) => {
+                let is_leaving = report.is_leaving || notice.is_leaving;
+                Some(EngineReport { is_leaving, ..report })
+            },
             Err(fault) => {
                 warn!(self.log, "the engine's report is not understood"; "fault" => %fault);
                 None
@@ -305,6 +313,15 @@
         }
     }
 
+    /// What the engine says of itself with an answer.
+    fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice {
+        let (notice, fault) = heads::read_notice(status, headers, SystemTime::now());
+        if let Some(fault) = fault {
+            warn!(self.log, "word of the engine not understood"; "fault" => %fault);
+        }
+        notice
+    }
+
     fn forget_relays(&mut self, now: MonoTime) {
         self.crashes.tick(now);
         for relay in self.relays.forget(now) {
@@ -405,7 +422,7 @@
         outcome
     }
 
-    async fn send_order(&self, order: &LoadOrder) -> Result<OrderOutcome, WebError> {
+    async fn send_order(&mut self, order: &LoadOrder) -> Result<OrderOutcome, WebError> {
         let call =
             engine::order_call(order).map_err(|fault| WebError::NotSent(fault.to_string()))?;
         let uri = format!("http://{}{}", self.settings.engine.address, call.path);
@@ -418,6 +435,11 @@
         let answer =
             tokio::time::timeout(self.settings.engine.order_timeout, self.client.send(request));
         let answer = answer.await.map_err(|_| WebError::Lost("time is up".to_string()))??;
+        let notice = self.read_notice(answer.status(), answer.headers());
+        if !notice.is_blank() {
+            self.metrics.replica_said(&notice);
+            self.machine.note_said(&notice, self.clock.now());
+        }
         Ok(engine::order_outcome(answer.status()))
     }
 }
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -11,6 +11,7 @@
 use quillcove_core::relay::beacon::PeerMessageKind;
 use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::relay::store_duty::ReadReason;
+use quillcove_core::standing::notice::UpstreamNotice;
 use quillcove_core::verdict::{RefusalReason, RunVerdict};
 
 use crate::peers::SentMessage;
@@ -33,6 +34,7 @@
     orders: Counter<u64>,
     peer_messages: Counter<u64>,
     replica_ends: Counter<u64>,
+    replica_words: Counter<u64>,
     peer_bytes: Counter<u64>,
     own_reads: Counter<u64>,
     load_stall: Histogram<f64>,
@@ -77,6 +79,11 @@
                 "quillcove.replica_ends",
                 "Replicas that were found to have ended with requests of this process",
             ),
+            replica_words: counter(
+                &meter,
+                "quillcove.replica_words",
+                "Answers by which replicas said that they leave, or asked for rest",
+            ),
             peer_messages: counter(
                 &meter,
                 "quillcove.peer_messages",
@@ -235,6 +242,22 @@
         self.replica_ends.add(1, &[]);
     }
 
+    /// Counts an answer by which a replica said something of itself.
+    ///
+    /// ```
+    /// use quillcove_core::standing::notice::UpstreamNotice;
+    ///
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.replica_said(&UpstreamNotice { is_leaving: true, rest: None });
+    /// assert!(metrics.text().contains("quillcove_replica_words_total"));
+    /// ```
+    pub fn replica_said(&self, notice: &UpstreamNotice) {
+        let words = [("leaving", notice.is_leaving), ("rest", notice.rest.is_some())];
+        for (word, _) in words.into_iter().filter(|(_, is_said)| *is_said) {
+            self.replica_words.add(1, &[KeyValue::new("word", word)]);
+        }
+    }
+
     /// Counts a message that went to other processes of the system.
     ///
     /// ```
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -10,6 +10,7 @@
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptFate;
 use quillcove_core::route::RouteKind;
+use quillcove_core::standing::StandingChange;
 use quillcove_platform::heads::{self, AnswerMeaning, AttemptTerms};
 use slog::{info, warn};
 use tokio::time::timeout;
@@ -44,6 +45,8 @@
 pub enum AttemptFailure {
     /// Nothing left this process.
     NotSent(String),
+    /// Nothing left this process: since it was chosen, the replica took no more work.
+    Withheld,
     /// The replica says that it did not run the request.
     Refused(u16),
     /// The replica is another one (`true`), or does not hold what is asked for.
@@ -60,6 +63,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::NotSent(_) => "not_sent",
+            Self::Withheld => "withheld",
             Self::Refused(_) => "refused",
             Self::Misdirected(true) => "other_replica",
             Self::Misdirected(false) => "not_held",
@@ -74,7 +78,16 @@
             Self::NotSent(reason) | Self::Lost(reason) => reason.clone(),
             Self::Refused(status) => status.to_string(),
             Self::Errored(answer) => answer.status().as_u16().to_string(),
-            Self::Misdirected(_) | Self::TimeOver => String::new(),
+            Self::Misdirected(_) | Self::TimeOver | Self::Withheld => String::new(),
+        }
+    }
+
+    /// What it tells of the replica's health.
+    pub fn fate(&self) -> AttemptFate {
+        match self {
+            Self::NotSent(_) | Self::Lost(_) | Self::Errored(_) => AttemptFate::Failed,
+            Self::Refused(_) | Self::Misdirected(_) => AttemptFate::Refused,
+            Self::TimeOver | Self::Withheld => AttemptFate::Abandoned,
         }
     }
 }
@@ -205,9 +218,27 @@
     if notice.is_blank() {
         return;
     }
+    let now = open.shared.clock.now();
+    let mut machine = open.shared.machine();
+    let change = machine.note_said(order, &notice, now);
+    let has_asks = machine.has_asks();
+    drop(machine);
+    open.shared.metrics.replica_said(&notice);
+    if has_asks {
+        open.shared.wanted.notify_one();
+    }
+    // A replica says the same with each answer; what it changes here is worth a line.
+    let Some(change) = change else {
+        return;
+    };
+    let rest = match change {
+        StandingChange::Leaves => None,
+        StandingChange::Rests(until) => Some(until.saturating_sub(now)),
+    };
     info!(log, "replica said of itself"; "id" => &open.terms.id, "replica" => &order.replica,
         "born" => order.born, "status" => status.as_u16(), "is_leaving" => notice.is_leaving,
-        "rest_ms" => notice.rest.map(|rest| rest.as_millis() as u64));
+        "asked_rest_ms" => notice.rest.map(|rest| rest.as_millis() as u64),
+        "rest_ms" => rest.map(|rest| rest.as_millis() as u64));
 }
 
 /// Sends the request over a kept connection or a new one; gives the answer's head.
@@ -235,6 +266,13 @@
                 .map_err(AttemptFailure::NotSent)?,
         };
         let request = request_for(open, order, last_event)?;
+        // A connection may have taken long to open; what became known of the replica meanwhile goes before the
+        // choice that was made.
+        let now = open.shared.clock.now();
+        if !open.shared.machine().may_send(order, open.query.received, now) {
+            pool.put(connection);
+            return Err(AttemptFailure::Withheld);
+        }
         match connection.sender.try_send_request(request).await {
             Ok(head) => return Ok((connection, head)),
             // The request came back whole, so not a byte of it was sent.
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -12,7 +12,6 @@
 use quillcove_core::crash::digest::CallerDigest;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::{AttemptOrder, RelayChoice};
-use quillcove_core::relay::replica::AttemptFate;
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 use quillcove_platform::heads;
 use slog::info;
@@ -179,13 +178,8 @@
 ) -> Option<FailedAnswer> {
     let shared = open.shared.clone();
     let now = shared.clock.now();
-    let fate = match &failure {
-        AttemptFailure::NotSent(_) | AttemptFailure::Lost(_) => AttemptFate::Failed,
-        AttemptFailure::Refused(_) | AttemptFailure::Misdirected(_) => AttemptFate::Refused,
-        AttemptFailure::Errored(_) => AttemptFate::Failed,
-        AttemptFailure::TimeOver => AttemptFate::Abandoned,
-    };
-    let is_ejected = shared.machine().end(&order.replica, open.query.adapter.as_ref(), fate, now);
+    let key = open.query.adapter.as_ref();
+    let is_ejected = shared.machine().end(&order.replica, key, failure.fate(), now);
     info!(shared.log, "attempt failed"; "id" => &open.terms.id, "replica" => &order.replica,
         "attempt" => open.attempts, "failure" => failure.label(), "detail" => failure.detail(),
         "ejected" => is_ejected);
@@ -194,7 +188,7 @@
     }
     let kind = open.query.route.kind;
     let is_repeated = match &failure {
-        AttemptFailure::NotSent(_) => {
+        AttemptFailure::NotSent(_) | AttemptFailure::Withheld => {
             open.unsent += 1;
             open.unsent < UNSENT_LIMIT
         },
@@ -260,6 +254,7 @@
         AttemptFailure::Refused(_) => refusal(RefusalReason::Overloaded, Some(REFUSED_PAUSE)),
         AttemptFailure::Misdirected(_) => refusal(RefusalReason::WrongIncarnation, Some(SOON)),
         AttemptFailure::NotSent(_) => refusal(RefusalReason::UpstreamDown, Some(REFUSED_PAUSE)),
+        AttemptFailure::Withheld => refusal(RefusalReason::NoUpstream, Some(REFUSED_PAUSE)),
         AttemptFailure::Lost(_) => refusal(RefusalReason::UpstreamBroke, None),
         AttemptFailure::TimeOver => refusal(RefusalReason::DeadlinePassed, None),
     }
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -14,7 +14,7 @@
 use slog::info;
 
 use super::answers::{AnswerBody, BodyBreak};
-use super::attempt::{self, AttemptEnd, LiveStream};
+use super::attempt::{self, AttemptEnd, AttemptFailure, LiveStream};
 use super::ends;
 use super::events::{self, EventSplitter};
 use super::request::OpenRequest;
@@ -204,11 +204,13 @@
                     return true;
                 },
                 AttemptEnd::Whole(_) => open.runs += 1,
-                AttemptEnd::Failed(_) => {
-                    open.runs += 1;
+                AttemptEnd::Failed(failure) => {
+                    // What was withheld has not been tried.
+                    let is_tried = !matches!(failure, AttemptFailure::Withheld);
+                    open.runs += u32::from(is_tried);
                     let now = open.shared.clock.now();
                     let key = open.query.adapter.as_ref();
-                    open.shared.machine().end(&order.replica, key, AttemptFate::Failed, now);
+                    open.shared.machine().end(&order.replica, key, failure.fate(), now);
                 },
             }
         }
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -64,6 +64,8 @@
     pub tokens_used: u64,
     /// Tokens that the memory holds.
     pub tokens_total: u64,
+    /// The engine says that it leaves.
+    pub is_leaving: bool,
 }
 
 impl EngineReport {
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -263,6 +263,18 @@
         self.warm.forget(replica);
     }
 
+    /// Forgets an engine that leaves, and what was asked of it, so that it is asked of others at once.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// AdapterDemand::default().leave_engine("i-1");
+    /// ```
+    pub fn leave_engine(&mut self, replica: &str) {
+        self.forget_engine(replica);
+        self.open.retain(|_, open| open.addressed.ask.replica != replica);
+    }
+
     /// Forgets asks and wants whose time is over.
     ///
     /// ```
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -12,6 +12,8 @@
 use super::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
 use crate::demand::DemandMeter;
 use crate::ids::{HostId, MonoTime};
+use crate::standing::UpstreamStanding;
+use crate::standing::notice::UpstreamNotice;
 
 /// Time for which begun loads of base models are told to relays; the window in which they count, and a margin.
 const LOADS_KEPT: Duration = Duration::from_millis(5500);
@@ -90,6 +92,8 @@
     came_in: HashMap<AdapterKey, MonoTime>,
     /// Requests in flight for each adapter, by relay, and when the relay said so.
     in_flight: HashMap<SocketAddr, (HashMap<AdapterKey, u32>, MonoTime)>,
+    /// Rests that the engine asked for in its answers.
+    standing: UpstreamStanding,
 }
 
 impl LoaderMachine {
@@ -116,6 +120,7 @@
             known: HashSet::new(),
             came_in: HashMap::new(),
             in_flight: HashMap::new(),
+            standing: UpstreamStanding::default(),
         }
     }
 
@@ -176,10 +181,14 @@
     /// let mut machine = LoaderMachine::new("e1".into(), 1);
     /// assert!(!machine.take_report(EngineReport::default(), Duration::ZERO).is_changed);
     /// ```
-    pub fn take_report(&mut self, report: EngineReport, now: MonoTime) -> ReportChange {
+    pub fn take_report(&mut self, mut report: EngineReport, now: MonoTime) -> ReportChange {
+        // One that leaves does not come to stay; where no start is named, it may be another one by now.
+        let is_same_start = report.born.is_some() && report.born == self.report.born;
+        report.is_leaving |= is_same_start && self.report.is_leaving;
         let is_changed = report.models != self.report.models
             || report.adapters != self.report.adapters
-            || report.incoming != self.report.incoming;
+            || report.incoming != self.report.incoming
+            || report.is_leaving != self.report.is_leaving;
         let broken = match self.has_restarted(&report) {
             true => self.forget_engine(),
             false => Vec::new(),
@@ -213,12 +222,29 @@
         }
     }
 
+    /// Takes what the engine said of itself with the answer to an order. That it leaves, its reports say as well.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    /// use quillcove_core::standing::notice::UpstreamNotice;
+    ///
+    /// let notice = UpstreamNotice { is_leaving: false, rest: Some(Duration::from_secs(1)) };
+    /// let mut machine = LoaderMachine::new("e1".into(), 1);
+    /// machine.note_said(&notice, Duration::ZERO);
+    /// assert_eq!(machine.next_order(Duration::ZERO), None);
+    /// ```
+    pub fn note_said(&mut self, notice: &UpstreamNotice, now: MonoTime) {
+        self.standing.take(notice, Duration::ZERO, now);
+    }
+
     /// Forgets what an engine held and was ordered before it started again. What its host has copies of
     /// it says itself.
     /// Forgets what a run of the engine held; gives the loads that were under way at its end.
     fn forget_engine(&mut self) -> Vec<BrokenLoad> {
         self.known.clear();
         self.came_in.clear();
+        self.standing = UpstreamStanding::default();
         self.ordered.restart(self.report.born)
     }
 
@@ -265,7 +291,8 @@
     /// assert!(LoaderMachine::new("e1".into(), 1).next_order(Duration::ZERO).is_none());
     /// ```
     pub fn next_order(&mut self, now: MonoTime) -> Option<LoadOrder> {
-        if self.under_way.is_some() {
+        let takes_orders = !self.report.is_leaving && self.standing.rest_end(now).is_none();
+        if self.under_way.is_some() || !takes_orders {
             return None;
         }
         // Before the first report an engine would be taken for empty, but it may have been full for
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::{AttemptOrder, RelayChoice, RelayMachine, RelayQuery};
+use super::standing::ReplicaOffer;
+use super::{AttemptOrder, RelayChoice, RelayMachine, RelayQuery, refuse};
 use crate::crash::book::FORGET_TIME;
 use crate::ids::{AdapterVersion, MonoTime};
 use crate::relay::beacon::{AdapterKey, ReplicaId};
@@ -115,17 +116,15 @@
             return refuse(RefusalReason::EndsUpstreams, Some(FORGET_TIME));
         }
         let draw = self.draw();
-        let ready: Vec<&ReplicaView> = self
-            .table
-            .all()
-            .filter(|view| view.record.service == query.service && view.is_ready())
-            .collect();
-        if ready.is_empty() {
-            return refuse(RefusalReason::NoUpstream, Some(SOON));
-        }
+        let (offered, is_last_resort) = match self.offer(query, now) {
+            ReplicaOffer::Open(open) => (open, false),
+            ReplicaOffer::LastResort(leaving) => (leaving, true),
+            ReplicaOffer::Resting(until) => return self.refuse_resting(until, now),
+            ReplicaOffer::None => return refuse(RefusalReason::NoUpstream, Some(SOON)),
+        };
         let limit = self.connection_share(&query.service);
         let open: Vec<&ReplicaView> =
-            ready.into_iter().filter(|view| (view.in_flight as usize) < limit).collect();
+            offered.into_iter().filter(|view| (view.in_flight as usize) < limit).collect();
         if open.is_empty() {
             return RelayChoice::Refuse(WorkRefusal::overloaded());
         }
@@ -142,11 +141,7 @@
         let sampled = routing::sample(&current, self.relays, draw);
         match routing::choose(&sampled, &cost, now, draw) {
             Some(view) => {
-                let order = AttemptOrder {
-                    replica: view.record.id.clone(),
-                    born: view.record.born,
-                    address: view.record.address,
-                };
+                let order = AttemptOrder { is_last_resort, ..AttemptOrder::to(&view.record) };
                 self.refresh_copies(query, &order.replica, now);
                 RelayChoice::Send(order)
             },
@@ -284,7 +279,7 @@
                 continue;
             };
             let ready = self.table.all().filter(|view| {
-                view.record.service == service.name && view.is_ready() && view.seems_well(now)
+                view.record.service == service.name && view.takes_work(now) && view.seems_well(now)
             });
             let norm = self.table.norm(&service.name);
             let views = ready.collect();
@@ -395,7 +390,3 @@
         false => well,
     }
 }
-
-fn refuse(reason: RefusalReason, retry_after: Option<Duration>) -> RelayChoice {
-    RelayChoice::Refuse(WorkRefusal::not_run(reason, retry_after))
-}
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -5,7 +5,6 @@
 use crate::crash::watch::{AnswerBreak, CrashWatch, ReplicaRun};
 use crate::ids::MonoTime;
 use crate::relay::beacon::{AdapterKey, EngineReport};
-use crate::relay::replica::ReplicaState;
 
 /// What is to be done about an answer that broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,9 +84,9 @@
     /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
     /// use quillcove_core::crash::watch::AnswerBreak;
     /// use quillcove_core::relay::machine::{AttemptOrder, BreakStep, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
     ///
-    /// let address = "127.0.0.1:1".parse().unwrap();
-    /// let order = AttemptOrder { replica: "i-1".into(), born: None, address };
+    /// let order = AttemptOrder::to(&example_record("i-1"));
     /// let parts = RequestParts { method: "GET", host: "h", path: "/", key: None, body: b"" };
     /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
@@ -105,7 +104,7 @@
         let Some(view) = self.table.get(&order.replica) else {
             return BreakStep::Rest;
         };
-        if view.record.state == ReplicaState::Draining {
+        if !view.is_ready() {
             return BreakStep::Rest;
         }
         let has_restarted = view.record.born != order.born;
@@ -137,9 +136,9 @@
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
     ///
-    /// let address = "127.0.0.1:1".parse().unwrap();
-    /// let order = AttemptOrder { replica: "i-1".into(), born: None, address };
+    /// let order = AttemptOrder::to(&example_record("i-1"));
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert_eq!(machine.confirm_end(&order, Duration::ZERO), 0);
     /// ```
@@ -151,9 +150,9 @@
     ///
     /// ```
     /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
     ///
-    /// let address = "127.0.0.1:1".parse().unwrap();
-    /// let order = AttemptOrder { replica: "i-1".into(), born: None, address };
+    /// let order = AttemptOrder::to(&example_record("i-1"));
     /// RelayMachine::new(RelayRules::default(), 1).deny_end(&order);
     /// ```
     pub fn deny_end(&mut self, order: &AttemptOrder) {
--- a/quillcove_core/src/relay/machine/engines.rs
+++ b/quillcove_core/src/relay/machine/engines.rs
@@ -38,7 +38,9 @@
         }
         let uses = beacon.uses.clone();
         let has_room = self.table.note_spare(beacon.engine, beacon.spare_places, uses);
-        if let Some(view) = self.table.at(beacon.engine) {
+        let engine = self.table.at(beacon.engine);
+        // What an engine holds that takes no work is wanted elsewhere.
+        if let Some(view) = engine.filter(|view| view.takes_work(now)) {
             if beacon.report.models.is_empty() {
                 self.demand.forget_engine(&view.record.id);
             }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -8,6 +8,7 @@
 mod priority;
 mod published;
 mod repeats;
+mod standing;
 mod view;
 
 pub use self::crashes::BreakStep;
@@ -24,7 +25,7 @@
 use super::policy::RelayPolicy;
 use super::promise::PromiseBook;
 use super::reading::ReadingNumber;
-use super::replica::{ReplicaTable, ReplicaView};
+use super::replica::{ReplicaRecord, ReplicaTable, ReplicaView};
 use super::sheet::{RouteSheet, SheetVersion};
 use super::store_duty::StoreKnowledge;
 use super::tries::CallerTries;
@@ -51,6 +52,8 @@
     pub retry_extra: f64,
     /// Most requests in flight.
     pub request_limit: usize,
+    /// Time within which replicas that leave get no more work, by the users' rule.
+    pub drain_time: Duration,
     /// How it decides.
     pub policy: RelayPolicy,
     /// How long keys work after they were taken away.
@@ -66,6 +69,7 @@
             retry_share: 0.1,
             retry_extra: 50.0,
             request_limit: 2048,
+            drain_time: Duration::from_secs(2),
             policy: RelayPolicy::default(),
             right: RightRules::default(),
             limits: LimitRules::default(),
@@ -141,6 +145,27 @@
     pub born: Option<StartTime>,
     /// Its address.
     pub address: SocketAddr,
+    /// It leaves, and takes this as no other replica is left.
+    pub is_last_resort: bool,
+}
+
+impl AttemptOrder {
+    /// An order to send to a replica that takes work.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::AttemptOrder;
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// assert_eq!(AttemptOrder::to(&example_record("i-1")).replica, "i-1");
+    /// ```
+    pub fn to(record: &ReplicaRecord) -> Self {
+        Self {
+            replica: record.id.clone(),
+            born: record.born,
+            address: record.address,
+            is_last_resort: false,
+        }
+    }
 }
 
 /// The next step for a request.
@@ -491,3 +516,7 @@
         rendezvous::weight("draw", &self.draws.to_string())
     }
 }
+
+fn refuse(reason: RefusalReason, retry_after: Option<Duration>) -> RelayChoice {
+    RelayChoice::Refuse(WorkRefusal::not_run(reason, retry_after))
+}
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -8,7 +8,9 @@
 use super::{BeliefChange, RelayMachine};
 use crate::ids::{AdapterVersion, MonoTime};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
-use crate::relay::published::{LapsedEntry, PublishedState, ReadRevisions, StorePart};
+use crate::relay::published::{
+    LapsedEntry, LeavingReplica, PublishedState, ReadRevisions, StorePart,
+};
 use crate::relay::replica::{RecordOrder, ReplicaRecord};
 use crate::relay::sheet::RouteSheet;
 use crate::relay::store_duty::StoreKnowledge;
@@ -185,9 +187,18 @@
             versions: self.versions.iter().map(version).collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
             lapsed: self.doubted.iter().map(lapsed).collect(),
+            leaving: self.leaving_replicas().collect(),
         }
     }
 
+    /// Replicas that have said themselves that they leave, to this relay or to their loaders. What others only
+    /// told is not passed on, so that one relay's error ends with the relays that ask it.
+    fn leaving_replicas(&self) -> impl Iterator<Item = LeavingReplica> {
+        let leaving = self.table.all().filter(|view| view.leaving_since().is_some());
+        leaving
+            .map(|view| LeavingReplica { replica: view.record.id.clone(), born: view.record.born })
+    }
+
     /// Takes what another relay has read, part by part, where that is newer than what this one has;
     /// tells what changed.
     ///
@@ -217,6 +228,9 @@
         for held in std::mem::take(&mut published.versions) {
             self.take_version(held.key, held.version, true, now);
         }
+        for leaving in std::mem::take(&mut published.leaving) {
+            self.table.note_told_leaving(&leaving.replica, leaving.born, now);
+        }
         self.note_told(StorePart::Operator, &published);
         // The other relay may know more of what the operator wrote and less of the replicas.
         if published.read.replicas <= self.read().replicas {
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -1,6 +1,7 @@
 //! A relay's state in a dump.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Serialize;
 
@@ -12,6 +13,7 @@
 use crate::ids::MonoTime;
 use crate::relay::replica::{ReplicaRecord, ReplicaView};
 use crate::relay::sheet::SheetVersion;
+use crate::standing::LeavingSource;
 
 /// A relay's state in a dump.
 #[derive(Clone, Debug, Serialize)]
@@ -62,6 +64,14 @@
     pub is_well: bool,
     /// Whether its loader's report is fresh.
     pub has_report: bool,
+    /// For how long it has been known to leave by its own word or its loader's.
+    pub leaving_ms: Option<u64>,
+    /// Who said that it leaves, by an answer of its own or to another relay.
+    pub leaving_by: Option<LeavingSource>,
+    /// How long it still rests.
+    pub rest_left_ms: Option<u64>,
+    /// Requests that may go to it now, when it has just rested.
+    pub may_take: Option<u32>,
 }
 
 impl RelayMachine {
@@ -75,14 +85,19 @@
     /// assert_eq!(machine.view(Duration::ZERO).requests, 0);
     /// ```
     pub fn view(&self, now: MonoTime) -> RelayView {
+        let millis = |time: Duration| time.as_millis() as u64;
+        let age = |at| millis(now.saturating_sub(at));
         let summary = |view: &ReplicaView| ReplicaSummary {
             record: view.record.clone(),
             in_flight: view.in_flight,
             load: view.load(now),
             is_well: view.seems_well(now),
             has_report: view.report(now).is_some(),
+            leaving_ms: view.leaving_since().map(age),
+            leaving_by: view.standing.leaving().map(|word| word.source),
+            rest_left_ms: view.standing.rest_end(now).map(|end| millis(end.saturating_sub(now))),
+            may_take: view.standing.left(now),
         };
-        let age = |at| now.saturating_sub(at).as_millis() as u64;
         RelayView {
             key_age_ms: self.knowledge.proved_at().map(age),
             workspaces: self.workspace_summaries(),
--- a/quillcove_core/src/relay/packed.rs
+++ b/quillcove_core/src/relay/packed.rs
@@ -28,6 +28,7 @@
     adapters: Vec<PackedAdapter>,
     incoming: Vec<PackedAdapter>,
     is_busy: bool,
+    is_leaving: bool,
     running: u32,
     waiting: u32,
 }
@@ -36,6 +37,7 @@
     fn pack(report: &EngineReport) -> Self {
         let mut packed = Self {
             is_busy: report.is_busy,
+            is_leaving: report.is_leaving,
             running: report.running,
             waiting: report.waiting,
             ..Self::default()
@@ -67,8 +69,8 @@
 
     /// The report again; `None` when a place has no name.
     fn unpack(self) -> Option<EngineReport> {
-        let Self { names, models, local_models, adapters, incoming, is_busy, running, waiting } =
-            self;
+        let Self { names, models, local_models, adapters, incoming, .. } = self;
+        let Self { is_busy, is_leaving, running, waiting, .. } = self;
         let name = |place: ModelPlace| names.get(usize::from(place)).cloned();
         let held = |packed: PackedAdapter| {
             let key = AdapterKey { model: name(packed.model)?, adapter: packed.adapter };
@@ -81,6 +83,7 @@
             adapters: adapters.into_iter().map(held).collect::<Option<_>>()?,
             incoming: incoming.into_iter().map(held).collect::<Option<_>>()?,
             is_busy,
+            is_leaving,
             running,
             waiting,
             ..EngineReport::default()
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::beacon::{HeldAdapter, ReplicaId};
+use super::beacon::{HeldAdapter, ReplicaId, StartTime};
 use super::replica::ReplicaRecord;
 use super::sheet::RouteSheet;
 use super::store_duty::ProofWord;
@@ -88,6 +88,15 @@
     pub left: Duration,
 }
 
+/// One start of a replica that leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingReplica {
+    /// Its id.
+    pub replica: ReplicaId,
+    /// When it started, where that is known.
+    pub born: Option<StartTime>,
+}
+
 /// All that a relay has read from the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PublishedState {
@@ -107,4 +116,6 @@
     pub replicas: Vec<ReplicaRecord>,
     /// Those of them whose entries lapsed while the store was away, and are given up unless they return.
     pub lapsed: Vec<LapsedEntry>,
+    /// Replicas that have said themselves that they leave; the list may not know it yet.
+    pub leaving: Vec<LeavingReplica>,
 }
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -1,5 +1,6 @@
 //! An upstream: what the platform lists of it, what it holds, and how loaded it is.
 
+mod kept;
 mod table;
 
 use std::collections::BTreeMap;
@@ -13,6 +14,7 @@
 use super::reading::ReadingQueue;
 use super::sheet::ModelRecord;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
+use crate::standing::UpstreamStanding;
 
 /// Age up to which a loader's report goes before the platform's listing. Loaders report at least
 /// each 500 ms, so this bears two lost datagrams.
@@ -115,6 +117,10 @@
     pub record: ReplicaRecord,
     /// Requests of this process in flight there.
     pub in_flight: u32,
+    /// What it says of itself in its answers.
+    pub standing: UpstreamStanding,
+    /// Since when its loader has reported that it leaves.
+    reported_leaving: Option<MonoTime>,
     /// When the platform's listing was last taken.
     listed_at: MonoTime,
     /// The last report of its loader, and when it came.
@@ -142,6 +148,8 @@
         Self {
             record,
             in_flight: 0,
+            standing: UpstreamStanding::default(),
+            reported_leaving: None,
             listed_at: now,
             report: None,
             spare_places: None,
@@ -157,7 +165,9 @@
         }
     }
 
-    /// Tells whether it takes new work.
+    /// Tells whether it stays: neither its entry, nor its loader, nor an answer of it says that it leaves. The
+    /// last two know it first, and alone where the store is away; each word stands for itself, so that a later
+    /// one of another source takes nothing back.
     ///
     /// ```
     /// use std::time::Duration;
@@ -168,11 +178,41 @@
     /// assert!(table.get("i-1").unwrap().is_ready());
     /// ```
     pub fn is_ready(&self) -> bool {
-        self.record.state == ReplicaState::Ready
+        self.record.state == ReplicaState::Ready && self.leaving_since().is_none()
     }
 
-    /// Tells whether it seems to work: not left out after failures, and not silent while requests
-    /// are in flight.
+    /// Since when it has been known to leave by its own word or its loader's.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert_eq!(table.get("i-1").unwrap().leaving_since(), None);
+    /// ```
+    pub fn leaving_since(&self) -> Option<MonoTime> {
+        let said = self.standing.leaving().filter(|_| self.standing.is_leaving());
+        let said = said.map(|word| word.since);
+        [said, self.reported_leaving].into_iter().flatten().min()
+    }
+
+    /// Tells whether new work may go to it now: it stays, and does not rest.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(table.get("i-1").unwrap().takes_work(Duration::ZERO));
+    /// ```
+    pub fn takes_work(&self, now: MonoTime) -> bool {
+        self.is_ready() && self.standing.takes_work(now)
+    }
+
+    /// Tells whether it seems to work: not left out after failures, not silent while requests are in
+    /// flight, and no other relay told that it leaves.
     ///
     /// ```
     /// use std::time::Duration;
@@ -184,7 +224,7 @@
     /// ```
     pub fn seems_well(&self, now: MonoTime) -> bool {
         let is_silent = self.in_flight > 0 && now.saturating_sub(self.last_heard) > SILENCE_LIMIT;
-        now >= self.ejected_until && !is_silent
+        now >= self.ejected_until && !is_silent && self.standing.leaving().is_none()
     }
 
     /// Tells whether bytes came from it after this time.
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -4,10 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::kept::{KeptStandings, is_same_start};
 use super::{AttemptFate, ReplicaRecord, ReplicaView};
 use crate::ids::{MonoTime, ServiceName};
-use crate::relay::beacon::{AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId};
+use crate::relay::beacon::{
+    AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId, StartTime,
+};
 use crate::relay::reading::{ReadingNorm, ReadingNumber, ReadingPrompt};
+use crate::standing::notice::UpstreamNotice;
+use crate::standing::{LeavingSource, StandingChange, UpstreamStanding};
 
 /// Failures in a row after which a replica is left out for a while.
 const EJECT_AFTER: u32 = 3;
@@ -30,6 +35,8 @@
     norms: BTreeMap<ServiceName, ReadingNorm>,
     /// Full engines where an adapter went out of use.
     freed: BTreeSet<ReplicaId>,
+    /// What replicas without an entry have said of themselves.
+    kept: KeptStandings,
 }
 
 impl ReplicaTable {
@@ -57,7 +64,9 @@
                 is_changed
             },
             None => {
-                self.replicas.insert(record.id.clone(), ReplicaView::new(record, now));
+                let standing = self.kept.take(&record.id, record.born);
+                let view = ReplicaView { standing, ..ReplicaView::new(record, now) };
+                self.replicas.insert(view.record.id.clone(), view);
                 true
             },
         }
@@ -92,6 +101,9 @@
             return false;
         };
         self.leave(view.record.address, id);
+        if view.standing != UpstreamStanding::default() {
+            *self.kept.of(id, view.record.born) = view.standing;
+        }
         true
     }
 
@@ -173,6 +185,10 @@
             false => None,
         };
         view.reading.report(report.waiting);
+        view.reported_leaving = match report.is_leaving {
+            true => view.reported_leaving.or(Some(now)),
+            false => None,
+        };
         view.report = Some((report, now));
         view.sent_since = 0;
         is_changed
@@ -221,6 +237,7 @@
                 view.last_heard = now;
             }
             view.in_flight += 1;
+            view.standing.begin(now);
             view.sent_since += 1;
             if let Some(key) = key {
                 let fresh = || AdapterUse { key: key.clone(), sent: 0, in_flight: 0 };
@@ -290,6 +307,56 @@
         }
     }
 
+    /// Takes what one start of a replica said of itself with an answer, and gives what became known by it. The
+    /// late answer of an earlier start says nothing of the one that is there now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    /// use quillcove_core::standing::notice::UpstreamNotice;
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let notice = UpstreamNotice { is_leaving: true, rest: None };
+    /// table.note_said("i-1", None, &notice, Duration::ZERO, Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().is_ready());
+    /// ```
+    pub fn note_said(
+        &mut self,
+        id: &str,
+        born: Option<StartTime>,
+        notice: &UpstreamNotice,
+        spread: Duration,
+        now: MonoTime,
+    ) -> Option<StandingChange> {
+        self.standing_of(id, born)?.take(notice, spread, now)
+    }
+
+    /// Takes another process's word that one start of a replica leaves.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.note_told_leaving("i-1", None, Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().seems_well(Duration::ZERO));
+    /// ```
+    pub fn note_told_leaving(&mut self, id: &str, born: Option<StartTime>, now: MonoTime) {
+        if let Some(standing) = self.standing_of(id, born) {
+            standing.note_leaving(LeavingSource::Told, now);
+        }
+    }
+
+    /// The standing of one start of a replica; `None` when another start is there now.
+    fn standing_of(&mut self, id: &str, born: Option<StartTime>) -> Option<&mut UpstreamStanding> {
+        match self.replicas.get_mut(id) {
+            Some(view) => is_same_start(view.record.born, born).then_some(&mut view.standing),
+            None => Some(self.kept.of(id, born)),
+        }
+    }
+
     /// Notes the end of an attempt; tells whether the replica is left out from now.
     ///
     /// ```
--- a/quillcove_core/src/relay/report_stream.rs
+++ b/quillcove_core/src/relay/report_stream.rs
@@ -81,6 +81,7 @@
         && a.local_models == b.local_models
         && a.adapters == b.adapters
         && a.incoming == b.incoming
+        && a.is_leaving == b.is_leaving
 }
 
 /// What a relay makes of gauges.
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -192,6 +192,7 @@
         versions: vec![held("a1", 3)],
         replicas: vec![record("i-2", 2)],
         lapsed: Vec::new(),
+        leaving: Vec::new(),
     };
     let changes = machine.take_published(published, ms(10));
     assert!(changes.contains(&BeliefChange::Sheet(2)), "{changes:?}");
@@ -216,6 +217,7 @@
         versions: vec![held("a1", 3)],
         replicas: vec![record("i-1", 1)],
         lapsed: Vec::new(),
+        leaving: Vec::new(),
     };
     let changes = machine.take_published(published, ms(10));
     assert_eq!(changes, [BeliefChange::Sheet(2)]);
