--- a/quillcove_core/tests/word_fleet/mod.rs
+++ b/quillcove_core/tests/word_fleet/mod.rs
@@ -261,7 +261,7 @@
             is_there: true,
             is_leaving: false,
             running: 0,
-            rests_first: number % 3 == 0,
+            rests_first: number.is_multiple_of(3),
         };
         let replicas: Vec<SimReplica> = (0..pattern.replicas).map(replica).collect();
         let index = replicas.iter().enumerate();
--- a/quillcove_standin/src/service.rs
+++ b/quillcove_standin/src/service.rs
@@ -2,14 +2,16 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use dropshot::{
-    ApiDescription, ApiEndpoint, ApiEndpointVersions, HttpServer, Path, RequestContext,
-    UntypedBody, endpoint,
+    ApiDescription, ApiEndpoint, ApiEndpointVersions, Body, HttpServer, Path, RequestContext,
+    TypedBody, UntypedBody, endpoint,
 };
-use http::{Method, StatusCode};
+use http::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use http::{Method, Response, StatusCode};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
@@ -19,11 +21,26 @@
 /// Header that names a booking.
 pub const BOOKING_HEADER: &str = "x-booking";
 
+/// Header by which the service says that it leaves.
+pub const LEAVING_HEADER: &str = "quillcove-leaving";
+
+/// What the service says of itself with each answer.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+pub struct ServiceWords {
+    /// It leaves.
+    #[serde(default)]
+    pub leaving: bool,
+    /// It turns calls away and wants rest for so long, as the header has it.
+    pub rest: Option<String>,
+}
+
 /// State of the service.
 #[derive(Debug, Default)]
 pub struct ServiceState {
     delay: Duration,
     counts: Mutex<BTreeMap<String, u64>>,
+    calls: AtomicU64,
+    words: Mutex<ServiceWords>,
 }
 
 type Context = Arc<ServiceState>;
@@ -52,6 +69,30 @@
     pub fn counts(&self) -> BTreeMap<String, u64> {
         self.counts.lock().unwrap().clone()
     }
+
+    /// Calls that came, whether they ran or not.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_standin::service::ServiceState;
+    ///
+    /// assert_eq!(ServiceState::new(Duration::ZERO).calls(), 0);
+    /// ```
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Has it say this from now on.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_standin::service::{ServiceState, ServiceWords};
+    ///
+    /// ServiceState::new(Duration::ZERO).say(ServiceWords { leaving: true, rest: None });
+    /// ```
+    pub fn say(&self, words: ServiceWords) {
+        *self.words.lock().unwrap() = words;
+    }
 }
 
 #[derive(Deserialize, JsonSchema)]
@@ -73,6 +114,13 @@
     body: UntypedBody,
 ) -> Answer {
     let state = context.context().clone();
+    state.calls.fetch_add(1, Ordering::Relaxed);
+    let words = state.words.lock().unwrap().clone();
+    if let Some(rest) = &words.rest {
+        let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "full")?;
+        add_header(&mut answer, RETRY_AFTER, rest);
+        return Ok(answer);
+    }
     let booking = context.request.headers().get(BOOKING_HEADER);
     let booking = booking.and_then(|value| value.to_str().ok()).map(String::from);
     if let Some(booking) = &booking {
@@ -88,7 +136,28 @@
         booking,
         body: String::from_utf8_lossy(body.as_bytes()).into_owned(),
     };
-    json(StatusCode::OK, &receipt)
+    let mut answer = json(StatusCode::OK, &receipt)?;
+    if words.leaving {
+        add_header(&mut answer, HeaderName::from_static(LEAVING_HEADER), "yes");
+    }
+    Ok(answer)
+}
+
+fn add_header(answer: &mut Response<Body>, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        answer.headers_mut().insert(name, value);
+    }
+}
+
+#[endpoint { method = PUT, path = "/admin-words" }]
+async fn set_words(context: RequestContext<Context>, words: TypedBody<ServiceWords>) -> Answer {
+    context.context().say(words.into_inner());
+    plain(StatusCode::OK, "ok")
+}
+
+#[endpoint { method = GET, path = "/admin-calls" }]
+async fn read_calls(context: RequestContext<Context>) -> Answer {
+    json(StatusCode::OK, &context.context().calls())
 }
 
 #[endpoint { method = GET, path = "/admin-counts" }]
@@ -120,7 +189,11 @@
     address: SocketAddr,
 ) -> Result<HttpServer<Arc<ServiceState>>, String> {
     let mut api = ApiDescription::new();
-    let fixed = api.register(read_counts).and_then(|()| api.register(check_health));
+    let fixed = api
+        .register(read_counts)
+        .and_then(|()| api.register(read_calls))
+        .and_then(|()| api.register(set_words))
+        .and_then(|()| api.register(check_health));
     fixed.map_err(|error| error.to_string())?;
     for method in [Method::GET, Method::POST, Method::PUT, Method::PATCH, Method::DELETE] {
         let mut any = ApiEndpoint::new(
