Entry and agent: upstreams that leave or rest by their own word get no more work

Cause: as on the other edge, what an upstream says with an answer ended with that answer. Change: the agent keeps an UpstreamStanding of its upstream (in answers, reports and health checks), refuses at once what waits, gives no orders, and returns in steps; entries are told the time with the agent's news, choose others, and refuse with the soonest end, spread, when all rest. A plain service names no start: two reports in a row without the word show another one. One reader of Retry-After in the core serves both edges; values of each form are tested.

--- a/quillcove/src/agent/orders.rs
+++ b/quillcove/src/agent/orders.rs
@@ -1,7 +1,7 @@
 //! The duty that talks to the upstream about itself, and to the keeper of permits.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -20,6 +20,7 @@
 use crate::duty::DutyRing;
 use crate::metrics::ProcessMetrics;
 use crate::web::client::WebClient;
+use crate::web::headers;
 
 /// Longest time for a report or a health check.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -116,13 +117,15 @@
         if answer.status() != StatusCode::OK {
             return false;
         }
+        let notice = headers::notice(answer.status(), answer.headers(), SystemTime::now());
         let report = match upstream.kind {
             UpstreamKind::Service => Some(EngineReport::default()),
-            UpstreamKind::Engine => serde_json::from_slice(answer.body()).ok(),
+            UpstreamKind::Engine => serde_json::from_slice::<EngineReport>(answer.body()).ok(),
         };
         match report {
             Some(report) => {
-                self.tell(AgentEvent::Reported(report));
+                let leaving = report.leaving || notice.is_leaving;
+                self.tell(AgentEvent::Reported(EngineReport { leaving, ..report }));
                 true
             },
             None => false,
--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use dropshot::{ApiDescription, Body, HttpServer, Path, RequestContext, StreamingBody};
@@ -83,6 +83,15 @@
         self.settings.listen.clone()
     }
 
+    /// Takes what the upstream says of itself with an answer.
+    fn note_said(&self, status: StatusCode, headers: &HeaderMap) {
+        let notice = headers::notice(status, headers, SystemTime::now());
+        if !notice.is_blank() {
+            self.metrics.replica_said(&notice);
+            self.ring.put(AgentInput::Event(AgentEvent::Said(notice)));
+        }
+    }
+
     fn end(&self, attempt: AttemptId, end: RunEnd) {
         self.ring.put(AgentInput::Event(AgentEvent::Ended(attempt, end)));
     }
@@ -199,6 +208,7 @@
         Ok(response) => response,
         Err(error) => return end_guard.fail(&error, &news),
     };
+    state.note_said(response.status(), response.headers());
     if response.status() == StatusCode::NOT_FOUND {
         // The engine restarted empty or lost the adapter: it said that it did not run.
         return end_guard.fail(&WebError::Status(StatusCode::NOT_FOUND), &news);
@@ -230,6 +240,9 @@
     let task = tokio::spawn(async move {
         let started = state.clock.now();
         let exchange = exchange.await;
+        if let Ok((parts, _)) = &exchange {
+            state.note_said(parts.status, &parts.headers);
+        }
         let end = match &exchange {
             Ok((parts, _)) => RunEnd::Complete(parts.status.as_u16()),
             Err(error) => end_of(error),
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -1,8 +1,10 @@
 //! Names of the headers, and reading them.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
-use http::HeaderMap;
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, StatusCode};
+use quillcove_core::standing::notice::{LONGEST_REST, UpstreamNotice, read_rest};
 
 /// Start of the names of quillcove's own headers.
 const OWN_PREFIX: &str = "quillcove-";
@@ -43,6 +45,9 @@
 /// News of an agent about itself, as JSON, on each of its answers.
 pub const NEWS: &str = "quillcove-news";
 
+/// `yes` on each answer of an upstream that leaves.
+pub const LEAVING: &str = "quillcove-leaving";
+
 /// What a request is, whatever its ids, from entry to agent.
 pub const IDENTITY: &str = "quillcove-identity";
 
@@ -72,6 +77,31 @@
     text(headers, name)?.trim().parse().ok().map(Duration::from_millis)
 }
 
+/// What an upstream says of itself with an answer: that it leaves, or, with 503, for how long it wants nothing. A
+/// time that can't be read is none.
+///
+/// ```
+/// use std::time::{Duration, SystemTime};
+/// use http::{HeaderMap, StatusCode};
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("retry-after", "2".parse().unwrap());
+/// let status = StatusCode::SERVICE_UNAVAILABLE;
+/// let notice = quillcove::web::headers::notice(status, &headers, SystemTime::now());
+/// assert_eq!(notice.rest, Some(Duration::from_secs(2)));
+/// ```
+pub fn notice(status: StatusCode, headers: &HeaderMap, wall: SystemTime) -> UpstreamNotice {
+    let rest = match status {
+        StatusCode::SERVICE_UNAVAILABLE => text(headers, RETRY_AFTER.as_str()),
+        _ => None,
+    };
+    let rest = rest.and_then(|text| read_rest(text, wall)).filter(|rest| !rest.is_zero());
+    UpstreamNotice {
+        is_leaving: text(headers, LEAVING) == Some("yes"),
+        rest: rest.map(|rest| rest.min(LONGEST_REST)),
+    }
+}
+
 /// Headers that belong to one connection.
 const HOP_HEADERS: [&str; 5] =
     ["connection", "host", "content-length", "transfer-encoding", "keep-alive"];
--- a/quillcove_core/src/agent/admission.rs
+++ b/quillcove_core/src/agent/admission.rs
@@ -64,6 +64,7 @@
         out: &mut Vec<AgentAction>,
     ) -> Result<Option<OnceKey>, WorkRefusal> {
         self.check_presence()?;
+        self.check_standing(now)?;
         self.check_target(order)?;
         if order.deadline <= now {
             return Err(WorkRefusal::not_run(RefusalReason::DeadlinePassed, None));
--- a/quillcove_core/src/agent/event.rs
+++ b/quillcove_core/src/agent/event.rs
@@ -13,6 +13,7 @@
 use crate::ids::{AttemptId, BundleVersion, CallerId, Incarnation, MonoTime};
 use crate::once::book::{OnceClaim, OnceState};
 use crate::permit::PermitAnswer;
+use crate::standing::notice::UpstreamNotice;
 use crate::verdict::WorkRefusal;
 
 /// What an attempt needs from the upstream.
@@ -71,6 +72,9 @@
     pub loaded: Vec<AdapterRef>,
     /// Requests running or queued in the engine, by adapter.
     pub running: Vec<(AdapterRef, usize)>,
+    /// It says that it leaves.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// What an order asks of the engine.
@@ -140,6 +144,8 @@
     Reported(EngineReport),
     /// The upstream does not answer.
     UpstreamLost,
+    /// The upstream said this of itself with an answer.
+    Said(UpstreamNotice),
     /// An order ended.
     OrderEnded(OrderFence, OrderEnd),
     /// The keeper answered; the machine's own pace applies when none could be reached.
--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -9,6 +9,7 @@
 pub mod marks;
 mod orders;
 mod running;
+mod said;
 pub mod slots;
 pub mod view;
 pub mod waiting;
@@ -31,6 +32,7 @@
 use crate::demand::DemandMeter;
 use crate::ids::{AttemptId, HostId, Incarnation, MonoTime};
 use crate::once::book::{OnceBook, OnceKey};
+use crate::standing::UpstreamStanding;
 use crate::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 
 /// Demand meters kept; beyond them the faded ones go.
@@ -84,6 +86,10 @@
     demand: BTreeMap<AdapterRef, DemandMeter>,
     ask_after: MonoTime,
     is_upstream_up: bool,
+    /// What the upstream of now has said of itself.
+    standing: UpstreamStanding,
+    /// Reports since its word that it leaves which do not say so.
+    staying_reports: u32,
     host_state: HostState,
     is_stopping: bool,
     has_stopped: bool,
@@ -130,6 +136,8 @@
             demand: BTreeMap::new(),
             ask_after: MonoTime::ZERO,
             is_upstream_up: false,
+            standing: UpstreamStanding::default(),
+            staying_reports: 0,
             host_state: HostState::Live,
             is_stopping: false,
             has_stopped: false,
@@ -181,6 +189,7 @@
             AgentEvent::Ended(attempt, end) => self.end_run(now, attempt, end),
             AgentEvent::Reported(report) => self.take_report(now, &report, out),
             AgentEvent::UpstreamLost => self.lose_upstream(now, out),
+            AgentEvent::Said(notice) => self.take_notice(now, &notice, out),
             AgentEvent::OrderEnded(fence, end) => self.end_order(now, fence, end, out),
             AgentEvent::PermitAnswered(answer) => self.take_permit(now, answer, out),
             AgentEvent::BundleTaken(bundle) => self.take_bundle(now, bundle),
@@ -209,7 +218,10 @@
         self.release_lingering(now);
         if self.is_confirmed && self.hold_claim(now, out) {
             self.start_ready(now, out);
-            self.advance_loads(now, out);
+            // An engine that leaves or rests gets no orders either.
+            if self.check_standing(now).is_ok() {
+                self.advance_loads(now, out);
+            }
         }
         if self.is_stopping && self.running.is_empty() && !self.has_stopped {
             self.has_stopped = true;
@@ -221,9 +233,11 @@
         if !self.is_upstream_up || self.seen_incarnation != report.incarnation {
             self.note_upstream_end(now);
             self.upstream_runs += 1;
+            self.standing = UpstreamStanding::default();
             self.seen_incarnation = report.incarnation;
         }
         self.is_upstream_up = true;
+        self.note_reported_leaving(now, report.leaving, out);
         if self.rules.kind == UpstreamKind::Service {
             return;
         }
--- a/quillcove_core/src/agent/running.rs
+++ b/quillcove_core/src/agent/running.rs
@@ -10,7 +10,8 @@
 
 impl AgentMachine {
     pub(super) fn start_ready(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
-        while self.running.len() < self.capacity() {
+        // After a rest, a few at a time.
+        while self.running.len() < self.capacity() && self.may_start(now) {
             let is_ready = |target: &WorkTarget| self.is_target_ready(target);
             let may_start_batch = self.may_start_batch(now);
             let is_admitted = |class| class != WorkClass::Batch || may_start_batch;
@@ -49,6 +50,7 @@
 
     fn start(&mut self, now: MonoTime, attempt: WaitingAttempt, out: &mut Vec<AgentAction>) {
         let id = attempt.order.attempt;
+        self.standing.begin(now);
         self.note_use(now, &attempt.order.target);
         self.marks.set(id, AttemptMark::Started);
         let running = RunningAttempt {
--- a/quillcove_core/src/agent/view.rs
+++ b/quillcove_core/src/agent/view.rs
@@ -37,6 +37,10 @@
     pub upstream_up: bool,
     /// Whether new work is refused because the process or its host leaves.
     pub leaving: bool,
+    /// Whether the upstream says that it leaves.
+    pub upstream_leaving: bool,
+    /// How long entries are to send nothing, as the upstream rests or leaves.
+    pub rest_left_ms: u64,
     /// Bundle in force, 0 for none.
     pub bundle: BundleVersion,
     /// Attempts at the upstream.
@@ -86,6 +90,8 @@
             kind: self.rules.kind,
             upstream_up: self.is_upstream_up,
             leaving: self.is_leaving(),
+            upstream_leaving: self.standing.is_leaving(),
+            rest_left_ms: self.rest_left(now).as_millis() as u64,
             bundle: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
             running: self.running.len(),
             waiting: self.room.len(),
@@ -156,6 +162,7 @@
             capacity: self.capacity(),
             bundle: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
             crashes: self.crash_news(),
+            rest_ms: self.rest_left(self.last_event).as_millis() as u64,
         }
     }
 
--- a/quillcove_core/src/entry/event.rs
+++ b/quillcove_core/src/entry/event.rs
@@ -124,6 +124,13 @@
     /// Requests that were at its upstream when that ended.
     #[serde(default, skip_serializing_if = "CrashBeacon::is_empty")]
     pub crashes: CrashBeacon,
+    /// How long its upstream still wants no work, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub rest_ms: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// How one attempt ended, as far as the entry can tell.
--- a/quillcove_core/src/entry/fleet.rs
+++ b/quillcove_core/src/entry/fleet.rs
@@ -8,6 +8,8 @@
 use super::event::{AgentNews, EntryRules, HostRecord, RouteTarget};
 use crate::agent::event::HostState;
 use crate::ids::{HostId, Incarnation, MonoTime};
+use crate::standing::UpstreamStanding;
+use crate::standing::notice::UpstreamNotice;
 
 /// Longest time that an upstream is left out.
 const LAST_EJECTION: Duration = Duration::from_secs(30);
@@ -26,6 +28,8 @@
     pub is_listed: bool,
     /// The agent said that it leaves.
     pub says_leaving: bool,
+    /// Rests of its upstream, of which its agent told.
+    pub standing: UpstreamStanding,
     /// Requests of this entry there.
     pub in_flight: usize,
     /// Attempts running there, by its last news.
@@ -48,6 +52,7 @@
     fn new(record: HostRecord) -> Self {
         Self {
             says_leaving: false,
+            standing: UpstreamStanding::default(),
             record,
             is_listed: true,
             incarnation: 0,
@@ -119,6 +124,8 @@
     pub leaving: bool,
     /// Whether it is left out after failures.
     pub ejected: bool,
+    /// How long its upstream still wants no work, in milliseconds.
+    pub rest_left_ms: u64,
     /// Requests of this entry there.
     pub in_flight: usize,
     /// Attempts running there, by its last news.
@@ -157,6 +164,7 @@
         if upstream.record.address != record.address {
             upstream.incarnation = 0;
             upstream.says_leaving = false;
+            upstream.standing = UpstreamStanding::default();
         }
         upstream.is_listed = true;
         upstream.record = record;
@@ -176,18 +184,22 @@
     ///     capacity: 8,
     ///     bundle: 1,
     ///     crashes: Default::default(),
+    ///     rest_ms: 0,
     /// };
-    /// UpstreamTable::default().hear("e1", &news);
+    /// UpstreamTable::default().hear("e1", &news, Default::default());
     /// ```
-    pub fn hear(&mut self, host: &str, news: &AgentNews) {
+    pub fn hear(&mut self, host: &str, news: &AgentNews, now: MonoTime) {
         let Some(upstream) = self.upstreams.get_mut(host) else {
             return;
         };
         if upstream.incarnation != news.incarnation {
             upstream.incarnation = news.incarnation;
             upstream.says_leaving = false;
+            upstream.standing = UpstreamStanding::default();
         }
         upstream.says_leaving |= news.leaving;
+        let rest = (news.rest_ms > 0).then(|| Duration::from_millis(news.rest_ms));
+        upstream.standing.take(&UpstreamNotice { is_leaving: false, rest }, Duration::ZERO, now);
         upstream.running = news.running;
         upstream.waiting = news.waiting;
         upstream.capacity = news.capacity;
@@ -231,10 +243,11 @@
     /// ```
     /// use quillcove_core::entry::fleet::UpstreamTable;
     ///
-    /// UpstreamTable::default().begin("e1");
+    /// UpstreamTable::default().begin("e1", std::time::Duration::ZERO);
     /// ```
-    pub fn begin(&mut self, host: &str) {
+    pub fn begin(&mut self, host: &str, now: MonoTime) {
         if let Some(upstream) = self.upstreams.get_mut(host) {
+            upstream.standing.begin(now);
             upstream.in_flight += 1;
         }
     }
@@ -290,6 +303,30 @@
         upstream.returned = Some(upstream.ejected_until);
     }
 
+    /// Agents that fit a target and do not leave.
+    fn staying<'a, 'b>(
+        &'a self,
+        target: &'b RouteTarget,
+    ) -> impl Iterator<Item = &'a UpstreamView> + use<'a, 'b> {
+        let staying = self.upstreams.values().filter(|upstream| !upstream.is_leaving());
+        staying.filter(|upstream| upstream.record.fits(target))
+    }
+
+    /// When the first of the agents for a target takes work again, if all of their upstreams rest.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::entry::event::RouteTarget;
+    /// use quillcove_core::entry::fleet::UpstreamTable;
+    ///
+    /// let target = RouteTarget::Service("booking".into());
+    /// assert_eq!(UpstreamTable::default().rest_end(&target, Duration::ZERO), None);
+    /// ```
+    pub fn rest_end(&self, target: &RouteTarget, now: MonoTime) -> Option<MonoTime> {
+        let ends = self.staying(target).map(|upstream| upstream.standing.takes_work_from(now));
+        ends.min().filter(|end| *end > now)
+    }
+
     /// Agents that may take a request: those for its target that do not leave, less those left
     /// out after failures as long as enough others stay.
     ///
@@ -308,9 +345,8 @@
         now: MonoTime,
         rules: &EntryRules,
     ) -> Vec<&UpstreamView> {
-        let staying = self.upstreams.values().filter(|upstream| !upstream.is_leaving());
         let all: Vec<&UpstreamView> =
-            staying.filter(|upstream| upstream.record.fits(target)).collect();
+            self.staying(target).filter(|upstream| upstream.standing.takes_work(now)).collect();
         let healthy: Vec<&UpstreamView> =
             all.iter().copied().filter(|upstream| now >= upstream.ejected_until).collect();
         let floor = (all.len() as f64 * rules.eject_floor).ceil() as usize;
@@ -337,6 +373,7 @@
             incarnation: upstream.incarnation,
             leaving: upstream.is_leaving(),
             ejected: now < upstream.ejected_until,
+            rest_left_ms: rest_left(upstream, now),
             in_flight: upstream.in_flight,
             running: upstream.running,
             waiting: upstream.waiting,
@@ -344,3 +381,8 @@
         self.upstreams.values().map(summary).collect()
     }
 }
+
+fn rest_left(upstream: &UpstreamView, now: MonoTime) -> u64 {
+    let end = upstream.standing.rest_end(now);
+    end.map_or(0, |end| end.saturating_sub(now).as_millis() as u64)
+}
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -20,6 +20,7 @@
 use crate::bundle::FleetBundle;
 use crate::crash::book::CrashBook;
 use crate::ids::{AttemptId, BundleVersion, HostId, MonoTime, RequestId};
+use crate::standing::spread_return;
 use crate::verdict::{RefusalReason, RunVerdict, SOON, WorkRefusal};
 
 /// One request in flight.
@@ -189,7 +190,7 @@
             EntryEvent::AttemptEnded(attempt, end) => self.end_attempt(now, attempt, end, out),
             EntryEvent::Done(request) => self.close(request),
             EntryEvent::Heard(host, news) => {
-                self.fleet.hear(&host, &news);
+                self.fleet.hear(&host, &news, now);
                 self.crashes.take(&news.crashes, now);
                 self.seek_newer(news.bundle, out);
             },
@@ -279,7 +280,7 @@
         let chosen = routing::choose(&candidates, target, &open.tried, now, &self.rules, draw);
         let Some(host) = chosen else {
             let refusal = open.last_refusal;
-            let none = WorkRefusal::not_run(RefusalReason::NoUpstream, Some(SOON));
+            let none = self.refusal_of_none(now, request);
             self.finish(request, refusal.unwrap_or(none), out);
             return;
         };
@@ -288,7 +289,7 @@
         open.current = Some((attempt, host.clone()));
         open.resume_at = None;
         self.attempts.insert(attempt, request);
-        self.fleet.begin(&host);
+        self.fleet.begin(&host, now);
         let Some(upstream) = self.fleet.get(&host) else {
             return;
         };
@@ -301,6 +302,17 @@
         }));
     }
 
+    /// Why no upstream takes a request: all rest, or there is none. Callers of one moment are told different times,
+    /// so that they do not return as one herd.
+    fn refusal_of_none(&mut self, now: MonoTime, request: RequestId) -> WorkRefusal {
+        let target = self.requests.get(&request).map(|open| &open.query.target);
+        let Some(end) = target.and_then(|target| self.fleet.rest_end(target, now)) else {
+            return WorkRefusal::not_run(RefusalReason::NoUpstream, Some(SOON));
+        };
+        let left = spread_return(end.saturating_sub(now), self.draw());
+        WorkRefusal::not_run(RefusalReason::Overloaded, Some(left))
+    }
+
     fn draw(&mut self) -> u64 {
         self.draws = self.draws.wrapping_add(1);
         crate::rendezvous::weight("draw", &self.draws.to_string())
--- a/quillcove_core/src/relay/machine/standing.rs
+++ b/quillcove_core/src/relay/machine/standing.rs
@@ -5,8 +5,8 @@
 use super::{AttemptOrder, RelayChoice, RelayMachine, RelayQuery, refuse};
 use crate::ids::MonoTime;
 use crate::relay::replica::{ReplicaState, ReplicaView};
-use crate::standing::StandingChange;
 use crate::standing::notice::UpstreamNotice;
+use crate::standing::{StandingChange, share_of, spread_return};
 use crate::verdict::RefusalReason;
 
 /// Share of the time within which a leaving replica may still get work for which it is used when no other one is
@@ -20,9 +20,6 @@
 /// Most that a rest is lengthened by.
 const MOST_SPREAD: Duration = Duration::from_secs(1);
 
-/// Part of the time until the soonest end of a rest over which refused callers are spread beyond it.
-const CALLER_SPREAD: f64 = 0.25;
-
 /// Replicas that may be chosen for a request.
 pub(super) enum ReplicaOffer<'a> {
     /// These take work.
@@ -137,13 +134,7 @@
     /// Refuses a request because all replicas rest. Held until one returns, it would reach it together with all
     /// others that waited; its caller comes back after the first end, each at a moment of its own.
     pub(super) fn refuse_resting(&mut self, until: MonoTime, now: MonoTime) -> RelayChoice {
-        let left = until.saturating_sub(now);
-        let spread = left.mul_f64(CALLER_SPREAD * share_of(self.draw()));
-        refuse(RefusalReason::Overloaded, Some(left + spread))
+        let left = spread_return(until.saturating_sub(now), self.draw());
+        refuse(RefusalReason::Overloaded, Some(left))
     }
 }
-
-/// A draw as a share from 0 to 1.
-fn share_of(draw: u64) -> f64 {
-    draw as f64 / u64::MAX as f64
-}
--- a/quillcove_core/src/standing/mod.rs
+++ b/quillcove_core/src/standing/mod.rs
@@ -21,6 +21,28 @@
 /// about as many as an engine works on at once.
 const RETURN_STEPS: u32 = 6;
 
+/// Part of the time until the soonest end of a rest over which refused callers are spread beyond it.
+const CALLER_SPREAD: f64 = 0.25;
+
+/// When a caller is to come back that is refused as all upstreams rest for so long. Each draw has a moment of its own.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::standing::spread_return;
+///
+/// let rest = Duration::from_secs(4);
+/// assert_eq!(spread_return(rest, 0), rest);
+/// assert_eq!(spread_return(rest, u64::MAX), Duration::from_secs(5));
+/// ```
+pub fn spread_return(rest: Duration, draw: u64) -> Duration {
+    rest.mul_f64(1.0 + CALLER_SPREAD * share_of(draw))
+}
+
+/// A draw as a share from 0 to 1.
+pub(crate) fn share_of(draw: u64) -> f64 {
+    draw as f64 / u64::MAX as f64
+}
+
 /// Who said that an upstream leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/quillcove_core/src/standing/notice.rs
+++ b/quillcove_core/src/standing/notice.rs
@@ -1,6 +1,6 @@
 //! What an upstream says of itself with an answer.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// Longest rest that is kept to. An upstream that needs more time is down; one that names more, by a slip,
 /// would otherwise be lost to its service until this process starts again.
@@ -25,3 +25,29 @@
         !self.is_leaving && self.rest.is_none()
     }
 }
+
+/// Reads how long a rest is meant to be: seconds, fractions included, or a date of HTTP's. `None` when it is
+/// neither; what is more than a time can hold is as long as a time can be, and a date that has passed leaves nothing.
+///
+/// ```
+/// use std::time::{Duration, SystemTime};
+/// use quillcove_core::standing::notice::read_rest;
+///
+/// assert_eq!(read_rest("1.5", SystemTime::UNIX_EPOCH), Some(Duration::from_millis(1500)));
+/// let date = "Thu, 01 Jan 1970 00:00:07 GMT";
+/// assert_eq!(read_rest(date, SystemTime::UNIX_EPOCH), Some(Duration::from_secs(7)));
+/// assert_eq!(read_rest("soon", SystemTime::UNIX_EPOCH), None);
+/// ```
+pub fn read_rest(text: &str, now: SystemTime) -> Option<Duration> {
+    let text = text.trim();
+    match text.parse::<f64>() {
+        Ok(seconds) if seconds >= 0.0 => {
+            Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+        },
+        Ok(_) => None,
+        Err(_) => {
+            let until = httpdate::parse_http_date(text).ok()?;
+            Some(until.duration_since(now).unwrap_or(Duration::ZERO))
+        },
+    }
+}
--- a/quillcove_core/tests/fuzz_agent.rs
+++ b/quillcove_core/tests/fuzz_agent.rs
@@ -274,6 +274,7 @@
 
     fn report(&self) -> EngineReport {
         EngineReport {
+            leaving: false,
             incarnation: self.incarnation,
             highest_fence: self.highest,
             slots: SLOTS,
--- a/quillcove_core/tests/fuzz_entry.rs
+++ b/quillcove_core/tests/fuzz_entry.rs
@@ -281,6 +281,7 @@
                     capacity: 4,
                     bundle: 1,
                     crashes: Default::default(),
+                    rest_ms: 0,
                 };
                 watched.feed(EntryEvent::Heard(format!("h{host}"), news));
             },
--- a/quillcove_core/tests/model/engine_world.rs
+++ b/quillcove_core/tests/model/engine_world.rs
@@ -257,6 +257,7 @@
             highest_fence.bundle = 0;
         }
         EngineReport {
+            leaving: false,
             incarnation: self.engine.incarnation,
             highest_fence,
             slots: 1,
--- a/quillcove_standin/src/service.rs
+++ b/quillcove_standin/src/service.rs
@@ -166,8 +166,12 @@
 }
 
 #[endpoint { method = GET, path = "/healthz" }]
-async fn check_health(_context: RequestContext<Context>) -> Answer {
-    plain(StatusCode::OK, "ok")
+async fn check_health(context: RequestContext<Context>) -> Answer {
+    let mut answer = plain(StatusCode::OK, "ok")?;
+    if context.context().words.lock().unwrap().leaving {
+        add_header(&mut answer, HeaderName::from_static(LEAVING_HEADER), "yes");
+    }
+    Ok(answer)
 }
 
 /// Starts the service.
