--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -13,6 +13,7 @@
 };
 use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
+use quillcove_core::standing::notice::UpstreamNotice;
 
 const PLACES: u32 = 5;
 const INCOMING_LIMIT: usize = 4;
@@ -398,3 +399,31 @@
         machine.next_order(now).expect("nothing is on its way to an engine that has started");
     assert_eq!(order.orders_seen, Some(0));
 }
+
+#[test]
+fn an_engine_that_leaves_gets_no_orders_until_another_start() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    let report = |born, is_leaving| EngineReport { born: Some(born), is_leaving, ..settled(&[]) };
+    let change = machine.take_report(report(1, true), ms(0));
+    assert!(change.is_changed, "relays are to hear of it at once");
+    machine.take_ask(ask(1, None), ms(1));
+    assert_eq!(machine.next_order(ms(1)), None);
+    // A later report of the same start takes nothing back.
+    machine.take_report(report(1, false), ms(500));
+    assert!(machine.report().is_leaving);
+    assert_eq!(machine.next_order(ms(500)), None);
+    machine.take_report(report(2, false), ms(1000));
+    machine.take_ask(ask(1, None), ms(1000));
+    assert!(machine.next_order(ms(1000)).is_some());
+}
+
+#[test]
+fn an_engine_that_asked_for_rest_gets_its_orders_after_it() {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.take_report(settled(&[]), ms(0));
+    let notice = UpstreamNotice { is_leaving: false, rest: Some(ms(900)) };
+    machine.note_said(&notice, ms(1));
+    machine.take_ask(ask(1, None), ms(2));
+    assert_eq!(machine.next_order(ms(900)), None);
+    assert!(machine.next_order(ms(901)).is_some());
+}
