Fuzzing of the relay's machine: what replicas say of themselves, with the two rules in the oracle

Steps with words are a reference of their own, so that the steps of before and what they catch stay as they were. Two wrong rules are caught: deaf to leaving, deaf to rest.

--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -1,5 +1,5 @@
-//! Stateful fuzzing of the relay's machine against a simple oracle: where requests go, versions of
-//! sheets and adapters, repeats, and connections.
+//! Stateful fuzzing of the relay's machine against a simple oracle: where requests go, what replicas say of
+//! themselves, versions of sheets and adapters, repeats, and connections.
 
 mod fuzz;
 #[allow(dead_code)]
@@ -12,11 +12,14 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use quillcove_core::relay::beacon::{AdapterKey, EngineBeacon, EngineReport, HeldAdapter};
-use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
+use quillcove_core::relay::machine::{
+    AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
+};
 use quillcove_core::relay::published::{PublishedState, ReadRevisions};
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
+use quillcove_core::standing::notice::UpstreamNotice;
 use quillcove_core::verdict::RunVerdict;
 use relay_site::{address, engine_service, ms};
 
@@ -32,6 +35,9 @@
 /// Time in which requests may still begin on an older version: what is promised.
 const VERSION_TIME: Duration = Duration::from_secs(5);
 
+/// Time for which a replica that said that it leaves may still get work: what the users allow.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Repeats that may be saved up, and their share of first attempts.
 const SAVING: f64 = 4.0;
 const SHARE: f64 = 0.25;
@@ -51,6 +57,8 @@
     /// A request that names an adapter, or none.
     Ask(Option<u8>),
     End(usize, AttemptFate),
+    /// The answer to an attempt in flight says that its replica leaves, or wants rest for so many milliseconds.
+    Say(usize, Option<u64>),
     Repeat,
     Advance(u64),
 }
@@ -93,6 +101,29 @@
     fn apply((): (), _: &Step) {}
 }
 
+/// The same with replicas that say something of themselves.
+struct SpokenSteps;
+
+impl ReferenceStateMachine for SpokenSteps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let said = (any::<usize>(), prop::option::of(1..3_000u64));
+        prop_oneof![
+            12 => Steps::transitions(&()),
+            1 => said.prop_map(|(place, rest)| Step::Say(place, rest)),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
 /// Wrong rules that the fuzzing must catch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WrongRule {
@@ -111,9 +142,12 @@
     RepeatsFreely,
     /// The service's limit of connections is not known.
     NoConnectionLimit,
+    /// What replicas say of themselves is heard by nobody.
+    DeafToLeaving,
+    DeafToRest,
 }
 
-const RULES: [WrongRule; 8] = [
+const RULES: [WrongRule; 10] = [
     WrongRule::Right,
     WrongRule::KeepsDraining,
     WrongRule::KeepsPredecessor,
@@ -122,6 +156,8 @@
     WrongRule::MixesReports,
     WrongRule::RepeatsFreely,
     WrongRule::NoConnectionLimit,
+    WrongRule::DeafToLeaving,
+    WrongRule::DeafToRest,
 ];
 
 /// The oracle's word on one replica.
@@ -131,6 +167,9 @@
     is_ready: bool,
     held: [u32; ADAPTERS as usize],
     in_flight: usize,
+    /// When it said that it leaves, and until when it wants rest.
+    says_leaving: Option<Duration>,
+    rests_until: Duration,
 }
 
 struct Watched {
@@ -240,7 +279,14 @@
         self.starts += 1;
         let id = format!("i-{}", self.starts);
         self.known.retain(|_, known| known.place != place);
-        let known = Known { place, is_ready: true, held: Default::default(), in_flight: 0 };
+        let known = Known {
+            place,
+            is_ready: true,
+            held: Default::default(),
+            in_flight: 0,
+            says_leaving: None,
+            rests_until: Duration::ZERO,
+        };
         self.known.insert(id.clone(), known);
         let created = match self.rule {
             WrongRule::KeepsPredecessor => 1,
@@ -349,6 +395,9 @@
     fn send(&mut self, replica: String, adapter: Option<u8>) {
         let known = self.known.get_mut(&replica).expect("a replica that is not there");
         assert!(known.is_ready, "a leaving replica gets a request");
+        let is_late = known.says_leaving.is_some_and(|since| self.now > since + DRAIN_TIME);
+        assert!(!is_late, "a replica that said that it leaves gets a request");
+        assert!(self.now >= known.rests_until, "a resting replica gets a request");
         if let Some(adapter) = adapter {
             let held = known.held[usize::from(adapter)];
             assert!(held > 0, "the engine does not hold the adapter");
@@ -374,6 +423,27 @@
         self.machine.finish();
     }
 
+    fn say(&mut self, place: usize, rest: Option<u64>) {
+        let Some(place) = place.checked_rem(self.out.len()) else { return };
+        let replica = self.out[place].0.clone();
+        let notice = UpstreamNotice { is_leaving: rest.is_none(), rest: rest.map(ms) };
+        if let Some(known) = self.known.get_mut(&replica) {
+            match notice.rest {
+                Some(rest) => known.rests_until = known.rests_until.max(self.now + rest),
+                None => drop(known.says_leaving.get_or_insert(self.now)),
+            }
+        }
+        let is_heard = match self.rule {
+            WrongRule::DeafToLeaving => !notice.is_leaving,
+            WrongRule::DeafToRest => notice.rest.is_none(),
+            _ => true,
+        };
+        if is_heard {
+            let order = AttemptOrder::to(&example_record(&replica));
+            self.machine.note_said(&order, &notice, self.now);
+        }
+    }
+
     fn repeat(&mut self) {
         let is_allowed = self.machine.take_repeat("s");
         if is_allowed || self.rule == WrongRule::RepeatsFreely {
@@ -399,6 +469,27 @@
 /// The test, with one of the rules by its number.
 struct RelayFuzz<const RULE: usize>;
 
+/// The same with replicas that say something of themselves.
+struct WordFuzz<const RULE: usize>;
+
+fn take(mut watched: Watched, step: Step) -> Watched {
+    match step {
+        Step::Start(place) => watched.start(place),
+        Step::Drain(place) => watched.drain(place),
+        Step::Leave(place) => watched.leave(place),
+        Step::Report(place, held) => watched.report(place, held),
+        Step::Sheet(version) => watched.take_sheet(version),
+        Step::Published(version) => watched.published(version),
+        Step::Version(adapter, version) => watched.version(adapter, version),
+        Step::Ask(adapter) => watched.ask(adapter),
+        Step::End(place, fate) => watched.end(place, fate),
+        Step::Say(place, rest) => watched.say(place, rest),
+        Step::Repeat => watched.repeat(),
+        Step::Advance(millis) => watched.advance(millis),
+    }
+    watched
+}
+
 impl<const RULE: usize> StateMachineTest for RelayFuzz<RULE> {
     type SystemUnderTest = Watched;
     type Reference = Steps;
@@ -407,21 +498,21 @@
         Watched::new(RULES[RULE])
     }
 
-    fn apply(mut watched: Watched, (): &(), step: Step) -> Watched {
-        match step {
-            Step::Start(place) => watched.start(place),
-            Step::Drain(place) => watched.drain(place),
-            Step::Leave(place) => watched.leave(place),
-            Step::Report(place, held) => watched.report(place, held),
-            Step::Sheet(version) => watched.take_sheet(version),
-            Step::Published(version) => watched.published(version),
-            Step::Version(adapter, version) => watched.version(adapter, version),
-            Step::Ask(adapter) => watched.ask(adapter),
-            Step::End(place, fate) => watched.end(place, fate),
-            Step::Repeat => watched.repeat(),
-            Step::Advance(millis) => watched.advance(millis),
-        }
-        watched
+    fn apply(watched: Watched, (): &(), step: Step) -> Watched {
+        take(watched, step)
+    }
+}
+
+impl<const RULE: usize> StateMachineTest for WordFuzz<RULE> {
+    type SystemUnderTest = Watched;
+    type Reference = SpokenSteps;
+
+    fn init_test((): &()) -> Watched {
+        Watched::new(RULES[RULE])
+    }
+
+    fn apply(watched: Watched, (): &(), step: Step) -> Watched {
+        take(watched, step)
     }
 }
 
@@ -430,6 +521,11 @@
     fuzz::run_fuzz!(Steps, RelayFuzz<0>).unwrap_or_else(|fault| panic!("{fault}"));
 }
 
+#[test]
+fn the_relays_machine_keeps_what_replicas_say() {
+    fuzz::run_fuzz!(SpokenSteps, WordFuzz<0>).unwrap_or_else(|fault| panic!("{fault}"));
+}
+
 fn caught(result: Result<(), String>, expected: &str) {
     let fault = result.expect_err("the wrong rule is caught");
     assert!(fault.contains(expected), "{fault}");
@@ -469,3 +565,14 @@
 fn connections_beyond_the_limit_are_caught() {
     caught(fuzz::run_fuzz!(Steps, RelayFuzz<7>), "too many connections");
 }
+
+#[test]
+fn a_word_of_leaving_that_nobody_hears_is_caught() {
+    let expected = "a replica that said that it leaves gets a request";
+    caught(fuzz::run_fuzz!(SpokenSteps, WordFuzz<8>), expected);
+}
+
+#[test]
+fn a_rest_that_nobody_keeps_is_caught() {
+    caught(fuzz::run_fuzz!(SpokenSteps, WordFuzz<9>), "a resting replica gets a request");
+}
