--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -302,9 +302,7 @@
         }
         let notice = self.read_notice(answer.status(), answer.headers());
         match engine::read_report(answer.body()) {
-            Ok(report) => {
-                Some(EngineReport { is_leaving: notice.is_leaving, ..report })
-            },
+            Ok(report) => Some(EngineReport { is_leaving: notice.is_leaving, ..report }),
             Err(fault) => {
                 warn!(self.log, "the engine's report is not understood"; "fault" => %fault);
                 None
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -1,27 +1,17 @@
-//! The upstreams that are known, and what attempts at them tell of their health.
+//! The upstreams that are known, by id and by address.
+
+mod attempts;
+mod words;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use super::kept::{KeptStandings, is_same_start};
-use super::{AttemptFate, ReplicaRecord, ReplicaView};
+use super::kept::KeptStandings;
+use super::{ReplicaRecord, ReplicaView};
 use crate::ids::{MonoTime, ServiceName};
-use crate::relay::beacon::{
-    AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId, StartTime,
-};
+use crate::relay::beacon::{AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId};
 use crate::relay::reading::{ReadingNorm, ReadingNumber, ReadingPrompt};
-use crate::standing::notice::UpstreamNotice;
-use crate::standing::{LeavingSource, StandingChange, UpstreamStanding};
-
-/// Failures in a row after which a replica is left out for a while.
-const EJECT_AFTER: u32 = 3;
-
-/// First time that a replica is left out; doubles with each further time.
-const EJECT_TIME: Duration = Duration::from_millis(1000);
-
-/// Most doublings of [`EJECT_TIME`].
-const EJECT_DOUBLINGS: u32 = 3;
+use crate::standing::UpstreamStanding;
 
 /// All replicas that are known.
 #[derive(Clone, Debug, Default)]
@@ -223,31 +213,6 @@
         true
     }
 
-    /// Notes that a request is sent.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::replica::ReplicaTable;
-    ///
-    /// ReplicaTable::default().begin("i-1", None, Duration::ZERO);
-    /// ```
-    pub fn begin(&mut self, id: &str, key: Option<&AdapterKey>, now: MonoTime) {
-        if let Some(view) = self.replicas.get_mut(id) {
-            if view.in_flight == 0 {
-                view.last_heard = now;
-            }
-            view.in_flight += 1;
-            view.standing.begin(now);
-            view.sent_since += 1;
-            if let Some(key) = key {
-                let fresh = || AdapterUse { key: key.clone(), sent: 0, in_flight: 0 };
-                let used = view.uses.entry(key.clone()).or_insert_with(fresh);
-                used.sent += 1;
-                used.in_flight += 1;
-            }
-        }
-    }
-
     /// What the engines of a service have in common.
     ///
     /// ```
@@ -293,124 +258,6 @@
         }
     }
 
-    /// Notes that bytes came from a replica.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::replica::ReplicaTable;
-    ///
-    /// ReplicaTable::default().hear("i-1", Duration::ZERO);
-    /// ```
-    pub fn hear(&mut self, id: &str, now: MonoTime) {
-        if let Some(view) = self.replicas.get_mut(id) {
-            view.last_heard = now;
-        }
-    }
-
-    /// Takes what one start of a replica said of itself with an answer, and gives what became known by it. The
-    /// late answer of an earlier start says nothing of the one that is there now.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
-    /// use quillcove_core::standing::notice::UpstreamNotice;
-    ///
-    /// let mut table = ReplicaTable::default();
-    /// table.list(example_record("i-1"), Duration::ZERO);
-    /// let notice = UpstreamNotice { is_leaving: true, rest: None };
-    /// table.note_said("i-1", None, &notice, Duration::ZERO, Duration::ZERO);
-    /// assert!(!table.get("i-1").unwrap().is_ready());
-    /// ```
-    pub fn note_said(
-        &mut self,
-        id: &str,
-        born: Option<StartTime>,
-        notice: &UpstreamNotice,
-        spread: Duration,
-        now: MonoTime,
-    ) -> Option<StandingChange> {
-        self.standing_of(id, born)?.take(notice, spread, now)
-    }
-
-    /// Takes another process's word that one start of a replica leaves.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
-    ///
-    /// let mut table = ReplicaTable::default();
-    /// table.list(example_record("i-1"), Duration::ZERO);
-    /// table.note_told_leaving("i-1", None, Duration::ZERO);
-    /// assert!(!table.get("i-1").unwrap().seems_well(Duration::ZERO));
-    /// ```
-    pub fn note_told_leaving(&mut self, id: &str, born: Option<StartTime>, now: MonoTime) {
-        if let Some(standing) = self.standing_of(id, born) {
-            standing.note_leaving(LeavingSource::Told, now);
-        }
-    }
-
-    /// The standing of one start of a replica; `None` when another start is there now.
-    fn standing_of(&mut self, id: &str, born: Option<StartTime>) -> Option<&mut UpstreamStanding> {
-        match self.replicas.get_mut(id) {
-            Some(view) => is_same_start(view.record.born, born).then_some(&mut view.standing),
-            None => Some(self.kept.of(id, born)),
-        }
-    }
-
-    /// Notes the end of an attempt; tells whether the replica is left out from now.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::replica::{AttemptFate, ReplicaTable, example_record};
-    ///
-    /// let mut table = ReplicaTable::default();
-    /// table.list(example_record("i-1"), Duration::ZERO);
-    /// let mut fail = || table.end("i-1", None, AttemptFate::Failed, Duration::ZERO);
-    /// assert_eq!([fail(), fail(), fail()], [false, false, true]);
-    /// ```
-    pub fn end(
-        &mut self,
-        id: &str,
-        key: Option<&AdapterKey>,
-        fate: AttemptFate,
-        now: MonoTime,
-    ) -> bool {
-        let Some(view) = self.replicas.get_mut(id) else {
-            return false;
-        };
-        view.in_flight = view.in_flight.saturating_sub(1);
-        if let Some(used) = key.and_then(|key| view.uses.get_mut(key)) {
-            used.in_flight = used.in_flight.saturating_sub(1);
-            if used.in_flight == 0 && view.spare_places == Some(0) {
-                self.freed.insert(id.to_string());
-            }
-        }
-        match fate {
-            AttemptFate::Answered => {
-                view.failures = 0;
-                view.ejections = 0;
-                view.last_heard = now;
-                false
-            },
-            AttemptFate::Refused => {
-                view.last_heard = now;
-                false
-            },
-            AttemptFate::Abandoned => false,
-            AttemptFate::Failed => {
-                view.failures += 1;
-                let is_ejected = view.failures >= EJECT_AFTER;
-                if is_ejected {
-                    view.failures = 0;
-                    let doublings = view.ejections.min(EJECT_DOUBLINGS);
-                    view.ejected_until = now + EJECT_TIME * 2u32.pow(doublings);
-                    view.ejections += 1;
-                }
-                is_ejected
-            },
-        }
-    }
-
     /// Takes how many adapters the engine at an address can take in, and how much all relays use those
     /// that it holds; tells whether there is room now and was none before.
     ///
--- /dev/null
+++ b/quillcove_core/src/relay/replica/table/words.rs
@@ -0,0 +1,62 @@
+//! What replicas say of themselves with their answers.
+
+use std::time::Duration;
+
+use super::super::kept::is_same_start;
+use super::ReplicaTable;
+use crate::ids::MonoTime;
+use crate::relay::beacon::StartTime;
+use crate::standing::notice::UpstreamNotice;
+use crate::standing::{LeavingSource, StandingChange, UpstreamStanding};
+
+impl ReplicaTable {
+    /// Takes what one start of a replica said of itself with an answer, and gives what became known by it. The
+    /// late answer of an earlier start says nothing of the one that is there now.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    /// use quillcove_core::standing::notice::UpstreamNotice;
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let notice = UpstreamNotice { is_leaving: true, rest: None };
+    /// table.note_said("i-1", None, &notice, Duration::ZERO, Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().is_ready());
+    /// ```
+    pub fn note_said(
+        &mut self,
+        id: &str,
+        born: Option<StartTime>,
+        notice: &UpstreamNotice,
+        spread: Duration,
+        now: MonoTime,
+    ) -> Option<StandingChange> {
+        self.standing_of(id, born)?.take(notice, spread, now)
+    }
+
+    /// Takes another process's word that one start of a replica leaves.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.note_told_leaving("i-1", None, Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().seems_well(Duration::ZERO));
+    /// ```
+    pub fn note_told_leaving(&mut self, id: &str, born: Option<StartTime>, now: MonoTime) {
+        if let Some(standing) = self.standing_of(id, born) {
+            standing.note_leaving(LeavingSource::Told, now);
+        }
+    }
+
+    /// The standing of one start of a replica; `None` when another start is there now.
+    fn standing_of(&mut self, id: &str, born: Option<StartTime>) -> Option<&mut UpstreamStanding> {
+        match self.replicas.get_mut(id) {
+            Some(view) => is_same_start(view.record.born, born).then_some(&mut view.standing),
+            None => Some(self.kept.of(id, born)),
+        }
+    }
+}
--- a/quillcove_core/tests/fatal_load.rs
+++ b/quillcove_core/tests/fatal_load.rs
@@ -1,6 +1,7 @@
 //! An adapter whose load ends its engine: it is asked of one engine after the other as long as callers want it,
 //! and each of them ends. What was known of a load ended with the engine that it ended.
 
+#[allow(dead_code)]
 mod relay_site;
 
 use std::sync::Arc;
--- a/quillcove_core/tests/relay_copies.rs
+++ b/quillcove_core/tests/relay_copies.rs
@@ -5,6 +5,7 @@
 //! of 1.2 over 24,000 adapters sends a fifth of all requests to one of them, some 40 in flight at once
 //! where one engine reads a dozen prompts a second.
 
+#[allow(dead_code)]
 mod relay_site;
 
 use std::sync::Arc;
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -4,7 +4,6 @@
 #[allow(dead_code)]
 mod relay_site;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use quillcove_core::relay::beacon::{
@@ -82,19 +81,7 @@
 }
 
 fn query(adapter: Option<&str>, received: Duration) -> RelayQuery {
-    RelayQuery {
-        route: Arc::new(route(RouteKind::Stream)),
-        service: "s".to_string(),
-        model: Some("m".to_string()),
-        adapter: adapter.map(key),
-        received,
-        deadline: received + ms(15_000),
-        prompt_tokens: None,
-        age: Duration::ZERO,
-        looks: 0,
-        grant: None,
-        identity: None,
-    }
+    relay_site::query(route(RouteKind::Stream), adapter.map(key), received)
 }
 
 fn sent_to(choice: &RelayChoice) -> Option<&str> {
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -1,8 +1,11 @@
 //! A service of engines for tests of relays.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use quillcove_core::relay::beacon::AdapterKey;
+use quillcove_core::relay::machine::RelayQuery;
 use quillcove_core::relay::sheet::{EngineRecord, ModelRecord, ServiceRecord};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
 
@@ -44,3 +47,20 @@
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
 }
+
+/// A first try on a route to the service `s`, received then, for the model `m`.
+pub fn query(route: RouteRecord, adapter: Option<AdapterKey>, received: Duration) -> RelayQuery {
+    RelayQuery {
+        deadline: received + route.timeout,
+        route: Arc::new(route),
+        service: "s".to_string(),
+        model: Some("m".to_string()),
+        adapter,
+        received,
+        prompt_tokens: None,
+        age: Duration::ZERO,
+        looks: 0,
+        grant: None,
+        identity: None,
+    }
+}
--- a/quillcove_core/tests/relay_words.rs
+++ b/quillcove_core/tests/relay_words.rs
@@ -4,7 +4,6 @@
 mod relay_site;
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use quillcove_core::relay::beacon::{AdapterKey, EngineBeacon, EngineReport, HeldAdapter};
@@ -31,13 +30,19 @@
     ReplicaRecord { address: address(number), ..example_record(&format!("i-{number}")) }
 }
 
-/// A relay that knows replicas with these numbers.
-fn machine(numbers: std::ops::RangeInclusive<u16>) -> RelayMachine {
+/// A relay that knows no replica.
+fn relay() -> RelayMachine {
     let rules = RelayRules { drain_time: DRAIN_TIME, ..RelayRules::default() };
     let mut machine = RelayMachine::new(rules, 1);
     let services = vec![engine_service(100, 3.0)];
     let routes = vec![stream_route()];
     machine.take_sheet(RouteSheet::new(1, routes, services, CallerLimits::default()));
+    machine
+}
+
+/// A relay that knows replicas with these numbers.
+fn machine(numbers: std::ops::RangeInclusive<u16>) -> RelayMachine {
+    let mut machine = relay();
     for number in numbers {
         machine.list(record(number), ms(0));
     }
@@ -46,19 +51,7 @@
 
 fn query(adapter: Option<&str>, received: Duration) -> RelayQuery {
     let key = |adapter: &str| AdapterKey { model: "m".to_string(), adapter: adapter.to_string() };
-    RelayQuery {
-        route: Arc::new(stream_route()),
-        service: "s".to_string(),
-        model: Some("m".to_string()),
-        adapter: adapter.map(key),
-        received,
-        deadline: received + ms(15_000),
-        prompt_tokens: None,
-        age: Duration::ZERO,
-        looks: 0,
-        grant: None,
-        identity: None,
-    }
+    relay_site::query(stream_route(), adapter.map(key), received)
 }
 
 /// Replicas that forty requests of one moment go to.
@@ -150,7 +143,7 @@
     for number in leaving {
         other.note_said(&AttemptOrder::to(&record(*number)), &LEAVES, ms(0));
     }
-    let mut machine = machine(1..=0);
+    let mut machine = relay();
     let mut published = other.published(ms(10));
     published.read = ReadRevisions { operator: 0, replicas: 5 };
     machine.take_published(published, ms(10));
