--- a/quillcove/src/agent/decide.rs
+++ b/quillcove/src/agent/decide.rs
@@ -10,8 +10,9 @@
 use quillcove_core::agent::AgentMachine;
 use quillcove_core::agent::event::{AgentAction, AgentEvent, RunEnd, WithdrawAnswer};
 use quillcove_core::ids::AttemptId;
+use quillcove_core::standing::notice::UpstreamNotice;
 use quillcove_core::verdict::WorkRefusal;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::input::{AgentInput, AttemptDecision};
@@ -43,7 +44,11 @@
     fn take(&mut self, input: Option<AgentInput>) -> bool {
         match input {
             None => self.handle(AgentEvent::Ticked),
+            Some(AgentInput::Event(AgentEvent::Said(notice))) => self.take_notice(notice),
             Some(AgentInput::Event(event)) => self.handle(event),
+            Some(AgentInput::OddWord(fault)) => {
+                warn!(self.log, "word of the upstream not understood"; "fault" => fault);
+            },
             Some(AgentInput::Attempt(order, decision)) => {
                 // A copy must not take the place of the first one's decision.
                 let attempt = order.attempt;
@@ -79,6 +84,17 @@
         !*self.halt.borrow()
     }
 
+    /// Takes what the upstream said of itself; an upstream says the same with each answer, and what it changes is
+    /// worth a line.
+    fn take_notice(&mut self, notice: UpstreamNotice) {
+        let before = self.machine.wants_work(self.clock.now());
+        self.handle(AgentEvent::Said(notice));
+        if before && !self.machine.wants_work(self.clock.now()) {
+            info!(self.log, "upstream said of itself"; "is_leaving" => notice.is_leaving,
+                "rest_ms" => notice.rest.map(|rest| rest.as_millis() as u64));
+        }
+    }
+
     fn handle(&mut self, event: AgentEvent) {
         let mut actions = Vec::new();
         self.machine.handle(self.clock.now(), event, &mut actions);
--- a/quillcove/src/agent/input.rs
+++ b/quillcove/src/agent/input.rs
@@ -12,6 +12,8 @@
 pub enum AgentInput {
     /// An event for the machine.
     Event(AgentEvent),
+    /// What of an upstream's word about itself is not understood.
+    OddWord(String),
     /// An attempt, with the place for the decision.
     Attempt(RunOrder, oneshot::Sender<AttemptDecision>),
     /// The handler of an attempt is gone before it handed the attempt to the upstream.
--- a/quillcove/src/agent/orders.rs
+++ b/quillcove/src/agent/orders.rs
@@ -117,7 +117,8 @@
         if answer.status() != StatusCode::OK {
             return false;
         }
-        let notice = headers::notice(answer.status(), answer.headers(), SystemTime::now());
+        // A report is answered with 200, with which no rest is asked for, so that nothing of it can be odd.
+        let (notice, _) = headers::notice(answer.status(), answer.headers(), SystemTime::now());
         let report = match upstream.kind {
             UpstreamKind::Service => Some(EngineReport::default()),
             UpstreamKind::Engine => serde_json::from_slice::<EngineReport>(answer.body()).ok(),
--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -85,7 +85,10 @@
 
     /// Takes what the upstream says of itself with an answer.
     fn note_said(&self, status: StatusCode, headers: &HeaderMap) {
-        let notice = headers::notice(status, headers, SystemTime::now());
+        let (notice, fault) = headers::notice(status, headers, SystemTime::now());
+        if let Some(fault) = fault {
+            self.ring.put(AgentInput::OddWord(fault));
+        }
         if !notice.is_blank() {
             self.metrics.replica_said(&notice);
             self.ring.put(AgentInput::Event(AgentEvent::Said(notice)));
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -77,8 +77,8 @@
     text(headers, name)?.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// What an upstream says of itself with an answer: that it leaves, or, with 503, for how long it wants nothing. A
-/// time that can't be read is none.
+/// What an upstream says of itself with an answer: that it leaves, or, with 503, for how long it wants nothing; and
+/// what of it is not understood. A time that can't be read is none, one beyond the longest rest is cut to that.
 ///
 /// ```
 /// use std::time::{Duration, SystemTime};
@@ -87,19 +87,26 @@
 /// let mut headers = HeaderMap::new();
 /// headers.insert("retry-after", "2".parse().unwrap());
 /// let status = StatusCode::SERVICE_UNAVAILABLE;
-/// let notice = quillcove::web::headers::notice(status, &headers, SystemTime::now());
-/// assert_eq!(notice.rest, Some(Duration::from_secs(2)));
+/// let (notice, fault) = quillcove::web::headers::notice(status, &headers, SystemTime::now());
+/// assert_eq!((notice.rest, fault), (Some(Duration::from_secs(2)), None));
 /// ```
-pub fn notice(status: StatusCode, headers: &HeaderMap, wall: SystemTime) -> UpstreamNotice {
-    let rest = match status {
-        StatusCode::SERVICE_UNAVAILABLE => text(headers, RETRY_AFTER.as_str()),
-        _ => None,
+pub fn notice(
+    status: StatusCode,
+    headers: &HeaderMap,
+    wall: SystemTime,
+) -> (UpstreamNotice, Option<String>) {
+    let is_leaving = text(headers, LEAVING) == Some("yes");
+    // With another status it tells a caller something.
+    let value = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    let Some(value) = value else {
+        return (UpstreamNotice { is_leaving, rest: None }, None);
     };
-    let rest = rest.and_then(|text| read_rest(text, wall)).filter(|rest| !rest.is_zero());
-    UpstreamNotice {
-        is_leaving: text(headers, LEAVING) == Some("yes"),
-        rest: rest.map(|rest| rest.min(LONGEST_REST)),
-    }
+    let asked = value.to_str().ok().and_then(|text| read_rest(text, wall));
+    let is_odd = asked.is_none_or(|rest| rest > LONGEST_REST);
+    let fault =
+        is_odd.then(|| format!("header {RETRY_AFTER}: {value:?} is no rest of 300 s at most"));
+    let rest = asked.filter(|rest| !rest.is_zero()).map(|rest| rest.min(LONGEST_REST));
+    (UpstreamNotice { is_leaving, rest }, fault)
 }
 
 /// Headers that belong to one connection.
--- a/quillcove_core/src/agent/said.rs
+++ b/quillcove_core/src/agent/said.rs
@@ -62,6 +62,22 @@
         }
     }
 
+    /// Tells whether the upstream wants work, as far as it has said.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::agent::AgentMachine;
+    /// use quillcove_core::agent::event::AgentRules;
+    /// use quillcove_core::once::book::{BookLimits, OnceBook};
+    ///
+    /// let book = OnceBook::new("e1", 5, [7; 32], BookLimits::default(), Duration::ZERO);
+    /// let machine = AgentMachine::new("e1", 5, AgentRules::default(), book, Duration::ZERO);
+    /// assert!(machine.wants_work(Duration::ZERO));
+    /// ```
+    pub fn wants_work(&self, now: MonoTime) -> bool {
+        self.check_standing(now).is_ok()
+    }
+
     /// Refuses an attempt while the upstream leaves or rests.
     pub(super) fn check_standing(&self, now: MonoTime) -> Result<(), WorkRefusal> {
         if self.standing.is_leaving() {
