--- a/quillcove_core/src/relay/machine/standing.rs
+++ b/quillcove_core/src/relay/machine/standing.rs
@@ -9,12 +9,12 @@
 use crate::standing::{StandingChange, share_of, spread_return};
 use crate::verdict::RefusalReason;
 
-/// Share of the time within which a leaving replica may still get work for which it is used when no other one is
-/// left. Another source may have known it before this process did, hence not the whole of it.
+/// Share of the drain time for which a leaving replica is used when no other one is left. Not the whole of it, as the
+/// list may have known of its leaving before this process did.
 const LAST_RESORT_SHARE: f64 = 0.5;
 
-/// Part of a second by which each relay lengthens the time after which replicas that rested return, at most: of
-/// 420 relays, 50 return within 100 ms, fewer than an engine works on at once.
+/// Time over which relays return to a replica that rested, for each relay that is there; each draws its own moment.
+/// So 50 relays return within 100 ms at most, fewer than an engine works on at once, also where 420 rested.
 const RETURN_SPREAD: Duration = Duration::from_millis(2);
 
 /// Most that a rest is lengthened by.
