--- a/quillcove_core/src/relay/machine/query.rs
+++ b/quillcove_core/src/relay/machine/query.rs
@@ -42,7 +42,7 @@
 impl RelayQuery {
     /// Its rank, 0 first: that of its workspace, else that of its route.
     ///
-    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    /// See [`RelayMachine::begin_reading`](super::RelayMachine::begin_reading) for an example of a query.
     pub fn rank(&self) -> u8 {
         let workspace = self.grant.as_ref().and_then(|grant| grant.workspace.priority);
         workspace.unwrap_or(self.route.priority)
@@ -50,21 +50,21 @@
 
     /// Until when its answer is in time.
     ///
-    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    /// See [`RelayMachine::begin_reading`](super::RelayMachine::begin_reading) for an example of a query.
     pub fn due(&self) -> MonoTime {
         (self.received + self.route.aim).saturating_sub(self.age)
     }
 
     /// Tells whether its caller has tried before.
     ///
-    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    /// See [`RelayMachine::begin_reading`](super::RelayMachine::begin_reading) for an example of a query.
     pub fn is_return(&self) -> bool {
         self.age > Duration::ZERO
     }
 
     /// When its caller leaves if no answer has begun.
     ///
-    /// See [`RelayMachine::begin_reading`] for an example of a query.
+    /// See [`RelayMachine::begin_reading`](super::RelayMachine::begin_reading) for an example of a query.
     pub fn leaves(&self) -> MonoTime {
         let patience = self.route.patience.map(|patience| self.received + patience);
         patience.map_or(self.deadline, |leaves| leaves.min(self.deadline))
