--- a/quillcove_core/tests/word_fleet/mod.rs
+++ b/quillcove_core/tests/word_fleet/mod.rs
@@ -1,7 +1,9 @@
 //! A fleet of relays before replicas that leave, rest, end and start again, with no network: connections and
 //! answers take time, answers get lost, the store falls silent, relays stand still and start again.
 
+mod event;
 pub mod oracle;
+mod pattern;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -10,16 +12,16 @@
 
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::OtherRelays;
-use quillcove_core::relay::machine::{
-    AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
-};
+use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
 use quillcove_core::relay::published::{ReadRevisions, StorePart};
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet, ServiceRecord};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
 use quillcove_core::standing::notice::UpstreamNotice;
 
+use self::event::{AnswerKind, SimAttempt, SimEvent, SimRequest, Timed};
 use self::oracle::{WordOracle, WordResult};
+pub use self::pattern::{WordPattern, WordRule};
 
 /// Time within which a leaving replica may still get work, as the users set it.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -52,73 +54,6 @@
 /// Room for the times that a wrong rule makes up between two real starts.
 const BORN_STEP: u64 = 1_000_000;
 
-/// What relays make of replicas' words. All but the first are wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WordRule {
-    /// As the relay does it.
-    Kept,
-    /// The next list that says ready takes the word back.
-    EndedByList,
-    /// The next good answer takes it back.
-    EndedByGoodAnswer,
-    /// It counts when a replica is chosen, and not when the request is sent.
-    AtChoiceOnly,
-    /// A late answer of an earlier start marks the one that is there.
-    OfAnyStart,
-    /// Only refusals are listened to.
-    RefusalsOnly,
-    /// Another relay's list that says ready takes it back.
-    EndedByRelay,
-}
-
-/// What happens in a run.
-#[derive(Clone, Copy, Debug)]
-pub struct WordPattern {
-    pub name: &'static str,
-    pub relays: usize,
-    pub replicas: usize,
-    /// Requests that begin in a second, at all relays.
-    pub rate: usize,
-    pub length: Duration,
-    /// Time between two replicas that begin to leave, one after the other from the first second on; none at zero.
-    pub leave_every: Duration,
-    /// Share of the replicas that begins to leave at once in the first second.
-    pub reclaimed: f64,
-    /// Share of the replicas that turns requests away, and in which seconds; then all do in the others.
-    pub third_rests: (u64, u64),
-    pub all_rest: (u64, u64),
-    /// Seconds in which the store is silent.
-    pub silence: (u64, u64),
-    /// Seconds at which a quarter of the relays stands still for three seconds.
-    pub freezes: &'static [u64],
-    /// Seconds at which a quarter of the relays starts again.
-    pub restarts: &'static [u64],
-    /// Share of answers that are lost.
-    pub loss: f64,
-}
-
-impl WordPattern {
-    pub const QUIET: Self = Self {
-        name: "quiet",
-        relays: 4,
-        replicas: 12,
-        rate: 160,
-        length: Duration::from_secs(10),
-        leave_every: Duration::ZERO,
-        reclaimed: 0.0,
-        third_rests: (0, 0),
-        all_rest: (0, 0),
-        silence: (1, 8),
-        freezes: &[],
-        restarts: &[],
-        loss: 0.0,
-    };
-
-    pub fn of_size(self, relays: usize, replicas: usize) -> Self {
-        Self { relays, replicas, rate: (replicas * 17).div_ceil(2).max(60), ..self }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct SimReplica {
     record: ReplicaRecord,
@@ -140,72 +75,6 @@
     lies: HashMap<usize, u64>,
 }
 
-/// One request on its way.
-#[derive(Clone, Debug)]
-struct SimRequest {
-    relay: usize,
-    run: u32,
-    query: RelayQuery,
-    tried: Vec<String>,
-    refusals: u32,
-}
-
-/// An attempt at a replica.
-#[derive(Clone, Debug)]
-struct SimAttempt {
-    request: SimRequest,
-    order: AttemptOrder,
-    replica: usize,
-    /// The start that was meant, as it is in the world.
-    born: u64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AnswerKind {
-    Good,
-    Failed,
-    Refused,
-    Lost,
-}
-
-enum SimEvent {
-    Ask,
-    Send(Box<SimAttempt>),
-    Reach(Box<SimAttempt>),
-    Head(Box<SimAttempt>, AnswerKind, UpstreamNotice),
-    RunEnd(usize, u64),
-    Leave(usize),
-    End(usize),
-    Start(usize),
-    List(usize, usize),
-    Silence(bool),
-    Freeze,
-    Restart,
-    Exchange,
-}
-
-struct Timed(Reverse<(MonoTime, u64)>, SimEvent);
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        self.0 == other.0
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.cmp(&other.0)
-    }
-}
-
 /// The fleet.
 pub struct WordFleet {
     pattern: WordPattern,
