--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -248,11 +248,15 @@
     /// use quillcove_core::standing::notice::UpstreamNotice;
     ///
     /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
-    /// metrics.replica_said(&UpstreamNotice { is_leaving: true, rest: None });
+    /// metrics.replica_said(&UpstreamNotice { is_leaving: true, rest: None, limit: None });
     /// assert!(metrics.text().contains("quillcove_replica_words_total"));
     /// ```
     pub fn replica_said(&self, notice: &UpstreamNotice) {
-        let words = [("leaving", notice.is_leaving), ("rest", notice.rest.is_some())];
+        let words = [
+            ("leaving", notice.is_leaving),
+            ("rest", notice.rest.is_some()),
+            ("limit", notice.limit.is_some()),
+        ];
         for (word, _) in words.into_iter().filter(|(_, is_said)| *is_said) {
             self.replica_words.add(1, &[KeyValue::new("word", word)]);
         }
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -11,6 +11,7 @@
 use quillcove_core::relay::replica::AttemptFate;
 use quillcove_core::route::RouteKind;
 use quillcove_core::standing::StandingChange;
+use quillcove_core::standing::limit::RateLimit;
 use quillcove_platform::heads::{self, AnswerMeaning, AttemptTerms};
 use slog::{info, warn};
 use tokio::time::timeout;
@@ -232,13 +233,14 @@
         return;
     };
     let rest = match change {
-        StandingChange::Leaves => None,
+        StandingChange::Leaves | StandingChange::Limits(_) => None,
         StandingChange::Rests(until) => Some(until.saturating_sub(now)),
     };
     info!(log, "replica said of itself"; "id" => &open.terms.id, "replica" => &order.replica,
         "born" => order.born, "status" => status.as_u16(), "is_leaving" => notice.is_leaving,
         "asked_rest_ms" => notice.rest.map(|rest| rest.as_millis() as u64),
-        "rest_ms" => rest.map(|rest| rest.as_millis() as u64));
+        "rest_ms" => rest.map(|rest| rest.as_millis() as u64),
+        "limit" => notice.limit.map(RateLimit::rate));
 }
 
 /// Sends the request over a kept connection or a new one; gives the answer's head.
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -4,6 +4,7 @@
 
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, StatusCode};
+use quillcove_core::standing::limit::read_limit;
 use quillcove_core::standing::notice::{LONGEST_REST, UpstreamNotice, read_rest};
 
 /// Start of the names of quillcove's own headers.
@@ -48,6 +49,9 @@
 /// `yes` on each answer of an upstream that leaves.
 pub const LEAVING: &str = "quillcove-leaving";
 
+/// By which an upstream names the requests a second that it takes from all processes together.
+pub const LIMIT: &str = "quillcove-limit";
+
 /// What a request is, whatever its ids, from entry to agent.
 pub const IDENTITY: &str = "quillcove-identity";
 
@@ -77,8 +81,9 @@
     text(headers, name)?.trim().parse().ok().map(Duration::from_millis)
 }
 
-/// What an upstream says of itself with an answer: that it leaves, or, with 503, for how long it wants nothing; and
-/// what of it is not understood. A time that can't be read is none, one beyond the longest rest is cut to that.
+/// What an upstream says of itself with an answer: that it leaves, the rate of requests that it takes, or, with 503,
+/// for how long it wants nothing; and what of it is not understood. What can't be read says nothing, a rest beyond
+/// the longest one is cut to that.
 ///
 /// ```
 /// use std::time::{Duration, SystemTime};
@@ -96,17 +101,21 @@
     wall: SystemTime,
 ) -> (UpstreamNotice, Option<String>) {
     let is_leaving = text(headers, LEAVING) == Some("yes");
+    let named = headers.get(LIMIT);
+    let limit = named.and_then(|value| read_limit(value.to_str().ok()?));
+    let fault = named.filter(|_| limit.is_none());
+    let fault = fault.map(|value| format!("header {LIMIT}: {value:?} is no rate of requests"));
     // With another status it tells a caller something.
     let value = headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
     let Some(value) = value else {
-        return (UpstreamNotice { is_leaving, rest: None }, None);
+        return (UpstreamNotice { is_leaving, rest: None, limit }, fault);
     };
     let asked = value.to_str().ok().and_then(|text| read_rest(text, wall));
     let is_odd = asked.is_none_or(|rest| rest > LONGEST_REST);
-    let fault =
+    let odd_rest =
         is_odd.then(|| format!("header {RETRY_AFTER}: {value:?} is no rest of 300 s at most"));
     let rest = asked.filter(|rest| !rest.is_zero()).map(|rest| rest.min(LONGEST_REST));
-    (UpstreamNotice { is_leaving, rest }, fault)
+    (UpstreamNotice { is_leaving, rest, limit }, odd_rest.or(fault))
 }
 
 /// Headers that belong to one connection.
--- a/quillcove_core/src/agent/said.rs
+++ b/quillcove_core/src/agent/said.rs
@@ -34,7 +34,7 @@
             Some(StandingChange::Rests(until)) => {
                 self.refuse_all(now, resting(until.saturating_sub(now)), out);
             },
-            None => {},
+            Some(StandingChange::Limits(_)) | None => {},
         }
     }
 
--- a/quillcove_core/src/entry/fleet.rs
+++ b/quillcove_core/src/entry/fleet.rs
@@ -199,7 +199,11 @@
         }
         upstream.says_leaving |= news.leaving;
         let rest = (news.rest_ms > 0).then(|| Duration::from_millis(news.rest_ms));
-        upstream.standing.take(&UpstreamNotice { is_leaving: false, rest }, Duration::ZERO, now);
+        upstream.standing.take(
+            &UpstreamNotice { is_leaving: false, rest, limit: None },
+            Duration::ZERO,
+            now,
+        );
         upstream.running = news.running;
         upstream.waiting = news.waiting;
         upstream.capacity = news.capacity;
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -229,7 +229,7 @@
     /// use quillcove_core::relay::loader::LoaderMachine;
     /// use quillcove_core::standing::notice::UpstreamNotice;
     ///
-    /// let notice = UpstreamNotice { is_leaving: false, rest: Some(Duration::from_secs(1)) };
+    /// let notice = UpstreamNotice { is_leaving: false, rest: Some(Duration::from_secs(1)), limit: None };
     /// let mut machine = LoaderMachine::new("e1".into(), 1);
     /// machine.note_said(&notice, Duration::ZERO);
     /// assert_eq!(machine.next_order(Duration::ZERO), None);
--- a/quillcove_core/src/relay/machine/standing.rs
+++ b/quillcove_core/src/relay/machine/standing.rs
@@ -46,7 +46,7 @@
     /// let record = example_record("i-1");
     /// let order = AttemptOrder::to(&record);
     /// machine.list(record, Duration::ZERO);
-    /// let notice = UpstreamNotice { is_leaving: true, rest: None };
+    /// let notice = UpstreamNotice { is_leaving: true, rest: None, limit: None };
     /// let change = machine.note_said(&order, &notice, Duration::ZERO);
     /// assert_eq!(change, Some(StandingChange::Leaves));
     /// ```
--- a/quillcove_core/src/relay/replica/table/words.rs
+++ b/quillcove_core/src/relay/replica/table/words.rs
@@ -20,7 +20,7 @@
     ///
     /// let mut table = ReplicaTable::default();
     /// table.list(example_record("i-1"), Duration::ZERO);
-    /// let notice = UpstreamNotice { is_leaving: true, rest: None };
+    /// let notice = UpstreamNotice { is_leaving: true, rest: None, limit: None };
     /// table.note_said("i-1", None, &notice, Duration::ZERO, Duration::ZERO);
     /// assert!(!table.get("i-1").unwrap().is_ready());
     /// ```
--- a/quillcove_core/src/standing/mod.rs
+++ b/quillcove_core/src/standing/mod.rs
@@ -4,12 +4,14 @@
 //! for rest. Both words belong to one start of the upstream. Neither is taken back by anything but a new start
 //! or, for a rest, its end: no list, no report and no good answer to an earlier request says the contrary.
 
+pub mod limit;
 pub mod notice;
 
 use std::time::Duration;
 
 use serde::Serialize;
 
+use self::limit::RateLimit;
 use self::notice::UpstreamNotice;
 use crate::ids::MonoTime;
 
@@ -97,6 +99,8 @@
     Leaves,
     /// It rests until then, and did not before.
     Rests(MonoTime),
+    /// It names a limit, or another one than before.
+    Limits(RateLimit),
 }
 
 /// What one start of an upstream has said of itself.
@@ -108,7 +112,7 @@
 ///
 /// let mut standing = UpstreamStanding::default();
 /// let second = Duration::from_secs(1);
-/// let notice = UpstreamNotice { is_leaving: false, rest: Some(second) };
+/// let notice = UpstreamNotice { is_leaving: false, rest: Some(second), limit: None };
 /// standing.take(&notice, Duration::ZERO, Duration::ZERO);
 /// assert!(!standing.takes_work(Duration::from_millis(999)));
 /// assert!(standing.takes_work(second));
@@ -117,6 +121,7 @@
 pub struct UpstreamStanding {
     leaving: Option<LeavingWord>,
     rest: Option<RestTerm>,
+    limit: Option<RateLimit>,
 }
 
 impl UpstreamStanding {
@@ -128,7 +133,7 @@
     /// use quillcove_core::standing::{StandingChange, UpstreamStanding};
     /// use quillcove_core::standing::notice::UpstreamNotice;
     ///
-    /// let notice = UpstreamNotice { is_leaving: true, rest: None };
+    /// let notice = UpstreamNotice { is_leaving: true, rest: None, limit: None };
     /// let change = UpstreamStanding::default().take(&notice, Duration::ZERO, Duration::ZERO);
     /// assert_eq!(change, Some(StandingChange::Leaves));
     /// ```
@@ -140,12 +145,19 @@
     ) -> Option<StandingChange> {
         let rests = notice.rest.and_then(|rest| self.rest_until(now + rest + spread, now));
         let leaves = notice.is_leaving && self.note_leaving(LeavingSource::Answer, now);
+        let limits = notice.limit.and_then(|limit| self.note_limit(limit));
         match leaves {
             true => Some(StandingChange::Leaves),
-            false => rests,
+            false => rests.or(limits),
         }
     }
 
+    fn note_limit(&mut self, limit: RateLimit) -> Option<StandingChange> {
+        let is_news = self.limit != Some(limit);
+        self.limit = Some(limit);
+        is_news.then_some(StandingChange::Limits(limit))
+    }
+
     /// Notes that it leaves; tells whether this is the first time or the first by its own word.
     ///
     /// ```
--- a/quillcove_core/src/standing/notice.rs
+++ b/quillcove_core/src/standing/notice.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, SystemTime};
 
+use super::limit::RateLimit;
+
 /// Longest rest that is kept to. An upstream that needs more time is down; one that names more, by a slip,
 /// would otherwise be lost to its service until this process starts again.
 pub const LONGEST_REST: Duration = Duration::from_secs(300);
@@ -13,6 +15,8 @@
     pub is_leaving: bool,
     /// It turned the request away and wants nothing from this process for so long.
     pub rest: Option<Duration>,
+    /// Requests that it takes from all processes together, as long as it says so.
+    pub limit: Option<RateLimit>,
 }
 
 impl UpstreamNotice {
@@ -22,7 +26,7 @@
     /// assert!(quillcove_core::standing::notice::UpstreamNotice::default().is_blank());
     /// ```
     pub fn is_blank(&self) -> bool {
-        !self.is_leaving && self.rest.is_none()
+        !self.is_leaving && self.rest.is_none() && self.limit.is_none()
     }
 }
 
--- a/quillcove_core/tests/agent_words.rs
+++ b/quillcove_core/tests/agent_words.rs
@@ -18,9 +18,9 @@
 
 const REST: Duration = Duration::from_secs(1);
 
-const LEAVES: UpstreamNotice = UpstreamNotice { is_leaving: true, rest: None };
+const LEAVES: UpstreamNotice = UpstreamNotice { is_leaving: true, rest: None, limit: None };
 
-const RESTS: UpstreamNotice = UpstreamNotice { is_leaving: false, rest: Some(REST) };
+const RESTS: UpstreamNotice = UpstreamNotice { is_leaving: false, rest: Some(REST), limit: None };
 
 /// An agent before a plain service, with the actions of its last event.
 struct Agent {
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -426,7 +426,7 @@
     fn say(&mut self, place: usize, rest: Option<u64>) {
         let Some(place) = place.checked_rem(self.out.len()) else { return };
         let replica = self.out[place].0.clone();
-        let notice = UpstreamNotice { is_leaving: rest.is_none(), rest: rest.map(ms) };
+        let notice = UpstreamNotice { is_leaving: rest.is_none(), rest: rest.map(ms), limit: None };
         if let Some(known) = self.known.get_mut(&replica) {
             match notice.rest {
                 Some(rest) => known.rests_until = known.rests_until.max(self.now + rest),
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -421,7 +421,7 @@
 fn an_engine_that_asked_for_rest_gets_its_orders_after_it() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     machine.take_report(settled(&[]), ms(0));
-    let notice = UpstreamNotice { is_leaving: false, rest: Some(ms(900)) };
+    let notice = UpstreamNotice { is_leaving: false, rest: Some(ms(900)), limit: None };
     machine.note_said(&notice, ms(1));
     machine.take_ask(ask(1, None), ms(2));
     assert_eq!(machine.next_order(ms(900)), None);
--- a/quillcove_core/tests/relay_words.rs
+++ b/quillcove_core/tests/relay_words.rs
@@ -17,13 +17,13 @@
 use quillcove_core::verdict::RefusalReason;
 use relay_site::{address, engine_service, ms, stream_route};
 
-const LEAVES: UpstreamNotice = UpstreamNotice { is_leaving: true, rest: None };
+const LEAVES: UpstreamNotice = UpstreamNotice { is_leaving: true, rest: None, limit: None };
 
 /// Time within which leaving replicas may get work, as the rules of these machines have it.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 fn rests(millis: u64) -> UpstreamNotice {
-    UpstreamNotice { is_leaving: false, rest: Some(ms(millis)) }
+    UpstreamNotice { is_leaving: false, rest: Some(ms(millis)), limit: None }
 }
 
 fn record(number: u16) -> ReplicaRecord {
--- a/quillcove_core/tests/word_fleet/mod.rs
+++ b/quillcove_core/tests/word_fleet/mod.rs
@@ -393,8 +393,11 @@
         self.oracle.reached(relay, number, born, attempt.request.query.received, now);
         let is_away = self.turns_away(replica);
         let is_full = replica.running >= replica.record.places;
-        let notice =
-            UpstreamNotice { is_leaving: replica.is_leaving, rest: is_away.then_some(REST) };
+        let notice = UpstreamNotice {
+            is_leaving: replica.is_leaving,
+            rest: is_away.then_some(REST),
+            limit: None,
+        };
         let kind = match is_away || is_full {
             true => AnswerKind::Refused,
             false if self.chance(0.02) => AnswerKind::Failed,
