Failing tests: an upstream that names a limit for all processes together, at both edges

The dump tells how many relays one hears, for which the test waits; the stand-in service can name a limit.

--- a/quillcove/tests/upstream_words.rs
+++ b/quillcove/tests/upstream_words.rs
@@ -83,3 +83,21 @@
     let after: u64 = refused.headers()["retry-after"].to_str().unwrap().parse().unwrap();
     assert!((50..=80).contains(&after), "told {after} s");
 }
+
+#[test]
+fn a_service_that_names_a_limit_gets_no_more_calls_from_all_entries_together() {
+    let site = WordSite::start();
+    // So low that what is allowed does not hang on how long this takes.
+    site.call_until_said(0, r#"{"limit": "0.01"}"#);
+    let arrivals = site.arrivals_of(0);
+    println!("{arrivals} of {AFTER} calls after the word");
+    // Beyond one and a half times the limit, five may come in 4 s.
+    assert!(arrivals <= 5, "{arrivals} calls");
+    // The other one takes them; when that names one as well, calls are refused with a time at which to come back.
+    assert_eq!(site.call(0).status(), 200);
+    site.call_until_said(1, r#"{"limit": "0.01"}"#);
+    let refused = (0..AFTER).map(|number| site.call(number as usize));
+    let refused = refused.filter(|answer| answer.status() != 200).last().expect("one is refused");
+    assert_eq!(verdict(&refused), "not-run");
+    assert!(refused.headers().contains_key("retry-after"));
+}
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -22,6 +22,8 @@
     pub sheet: SheetVersion,
     /// Routes in it.
     pub routes: usize,
+    /// Relays that are there, as far as this one hears, itself included.
+    pub relays: usize,
     /// Requests in flight.
     pub requests: usize,
     /// Repeats that the budget allows now.
@@ -103,6 +105,7 @@
             workspaces: self.workspace_summaries(),
             sheet: self.sheet.as_ref().map_or(0, |sheet| sheet.version),
             routes: self.sheet.as_ref().map_or(0, |sheet| sheet.route_count()),
+            relays: self.relays,
             requests: self.requests,
             suspected: self.crashes.book().summary(),
             retry_budget: self.budgets.values().map(RetryBudget::left).sum(),
--- a/quillcove_standin/src/service.rs
+++ b/quillcove_standin/src/service.rs
@@ -24,6 +24,9 @@
 /// Header by which the service says that it leaves.
 pub const LEAVING_HEADER: &str = "quillcove-leaving";
 
+/// Header by which the service names the requests a second that it takes.
+pub const LIMIT_HEADER: &str = "quillcove-limit";
+
 /// What the service says of itself with each answer.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
 pub struct ServiceWords {
@@ -32,6 +35,8 @@
     pub leaving: bool,
     /// It turns calls away and wants rest for so long, as the header has it.
     pub rest: Option<String>,
+    /// Requests a second that it takes, as the header has it.
+    pub limit: Option<String>,
 }
 
 /// State of the service.
@@ -88,7 +93,7 @@
     /// use std::time::Duration;
     /// use quillcove_standin::service::{ServiceState, ServiceWords};
     ///
-    /// ServiceState::new(Duration::ZERO).say(ServiceWords { leaving: true, rest: None });
+    /// ServiceState::new(Duration::ZERO).say(ServiceWords { leaving: true, ..ServiceWords::default() });
     /// ```
     pub fn say(&self, words: ServiceWords) {
         *self.words.lock().unwrap() = words;
@@ -140,6 +145,9 @@
     if words.leaving {
         add_header(&mut answer, HeaderName::from_static(LEAVING_HEADER), "yes");
     }
+    if let Some(limit) = &words.limit {
+        add_header(&mut answer, HeaderName::from_static(LIMIT_HEADER), limit);
+    }
     Ok(answer)
 }
 
