Limits that upstreams name are kept by all processes together

What callers and upstreams saw: a replica that took 1.8 requests a second from all relays got 31 in 4 s, as many as before it said so. Cause: nobody read the word; no state held a rate for all relays.

Now the limit is a part of what one start of an upstream has said of itself. A few relays share it, 3 and one more for each request a second, picked by a rendezvous hash of those that are there; each sends at an even pace with little saved up, and the others send nothing. A relay that is cut off uses its part only. Relays that learn of a limit or its end tell the others with their next two beacons, the first in rank repeats it each 5 s. A limit ends by a good answer without it to a request that was chosen after the last answer with it; work then returns in steps. What was chosen before a limit, or had its turn a second ago, is chosen again. Engines with a limit get loads only where all have one. At the product's own edge the agent keeps the whole limit, refuses at once what has no turn within 100 ms, and tells entries.

--- a/quillcove/src/agent/decide.rs
+++ b/quillcove/src/agent/decide.rs
@@ -10,6 +10,7 @@
 use quillcove_core::agent::AgentMachine;
 use quillcove_core::agent::event::{AgentAction, AgentEvent, RunEnd, WithdrawAnswer};
 use quillcove_core::ids::AttemptId;
+use quillcove_core::standing::limit::RateLimit;
 use quillcove_core::standing::notice::UpstreamNotice;
 use quillcove_core::verdict::WorkRefusal;
 use slog::{Logger, info, warn};
@@ -87,11 +88,14 @@
     /// Takes what the upstream said of itself; an upstream says the same with each answer, and what it changes is
     /// worth a line.
     fn take_notice(&mut self, notice: UpstreamNotice) {
-        let before = self.machine.wants_work(self.clock.now());
+        let wanted_work = self.machine.wants_work(self.clock.now());
+        let before = self.machine.upstream_limit();
         self.handle(AgentEvent::Said(notice));
-        if before && !self.machine.wants_work(self.clock.now()) {
+        let is_turned_away = wanted_work && !self.machine.wants_work(self.clock.now());
+        if is_turned_away || before != self.machine.upstream_limit() {
             info!(self.log, "upstream said of itself"; "is_leaving" => notice.is_leaving,
-                "rest_ms" => notice.rest.map(|rest| rest.as_millis() as u64));
+                "rest_ms" => notice.rest.map(|rest| rest.as_millis() as u64),
+                "limit" => notice.limit.map(RateLimit::rate));
         }
     }
 
--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -83,12 +83,16 @@
         self.settings.listen.clone()
     }
 
-    /// Takes what the upstream says of itself with an answer.
-    fn note_said(&self, status: StatusCode, headers: &HeaderMap) {
+    /// Takes what the upstream says of itself with an answer to an attempt.
+    fn note_said(&self, attempt: AttemptId, status: StatusCode, headers: &HeaderMap) {
         let (notice, fault) = headers::notice(status, headers, SystemTime::now());
+        let is_plain = notice.limit.is_none() && fault.is_none();
         if let Some(fault) = fault {
             self.ring.put(AgentInput::OddWord(fault));
         }
+        if is_plain && status.is_success() {
+            self.ring.put(AgentInput::Event(AgentEvent::NamedNoLimit(attempt)));
+        }
         if !notice.is_blank() {
             self.metrics.replica_said(&notice);
             self.ring.put(AgentInput::Event(AgentEvent::Said(notice)));
@@ -211,7 +215,7 @@
         Ok(response) => response,
         Err(error) => return end_guard.fail(&error, &news),
     };
-    state.note_said(response.status(), response.headers());
+    state.note_said(attempt, response.status(), response.headers());
     if response.status() == StatusCode::NOT_FOUND {
         // The engine restarted empty or lost the adapter: it said that it did not run.
         return end_guard.fail(&WebError::Status(StatusCode::NOT_FOUND), &news);
@@ -244,7 +248,7 @@
         let started = state.clock.now();
         let exchange = exchange.await;
         if let Ok((parts, _)) = &exchange {
-            state.note_said(parts.status, &parts.headers);
+            state.note_said(attempt, parts.status, &parts.headers);
         }
         let end = match &exchange {
             Ok((parts, _)) => RunEnd::Complete(parts.status.as_u16()),
--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -7,7 +7,7 @@
 use quillcove_core::access::right::RightRules;
 use quillcove_core::relay::machine::RelayRules;
 use quillcove_core::relay::policy::{
-    CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, WaitingRule,
+    CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, SharingRule, WaitingRule,
 };
 use quillcove_core::relay::store_duty::DutyRules;
 
@@ -77,6 +77,7 @@
     /// ```
     pub fn rules(&self) -> RelayRules {
         RelayRules {
+            host: self.process.host.clone(),
             hall: self.process.hall.clone(),
             retry_share: self.routing.retry_ratio * RETRY_RATIO_SHARE,
             retry_extra: self.routing.retry_extra,
@@ -397,6 +398,7 @@
             ("beacons", LimitRule::Beacons),
             ("even", LimitRule::Even),
         ];
+        let sharing = [("few", SharingRule::Few), ("all", SharingRule::All)];
         Self(RelayPolicy {
             routing: source.choice(section, "routing", default.routing, &routing),
             copies: source.choice(section, "copies", default.copies, &copies),
@@ -404,6 +406,7 @@
             placement: source.choice(section, "placement", default.placement, &placement),
             waiting: source.choice(section, "waiting", default.waiting, &waiting),
             limits: source.choice(section, "limits", default.limits, &limits),
+            sharing: source.choice(section, "sharing", default.sharing, &sharing),
         })
     }
 }
--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -247,6 +247,7 @@
             | PeerMessage::Engine(_)
             | PeerMessage::Gauges(_)
             | PeerMessage::Spend(_)
+            | PeerMessage::Limit(_)
             | PeerMessage::ProofAsk(_)
             | PeerMessage::Proof(_) => {
                 warn!(self.log, "message is meant for a relay"; "from" => %from);
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -179,8 +179,9 @@
         connection.keep_for(keep);
     }
     open.shared.machine().hear(&order.replica, open.shared.clock.now());
-    note_said(open, order, parts.status, &parts.headers);
-    match heads::read_meaning(parts.status, &parts.headers, &open.terms.id) {
+    let meaning = heads::read_meaning(parts.status, &parts.headers, &open.terms.id);
+    note_said(open, order, meaning, parts.status, &parts.headers);
+    match meaning {
         AnswerMeaning::Foreign => {
             let reason = "the answer belongs to another request".to_string();
             AttemptEnd::Failed(AttemptFailure::Lost(reason))
@@ -209,13 +210,24 @@
 }
 
 /// Notes what a replica says of itself with an answer, whatever the answer means for the request.
-fn note_said(open: &OpenRequest, order: &AttemptOrder, status: StatusCode, headers: &HeaderMap) {
+fn note_said(
+    open: &OpenRequest,
+    order: &AttemptOrder,
+    meaning: AnswerMeaning,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
     let (notice, fault) = heads::read_notice(status, headers, SystemTime::now());
     let log = &open.shared.log;
-    if let Some(fault) = fault {
+    if let Some(fault) = &fault {
         warn!(log, "word of a replica not understood"; "id" => &open.terms.id,
             "replica" => &order.replica, "fault" => %fault);
     }
+    // Other answers may come without what a replica says with each of its own.
+    let is_good = meaning == AnswerMeaning::Ran && status.is_success();
+    if is_good && notice.limit.is_none() && fault.is_none() {
+        note_no_limit(open, order);
+    }
     if notice.is_blank() {
         return;
     }
@@ -243,6 +255,15 @@
         "limit" => notice.limit.map(RateLimit::rate));
 }
 
+/// Notes that a good answer of a replica names no limit.
+fn note_no_limit(open: &OpenRequest, order: &AttemptOrder) {
+    let now = open.shared.clock.now();
+    if open.shared.machine().note_no_limit(order, now) {
+        info!(open.shared.log, "replica names no limit any more"; "id" => &open.terms.id,
+            "replica" => &order.replica, "born" => order.born);
+    }
+}
+
 /// Sends the request over a kept connection or a new one; gives the answer's head.
 async fn send_head(
     open: &OpenRequest,
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -30,6 +30,7 @@
             PeerMessage::Proof(answer) => self.take_proof(&answer),
             PeerMessage::Crash(told) => self.take_crashes(&told, from, now),
             PeerMessage::CrashAsk(ask) => self.answer_crashes(ask, now),
+            PeerMessage::Limit(told) => self.shared.machine().take_limits(&told, now),
             PeerMessage::Use(_) | PeerMessage::Load(_) | PeerMessage::Resend(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
@@ -51,6 +52,7 @@
         if self.relays.insert(beacon.host.clone(), known).is_none() {
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
                 "address" => %beacon.address);
+            self.note_peers(now);
             self.tell_levels(beacon.address, now);
             self.miss_crashes(now);
             self.greet_with_crashes(&beacon.host, beacon.address, now);
@@ -127,6 +129,7 @@
 
     pub(super) fn forget_relays(&mut self, now: MonoTime) {
         let shared = self.shared.clone();
+        let before = self.relays.len();
         self.relays.retain(|host, known| {
             let is_recent = now.saturating_sub(known.heard) < RELAY_LIFETIME;
             if !is_recent {
@@ -135,6 +138,15 @@
             }
             is_recent
         });
+        if self.relays.len() < before {
+            self.note_peers(now);
+        }
+    }
+
+    /// Has the machine share limits of replicas among the relays that are there.
+    fn note_peers(&self, now: MonoTime) {
+        let others = self.relays.keys().cloned().collect();
+        self.shared.machine().set_peers(others, now);
     }
 
     /// Forgets loaders whose engines are no longer listed.
@@ -202,6 +214,7 @@
         self.last_beacon = now;
         self.tell_relays(now);
         self.tell_spent(now, true);
+        self.tell_limits(now);
         self.tell_crashes(true, now);
         self.ask_for_crashes(now);
         for (replica, loader) in self.loaders_of_engines() {
@@ -226,6 +239,15 @@
         self.send(&PeerMessage::Spend(beacon), self.relays.values().map(|known| known.address));
     }
 
+    /// Tells relays what replicas have said of their limits.
+    fn tell_limits(&self, now: MonoTime) {
+        let told = self.shared.machine().tell_limits(now);
+        if let Some(told) = told {
+            let relays = self.relays.values().map(|known| known.address);
+            self.send(&PeerMessage::Limit(told), relays);
+        }
+    }
+
     /// Tells a relay that is new here what workspaces may still use, as it may have lost what it knew.
     fn tell_levels(&self, relay: SocketAddr, now: MonoTime) {
         let levels = self.shared.machine().ledger_mut().levels(now);
--- a/quillcove/tests/upstream_words.rs
+++ b/quillcove/tests/upstream_words.rs
@@ -2,7 +2,9 @@
 //!
 //! Seen: on the other edge, upstreams that had said that they leave, or had asked for rest, went on getting work, as
 //! what an answer says ended with the request that it belonged to. Here the same holds: an agent passes its
-//! upstream's 503 on as any answer, and neither it nor an entry knows anything of it a moment later.
+//! upstream's 503 on as any answer, and neither it nor an entry knows anything of it a moment later. So it was with a
+//! limit of requests a second, of which 13 of 20 calls took no notice: an agent bounded how many run at once, and nothing
+//! how many begin in a time.
 
 mod common;
 
@@ -96,7 +98,7 @@
     // The other one takes them; when that names one as well, calls are refused with a time at which to come back.
     assert_eq!(site.call(0).status(), 200);
     site.call_until_said(1, r#"{"limit": "0.01"}"#);
-    let refused = (0..AFTER).map(|number| site.call(number as usize));
+    let refused = (0..AFTER).map(|number| site.call(number));
     let refused = refused.filter(|answer| answer.status() != 200).last().expect("one is refused");
     assert_eq!(verdict(&refused), "not-run");
     assert!(refused.headers().contains_key("retry-after"));
--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -64,7 +64,7 @@
     /// Part of a limit that the relays which hear each other may use: theirs, and of those who are missing
     /// half of it when they are fewer. Missing relays are mostly dead, and their callers come to the others;
     /// if they are cut off instead, each side is a minority or they use a quarter too much together at most.
-    fn share(self) -> f64 {
+    pub(crate) fn share(self) -> f64 {
         let most = self.most.max(self.heard).max(1) as f64;
         let own = self.heard as f64 / most;
         if own > 0.5 { (1.0 + own) / 2.0 } else { own }
--- a/quillcove_core/src/agent/admission.rs
+++ b/quillcove_core/src/agent/admission.rs
@@ -69,6 +69,7 @@
         if order.deadline <= now {
             return Err(WorkRefusal::not_run(RefusalReason::DeadlinePassed, None));
         }
+        self.check_limit(now, self.room.len())?;
         let wait = self.expected_wait(now, order);
         if now + wait > order.deadline {
             return Err(WorkRefusal::not_run(RefusalReason::DeadlineTooShort, Some(wait)));
--- a/quillcove_core/src/agent/event.rs
+++ b/quillcove_core/src/agent/event.rs
@@ -146,6 +146,8 @@
     UpstreamLost,
     /// The upstream said this of itself with an answer.
     Said(UpstreamNotice),
+    /// The upstream answered an attempt well, and named no limit with it.
+    NamedNoLimit(AttemptId),
     /// An order ended.
     OrderEnded(OrderFence, OrderEnd),
     /// The keeper answered; the machine's own pace applies when none could be reached.
--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 pub mod engine;
 pub mod event;
+mod limit;
 mod loads;
 pub mod marks;
 mod orders;
@@ -44,6 +45,8 @@
 /// One attempt that was handed to the upstream.
 #[derive(Clone, Debug)]
 struct RunningAttempt {
+    /// When it was started.
+    started: MonoTime,
     target: WorkTarget,
     class: WorkClass,
     once: Option<OnceKey>,
@@ -190,6 +193,7 @@
             AgentEvent::Reported(report) => self.take_report(now, &report, out),
             AgentEvent::UpstreamLost => self.lose_upstream(now, out),
             AgentEvent::Said(notice) => self.take_notice(now, &notice, out),
+            AgentEvent::NamedNoLimit(attempt) => self.note_no_limit(now, attempt),
             AgentEvent::OrderEnded(fence, end) => self.end_order(now, fence, end, out),
             AgentEvent::PermitAnswered(answer) => self.take_permit(now, answer, out),
             AgentEvent::BundleTaken(bundle) => self.take_bundle(now, bundle),
@@ -215,6 +219,7 @@
     fn progress(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
         self.refuse_late(now, out);
         self.refuse_hopeless(now, out);
+        self.refuse_beyond_limit(now, out);
         self.release_lingering(now);
         if self.is_confirmed && self.hold_claim(now, out) {
             self.start_ready(now, out);
--- a/quillcove_core/src/agent/running.rs
+++ b/quillcove_core/src/agent/running.rs
@@ -54,6 +54,7 @@
         self.note_use(now, &attempt.order.target);
         self.marks.set(id, AttemptMark::Started);
         let running = RunningAttempt {
+            started: now,
             target: attempt.order.target,
             class: attempt.order.class,
             once: attempt.once,
--- a/quillcove_core/src/agent/said.rs
+++ b/quillcove_core/src/agent/said.rs
@@ -13,8 +13,9 @@
 /// second of them was asked for after the word had come.
 const STAYING_REPORTS: u32 = 2;
 
-/// Rest that entries are told of while an upstream leaves; the next one may stand in its place by then.
-const LEAVING_PAUSE: Duration = Duration::from_secs(2);
+/// Rest that entries are told of while an upstream leaves, as the next one may stand in its place by then, and the
+/// longest one while it names a limit.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
 
 impl AgentMachine {
     /// Takes what the upstream said with an answer. What waits here for an upstream that leaves or rests is
@@ -34,6 +35,7 @@
             Some(StandingChange::Rests(until)) => {
                 self.refuse_all(now, resting(until.saturating_sub(now)), out);
             },
+            // What waits beyond its turn is refused with the next step.
             Some(StandingChange::Limits(_)) | None => {},
         }
     }
@@ -94,12 +96,15 @@
         !self.standing.is_leaving() && self.standing.takes_work(now)
     }
 
-    /// How long entries are to send nothing, as the upstream rests or leaves.
+    /// How long entries are to send nothing, as the upstream rests or leaves, or as others wait for their turn under
+    /// its limit. That one may be lifted at any moment, so that they look again after a while.
     pub(super) fn rest_left(&self, now: MonoTime) -> Duration {
         if self.standing.is_leaving() {
-            return LEAVING_PAUSE;
+            return LOOK_PAUSE;
         }
-        self.standing.rest_end(now).map_or(Duration::ZERO, |end| end.saturating_sub(now))
+        let rest =
+            self.standing.rest_end(now).map_or(Duration::ZERO, |end| end.saturating_sub(now));
+        rest.max(self.limit_wait(now, self.room.len()).min(LOOK_PAUSE))
     }
 }
 
--- a/quillcove_core/src/agent/view.rs
+++ b/quillcove_core/src/agent/view.rs
@@ -8,6 +8,7 @@
 use crate::class::WorkClass;
 use crate::entry::event::AgentNews;
 use crate::ids::{BundleVersion, HostId, Incarnation, MonoTime};
+use crate::standing::limit::RateLimit;
 
 /// One slot in a dump.
 #[derive(Clone, Debug, Serialize)]
@@ -41,6 +42,8 @@
     pub upstream_leaving: bool,
     /// How long entries are to send nothing, as the upstream rests or leaves.
     pub rest_left_ms: u64,
+    /// Requests a second that the upstream takes, where it names a limit.
+    pub upstream_limit: Option<f64>,
     /// Bundle in force, 0 for none.
     pub bundle: BundleVersion,
     /// Attempts at the upstream.
@@ -92,6 +95,7 @@
             leaving: self.is_leaving(),
             upstream_leaving: self.standing.is_leaving(),
             rest_left_ms: self.rest_left(now).as_millis() as u64,
+            upstream_limit: self.standing.limit().map(RateLimit::rate),
             bundle: self.bundle.as_ref().map_or(0, |bundle| bundle.version),
             running: self.running.len(),
             waiting: self.room.len(),
--- a/quillcove_core/src/agent/waiting.rs
+++ b/quillcove_core/src/agent/waiting.rs
@@ -140,6 +140,19 @@
         attempts.filter(|attempt| attempt.order.class == WorkClass::Batch).collect()
     }
 
+    /// All of them in the order in which they start where all are ready: by class and then arrival.
+    ///
+    /// ```
+    /// use quillcove_core::agent::waiting::WaitingRoom;
+    ///
+    /// assert!(WaitingRoom::default().by_turn().is_empty());
+    /// ```
+    pub fn by_turn(&self) -> Vec<&WaitingAttempt> {
+        let mut all: Vec<&WaitingAttempt> = self.queues.values().flatten().collect();
+        all.sort_by_key(|attempt| (attempt.order.class, attempt.since));
+        all
+    }
+
     /// Takes the last attempt of the least urgent class, when it is less urgent than the given
     /// one, to make room.
     ///
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -10,6 +10,7 @@
 use crate::access::spending::SpendBeacon;
 use crate::crash::telling::{CrashAsk, CrashBeacon};
 use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
+use crate::standing::limit::RateLimit;
 
 /// Names a replica, as the platform lists it. It may start again under the same id.
 pub type ReplicaId = String;
@@ -177,6 +178,26 @@
     pub lacking: u32,
 }
 
+/// What a relay knows of one replica's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitWord {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// Which start of it, where it says so.
+    pub born: Option<StartTime>,
+    /// What it takes from all relays together; `None` when it names no limit any more.
+    pub limit: Option<RateLimit>,
+    /// Age of the answer that says so.
+    pub age: Duration,
+}
+
+/// What a relay tells others of limits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitBeacon {
+    /// One for each replica.
+    pub words: Vec<LimitWord>,
+}
+
 /// The other relays, as far as one relay's share of the weight store goes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OtherRelays {
@@ -278,6 +299,8 @@
     Crash(CrashBeacon),
     /// From a relay to a relay or a loader.
     CrashAsk(CrashAsk),
+    /// From a relay to relays.
+    Limit(LimitBeacon),
 }
 
 /// A relay's question to another one how old its proof is that it knows all that the operator wrote.
@@ -319,6 +342,8 @@
     Proof,
     /// [`PeerMessage::Crash`] and [`PeerMessage::CrashAsk`].
     Crash,
+    /// [`PeerMessage::Limit`].
+    Limit,
 }
 
 impl PeerMessageKind {
@@ -340,6 +365,7 @@
             Self::Spend => "spend",
             Self::Proof => "proof",
             Self::Crash => "crash",
+            Self::Limit => "limit",
         }
     }
 }
@@ -364,6 +390,7 @@
             Self::Spend(_) => PeerMessageKind::Spend,
             Self::ProofAsk(_) | Self::Proof(_) => PeerMessageKind::Proof,
             Self::Crash(_) | Self::CrashAsk(_) => PeerMessageKind::Crash,
+            Self::Limit(_) => PeerMessageKind::Limit,
         }
     }
 }
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -139,9 +139,14 @@
         let cost =
             RoutingCost { prompt: self.prompt_of(query), norm: &norm, hall: &self.rules.hall };
         let sampled = routing::sample(&current, self.relays, draw);
-        match routing::choose(&sampled, &cost, now, draw) {
+        let overdue = current.iter().find(|view| view.standing.is_limit_overdue(now)).copied();
+        match overdue.or_else(|| routing::choose(&sampled, &cost, now, draw)) {
             Some(view) => {
-                let order = AttemptOrder { is_last_resort, ..AttemptOrder::to(&view.record) };
+                let order = AttemptOrder {
+                    is_last_resort,
+                    chosen_at: now,
+                    ..AttemptOrder::to(&view.record)
+                };
                 self.refresh_copies(query, &order.replica, now);
                 RelayChoice::Send(order)
             },
@@ -282,7 +287,7 @@
                 view.record.service == service.name && view.takes_work(now) && view.seems_well(now)
             });
             let norm = self.table.norm(&service.name);
-            let views = ready.collect();
+            let views = unlimited_first(ready.collect());
             choices.push(EngineChoice { service: &service.name, engine, views, norm });
         }
         self.demand.pump(&choices, self.rules.policy.placement, now);
@@ -380,6 +385,18 @@
     }
 }
 
+/// Engines that name no limit; all of them when each names one. What is loaded where few requests may go is used
+/// by few.
+fn unlimited_first(ready: Vec<&ReplicaView>) -> Vec<&ReplicaView> {
+    let is_unlimited = |view: &&ReplicaView| view.standing.limit().is_none();
+    let unlimited: Vec<&ReplicaView> =
+        ready.iter().filter(|view| is_unlimited(view)).copied().collect();
+    match unlimited.is_empty() {
+        true => ready,
+        false => unlimited,
+    }
+}
+
 /// Replicas that seem to work; all of them when that would leave less than half, because then the
 /// fault may be on this side.
 fn well_ones<'a>(ready: &[&'a ReplicaView], now: MonoTime) -> Vec<&'a ReplicaView> {
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod crashes;
 mod engines;
+mod limits;
 mod priority;
 mod published;
 mod query;
@@ -13,6 +14,7 @@
 mod view;
 
 pub use self::crashes::BreakStep;
+use self::limits::LimitTeller;
 pub use self::priority::ReadingStart;
 pub use self::query::{AttemptOrder, RelayChoice, RelayQuery};
 pub use self::view::{RelayView, ReplicaSummary};
@@ -27,6 +29,7 @@
 use super::promise::PromiseBook;
 use super::reading::ReadingNumber;
 use super::replica::{ReplicaTable, ReplicaView};
+use super::sharing::RelayPeers;
 use super::sheet::{RouteSheet, SheetVersion};
 use super::store_duty::StoreKnowledge;
 use super::tries::CallerTries;
@@ -35,7 +38,7 @@
 use crate::access::right::RightRules;
 use crate::crash::watch::CrashWatch;
 use crate::entry::retry::RetryBudget;
-use crate::ids::{AdapterVersion, HallName, MonoTime, ServiceName};
+use crate::ids::{AdapterVersion, HallName, HostId, MonoTime, ServiceName};
 use crate::rendezvous;
 use crate::route::RouteRecord;
 use crate::verdict::{RefusalReason, WorkRefusal};
@@ -43,6 +46,8 @@
 /// Settings of the machine.
 #[derive(Clone, Debug)]
 pub struct RelayRules {
+    /// Host of this process.
+    pub host: HostId,
     /// Hall of this process.
     pub hall: HallName,
     /// Repeats as a share of first attempts.
@@ -64,6 +69,7 @@
 impl Default for RelayRules {
     fn default() -> Self {
         Self {
+            host: HostId::new(),
             hall: HallName::new(),
             retry_share: 0.1,
             retry_extra: 50.0,
@@ -123,6 +129,12 @@
     /// Most relays that were there at once. It does not fall: a relay that hears fewer may be cut off
     /// from the others, which go on with their parts of what is shared.
     most_relays: usize,
+    /// The relays that are there, among which limits of replicas are shared.
+    peers: RelayPeers,
+    /// Most of them at once, as for [`Self::most_relays`].
+    most_peers: usize,
+    /// What was told of limits of replicas.
+    limits: LimitTeller,
     /// What this relay knows of the store.
     knowledge: StoreKnowledge,
     /// What workspaces have used.
@@ -146,6 +158,7 @@
     /// ```
     pub fn new(rules: RelayRules, seed: u64) -> Self {
         let ledger = LimitLedger::new(rules.limits);
+        let peers = RelayPeers::new(rules.host.clone(), Vec::new());
         Self {
             rules,
             ledger,
@@ -161,6 +174,9 @@
             is_store_away: false,
             relays: 1,
             most_relays: 1,
+            peers,
+            most_peers: 1,
+            limits: LimitTeller::default(),
             knowledge: StoreKnowledge::default(),
             crashes: CrashWatch::default(),
             requests: 0,
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -102,7 +102,10 @@
             changes.push(BeliefChange::Replaced(id));
         }
         let id = record.id.clone();
-        if self.table.list(record, now) {
+        let is_changed = self.table.list(record, now);
+        // What it said before its entry lapsed still holds, while the relays may have changed.
+        self.share_limit(&id, now);
+        if is_changed {
             changes.push(BeliefChange::Listed(id));
         } else if was_doubted {
             changes.push(BeliefChange::Returned(id));
--- a/quillcove_core/src/relay/machine/query.rs
+++ b/quillcove_core/src/relay/machine/query.rs
@@ -82,6 +82,8 @@
     pub address: SocketAddr,
     /// It leaves, and takes this as no other replica is left.
     pub is_last_resort: bool,
+    /// When it was chosen; nothing was sent before.
+    pub chosen_at: MonoTime,
 }
 
 impl AttemptOrder {
@@ -99,6 +101,7 @@
             born: record.born,
             address: record.address,
             is_last_resort: false,
+            chosen_at: MonoTime::ZERO,
         }
     }
 }
--- a/quillcove_core/src/relay/machine/standing.rs
+++ b/quillcove_core/src/relay/machine/standing.rs
@@ -57,7 +57,12 @@
         now: MonoTime,
     ) -> Option<StandingChange> {
         let spread = self.return_spread();
+        let before = self.table.get(&order.replica).and_then(|view| view.standing.limit());
         let change = self.table.note_said(&order.replica, order.born, notice, spread, now);
+        let after = self.table.get(&order.replica).and_then(|view| view.standing.limit());
+        if after != before {
+            self.note_limit_news(&order.replica, now);
+        }
         if change == Some(StandingChange::Leaves) {
             self.demand.leave_engine(&order.replica);
         }
@@ -69,7 +74,7 @@
     }
 
     /// Each relay's own part of the time over which relays return to a replica that rested.
-    fn return_spread(&mut self) -> Duration {
+    pub(super) fn return_spread(&mut self) -> Duration {
         let draw = self.draw();
         let longest = (RETURN_SPREAD * self.relays as u32).min(MOST_SPREAD);
         longest.mul_f64(share_of(draw))
@@ -99,7 +104,7 @@
             true => self.is_last_resort(view, received),
             false => view.is_ready(),
         };
-        stays && view.record.born == order.born && view.standing.rest_end(now).is_none()
+        stays && view.record.born == order.born && view.standing.may_write(order.chosen_at, now)
     }
 
     /// The replicas of a request's service that may be chosen.
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -14,6 +14,7 @@
 use crate::relay::replica::{ReplicaRecord, ReplicaView};
 use crate::relay::sheet::SheetVersion;
 use crate::standing::LeavingSource;
+use crate::standing::limit::RateLimit;
 
 /// A relay's state in a dump.
 #[derive(Clone, Debug, Serialize)]
@@ -74,6 +75,10 @@
     pub rest_left_ms: Option<u64>,
     /// Requests that may go to it now, when it has just rested.
     pub may_take: Option<u32>,
+    /// Requests a second that it takes from all relays together, where it names a limit.
+    pub limit: Option<f64>,
+    /// When one may go to it, or to another relay's part of its limit.
+    pub next_in_ms: Option<u64>,
 }
 
 impl RelayMachine {
@@ -99,6 +104,11 @@
             leaving_by: view.standing.leaving().map(|word| word.source),
             rest_left_ms: view.standing.rest_end(now).map(|end| millis(end.saturating_sub(now))),
             may_take: view.standing.left(now),
+            limit: view.standing.limit().map(RateLimit::rate),
+            next_in_ms: view
+                .standing
+                .limit()
+                .map(|_| millis(view.standing.takes_work_from(now).saturating_sub(now))),
         };
         RelayView {
             key_age_ms: self.knowledge.proved_at().map(age),
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -38,6 +38,7 @@
 pub mod report_stream;
 pub mod roll;
 pub mod routing;
+pub mod sharing;
 pub mod sheet;
 pub mod store_duty;
 pub mod tries;
--- a/quillcove_core/src/relay/policy.rs
+++ b/quillcove_core/src/relay/policy.rs
@@ -67,6 +67,16 @@
     Aim,
 }
 
+/// Which relays send to a replica that names a limit for all of them together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SharingRule {
+    /// A few, each with a larger part.
+    #[default]
+    Few,
+    /// All, each with an even part.
+    All,
+}
+
 /// All of them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RelayPolicy {
@@ -82,4 +92,6 @@
     pub waiting: WaitingRule,
     /// How the relays share limits of workspaces.
     pub limits: LimitRule,
+    /// Which relays share a limit that a replica names.
+    pub sharing: SharingRule,
 }
--- a/quillcove_core/src/relay/replica/table/words.rs
+++ b/quillcove_core/src/relay/replica/table/words.rs
@@ -6,6 +6,7 @@
 use super::ReplicaTable;
 use crate::ids::MonoTime;
 use crate::relay::beacon::StartTime;
+use crate::standing::limit::RateLimit;
 use crate::standing::notice::UpstreamNotice;
 use crate::standing::{LeavingSource, StandingChange, UpstreamStanding};
 
@@ -52,6 +53,68 @@
         }
     }
 
+    /// Takes another process's word of the limit of one start of a replica; tells whether it is news.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    /// use quillcove_core::standing::limit::RateLimit;
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let (limit, zero) = (RateLimit::per_second(2.0), Duration::ZERO);
+    /// assert!(table.note_told_limit("i-1", None, limit, zero, zero, zero));
+    /// ```
+    pub fn note_told_limit(
+        &mut self,
+        id: &str,
+        born: Option<StartTime>,
+        limit: Option<RateLimit>,
+        age: Duration,
+        spread: Duration,
+        now: MonoTime,
+    ) -> bool {
+        let standing = self.standing_of(id, born);
+        standing.is_some_and(|standing| standing.note_told_limit(limit, age, spread, now))
+    }
+
+    /// Takes a good answer of one start of a replica that names no limit, to a request that was sent then; tells
+    /// whether a limit ends by it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// let zero = Duration::ZERO;
+    /// assert!(!ReplicaTable::default().note_no_limit("i-1", None, zero, zero, zero));
+    /// ```
+    pub fn note_no_limit(
+        &mut self,
+        id: &str,
+        born: Option<StartTime>,
+        sent: MonoTime,
+        spread: Duration,
+        now: MonoTime,
+    ) -> bool {
+        let standing = self.standing_of(id, born);
+        standing.is_some_and(|standing| standing.note_no_limit(sent, spread, now))
+    }
+
+    /// Sets the time between two requests of this process to a replica that names a limit; `None` when others send
+    /// what it takes.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// ReplicaTable::default().set_limit_gap("i-1", None, Duration::ZERO);
+    /// ```
+    pub fn set_limit_gap(&mut self, id: &str, gap: Option<Duration>, now: MonoTime) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            view.standing.set_limit_gap(gap, now);
+        }
+    }
+
     /// The standing of one start of a replica; `None` when another start is there now.
     fn standing_of(&mut self, id: &str, born: Option<StartTime>) -> Option<&mut UpstreamStanding> {
         match self.replicas.get_mut(id) {
--- a/quillcove_core/src/standing/mod.rs
+++ b/quillcove_core/src/standing/mod.rs
@@ -1,11 +1,14 @@
 //! Whether an upstream takes new work, by what it says of itself.
 //!
-//! An upstream that leaves says so in its answers, often long before any list does, and one that is overrun asks
-//! for rest. Both words belong to one start of the upstream. Neither is taken back by anything but a new start
-//! or, for a rest, its end: no list, no report and no good answer to an earlier request says the contrary.
+//! An upstream that leaves says so in its answers, often long before any list does, one that is overrun asks
+//! for rest, and one that has little room names the rate of requests that it takes from all processes together. The
+//! words belong to one start of the upstream. None is taken back by anything but a new start, the end of a rest, or an
+//! answer without a limit to a request that was sent after the last one which named it: no list, no report and no good
+//! answer to an earlier request says the contrary.
 
 pub mod limit;
 pub mod notice;
+mod pace;
 
 use std::time::Duration;
 
@@ -13,6 +16,7 @@
 
 use self::limit::RateLimit;
 use self::notice::UpstreamNotice;
+use self::pace::LimitTerm;
 use crate::ids::MonoTime;
 
 /// After a rest, requests go out in steps of this length, each with twice as many as the one before. An upstream
@@ -92,6 +96,17 @@
     }
 }
 
+/// What one process knows of an upstream's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LimitKnowledge {
+    /// The limit; `None` when the last answer named none.
+    pub limit: Option<RateLimit>,
+    /// Age of the answer that says so.
+    pub age: Duration,
+    /// For how long this process has kept to a limit, or known of none.
+    pub known_for: Duration,
+}
+
 /// What became known by a notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StandingChange {
@@ -121,7 +136,7 @@
 pub struct UpstreamStanding {
     leaving: Option<LeavingWord>,
     rest: Option<RestTerm>,
-    limit: Option<RateLimit>,
+    limit: Option<LimitTerm>,
 }
 
 impl UpstreamStanding {
@@ -145,19 +160,138 @@
     ) -> Option<StandingChange> {
         let rests = notice.rest.and_then(|rest| self.rest_until(now + rest + spread, now));
         let leaves = notice.is_leaving && self.note_leaving(LeavingSource::Answer, now);
-        let limits = notice.limit.and_then(|limit| self.note_limit(limit));
+        let limits = notice.limit.and_then(|limit| self.note_limit(limit, now));
         match leaves {
             true => Some(StandingChange::Leaves),
             false => rests.or(limits),
         }
     }
 
-    fn note_limit(&mut self, limit: RateLimit) -> Option<StandingChange> {
-        let is_news = self.limit != Some(limit);
-        self.limit = Some(limit);
+    fn note_limit(&mut self, limit: RateLimit, now: MonoTime) -> Option<StandingChange> {
+        let is_news = match &mut self.limit {
+            Some(term) => term.name(limit, now),
+            None => {
+                self.limit = Some(LimitTerm::new(Some(limit), now, now));
+                true
+            },
+        };
         is_news.then_some(StandingChange::Limits(limit))
     }
 
+    /// Takes another process's word of a limit, or that there is none any more, by an answer of this age; tells
+    /// whether it is news. `spread` is added to the time of the return.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::standing::UpstreamStanding;
+    /// use quillcove_core::standing::limit::RateLimit;
+    ///
+    /// let mut standing = UpstreamStanding::default();
+    /// let second = Duration::from_secs(1);
+    /// let limit = RateLimit::per_second(2.0);
+    /// assert!(standing.note_told_limit(limit, Duration::ZERO, Duration::ZERO, second));
+    /// assert!(!standing.takes_work(second));
+    /// ```
+    pub fn note_told_limit(
+        &mut self,
+        limit: Option<RateLimit>,
+        age: Duration,
+        spread: Duration,
+        now: MonoTime,
+    ) -> bool {
+        let said_at = now.saturating_sub(age);
+        match &mut self.limit {
+            Some(term) => {
+                let had_limit = term.limit().is_some();
+                let is_news = term.take_told(limit, said_at, now);
+                self.return_after_limit(is_news && had_limit && limit.is_none(), spread, now);
+                is_news
+            },
+            None if limit.is_none() => false,
+            None => {
+                self.limit = Some(LimitTerm::new(limit, said_at, now));
+                true
+            },
+        }
+    }
+
+    /// Takes a good answer that names no limit, to a request that was sent then; tells whether a limit ends by it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::standing::UpstreamStanding;
+    /// use quillcove_core::standing::limit::RateLimit;
+    /// use quillcove_core::standing::notice::UpstreamNotice;
+    ///
+    /// let [first, second, third] = [1, 2, 3].map(Duration::from_secs);
+    /// let notice = UpstreamNotice { limit: RateLimit::per_second(2.0), ..UpstreamNotice::default() };
+    /// let mut standing = UpstreamStanding::default();
+    /// standing.take(&notice, Duration::ZERO, second);
+    /// let zero = Duration::ZERO;
+    /// assert!(!standing.note_no_limit(first, zero, third), "sent before the limit was named");
+    /// assert!(standing.note_no_limit(third, zero, third));
+    /// ```
+    pub fn note_no_limit(&mut self, sent: MonoTime, spread: Duration, now: MonoTime) -> bool {
+        let is_end = self.limit.as_mut().is_some_and(|term| term.note_none(sent, now));
+        self.return_after_limit(is_end, spread, now);
+        is_end
+    }
+
+    /// An upstream that took few requests gets more of them in steps, as after a rest.
+    fn return_after_limit(&mut self, is_end: bool, spread: Duration, now: MonoTime) {
+        if is_end {
+            self.rest_until(now + spread, now);
+        }
+    }
+
+    /// The limit that it names.
+    ///
+    /// ```
+    /// assert!(quillcove_core::standing::UpstreamStanding::default().limit().is_none());
+    /// ```
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.limit.and_then(|term| term.limit())
+    }
+
+    /// What is known of its limit, to be told to other processes: the limit, the age of the answer that says so, and for
+    /// how long that has been known.
+    pub(crate) fn limit_word(&self, now: MonoTime) -> Option<LimitKnowledge> {
+        let known = |term: LimitTerm| LimitKnowledge {
+            limit: term.limit(),
+            age: now.saturating_sub(term.said_at()),
+            known_for: now.saturating_sub(term.since()),
+        };
+        self.limit.map(known)
+    }
+
+    /// Sets the time between two requests of this process under the limit; `None` when others send them.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let mut standing = quillcove_core::standing::UpstreamStanding::default();
+    /// standing.set_limit_gap(None, Duration::ZERO);
+    /// assert!(standing.takes_work(Duration::ZERO), "there is no limit");
+    /// ```
+    pub fn set_limit_gap(&mut self, gap: Option<Duration>, now: MonoTime) {
+        if let Some(term) = &mut self.limit {
+            term.set_gap(gap, now);
+        }
+    }
+
+    /// Tells whether a request may be written to it now, as far as rests and limits go, that had its turn then.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let standing = quillcove_core::standing::UpstreamStanding::default();
+    /// assert!(standing.may_write(Duration::ZERO, Duration::ZERO));
+    /// ```
+    pub fn may_write(&self, begun: MonoTime, now: MonoTime) -> bool {
+        let is_in_turn = self.limit.is_none_or(|term| term.may_write(begun, now));
+        is_in_turn && self.rest_end(now).is_none()
+    }
+
     /// Notes that it leaves; tells whether this is the first time or the first by its own word.
     ///
     /// ```
@@ -231,7 +365,7 @@
         self.rest.and_then(|rest| rest.left(now))
     }
 
-    /// Tells whether a request may go to it now, as far as rests go.
+    /// Tells whether a request may go to it now, as far as rests and limits go.
     ///
     /// ```
     /// use std::time::Duration;
@@ -240,10 +374,16 @@
     /// assert!(standing.takes_work(Duration::ZERO));
     /// ```
     pub fn takes_work(&self, now: MonoTime) -> bool {
-        self.left(now) != Some(0)
+        self.left(now) != Some(0) && self.limit_turn(now).is_some_and(|turn| turn <= now)
     }
 
-    /// From when on a request may go to it, as far as rests go.
+    /// From when on a request may go to it under its limit; `None` when this process is to send none.
+    fn limit_turn(&self, now: MonoTime) -> Option<MonoTime> {
+        self.limit.map_or(Some(now), |term| term.next())
+    }
+
+    /// From when on a request may go to it, as far as rests and limits go. Where other processes send what its limit
+    /// allows, one of them is to have a turn by then.
     ///
     /// ```
     /// use std::time::Duration;
@@ -252,10 +392,23 @@
     /// assert_eq!(standing.takes_work_from(Duration::ZERO), Duration::ZERO);
     /// ```
     pub fn takes_work_from(&self, now: MonoTime) -> MonoTime {
-        match self.rest.filter(|_| !self.takes_work(now)) {
-            Some(rest) => rest.next(now),
-            None => now,
-        }
+        let rest = self.rest.filter(|_| self.left(now) == Some(0));
+        let after_rest = rest.map_or(now, |rest| rest.next(now));
+        let others_turn = || now + self.limit().map_or(Duration::ZERO, RateLimit::gap);
+        after_rest.max(self.limit_turn(now).unwrap_or_else(others_turn))
+    }
+
+    /// Tells whether its limit has not been made use of for long by this process, which might have, so that it is to
+    /// be asked whether the limit still holds.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let standing = quillcove_core::standing::UpstreamStanding::default();
+    /// assert!(!standing.is_limit_overdue(Duration::ZERO), "there is none");
+    /// ```
+    pub fn is_limit_overdue(&self, now: MonoTime) -> bool {
+        self.limit.is_some_and(|term| term.is_overdue(now))
     }
 
     /// Notes that a request goes to it.
@@ -267,6 +420,9 @@
     /// standing.begin(Duration::ZERO);
     /// ```
     pub fn begin(&mut self, now: MonoTime) {
+        if let Some(term) = &mut self.limit {
+            term.begin(now);
+        }
         match &mut self.rest {
             Some(rest) if rest.left(now).is_none() => self.rest = None,
             Some(rest) => rest.sent += 1,
@@ -282,6 +438,6 @@
     /// assert!(quillcove_core::standing::UpstreamStanding::default().is_blank(Duration::ZERO));
     /// ```
     pub fn is_blank(&self, now: MonoTime) -> bool {
-        self.leaving.is_none() && self.left(now).is_none()
+        self.leaving.is_none() && self.left(now).is_none() && self.limit().is_none()
     }
 }
