--- a/quillcove_core/tests/agent_words.rs
+++ b/quillcove_core/tests/agent_words.rs
@@ -13,6 +13,7 @@
 use quillcove_core::entry::event::{AgentNews, EntryRules, HostRecord, RouteTarget};
 use quillcove_core::entry::fleet::UpstreamTable;
 use quillcove_core::once::book::{BookLimits, OnceBook};
+use quillcove_core::standing::limit::RateLimit;
 use quillcove_core::standing::notice::UpstreamNotice;
 use quillcove_core::verdict::RefusalReason;
 
@@ -175,3 +176,59 @@
     table.hear("s1", &news(6, 0), REST);
     assert_eq!(count(&table, REST), 2);
 }
+
+/// Two attempts a second.
+const LIMITS: Duration = Duration::from_millis(500);
+
+fn limits() -> UpstreamNotice {
+    UpstreamNotice { limit: RateLimit::per_second(2.0), ..UpstreamNotice::default() }
+}
+
+#[test]
+fn an_agent_starts_no_more_than_its_upstream_takes_and_refuses_the_rest_at_once() {
+    let mut agent = Agent::start(64);
+    agent.feed(AgentEvent::Said(limits()));
+    assert_eq!(agent.machine.upstream_limit(), RateLimit::per_second(2.0));
+    let (reason, retry_after) = agent.refusal().expect("its turn is too far away");
+    assert_eq!(reason, RefusalReason::Overloaded);
+    assert!(retry_after.is_some_and(|left| left > LIMITS / 2 && left <= LIMITS));
+    assert!(agent.machine.news().rest_ms > 0, "entries are told");
+    let from = agent.now;
+    let mut started = 0;
+    while agent.now < from + Duration::from_secs(8) {
+        let out = agent.arrive();
+        for action in out {
+            // One that waited for its turn may start with another one's arrival.
+            if let AgentAction::Start(attempt) = action {
+                started += 1;
+                agent.feed(AgentEvent::Ended(attempt, RunEnd::Complete(200)));
+            }
+        }
+        agent.now += Duration::from_millis(20);
+    }
+    assert!((14..=17).contains(&started), "{started} in 8 s");
+}
+
+#[test]
+fn what_waits_is_refused_when_its_turn_gets_too_far_away() {
+    let mut agent = Agent::start(1);
+    (0..3).for_each(|_| drop(agent.arrive()));
+    let out = agent.feed(AgentEvent::Said(limits()));
+    let refused = out.iter().filter(|action| matches!(action, AgentAction::Refuse(..))).count();
+    assert_eq!(refused, 2);
+}
+
+#[test]
+fn only_a_good_answer_to_a_later_attempt_ends_an_upstreams_limit() {
+    let mut agent = Agent::start(64);
+    agent.arrive();
+    agent.feed(AgentEvent::Said(limits()));
+    agent.feed(AgentEvent::NamedNoLimit(1));
+    assert!(agent.machine.upstream_limit().is_some(), "it was started before the word");
+    agent.report(false);
+    assert!(agent.machine.upstream_limit().is_some(), "a report says nothing of it");
+    agent.now += LIMITS;
+    agent.arrive();
+    agent.feed(AgentEvent::NamedNoLimit(agent.attempts));
+    assert_eq!(agent.machine.upstream_limit(), None);
+}
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -19,6 +19,7 @@
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
+use quillcove_core::standing::limit::RateLimit;
 use quillcove_core::standing::notice::UpstreamNotice;
 use quillcove_core::verdict::RunVerdict;
 use relay_site::{address, engine_service, ms};
@@ -38,6 +39,9 @@
 /// Time for which a replica that said that it leaves may still get work: what the users allow.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Time in which requests at a replica that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 /// Repeats that may be saved up, and their share of first attempts.
 const SAVING: f64 = 4.0;
 const SHARE: f64 = 0.25;
@@ -59,6 +63,8 @@
     End(usize, AttemptFate),
     /// The answer to an attempt in flight says that its replica leaves, or wants rest for so many milliseconds.
     Say(usize, Option<u64>),
+    /// The answer to one names so many requests in ten seconds as its replica's limit, or is good and names none.
+    Limit(usize, Option<u32>),
     Repeat,
     Advance(u64),
 }
@@ -124,6 +130,32 @@
     fn apply((): (), _: &Step) {}
 }
 
+/// Few replicas that name limits, and many requests.
+struct LimitedSteps;
+
+impl ReferenceStateMachine for LimitedSteps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let limit = (any::<usize>(), prop::option::weighted(0.6, 0..8u32));
+        prop_oneof![
+            1 => (0..2usize).prop_map(Step::Start),
+            30 => Just(Step::Ask(None)),
+            20 => any::<usize>().prop_map(|place| Step::End(place, AttemptFate::Answered)),
+            8 => (1..300u64).prop_map(Step::Advance),
+            6 => limit.prop_map(|(place, limit)| Step::Limit(place, limit)),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
 /// Wrong rules that the fuzzing must catch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WrongRule {
@@ -145,9 +177,12 @@
     /// What replicas say of themselves is heard by nobody.
     DeafToLeaving,
     DeafToRest,
+    DeafToLimit,
+    /// A good answer ends a limit, whenever its request was sent.
+    AnyAnswerEndsLimit,
 }
 
-const RULES: [WrongRule; 10] = [
+const RULES: [WrongRule; 12] = [
     WrongRule::Right,
     WrongRule::KeepsDraining,
     WrongRule::KeepsPredecessor,
@@ -158,6 +193,8 @@
     WrongRule::NoConnectionLimit,
     WrongRule::DeafToLeaving,
     WrongRule::DeafToRest,
+    WrongRule::DeafToLimit,
+    WrongRule::AnyAnswerEndsLimit,
 ];
 
 /// The oracle's word on one replica.
@@ -170,6 +207,33 @@
     /// When it said that it leaves, and until when it wants rest.
     says_leaving: Option<Duration>,
     rests_until: Duration,
+    limit: Option<KnownLimit>,
+}
+
+/// A limit that a replica names.
+#[derive(Clone, Debug)]
+struct KnownLimit {
+    /// The highest rate of the window, and when it was last named.
+    rate: f64,
+    named_at: Duration,
+    sent: Vec<Duration>,
+}
+
+impl Known {
+    /// A good answer without a limit ends one when its request was chosen after the last answer that named it.
+    fn note_limit(&mut self, rate: Option<f64>, chosen_at: Duration, now: Duration) {
+        match (&mut self.limit, rate) {
+            (Some(limit), Some(rate)) => {
+                limit.rate = limit.rate.max(rate);
+                limit.named_at = now;
+            },
+            (None, Some(rate)) => {
+                self.limit = Some(KnownLimit { rate, named_at: now, sent: Vec::new() });
+            },
+            (Some(limit), None) if chosen_at > limit.named_at => self.limit = None,
+            (_, None) => {},
+        }
+    }
 }
 
 struct Watched {
@@ -180,8 +244,8 @@
     beacons: u64,
     /// Replicas that are there, by id.
     known: BTreeMap<String, Known>,
-    /// Attempts in flight: replica and adapter.
-    out: Vec<(String, Option<u8>)>,
+    /// Attempts in flight: replica and adapter, and when it was chosen.
+    out: Vec<(String, Option<u8>, Duration)>,
     sheet: u64,
     /// Newest version of each adapter, and when it was told.
     versions: BTreeMap<u8, (u32, Duration)>,
@@ -286,6 +350,7 @@
             in_flight: 0,
             says_leaving: None,
             rests_until: Duration::ZERO,
+            limit: None,
         };
         self.known.insert(id.clone(), known);
         let created = match self.rule {
@@ -398,6 +463,12 @@
         let is_late = known.says_leaving.is_some_and(|since| self.now > since + DRAIN_TIME);
         assert!(!is_late, "a replica that said that it leaves gets a request");
         assert!(self.now >= known.rests_until, "a resting replica gets a request");
+        if let Some(limit) = &mut known.limit {
+            limit.sent.push(self.now);
+            limit.sent.retain(|sent| *sent + LIMIT_WINDOW >= self.now);
+            let most = 1.5 * limit.rate * LIMIT_WINDOW.as_secs_f64() + 5.0;
+            assert!(limit.sent.len() as f64 <= most, "more than a replica takes: {limit:?}");
+        }
         if let Some(adapter) = adapter {
             let held = known.held[usize::from(adapter)];
             assert!(held > 0, "the engine does not hold the adapter");
@@ -410,12 +481,12 @@
         known.in_flight += 1;
         assert!(known.in_flight <= CONNECTIONS, "too many connections");
         self.machine.begin(&replica, adapter.map(key).as_ref(), self.now);
-        self.out.push((replica, adapter));
+        self.out.push((replica, adapter, self.now));
     }
 
     fn end(&mut self, place: usize, fate: AttemptFate) {
         let Some(place) = place.checked_rem(self.out.len()) else { return };
-        let (replica, adapter) = self.out.remove(place);
+        let (replica, adapter, _) = self.out.remove(place);
         if let Some(known) = self.known.get_mut(&replica) {
             known.in_flight -= 1;
         }
@@ -444,6 +515,29 @@
         }
     }
 
+    fn limit(&mut self, place: usize, limit: Option<u32>) {
+        let Some(place) = place.checked_rem(self.out.len()) else { return };
+        let (replica, _, chosen_at) = self.out[place].clone();
+        if let Some(known) = self.known.get_mut(&replica) {
+            known.note_limit(limit.map(|requests| f64::from(requests) / 10.0), chosen_at, self.now);
+        }
+        let mut order = AttemptOrder { chosen_at, ..AttemptOrder::to(&example_record(&replica)) };
+        let limit = limit.and_then(|requests| RateLimit::per_second(f64::from(requests) / 10.0));
+        match limit {
+            Some(_) if self.rule == WrongRule::DeafToLimit => {},
+            Some(_) => {
+                let notice = UpstreamNotice { limit, ..UpstreamNotice::default() };
+                self.machine.note_said(&order, &notice, self.now);
+            },
+            None => {
+                if self.rule == WrongRule::AnyAnswerEndsLimit {
+                    order.chosen_at = self.now;
+                }
+                self.machine.note_no_limit(&order, self.now);
+            },
+        }
+    }
+
     fn repeat(&mut self) {
         let is_allowed = self.machine.take_repeat("s");
         if is_allowed || self.rule == WrongRule::RepeatsFreely {
@@ -472,6 +566,9 @@
 /// The same with replicas that say something of themselves.
 struct WordFuzz<const RULE: usize>;
 
+/// The same with replicas that name limits.
+struct LimitFuzz<const RULE: usize>;
+
 fn take(mut watched: Watched, step: Step) -> Watched {
     match step {
         Step::Start(place) => watched.start(place),
@@ -484,6 +581,7 @@
         Step::Ask(adapter) => watched.ask(adapter),
         Step::End(place, fate) => watched.end(place, fate),
         Step::Say(place, rest) => watched.say(place, rest),
+        Step::Limit(place, limit) => watched.limit(place, limit),
         Step::Repeat => watched.repeat(),
         Step::Advance(millis) => watched.advance(millis),
     }
@@ -516,6 +614,34 @@
     }
 }
 
+impl<const RULE: usize> StateMachineTest for LimitFuzz<RULE> {
+    type SystemUnderTest = Watched;
+    type Reference = LimitedSteps;
+
+    fn init_test((): &()) -> Watched {
+        Watched::new(RULES[RULE])
+    }
+
+    fn apply(watched: Watched, (): &(), step: Step) -> Watched {
+        take(watched, step)
+    }
+}
+
+#[test]
+fn the_relays_machine_keeps_limits_that_replicas_name() {
+    fuzz::run_fuzz!(LimitedSteps, LimitFuzz<0>).unwrap_or_else(|fault| panic!("{fault}"));
+}
+
+#[test]
+fn a_limit_that_nobody_hears_is_caught() {
+    caught(fuzz::run_fuzz!(LimitedSteps, LimitFuzz<10>), "more than a replica takes");
+}
+
+#[test]
+fn a_limit_that_any_answer_ends_is_caught() {
+    caught(fuzz::run_fuzz!(LimitedSteps, LimitFuzz<11>), "more than a replica takes");
+}
+
 #[test]
 fn the_relays_machine_keeps_what_must_always_hold() {
     fuzz::run_fuzz!(Steps, RelayFuzz<0>).unwrap_or_else(|fault| panic!("{fault}"));
