All relays together open no more connections than a replica accepts, at any number of relays

A replica resets what is too many. Each now has its even part, and where that is less than one, as many relays as there are connections have one each, picked by the rendezvous hash of limits. Computed by the test at 1 to 420 relays: 48 to 96 of 96, 285 to 544 of 570. Nothing changes on the deployments so far, whose parts are five and more.

--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -36,9 +36,6 @@
 /// When a caller is told to come back that another relay can serve at once.
 const ELSEWHERE: Duration = Duration::from_millis(20);
 
-/// Connections to one replica that a relay may always have, however many relays there are.
-const CONNECTIONS_LEAST: usize = 4;
-
 /// Share of its remaining time within which a caller is told to come back; callers wait for no
 /// longer than a third.
 const RETURN_SHARE: f64 = 0.33;
@@ -122,9 +119,10 @@
             ReplicaOffer::Resting(until) => return self.refuse_resting(until, now),
             ReplicaOffer::None => return refuse(RefusalReason::NoUpstream, Some(SOON)),
         };
-        let limit = self.connection_share(&query.service);
-        let open: Vec<&ReplicaView> =
-            offered.into_iter().filter(|view| (view.in_flight as usize) < limit).collect();
+        let limit = self.connection_limit(&query.service);
+        let has_connection =
+            |view: &&ReplicaView| (view.in_flight as usize) < self.connection_share(limit, view);
+        let open: Vec<&ReplicaView> = offered.into_iter().filter(has_connection).collect();
         if open.is_empty() {
             return RelayChoice::Refuse(WorkRefusal::overloaded());
         }
@@ -174,12 +172,19 @@
         }
     }
 
-    /// Connections that this relay may have to one replica of a service: its even share of what the
-    /// replica accepts, less a part for relays that have not been heard yet.
-    fn connection_share(&self, service: &str) -> usize {
-        let limit = self.sheet.as_ref().and_then(|sheet| sheet.service(service));
-        let limit = limit.map_or(usize::MAX, |service| service.connection_limit);
-        (limit / (self.relays + 1)).max(CONNECTIONS_LEAST)
+    /// Connections that a replica of a service accepts from all relays together.
+    fn connection_limit(&self, service: &str) -> usize {
+        let record = self.sheet.as_ref().and_then(|sheet| sheet.service(service));
+        record.map_or(usize::MAX, |service| service.connection_limit)
+    }
+
+    /// Connections that this relay may have to a replica: its even share of what the replica accepts, less a part
+    /// for relays that have not been heard yet. Where there are more relays than connections, some have one each.
+    fn connection_share(&self, limit: usize, view: &ReplicaView) -> usize {
+        match limit / (self.relays + 1) {
+            0 => usize::from(self.peers.rank(&view.record.id) < limit),
+            share => share,
+        }
     }
 
     /// Of several holders of an adapter, those that have its newest version if any do.
