--- a/quillcove_core/src/standing/mod.rs
+++ b/quillcove_core/src/standing/mod.rs
@@ -9,6 +9,7 @@
 pub mod limit;
 pub mod notice;
 mod pace;
+mod rest;
 
 use std::time::Duration;
 
@@ -17,16 +18,9 @@
 use self::limit::RateLimit;
 use self::notice::UpstreamNotice;
 use self::pace::LimitTerm;
+use self::rest::RestTerm;
 use crate::ids::MonoTime;
 
-/// After a rest, requests go out in steps of this length, each with twice as many as the one before. An upstream
-/// that turns the first ones away again has asked for the next rest by the second step.
-pub const RETURN_STEP: Duration = Duration::from_millis(100);
-
-/// Steps after which an upstream that rested takes work as any other: 63 requests have been allowed by then,
-/// about as many as an engine works on at once.
-const RETURN_STEPS: u32 = 6;
-
 /// Part of the time until the soonest end of a rest over which refused callers are spread beyond it.
 const CALLER_SPREAD: f64 = 0.25;
 
@@ -68,34 +62,6 @@
     pub since: MonoTime,
 }
 
-/// A time in which an upstream wants nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct RestTerm {
-    until: MonoTime,
-    /// Requests sent after its end.
-    sent: u32,
-}
-
-impl RestTerm {
-    /// Requests that may still go out now; `None` when it is long over.
-    fn left(&self, now: MonoTime) -> Option<u32> {
-        let Some(over) = now.checked_sub(self.until) else {
-            return Some(0);
-        };
-        let step = (over.as_millis() / RETURN_STEP.as_millis()) as u32;
-        let allowed = (step < RETURN_STEPS).then(|| (2 << step) - 1)?;
-        Some(u32::saturating_sub(allowed, self.sent))
-    }
-
-    /// From when on a request may go out.
-    fn next(&self, now: MonoTime) -> MonoTime {
-        match now < self.until {
-            true => self.until,
-            false => now + RETURN_STEP,
-        }
-    }
-}
-
 /// What one process knows of an upstream's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct LimitKnowledge {
