--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -258,10 +258,21 @@
             ("limit", notice.limit.is_some()),
         ];
         for (word, _) in words.into_iter().filter(|(_, is_said)| *is_said) {
-            self.replica_words.add(1, &[KeyValue::new("word", word)]);
+            self.replica_word(word);
         }
     }
 
+    /// Counts one word of a replica.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.replica_word("unread");
+    /// assert!(metrics.text().contains("unread"));
+    /// ```
+    pub fn replica_word(&self, word: &'static str) {
+        self.replica_words.add(1, &[KeyValue::new("word", word)]);
+    }
+
     /// Counts a message that went to other processes of the system.
     ///
     /// ```
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -223,6 +223,13 @@
         warn!(log, "word of a replica not understood"; "id" => &open.terms.id,
             "replica" => &order.replica, "fault" => %fault);
     }
+    for name in heads::unread_words(headers) {
+        open.shared.metrics.replica_word("unread");
+        if open.shared.unread.is_first(name) {
+            warn!(log, "word of a replica that nothing reads"; "id" => &open.terms.id,
+                "replica" => &order.replica, "name" => name);
+        }
+    }
     // Other answers may come without what a replica says with each of its own.
     let is_good = meaning == AnswerMeaning::Ran && status.is_success();
     if is_good && notice.limit.is_none() && fault.is_none() {
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod stream;
 mod waiters;
 mod wake;
+pub mod words;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -10,6 +10,7 @@
 use super::pool::ReplicaPool;
 use super::waiters::AdapterWaiters;
 use super::wake::WakeBell;
+use super::words::UnreadWords;
 use crate::clock::MonoClock;
 use crate::config::relay::RelaySettings;
 use crate::metrics::ProcessMetrics;
@@ -25,6 +26,8 @@
     pub wakes: WakeBell,
     pub is_ready: AtomicBool,
     pub waiters: AdapterWaiters,
+    /// Words of replicas that nothing here reads.
+    pub unread: UnreadWords,
     /// Wakes the duty that sends asks for adapters to loaders.
     pub wanted: Notify,
     machine: Mutex<RelayMachine>,
@@ -40,6 +43,7 @@
             metrics: Arc::new(ProcessMetrics::new("relay")?),
             is_ready: AtomicBool::new(false),
             waiters: AdapterWaiters::default(),
+            unread: UnreadWords::default(),
             wanted: Notify::new(),
             machine: Mutex::new(machine),
             settings,
--- a/quillcove_core/src/relay/sharing.rs
+++ b/quillcove_core/src/relay/sharing.rs
@@ -13,7 +13,7 @@
 /// for relays that do not know each other yet.
 const FEWEST_SHARERS: usize = 3;
 
-/// Relays that send to a replica with this limit, of so many that are there: one more for each request a second.
+/// Relays that send to a replica with this limit, of so many that are there: one more for each two requests a second.
 ///
 /// ```
 /// use quillcove_core::relay::policy::SharingRule;
@@ -27,7 +27,7 @@
 /// ```
 pub fn sharers(limit: RateLimit, relays: usize, rule: SharingRule) -> usize {
     match rule {
-        SharingRule::Few => relays.min(FEWEST_SHARERS + limit.rate() as usize),
+        SharingRule::Few => relays.min(FEWEST_SHARERS + ((limit.rate() + 1.0) / 2.0) as usize),
         SharingRule::All => relays,
     }
 }
--- a/quillcove_core/tests/named_limits.rs
+++ b/quillcove_core/tests/named_limits.rs
@@ -114,6 +114,21 @@
     }
 }
 
+/// Where many requests a second are allowed, many relays share the limit, and each has its own turn to save up.
+#[test]
+fn limits_of_many_requests_hold() {
+    for (limits, rate) in [((20.0, 10.0), 600), ((200.0, 100.0), 4000)] {
+        for pattern in [LOSSY, RESTARTS, ALL, MIXED] {
+            for (relays, replicas) in [(4, 4), (25, 6)] {
+                let pattern = RatePattern { limits, rate, relays, replicas, ..pattern };
+                let result = RateFleet::play(pattern, RateRule::Kept, 1);
+                print(&pattern, &result);
+                assert_kept(&pattern, &result);
+            }
+        }
+    }
+}
+
 #[test]
 fn limits_hold_at_420_relays_before_790_replicas() {
     let length = Duration::from_secs(9);
