--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -15,24 +15,21 @@
 use crate::ids::{MonoTime, WorkspaceName};
 
 /// Part of what a new account holds that is kept for requests of each better rank, so that of a workspace
-/// above its limit the least urgent requests are refused first. Worth 0.004 to 0.017 of a day on which a
-/// limit is passed; twice as much is worth 0.004 less in the mean.
+/// above its limit the least urgent requests are refused first.
 const RANK_RESERVE: f64 = 0.1;
 
 /// Ranks that are told apart in this.
 const RANKS: u8 = 2;
 
-/// Relays that a new process takes the fleet for until it has heard it. With 25 relays a workspace that
-/// floods all of them while all start again stays below its limit meanwhile; with the 420 of the users'
-/// largest fleet it may take 13 times its limit for [`HEARD_TIME`] (computed).
+/// Relays that a new process takes the fleet for until it has heard it. In a fleet that is larger, a workspace that
+/// floods all of it while all start again may pass its limit for [`HEARD_TIME`].
 const FLEET_GUESS: usize = 32;
 
 /// Time after which a relay that has heard no other is taken for the only one: three beacons, and some.
 const SETTLE_TIME: Duration = Duration::from_millis(1600);
 
-/// Time after the last new relay was heard until all are taken for heard. Relays greet each other: 25 that
-/// start at once have heard each other within 60 ms. Of the callers of a fleet of four, 4 in 100 are refused
-/// in the two seconds after a loss of all, 19 if they wait for a whole beacon (simulated).
+/// Time after the last new relay was heard until all are taken for heard: relays that start at once greet each other,
+/// and callers are refused until then.
 const HEARD_TIME: Duration = Duration::from_millis(150);
 
 /// Time for which a relay that was heard is taken to hear what is spent: two beacons, and some. A fleet that
--- a/quillcove_core/src/relay/limiter.rs
+++ b/quillcove_core/src/relay/limiter.rs
@@ -43,7 +43,7 @@
 /// Weight of a newly seen load in the mean time of loads.
 const MEAN_WEIGHT: f64 = 0.15;
 
-/// Time of a load until one has been seen; what the engines of the standard deployments take.
+/// Time of a load until one has been seen.
 const FIRST_LOAD_TIME: Duration = Duration::from_millis(300);
 
 /// Learns the number of loads that the weight store serves at full speed.
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -15,7 +15,7 @@
 use crate::verdict::{RefusalReason, SOON, WorkRefusal};
 
 /// Time from the arrival of a request at an engine until its first event, when a batch is not
-/// full: reading a common prompt and two steps, as seen on the standard deployments.
+/// full: reading a common prompt and two steps.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(120);
 
 /// Share of a route's aim within which a request is either on its way or refused, so that a
--- a/quillcove_core/src/relay/machine/repeats.rs
+++ b/quillcove_core/src/relay/machine/repeats.rs
@@ -4,7 +4,7 @@
 use crate::entry::retry::RetryBudget;
 
 /// Repeats that a relay has from its start, and may save up however many relays there are. As many
-/// relays as the fleet may save up repeats for bear it: the users' deployments allow 2.6 to 13 a relay.
+/// relays as the fleet may save up repeats for bear it.
 const FIRST_REPEATS: f64 = 1.0;
 
 impl RelayMachine {
