Cold replicas get what they bear from all relays together; emptied halls get nothing new

Nothing read `op/evacuate/ZONE` either. Change: an upstream's standing has a term of being cold, with the pace that keeps named limits, shared by few relays picked as for those; in spans of one second fewer of them may have one request each, so that there is one for each four requests a second. A relay that has run for 600 ms does not know the others yet and sends none. Emptied halls: their replicas are not ready, for choice, sending and loads; passed on with what relays fetch from each other. Ruled out: each relay for itself, and not reading the entry (both break the bound in the test).

--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -355,7 +355,11 @@
 pub fn replicas_of(events: Vec<StoreEvent>) -> Vec<ReplicaRecord> {
     let record = |event| match event {
         StoreEvent::Replica(record) => Some(record),
-        StoreEvent::Sheet(_) | StoreEvent::Version(..) | StoreEvent::ReplicaGone(_) => None,
+        StoreEvent::Sheet(_)
+        | StoreEvent::Version(..)
+        | StoreEvent::ReplicaGone(_)
+        | StoreEvent::HallEmptied(_)
+        | StoreEvent::HallInUse(_) => None,
     };
     events.into_iter().filter_map(record).collect()
 }
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillcove_core::ids::MonoTime;
+use quillcove_core::ids::{HallName, MonoTime};
 use quillcove_core::relay::beacon::RelayBeacon;
 use quillcove_core::relay::machine::BeliefChange;
 use quillcove_core::relay::published::StorePart;
@@ -106,6 +106,13 @@
     fn take_events(&mut self, reading: StoreReading, now: MonoTime) -> Option<u64> {
         let mut last = None;
         let mut all_changes = Vec::new();
+        if reading.is_whole && reading.part == StorePart::Operator {
+            // A hall that is not named in the whole part is in use.
+            let emptied = emptied_in(&reading.events);
+            let changes = self.shared.machine().set_all_emptied(&emptied);
+            last = last.max((!changes.is_empty()).then_some(reading.revision));
+            all_changes.extend(changes);
+        }
         for (event, revision) in reading.events.into_iter().zip(reading.changed_at) {
             let mut matters = false;
             let changes = match event {
@@ -122,6 +129,12 @@
                     self.shared.machine().take_version(key, version, is_fresh, now);
                     Vec::new()
                 },
+                StoreEvent::HallEmptied(hall) => {
+                    self.shared.machine().set_emptied(&hall, true).into_iter().collect()
+                },
+                StoreEvent::HallInUse(hall) => {
+                    self.shared.machine().set_emptied(&hall, false).into_iter().collect()
+                },
                 StoreEvent::Replica(record) => self.shared.machine().list(record, now),
                 StoreEvent::ReplicaGone(id) => {
                     // It may be gone here already for another reason, and still be listed elsewhere.
@@ -173,6 +186,17 @@
                 BeliefChange::Returned(id) => {
                     info!(log, "replica's entry is back"; "replica" => id, "revision" => revision);
                 },
+                BeliefChange::Cold(id) => {
+                    info!(log, "replica is cold"; "replica" => id, "revision" => revision);
+                },
+                BeliefChange::HallEmptied(hall) => {
+                    info!(log, "hall is to be emptied"; "hall" => hall,
+                        "revision" => read.operator);
+                },
+                BeliefChange::HallInUse(hall) => {
+                    info!(log, "hall is in use again"; "hall" => hall,
+                        "revision" => read.operator);
+                },
             }
         }
     }
@@ -270,3 +294,12 @@
         }
     }
 }
+
+/// The halls that a reading of the whole operator's part names as to be emptied.
+fn emptied_in(events: &[StoreEvent]) -> Vec<HallName> {
+    let hall = |event: &StoreEvent| match event {
+        StoreEvent::HallEmptied(hall) => Some(hall.clone()),
+        _ => None,
+    };
+    events.iter().filter_map(hall).collect()
+}
--- a/quillcove_core/src/relay/machine/limits.rs
+++ b/quillcove_core/src/relay/machine/limits.rs
@@ -8,7 +8,8 @@
 use crate::ids::{HostId, MonoTime};
 use crate::relay::beacon::{LimitBeacon, LimitWord, ReplicaId};
 use crate::relay::replica::ReplicaView;
-use crate::relay::sharing::{self, RelayPeers};
+use crate::relay::sharing::{self, LimitKind, RelayPeers};
+use crate::standing::limit::RateLimit;
 
 /// Beacons with which news of a limit are told. What gets lost is made up for by [`REPEAT_INTERVAL`].
 const TOLD_TIMES: u32 = 2;
@@ -23,6 +24,10 @@
 /// Time for which the end of a limit is repeated.
 const END_LIFETIME: Duration = Duration::from_secs(30);
 
+/// Time from the start of the process until the other relays are known, as far as cold replicas go: one that knows
+/// none would take the whole of what a replica bears for itself.
+const PEERS_KNOWN: Duration = Duration::from_millis(600);
+
 /// Words in one message, so that it fits into a datagram, and in all messages of one beacon: some 40 bytes each.
 const MOST_WORDS: usize = 24;
 
@@ -209,25 +214,69 @@
     }
 
     pub(super) fn share_limits(&mut self, now: MonoTime) {
-        let limited = self.table.all().filter(|view| view.standing.limit().is_some());
+        let is_limited = |view: &&ReplicaView| {
+            view.standing.limit().is_some() || view.standing.cold_rate(now).is_some()
+        };
+        let limited = self.table.all().filter(is_limited);
         let limited: Vec<ReplicaId> = limited.map(|view| view.record.id.clone()).collect();
         for replica in limited {
             self.share_limit(&replica, now);
         }
     }
 
-    /// Sets this relay's part of a replica's limit.
+    /// Sets this relay's parts of what a replica takes: of the limit that it names, and of what it bears while it is
+    /// cold.
     pub(super) fn share_limit(&mut self, replica: &str, now: MonoTime) {
-        let limit = self.table.get(replica).and_then(|view| view.standing.limit());
-        let Some(limit) = limit else {
+        let Some(view) = self.table.get(replica) else {
             return;
         };
+        let (named, cold) = (view.standing.limit(), view.standing.cold_rate(now));
+        if let Some(limit) = named {
+            let gap = self.gap_of(replica, limit, LimitKind::Named);
+            self.table.set_limit_gap(replica, gap, now);
+        }
+        if let Some(rate) = cold {
+            let gap = self.gap_of(replica, rate, LimitKind::Cold);
+            self.table.set_cold_gap(replica, gap.filter(|_| now >= PEERS_KNOWN), now);
+        }
+    }
+
+    /// Time between two requests of this relay to a replica with a limit; `None` when others send them.
+    fn gap_of(&self, replica: &str, limit: RateLimit, kind: LimitKind) -> Option<Duration> {
         let relays = self.peers.count();
-        let sharers = sharing::sharers(limit, relays, self.rules.policy.sharing);
+        let sharers = sharing::sharers(limit, kind, relays, self.rules.policy.sharing);
         // Relays that are not heard may be cut off and go on with their part.
         let heard = FleetSize { heard: relays, most: self.most_peers }.share();
         let gap = limit.gap().mul_f64(sharers as f64 / heard);
-        let is_sharer = self.peers.rank(replica) < sharers;
-        self.table.set_limit_gap(replica, is_sharer.then_some(gap), now);
+        (self.peers.rank(replica) < sharers).then_some(gap)
+    }
+
+    /// Takes that a replica is cold, if its entry says so. Relays return to it one after the other.
+    pub(super) fn note_cold(&mut self, replica: &str, now: MonoTime) -> bool {
+        let Some(record) = self.table.get(replica).map(|view| &view.record) else {
+            return false;
+        };
+        let left = record.cold_left;
+        let service = self.sheet.as_ref().and_then(|sheet| sheet.service(&record.service));
+        let Some(rate) = service.and_then(|service| service.cold_rate) else {
+            return false;
+        };
+        if left.is_zero() {
+            return false;
+        }
+        let until = now + left + self.return_spread();
+        let is_news = self.table.note_cold(replica, rate, until, now);
+        if is_news {
+            self.share_limit(replica, now);
+        }
+        is_news
+    }
+
+    /// Takes the parts of cold replicas once the other relays are known.
+    pub(super) fn share_when_peers_are_known(&mut self, now: MonoTime) {
+        if !self.are_peers_known && now >= PEERS_KNOWN {
+            self.are_peers_known = true;
+            self.share_limits(now);
+        }
     }
 }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -98,6 +98,12 @@
     Doubted(ReplicaId),
     /// The entry of a replica that was doubted is back.
     Returned(ReplicaId),
+    /// A replica is cold.
+    Cold(ReplicaId),
+    /// A hall is to be emptied.
+    HallEmptied(HallName),
+    /// A hall is in use again.
+    HallInUse(HallName),
 }
 
 /// A relay's decisions.
@@ -133,6 +139,8 @@
     peers: RelayPeers,
     /// Most of them at once, as for [`Self::most_relays`].
     most_peers: usize,
+    /// Whether the process has run for long enough to know the other relays.
+    are_peers_known: bool,
     /// What was told of limits of replicas.
     limits: LimitTeller,
     /// What this relay knows of the store.
@@ -176,6 +184,7 @@
             most_relays: 1,
             peers,
             most_peers: 1,
+            are_peers_known: false,
             limits: LimitTeller::default(),
             knowledge: StoreKnowledge::default(),
             crashes: CrashWatch::default(),
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::{BeliefChange, RelayMachine};
-use crate::ids::{AdapterVersion, MonoTime};
+use crate::ids::{AdapterVersion, HallName, MonoTime};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
 use crate::relay::published::{
     LapsedEntry, LeavingReplica, PublishedState, ReadRevisions, StorePart,
@@ -69,6 +69,42 @@
         }
     }
 
+    /// Takes whether a hall is to be emptied, or in use again.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{BeliefChange, RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// let change = machine.set_emptied("hall-a", true);
+    /// assert_eq!(change, Some(BeliefChange::HallEmptied("hall-a".into())));
+    /// ```
+    pub fn set_emptied(&mut self, hall: &str, is_emptied: bool) -> Option<BeliefChange> {
+        let is_news = self.table.set_emptied(hall, is_emptied);
+        let change = match is_emptied {
+            true => BeliefChange::HallEmptied(hall.to_string()),
+            false => BeliefChange::HallInUse(hall.to_string()),
+        };
+        is_news.then_some(change)
+    }
+
+    /// Takes all halls that are to be emptied; the others are in use.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.set_emptied("hall-a", true);
+    /// assert_eq!(machine.set_all_emptied(&[]).len(), 1);
+    /// ```
+    pub fn set_all_emptied(&mut self, emptied: &[HallName]) -> Vec<BeliefChange> {
+        let known = self.table.emptied().iter();
+        let in_use: Vec<HallName> = known.filter(|hall| !emptied.contains(hall)).cloned().collect();
+        let mut changes: Vec<BeliefChange> =
+            in_use.iter().filter_map(|hall| self.set_emptied(hall, false)).collect();
+        changes.extend(emptied.iter().filter_map(|hall| self.set_emptied(hall, true)));
+        changes
+    }
+
     /// Takes a replica's entry from the platform's listing. The replicas that were listed at its
     /// address before it are gone, although their entries have not lapsed yet.
     ///
@@ -105,10 +141,13 @@
         let is_changed = self.table.list(record, now);
         // What it said before its entry lapsed still holds, while the relays may have changed.
         self.share_limit(&id, now);
+        let is_cold = self.note_cold(&id, now);
         if is_changed {
             changes.push(BeliefChange::Listed(id));
         } else if was_doubted {
             changes.push(BeliefChange::Returned(id));
+        } else if is_cold {
+            changes.push(BeliefChange::Cold(id));
         }
         changes
     }
@@ -188,6 +227,7 @@
             proof: self.knowledge.proof(now),
             sheet: self.sheet.as_deref().cloned(),
             versions: self.versions.iter().map(version).collect(),
+            emptied: self.table.emptied().iter().cloned().collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
             lapsed: self.doubted.iter().map(lapsed).collect(),
             leaving: self.leaving_replicas().collect(),
@@ -234,6 +274,9 @@
         for leaving in std::mem::take(&mut published.leaving) {
             self.table.note_told_leaving(&leaving.replica, leaving.born, now);
         }
+        if published.read.operator > self.read().operator {
+            changes.extend(self.set_all_emptied(&published.emptied));
+        }
         self.note_told(StorePart::Operator, &published);
         // The other relay may know more of what the operator wrote and less of the replicas.
         if published.read.replicas <= self.read().replicas {
@@ -344,6 +387,7 @@
         self.crashes.tick(now);
         self.demand.tick(now);
         self.promises.tick(now);
+        self.share_when_peers_are_known(now);
         self.pump(now);
         if self.is_store_away {
             return Vec::new();
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -9,6 +9,7 @@
 use super::replica::ReplicaRecord;
 use super::sheet::RouteSheet;
 use super::store_duty::ProofWord;
+use crate::ids::HallName;
 
 /// A part of the platform's store; each is read by itself, so that one may be known further than
 /// the other.
@@ -112,6 +113,8 @@
     pub sheet: Option<RouteSheet>,
     /// Newest versions of adapters.
     pub versions: Vec<HeldAdapter>,
+    /// Halls that are to be emptied.
+    pub emptied: Vec<HallName>,
     /// Replicas that are listed.
     pub replicas: Vec<ReplicaRecord>,
     /// Those of them whose entries lapsed while the store was away, and are given up unless they return.
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -59,6 +59,8 @@
     pub places: u32,
     /// Whether it takes new work.
     pub state: ReplicaState,
+    /// Time for which it is cold from now on; zero for one that is warm.
+    pub cold_left: Duration,
     /// Base models that it holds.
     pub models: Vec<ModelName>,
     /// Adapters that it holds.
@@ -121,6 +123,8 @@
     pub standing: UpstreamStanding,
     /// Since when its loader has reported that it leaves.
     reported_leaving: Option<MonoTime>,
+    /// Whether the operator has its hall emptied.
+    pub(super) is_hall_emptied: bool,
     /// When the platform's listing was last taken.
     listed_at: MonoTime,
     /// The last report of its loader, and when it came.
@@ -150,6 +154,7 @@
             in_flight: 0,
             standing: UpstreamStanding::default(),
             reported_leaving: None,
+            is_hall_emptied: false,
             listed_at: now,
             report: None,
             spare_places: None,
@@ -165,9 +170,9 @@
         }
     }
 
-    /// Tells whether it stays: neither its entry, nor its loader, nor an answer of it says that it leaves. The
-    /// last two know it first, and alone where the store is away; each word stands for itself, so that a later
-    /// one of another source takes nothing back.
+    /// Tells whether it stays: neither its entry, nor its loader, nor an answer of it says that it leaves, and its
+    /// hall is not to be emptied. Loader and answers know it first, and alone where the store is away; each word
+    /// stands for itself, so that a later one of another source takes nothing back.
     ///
     /// ```
     /// use std::time::Duration;
@@ -178,7 +183,8 @@
     /// assert!(table.get("i-1").unwrap().is_ready());
     /// ```
     pub fn is_ready(&self) -> bool {
-        self.record.state == ReplicaState::Ready && self.leaving_since().is_none()
+        let is_listed = self.record.state == ReplicaState::Ready && !self.is_hall_emptied;
+        is_listed && self.leaving_since().is_none()
     }
 
     /// Since when it has been known to leave by its own word or its loader's.
@@ -454,6 +460,7 @@
         hall: "hall-a".to_string(),
         places: 8,
         state: ReplicaState::Ready,
+        cold_left: Duration::ZERO,
         models: vec!["m".to_string()],
         adapters: Vec::new(),
     }
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -8,7 +8,7 @@
 
 use super::kept::KeptStandings;
 use super::{ReplicaRecord, ReplicaView};
-use crate::ids::{MonoTime, ServiceName};
+use crate::ids::{HallName, MonoTime, ServiceName};
 use crate::relay::beacon::{AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId};
 use crate::relay::reading::{ReadingNorm, ReadingNumber, ReadingPrompt};
 use crate::standing::UpstreamStanding;
@@ -25,6 +25,8 @@
     norms: BTreeMap<ServiceName, ReadingNorm>,
     /// Full engines where an adapter went out of use.
     freed: BTreeSet<ReplicaId>,
+    /// Halls that are to be emptied.
+    emptied: BTreeSet<HallName>,
     /// What replicas without an entry have said of themselves.
     kept: KeptStandings,
 }
@@ -46,22 +48,59 @@
             self.leave(address, &record.id);
         }
         self.by_address.entry(record.address).or_default().insert(record.id.clone());
+        let is_hall_emptied = self.emptied.contains(&record.hall);
         match self.replicas.get_mut(&record.id) {
             Some(view) => {
                 let is_changed = view.record.state != record.state;
                 view.record = record;
+                view.is_hall_emptied = is_hall_emptied;
                 view.listed_at = now;
                 is_changed
             },
             None => {
                 let standing = self.kept.take(&record.id, record.born);
-                let view = ReplicaView { standing, ..ReplicaView::new(record, now) };
+                let view =
+                    ReplicaView { standing, is_hall_emptied, ..ReplicaView::new(record, now) };
                 self.replicas.insert(view.record.id.clone(), view);
                 true
             },
         }
     }
 
+    /// Notes that a hall is to be emptied, so that its replicas get no new work, or is in use again; tells whether
+    /// that is news.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(table.set_emptied("hall-a", true));
+    /// assert!(!table.get("i-1").unwrap().is_ready());
+    /// ```
+    pub fn set_emptied(&mut self, hall: &str, is_emptied: bool) -> bool {
+        let is_news = match is_emptied {
+            true => self.emptied.insert(hall.to_string()),
+            false => self.emptied.remove(hall),
+        };
+        for view in self.replicas.values_mut().filter(|view| view.record.hall == hall) {
+            view.is_hall_emptied = is_emptied;
+        }
+        is_news
+    }
+
+    /// The halls that are to be emptied.
+    ///
+    /// ```
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// assert!(ReplicaTable::default().emptied().is_empty());
+    /// ```
+    pub fn emptied(&self) -> &BTreeSet<HallName> {
+        &self.emptied
+    }
+
     /// Notes that a replica no longer is at an address.
     fn leave(&mut self, address: SocketAddr, id: &str) {
         let Some(there) = self.by_address.get_mut(&address) else {
--- a/quillcove_core/src/relay/replica/table/words.rs
+++ b/quillcove_core/src/relay/replica/table/words.rs
@@ -115,6 +115,35 @@
         }
     }
 
+    /// Notes that a replica is cold until then and bears so many requests a second; tells whether that is news.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    /// use quillcove_core::standing::limit::RateLimit;
+    ///
+    /// let (rate, second) = (RateLimit::per_second(8.0).unwrap(), Duration::from_secs(1));
+    /// assert!(!ReplicaTable::default().note_cold("i-1", rate, second, Duration::ZERO));
+    /// ```
+    pub fn note_cold(&mut self, id: &str, rate: RateLimit, until: MonoTime, now: MonoTime) -> bool {
+        let view = self.replicas.get_mut(id);
+        view.is_some_and(|view| view.standing.note_cold(rate, until, now))
+    }
+
+    /// Sets the time between two requests of this process to a cold replica; `None` when others send what it bears.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// ReplicaTable::default().set_cold_gap("i-1", None, Duration::ZERO);
+    /// ```
+    pub fn set_cold_gap(&mut self, id: &str, gap: Option<Duration>, now: MonoTime) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            view.standing.set_cold_gap(gap, now);
+        }
+    }
+
     /// The standing of one start of a replica; `None` when another start is there now.
     fn standing_of(&mut self, id: &str, born: Option<StartTime>) -> Option<&mut UpstreamStanding> {
         match self.replicas.get_mut(id) {
--- a/quillcove_core/src/relay/sharing.rs
+++ b/quillcove_core/src/relay/sharing.rs
@@ -13,21 +13,42 @@
 /// for relays that do not know each other yet.
 const FEWEST_SHARERS: usize = 3;
 
-/// Relays that send to a replica with this limit, of so many that are there: one more for each two requests a second.
+/// Why a replica takes few requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitKind {
+    /// It names a limit in its answers. Requests are counted in spans of several seconds.
+    Named,
+    /// It is cold. Requests are counted in spans of one second, so that fewer relays may have one each in it.
+    Cold,
+}
+
+impl LimitKind {
+    /// Requests a second for each of which there is one more relay that sends.
+    fn rate_a_sharer(self) -> f64 {
+        match self {
+            Self::Named => 2.0,
+            Self::Cold => 4.0,
+        }
+    }
+}
+
+/// Relays that send to a replica with this limit, of so many that are there.
 ///
 /// ```
 /// use quillcove_core::relay::policy::SharingRule;
-/// use quillcove_core::relay::sharing::sharers;
+/// use quillcove_core::relay::sharing::{LimitKind, sharers};
 /// use quillcove_core::standing::limit::RateLimit;
 ///
 /// let limit = RateLimit::per_second(1.5).unwrap();
-/// assert_eq!(sharers(limit, 2, SharingRule::Few), 2);
-/// assert_eq!(sharers(limit, 420, SharingRule::Few), 4);
-/// assert_eq!(sharers(limit, 420, SharingRule::All), 420);
+/// assert_eq!(sharers(limit, LimitKind::Named, 2, SharingRule::Few), 2);
+/// assert_eq!(sharers(limit, LimitKind::Named, 420, SharingRule::Few), 4);
+/// assert_eq!(sharers(limit, LimitKind::Cold, 420, SharingRule::Few), 3);
+/// assert_eq!(sharers(limit, LimitKind::Named, 420, SharingRule::All), 420);
 /// ```
-pub fn sharers(limit: RateLimit, relays: usize, rule: SharingRule) -> usize {
+pub fn sharers(limit: RateLimit, kind: LimitKind, relays: usize, rule: SharingRule) -> usize {
+    let of_rate = limit.rate() / kind.rate_a_sharer() + 0.5;
     match rule {
-        SharingRule::Few => relays.min(FEWEST_SHARERS + ((limit.rate() + 1.0) / 2.0) as usize),
+        SharingRule::Few => relays.min(FEWEST_SHARERS + of_rate as usize),
         SharingRule::All => relays,
     }
 }
--- a/quillcove_core/src/relay/sheet.rs
+++ b/quillcove_core/src/relay/sheet.rs
@@ -9,6 +9,7 @@
 use crate::access::workspace::AccessTable;
 use crate::ids::{ModelName, ServiceName};
 use crate::route::{RouteRecord, RouteTable};
+use crate::standing::limit::RateLimit;
 
 /// Version of a route sheet; the platform raises it with each change.
 pub type SheetVersion = u64;
@@ -93,6 +94,9 @@
     pub name: ServiceName,
     /// Connections that one replica accepts from all callers together.
     pub connection_limit: usize,
+    /// Requests that one replica bears from all callers together while it is cold; `None` where that is not
+    /// limited.
+    pub cold_rate: Option<RateLimit>,
     /// Given for model engines; `None` for plain services.
     pub engine: Option<EngineRecord>,
 }
--- a/quillcove_core/src/standing/mod.rs
+++ b/quillcove_core/src/standing/mod.rs
@@ -6,6 +6,7 @@
 //! answer without a limit to a request that was sent after the last one which named it: no list, no report and no good
 //! answer to an earlier request says the contrary.
 
+mod cold;
 pub mod limit;
 pub mod notice;
 mod pace;
@@ -15,6 +16,7 @@
 
 use serde::Serialize;
 
+use self::cold::ColdTerm;
 use self::limit::RateLimit;
 use self::notice::UpstreamNotice;
 use self::pace::LimitTerm;
@@ -103,6 +105,7 @@
     leaving: Option<LeavingWord>,
     rest: Option<RestTerm>,
     limit: Option<LimitTerm>,
+    cold: Option<ColdTerm>,
 }
 
 impl UpstreamStanding {
@@ -219,6 +222,67 @@
         self.limit.and_then(|term| term.limit())
     }
 
+    /// Notes that it is cold until then and bears so many requests a second from all processes together; tells whether
+    /// that was not known. This process sends none until it has a share: [`UpstreamStanding::set_cold_gap`].
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::standing::UpstreamStanding;
+    /// use quillcove_core::standing::limit::RateLimit;
+    ///
+    /// let rate = RateLimit::per_second(8.0).unwrap();
+    /// let second = Duration::from_secs(1);
+    /// let mut standing = UpstreamStanding::default();
+    /// assert!(standing.note_cold(rate, second, Duration::ZERO));
+    /// assert!(!standing.takes_work(Duration::ZERO));
+    /// assert!(standing.takes_work(second), "it is warm");
+    /// ```
+    pub fn note_cold(&mut self, rate: RateLimit, until: MonoTime, now: MonoTime) -> bool {
+        match &mut self.cold {
+            Some(term) if term.pace(now).is_some() => {
+                term.extend(until);
+                false
+            },
+            _ => {
+                self.cold = (now < until).then(|| ColdTerm::new(rate, until, now));
+                self.cold.is_some()
+            },
+        }
+    }
+
+    /// Requests that it bears from all processes together, while it is cold.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let standing = quillcove_core::standing::UpstreamStanding::default();
+    /// assert!(standing.cold_rate(Duration::ZERO).is_none());
+    /// ```
+    pub fn cold_rate(&self, now: MonoTime) -> Option<RateLimit> {
+        self.cold.as_ref()?.pace(now)?.limit()
+    }
+
+    /// Sets the time between two requests of this process while it is cold; `None` when others send them.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let mut standing = quillcove_core::standing::UpstreamStanding::default();
+    /// standing.set_cold_gap(None, Duration::ZERO);
+    /// assert!(standing.takes_work(Duration::ZERO), "it is not cold");
+    /// ```
+    pub fn set_cold_gap(&mut self, gap: Option<Duration>, now: MonoTime) {
+        if let Some(pace) = self.cold.as_mut().and_then(|term| term.pace_mut(now)) {
+            pace.set_gap(gap, now);
+        }
+    }
+
+    /// The paces that hold now: under its limit, and while it is cold.
+    fn paces(&self, now: MonoTime) -> impl Iterator<Item = &LimitTerm> {
+        let cold = self.cold.as_ref().and_then(|term| term.pace(now));
+        self.limit.iter().chain(cold)
+    }
+
     /// What is known of its limit, to be told to other processes: the limit, the age of the answer that says so, and for
     /// how long that has been known.
     pub(crate) fn limit_word(&self, now: MonoTime) -> Option<LimitKnowledge> {
@@ -254,7 +318,7 @@
     /// assert!(standing.may_write(Duration::ZERO, Duration::ZERO));
     /// ```
     pub fn may_write(&self, begun: MonoTime, now: MonoTime) -> bool {
-        let is_in_turn = self.limit.is_none_or(|term| term.may_write(begun, now));
+        let is_in_turn = self.paces(now).all(|pace| pace.may_write(begun, now));
         is_in_turn && self.rest_end(now).is_none()
     }
 
@@ -340,12 +404,12 @@
     /// assert!(standing.takes_work(Duration::ZERO));
     /// ```
     pub fn takes_work(&self, now: MonoTime) -> bool {
-        self.left(now) != Some(0) && self.limit_turn(now).is_some_and(|turn| turn <= now)
+        self.left(now) != Some(0) && self.turn(now).is_some_and(|turn| turn <= now)
     }
 
-    /// From when on a request may go to it under its limit; `None` when this process is to send none.
-    fn limit_turn(&self, now: MonoTime) -> Option<MonoTime> {
-        self.limit.map_or(Some(now), |term| term.next())
+    /// From when on a request may go to it under its limits; `None` when this process is to send none.
+    fn turn(&self, now: MonoTime) -> Option<MonoTime> {
+        self.paces(now).try_fold(now, |turn, pace| Some(pace.next()?.max(turn)))
     }
 
     /// From when on a request may go to it, as far as rests and limits go. Where other processes send what its limit
@@ -360,8 +424,9 @@
     pub fn takes_work_from(&self, now: MonoTime) -> MonoTime {
         let rest = self.rest.filter(|_| self.left(now) == Some(0));
         let after_rest = rest.map_or(now, |rest| rest.next(now));
-        let others_turn = || now + self.limit().map_or(Duration::ZERO, RateLimit::gap);
-        after_rest.max(self.limit_turn(now).unwrap_or_else(others_turn))
+        let gaps = self.paces(now).filter_map(LimitTerm::limit).map(RateLimit::gap);
+        let others_turn = || now + gaps.max().unwrap_or_default();
+        after_rest.max(self.turn(now).unwrap_or_else(others_turn))
     }
 
     /// Tells whether its limit has not been made use of for long by this process, which might have, so that it is to
@@ -386,8 +451,9 @@
     /// standing.begin(Duration::ZERO);
     /// ```
     pub fn begin(&mut self, now: MonoTime) {
-        if let Some(term) = &mut self.limit {
-            term.begin(now);
+        let cold = self.cold.as_mut().and_then(|term| term.pace_mut(now));
+        for pace in self.limit.iter_mut().chain(cold) {
+            pace.begin(now);
         }
         match &mut self.rest {
             Some(rest) if rest.left(now).is_none() => self.rest = None,
@@ -404,6 +470,7 @@
     /// assert!(quillcove_core::standing::UpstreamStanding::default().is_blank(Duration::ZERO));
     /// ```
     pub fn is_blank(&self, now: MonoTime) -> bool {
-        self.leaving.is_none() && self.left(now).is_none() && self.limit().is_none()
+        let is_held_back = self.left(now).is_some() || self.cold_rate(now).is_some();
+        self.leaving.is_none() && !is_held_back && self.limit().is_none()
     }
 }
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -112,7 +112,12 @@
 impl ListWorld {
     pub fn new(rule: ListRule, left: ListBounds) -> Self {
         let mut machine = RelayMachine::new(RelayRules::default(), 1);
-        let service = ServiceRecord { name: "s".to_string(), connection_limit: 100, engine: None };
+        let service = ServiceRecord {
+            name: "s".to_string(),
+            connection_limit: 100,
+            cold_rate: None,
+            engine: None,
+        };
         let limits = CallerLimits::default();
         machine.take_sheet(RouteSheet::new(1, vec![route()], vec![service], limits));
         for number in 0..REPLICAS {
--- a/quillcove_core/tests/rate_fleet/mod.rs
+++ b/quillcove_core/tests/rate_fleet/mod.rs
@@ -193,8 +193,12 @@
         let policy = RelayPolicy { sharing: self.rule.sharing(), ..RelayPolicy::default() };
         let rules = RelayRules { host: host(relay), policy, ..RelayRules::default() };
         let mut machine = RelayMachine::new(rules, seed ^ (relay as u64) << 20);
-        let service =
-            ServiceRecord { name: "s".to_string(), connection_limit: 100_000, engine: None };
+        let service = ServiceRecord {
+            name: "s".to_string(),
+            connection_limit: 100_000,
+            cold_rate: None,
+            engine: None,
+        };
         let route = RouteRecord::clone(&self.route);
         machine.take_sheet(RouteSheet::new(1, vec![route], vec![service], CallerLimits::default()));
         for replica in &self.replicas {
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -28,7 +28,7 @@
     };
     let engine =
         EngineRecord { models: vec![model], weights_mb: 14.0, adapter_places: 8, loads_per_second };
-    ServiceRecord { name: "s".to_string(), connection_limit, engine: Some(engine) }
+    ServiceRecord { name: "s".to_string(), connection_limit, cold_rate: None, engine: Some(engine) }
 }
 
 /// A route for streams to the service `s`.
