Cells of engines, and a pace of words between relays that does not grow with the fleet

Cause: each relay told each other relay and each loader of itself twice a second, and each loader told each relay what its engine does: words that grow with relays times engines. Change: the engines of a service are divided into cells when there are more than 96, by hall first and then by halves, by a hash that all processes compute alike; a relay exchanges words with the loaders of its cell and of engines that it uses, and sends its requests there while one of them takes them. Relays of the own hall are told at up to 150 words a second, those of other halls at 40; each word says when the next one follows. Words name some other relays, so that relays of all halls meet. Base models are kept by one relay a cell, each for its even part of what the weight store permits. New engines lead to words to their loaders only, no longer to words to all. Ruled out: one passer a hall (one more process to lose, words still grow with the hall), state on demand (a relay would learn of a second holder only from the first, which is then the busiest). Fleets of up to 96 engines are one cell, as before.

--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -6,16 +6,17 @@
 mod right;
 mod store;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillcove_core::ids::{HallName, HostId, Incarnation, MonoTime};
+use quillcove_core::ids::{HallName, HostId, Incarnation, MonoTime, ServiceName};
 use quillcove_core::relay::keeper::ModelKeeper;
 use quillcove_core::relay::promise::PromiseFate;
 use quillcove_core::relay::published::{PublishedState, StorePart};
 use quillcove_core::relay::report_stream::ReportLedger;
+use quillcove_core::relay::telling::{ListRound, SHORTEST_INTERVAL};
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -30,9 +31,6 @@
 /// Time between looks at what is due.
 const TICK: Duration = Duration::from_millis(50);
 
-/// Time between beacons while nothing changes.
-const BEACON_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Time after the start, or after a pause of the process, before this relay may plan loads: two
 /// beacons of any other relay that does so already.
 const KEEPER_DELAY: Duration = Duration::from_millis(1100);
@@ -80,6 +78,10 @@
     /// Adapters that its requests lack.
     lacking: u32,
     heard: MonoTime,
+    /// Time until its next word, by its last one.
+    interval: Duration,
+    /// Relays that it hears itself.
+    others: u32,
     /// When its own last reading of the operator's part began, by what it says.
     read_at: Option<MonoTime>,
 }
@@ -119,8 +121,13 @@
     crash_asks: u32,
     /// When it last asked.
     crash_asked_at: MonoTime,
-    is_keeper: bool,
+    /// Services for whose engines in this relay's cell it paces the loads of base models.
+    kept: BTreeSet<ServiceName>,
     keeper_from: MonoTime,
+    /// Whose turn it is among the relays of the own hall and of others, and to be named to them.
+    near_round: ListRound,
+    far_round: ListRound,
+    named: ListRound,
     last_tick: MonoTime,
     last_beacon: MonoTime,
 }
@@ -157,7 +164,10 @@
             proofs: ProofQuestions::default(),
             crash_asks: ASK_TIMES,
             crash_asked_at: MonoTime::ZERO,
-            is_keeper: false,
+            kept: BTreeSet::new(),
+            near_round: ListRound::default(),
+            far_round: ListRound::default(),
+            named: ListRound::default(),
             keeper_from: KEEPER_DELAY,
             last_tick: MonoTime::ZERO,
             last_beacon: MonoTime::ZERO,
@@ -237,7 +247,7 @@
         self.tell_crashes(false, now);
         self.choose_keeper(now);
         self.plan_models(now);
-        if now.saturating_sub(self.last_beacon) >= BEACON_INTERVAL {
+        if now.saturating_sub(self.last_beacon) >= SHORTEST_INTERVAL {
             self.tell_all(now);
         }
     }
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -1,23 +1,24 @@
 //! What relays and loaders tell each other.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillcove_core::access::ledger::HEARD_LIFETIME;
 use quillcove_core::access::spending::{SpendBeacon, SpentTotal, WorkspaceLevel};
-use quillcove_core::ids::MonoTime;
+use quillcove_core::ids::{HostId, MonoTime, ServiceName};
 use quillcove_core::relay::beacon::{
     AddressedAsk, EngineBeacon, GaugeBeacon, OtherRelays, PeerMessage, RelayBeacon, ReplicaId,
     ResendAsk, UseBeacon,
 };
+use quillcove_core::relay::replica::ReplicaView;
 use quillcove_core::relay::report_stream::GaugeFate;
+use quillcove_core::relay::telling::{self, RelayDistance};
 use slog::{info, warn};
 
 use super::{InputDuty, KnownRelay};
 
-/// Time for which a relay that was heard counts as there: three beacons.
-const RELAY_LIFETIME: Duration = Duration::from_millis(1600);
+/// Relays that a word to a relay names.
+const NAMED_AT_ONCE: usize = 2;
 
 impl InputDuty {
     pub(super) fn take_message(&mut self, message: PeerMessage, from: SocketAddr, now: MonoTime) {
@@ -47,18 +48,42 @@
             is_up: beacon.word.is_up,
             lacking: beacon.lacking,
             heard: now,
+            interval: beacon.interval,
+            others: beacon.heard,
             read_at: beacon.word.ages.operator.map(|age| now.saturating_sub(age)),
         };
         if self.relays.insert(beacon.host.clone(), known).is_none() {
             info!(self.shared.log, "relay heard"; "relay" => &beacon.host,
                 "address" => %beacon.address);
             self.note_peers(now);
+            self.tell_relay(&beacon.hall, beacon.address, now);
             self.tell_levels(beacon.address, now);
             self.miss_crashes(now);
             self.greet_with_crashes(&beacon.host, beacon.address, now);
         }
         self.take_word(&beacon.word, now);
-        self.compare(&beacon, now);
+        if self.distance_to(&beacon.hall) == RelayDistance::Near || !self.hears_near_reader() {
+            self.compare(&beacon, now);
+        }
+        for relay in beacon.relays {
+            self.greet(relay);
+        }
+    }
+
+    /// How far another relay is from this one.
+    pub(super) fn distance_to(&self, hall: &str) -> RelayDistance {
+        match hall == self.shared.settings.process.hall {
+            true => RelayDistance::Near,
+            false => RelayDistance::Far,
+        }
+    }
+
+    /// Tells whether a relay of the own hall is heard that the store answers.
+    fn hears_near_reader(&self) -> bool {
+        let is_near_reader = |known: &KnownRelay| {
+            known.is_up && self.distance_to(&known.hall) == RelayDistance::Near
+        };
+        self.relays.values().any(is_near_reader)
     }
 
     fn take_report(&mut self, beacon: EngineBeacon, now: MonoTime) {
@@ -112,26 +137,30 @@
     }
 
     /// Tells a relay that only loaders have heard so far that this one is there.
-    fn greet(&self, relay: SocketAddr) {
+    fn greet(&mut self, relay: SocketAddr) {
         let is_known = self.relays.values().any(|known| known.address == relay);
         if !is_known && relay != self.control {
-            let beacon = self.beacon(self.shared.clock.now());
-            self.send(&PeerMessage::Relay(beacon), [relay]);
+            // Its hall is not known yet; it learns from the answer to this how far it is.
+            self.tell_relay("", relay, self.shared.clock.now());
         }
     }
 
     pub(super) fn others(&self, now: MonoTime) -> OtherRelays {
         let lacking = self.relays.values().map(|known| known.lacking as usize).sum();
-        let is_recent = |known: &&KnownRelay| now.saturating_sub(known.heard) < HEARD_LIFETIME;
+        let is_recent = |known: &&KnownRelay| {
+            now.saturating_sub(known.heard) < telling::recent_time(known.interval)
+        };
         let recent = self.relays.values().filter(is_recent).count();
-        OtherRelays { count: self.relays.len(), recent, lacking }
+        // Each relay that is heard has heard others; a relay that has just started knows the fleet by them.
+        let told = self.relays.values().map(|known| known.others as usize).max().unwrap_or(0);
+        OtherRelays { count: self.relays.len().max(told), recent, lacking }
     }
 
     pub(super) fn forget_relays(&mut self, now: MonoTime) {
         let shared = self.shared.clone();
         let before = self.relays.len();
         self.relays.retain(|host, known| {
-            let is_recent = now.saturating_sub(known.heard) < RELAY_LIFETIME;
+            let is_recent = now.saturating_sub(known.heard) < telling::lifetime(known.interval);
             if !is_recent {
                 info!(shared.log, "relay no longer heard"; "relay" => host);
                 shared.machine().ledger_mut().forget(host);
@@ -155,21 +184,34 @@
         self.loaders.retain(|engine| machine.table().at(engine).is_some());
     }
 
-    /// The relay with the lowest name among those heard lately paces the loads of base models.
+    /// The relay with the lowest name of a cell among those heard lately paces the loads of base models there.
     pub(super) fn choose_keeper(&mut self, now: MonoTime) {
-        let own = &self.shared.settings.process.host;
-        let is_lowest = self.relays.keys().all(|host| own < host);
-        let is_stopping = self.shared.machine().is_stopping();
-        let is_keeper = is_lowest && now >= self.keeper_from && !is_stopping;
-        if is_keeper != self.is_keeper {
-            info!(self.shared.log, "keeper of base models"; "is_keeper" => is_keeper,
+        let shared = self.shared.clone();
+        let own = &shared.settings.process.host;
+        let machine = shared.machine();
+        let may_keep = now >= self.keeper_from && !machine.is_stopping();
+        let is_lowest = |service: &ServiceName| {
+            let is_behind = |(host, known): (&HostId, &KnownRelay)| {
+                own < host || !machine.shares_cell(service, &known.hall, host)
+            };
+            self.relays.iter().all(is_behind)
+        };
+        let services = machine.sheet().into_iter().flat_map(|sheet| sheet.services());
+        let engines = services.filter(|service| service.engine.is_some());
+        let names = engines.map(|service| service.name.clone());
+        let kept: BTreeSet<ServiceName> =
+            names.filter(|service| may_keep && is_lowest(service)).collect();
+        drop(machine);
+        if kept != self.kept {
+            info!(shared.log, "keeper of base models"; "services" => ?kept,
                 "relays" => self.relays.len());
-            self.is_keeper = is_keeper;
+            self.kept = kept;
         }
     }
 
     pub(super) fn plan_models(&mut self, now: MonoTime) {
-        let asks = self.keeper.plan(&self.shared.machine(), self.is_keeper, now);
+        let is_keeper = |service: &str| self.kept.contains(service);
+        let asks = self.keeper.plan(&self.shared.machine(), is_keeper, now);
         self.send_asks(asks);
     }
 
@@ -190,13 +232,25 @@
         }
     }
 
-    fn relay_addresses(&self) -> HashSet<SocketAddr> {
+    /// The relays that are heard at this distance.
+    fn relays_at(&self, distance: RelayDistance) -> Vec<SocketAddr> {
+        let is_there = |known: &&KnownRelay| self.distance_to(&known.hall) == distance;
+        let mut relays: Vec<SocketAddr> =
+            self.relays.values().filter(is_there).map(|known| known.address).collect();
+        relays.sort_unstable();
+        relays
+    }
+
+    /// Seeds that are not heard; those that are heard are among the others.
+    fn silent_seeds(&self) -> Vec<SocketAddr> {
+        let heard: HashSet<SocketAddr> = self.relays.values().map(|known| known.address).collect();
         let seeds = self.settings.peers.seeds.iter().copied();
-        let heard = self.relays.values().map(|known| known.address);
-        seeds.chain(heard).filter(|address| *address != self.control).collect()
+        seeds.filter(|seed| *seed != self.control && !heard.contains(seed)).collect()
     }
 
-    fn beacon(&self, now: MonoTime) -> RelayBeacon {
+    fn beacon(&mut self, interval: Duration, now: MonoTime) -> RelayBeacon {
+        let all: Vec<SocketAddr> = self.relays.values().map(|known| known.address).collect();
+        let named = self.named.take(&all, NAMED_AT_ONCE);
         let is_up = self.is_store_up();
         let machine = self.shared.machine();
         RelayBeacon {
@@ -206,26 +260,63 @@
             sheet: machine.sheet().map_or(0, |sheet| sheet.version),
             word: machine.knowledge().word(is_up, now),
             lacking: machine.lacking() as u32,
+            interval,
+            heard: self.relays.len() as u32,
+            relays: named,
         }
     }
 
     /// Tells relays that this one is there, and loaders how their engines' adapters are used.
     pub(super) fn tell_all(&mut self, now: MonoTime) {
         self.last_beacon = now;
-        self.tell_relays(now);
+        self.tell_near(now);
+        self.tell_some_far(now);
         self.tell_spent(now, true);
         self.tell_limits(now);
         self.tell_crashes(true, now);
         self.ask_for_crashes(now);
-        for (replica, loader) in self.loaders_of_engines() {
+        for (replica, loader) in self.loaders_in_use() {
             self.tell_uses(&replica, loader);
         }
     }
 
-    /// Tells relays what this one knows.
-    pub(super) fn tell_relays(&self, now: MonoTime) {
-        let beacon = PeerMessage::Relay(self.beacon(now));
-        self.send(&beacon, self.relay_addresses());
+    /// Tells the loaders of some engines in use that this relay is there.
+    pub(super) fn tell_loaders_of(&self, engines: &HashSet<ReplicaId>) {
+        for (replica, loader) in self.loaders_in_use() {
+            if engines.contains(&replica) {
+                self.tell_uses(&replica, loader);
+            }
+        }
+    }
+
+    /// Tells the relays of the own hall what this one knows, and seeds that have not been heard.
+    pub(super) fn tell_near(&mut self, now: MonoTime) {
+        let near = self.relays_at(RelayDistance::Near);
+        let interval = RelayDistance::Near.interval(near.len());
+        let told = self.near_round.take(&near, RelayDistance::Near.at_once(near.len()));
+        let receivers: Vec<SocketAddr> = told.into_iter().chain(self.silent_seeds()).collect();
+        let beacon = PeerMessage::Relay(self.beacon(interval, now));
+        self.send(&beacon, receivers);
+    }
+
+    /// Tells some of the relays of other halls, others with each call.
+    fn tell_some_far(&mut self, now: MonoTime) {
+        let far = self.relays_at(RelayDistance::Far);
+        if far.is_empty() {
+            return;
+        }
+        let interval = RelayDistance::Far.interval(far.len());
+        let told = self.far_round.take(&far, RelayDistance::Far.at_once(far.len()));
+        let beacon = PeerMessage::Relay(self.beacon(interval, now));
+        self.send(&beacon, told);
+    }
+
+    /// Tells one relay that this one is there.
+    fn tell_relay(&mut self, hall: &str, relay: SocketAddr, now: MonoTime) {
+        let distance = self.distance_to(hall);
+        let interval = distance.interval(self.relays_at(distance).len());
+        let beacon = PeerMessage::Relay(self.beacon(interval, now));
+        self.send(&beacon, [relay]);
     }
 
     /// Tells relays what was spent here of workspaces' limits: with each beacon, and before the next one
@@ -285,15 +376,28 @@
         self.send(&beacon, [loader]);
     }
 
+    /// The loaders of the engines in this relay's cell, and of others that it uses.
+    fn loaders_in_use(&self) -> Vec<(ReplicaId, SocketAddr)> {
+        self.loaders_where(|view| view.is_near || view.has_uses())
+    }
+
     /// Loaders sit on the hosts of all engines that are listed.
     pub(super) fn loaders_of_engines(&self) -> Vec<(ReplicaId, SocketAddr)> {
+        self.loaders_where(|_| true)
+    }
+
+    fn loaders_where(
+        &self,
+        is_meant: impl Fn(&ReplicaView) -> bool,
+    ) -> Vec<(ReplicaId, SocketAddr)> {
         let machine = self.shared.machine();
         let Some(sheet) = machine.sheet() else {
             return Vec::new();
         };
         let has_engine =
             |service: &str| sheet.service(service).is_some_and(|service| service.engine.is_some());
-        let engines = machine.table().all().filter(|view| has_engine(&view.record.service));
+        let engines =
+            machine.table().all().filter(|view| has_engine(&view.record.service) && is_meant(view));
         engines.map(|view| (view.record.id.clone(), self.loader_of(view.record.address))).collect()
     }
 }
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -1,10 +1,11 @@
 //! What the store publishes, read from it or from another relay.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use quillcove_core::ids::{HallName, MonoTime};
-use quillcove_core::relay::beacon::RelayBeacon;
+use quillcove_core::relay::beacon::{RelayBeacon, ReplicaId};
 use quillcove_core::relay::machine::BeliefChange;
 use quillcove_core::relay::published::StorePart;
 use quillcove_platform::store::StoreEvent;
@@ -75,7 +76,7 @@
         if let Some(changed) = changed {
             machine.knowledge_mut().note_change(part, changed);
             drop(machine);
-            self.tell_relays(now);
+            self.tell_near(now);
         }
     }
 
@@ -154,11 +155,17 @@
 
     /// Logs what changed; loaders of new engines learn at once that this relay is there, as they
     /// report only to relays that they have heard.
-    fn take_changes(&mut self, changes: Vec<BeliefChange>, now: MonoTime) {
-        let is_new = changes.iter().any(|change| matches!(change, BeliefChange::Listed(_)));
+    pub(super) fn take_changes(&mut self, changes: Vec<BeliefChange>, now: MonoTime) {
+        let listed = |change: &BeliefChange| match change {
+            BeliefChange::Listed(id) => Some(id.clone()),
+            _ => None,
+        };
+        let new: HashSet<ReplicaId> = changes.iter().filter_map(listed).collect();
         self.log_changes(changes);
-        if is_new {
-            self.tell_all(now);
+        match new.is_empty() {
+            true => {},
+            false if self.last_beacon == MonoTime::ZERO => self.tell_all(now),
+            false => self.tell_loaders_of(&new),
         }
     }
 
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -176,6 +176,12 @@
     pub word: StoreWord,
     /// Adapters that its requests lack, those that it has asked for included.
     pub lacking: u32,
+    /// Time until its next word to the receiver.
+    pub interval: Duration,
+    /// Relays that it hears itself.
+    pub heard: u32,
+    /// Some of them, others with each word, so that relays which do not know each other yet meet.
+    pub relays: Vec<SocketAddr>,
 }
 
 /// What a relay knows of one replica's limit.
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -139,6 +139,17 @@
         self.others = others;
     }
 
+    /// Tells whether any adapter is wanted.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// assert!(!AdapterDemand::default().has_wanted());
+    /// ```
+    pub fn has_wanted(&self) -> bool {
+        !self.wanted.is_empty()
+    }
+
     /// Adapters that requests of this relay lack, those that it has asked for included.
     ///
     /// ```
@@ -366,7 +377,7 @@
     /// AdapterDemand::default().pump(&[], PlacementRule::Even, Duration::ZERO);
     /// ```
     pub fn pump(&mut self, choices: &[EngineChoice<'_>], placement: PlacementRule, now: MonoTime) {
-        if self.wanted.is_empty() {
+        if !self.has_wanted() {
             return;
         }
         self.repeat_asks(choices, now);
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -85,7 +85,8 @@
         begun + self.asked.len()
     }
 
-    /// The asks to send now. Only the keeper may ask for loads from the weight store.
+    /// The asks to send now for the engines of this relay's cells. Only the keeper of a service's cell may ask for loads
+    /// from the weight store, for an even part of what the store permits.
     ///
     /// ```
     /// use std::time::Duration;
@@ -93,12 +94,12 @@
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(ModelKeeper::default().plan(&machine, true, Duration::ZERO).is_empty());
+    /// assert!(ModelKeeper::default().plan(&machine, |_| true, Duration::ZERO).is_empty());
     /// ```
     pub fn plan(
         &mut self,
         machine: &RelayMachine,
-        is_keeper: bool,
+        is_keeper: impl Fn(&str) -> bool,
         now: MonoTime,
     ) -> Vec<AddressedAsk> {
         self.asked.retain(|_, asked| now.saturating_sub(*asked) < ASK_INTERVAL);
@@ -109,6 +110,7 @@
         let mut asks = Vec::new();
         for service in sheet.services() {
             if let Some(engine) = &service.engine {
+                let is_keeper = is_keeper(&service.name);
                 asks.extend(self.ask_models(machine, service, engine, is_keeper, now));
             }
         }
@@ -126,7 +128,8 @@
     ) -> Vec<AddressedAsk> {
         let mut holders = holder_counts(machine, service, engine, now);
         let mut asks = Vec::new();
-        for view in machine.ready_engines(&service.name) {
+        let cells = machine.cell_count(&service.name);
+        for view in machine.near_engines(&service.name) {
             let Some(report) = view.report(now).filter(|report| lacks_model(report)) else {
                 continue;
             };
@@ -139,7 +142,7 @@
                 self.asked_locally.insert(id.clone(), now);
                 model
             } else if let Some(model) = scarcest(engine, &holders, |_| is_keeper) {
-                if !self.take_permit(engine, now) {
+                if !self.take_permit(engine, cells, now) {
                     continue;
                 }
                 self.asked.insert(id.clone(), now);
@@ -153,12 +156,17 @@
         asks
     }
 
-    fn take_permit(&mut self, engine: &EngineRecord, now: MonoTime) -> bool {
+    /// Each of several cells has its part of what the store permits, rounded down, and one load at least.
+    fn take_permit(&mut self, engine: &EngineRecord, cells: usize, now: MonoTime) -> bool {
         let permitted = engine.loads_per_second * PERMIT_WINDOW.as_secs_f64();
+        let permitted = match cells {
+            0 | 1 => permitted,
+            _ => (permitted / cells as f64).floor().max(1.0),
+        };
         if now < self.next_permit || self.window_count(now) as f64 >= permitted {
             return false;
         }
-        self.next_permit = now + engine.load_pace();
+        self.next_permit = now + engine.load_pace() * cells.max(1) as u32;
         true
     }
 }
@@ -171,7 +179,7 @@
     now: MonoTime,
 ) -> BTreeMap<ModelName, usize> {
     let count = |name: &ModelName| {
-        let engines = machine.ready_engines(&service.name);
+        let engines = machine.near_engines(&service.name);
         engines.filter(|view| view.models(now).contains(name)).count()
     };
     engine.models.iter().map(|model| (model.name.clone(), count(&model.name))).collect()
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -227,7 +227,7 @@
         let is_crowded = is_slow && view.fleet_uses_of(key, now) >= COPY_USES;
         if is_outdated || is_crowded {
             let need = self.need_of(query, now);
-            let engines = self.ready_engines(&query.service);
+            let engines = self.near_engines(&query.service);
             let holders = engines.filter(|view| need.is_met_by(view, now)).count();
             let wanted = if is_outdated { 1 } else { holders + 1 };
             self.ask_for(query, now + COPY_LIFETIME, wanted, now);
@@ -269,7 +269,7 @@
         else {
             return now;
         };
-        let engines = self.ready_engines(service);
+        let engines = self.near_engines(service);
         let ready = engines.filter_map(|view| view.model_ready_at(model, now)).min();
         match ready {
             Some(ready) => ready,
@@ -280,6 +280,9 @@
 
     /// Sends the asks for which the weight store has room.
     pub(super) fn pump(&mut self, now: MonoTime) {
+        if !self.demand.has_wanted() {
+            return;
+        }
         let Some(sheet) = self.sheet.clone() else {
             return;
         };
@@ -289,7 +292,8 @@
                 continue;
             };
             let ready = self.table.all().filter(|view| {
-                view.record.service == service.name && view.takes_work(now) && view.seems_well(now)
+                let is_of_service = view.is_near && view.record.service == service.name;
+                is_of_service && view.takes_work(now) && view.seems_well(now)
             });
             let norm = self.table.norm(&service.name);
             let views = unlimited_first(ready.collect());
@@ -340,7 +344,7 @@
         let rank = query.rank();
         let prompt = ReadingPrompt { tokens: query.prompt_tokens.unwrap_or(0), rank };
         let norm = self.table.norm(&query.service);
-        let engines = self.ready_engines(&query.service);
+        let engines = self.near_engines(&query.service);
         let times = engines.map(|view| view.reading.time_to_read(prompt, &norm));
         times.min().unwrap_or(Duration::ZERO)
     }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod attempts;
+mod cells;
 mod choice;
 mod crashes;
 mod engines;
@@ -24,6 +25,7 @@
 use std::time::Duration;
 
 use super::beacon::{AdapterKey, OtherRelays, ReplicaId};
+use super::cell::CellPlan;
 use super::demand::AdapterDemand;
 use super::policy::RelayPolicy;
 use super::promise::PromiseBook;
@@ -120,6 +122,10 @@
     rules: RelayRules,
     sheet: Option<Arc<RouteSheet>>,
     table: ReplicaTable,
+    /// How the engines of each service are divided.
+    cells: BTreeMap<ServiceName, CellPlan>,
+    /// When they are to be looked at again.
+    cells_due: MonoTime,
     versions: BTreeMap<AdapterKey, (AdapterVersion, MonoTime)>,
     demand: AdapterDemand,
     promises: PromiseBook,
@@ -172,6 +178,8 @@
             ledger,
             sheet: None,
             table: ReplicaTable::default(),
+            cells: BTreeMap::new(),
+            cells_due: MonoTime::ZERO,
             versions: BTreeMap::new(),
             demand: AdapterDemand::default(),
             promises: PromiseBook::default(),
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -192,6 +192,7 @@
         let mut changes: Vec<BeliefChange> =
             missing.iter().filter_map(|id| self.unlist(id, now)).collect();
         changes.extend(records.into_iter().flat_map(|record| self.list(record, now)));
+        self.plan_cells();
         changes
     }
 
@@ -293,6 +294,7 @@
         for entry in published.lapsed {
             self.doubted.entry(entry.replica).or_insert(now + entry.left);
         }
+        self.plan_cells();
         changes
     }
 
@@ -388,6 +390,7 @@
         self.demand.tick(now);
         self.promises.tick(now);
         self.share_when_peers_are_known(now);
+        self.tick_cells(now);
         self.pump(now);
         if self.is_store_away {
             return Vec::new();
--- a/quillcove_core/src/relay/machine/standing.rs
+++ b/quillcove_core/src/relay/machine/standing.rs
@@ -125,7 +125,7 @@
             ready.iter().copied().filter(|view| view.takes_work(now)).collect();
         match ready.iter().map(|view| view.standing.takes_work_from(now)).min() {
             Some(soonest) if open.is_empty() => ReplicaOffer::Resting(soonest),
-            _ => ReplicaOffer::Open(open),
+            _ => ReplicaOffer::Open(self.prefer_near(open, query.model.as_deref(), now)),
         }
     }
 
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -17,10 +17,13 @@
 //! - [`reading`]: how long a request waits at an engine until its first event.
 //! - [`published`]: what one relay passes on to another that can not read the store.
 //! - [`store_duty`]: who reads the platform's store, and how old a relay's knowledge may get.
+//! - [`telling`]: how often a relay tells the others that it is there.
 //! - [`tries`]: whether a request is its caller's first try.
+//! - [`cell`]: which engines a relay works with in a large fleet.
 //! - [`beacon`]: what relays and loaders tell each other.
 
 pub mod beacon;
+pub mod cell;
 pub mod demand;
 pub mod follower;
 pub mod keeper;
@@ -41,4 +44,5 @@
 pub mod sharing;
 pub mod sheet;
 pub mod store_duty;
+pub mod telling;
 pub mod tries;
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -124,7 +124,9 @@
     /// Since when its loader has reported that it leaves.
     reported_leaving: Option<MonoTime>,
     /// Whether the operator has its hall emptied.
-    pub(super) is_hall_emptied: bool,
+    is_hall_emptied: bool,
+    /// Whether it is in this relay's cell.
+    pub is_near: bool,
     /// When the platform's listing was last taken.
     listed_at: MonoTime,
     /// The last report of its loader, and when it came.
@@ -155,6 +157,7 @@
             standing: UpstreamStanding::default(),
             reported_leaving: None,
             is_hall_emptied: false,
+            is_near: true,
             listed_at: now,
             report: None,
             spare_places: None,
@@ -363,6 +366,20 @@
         held.map(|held| held.version)
     }
 
+    /// Tells whether this process uses adapters of it, or has used some since its loader was told last.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().has_uses());
+    /// ```
+    pub fn has_uses(&self) -> bool {
+        !self.uses.is_empty()
+    }
+
     /// Requests of this process for an adapter that are in flight there.
     ///
     /// ```
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -90,6 +90,26 @@
         is_news
     }
 
+    /// Sets which replicas are in this relay's cell; all are of the services named as lost.
+    ///
+    /// ```
+    /// use std::collections::BTreeSet;
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.set_near(BTreeSet::new(), &[]);
+    /// assert!(!table.get("i-1").unwrap().is_near);
+    /// table.set_near(BTreeSet::new(), &["s".to_string()]);
+    /// assert!(table.get("i-1").unwrap().is_near);
+    /// ```
+    pub fn set_near(&mut self, near: BTreeSet<ReplicaId>, lost: &[ServiceName]) {
+        for (id, view) in &mut self.replicas {
+            view.is_near = near.contains(id) || lost.contains(&view.record.service);
+        }
+    }
+
     /// The halls that are to be emptied.
     ///
     /// ```
--- a/quillcove_core/tests/relay_loads.rs
+++ b/quillcove_core/tests/relay_loads.rs
@@ -80,7 +80,7 @@
                 machine.take_report(&beacon, now);
                 keeper.take_report(&beacon, now);
             }
-            for addressed in keeper.plan(&machine, true, now) {
+            for addressed in keeper.plan(&machine, |_| true, now) {
                 began[usize::from(addressed.engine.port())].push(now);
                 all.push(now);
             }
@@ -124,7 +124,7 @@
                 machines[side].take_report(&beacon, now);
                 keepers[side].take_report(&beacon, now);
             }
-            for addressed in keepers[side].plan(&machines[side], true, now) {
+            for addressed in keepers[side].plan(&machines[side], |_| true, now) {
                 let began = &mut began[usize::from(addressed.engine.port())];
                 // A loader orders a model only into an empty engine.
                 if began.is_empty() {
@@ -170,8 +170,8 @@
     let mut machine = machine();
     let mut keeper = ModelKeeper::default();
     empty_engines(&mut machine, &mut keeper, true);
-    assert_eq!(keeper.plan(&machine, false, ms(0)).len(), usize::from(ENGINES));
-    assert!(keeper.plan(&machine, false, ms(50)).is_empty(), "asked for already");
+    assert_eq!(keeper.plan(&machine, |_| false, ms(0)).len(), usize::from(ENGINES));
+    assert!(keeper.plan(&machine, |_| false, ms(50)).is_empty(), "asked for already");
     assert_eq!(keeper.window_count(ms(50)), 0, "they take nothing from the weight store");
 }
 
@@ -180,8 +180,8 @@
     let mut machine = machine();
     let mut keeper = ModelKeeper::default();
     empty_engines(&mut machine, &mut keeper, false);
-    assert!(keeper.plan(&machine, false, ms(0)).is_empty());
-    assert_eq!(keeper.plan(&machine, true, ms(0)).len(), 1);
+    assert!(keeper.plan(&machine, |_| false, ms(0)).is_empty());
+    assert_eq!(keeper.plan(&machine, |_| true, ms(0)).len(), 1);
 }
 
 /// Load time of a store that serves this many at full speed.
