Changes of the store are told with what they are; a relay's first reading may be old

Change: a relay that reads the store tells the others of its hall the changes that matter, with the revisions from and up to which they are all; a sheet as what differs from the one before, proved by a digest. Who lacks the word before takes nothing and reads after 300 ms, as do those whose hall has no reader. A first reading asks for what may be old, and then for what has changed since, which is complete. Ruled out: handing the whole list on to each relay (150 KB for each change and relay).

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -248,6 +248,7 @@
             | PeerMessage::Gauges(_)
             | PeerMessage::Spend(_)
             | PeerMessage::Limit(_)
+            | PeerMessage::Change(_)
             | PeerMessage::ProofAsk(_)
             | PeerMessage::Proof(_) => {
                 warn!(self.log, "message is meant for a relay"; "from" => %from);
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -9,10 +9,10 @@
 use quillcove_core::access::right::RightRules;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
-use quillcove_core::relay::published::{ReadRevisions, StorePart};
+use quillcove_core::relay::published::{ReadRevisions, RevisedEvent, StorePart, apply_changes};
 use quillcove_core::relay::replica::ReplicaRecord;
 use quillcove_core::relay::store_duty::{DutyRules, StoreDuty};
-use quillcove_platform::store::{self, StoreAnswer, StoreEvent};
+use quillcove_platform::store::{self, RangeAge, StoreAnswer, StoreEvent};
 use quillcove_platform::{WireCall, WireFault};
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, watch};
@@ -44,6 +44,8 @@
     pub part: StorePart,
     /// Whether all of it was read.
     pub is_whole: bool,
+    /// Revision after which the changes are; `None` for a whole part.
+    pub after: Option<u64>,
     /// What is there, or what changed.
     pub events: Vec<StoreEvent>,
     /// Revision of each event.
@@ -133,6 +135,15 @@
     began: MonoTime,
 }
 
+/// A part as it was read whole.
+#[derive(Debug, Default)]
+struct WholePart {
+    events: Vec<RevisedEvent>,
+    /// Revision up to which all changes are among them.
+    revision: u64,
+    is_sheet_lost: bool,
+}
+
 /// Why a call brought nothing.
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
@@ -185,6 +196,7 @@
         let mut client = self.new_client();
         let mut orders = self.orders.clone();
         let mut done = 0;
+        let mut is_first = true;
         while !is_over.load(Ordering::Relaxed) {
             let order = *orders.borrow_and_update();
             let is_wanted = order.duty == StoreDuty::Watches || order.wanted(part) != done;
@@ -199,6 +211,10 @@
             let call = follower.next_call_within(order.longest_watch(part));
             let limit = follower.limit(call);
             let read = match call {
+                // After a failure nothing is left to what may be old.
+                StoreCall::Whole if std::mem::take(&mut is_first) => {
+                    self.read_first(&client, part).await
+                },
                 StoreCall::Whole => self.read_whole(&client, part, began).await,
                 StoreCall::Changes { after, wait } => {
                     let call = PartCall { part, after, wait, limit, began };
@@ -239,68 +255,93 @@
         FollowRules { watch_time, timeout, contact_time, gather_time }
     }
 
+    /// Reads a part whole.
     async fn read_whole(
         &self,
         client: &WebClient,
         part: StorePart,
         began: MonoTime,
     ) -> Result<u64, FollowError> {
-        let mut events = Vec::new();
-        let mut changed_at = Vec::new();
+        let whole = self.read_pages(client, part, RangeAge::Fresh).await?;
+        // All that was published before the call began is in its answer.
+        self.tell_whole(part, whole, began).await
+    }
+
+    /// Reads a part whole for the first time. All relays do so when the system starts, each over several pages, so that
+    /// what may be old is asked for, and then what has changed since.
+    async fn read_first(&self, client: &WebClient, part: StorePart) -> Result<u64, FollowError> {
+        let mut whole = self.read_pages(client, part, RangeAge::MayBeOld).await?;
+        let began = self.clock.now();
+        let limit = self.section.timeout;
+        let call = PartCall { part, after: whole.revision, wait: Duration::ZERO, limit, began };
+        let since = self.ask_changes(client, &call).await?;
+        let changes = since.events.into_iter().zip(since.changed_at).collect();
+        apply_changes(&mut whole.events, changes);
+        whole.revision = since.revision;
+        whole.is_sheet_lost |= since.is_sheet_lost;
+        self.tell_whole(part, whole, began).await
+    }
+
+    async fn tell_whole(
+        &self,
+        part: StorePart,
+        whole: WholePart,
+        began: MonoTime,
+    ) -> Result<u64, FollowError> {
+        let WholePart { events, revision, is_sheet_lost } = whole;
+        let (events, changed_at) = events.into_iter().unzip();
+        let reading = StoreReading {
+            part,
+            is_whole: true,
+            after: None,
+            events,
+            changed_at,
+            revision,
+            complete_at: began,
+            proved_at: (!is_sheet_lost).then_some(began),
+        };
+        self.tell(StoreNews::Read(reading)).await;
+        Ok(revision)
+    }
+
+    async fn read_pages(
+        &self,
+        client: &WebClient,
+        part: StorePart,
+        age: RangeAge,
+    ) -> Result<WholePart, FollowError> {
+        let mut whole = WholePart::default();
         let mut after: Option<String> = None;
-        let mut revision = None;
-        let mut is_sheet_lost = false;
         loop {
-            let call = store::range_call(part, after.as_deref());
+            let call = store::range_call(part, after.as_deref(), age);
             let (status, body) = self.call(client, &call, self.section.timeout).await?;
             if !status.is_success() {
                 return Err(WireFault::Status { what: "range", status }.into());
             }
             let page = store::read_range(&body)?;
             self.report_faults(&page);
-            // Pages are no snapshot: changes since the first page are read by the watch.
-            let first = *revision.get_or_insert(page.revision);
-            is_sheet_lost |= page.is_sheet_lost;
-            events.extend(page.events);
-            changed_at.extend(page.changed_at);
+            // Pages are no snapshot: changes since the oldest of them are read by the watch.
+            whole.revision = match after {
+                Some(_) => whole.revision.min(page.revision),
+                None => page.revision,
+            };
+            whole.is_sheet_lost |= page.is_sheet_lost;
+            whole.events.extend(page.events.into_iter().zip(page.changed_at));
             after = page.next_page;
             if after.is_none() {
-                let (is_whole, revision) = (true, first);
-                // All that was published before the call began is in its answer.
-                let (complete_at, proved_at) = (began, (!is_sheet_lost).then_some(began));
-                let reading = StoreReading {
-                    part,
-                    is_whole,
-                    events,
-                    changed_at,
-                    revision,
-                    complete_at,
-                    proved_at,
-                };
-                self.tell(StoreNews::Read(reading)).await;
-                return Ok(first);
+                return Ok(whole);
             }
         }
     }
 
     async fn read_changes(&self, client: &WebClient, call: &PartCall) -> Result<u64, FollowError> {
-        let PartCall { part, after, wait, limit, began } = *call;
-        let call = store::watch_call(part, after, wait);
+        let PartCall { part, after, wait, began, .. } = *call;
         let mut hurried = self.hurried.clone();
         hurried.mark_unchanged();
         let answer = tokio::select! {
-            answer = self.call(client, &call, limit) => answer?,
+            answer = self.ask_changes(client, call) => answer?,
             _ = hurried.changed() => return self.read_whole(client, part, self.clock.now()).await,
         };
-        let (status, body) = answer;
-        if store::is_history_gone(status) {
-            return Err(FollowError::HistoryGone);
-        }
-        if !status.is_success() {
-            return Err(WireFault::Status { what: "watch", status }.into());
-        }
-        let answer = store::read_watch(&body)?;
-        self.report_faults(&answer);
         let StoreAnswer { events, changed_at, is_empty, revision, is_sheet_lost, .. } = answer;
         // A watch that ends without a change was answered after its whole time, not before.
         let complete_at = match is_empty && self.clock.now().saturating_sub(began) >= wait {
@@ -310,6 +351,7 @@
         let reading = StoreReading {
             part,
             is_whole: false,
+            after: Some(after),
             events,
             changed_at,
             revision,
@@ -320,6 +362,24 @@
         Ok(revision)
     }
 
+    async fn ask_changes(
+        &self,
+        client: &WebClient,
+        call: &PartCall,
+    ) -> Result<StoreAnswer, FollowError> {
+        let watch = store::watch_call(call.part, call.after, call.wait);
+        let (status, body) = self.call(client, &watch, call.limit).await?;
+        if store::is_history_gone(status) {
+            return Err(FollowError::HistoryGone);
+        }
+        if !status.is_success() {
+            return Err(WireFault::Status { what: "watch", status }.into());
+        }
+        let answer = store::read_watch(&body)?;
+        self.report_faults(&answer);
+        Ok(answer)
+    }
+
     async fn call(
         &self,
         client: &WebClient,
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use self::crashes::ASK_TIMES;
+use self::readers::UnknownChange;
 use self::right::ProofQuestions;
 use super::follow::{FollowOrder, StoreNews};
 use super::shared::RelayShared;
@@ -97,6 +98,8 @@
     changed: watch::Receiver<RelaySettings>,
     hurry: watch::Sender<u64>,
     order: watch::Sender<FollowOrder>,
+    /// Changes that other relays know and this one does not, by part.
+    unknown: HashMap<StorePart, UnknownChange>,
     /// When readings were asked for that have not come, by part.
     wanted: HashMap<StorePart, MonoTime>,
     store: mpsc::Receiver<StoreNews>,
@@ -149,6 +152,7 @@
             changed: feed.settings,
             hurry: feed.hurry,
             order: feed.order,
+            unknown: HashMap::new(),
             wanted: HashMap::new(),
             store: feed.store,
             published,
@@ -241,6 +245,7 @@
         self.forget_relays(now);
         self.forget_loaders();
         self.choose_duty(now);
+        self.read_what_is_unknown(now);
         self.read_what_is_old(now);
         self.renew_right(now);
         self.tell_spent(now, false);
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -10,8 +10,10 @@
     AddressedAsk, EngineBeacon, GaugeBeacon, OtherRelays, PeerMessage, RelayBeacon, ReplicaId,
     ResendAsk, UseBeacon,
 };
+use quillcove_core::relay::change_word::ChangeBeacon;
 use quillcove_core::relay::replica::ReplicaView;
 use quillcove_core::relay::report_stream::GaugeFate;
+use quillcove_core::relay::store_duty::{self, StoreDuty};
 use quillcove_core::relay::telling::{self, RelayDistance};
 use slog::{info, warn};
 
@@ -32,6 +34,7 @@
             PeerMessage::Crash(told) => self.take_crashes(&told, from, now),
             PeerMessage::CrashAsk(ask) => self.answer_crashes(ask, now),
             PeerMessage::Limit(told) => self.shared.machine().take_limits(&told, now),
+            PeerMessage::Change(told) => self.take_told(&told, now),
             PeerMessage::Use(_) | PeerMessage::Load(_) | PeerMessage::Resend(_) => {
                 warn!(self.shared.log, "message is meant for a loader"; "from" => %from);
             },
@@ -79,7 +82,7 @@
     }
 
     /// Tells whether a relay of the own hall is heard that the store answers.
-    fn hears_near_reader(&self) -> bool {
+    pub(super) fn hears_near_reader(&self) -> bool {
         let is_near_reader = |known: &KnownRelay| {
             known.is_up && self.distance_to(&known.hall) == RelayDistance::Near
         };
@@ -311,6 +314,28 @@
         self.send(&beacon, told);
     }
 
+    /// Tells the relays of the own hall of changes that this one has read, if it is one of few that read.
+    pub(super) fn tell_change(&self, change: ChangeBeacon) {
+        let is_reader = self.order.borrow().duty == StoreDuty::Watches;
+        if change.changes.is_empty() || !is_reader || !store_duty::is_large(self.relays.len()) {
+            return;
+        }
+        let near = self.relays_at(RelayDistance::Near);
+        for word in change.in_datagrams() {
+            self.send(&PeerMessage::Change(word), near.iter().copied());
+        }
+    }
+
+    /// Takes changes that another relay of the hall has read.
+    fn take_told(&mut self, told: &ChangeBeacon, now: MonoTime) {
+        let changes = self.shared.machine().take_told(told, now);
+        if let Some(changes) = changes {
+            self.take_changes(changes, now);
+            self.shared.waiters.tell_all();
+            self.note_ready();
+        }
+    }
+
     /// Tells one relay that this one is there.
     fn tell_relay(&mut self, hall: &str, relay: SocketAddr, now: MonoTime) {
         let distance = self.distance_to(hall);
--- a/quillcove/src/relay/input/readers.rs
+++ b/quillcove/src/relay/input/readers.rs
@@ -17,6 +17,18 @@
 /// Time from the start of the process within which the other relays have been heard: three beacons.
 const RELAYS_HEARD: Duration = Duration::from_millis(1600);
 
+/// Time from the first word of a change that this relay does not know until it reads for itself. The change is told
+/// by the relay of its hall that has read it; this time is for its way.
+const CHANGE_GRACE: Duration = Duration::from_millis(300);
+
+/// A change that another relay knows and this one does not.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnknownChange {
+    /// Revision up to which the part has to be known.
+    revision: u64,
+    since: MonoTime,
+}
+
 impl InputDuty {
     /// Whether the store answered the last call of each part. Before the first call nothing speaks
     /// against it.
@@ -55,14 +67,35 @@
         });
     }
 
-    /// Takes another relay's word on the store; reads what it knows and this one does not.
+    /// Takes another relay's word on the store, and notes what that one knows and this one does not.
     pub(super) fn take_word(&mut self, word: &StoreWord, now: MonoTime) {
         for part in StorePart::ALL {
             let is_known = self.shared.machine().knowledge_mut().take_word(part, word, now);
             if !is_known {
-                self.want(part, ReadReason::ChangeTold, now);
+                let fresh = UnknownChange { revision: 0, since: now };
+                let unknown = self.unknown.entry(part).or_insert(fresh);
+                unknown.revision = unknown.revision.max(word.changed.of(part));
             }
         }
+        self.read_what_is_unknown(now);
+    }
+
+    /// Reads changes that others know of, and of which nobody has told in time what they are.
+    pub(super) fn read_what_is_unknown(&mut self, now: MonoTime) {
+        let read = self.shared.machine().read();
+        self.unknown.retain(|part, unknown| read.of(*part) < unknown.revision);
+        let is_told = self.hears_near_reader();
+        let is_due =
+            |unknown: &UnknownChange| !is_told || now.saturating_sub(unknown.since) >= CHANGE_GRACE;
+        let due: Vec<StorePart> = self
+            .unknown
+            .iter()
+            .filter(|(_, unknown)| is_due(unknown))
+            .map(|(part, _)| *part)
+            .collect();
+        for part in due {
+            self.want(part, ReadReason::ChangeTold, now);
+        }
     }
 
     /// Reads what nobody has told of for too long.
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -6,6 +6,7 @@
 
 use quillcove_core::ids::{HallName, MonoTime};
 use quillcove_core::relay::beacon::{RelayBeacon, ReplicaId};
+use quillcove_core::relay::change_word::{ChangeBeacon, ToldChange};
 use quillcove_core::relay::machine::BeliefChange;
 use quillcove_core::relay::published::StorePart;
 use quillcove_platform::store::StoreEvent;
@@ -114,39 +115,20 @@
             last = last.max((!changes.is_empty()).then_some(reading.revision));
             all_changes.extend(changes);
         }
+        let mut told = Some(Vec::new());
         for (event, revision) in reading.events.into_iter().zip(reading.changed_at) {
-            let mut matters = false;
-            let changes = match event {
-                StoreEvent::Sheet(sheet) => {
-                    let version = sheet.version;
-                    let is_taken = self.shared.machine().take_sheet(*sheet);
-                    is_taken.then_some(BeliefChange::Sheet(version)).into_iter().collect()
-                },
-                StoreEvent::Version(key, version) => {
-                    matters = self.shared.machine().newest(&key) != Some(version);
-                    info!(self.shared.log, "adapter has a new version"; "model" => &key.model,
-                        "adapter" => &key.adapter, "version" => version);
-                    let is_fresh = !reading.is_whole;
-                    self.shared.machine().take_version(key, version, is_fresh, now);
-                    Vec::new()
-                },
-                StoreEvent::HallEmptied(hall) => {
-                    self.shared.machine().set_emptied(&hall, true).into_iter().collect()
-                },
-                StoreEvent::HallInUse(hall) => {
-                    self.shared.machine().set_emptied(&hall, false).into_iter().collect()
-                },
-                StoreEvent::Replica(record) => self.shared.machine().list(record, now),
-                StoreEvent::ReplicaGone(id) => {
-                    // It may be gone here already for another reason, and still be listed elsewhere.
-                    matters = true;
-                    self.shared.machine().unlist(&id, now).into_iter().collect()
-                },
-            };
-            if matters || !changes.is_empty() {
+            let effect = self.shared.machine().take_event(event, reading.is_whole, now);
+            if effect.matters {
                 last = last.max(Some(revision));
+                let change = effect.told.map(|event| ToldChange { revision, event });
+                told = told.zip(change).map(|(told, change)| push(told, change));
             }
-            all_changes.extend(changes);
+            all_changes.extend(effect.changes);
+        }
+        if let (Some(after), Some(changes)) = (reading.after, told) {
+            let age = now.saturating_sub(reading.complete_at);
+            let (part, revision) = (reading.part, reading.revision);
+            self.tell_change(ChangeBeacon { part, after, revision, age, changes });
         }
         // Together, as loaders and relays are told once of all engines that are new.
         self.take_changes(all_changes, now);
@@ -178,6 +160,10 @@
                 BeliefChange::Sheet(version) => {
                     info!(log, "sheet in force"; "sheet" => version, "revision" => read.operator);
                 },
+                BeliefChange::Version(held) => {
+                    info!(log, "adapter has a new version"; "model" => &held.key.model,
+                        "adapter" => &held.key.adapter, "version" => held.version);
+                },
                 BeliefChange::Listed(id) => self.log_listed(&id),
                 BeliefChange::Gone(id) => {
                     self.shared.pool.forget(&id);
@@ -310,3 +296,8 @@
     };
     events.iter().filter_map(hall).collect()
 }
+
+fn push(mut told: Vec<ToldChange>, change: ToldChange) -> Vec<ToldChange> {
+    told.push(change);
+    told
+}
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::change_word::ChangeBeacon;
 use super::sheet::SheetVersion;
 use super::store_duty::{ProofWord, StoreWord};
 use crate::access::spending::SpendBeacon;
@@ -307,6 +308,8 @@
     CrashAsk(CrashAsk),
     /// From a relay to relays.
     Limit(LimitBeacon),
+    /// From a relay that reads the store to the others of its hall.
+    Change(ChangeBeacon),
 }
 
 /// A relay's question to another one how old its proof is that it knows all that the operator wrote.
@@ -350,6 +353,8 @@
     Crash,
     /// [`PeerMessage::Limit`].
     Limit,
+    /// [`PeerMessage::Change`].
+    Change,
 }
 
 impl PeerMessageKind {
@@ -372,6 +377,7 @@
             Self::Proof => "proof",
             Self::Crash => "crash",
             Self::Limit => "limit",
+            Self::Change => "change",
         }
     }
 }
@@ -397,6 +403,7 @@
             Self::ProofAsk(_) | Self::Proof(_) => PeerMessageKind::Proof,
             Self::Crash(_) | Self::CrashAsk(_) => PeerMessageKind::Crash,
             Self::Limit(_) => PeerMessageKind::Limit,
+            Self::Change(_) => PeerMessageKind::Change,
         }
     }
 }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -12,19 +12,21 @@
 mod query;
 mod repeats;
 mod standing;
+mod told;
 mod view;
 
 pub use self::crashes::BreakStep;
 use self::limits::LimitTeller;
 pub use self::priority::ReadingStart;
 pub use self::query::{AttemptOrder, RelayChoice, RelayQuery};
+pub use self::told::EventEffect;
 pub use self::view::{RelayView, ReplicaSummary};
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, OtherRelays, ReplicaId};
+use super::beacon::{AdapterKey, HeldAdapter, OtherRelays, ReplicaId};
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
 use super::policy::RelayPolicy;
@@ -89,6 +91,8 @@
 pub enum BeliefChange {
     /// A sheet came into force.
     Sheet(SheetVersion),
+    /// An adapter has a new version.
+    Version(HeldAdapter),
     /// A replica is new, or its state changed.
     Listed(ReplicaId),
     /// A replica's entry is gone.
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -19,11 +19,13 @@
 //! - [`store_duty`]: who reads the platform's store, and how old a relay's knowledge may get.
 //! - [`telling`]: how often a relay tells the others that it is there.
 //! - [`tries`]: whether a request is its caller's first try.
+//! - [`change_word`] and [`sheet_change`]: changes of the store, as a relay that reads it tells them to others.
 //! - [`cell`]: which engines a relay works with in a large fleet.
 //! - [`beacon`]: what relays and loaders tell each other.
 
 pub mod beacon;
 pub mod cell;
+pub mod change_word;
 pub mod demand;
 pub mod follower;
 pub mod keeper;
@@ -43,6 +45,7 @@
 pub mod routing;
 pub mod sharing;
 pub mod sheet;
+pub mod sheet_change;
 pub mod store_duty;
 pub mod telling;
 pub mod tries;
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -5,15 +5,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::beacon::{HeldAdapter, ReplicaId, StartTime};
+use super::beacon::{AdapterKey, HeldAdapter, ReplicaId, StartTime};
 use super::replica::ReplicaRecord;
 use super::sheet::RouteSheet;
 use super::store_duty::ProofWord;
-use crate::ids::HallName;
+use crate::ids::{AdapterVersion, HallName};
 
 /// A part of the platform's store; each is read by itself, so that one may be known further than
 /// the other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum StorePart {
     /// What the operator writes: the sheet and versions of adapters.
     Operator,
@@ -98,6 +98,74 @@
     pub born: Option<StartTime>,
 }
 
+/// One value of the store, or the removal of one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum StoreEvent {
+    /// A new sheet.
+    Sheet(Box<RouteSheet>),
+    /// The newest version of an adapter.
+    Version(AdapterKey, AdapterVersion),
+    /// A replica's entry.
+    Replica(ReplicaRecord),
+    /// A replica's entry is gone.
+    ReplicaGone(ReplicaId),
+    /// A hall is to be emptied: its replicas get no new work.
+    HallEmptied(HallName),
+    /// A hall is in use again.
+    HallInUse(HallName),
+}
+
+impl StoreEvent {
+    /// Tells whether both say something of the same thing, so that the later one takes the place of the other.
+    fn is_of_same(&self, other: &Self) -> bool {
+        fn replica(event: &StoreEvent) -> Option<&ReplicaId> {
+            match event {
+                StoreEvent::Replica(record) => Some(&record.id),
+                StoreEvent::ReplicaGone(id) => Some(id),
+                _ => None,
+            }
+        }
+        fn hall(event: &StoreEvent) -> Option<&HallName> {
+            match event {
+                StoreEvent::HallEmptied(hall) | StoreEvent::HallInUse(hall) => Some(hall),
+                _ => None,
+            }
+        }
+        match (self, other) {
+            (Self::Sheet(_), Self::Sheet(_)) => true,
+            (Self::Version(one, _), Self::Version(other, _)) => one == other,
+            _ => {
+                replica(self).is_some_and(|id| replica(other) == Some(id))
+                    || hall(self).is_some_and(|name| hall(other) == Some(name))
+            },
+        }
+    }
+}
+
+/// A change with the revision of the store at which it was made.
+pub type RevisedEvent = (StoreEvent, u64);
+
+/// What is there after changes of a part that was read whole.
+///
+/// ```
+/// use quillcove_core::relay::published::{StoreEvent, apply_changes};
+/// use quillcove_core::relay::replica::example_record;
+///
+/// let listed = |id: &str| StoreEvent::Replica(example_record(id));
+/// let mut whole = vec![(listed("i-1"), 3), (listed("i-2"), 4)];
+/// apply_changes(&mut whole, vec![(StoreEvent::ReplicaGone("i-1".into()), 7), (listed("i-3"), 8)]);
+/// assert_eq!(whole, [(listed("i-2"), 4), (listed("i-3"), 8)]);
+/// ```
+pub fn apply_changes(whole: &mut Vec<RevisedEvent>, changes: Vec<RevisedEvent>) {
+    for (change, revision) in changes {
+        whole.retain(|(event, _)| !event.is_of_same(&change));
+        match change {
+            StoreEvent::ReplicaGone(_) | StoreEvent::HallInUse(_) => {},
+            there => whole.push((there, revision)),
+        }
+    }
+}
+
 /// All that a relay has read from the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PublishedState {
--- a/quillcove_core/src/relay/sheet.rs
+++ b/quillcove_core/src/relay/sheet.rs
@@ -215,6 +215,17 @@
         self.services.values()
     }
 
+    /// All routes.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::RouteSheet;
+    ///
+    /// assert_eq!(RouteSheet::default().routes().count(), 0);
+    /// ```
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteRecord>> {
+        self.routes.iter()
+    }
+
     /// Number of routes.
     ///
     /// ```
--- a/quillcove_core/src/relay/store_duty.rs
+++ b/quillcove_core/src/relay/store_duty.rs
@@ -461,18 +461,56 @@
         if word.since.of(part) > self.read.of(part) {
             return true;
         }
-        let known = self.part_mut(part);
         // Who has read nothing yet has nothing that a revision could belong to.
         if let Some(age) = word.ages.of(part)
-            && known.read_at.is_some()
+            && self.has_read(part)
         {
-            known.complete_at = known.complete_at.max(Some(now.saturating_sub(age)));
-            self.read.note(part, word.read.of(part));
-            self.changed.note(part, word.changed.of(part));
+            let (read, changed) = (word.read.of(part), word.changed.of(part));
+            self.note_told(part, read, Some(changed), now.saturating_sub(age));
         }
         true
     }
 
+    /// Tells whether this relay has read a part for itself.
+    ///
+    /// ```
+    /// use quillcove_core::relay::published::StorePart;
+    /// use quillcove_core::relay::store_duty::StoreKnowledge;
+    ///
+    /// assert!(!StoreKnowledge::default().has_read(StorePart::Replicas));
+    /// ```
+    pub fn has_read(&self, part: StorePart) -> bool {
+        match part {
+            StorePart::Operator => self.operator.read_at.is_some(),
+            StorePart::Replicas => self.replicas.read_at.is_some(),
+        }
+    }
+
+    /// Notes that another relay's own reading of a part goes up to a revision, that all of it which matters is known
+    /// here, and at which moment it was complete.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::published::StorePart;
+    /// use quillcove_core::relay::store_duty::StoreKnowledge;
+    ///
+    /// let mut knowledge = StoreKnowledge::default();
+    /// knowledge.note_told(StorePart::Replicas, 7, Some(5), Duration::ZERO);
+    /// assert_eq!(knowledge.read().replicas, 7);
+    /// ```
+    pub fn note_told(
+        &mut self,
+        part: StorePart,
+        revision: u64,
+        changed: Option<u64>,
+        complete_at: MonoTime,
+    ) {
+        let known = self.part_mut(part);
+        known.complete_at = known.complete_at.max(Some(complete_at));
+        self.read.note(part, revision);
+        self.changed.note(part, changed.unwrap_or(0));
+    }
+
     /// Tells whether the knowledge of a part is older than a limit.
     ///
     /// ```
