Of changes that other halls know a relay waits for its own hall's word

Change: words of other halls lead to no reading while a relay of the own hall is heard that the store answers. Its age limit bounds what is believed meanwhile, as before.

--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -64,8 +64,9 @@
             self.miss_crashes(now);
             self.greet_with_crashes(&beacon.host, beacon.address, now);
         }
-        self.take_word(&beacon.word, now);
-        if self.distance_to(&beacon.hall) == RelayDistance::Near || !self.hears_near_reader() {
+        let distance = self.distance_to(&beacon.hall);
+        self.take_word(&beacon.word, distance, now);
+        if distance == RelayDistance::Near || !self.hears_near_reader() {
             self.compare(&beacon, now);
         }
         for relay in beacon.relays {
--- a/quillcove/src/relay/input/readers.rs
+++ b/quillcove/src/relay/input/readers.rs
@@ -5,6 +5,7 @@
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::published::StorePart;
 use quillcove_core::relay::store_duty::{self, ReadReason, ReaderCandidate, StoreDuty, StoreWord};
+use quillcove_core::relay::telling::RelayDistance;
 use slog::info;
 
 use super::InputDuty;
@@ -67,11 +68,13 @@
         });
     }
 
-    /// Takes another relay's word on the store, and notes what that one knows and this one does not.
-    pub(super) fn take_word(&mut self, word: &StoreWord, now: MonoTime) {
+    /// Takes another relay's word on the store, and notes what that one knows and this one does not. Of changes that
+    /// relays of other halls know, those of the own hall that read the store tell as well, a moment earlier or later.
+    pub(super) fn take_word(&mut self, word: &StoreWord, distance: RelayDistance, now: MonoTime) {
+        let is_told = distance == RelayDistance::Far && self.hears_near_reader();
         for part in StorePart::ALL {
             let is_known = self.shared.machine().knowledge_mut().take_word(part, word, now);
-            if !is_known {
+            if !is_known && !is_told {
                 let fresh = UnknownChange { revision: 0, since: now };
                 let unknown = self.unknown.entry(part).or_insert(fresh);
                 unknown.revision = unknown.revision.max(word.changed.of(part));
