A rare adapter has one home in a fleet of cells; cells get copies of what is used much

Change: where engines are divided into cells, a relay asks the home of an adapter that its cell lacks, the engine that ranks first for it over the whole fleet; its loader hears a relay that asks and answers with its report. Fleets of one cell are as before. Ruled out: larger cells (words grow), a cell a hall (fewer loads, but more than with homes).

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -228,10 +228,7 @@
                 let relay = beacon.relay;
                 self.machine.take_uses(beacon, now);
                 self.tell_room(now);
-                if self.relays.hear(relay, now) {
-                    info!(self.log, "relay heard"; "relay" => %relay);
-                    self.greet(relay, now);
-                }
+                self.hear(relay, now);
             },
             PeerMessage::Resend(ask) => self.greet(ask.relay, now),
             // Kept for relays that start again.
@@ -242,6 +239,8 @@
                     "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
                     "version" => ask.version);
                 self.machine.take_ask(ask, now);
+                // It waits for the adapter, which may be here already.
+                self.hear(from, now);
             },
             PeerMessage::Relay(_)
             | PeerMessage::Engine(_)
@@ -256,6 +255,14 @@
         }
     }
 
+    /// Notes that a relay is there, and sends it a whole report if it is new.
+    fn hear(&mut self, relay: SocketAddr, now: MonoTime) {
+        if self.relays.hear(relay, now) {
+            info!(self.log, "relay heard"; "relay" => %relay);
+            self.greet(relay, now);
+        }
+    }
+
     /// Reads the engine's report, and passes it on when it is due or what the engine holds
     /// changed; tells whether it could be read.
     async fn read_report(&mut self) -> bool {
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -96,7 +96,12 @@
         }
         self.keeper.take_report(&beacon, now);
         let is_changed = self.shared.machine().take_report(&beacon, now);
-        if is_changed {
+        // A report of another cell's engine is the answer to an ask, also when it says what was known before.
+        let is_asked = {
+            let machine = self.shared.machine();
+            machine.table().at(beacon.engine).is_some_and(|view| !view.is_near)
+        };
+        if is_changed || is_asked {
             self.shared.waiters.tell_held(&beacon.report.adapters);
         }
         self.send_wanted();
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -14,7 +14,9 @@
 
 use self::coming::ComingLoads;
 use self::warm::WarmCopies;
-use super::beacon::{AdapterKey, AddressedAsk, ArrivedLoad, HeldAdapter, LoadAsk, OtherRelays};
+use super::beacon::{
+    AdapterKey, AddressedAsk, ArrivedLoad, HeldAdapter, LoadAsk, OtherRelays, ReplicaId,
+};
 use super::limiter::LoadLimiter;
 use super::policy::PlacementRule;
 use super::reading::ReadingNorm;
@@ -27,7 +29,7 @@
 const INCOMING_LIMIT: usize = 4;
 
 /// Load at which an engine takes in no further adapters while others do, in shares of its places.
-const BUSY_LOAD: f64 = 0.8;
+pub(super) const BUSY_LOAD: f64 = 0.8;
 
 /// Differences of backlogs that count when an adapter is placed. Smaller ones are over before the
 /// adapter is there, and relays see them differently.
@@ -61,12 +63,16 @@
     pub useful_until: MonoTime,
     /// Engines that should hold it.
     pub holders: usize,
+    /// The engine that holds it for the whole fleet; `None` for one that is wanted in the own cell.
+    pub home: Option<&'a ReplicaId>,
 }
 
 /// An adapter that requests lacked.
 #[derive(Clone, Debug)]
 struct WantedAdapter {
     service: ServiceName,
+    /// The engine of another cell that is to hold it for the whole fleet.
+    home: Option<ReplicaId>,
     version: Option<AdapterVersion>,
     /// Requests that lacked it since it was last there or useful.
     requests: u32,
@@ -104,10 +110,24 @@
     pub engine: &'a EngineRecord,
     /// Its engines that take new work and seem to work.
     pub views: Vec<&'a ReplicaView>,
+    /// Engines that are homes of wanted adapters, in whichever cell.
+    pub homes: Vec<&'a ReplicaView>,
     /// What its engines have in common.
     pub norm: ReadingNorm,
 }
 
+impl<'a> EngineChoice<'a> {
+    fn all(&self) -> impl Iterator<Item = &&'a ReplicaView> {
+        self.views.iter().chain(&self.homes)
+    }
+
+    /// The home of a wanted adapter, if it has one.
+    fn home_of(&self, wanted: &WantedAdapter) -> Option<&'a ReplicaView> {
+        let home = wanted.home.as_ref()?;
+        self.homes.iter().find(|view| view.record.id == *home).copied()
+    }
+}
+
 /// The adapters that one relay lacks and has asked for.
 ///
 /// ```
@@ -139,6 +159,17 @@
         self.others = others;
     }
 
+    /// The homes of wanted adapters.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// assert_eq!(AdapterDemand::default().homes().count(), 0);
+    /// ```
+    pub fn homes(&self) -> impl Iterator<Item = &ReplicaId> {
+        self.wanted.values().filter_map(|wanted| wanted.home.as_ref())
+    }
+
     /// Tells whether any adapter is wanted.
     ///
     /// ```
@@ -315,12 +346,14 @@
     ///     version: None,
     ///     useful_until: Duration::from_secs(1),
     ///     holders: 1,
+    ///     home: None,
     /// };
     /// AdapterDemand::default().want(&lacked, true, Duration::ZERO);
     /// ```
     pub fn want(&mut self, lacked: &LackedAdapter<'_>, is_new: bool, now: MonoTime) {
         let fresh = || WantedAdapter {
             service: lacked.service.clone(),
+            home: lacked.home.cloned(),
             version: lacked.version,
             requests: 0,
             since: now,
@@ -329,6 +362,9 @@
             is_met: false,
         };
         let wanted = self.wanted.entry(lacked.key.clone()).or_insert_with(fresh);
+        if lacked.home.is_none() {
+            wanted.home = None;
+        }
         wanted.version = wanted.version.max(lacked.version);
         wanted.useful_until = wanted.useful_until.max(lacked.useful_until);
         wanted.holders = wanted.holders.max(lacked.holders);
@@ -412,12 +448,16 @@
         };
         let least = wanted.version.unwrap_or(0);
         let meets = |held: &HeldAdapter| held.key == *key && held.version >= least;
-        let has = |view: &&&ReplicaView| {
+        let has = |view: &&ReplicaView| {
             let incoming = view.report(now).map_or(&[][..], |report| &report.incoming);
             view.adapters(now).iter().chain(incoming).any(meets)
         };
-        let of_service = choices.iter().filter(|choice| *choice.service == wanted.service);
-        of_service.flat_map(|choice| &choice.views).filter(has).count() >= wanted.holders
+        let of_service = choices.iter().find(|choice| *choice.service == wanted.service);
+        let is_at_home = of_service
+            .and_then(|choice| choice.home_of(wanted))
+            .is_some_and(|home| home.report(now).is_some() && has(&home));
+        let views = of_service.into_iter().flat_map(|choice| choice.views.iter().copied());
+        is_at_home || views.filter(has).count() >= wanted.holders
     }
 
     /// Asks that were sent and have not been met; old ones may have been lost.
@@ -439,7 +479,7 @@
     /// Sends asks again that no report shows, and gives up engines that do not react.
     fn repeat_asks(&mut self, choices: &[EngineChoice<'_>], now: MonoTime) {
         let views: Vec<&ReplicaView> =
-            choices.iter().flat_map(|choice| choice.views.iter().copied()).collect();
+            choices.iter().flat_map(EngineChoice::all).copied().collect();
         let mut given_up = Vec::new();
         for (key, open) in &mut self.open {
             let replica = &open.addressed.ask.replica;
@@ -448,6 +488,13 @@
             if is_seen || now.saturating_sub(open.last_sent) < ASK_AGAIN {
                 continue;
             }
+            let wanted = self.wanted.get_mut(key).filter(|wanted| wanted.home.is_some());
+            if let Some(wanted) = wanted {
+                // Its home is silent; the request waits, so that an engine of the own cell is asked.
+                wanted.home = None;
+                given_up.push(key.clone());
+                continue;
+            }
             if target.is_none() || open.times >= ASK_LIMIT {
                 given_up.push(key.clone());
                 continue;
@@ -502,6 +549,9 @@
         let wanted = self.wanted.get(key)?;
         let choice = choices.iter().find(|choice| *choice.service == wanted.service)?;
         let places = choice.engine.places_beside(&key.model);
+        if let Some(home) = choice.home_of(wanted) {
+            return Some((home, places, self.warm.has(&home.record.id, key)));
+        }
         let can_take = |view: &&&ReplicaView| {
             let report = view.report(now);
             let held = view.version_of(key, now);
--- a/quillcove_core/src/relay/machine/cells.rs
+++ b/quillcove_core/src/relay/machine/cells.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::RelayMachine;
+use super::{RelayMachine, RelayQuery};
 use crate::ids::{HallName, MonoTime, ServiceName};
-use crate::relay::beacon::ReplicaId;
+use crate::relay::beacon::{AdapterKey, ReplicaId};
 use crate::relay::cell::{CellPlan, EngineCell};
+use crate::relay::demand::BUSY_LOAD;
 use crate::relay::replica::ReplicaView;
+use crate::rendezvous;
 
 /// Share of an engine's places that are taken from which on requests also go to engines of other cells, if none in the
 /// own cell has less.
@@ -111,6 +113,43 @@
         self.ready_engines(service).filter(|view| view.is_near)
     }
 
+    /// The engine that holds an adapter for the whole fleet, until it is used so much that cells have copies of their
+    /// own. Without it each cell would bring each adapter that is rarely used. `None` where all engines are one cell,
+    /// and when its home is known to be busy.
+    pub(super) fn home_of(
+        &self,
+        service: &str,
+        key: &AdapterKey,
+        now: MonoTime,
+    ) -> Option<ReplicaId> {
+        if self.cell_count(service) == 1 {
+            return None;
+        }
+        let may_hold = |view: &&ReplicaView| {
+            view.takes_work(now) && view.seems_well(now) && view.models(now).contains(&key.model)
+        };
+        let weight = |view: &&ReplicaView| {
+            rendezvous::weight(&key.adapter, &view.record.address.to_string())
+        };
+        let home = self.ready_engines(service).filter(may_hold).max_by_key(weight)?;
+        let is_busy = home.load(now) >= BUSY_LOAD || home.spare_places(now) == Some(0);
+        (!is_busy).then(|| home.record.id.clone())
+    }
+
+    /// Engines of other cells that hold the adapter of a request, by reports of their loaders to this relay.
+    pub(super) fn far_holders(&self, query: &RelayQuery, now: MonoTime) -> Vec<&ReplicaView> {
+        if query.adapter.is_none() || self.cell_count(&query.service) == 1 {
+            return Vec::new();
+        }
+        let need = self.need_of(query, now);
+        let holds = |view: &&ReplicaView| {
+            let is_far = !view.is_near && view.record.service == query.service;
+            let is_open = is_far && view.takes_work(now) && view.seems_well(now);
+            is_open && view.report(now).is_some() && need.is_met_by(view, now)
+        };
+        self.table.all().filter(holds).collect()
+    }
+
     /// Of replicas that take work, those of this relay's cell, unless they lack the base model or all are full.
     pub(super) fn prefer_near<'a>(
         &self,
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -50,6 +50,15 @@
 /// Time after which a request that waits for an adapter looks whether its ask has to be repeated.
 const ASK_CHECK: Duration = Duration::from_millis(80);
 
+/// Where an adapter that a request lacks is to be loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LoadPlace {
+    /// At the engine that holds it for the whole fleet, where engines are divided into cells; else in the one cell.
+    Home,
+    /// In this relay's cell, so that so many of its engines hold it.
+    Cell(usize),
+}
+
 impl RelayMachine {
     /// The least version of an adapter on which a request may begin now.
     fn least_version(&self, key: &AdapterKey, now: MonoTime) -> AdapterVersion {
@@ -129,7 +138,10 @@
         let pool = well_ones(&open, now);
         let need = self.need_of(query, now);
         let holds = |view: &&&ReplicaView| need.is_met_by(view, now);
-        let holders: Vec<&ReplicaView> = pool.iter().filter(holds).copied().collect();
+        let mut holders: Vec<&ReplicaView> = pool.iter().filter(holds).copied().collect();
+        if holders.is_empty() {
+            holders = self.far_holders(query, now);
+        }
         let is_fresh = |view: &&&ReplicaView| !tried.contains(&view.record.id);
         let fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
         let current = self.newest_of(query, &fresh, now);
@@ -221,6 +233,8 @@
         // Another copy is there sooner than this engine is done with what it has to read.
         let backlog = view.reading.backlog(&self.table.norm(&query.service));
         let is_slow = match self.rules.policy.copies {
+            // What is used so much at its home is worth a copy in this relay's cell.
+            _ if !view.is_near => true,
             CopyRule::Backlog => backlog >= self.demand.load_time(),
             CopyRule::Places => view.load(now) >= SPREAD_LOAD,
         };
@@ -230,18 +244,17 @@
             let engines = self.near_engines(&query.service);
             let holders = engines.filter(|view| need.is_met_by(view, now)).count();
             let wanted = if is_outdated { 1 } else { holders + 1 };
-            self.ask_for(query, now + COPY_LIFETIME, wanted, now);
+            self.ask_for(query, now + COPY_LIFETIME, LoadPlace::Cell(wanted), now);
         }
     }
 
     /// Notes that a request lacks its adapter, and asks for what is worth most; gives the time at
-    /// which the adapter will be there. `useful_until` is when the request gives it up, `holders`
-    /// the engines that should hold it.
+    /// which the adapter will be there. `useful_until` is when the request gives it up.
     fn ask_for(
         &mut self,
         query: &RelayQuery,
         useful_until: MonoTime,
-        holders: usize,
+        place: LoadPlace,
         now: MonoTime,
     ) -> Option<MonoTime> {
         let key = query.adapter.as_ref()?;
@@ -249,7 +262,13 @@
             return None;
         }
         let version = self.newest(key);
-        let lacked = LackedAdapter { key, service: &query.service, version, useful_until, holders };
+        let (holders, home) = match place {
+            LoadPlace::Home => (1, self.home_of(&query.service, key, now)),
+            LoadPlace::Cell(holders) => (holders, None),
+        };
+        let service = &query.service;
+        let home = home.as_ref();
+        let lacked = LackedAdapter { key, service, version, useful_until, holders, home };
         let is_new = query.looks == 0;
         self.demand.want(&lacked, is_new, now);
         // Later looks ask for nothing that reports and ticks do not.
@@ -286,18 +305,22 @@
         let Some(sheet) = self.sheet.clone() else {
             return;
         };
+        let takes_loads = |view: &&ReplicaView| view.takes_work(now) && view.seems_well(now);
+        let homes = self.demand.homes().filter_map(|home| self.table.get(home));
+        let homes: Vec<&ReplicaView> = homes.filter(takes_loads).collect();
         let mut choices = Vec::new();
         for service in sheet.services() {
             let Some(engine) = &service.engine else {
                 continue;
             };
             let ready = self.table.all().filter(|view| {
-                let is_of_service = view.is_near && view.record.service == service.name;
-                is_of_service && view.takes_work(now) && view.seems_well(now)
+                view.is_near && view.record.service == service.name && takes_loads(view)
             });
             let norm = self.table.norm(&service.name);
+            let is_home = |view: &&ReplicaView| view.record.service == service.name;
+            let homes = homes.iter().copied().filter(is_home).collect();
             let views = unlimited_first(ready.collect());
-            choices.push(EngineChoice { service: &service.name, engine, views, norm });
+            choices.push(EngineChoice { service: &service.name, engine, views, homes, norm });
         }
         self.demand.pump(&choices, self.rules.policy.placement, now);
     }
@@ -308,7 +331,7 @@
         reports.map(|report| report.incoming.len()).sum()
     }
 
-    fn need_of<'a>(&self, query: &'a RelayQuery, now: MonoTime) -> HoldingNeed<'a> {
+    pub(super) fn need_of<'a>(&self, query: &'a RelayQuery, now: MonoTime) -> HoldingNeed<'a> {
         match (&query.adapter, &query.model) {
             (Some(key), _) => HoldingNeed::Adapter(key, self.least_version(key, now)),
             (None, Some(model)) => HoldingNeed::Model(model),
@@ -330,7 +353,7 @@
     /// at once what can't be served by then.
     fn await_while_servable(&mut self, query: &RelayQuery, now: MonoTime) -> RelayChoice {
         let leaves = query.leaves();
-        let ready_at = self.ask_for(query, leaves, 1, now);
+        let ready_at = self.ask_for(query, leaves, LoadPlace::Home, now);
         let reading = self.least_reading(query);
         let is_servable = ready_at.is_some_and(|at| at + reading <= leaves);
         if is_servable && (self.hears_engines(&query.service, now) || now < FIRST_REPORTS) {
@@ -354,7 +377,7 @@
         let aim = query.route.aim;
         let decide_by = query.received + aim.mul_f64(DECIDE_SHARE);
         let give_up = (query.received + aim.mul_f64(PATIENCE)).min(query.deadline);
-        let ready_at = self.ask_for(query, give_up, 1, now);
+        let ready_at = self.ask_for(query, give_up, LoadPlace::Home, now);
         let is_in_time = ready_at.is_some_and(|at| at + FIRST_EVENT_TIME <= query.received + aim);
         if is_in_time {
             return RelayChoice::Wait((now + ASK_CHECK).min(give_up));
@@ -381,7 +404,7 @@
             false => ELSEWHERE,
         };
         let come_back = come_back.min((query.deadline.saturating_sub(now)).mul_f64(RETURN_SHARE));
-        self.ask_for(query, now + come_back + aim, 1, now);
+        self.ask_for(query, now + come_back + aim, LoadPlace::Home, now);
         if let Some(key) = &query.adapter {
             self.promises.tell(key, now + come_back);
         }
--- a/quillcove_core/tests/relay_demand.rs
+++ b/quillcove_core/tests/relay_demand.rs
@@ -70,6 +70,7 @@
             version,
             useful_until: now + ms(60_000),
             holders,
+            home: None,
         };
         self.demand.want(&lacked, true, now);
     }
@@ -79,7 +80,13 @@
         let service = "s".to_string();
         let views: Vec<&ReplicaView> = (1..=ENGINES).map(|port| self.view(port)).collect();
         let norm = ReadingNorm::default();
-        let choice = EngineChoice { service: &service, engine: &self.engine, views, norm };
+        let choice = EngineChoice {
+            service: &service,
+            engine: &self.engine,
+            views,
+            homes: Vec::new(),
+            norm,
+        };
         let mut demand = self.demand.clone();
         demand.pump(&[choice], PlacementRule::default(), now);
         let asks = demand.take_outbox();
