--- a/quillcove_core/tests/adapter_homes.rs
+++ b/quillcove_core/tests/adapter_homes.rs
@@ -119,12 +119,12 @@
 #[test]
 fn a_silent_home_is_passed_over_for_an_engine_of_the_cell() {
     let mut machine = relay("relay-0", 0, 600);
-    let far = (0..50).find_map(|adapter| {
-        request(&mut machine, adapter, ms(0));
+    let has_far_home = |adapter: &usize| {
+        request(&mut machine, *adapter, ms(0));
         let home = asked(&mut machine)[0];
-        (!machine.table().at(home).unwrap().is_near).then_some(adapter)
-    });
-    let adapter = far.unwrap();
+        !machine.table().at(home).unwrap().is_near
+    };
+    let adapter = (0..50).find(has_far_home).unwrap();
     machine.tick(ms(200));
     let query = relay_site::query(stream_route(), Some(key(adapter)), ms(0));
     machine.choose(&quillcove_core::relay::machine::RelayQuery { looks: 1, ..query }, &[], ms(250));
--- a/quillcove_core/tests/cold_replicas.rs
+++ b/quillcove_core/tests/cold_replicas.rs
@@ -62,6 +62,8 @@
 struct SimRelay {
     machine: RelayMachine,
     started: Duration,
+    /// When it reads that replicas have come back.
+    learns: Option<Duration>,
 }
 
 struct ColdFleet {
@@ -119,7 +121,7 @@
             let others = names(count).into_iter().filter(|other| *other != host).collect();
             machine.set_peers(others, Duration::ZERO);
         }
-        SimRelay { machine, started }
+        SimRelay { machine, started, learns: None }
     }
 
     fn draw(&mut self, below: u64) -> u64 {
@@ -140,7 +142,7 @@
     /// One request at one relay.
     fn request(&mut self, relay: usize, now: Duration) {
         let way = ms(self.draw(WAY_TIME));
-        let SimRelay { machine, started } = &mut self.relays[relay];
+        let SimRelay { machine, started, .. } = &mut self.relays[relay];
         let own_now = now - *started;
         let query: RelayQuery = relay_site::query(stream_route(), None, own_now);
         let order: AttemptOrder = match machine.choose(&query, &[], own_now) {
@@ -176,10 +178,9 @@
         for relay in 0..count {
             self.list(relay, (1..=REPLICAS).map(warm).collect(), Duration::ZERO);
         }
-        let mut learns: Vec<Option<Duration>> = Vec::new();
-        for _ in 0..count {
+        for relay in 0..count {
             let delay = ms(self.draw(LEARN_TIME));
-            learns.push(Some(TURNS_COLD + delay));
+            self.relays[relay].learns = Some(TURNS_COLD + delay);
         }
         let starts = TURNS_COLD + ms(1500);
         let mut has_started = pattern != ColdPattern::RelaysStart;
@@ -196,11 +197,11 @@
                 }
             }
             for relay in 0..count {
-                if learns[relay].is_some_and(|at| at <= now) {
-                    learns[relay] = None;
+                if self.relays[relay].learns.is_some_and(|at| at <= now) {
+                    self.relays[relay].learns = None;
                     self.list(relay, (1..=returning).map(cold).collect(), now);
                 }
-                if now.as_millis() % 50 == 0 {
+                if now.as_millis().is_multiple_of(50) {
                     let started = self.relays[relay].started;
                     self.relays[relay].machine.tick(now - started);
                 }
