The store's era is read, and logged with each 410

Change: the adapter decodes it (absent: the first era; garbled: the call fails with the header's name), a change of it is a line with both eras, and so is each answer that the store does not have the changes after a revision. Nothing is decided by it yet.

--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -2,19 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::{Method, StatusCode};
 use quillcove_core::access::right::RightRules;
-use quillcove_core::ids::MonoTime;
+use quillcove_core::ids::{MonoTime, StoreEra};
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
 use quillcove_core::relay::published::{ReadRevisions, RevisedEvent, StorePart, apply_changes};
 use quillcove_core::relay::replica::ReplicaRecord;
 use quillcove_core::relay::store_duty::{DutyRules, StoreDuty};
 use quillcove_platform::store::{self, RangeAge, StoreAnswer, StoreEvent};
 use quillcove_platform::{WireCall, WireFault};
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
@@ -165,6 +165,8 @@
     hurried: watch::Receiver<u64>,
     orders: watch::Receiver<FollowOrder>,
     clock: MonoClock,
+    /// Era of the store that the last answer was from.
+    era: AtomicU64,
     log: Logger,
 }
 
@@ -180,7 +182,8 @@
     ) -> Self {
         let proof_watch = right.watch_time().unwrap_or(Duration::MAX);
         let (section, address) = (section.clone(), section.address);
-        Self { section, address, proof_watch, ring, hurried, orders, clock, log }
+        let era = AtomicU64::default();
+        Self { section, address, proof_watch, ring, hurried, orders, clock, era, log }
     }
 
     /// Follows until the process ends.
@@ -223,7 +226,11 @@
             };
             match read {
                 Ok(revision) => sleep(follower.take_answer(revision)).await,
-                Err(FollowError::HistoryGone) => follower.forget(),
+                Err(FollowError::HistoryGone) => {
+                    info!(self.log, "store does not have the changes"; "part" => ?part,
+                        "after" => follower.revision(), "era" => self.era.load(Ordering::Relaxed));
+                    follower.forget();
+                },
                 Err(error) => {
                     // Each one is told, not only the first: the time that a call takes to fail
                     // decides how old this relay's knowledge gets.
@@ -385,12 +392,20 @@
         client: &WebClient,
         call: &WireCall,
         limit: Duration,
-    ) -> Result<(StatusCode, bytes::Bytes), WebError> {
+    ) -> Result<(StatusCode, bytes::Bytes), FollowError> {
         let uri = format!("http://{}{}", self.address, call.path);
         let answer = client.fetch(Method::GET, &uri, bytes::Bytes::new(), limit).await?;
+        self.note_era(store::read_era(answer.headers())?);
         Ok((answer.status(), answer.into_body()))
     }
 
+    fn note_era(&self, era: StoreEra) {
+        let before = self.era.swap(era, Ordering::Relaxed);
+        if before != era {
+            info!(self.log, "store is in another era"; "era" => era, "before" => before);
+        }
+    }
+
     fn report_faults(&self, answer: &StoreAnswer) {
         for fault in &answer.faults {
             warn!(self.log, "value of the store is not understood"; "fault" => %fault);
--- a/quillcove_core/src/ids.rs
+++ b/quillcove_core/src/ids.rs
@@ -24,6 +24,9 @@
 pub type AttemptId = u128;
 /// Version of the signed bundle; grows with each publication.
 pub type BundleVersion = u64;
+/// Counts the times at which the platform's store came back from an older copy of itself; zero where it
+/// does not say.
+pub type StoreEra = u64;
 /// Random number that a process draws at its start; differs after every restart.
 pub type Incarnation = u64;
 /// Time since the start of the process, read from the monotonic clock.
