--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -2,14 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::{Method, StatusCode};
 use quillcove_core::access::right::RightRules;
 use quillcove_core::ids::{MonoTime, StoreEra};
-use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
-use quillcove_core::relay::published::{ReadRevisions, RevisedEvent, StorePart, apply_changes};
+use quillcove_core::relay::follower::{AnswerEra, FollowRules, PartFollower, StoreCall};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::{RevisedEvent, StorePart, apply_changes};
 use quillcove_core::relay::replica::ReplicaRecord;
 use quillcove_core::relay::store_duty::{DutyRules, StoreDuty};
 use quillcove_platform::store::{self, RangeAge, StoreAnswer, StoreEvent};
@@ -50,8 +51,8 @@
     pub events: Vec<StoreEvent>,
     /// Revision of each event.
     pub changed_at: Vec<u64>,
-    /// Revision up to which the part is known.
-    pub revision: u64,
+    /// Position up to which the part is known.
+    pub position: StorePosition,
     /// A moment of which it is known that all that was published before is among what is known now.
     pub complete_at: MonoTime,
     /// The same, proved: when the call began. The store may have answered a watch early and its answer
@@ -70,8 +71,8 @@
     pub wanted_operator: u64,
     /// The same for the replicas' part.
     pub wanted_replicas: u64,
-    /// Revisions up to which the parts are known.
-    pub known: ReadRevisions,
+    /// Positions up to which the parts are known.
+    pub known: ReadPositions,
 }
 
 /// Longest watches of a relay that watches the store; `None` for as long as the settings allow.
@@ -126,8 +127,8 @@
 #[derive(Clone, Copy, Debug)]
 struct PartCall {
     part: StorePart,
-    /// Revision after which changes are asked for.
-    after: u64,
+    /// Position after which changes are asked for.
+    after: StorePosition,
     /// Time that the store may wait for one.
     wait: Duration,
     /// Longest time for the answer.
@@ -139,11 +140,19 @@
 #[derive(Debug, Default)]
 struct WholePart {
     events: Vec<RevisedEvent>,
-    /// Revision up to which all changes are among them.
-    revision: u64,
+    /// Position up to which all changes are among them.
+    position: StorePosition,
     is_sheet_lost: bool,
 }
 
+/// An answer as it came.
+struct StoreReply {
+    status: StatusCode,
+    /// Era of the store in which it was given.
+    era: StoreEra,
+    body: bytes::Bytes,
+}
+
 /// Why a call brought nothing.
 #[derive(Debug, thiserror::Error)]
 enum FollowError {
@@ -151,8 +160,12 @@
     Web(#[from] WebError),
     #[error(transparent)]
     Wire(#[from] WireFault),
-    #[error("the store forgot the changes")]
+    #[error("the store does not have the changes")]
     HistoryGone,
+    #[error("the store has come back from a copy, in era {0}")]
+    LaterEra(StoreEra),
+    #[error("the answer is from era {found}, before era {known}")]
+    EarlierEra { found: StoreEra, known: StoreEra },
 }
 
 /// Follows both parts of the store.
@@ -165,8 +178,6 @@
     hurried: watch::Receiver<u64>,
     orders: watch::Receiver<FollowOrder>,
     clock: MonoClock,
-    /// Era of the store that the last answer was from.
-    era: AtomicU64,
     log: Logger,
 }
 
@@ -182,8 +193,7 @@
     ) -> Self {
         let proof_watch = right.watch_time().unwrap_or(Duration::MAX);
         let (section, address) = (section.clone(), section.address);
-        let era = AtomicU64::default();
-        Self { section, address, proof_watch, ring, hurried, orders, clock, era, log }
+        Self { section, address, proof_watch, ring, hurried, orders, clock, log }
     }
 
     /// Follows until the process ends.
@@ -216,26 +226,28 @@
             let read = match call {
                 // After a failure nothing is left to what may be old.
                 StoreCall::Whole if std::mem::take(&mut is_first) => {
-                    self.read_first(&client, part).await
+                    self.read_first(&client, part, follower.era()).await
                 },
-                StoreCall::Whole => self.read_whole(&client, part, began).await,
+                StoreCall::Whole => self.read_whole(&client, part, follower.era(), began).await,
                 StoreCall::Changes { after, wait } => {
                     let call = PartCall { part, after, wait, limit, began };
                     self.read_changes(&client, &call).await
                 },
             };
             match read {
-                Ok(revision) => sleep(follower.take_answer(revision)).await,
-                Err(FollowError::HistoryGone) => {
-                    info!(self.log, "store does not have the changes"; "part" => ?part,
-                        "after" => follower.revision(), "era" => self.era.load(Ordering::Relaxed));
+                Ok(position) => sleep(follower.take_answer(position)).await,
+                Err(error @ (FollowError::HistoryGone | FollowError::LaterEra(_))) => {
+                    info!(self.log, "part of the store is read anew"; "part" => ?part,
+                        "after" => follower.position().map(|after| after.to_string()),
+                        "reason" => %error);
                     follower.forget();
                 },
                 Err(error) => {
                     // Each one is told, not only the first: the time that a call takes to fail
                     // decides how old this relay's knowledge gets.
                     warn!(self.log, "call of the store failed"; "part" => ?part,
-                        "revision" => follower.revision(), "wait_ms" => wait_ms(call),
+                        "position" => follower.position().map(|known| known.to_string()),
+                        "wait_ms" => wait_ms(call),
                         "took_ms" => self.clock.now().saturating_sub(began).as_millis() as u64,
                         "reason" => %error);
                     self.tell(StoreNews::Failed { part, reason: error.to_string() }).await;
@@ -267,24 +279,30 @@
         &self,
         client: &WebClient,
         part: StorePart,
+        known: StoreEra,
         began: MonoTime,
-    ) -> Result<u64, FollowError> {
-        let whole = self.read_pages(client, part, RangeAge::Fresh).await?;
+    ) -> Result<StorePosition, FollowError> {
+        let whole = self.read_pages(client, part, known, RangeAge::Fresh).await?;
         // All that was published before the call began is in its answer.
         self.tell_whole(part, whole, began).await
     }
 
     /// Reads a part whole for the first time. All relays do so when the system starts, each over several pages, so that
     /// what may be old is asked for, and then what has changed since.
-    async fn read_first(&self, client: &WebClient, part: StorePart) -> Result<u64, FollowError> {
-        let mut whole = self.read_pages(client, part, RangeAge::MayBeOld).await?;
+    async fn read_first(
+        &self,
+        client: &WebClient,
+        part: StorePart,
+        known: StoreEra,
+    ) -> Result<StorePosition, FollowError> {
+        let mut whole = self.read_pages(client, part, known, RangeAge::MayBeOld).await?;
         let began = self.clock.now();
         let limit = self.section.timeout;
-        let call = PartCall { part, after: whole.revision, wait: Duration::ZERO, limit, began };
+        let call = PartCall { part, after: whole.position, wait: Duration::ZERO, limit, began };
         let since = self.ask_changes(client, &call).await?;
+        whole.position = since.position();
         let changes = since.events.into_iter().zip(since.changed_at).collect();
         apply_changes(&mut whole.events, changes);
-        whole.revision = since.revision;
         whole.is_sheet_lost |= since.is_sheet_lost;
         self.tell_whole(part, whole, began).await
     }
@@ -294,8 +312,8 @@
         part: StorePart,
         whole: WholePart,
         began: MonoTime,
-    ) -> Result<u64, FollowError> {
-        let WholePart { events, revision, is_sheet_lost } = whole;
+    ) -> Result<StorePosition, FollowError> {
+        let WholePart { events, position, is_sheet_lost } = whole;
         let (events, changed_at) = events.into_iter().unzip();
         let reading = StoreReading {
             part,
@@ -303,34 +321,43 @@
             after: None,
             events,
             changed_at,
-            revision,
+            position,
             complete_at: began,
             proved_at: (!is_sheet_lost).then_some(began),
         };
         self.tell(StoreNews::Read(reading)).await;
-        Ok(revision)
+        Ok(position)
     }
 
+    /// Reads all pages of a part; all are of one era, and of none before the known one.
     async fn read_pages(
         &self,
         client: &WebClient,
         part: StorePart,
+        known: StoreEra,
         age: RangeAge,
     ) -> Result<WholePart, FollowError> {
         let mut whole = WholePart::default();
         let mut after: Option<String> = None;
         loop {
             let call = store::range_call(part, after.as_deref(), age);
-            let (status, body) = self.call(client, &call, self.section.timeout).await?;
+            let StoreReply { status, era, body } =
+                self.call(client, &call, self.section.timeout).await?;
             if !status.is_success() {
                 return Err(WireFault::Status { what: "range", status }.into());
             }
-            let page = store::read_range(&body)?;
+            let page = store::read_range(era, &body)?;
             self.report_faults(&page);
             // Pages are no snapshot: changes since the oldest of them are read by the watch.
-            whole.revision = match after {
-                Some(_) => whole.revision.min(page.revision),
-                None => page.revision,
+            whole.position = match after {
+                Some(_) => {
+                    refuse_other_era(era, whole.position.era)?;
+                    whole.position.min(page.position())
+                },
+                None => {
+                    refuse_earlier_era(era, known)?;
+                    page.position()
+                },
             };
             whole.is_sheet_lost |= page.is_sheet_lost;
             whole.events.extend(page.events.into_iter().zip(page.changed_at));
@@ -341,15 +368,22 @@
         }
     }
 
-    async fn read_changes(&self, client: &WebClient, call: &PartCall) -> Result<u64, FollowError> {
+    async fn read_changes(
+        &self,
+        client: &WebClient,
+        call: &PartCall,
+    ) -> Result<StorePosition, FollowError> {
         let PartCall { part, after, wait, began, .. } = *call;
         let mut hurried = self.hurried.clone();
         hurried.mark_unchanged();
         let answer = tokio::select! {
             answer = self.ask_changes(client, call) => answer?,
-            _ = hurried.changed() => return self.read_whole(client, part, self.clock.now()).await,
+            _ = hurried.changed() => {
+                return self.read_whole(client, part, after.era, self.clock.now()).await;
+            },
         };
-        let StoreAnswer { events, changed_at, is_empty, revision, is_sheet_lost, .. } = answer;
+        let position = answer.position();
+        let StoreAnswer { events, changed_at, is_empty, is_sheet_lost, .. } = answer;
         // A watch that ends without a change was answered after its whole time, not before.
         let complete_at = match is_empty && self.clock.now().saturating_sub(began) >= wait {
             true => began + wait,
@@ -358,15 +392,15 @@
         let reading = StoreReading {
             part,
             is_whole: false,
-            after: Some(after),
+            after: Some(after.revision),
             events,
             changed_at,
-            revision,
+            position,
             complete_at,
             proved_at: (!is_sheet_lost).then_some(began),
         };
         self.tell(StoreNews::Read(reading)).await;
-        Ok(revision)
+        Ok(position)
     }
 
     async fn ask_changes(
@@ -374,15 +408,17 @@
         client: &WebClient,
         call: &PartCall,
     ) -> Result<StoreAnswer, FollowError> {
-        let watch = store::watch_call(call.part, call.after, call.wait);
-        let (status, body) = self.call(client, &watch, call.limit).await?;
+        let watch = store::watch_call(call.part, call.after.revision, call.wait);
+        let StoreReply { status, era, body } = self.call(client, &watch, call.limit).await?;
         if store::is_history_gone(status) {
+            refuse_other_era(era, call.after.era)?;
             return Err(FollowError::HistoryGone);
         }
         if !status.is_success() {
             return Err(WireFault::Status { what: "watch", status }.into());
         }
-        let answer = store::read_watch(&body)?;
+        refuse_other_era(era, call.after.era)?;
+        let answer = store::read_watch(era, &body)?;
         self.report_faults(&answer);
         Ok(answer)
     }
@@ -392,18 +428,11 @@
         client: &WebClient,
         call: &WireCall,
         limit: Duration,
-    ) -> Result<(StatusCode, bytes::Bytes), FollowError> {
+    ) -> Result<StoreReply, FollowError> {
         let uri = format!("http://{}{}", self.address, call.path);
         let answer = client.fetch(Method::GET, &uri, bytes::Bytes::new(), limit).await?;
-        self.note_era(store::read_era(answer.headers())?);
-        Ok((answer.status(), answer.into_body()))
-    }
-
-    fn note_era(&self, era: StoreEra) {
-        let before = self.era.swap(era, Ordering::Relaxed);
-        if before != era {
-            info!(self.log, "store is in another era"; "era" => era, "before" => before);
-        }
+        let era = store::read_era(answer.headers())?;
+        Ok(StoreReply { status: answer.status(), era, body: answer.into_body() })
     }
 
     fn report_faults(&self, answer: &StoreAnswer) {
@@ -418,6 +447,23 @@
     }
 }
 
+/// Refuses the changes after a position of another era: in a later one, revisions are given out again.
+fn refuse_other_era(found: StoreEra, known: StoreEra) -> Result<(), FollowError> {
+    match AnswerEra::judge(found, known) {
+        AnswerEra::Earlier => Err(FollowError::EarlierEra { found, known }),
+        AnswerEra::Known => Ok(()),
+        AnswerEra::Later => Err(FollowError::LaterEra(found)),
+    }
+}
+
+/// Refuses a late answer, or one of a copy that is gone again.
+fn refuse_earlier_era(found: StoreEra, known: StoreEra) -> Result<(), FollowError> {
+    match AnswerEra::judge(found, known) {
+        AnswerEra::Earlier => Err(FollowError::EarlierEra { found, known }),
+        AnswerEra::Known | AnswerEra::Later => Ok(()),
+    }
+}
+
 /// Time that a call asked the store to wait, for logs; `None` for one that reads a whole part.
 fn wait_ms(call: StoreCall) -> Option<u64> {
     match call {
--- a/quillcove/src/relay/input/readers.rs
+++ b/quillcove/src/relay/input/readers.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::knowledge::StoreWord;
+use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::published::StorePart;
-use quillcove_core::relay::store_duty::{self, ReadReason, ReaderCandidate, StoreDuty, StoreWord};
+use quillcove_core::relay::store_duty::{self, ReadReason, ReaderCandidate, StoreDuty};
 use quillcove_core::relay::telling::RelayDistance;
 use slog::info;
 
@@ -25,8 +27,8 @@
 /// A change that another relay knows and this one does not.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UnknownChange {
-    /// Revision up to which the part has to be known.
-    revision: u64,
+    /// Position up to which the part has to be known.
+    position: StorePosition,
     since: MonoTime,
 }
 
@@ -75,9 +77,9 @@
         for part in StorePart::ALL {
             let is_known = self.shared.machine().knowledge_mut().take_word(part, word, now);
             if !is_known && !is_told {
-                let fresh = UnknownChange { revision: 0, since: now };
+                let fresh = UnknownChange { position: StorePosition::default(), since: now };
                 let unknown = self.unknown.entry(part).or_insert(fresh);
-                unknown.revision = unknown.revision.max(word.changed.of(part));
+                unknown.position = unknown.position.max(word.news_of(part));
             }
         }
         self.read_what_is_unknown(now);
@@ -86,7 +88,7 @@
     /// Reads changes that others know of, and of which nobody has told in time what they are.
     pub(super) fn read_what_is_unknown(&mut self, now: MonoTime) {
         let read = self.shared.machine().read();
-        self.unknown.retain(|part, unknown| read.of(*part) < unknown.revision);
+        self.unknown.retain(|part, unknown| read.of(*part) < unknown.position);
         let is_told = self.hears_near_reader();
         let is_due =
             |unknown: &UnknownChange| !is_told || now.saturating_sub(unknown.since) >= CHANGE_GRACE;
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -8,6 +8,7 @@
 use quillcove_core::relay::beacon::{RelayBeacon, ReplicaId};
 use quillcove_core::relay::change_word::{ChangeBeacon, ToldChange};
 use quillcove_core::relay::machine::BeliefChange;
+use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::published::StorePart;
 use quillcove_platform::store::StoreEvent;
 use slog::{info, warn};
@@ -40,7 +41,7 @@
             StoreNews::Read(reading) => {
                 if self.store_up.insert(part, true) != Some(true) {
                     info!(self.shared.log, "store reached"; "part" => ?part,
-                        "revision" => reading.revision);
+                        "position" => %reading.position);
                 }
                 self.note_store(now);
                 self.take_reading(reading, now);
@@ -57,7 +58,7 @@
     /// Takes what was read, and tells other relays at once when something changed that matters.
     fn take_reading(&mut self, reading: StoreReading, now: MonoTime) {
         let complete_at = reading.complete_at;
-        let (part, revision) = (reading.part, reading.revision);
+        let (part, position) = (reading.part, reading.position);
         let is_whole = reading.is_whole;
         self.note_lost_sheet(&reading);
         let proved_at = reading.proved_at;
@@ -67,14 +68,15 @@
         };
         self.shared.waiters.tell_all();
         let mut machine = self.shared.machine();
-        machine.knowledge_mut().note_read(part, revision, complete_at);
+        machine.knowledge_mut().note_read(part, position, complete_at);
         if let Some(at) = proved_at.filter(|_| part == StorePart::Operator && !self.is_sheet_lost) {
             machine.knowledge_mut().note_proof(at);
         }
         if is_whole {
-            machine.knowledge_mut().note_whole(part, revision);
+            machine.knowledge_mut().note_whole(part, position);
         }
         if let Some(changed) = changed {
+            let changed = StorePosition { era: position.era, revision: changed };
             machine.knowledge_mut().note_change(part, changed);
             drop(machine);
             self.tell_near(now);
@@ -98,7 +100,7 @@
         let changes = self.shared.machine().list_all(replicas_of(reading.events), now);
         let has_lost = changes.iter().any(|change| !matches!(change, BeliefChange::Listed(_)));
         // What is gone has no entry that could tell when it went.
-        let changed = if has_lost { Some(reading.revision) } else { last };
+        let changed = if has_lost { Some(reading.position.revision) } else { last };
         let is_changed = !changes.is_empty();
         self.take_changes(changes, now);
         changed.filter(|_| is_changed)
@@ -112,7 +114,7 @@
             // A hall that is not named in the whole part is in use.
             let emptied = emptied_in(&reading.events);
             let changes = self.shared.machine().set_all_emptied(&emptied);
-            last = last.max((!changes.is_empty()).then_some(reading.revision));
+            last = last.max((!changes.is_empty()).then_some(reading.position.revision));
             all_changes.extend(changes);
         }
         let mut told = Some(Vec::new());
@@ -127,8 +129,8 @@
         }
         if let (Some(after), Some(changes)) = (reading.after, told) {
             let age = now.saturating_sub(reading.complete_at);
-            let (part, revision) = (reading.part, reading.revision);
-            self.tell_change(ChangeBeacon { part, after, revision, age, changes });
+            let (part, StorePosition { era, revision }) = (reading.part, reading.position);
+            self.tell_change(ChangeBeacon { part, era, after, revision, age, changes });
         }
         // Together, as loaders and relays are told once of all engines that are new.
         self.take_changes(all_changes, now);
@@ -154,11 +156,11 @@
     pub(super) fn log_changes(&self, changes: impl IntoIterator<Item = BeliefChange>) {
         let log = &self.shared.log;
         let read = self.shared.machine().read();
-        let revision = read.replicas;
+        let position = read.replicas.to_string();
         for change in changes {
             match change {
                 BeliefChange::Sheet(version) => {
-                    info!(log, "sheet in force"; "sheet" => version, "revision" => read.operator);
+                    info!(log, "sheet in force"; "sheet" => version, "position" => %read.operator);
                 },
                 BeliefChange::Version(held) => {
                     info!(log, "adapter has a new version"; "model" => &held.key.model,
@@ -167,28 +169,28 @@
                 BeliefChange::Listed(id) => self.log_listed(&id),
                 BeliefChange::Gone(id) => {
                     self.shared.pool.forget(&id);
-                    info!(log, "replica gone"; "replica" => id, "revision" => revision);
+                    info!(log, "replica gone"; "replica" => id, "position" => &position);
                 },
                 BeliefChange::Replaced(id) => {
                     self.shared.pool.forget(&id);
-                    info!(log, "replica replaced"; "replica" => id, "revision" => revision);
+                    info!(log, "replica replaced"; "replica" => id, "position" => &position);
                 },
                 BeliefChange::Doubted(id) => {
-                    info!(log, "replica's entry lapsed"; "replica" => id, "revision" => revision);
+                    info!(log, "replica's entry lapsed"; "replica" => id, "position" => &position);
                 },
                 BeliefChange::Returned(id) => {
-                    info!(log, "replica's entry is back"; "replica" => id, "revision" => revision);
+                    info!(log, "replica's entry is back"; "replica" => id, "position" => &position);
                 },
                 BeliefChange::Cold(id) => {
-                    info!(log, "replica is cold"; "replica" => id, "revision" => revision);
+                    info!(log, "replica is cold"; "replica" => id, "position" => &position);
                 },
                 BeliefChange::HallEmptied(hall) => {
                     info!(log, "hall is to be emptied"; "hall" => hall,
-                        "revision" => read.operator);
+                        "position" => %read.operator);
                 },
                 BeliefChange::HallInUse(hall) => {
                     info!(log, "hall is in use again"; "hall" => hall,
-                        "revision" => read.operator);
+                        "position" => %read.operator);
                 },
             }
         }
@@ -202,7 +204,7 @@
         let record = &view.record;
         info!(self.shared.log, "replica listed"; "replica" => id, "service" => &record.service,
             "address" => %record.address, "hall" => &record.hall, "state" => ?record.state,
-            "revision" => machine.read().replicas);
+            "position" => %machine.read().replicas);
     }
 
     pub(super) fn note_ready(&self) {
@@ -238,10 +240,10 @@
             self.last_fetch = now;
             info!(self.shared.log, "behind another relay"; "relay" => &beacon.host,
                 "own_sheet" => own_sheet, "sheet" => beacon.sheet,
-                "own_operator_revision" => own.operator,
-                "operator_revision" => beacon.word.read.operator,
-                "own_replica_revision" => own.replicas,
-                "replica_revision" => beacon.word.read.replicas);
+                "own_operator_position" => %own.operator,
+                "operator_position" => %beacon.word.read.operator,
+                "own_replica_position" => %own.replicas,
+                "replica_position" => %beacon.word.read.replicas);
             self.fetch(beacon.address);
         }
     }
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::change_word::ChangeBeacon;
+use super::knowledge::{ProofWord, StoreWord};
 use super::sheet::SheetVersion;
-use super::store_duty::{ProofWord, StoreWord};
 use crate::access::spending::SpendBeacon;
 use crate::crash::telling::{CrashAsk, CrashBeacon};
 use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
--- a/quillcove_core/src/relay/change_word.rs
+++ b/quillcove_core/src/relay/change_word.rs
@@ -8,8 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::position::StorePosition;
 use super::published::{LapsedEntry, StoreEvent, StorePart};
 use super::sheet_change::SheetChange;
+use crate::ids::StoreEra;
 
 /// Changes in one word: some 200 bytes each, so that a datagram has room for one larger one among them.
 const MOST_CHANGES: usize = 16;
@@ -39,6 +41,8 @@
 pub struct ChangeBeacon {
     /// The part.
     pub part: StorePart,
+    /// Era in which all of them were made.
+    pub era: StoreEra,
     /// Revision after which the changes are.
     pub after: u64,
     /// Revision up to which they are all that matters.
@@ -50,6 +54,34 @@
 }
 
 impl ChangeBeacon {
+    /// Position after which the changes are.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::change_word::ChangeBeacon;
+    /// use quillcove_core::relay::position::StorePosition;
+    /// use quillcove_core::relay::published::StorePart;
+    ///
+    /// let (part, age) = (StorePart::Operator, Duration::ZERO);
+    /// let word = ChangeBeacon { part, era: 2, after: 3, revision: 5, age, changes: Vec::new() };
+    /// assert_eq!(word.begin(), StorePosition { era: 2, revision: 3 });
+    /// ```
+    pub fn begin(&self) -> StorePosition {
+        self.position(self.after)
+    }
+
+    /// Position up to which they are all that matters.
+    ///
+    /// See [`ChangeBeacon::begin`] for an example.
+    pub fn end(&self) -> StorePosition {
+        self.position(self.revision)
+    }
+
+    /// Position of a revision of its era.
+    pub(super) fn position(&self, revision: u64) -> StorePosition {
+        StorePosition { era: self.era, revision }
+    }
+
     /// Divides this into words that fit into datagrams, each of which follows on the one before.
     ///
     /// ```
@@ -63,6 +95,7 @@
     /// };
     /// let beacon = ChangeBeacon {
     ///     part: StorePart::Replicas,
+    ///     era: 0,
     ///     after: 3,
     ///     revision: 300,
     ///     age: Duration::ZERO,
--- a/quillcove_core/src/relay/follower.rs
+++ b/quillcove_core/src/relay/follower.rs
@@ -6,8 +6,12 @@
 //! which this process counts as in touch again; and a call that follows a failed one asks for an
 //! answer at once, since nothing says yet that the store answers at all.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
+use super::position::StorePosition;
+use crate::ids::StoreEra;
+
 /// First pause after a call that failed; doubles up to [`PAUSE_LIMIT`].
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -67,32 +71,66 @@
     Whole,
     /// Asks for the changes after a revision, to be answered after so long at the latest.
     Changes {
-        /// Revision up to which the part is known.
-        after: u64,
+        /// Position up to which the part is known.
+        after: StorePosition,
         /// Time to wait for a change; zero for an answer at once.
         wait: Duration,
     },
 }
 
+/// How the era of an answer stands to what is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEra {
+    /// It is from before it; the answer says nothing.
+    Earlier,
+    /// It is the same.
+    Known,
+    /// The store has come back from a copy since; the part has to be read whole.
+    Later,
+}
+
+impl AnswerEra {
+    /// Judges an answer by the era that it is from. The changes after a position are worth nothing in a later era,
+    /// in which revisions are given out again; an answer of an earlier era was late, or comes from a copy.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::AnswerEra;
+    ///
+    /// assert_eq!(AnswerEra::judge(0, 1), AnswerEra::Earlier);
+    /// assert_eq!(AnswerEra::judge(1, 1), AnswerEra::Known);
+    /// assert_eq!(AnswerEra::judge(2, 1), AnswerEra::Later);
+    /// ```
+    pub fn judge(found: StoreEra, known: StoreEra) -> Self {
+        match found.cmp(&known) {
+            Ordering::Less => Self::Earlier,
+            Ordering::Equal => Self::Known,
+            Ordering::Greater => Self::Later,
+        }
+    }
+}
+
 /// Where one part of the store stands.
 ///
 /// ```
 /// use std::time::Duration;
 /// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+/// use quillcove_core::relay::position::StorePosition;
 ///
 /// let rules = FollowRules::default();
 /// let mut part = PartFollower::new(rules);
 /// assert_eq!(part.next_call(), StoreCall::Whole);
-/// part.take_answer(7);
-/// assert_eq!(part.next_call(), StoreCall::Changes { after: 7, wait: rules.watch_time() });
+/// part.take_answer(StorePosition::in_first_era(7));
+/// assert_eq!(part.next_call(), StoreCall::Changes { after: StorePosition::in_first_era(7), wait: rules.watch_time() });
 /// part.take_failure();
-/// assert_eq!(part.next_call(), StoreCall::Changes { after: 7, wait: Duration::ZERO });
+/// assert_eq!(part.next_call(), StoreCall::Changes { after: StorePosition::in_first_era(7), wait: Duration::ZERO });
 /// ```
 #[derive(Clone, Debug)]
 pub struct PartFollower {
     rules: FollowRules,
-    /// Revision up to which the part is known; `None` when all of it has to be read.
-    revision: Option<u64>,
+    /// Position up to which the part is known; `None` when all of it has to be read.
+    position: Option<StorePosition>,
+    /// Latest era of which anything is known.
+    era: StoreEra,
     /// Calls that failed since the last answer.
     failures: u32,
 }
@@ -103,10 +141,10 @@
     /// ```
     /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
     ///
-    /// assert_eq!(PartFollower::new(FollowRules::default()).revision(), None);
+    /// assert_eq!(PartFollower::new(FollowRules::default()).position(), None);
     /// ```
     pub fn new(rules: FollowRules) -> Self {
-        Self { rules, revision: None, failures: 0 }
+        Self { rules, position: None, era: StoreEra::default(), failures: 0 }
     }
 
     /// The next call.
@@ -125,14 +163,15 @@
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+    /// use quillcove_core::relay::position::StorePosition;
     ///
     /// let mut part = PartFollower::new(FollowRules::default());
-    /// part.take_answer(7);
+    /// part.take_answer(StorePosition::in_first_era(7));
     /// let call = part.next_call_within(Duration::ZERO);
-    /// assert_eq!(call, StoreCall::Changes { after: 7, wait: Duration::ZERO });
+    /// assert_eq!(call, StoreCall::Changes { after: StorePosition::in_first_era(7), wait: Duration::ZERO });
     /// ```
     pub fn next_call_within(&self, longest: Duration) -> StoreCall {
-        let Some(after) = self.revision else {
+        let Some(after) = self.position else {
             return StoreCall::Whole;
         };
         let wait = match self.failures {
@@ -157,17 +196,32 @@
         }
     }
 
-    /// Revision up to which the part is known.
+    /// Position up to which the part is known.
+    ///
+    /// ```
+    /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    /// use quillcove_core::relay::position::StorePosition;
+    ///
+    /// let mut part = PartFollower::new(FollowRules::default());
+    /// part.take_answer(StorePosition::in_first_era(7));
+    /// assert_eq!(part.position(), Some(StorePosition::in_first_era(7)));
+    /// ```
+    pub fn position(&self) -> Option<StorePosition> {
+        self.position
+    }
+
+    /// Latest era of which anything is known.
     ///
     /// ```
     /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    /// use quillcove_core::relay::position::StorePosition;
     ///
     /// let mut part = PartFollower::new(FollowRules::default());
-    /// part.take_answer(7);
-    /// assert_eq!(part.revision(), Some(7));
+    /// part.know(StorePosition { era: 2, revision: 70 });
+    /// assert_eq!((part.era(), part.position()), (2, None));
     /// ```
-    pub fn revision(&self) -> Option<u64> {
-        self.revision
+    pub fn era(&self) -> StoreEra {
+        self.era
     }
 
     /// Tells whether the part is known and the last call was answered.
@@ -178,36 +232,40 @@
     /// assert!(!PartFollower::new(FollowRules::default()).is_settled());
     /// ```
     pub fn is_settled(&self) -> bool {
-        self.revision.is_some() && self.failures == 0
+        self.position.is_some() && self.failures == 0
     }
 
-    /// Takes a revision up to which the part is known from elsewhere, so that older changes are not
+    /// Takes a position up to which the part is known from elsewhere, so that older changes are not
     /// asked for; the store may have forgotten them. Where nothing is known yet, all is read.
     ///
     /// ```
     /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    /// use quillcove_core::relay::position::StorePosition;
     ///
     /// let mut part = PartFollower::new(FollowRules::default());
-    /// part.take_answer(7);
-    /// part.know(9);
-    /// assert_eq!(part.revision(), Some(9));
+    /// part.take_answer(StorePosition::in_first_era(7));
+    /// part.know(StorePosition::in_first_era(9));
+    /// assert_eq!(part.position(), Some(StorePosition::in_first_era(9)));
     /// ```
-    pub fn know(&mut self, revision: u64) {
-        if let Some(known) = &mut self.revision {
-            *known = revision.max(*known);
+    pub fn know(&mut self, position: StorePosition) {
+        self.era = self.era.max(position.era);
+        if let Some(known) = &mut self.position {
+            *known = position.max(*known);
         }
     }
 
-    /// Takes an answer that goes up to a revision; tells the pause until the next call.
+    /// Takes an answer that goes up to a position; tells the pause until the next call.
     ///
     /// ```
     /// use quillcove_core::relay::follower::{FollowRules, PartFollower};
+    /// use quillcove_core::relay::position::StorePosition;
     ///
     /// let rules = FollowRules::default();
-    /// assert_eq!(PartFollower::new(rules).take_answer(7), rules.gather_time);
+    /// assert_eq!(PartFollower::new(rules).take_answer(StorePosition::in_first_era(7)), rules.gather_time);
     /// ```
-    pub fn take_answer(&mut self, revision: u64) -> Duration {
-        self.revision = Some(self.revision.map_or(revision, |known| known.max(revision)));
+    pub fn take_answer(&mut self, position: StorePosition) -> Duration {
+        self.era = self.era.max(position.era);
+        self.position = Some(self.position.map_or(position, |known| known.max(position)));
         self.failures = 0;
         self.rules.gather_time
     }
@@ -226,17 +284,18 @@
         doubled.min(PAUSE_LIMIT)
     }
 
-    /// Takes the news that the changes after the known revision are forgotten.
+    /// Takes the news that the changes after the known position can't be had.
     ///
     /// ```
     /// use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+    /// use quillcove_core::relay::position::StorePosition;
     ///
     /// let mut part = PartFollower::new(FollowRules::default());
-    /// part.take_answer(7);
+    /// part.take_answer(StorePosition::in_first_era(7));
     /// part.forget();
     /// assert_eq!(part.next_call(), StoreCall::Whole);
     /// ```
     pub fn forget(&mut self) {
-        self.revision = None;
+        self.position = None;
     }
 }
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -8,12 +8,11 @@
 use super::{BeliefChange, RelayMachine};
 use crate::ids::{AdapterVersion, HallName, MonoTime};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
-use crate::relay::published::{
-    LapsedEntry, LeavingReplica, PublishedState, ReadRevisions, StorePart,
-};
+use crate::relay::knowledge::StoreKnowledge;
+use crate::relay::position::{ReadPositions, StorePosition};
+use crate::relay::published::{LapsedEntry, LeavingReplica, PublishedState, StorePart};
 use crate::relay::replica::{RecordOrder, ReplicaRecord};
 use crate::relay::sheet::RouteSheet;
-use crate::relay::store_duty::StoreKnowledge;
 
 /// Time in which requests may still begin on an adapter's version after a newer one was
 /// published. The users allow 5 s; the rest is for requests on their way.
@@ -249,10 +248,12 @@
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    /// use quillcove_core::relay::published::{PublishedState, ReadRevisions};
+    /// use quillcove_core::relay::position::{ReadPositions, StorePosition};
+    /// use quillcove_core::relay::published::PublishedState;
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// let read = ReadRevisions { operator: 3, replicas: 3 };
+    /// let position = StorePosition::in_first_era(3);
+    /// let read = ReadPositions { operator: position, replicas: position };
     /// let published = PublishedState { read, ..PublishedState::default() };
     /// assert!(machine.take_published(published, Duration::ZERO).is_empty());
     /// assert_eq!(machine.read(), read);
@@ -301,19 +302,20 @@
     /// Notes what another relay's state says of a part. What changed in it changed for this relay too,
     /// so that a third one does not take its revision without the change.
     fn note_told(&mut self, part: StorePart, published: &PublishedState) {
-        self.knowledge.note_revision(part, published.read.of(part));
+        self.knowledge.note_position(part, published.read.of(part));
         self.knowledge.note_change(part, published.changed.of(part));
         self.knowledge.note_whole(part, published.since.of(part));
     }
 
-    /// Revisions of the store up to which this relay knows its parts.
+    /// Positions in the store up to which this relay knows its parts.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::position::StorePosition;
     ///
-    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).read().operator, 0);
+    /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).read().operator, StorePosition::default());
     /// ```
-    pub fn read(&self) -> ReadRevisions {
+    pub fn read(&self) -> ReadPositions {
         self.knowledge.read()
     }
 
@@ -321,9 +323,10 @@
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::position::StorePosition;
     ///
     /// let machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert_eq!(machine.knowledge().read().operator, 0);
+    /// assert_eq!(machine.knowledge().read().operator, StorePosition::default());
     /// ```
     pub fn knowledge(&self) -> &StoreKnowledge {
         &self.knowledge
@@ -333,27 +336,30 @@
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::position::StorePosition;
     /// use quillcove_core::relay::published::StorePart;
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// machine.knowledge_mut().note_change(StorePart::Operator, 5);
+    /// machine.knowledge_mut().note_change(StorePart::Operator, StorePosition::in_first_era(5));
     /// ```
     pub fn knowledge_mut(&mut self) -> &mut StoreKnowledge {
         &mut self.knowledge
     }
 
-    /// Notes the revision of the store up to which this relay has read a part.
+    /// Notes the position in the store up to which this relay has read a part.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::position::StorePosition;
     /// use quillcove_core::relay::published::StorePart;
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// machine.note_read(StorePart::Operator, 5);
-    /// assert_eq!((machine.read().operator, machine.read().replicas), (5, 0));
+    /// let position = StorePosition { era: 1, revision: 5 };
+    /// machine.note_read(StorePart::Operator, position);
+    /// assert_eq!(machine.read().operator, position);
     /// ```
-    pub fn note_read(&mut self, part: StorePart, revision: u64) {
-        self.knowledge.note_revision(part, revision);
+    pub fn note_read(&mut self, part: StorePart, position: StorePosition) {
+        self.knowledge.note_position(part, position);
     }
 
     /// Notes whether the store answers; tells whether that changed.
--- a/quillcove_core/src/relay/machine/told.rs
+++ b/quillcove_core/src/relay/machine/told.rs
@@ -4,7 +4,7 @@
 use crate::ids::MonoTime;
 use crate::relay::beacon::HeldAdapter;
 use crate::relay::change_word::{ChangeBeacon, ToldChange, ToldEvent};
-use crate::relay::published::{LapsedEntry, StoreEvent};
+use crate::relay::published::{LapsedEntry, StoreEvent, StorePart};
 use crate::relay::replica::ReplicaRecord;
 use crate::relay::sheet_change::SheetChange;
 
@@ -35,7 +35,9 @@
     /// ```
     pub fn take_event(&mut self, event: StoreEvent, is_whole: bool, now: MonoTime) -> EventEffect {
         let told = told_as(&event);
-        let mut matters = false;
+        // What the operator writes again after the store came back older may be known here already, and not to relays
+        // that have read the copy.
+        let mut matters = !is_whole && event.part() == StorePart::Operator;
         let mut sheet_change = None;
         let changes: Vec<BeliefChange> = match event {
             StoreEvent::Sheet(sheet) => {
@@ -43,15 +45,17 @@
                 let before = self.sheet.clone();
                 let is_taken = self.take_sheet(*sheet);
                 let after = self.sheet.as_ref();
-                sheet_change =
-                    before.zip(after).and_then(|(old, new)| SheetChange::between(&old, new));
+                sheet_change = before
+                    .zip(after)
+                    .filter(|_| is_taken)
+                    .and_then(|(old, new)| SheetChange::between(&old, new));
                 is_taken.then_some(BeliefChange::Sheet(version)).into_iter().collect()
             },
             StoreEvent::Version(key, version) => {
-                matters = self.newest(&key) != Some(version);
+                let is_news = self.newest(&key) != Some(version);
                 self.take_version(key.clone(), version, !is_whole, now);
                 let change = BeliefChange::Version(HeldAdapter { key, version });
-                matters.then_some(change).into_iter().collect()
+                is_news.then_some(change).into_iter().collect()
             },
             StoreEvent::HallEmptied(hall) => self.set_emptied(&hall, true).into_iter().collect(),
             StoreEvent::HallInUse(hall) => self.set_emptied(&hall, false).into_iter().collect(),
@@ -89,22 +93,23 @@
     /// use quillcove_core::relay::published::StorePart;
     ///
     /// let (part, age) = (StorePart::Replicas, Duration::ZERO);
-    /// let word = ChangeBeacon { part, after: 3, revision: 5, age, changes: Vec::new() };
+    /// let word = ChangeBeacon { part, era: 0, after: 3, revision: 5, age, changes: Vec::new() };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert!(machine.take_told(&word, Duration::ZERO).is_none());
     /// ```
     pub fn take_told(&mut self, word: &ChangeBeacon, now: MonoTime) -> Option<Vec<BeliefChange>> {
         let known = self.read().of(word.part);
-        let follows = word.after <= known && known < word.revision;
+        let follows = word.begin() <= known && known < word.end();
         if !follows || !self.knowledge.has_read(word.part) {
             return None;
         }
         let mut changes = Vec::new();
-        for change in word.changes.iter().filter(|change| change.revision > known) {
+        for change in word.changes.iter().filter(|change| change.revision > known.revision) {
             changes.extend(self.take_told_event(change, now)?);
         }
         let changed = word.changes.iter().map(|change| change.revision).max();
-        self.knowledge.note_told(word.part, word.revision, changed, now.saturating_sub(word.age));
+        let changed = changed.map(|revision| word.position(revision));
+        self.knowledge.note_told(word.part, word.end(), changed, now.saturating_sub(word.age));
         Some(changes)
     }
 
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -16,6 +16,8 @@
 //! - [`prompt`]: what a request asks an engine to read and to write.
 //! - [`reading`]: how long a request waits at an engine until its first event.
 //! - [`published`]: what one relay passes on to another that can not read the store.
+//! - [`position`]: moments of the platform's store, which may come back older.
+//! - [`knowledge`]: what a relay knows of the store, since when, and what it tells of it.
 //! - [`store_duty`]: who reads the platform's store, and how old a relay's knowledge may get.
 //! - [`telling`]: how often a relay tells the others that it is there.
 //! - [`tries`]: whether a request is its caller's first try.
@@ -29,12 +31,14 @@
 pub mod demand;
 pub mod follower;
 pub mod keeper;
+pub mod knowledge;
 pub mod limiter;
 pub mod loader;
 pub mod machine;
 pub mod order;
 mod packed;
 pub mod policy;
+pub mod position;
 pub mod promise;
 pub mod prompt;
 pub mod published;
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::beacon::{AdapterKey, HeldAdapter, ReplicaId, StartTime};
+use super::knowledge::ProofWord;
+use super::position::ReadPositions;
 use super::replica::ReplicaRecord;
 use super::sheet::RouteSheet;
-use super::store_duty::ProofWord;
 use crate::ids::{AdapterVersion, HallName};
 
 /// A part of the platform's store; each is read by itself, so that one may be known further than
@@ -26,60 +27,6 @@
     pub const ALL: [Self; 2] = [Self::Operator, Self::Replicas];
 }
 
-/// Revisions of the store up to which a relay knows its parts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReadRevisions {
-    /// For what the operator writes.
-    pub operator: u64,
-    /// For the listing of replicas.
-    pub replicas: u64,
-}
-
-impl ReadRevisions {
-    /// The revision of one part.
-    ///
-    /// ```
-    /// use quillcove_core::relay::published::{ReadRevisions, StorePart};
-    ///
-    /// assert_eq!(ReadRevisions { operator: 3, replicas: 5 }.of(StorePart::Replicas), 5);
-    /// ```
-    pub fn of(&self, part: StorePart) -> u64 {
-        match part {
-            StorePart::Operator => self.operator,
-            StorePart::Replicas => self.replicas,
-        }
-    }
-
-    /// Notes that a part is known up to a revision; it never goes back.
-    ///
-    /// ```
-    /// use quillcove_core::relay::published::{ReadRevisions, StorePart};
-    ///
-    /// let mut read = ReadRevisions::default();
-    /// read.note(StorePart::Operator, 3);
-    /// assert_eq!((read.operator, read.replicas), (3, 0));
-    /// ```
-    pub fn note(&mut self, part: StorePart, revision: u64) {
-        let known = match part {
-            StorePart::Operator => &mut self.operator,
-            StorePart::Replicas => &mut self.replicas,
-        };
-        *known = revision.max(*known);
-    }
-
-    /// Tells whether no part is known further than by another relay.
-    ///
-    /// ```
-    /// use quillcove_core::relay::published::ReadRevisions;
-    ///
-    /// let (ours, theirs) = (ReadRevisions::default(), ReadRevisions { operator: 3, replicas: 0 });
-    /// assert!(ours.is_covered_by(&theirs) && !theirs.is_covered_by(&ours));
-    /// ```
-    pub fn is_covered_by(&self, other: &Self) -> bool {
-        self.operator <= other.operator && self.replicas <= other.replicas
-    }
-}
-
 /// A replica whose entry lapsed while the store was away.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LapsedEntry {
@@ -116,6 +63,22 @@
 }
 
 impl StoreEvent {
+    /// The part of the store that it is of.
+    ///
+    /// ```
+    /// use quillcove_core::relay::published::{StoreEvent, StorePart};
+    ///
+    /// assert_eq!(StoreEvent::HallInUse("hall-a".into()).part(), StorePart::Operator);
+    /// ```
+    pub fn part(&self) -> StorePart {
+        match self {
+            Self::Sheet(_) | Self::Version(..) | Self::HallEmptied(_) | Self::HallInUse(_) => {
+                StorePart::Operator
+            },
+            Self::Replica(_) | Self::ReplicaGone(_) => StorePart::Replicas,
+        }
+    }
+
     /// Tells whether both say something of the same thing, so that the later one takes the place of the other.
     fn is_of_same(&self, other: &Self) -> bool {
         fn replica(event: &StoreEvent) -> Option<&ReplicaId> {
@@ -169,12 +132,12 @@
 /// All that a relay has read from the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PublishedState {
-    /// Revisions of the store up to which its parts were read.
-    pub read: ReadRevisions,
-    /// Revisions at which something last changed that matters to relays.
-    pub changed: ReadRevisions,
-    /// Revisions from which on its changes were followed.
-    pub since: ReadRevisions,
+    /// Positions up to which its parts were read.
+    pub read: ReadPositions,
+    /// Positions at which something last changed that matters to relays.
+    pub changed: ReadPositions,
+    /// Positions from which on its changes were followed.
+    pub since: ReadPositions,
     /// How old the proof is that all that the operator wrote is known; `None` without one.
     pub proof: Option<ProofWord>,
     /// The sheet in force; `None` before the first.
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -11,6 +11,7 @@
 
 pub use self::table::ReplicaTable;
 use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId, StartTime};
+use super::position::StorePosition;
 use super::reading::ReadingQueue;
 use super::sheet::ModelRecord;
 use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
@@ -47,10 +48,10 @@
     /// When it started, in milliseconds of the wall clock; a replica that starts again under its id has a
     /// later one. `None` when the platform does not say.
     pub born: Option<StartTime>,
-    /// Revision of the store at which its entry was created. Of several replicas listed at one
+    /// Position in the store at which its entry was created. Of several replicas listed at one
     /// address, only the one that was created last can be there; the entries of its predecessors
     /// have not lapsed yet.
-    pub created: u64,
+    pub created: StorePosition,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its hall.
@@ -472,7 +473,7 @@
         id: id.to_string(),
         service: "s".to_string(),
         born: None,
-        created: 1,
+        created: StorePosition::in_first_era(1),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         hall: "hall-a".to_string(),
         places: 8,
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -193,11 +193,13 @@
     ///
     /// ```
     /// use std::time::Duration;
+    /// use quillcove_core::relay::position::StorePosition;
     /// use quillcove_core::relay::replica::{ReplicaRecord, ReplicaTable, example_record};
     ///
     /// let mut table = ReplicaTable::default();
     /// table.list(example_record("i-1"), Duration::ZERO);
-    /// let next = ReplicaRecord { created: 2, ..example_record("i-2") };
+    /// let created = StorePosition::in_first_era(2);
+    /// let next = ReplicaRecord { created, ..example_record("i-2") };
     /// assert_eq!(table.remove_before(&next), ["i-1"]);
     /// ```
     pub fn remove_before(&mut self, record: &ReplicaRecord) -> Vec<ReplicaId> {
--- a/quillcove_core/tests/access_right.rs
+++ b/quillcove_core/tests/access_right.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use quillcove_core::access::right::{RightRules, RightStep};
+use quillcove_core::relay::knowledge::{ProofWord, StoreKnowledge};
+use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::published::StorePart;
-use quillcove_core::relay::store_duty::{ProofWord, StoreKnowledge};
 use rand_like::Draws;
 
 mod rand_like {
@@ -210,8 +211,9 @@
                     let relay = &mut self.relays[place];
                     relay.is_reading = false;
                     relay.knows_removal |= revision >= 2;
-                    relay.knowledge.note_read(StorePart::Operator, revision, ms(began));
-                    relay.knowledge.note_change(StorePart::Operator, revision);
+                    let position = StorePosition::in_first_era(revision);
+                    relay.knowledge.note_read(StorePart::Operator, position, ms(began));
+                    relay.knowledge.note_change(StorePart::Operator, position);
                     relay.knowledge.note_proof(from);
                 },
                 Message::Ask { from, number } => {
@@ -233,7 +235,7 @@
         };
         let from = if rule == AgeRule::FromWord { own } else { asked_at };
         let word = match rule {
-            AgeRule::WithoutChange => ProofWord { changed: 0, ..word },
+            AgeRule::WithoutChange => ProofWord { changed: StorePosition::default(), ..word },
             _ => word,
         };
         relay.knowledge.take_proof(&word, from);
--- a/quillcove_core/tests/cold_replicas.rs
+++ b/quillcove_core/tests/cold_replicas.rs
@@ -16,6 +16,7 @@
     AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
 use quillcove_core::relay::policy::{RelayPolicy, SharingRule};
+use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::rendezvous;
@@ -86,7 +87,11 @@
 
 /// The replica that stands at the same address after its return.
 fn cold(number: u16) -> ReplicaRecord {
-    let record = ReplicaRecord { id: format!("i-{number}-cold"), created: 2, ..warm(number) };
+    let record = ReplicaRecord {
+        id: format!("i-{number}-cold"),
+        created: StorePosition::in_first_era(2),
+        ..warm(number)
+    };
     ReplicaRecord { cold_left: COLD_TIME, ..record }
 }
 
--- a/quillcove_core/tests/emptied_halls.rs
+++ b/quillcove_core/tests/emptied_halls.rs
@@ -9,7 +9,8 @@
 use quillcove_core::relay::machine::{
     AttemptOrder, BeliefChange, RelayChoice, RelayMachine, RelayRules,
 };
-use quillcove_core::relay::published::{PublishedState, ReadRevisions};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::PublishedState;
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use relay_site::{address, engine_service, ms, stream_route};
@@ -85,12 +86,14 @@
 #[test]
 fn a_relay_that_is_cut_off_from_the_store_hears_it_from_another() {
     let mut machine = relay();
-    let read = ReadRevisions { operator: 7, replicas: 0 };
+    let read =
+        ReadPositions { operator: StorePosition::in_first_era(7), ..ReadPositions::default() };
     let emptied = vec!["hall-a".to_string()];
     let published = PublishedState { read, emptied, ..PublishedState::default() };
     let changes = machine.take_published(published, ms(5));
     assert_eq!(changes, [BeliefChange::HallEmptied("hall-a".to_string())]);
-    let older = ReadRevisions { operator: 6, replicas: 0 };
+    let older =
+        ReadPositions { operator: StorePosition::in_first_era(6), ..ReadPositions::default() };
     let published = PublishedState { read: older, ..PublishedState::default() };
     assert!(machine.take_published(published, ms(6)).is_empty(), "an older word is not taken");
 }
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -15,7 +15,8 @@
 use quillcove_core::relay::machine::{
     AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
-use quillcove_core::relay::published::{PublishedState, ReadRevisions};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::PublishedState;
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
@@ -322,9 +323,10 @@
 
     fn published(&mut self, version: u64) {
         let replicas = self.machine.table().all().map(|view| view.record.clone()).collect();
-        let ReadRevisions { operator, replicas: listed } = self.machine.read();
+        let ReadPositions { operator, replicas: listed } = self.machine.read();
+        let next = |known: StorePosition| StorePosition { revision: known.revision + 1, ..known };
         let published = PublishedState {
-            read: ReadRevisions { operator: operator + 1, replicas: listed + 1 },
+            read: ReadPositions { operator: next(operator), replicas: next(listed) },
             sheet: Some(self.sheet_of(version)),
             versions: Vec::new(),
             replicas,
@@ -334,7 +336,13 @@
         self.check_sheet(version);
     }
 
-    fn record(&self, id: &str, place: usize, created: u64, state: ReplicaState) -> ReplicaRecord {
+    fn record(
+        &self,
+        id: &str,
+        place: usize,
+        created: StorePosition,
+        state: ReplicaState,
+    ) -> ReplicaRecord {
         let address = address(1 + place as u16);
         ReplicaRecord { address, created, state, ..example_record(id) }
     }
@@ -357,6 +365,7 @@
             WrongRule::KeepsPredecessor => 1,
             _ => self.starts,
         };
+        let created = StorePosition::in_first_era(created);
         let record = self.record(&id, place, created, ReplicaState::Ready);
         self.machine.list(record, self.now);
     }
@@ -373,7 +382,11 @@
         if self.rule == WrongRule::KeepsDraining {
             return;
         }
-        let created = self.machine.table().get(&id).map_or(0, |view| view.record.created);
+        let created = self
+            .machine
+            .table()
+            .get(&id)
+            .map_or(StorePosition::default(), |view| view.record.created);
         let record = self.record(&id, place, created, ReplicaState::Draining);
         self.machine.list(record, self.now);
     }
--- a/quillcove_core/tests/relay_changes.rs
+++ b/quillcove_core/tests/relay_changes.rs
@@ -13,6 +13,7 @@
 use quillcove_core::relay::beacon::AdapterKey;
 use quillcove_core::relay::change_word::{ChangeBeacon, ToldChange};
 use quillcove_core::relay::machine::{BeliefChange, RelayMachine, RelayRules};
+use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::published::{StoreEvent, StorePart};
 use quillcove_core::relay::replica::{ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
@@ -28,7 +29,11 @@
 fn relay(revision: u64) -> RelayMachine {
     let mut machine = RelayMachine::new(RelayRules::default(), 1);
     for part in StorePart::ALL {
-        machine.knowledge_mut().note_read(part, revision, Duration::ZERO);
+        machine.knowledge_mut().note_read(
+            part,
+            StorePosition::in_first_era(revision),
+            Duration::ZERO,
+        );
     }
     machine
 }
@@ -40,7 +45,7 @@
     events: Vec<(StoreEvent, u64)>,
     now: Duration,
 ) -> Option<Vec<ChangeBeacon>> {
-    let after = machine.read().of(part);
+    let StorePosition { era, revision: after } = machine.read().of(part);
     let revision = events.last().map_or(after, |(_, revision)| *revision);
     let mut changes = Vec::new();
     let mut is_told = true;
@@ -49,8 +54,8 @@
         is_told &= !effect.matters || effect.told.is_some();
         changes.extend(effect.told.map(|event| ToldChange { revision, event }));
     }
-    machine.knowledge_mut().note_read(part, revision, now);
-    let word = ChangeBeacon { part, after, revision, age: Duration::ZERO, changes };
+    machine.knowledge_mut().note_read(part, StorePosition { era, revision }, now);
+    let word = ChangeBeacon { part, era, after, revision, age: Duration::ZERO, changes };
     is_told.then(|| word.in_datagrams())
 }
 
@@ -98,7 +103,7 @@
     let events = vec![(StoreEvent::Replica(record(2, ReplicaState::Ready)), 8)];
     let later = read(&mut reader, StorePart::Replicas, events, ms(20)).unwrap();
     assert!(told.take_told(&later[0], ms(30)).is_none(), "the word before it was lost");
-    assert_eq!(told.read().replicas, 5);
+    assert_eq!(told.read().replicas.revision, 5);
 }
 
 #[test]
@@ -176,6 +181,17 @@
     assert_eq!(known.service("s"), read.service("s"));
 }
 
+#[test]
+fn what_the_operator_writes_again_matters_to_relays_that_read_only_the_copy() {
+    let mut reader = relay(5);
+    reader.take_sheet(sheet(3, vec![route(1, 1000)]));
+    let again = || StoreEvent::Sheet(Box::new(sheet(3, vec![route(1, 1000)])));
+    let effect = reader.take_event(again(), false, ms(10));
+    assert!(effect.matters && effect.changes.is_empty());
+    assert_eq!(effect.told, None, "others have to read it");
+    assert!(!reader.take_event(again(), true, ms(20)).matters);
+}
+
 #[test]
 fn a_relay_with_another_sheet_reads_for_itself() {
     let (mut reader, mut told) = (relay(5), relay(5));
@@ -185,7 +201,7 @@
     let words = read(&mut reader, StorePart::Operator, events, ms(10)).unwrap();
     assert!(told.take_told(&words[0], ms(20)).is_none());
     assert_eq!(told.sheet().unwrap().version, 2);
-    assert_eq!(told.read().operator, 5, "what it has not taken is not known");
+    assert_eq!(told.read().operator.revision, 5, "what it has not taken is not known");
 }
 
 #[test]
@@ -240,7 +256,7 @@
                 continue;
             };
             told.take_told(word, ms(20));
-            let known = told.read().replicas;
+            let known = told.read().replicas.revision;
             let state = &states.iter().find(|(revision, _)| *revision == known).unwrap().1;
             prop_assert_eq!(&replicas(&told), state);
         }
--- a/quillcove_core/tests/relay_follower.rs
+++ b/quillcove_core/tests/relay_follower.rs
@@ -9,6 +9,7 @@
 
 use proptest::prelude::*;
 use quillcove_core::relay::follower::{FollowRules, PartFollower, StoreCall};
+use quillcove_core::relay::position::StorePosition;
 
 /// Milliseconds since the start of a run.
 type Millis = u64;
@@ -66,7 +67,7 @@
         let StoreCall::Changes { after, wait } = call else {
             return begin;
         };
-        if self.revision(begin) > after {
+        if self.revision(begin) > after.revision {
             return begin;
         }
         let change = self.published.iter().copied().find(|at| *at > begin);
@@ -117,10 +118,10 @@
         } else {
             now = answer;
             let revision = day.revision(now);
-            let seen = part.revision().unwrap_or(0) as usize;
+            let seen = part.position().map_or(0, |seen| seen.revision) as usize;
             let newer = day.published.iter().take(revision as usize).skip(seen);
             known.extend(newer.map(|at| (*at, now)));
-            part.take_answer(revision)
+            part.take_answer(StorePosition::in_first_era(revision))
         };
         now += pause.as_millis() as u64;
     }
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -13,7 +13,8 @@
     BeliefChange, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
 use quillcove_core::relay::policy::{PriorityRule, RelayPolicy};
-use quillcove_core::relay::published::{PublishedState, ReadRevisions, StorePart};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::{PublishedState, StorePart};
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
@@ -92,8 +93,9 @@
 }
 
 /// Both parts, read up to a revision.
-fn read(revision: u64) -> ReadRevisions {
-    ReadRevisions { operator: revision, replicas: revision }
+fn read(revision: u64) -> ReadPositions {
+    let position = StorePosition::in_first_era(revision);
+    ReadPositions { operator: position, replicas: position }
 }
 
 #[test]
@@ -135,8 +137,8 @@
 #[test]
 fn a_replica_that_starts_again_at_an_address_replaces_the_one_before_it() {
     let mut machine = machine();
-    let old = ReplicaRecord { created: 5, ..record("i-old", 1) };
-    let new = ReplicaRecord { created: 9, ..record("i-new", 1) };
+    let old = ReplicaRecord { created: StorePosition::in_first_era(5), ..record("i-old", 1) };
+    let new = ReplicaRecord { created: StorePosition::in_first_era(9), ..record("i-new", 1) };
     machine.list(old.clone(), ms(0));
     let changes = machine.list(new.clone(), ms(10));
     let replaced = BeliefChange::Replaced("i-old".to_string());
@@ -167,8 +169,8 @@
 fn a_relay_that_the_store_turns_away_takes_what_another_has_read() {
     let mut machine = machine();
     machine.list(record("i-1", 1), ms(0));
-    machine.note_read(StorePart::Operator, 4);
-    machine.note_read(StorePart::Replicas, 4);
+    machine.note_read(StorePart::Operator, StorePosition::in_first_era(4));
+    machine.note_read(StorePart::Replicas, StorePosition::in_first_era(4));
     machine.note_store(false, ms(0));
     let published = PublishedState {
         proof: None,
@@ -195,12 +197,15 @@
 fn an_older_list_is_not_taken_from_a_relay_that_is_ahead_in_the_other_part() {
     let mut machine = machine();
     machine.list(record("i-2", 2), ms(0));
-    machine.note_read(StorePart::Replicas, 7);
+    machine.note_read(StorePart::Replicas, StorePosition::in_first_era(7));
     let published = PublishedState {
         proof: None,
-        read: ReadRevisions { operator: 12, replicas: 5 },
-        changed: ReadRevisions::default(),
-        since: ReadRevisions::default(),
+        read: ReadPositions {
+            operator: StorePosition::in_first_era(12),
+            replicas: StorePosition::in_first_era(5),
+        },
+        changed: ReadPositions::default(),
+        since: ReadPositions::default(),
         sheet: Some(sheet(2)),
         emptied: Vec::new(),
         versions: vec![held("a1", 3)],
@@ -211,7 +216,13 @@
     let changes = machine.take_published(published, ms(10));
     assert_eq!(changes, [BeliefChange::Sheet(2)]);
     assert_eq!(machine.newest(&key("a1")), Some(3));
-    assert_eq!(machine.read(), ReadRevisions { operator: 12, replicas: 7 });
+    assert_eq!(
+        machine.read(),
+        ReadPositions {
+            operator: StorePosition::in_first_era(12),
+            replicas: StorePosition::in_first_era(7)
+        }
+    );
 }
 
 #[test]
@@ -503,7 +514,10 @@
         match draw(4) {
             0 => machine.forget(&id),
             _ => {
-                let next = ReplicaRecord { created: draw(50), ..record(&id, draw(6) as u16) };
+                let next = ReplicaRecord {
+                    created: StorePosition::in_first_era(draw(50)),
+                    ..record(&id, draw(6) as u16)
+                };
                 machine.list(next, ms(step));
             },
         }
@@ -532,7 +546,7 @@
     reader.note_store(true, now);
     let listed = reader.list_all(vec![example_record("i-2")], now);
     assert_eq!(listed, [BeliefChange::Doubted("i-1".to_string())]);
-    reader.note_read(StorePart::Replicas, 9);
+    reader.note_read(StorePart::Replicas, StorePosition::in_first_era(9));
     told.take_published(reader.published(now), now);
     let after = now + ms(2_200);
     assert_eq!(reader.tick(after), [BeliefChange::Gone("i-1".to_string())]);
--- a/quillcove_core/tests/relay_report_stream.rs
+++ b/quillcove_core/tests/relay_report_stream.rs
@@ -15,6 +15,7 @@
 use quillcove_core::relay::beacon::{
     AdapterKey, EngineBeacon, EngineGauges, EngineReport, GaugeBeacon, HeldAdapter, PeerMessage,
 };
+use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::replica::{ReplicaRecord, ReplicaTable, example_record};
 use quillcove_core::relay::report_stream::{GaugeFate, ReportLedger, ReportSender};
 use quillcove_core::relay::roll::RelayRoll;
@@ -185,9 +186,14 @@
 fn an_engine_that_restarted_is_not_taken_for_what_it_held_before() {
     let (mut loader, mut relay) = (Loader::default(), Relay::new());
     relay.take(&loader.tell(&report(1, 0), ms(0)), ms(0));
-    relay
-        .table
-        .list(ReplicaRecord { address: engine(), created: 9, ..example_record("i-2") }, ms(10));
+    relay.table.list(
+        ReplicaRecord {
+            address: engine(),
+            created: StorePosition::in_first_era(9),
+            ..example_record("i-2")
+        },
+        ms(10),
+    );
     let gauges = EngineGauges::default();
     assert!(!relay.table.gauge(engine(), &gauges, ms(20)));
 }
--- a/quillcove_core/tests/relay_store_duty.rs
+++ b/quillcove_core/tests/relay_store_duty.rs
@@ -12,12 +12,12 @@
 
 use proptest::prelude::*;
 use quillcove_core::ids::MonoTime;
+use quillcove_core::relay::knowledge::{PartAges, StoreKnowledge, StoreWord};
 use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-use quillcove_core::relay::published::{ReadRevisions, StorePart};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::StorePart;
 use quillcove_core::relay::replica::example_record;
-use quillcove_core::relay::store_duty::{
-    DutyRules, PartAges, ReaderCandidate, StoreDuty, StoreKnowledge, StoreWord, duty,
-};
+use quillcove_core::relay::store_duty::{DutyRules, ReaderCandidate, StoreDuty, duty};
 
 const HALLS: usize = 5;
 
@@ -208,7 +208,7 @@
             relay.heard[from] = Some((now, word.is_up));
             match variant {
                 Variant::AgeAtArrival => word.ages.operator = Some(Duration::ZERO),
-                Variant::AdoptsOverChange => word.changed = ReadRevisions::default(),
+                Variant::AdoptsOverChange => word.changed = ReadPositions::default(),
                 _ => {},
             }
             if !relay.knowledge.take_word(StorePart::Operator, &word, ms(now)) {
@@ -249,10 +249,14 @@
         relay.is_up = true;
         relay.wants = false;
         relay.next_call = now + GATHER;
-        relay.knowledge.note_read(StorePart::Operator, revision, ms(complete_at));
+        relay.knowledge.note_read(
+            StorePart::Operator,
+            StorePosition::in_first_era(revision),
+            ms(complete_at),
+        );
         relay.content = change;
         if has_news {
-            relay.knowledge.note_change(StorePart::Operator, change);
+            relay.knowledge.note_change(StorePart::Operator, StorePosition::in_first_era(change));
             self.tell(number, now);
         }
     }
@@ -454,10 +458,11 @@
 fn who_has_read_nothing_takes_no_word() {
     let mut knowledge = StoreKnowledge::default();
     let ages = PartAges { operator: Some(Duration::ZERO), replicas: None };
-    let read = ReadRevisions { operator: 9, replicas: 0 };
+    let read =
+        ReadPositions { operator: StorePosition::in_first_era(9), ..ReadPositions::default() };
     let word = StoreWord { read, ages, is_up: true, ..StoreWord::default() };
     assert!(knowledge.take_word(StorePart::Operator, &word, ms(10)));
-    assert_eq!(knowledge.read().operator, 0);
+    assert_eq!(knowledge.read().operator.revision, 0);
     assert!(knowledge.is_old(StorePart::Operator, ms(1_000), ms(10)));
 }
 
@@ -465,7 +470,11 @@
 fn knowing(revision: u64) -> RelayMachine {
     let mut machine = RelayMachine::new(RelayRules::default(), 1);
     machine.list(example_record("i-1"), ms(0));
-    machine.knowledge_mut().note_read(StorePart::Replicas, revision, ms(0));
+    machine.knowledge_mut().note_read(
+        StorePart::Replicas,
+        StorePosition::in_first_era(revision),
+        ms(0),
+    );
     machine
 }
 
@@ -474,7 +483,7 @@
 fn told(to: &mut RelayMachine, from: &RelayMachine) -> (bool, u64) {
     let word = from.knowledge().word(true, ms(10));
     let knows = to.knowledge_mut().take_word(StorePart::Replicas, &word, ms(10));
-    (!knows, to.read().replicas)
+    (!knows, to.read().replicas.revision)
 }
 
 /// Seen on a day of the users' largest deployment: relays that the store did not answer took the state
@@ -484,8 +493,12 @@
 fn a_change_that_came_from_another_relay_is_not_passed_over_by_a_third() {
     let mut source = knowing(50);
     source.unlist("i-1", ms(5_000));
-    source.knowledge_mut().note_read(StorePart::Replicas, 60, ms(5_000));
-    source.knowledge_mut().note_change(StorePart::Replicas, 55);
+    source.knowledge_mut().note_read(
+        StorePart::Replicas,
+        StorePosition::in_first_era(60),
+        ms(5_000),
+    );
+    source.knowledge_mut().note_change(StorePart::Replicas, StorePosition::in_first_era(55));
     let mut cut_off = knowing(40);
     cut_off.take_published(source.published(ms(5_000)), ms(5_000));
     assert!(cut_off.table().get("i-1").is_none());
@@ -497,13 +510,21 @@
 fn a_relay_that_has_just_started_carries_nobody_past_what_went_before() {
     let mut started = RelayMachine::new(RelayRules::default(), 1);
     started.list_all(vec![], ms(5_000));
-    started.knowledge_mut().note_read(StorePart::Replicas, 60, ms(5_000));
-    started.knowledge_mut().note_whole(StorePart::Replicas, 60);
-    started.knowledge_mut().note_change(StorePart::Replicas, 48);
+    started.knowledge_mut().note_read(
+        StorePart::Replicas,
+        StorePosition::in_first_era(60),
+        ms(5_000),
+    );
+    started.knowledge_mut().note_whole(StorePart::Replicas, StorePosition::in_first_era(60));
+    started.knowledge_mut().note_change(StorePart::Replicas, StorePosition::in_first_era(48));
     let mut other = knowing(50);
     assert_eq!(told(&mut other, &started), (false, 50));
     let mut newer = knowing(60);
-    started.knowledge_mut().note_read(StorePart::Replicas, 70, ms(6_000));
+    started.knowledge_mut().note_read(
+        StorePart::Replicas,
+        StorePosition::in_first_era(70),
+        ms(6_000),
+    );
     assert_eq!(told(&mut newer, &started), (false, 70));
 }
 
--- a/quillcove_core/tests/relay_words.rs
+++ b/quillcove_core/tests/relay_words.rs
@@ -10,7 +10,8 @@
 use quillcove_core::relay::machine::{
     AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
-use quillcove_core::relay::published::{ReadRevisions, StorePart};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::StorePart;
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet};
 use quillcove_core::standing::notice::UpstreamNotice;
@@ -145,7 +146,8 @@
     }
     let mut machine = relay();
     let mut published = other.published(ms(10));
-    published.read = ReadRevisions { operator: 0, replicas: 5 };
+    published.read =
+        ReadPositions { replicas: StorePosition::in_first_era(5), ..ReadPositions::default() };
     machine.take_published(published, ms(10));
     machine
 }
@@ -159,7 +161,7 @@
     // It goes no further than to the relay that was told.
     let published = told_of(&[1]).published(ms(20));
     assert!(published.leaving.is_empty());
-    assert_eq!(told_of(&[1]).read().of(StorePart::Replicas), 5);
+    assert_eq!(told_of(&[1]).read().of(StorePart::Replicas).revision, 5);
 }
 
 #[test]
--- a/quillcove_core/tests/word_fleet/mod.rs
+++ b/quillcove_core/tests/word_fleet/mod.rs
@@ -13,7 +13,8 @@
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::beacon::OtherRelays;
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
-use quillcove_core::relay::published::{ReadRevisions, StorePart};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::StorePart;
 use quillcove_core::relay::replica::{AttemptFate, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, RouteSheet, ServiceRecord};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
@@ -271,7 +272,7 @@
                 let it = &mut self.replicas[replica];
                 it.born += 1;
                 (it.is_there, it.is_leaving, it.running) = (true, false, 0);
-                it.record.created += 1;
+                it.record.created.revision += 1;
                 self.publish(replica);
             },
             SimEvent::List(relay, replica) => self.list(relay, replica),
@@ -540,7 +541,7 @@
         let records = there.map(|number| self.record_at(relay, number, false)).collect();
         let machine = &mut self.relays[relay].machine;
         machine.list_all(records, self.now);
-        machine.note_read(StorePart::Replicas, self.revision);
+        machine.note_read(StorePart::Replicas, StorePosition::in_first_era(self.revision));
     }
 
     fn silence(&mut self, is_silent: bool) {
@@ -605,7 +606,10 @@
 
     fn take_list_of(&mut self, relay: usize, other: usize) {
         let mut published = self.relays[other].machine.published(self.now);
-        published.read = ReadRevisions { operator: 0, replicas: self.revision };
+        published.read = ReadPositions {
+            replicas: StorePosition::in_first_era(self.revision),
+            ..ReadPositions::default()
+        };
         self.relays[relay].machine.take_published(published, self.now);
     }
 }
