A copy of the store takes back nothing that would harm a caller

Cause: a whole listing was believed as it came, whatever was known before. Change: that a replica leaves, by its entry too, holds for that start of it; a replica that was gone is not listed by an entry that was created before; what a later era lacks (replicas, halls to be emptied) is in doubt for as long as entries may take to come back. Each later era is a line and a count. A replica's own entry under a later position no longer replaces it: all replicas would have started afresh in each drill (older_copy.rs found that). Configurations, versions of adapters and keys never went back, as they compare versions. Ruled out: judging by the revision of an entry alone; a live replica may get the same one again, so that what it writes itself is always taken.

--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -34,6 +34,7 @@
     orders: Counter<u64>,
     peer_messages: Counter<u64>,
     replica_ends: Counter<u64>,
+    store_eras: Counter<u64>,
     replica_words: Counter<u64>,
     peer_bytes: Counter<u64>,
     own_reads: Counter<u64>,
@@ -79,6 +80,11 @@
                 "quillcove.replica_ends",
                 "Replicas that were found to have ended with requests of this process",
             ),
+            store_eras: counter(
+                &meter,
+                "quillcove.store_eras",
+                "Returns of the platform's store from an older copy",
+            ),
             replica_words: counter(
                 &meter,
                 "quillcove.replica_words",
@@ -231,6 +237,17 @@
         self.own_reads.add(1, &[KeyValue::new("reason", reason.label())]);
     }
 
+    /// Counts a return of the platform's store from an older copy.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.store_came_back_older();
+    /// assert!(metrics.text().contains("quillcove_store_eras_total"));
+    /// ```
+    pub fn store_came_back_older(&self) {
+        self.store_eras.add(1, &[]);
+    }
+
     /// Counts a replica that was found to have ended with requests of this process.
     ///
     /// ```
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -60,6 +60,7 @@
         let complete_at = reading.complete_at;
         let (part, position) = (reading.part, reading.position);
         let is_whole = reading.is_whole;
+        self.enter_era(position, now);
         self.note_lost_sheet(&reading);
         let proved_at = reading.proved_at;
         let changed = match is_whole && part == StorePart::Replicas {
@@ -83,6 +84,16 @@
         }
     }
 
+    /// Notes that the store has come back from an older copy, if it has.
+    fn enter_era(&self, position: StorePosition, now: MonoTime) {
+        let before = self.shared.machine().enter_era(position.era, now);
+        if let Some(before) = before {
+            self.shared.metrics.store_came_back_older();
+            warn!(self.shared.log, "store came back from an older copy"; "era" => position.era,
+                "before" => before, "revision" => position.revision);
+        }
+    }
+
     /// A sheet that was published and could not be read leaves what is in force unknown until one can.
     fn note_lost_sheet(&mut self, reading: &StoreReading) {
         let has_sheet = reading.events.iter().any(|event| matches!(event, StoreEvent::Sheet(_)));
@@ -113,7 +124,7 @@
         if reading.is_whole && reading.part == StorePart::Operator {
             // A hall that is not named in the whole part is in use.
             let emptied = emptied_in(&reading.events);
-            let changes = self.shared.machine().set_all_emptied(&emptied);
+            let changes = self.shared.machine().set_all_emptied(&emptied, now);
             last = last.max((!changes.is_empty()).then_some(reading.position.revision));
             all_changes.extend(changes);
         }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -42,7 +42,7 @@
 use crate::access::right::RightRules;
 use crate::crash::watch::CrashWatch;
 use crate::entry::retry::RetryBudget;
-use crate::ids::{AdapterVersion, HallName, HostId, MonoTime, ServiceName};
+use crate::ids::{AdapterVersion, HallName, HostId, MonoTime, ServiceName, StoreEra};
 use crate::rendezvous;
 use crate::route::RouteRecord;
 use crate::verdict::{RefusalReason, WorkRefusal};
@@ -138,6 +138,10 @@
     tries: BTreeMap<String, CallerTries>,
     /// Replicas whose entries lapsed while the store was away, and when they are given up.
     doubted: BTreeMap<ReplicaId, MonoTime>,
+    /// Halls that were to be emptied and that an older copy of the store does not name, and when they are in use.
+    doubted_halls: BTreeMap<HallName, MonoTime>,
+    /// Latest era of the store that is known; `None` before anything was read.
+    era: Option<StoreEra>,
     store_returned: Option<MonoTime>,
     is_store_away: bool,
     /// Relays that are there, this one included.
@@ -190,6 +194,8 @@
             budgets: BTreeMap::new(),
             tries: BTreeMap::new(),
             doubted: BTreeMap::new(),
+            doubted_halls: BTreeMap::new(),
+            era: None,
             store_returned: None,
             is_store_away: false,
             relays: 1,
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::{BeliefChange, RelayMachine};
-use crate::ids::{AdapterVersion, HallName, MonoTime};
+use crate::ids::{AdapterVersion, HallName, MonoTime, StoreEra};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
 use crate::relay::knowledge::StoreKnowledge;
 use crate::relay::position::{ReadPositions, StorePosition};
@@ -18,7 +18,8 @@
 /// published. The users allow 5 s; the rest is for requests on their way.
 const VERSION_GRACE: Duration = Duration::from_secs(3);
 
-/// Time after the store's return in which entries that lapsed meanwhile may come back.
+/// Time after the store's return in which entries that lapsed meanwhile, or are missing in an older copy of it, may
+/// come back, and in which the operator writes again what the copy lacks.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 
 impl RelayMachine {
@@ -78,6 +79,7 @@
     /// assert_eq!(change, Some(BeliefChange::HallEmptied("hall-a".into())));
     /// ```
     pub fn set_emptied(&mut self, hall: &str, is_emptied: bool) -> Option<BeliefChange> {
+        self.doubted_halls.remove(hall);
         let is_news = self.table.set_emptied(hall, is_emptied);
         let change = match is_emptied {
             true => BeliefChange::HallEmptied(hall.to_string()),
@@ -86,24 +88,64 @@
         is_news.then_some(change)
     }
 
-    /// Takes all halls that are to be emptied; the others are in use.
+    /// Takes all halls that are to be emptied; the others are in use, but for those that an older copy of the store
+    /// may lack.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// machine.set_emptied("hall-a", true);
-    /// assert_eq!(machine.set_all_emptied(&[]).len(), 1);
+    /// assert_eq!(machine.set_all_emptied(&[], Duration::ZERO).len(), 1);
     /// ```
-    pub fn set_all_emptied(&mut self, emptied: &[HallName]) -> Vec<BeliefChange> {
+    pub fn set_all_emptied(&mut self, emptied: &[HallName], now: MonoTime) -> Vec<BeliefChange> {
         let known = self.table.emptied().iter();
-        let in_use: Vec<HallName> = known.filter(|hall| !emptied.contains(hall)).cloned().collect();
-        let mut changes: Vec<BeliefChange> =
-            in_use.iter().filter_map(|hall| self.set_emptied(hall, false)).collect();
+        let missing: Vec<HallName> =
+            known.filter(|hall| !emptied.contains(hall)).cloned().collect();
+        let mut changes = Vec::new();
+        for hall in missing {
+            match self.doubt_end(now) {
+                Some(until) => {
+                    self.doubted_halls.entry(hall).or_insert(until);
+                },
+                None => changes.extend(self.set_emptied(&hall, false)),
+            }
+        }
         changes.extend(emptied.iter().filter_map(|hall| self.set_emptied(hall, true)));
         changes
     }
 
+    /// Notes the era of the store that something is from; gives the one that was known before if it is later, so that
+    /// the store has come back from an older copy. What is missing in the copy may be written again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert_eq!(machine.enter_era(1, Duration::ZERO), None, "nothing was known before");
+    /// assert_eq!(machine.enter_era(2, Duration::ZERO), Some(1));
+    /// assert_eq!(machine.enter_era(1, Duration::ZERO), None);
+    /// ```
+    pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) -> Option<StoreEra> {
+        let before = self.era;
+        self.era = before.max(Some(era));
+        let left = before.filter(|known| *known < era)?;
+        self.store_returned = Some(now);
+        Some(left)
+    }
+
+    /// Until when what is missing in the store may come back; `None` when it is gone.
+    fn doubt_end(&self, now: MonoTime) -> Option<MonoTime> {
+        let since = match (self.is_store_away, self.store_returned) {
+            (_, Some(back)) if now.saturating_sub(back) < LAPSE_GRACE => back,
+            (true, back) => back.unwrap_or(now),
+            _ => return None,
+        };
+        Some(since + LAPSE_GRACE)
+    }
+
     /// Takes a replica's entry from the platform's listing. The replicas that were listed at its
     /// address before it are gone, although their entries have not lapsed yet.
     ///
@@ -163,11 +205,8 @@
     /// ```
     pub fn unlist(&mut self, id: &str, now: MonoTime) -> Option<BeliefChange> {
         self.table.get(id)?;
-        let is_recent =
-            self.store_returned.is_some_and(|back| now.saturating_sub(back) < LAPSE_GRACE);
-        if self.is_store_away || is_recent {
-            let from = self.store_returned.unwrap_or(now);
-            self.doubted.entry(id.to_string()).or_insert(from + LAPSE_GRACE);
+        if let Some(until) = self.doubt_end(now) {
+            self.doubted.entry(id.to_string()).or_insert(until);
             return Some(BeliefChange::Doubted(id.to_string()));
         }
         self.table.remove(id);
@@ -190,11 +229,23 @@
         let missing = self.missing_in(&records);
         let mut changes: Vec<BeliefChange> =
             missing.iter().filter_map(|id| self.unlist(id, now)).collect();
-        changes.extend(records.into_iter().flat_map(|record| self.list(record, now)));
+        changes.extend(self.list_present(records, now));
         self.plan_cells();
         changes
     }
 
+    /// Takes the entries of a whole listing, but for those of replicas that were gone before an older copy of the
+    /// listing came back.
+    fn list_present(&mut self, records: Vec<ReplicaRecord>, now: MonoTime) -> Vec<BeliefChange> {
+        let mut changes = Vec::new();
+        for record in records {
+            if !self.table.is_copy(&record) {
+                changes.extend(self.list(record, now));
+            }
+        }
+        changes
+    }
+
     /// Replicas that are known and not among these.
     fn missing_in(&self, records: &[ReplicaRecord]) -> Vec<ReplicaId> {
         let listed: HashSet<&ReplicaId> = records.iter().map(|record| &record.id).collect();
@@ -276,20 +327,28 @@
         for leaving in std::mem::take(&mut published.leaving) {
             self.table.note_told_leaving(&leaving.replica, leaving.born, now);
         }
-        if published.read.operator > self.read().operator {
-            changes.extend(self.set_all_emptied(&published.emptied));
+        let known = self.read();
+        self.enter_era(published.read.operator.era.max(published.read.replicas.era), now);
+        if published.read.operator > known.operator {
+            changes.extend(self.set_all_emptied(&published.emptied, now));
         }
         self.note_told(StorePart::Operator, &published);
         // The other relay may know more of what the operator wrote and less of the replicas.
-        if published.read.replicas <= self.read().replicas {
+        if published.read.replicas <= known.replicas {
             return changes;
         }
         self.note_told(StorePart::Replicas, &published);
+        let is_later_era = known.replicas.begins_before(published.read.replicas.era);
         for id in self.missing_in(&published.replicas) {
-            self.forget(&id);
-            changes.push(BeliefChange::Gone(id));
+            // Within an era, the other relay has read of the removal, or doubts it and lists it.
+            if !is_later_era {
+                self.forget(&id);
+                changes.push(BeliefChange::Gone(id));
+            } else {
+                changes.extend(self.unlist(&id, now));
+            }
         }
-        changes.extend(published.replicas.into_iter().flat_map(|record| self.list(record, now)));
+        changes.extend(self.list_present(published.replicas, now));
         // The other relay's doubt is this one's as well: the removal of their entries is older than what this
         // one reads from now on, so that it would never hear of it.
         for entry in published.lapsed {
@@ -412,6 +471,15 @@
             self.table.remove(id);
             self.demand.forget_engine(id);
         }
-        due.into_iter().map(BeliefChange::Gone).collect()
+        let mut changes: Vec<BeliefChange> = due.into_iter().map(BeliefChange::Gone).collect();
+        changes.extend(self.end_doubt_of_halls(now));
+        changes
+    }
+
+    /// Takes halls into use again that the operator has not named again in time.
+    fn end_doubt_of_halls(&mut self, now: MonoTime) -> Vec<BeliefChange> {
+        let due = self.doubted_halls.iter().filter(|(_, until)| now >= **until);
+        let due: Vec<HallName> = due.map(|(hall, _)| hall.clone()).collect();
+        due.iter().filter_map(|hall| self.set_emptied(hall, false)).collect()
     }
 }
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -1,6 +1,8 @@
 //! An upstream: what the platform lists of it, what it holds, and how loaded it is.
 
+mod departed;
 mod kept;
+mod recent;
 mod table;
 
 use std::collections::BTreeMap;
@@ -191,7 +193,7 @@
         is_listed && self.leaving_since().is_none()
     }
 
-    /// Since when it has been known to leave by its own word or its loader's.
+    /// Since when it has been known to leave by its own word, in an answer or its entry, or its loader's.
     ///
     /// ```
     /// use std::time::Duration;
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -6,12 +6,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+use super::departed::DepartedReplicas;
 use super::kept::KeptStandings;
-use super::{ReplicaRecord, ReplicaView};
+use super::{ReplicaRecord, ReplicaState, ReplicaView};
 use crate::ids::{HallName, MonoTime, ServiceName};
 use crate::relay::beacon::{AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId};
 use crate::relay::reading::{ReadingNorm, ReadingNumber, ReadingPrompt};
-use crate::standing::UpstreamStanding;
+use crate::standing::{LeavingSource, UpstreamStanding};
 
 /// All replicas that are known.
 #[derive(Clone, Debug, Default)]
@@ -29,6 +30,8 @@
     emptied: BTreeSet<HallName>,
     /// What replicas without an entry have said of themselves.
     kept: KeptStandings,
+    /// Replicas that are gone.
+    departed: DepartedReplicas,
 }
 
 impl ReplicaTable {
@@ -48,8 +51,11 @@
             self.leave(address, &record.id);
         }
         self.by_address.entry(record.address).or_default().insert(record.id.clone());
+        self.departed.forget(&record.id);
         let is_hall_emptied = self.emptied.contains(&record.hall);
-        match self.replicas.get_mut(&record.id) {
+        let id = record.id.clone();
+        let is_leaving = record.state == ReplicaState::Draining;
+        let is_changed = match self.replicas.get_mut(&id) {
             Some(view) => {
                 let is_changed = view.record.state != record.state;
                 view.record = record;
@@ -58,13 +64,35 @@
                 is_changed
             },
             None => {
-                let standing = self.kept.take(&record.id, record.born);
+                let standing = self.kept.take(&id, record.born);
                 let view =
                     ReplicaView { standing, is_hall_emptied, ..ReplicaView::new(record, now) };
-                self.replicas.insert(view.record.id.clone(), view);
+                self.replicas.insert(id.clone(), view);
                 true
             },
+        };
+        // An older copy of the entry takes nothing of this back.
+        if let Some(view) = self.replicas.get_mut(&id).filter(|_| is_leaving) {
+            view.standing.note_leaving(LeavingSource::Listing, now);
         }
+        is_changed
+    }
+
+    /// Tells whether a record is the entry of a replica that is gone, as an older copy of the listing has it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::position::StorePosition;
+    /// use quillcove_core::relay::replica::{ReplicaRecord, ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.remove("i-1");
+    /// let created = StorePosition { era: 1, ..example_record("i-1").created };
+    /// assert!(table.is_copy(&ReplicaRecord { created, ..example_record("i-1") }));
+    /// ```
+    pub fn is_copy(&self, record: &ReplicaRecord) -> bool {
+        self.departed.is_copy(record)
     }
 
     /// Notes that a hall is to be emptied, so that its replicas get no new work, or is in use again; tells whether
@@ -150,6 +178,7 @@
             return false;
         };
         self.leave(view.record.address, id);
+        self.departed.note(&view.record);
         if view.standing != UpstreamStanding::default() {
             *self.kept.of(id, view.record.born) = view.standing;
         }
@@ -203,7 +232,9 @@
     /// assert_eq!(table.remove_before(&next), ["i-1"]);
     /// ```
     pub fn remove_before(&mut self, record: &ReplicaRecord) -> Vec<ReplicaId> {
-        let is_before = |view: &&ReplicaView| view.record.created < record.created;
+        let is_before = |view: &&ReplicaView| {
+            view.record.id != record.id && view.record.created < record.created
+        };
         let there = self.all_at(record.address).filter(is_before);
         let before: Vec<ReplicaId> = there.map(|view| view.record.id.clone()).collect();
         for id in &before {
--- a/quillcove_core/src/standing/mod.rs
+++ b/quillcove_core/src/standing/mod.rs
@@ -51,6 +51,8 @@
 pub enum LeavingSource {
     /// Another process, which had an answer of it.
     Told,
+    /// The upstream, in its entry of the platform's listing.
+    Listing,
     /// The upstream, in an answer to this process.
     Answer,
 }
@@ -359,7 +361,10 @@
     /// assert!(!quillcove_core::standing::UpstreamStanding::default().is_leaving());
     /// ```
     pub fn is_leaving(&self) -> bool {
-        self.leaving.is_some_and(|word| word.source == LeavingSource::Answer)
+        self.leaving.is_some_and(|word| match word.source {
+            LeavingSource::Told => false,
+            LeavingSource::Listing | LeavingSource::Answer => true,
+        })
     }
 
     /// That it leaves, by anybody's word.
--- a/quillcove_core/tests/emptied_halls.rs
+++ b/quillcove_core/tests/emptied_halls.rs
@@ -75,7 +75,7 @@
 fn the_whole_operator_part_says_which_halls_are_in_use() {
     let mut machine = relay();
     machine.set_emptied("hall-a", true);
-    let changes = machine.set_all_emptied(&["hall-b".to_string()]);
+    let changes = machine.set_all_emptied(&["hall-b".to_string()], ms(0));
     let expected = [
         BeliefChange::HallInUse("hall-a".to_string()),
         BeliefChange::HallEmptied("hall-b".to_string()),
--- /dev/null
+++ b/quillcove_core/tests/older_copy.rs
@@ -0,0 +1,154 @@
+//! The store comes back from an older copy: what that lacks is in doubt, and what it still has of before is not
+//! believed where that would harm a caller.
+
+use std::time::Duration;
+
+use quillcove_core::ids::{MonoTime, StoreEra};
+use quillcove_core::relay::machine::{BeliefChange, RelayMachine, RelayRules};
+use quillcove_core::relay::position::{ReadPositions, StorePosition};
+use quillcove_core::relay::published::{PublishedState, StoreEvent, StorePart};
+use quillcove_core::relay::replica::{ReplicaRecord, ReplicaState, example_record};
+
+/// Time in which what a copy lacks may be written again.
+const DOUBT_TIME: Duration = Duration::from_millis(2_200);
+
+fn ms(millis: u64) -> MonoTime {
+    Duration::from_millis(millis)
+}
+
+/// A replica's entry in an era; its number is the revision at which it was created.
+fn entry(number: u64, era: StoreEra, state: ReplicaState) -> ReplicaRecord {
+    let created = StorePosition { era, revision: number };
+    let address = format!("127.0.0.1:{number}").parse().unwrap();
+    ReplicaRecord { created, address, state, ..example_record(&format!("i-{number}")) }
+}
+
+fn ready(number: u64, era: StoreEra) -> ReplicaRecord {
+    entry(number, era, ReplicaState::Ready)
+}
+
+/// A relay that has read these entries in the first era.
+fn relay(numbers: &[u64]) -> RelayMachine {
+    let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    machine.enter_era(1, ms(0));
+    machine.list_all(numbers.iter().map(|number| ready(*number, 1)).collect(), ms(0));
+    let position = StorePosition { era: 1, revision: 90 };
+    StorePart::ALL.into_iter().for_each(|part| machine.note_read(part, position));
+    machine
+}
+
+/// Reads the listing of the copy.
+fn read_copy(
+    machine: &mut RelayMachine,
+    entries: Vec<ReplicaRecord>,
+    now: MonoTime,
+) -> Vec<BeliefChange> {
+    machine.enter_era(2, now);
+    let changes = machine.list_all(entries, now);
+    machine.note_read(StorePart::Replicas, StorePosition { era: 2, revision: 70 });
+    changes
+}
+
+fn takes_work(machine: &RelayMachine, id: &str) -> bool {
+    machine.table().get(id).is_some_and(|view| view.is_ready())
+}
+
+#[test]
+fn a_replica_that_leaves_does_not_stay_because_a_copy_says_so() {
+    let mut machine = relay(&[10, 20]);
+    machine.list(entry(10, 1, ReplicaState::Draining), ms(500));
+    read_copy(&mut machine, vec![ready(10, 2), ready(20, 2)], ms(1_000));
+    assert!(!takes_work(&machine, "i-10") && takes_work(&machine, "i-20"));
+    // Its entry as it is written again is a change for relays that know only the copy.
+    let again = StoreEvent::Replica(entry(10, 2, ReplicaState::Draining));
+    assert!(machine.take_event(again, false, ms(1_500)).matters);
+    assert!(!takes_work(&machine, "i-10"));
+}
+
+#[test]
+fn a_new_start_of_a_replica_that_left_takes_work() {
+    let mut machine = relay(&[20]);
+    let born = |born, era, state| ReplicaRecord { born: Some(born), ..entry(10, era, state) };
+    machine.list(born(5, 1, ReplicaState::Draining), ms(500));
+    read_copy(&mut machine, vec![born(5, 2, ReplicaState::Ready), ready(20, 2)], ms(1_000));
+    assert!(!takes_work(&machine, "i-10"));
+    machine.list(born(6, 2, ReplicaState::Ready), ms(1_500));
+    assert!(takes_work(&machine, "i-10"));
+}
+
+#[test]
+fn a_replica_that_is_gone_does_not_come_back_with_a_copy() {
+    let mut machine = relay(&[10, 20]);
+    machine.unlist("i-10", ms(500));
+    read_copy(&mut machine, vec![ready(10, 2), ready(20, 2)], ms(1_000));
+    assert!(machine.table().get("i-10").is_none());
+    // An entry that was created since then is its own.
+    let own = ReplicaRecord { created: StorePosition { era: 2, revision: 75 }, ..ready(10, 2) };
+    machine.list(own, ms(1_500));
+    assert!(takes_work(&machine, "i-10"));
+}
+
+#[test]
+fn a_replica_that_lists_itself_again_is_taken_whatever_its_revision() {
+    let mut machine = relay(&[10, 20]);
+    machine.unlist("i-10", ms(500));
+    read_copy(&mut machine, vec![ready(20, 2)], ms(1_000));
+    machine.take_event(StoreEvent::Replica(ready(10, 2)), false, ms(1_500));
+    assert!(takes_work(&machine, "i-10"));
+}
+
+#[test]
+fn replicas_that_a_copy_lacks_take_work_until_they_had_time_to_list_themselves() {
+    let mut machine = relay(&[10, 20, 30]);
+    let changes = read_copy(&mut machine, vec![ready(10, 2)], ms(1_000));
+    let doubted = |number: u64| BeliefChange::Doubted(format!("i-{number}"));
+    assert_eq!(changes, [doubted(20), doubted(30)]);
+    assert!(takes_work(&machine, "i-20") && takes_work(&machine, "i-30"));
+    let again = ReplicaRecord { created: StorePosition { era: 2, revision: 75 }, ..ready(20, 2) };
+    assert_eq!(machine.list(again, ms(2_000)), [BeliefChange::Returned("i-20".to_string())]);
+    let changes = machine.tick(ms(1_000) + DOUBT_TIME);
+    assert_eq!(changes, [BeliefChange::Gone("i-30".to_string())]);
+    assert!(takes_work(&machine, "i-20"));
+}
+
+#[test]
+fn a_relay_that_takes_the_copy_from_another_one_doubts_what_is_missing() {
+    let mut machine = relay(&[10, 20]);
+    let position = StorePosition { era: 2, revision: 70 };
+    let read = ReadPositions { operator: position, replicas: position };
+    let replicas = vec![ready(10, 2)];
+    let published = PublishedState { read, replicas, ..PublishedState::default() };
+    let changes = machine.take_published(published, ms(1_000));
+    assert_eq!(changes, [BeliefChange::Doubted("i-20".to_string())]);
+    assert!(takes_work(&machine, "i-20"));
+    assert_eq!(machine.read(), read);
+}
+
+#[test]
+fn the_state_of_a_relay_in_the_era_before_takes_nothing_back() {
+    let mut machine = relay(&[10]);
+    let behind = relay(&[10, 20]).published(ms(900));
+    read_copy(&mut machine, vec![ready(10, 2), ready(30, 2)], ms(1_000));
+    assert!(machine.take_published(behind, ms(1_100)).is_empty());
+    assert!(machine.table().get("i-20").is_none() && takes_work(&machine, "i-30"));
+}
+
+#[test]
+fn a_hall_stays_emptied_until_the_operator_had_time_to_name_it_again() {
+    let halls = ["hall-a".to_string()];
+    let mut machine = relay(&[10]);
+    machine.set_all_emptied(&halls, ms(500));
+    machine.enter_era(2, ms(1_000));
+    assert!(machine.set_all_emptied(&[], ms(1_000)).is_empty());
+    assert!(!takes_work(&machine, "i-10"));
+    // Named again, it stays so.
+    machine.set_emptied("hall-a", true);
+    assert!(machine.tick(ms(1_000) + DOUBT_TIME).is_empty());
+    assert!(!takes_work(&machine, "i-10"));
+    // Not named again, it comes into use.
+    machine.enter_era(3, ms(9_000));
+    machine.set_all_emptied(&[], ms(9_000));
+    let changes = machine.tick(ms(9_000) + DOUBT_TIME);
+    assert_eq!(changes, [BeliefChange::HallInUse("hall-a".to_string())]);
+    assert!(takes_work(&machine, "i-10"));
+}
