A replica whose entry is missing gets nothing while others can take it

Cause: the relay's own link to the store was cut for 4 s, in which the replica said that it leaves and its entry went; what the relay read first was the removal alone, which it took for a lapse, and it kept the replica in full service for 2.2 s, longer than the users' 2 s. Class: a loss of one's own contact taken for the store's absence, and a grace as long as the bound that it delays. Change: a replica in doubt counts as one that does not seem to work, so that it is chosen only when less than half of its service would be left. In an outage that makes many entries lapse they all go on serving, as before. Test: a_replica_whose_entry_is_missing_gets_nothing_while_others_can_take_it; it fails without the change (i-1 is among those chosen). Weighed: asking whether other relays read the store meanwhile. Their words lag by a whole watch (2.1 s), so that an outage of less could not be told from a cut, and lapsed entries would be given up by all.

--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -136,6 +136,12 @@
         Some(left)
     }
 
+    /// Notes that a replica's entry is missing, and until when it may come back.
+    pub(super) fn doubt(&mut self, id: &str, until: MonoTime) {
+        self.doubted.entry(id.to_string()).or_insert(until);
+        self.table.doubt(id);
+    }
+
     /// Until when what is missing in the store may come back; `None` when it is gone.
     fn doubt_end(&self, now: MonoTime) -> Option<MonoTime> {
         let since = match (self.is_store_away, self.store_returned) {
@@ -206,7 +212,7 @@
     pub fn unlist(&mut self, id: &str, now: MonoTime) -> Option<BeliefChange> {
         self.table.get(id)?;
         if let Some(until) = self.doubt_end(now) {
-            self.doubted.entry(id.to_string()).or_insert(until);
+            self.doubt(id, until);
             return Some(BeliefChange::Doubted(id.to_string()));
         }
         self.table.remove(id);
@@ -352,7 +358,7 @@
         // The other relay's doubt is this one's as well: the removal of their entries is older than what this
         // one reads from now on, so that it would never hear of it.
         for entry in published.lapsed {
-            self.doubted.entry(entry.replica).or_insert(now + entry.left);
+            self.doubt(&entry.replica, now + entry.left);
         }
         self.plan_cells();
         changes
--- a/quillcove_core/src/relay/machine/told.rs
+++ b/quillcove_core/src/relay/machine/told.rs
@@ -123,7 +123,7 @@
             },
             ToldEvent::Lapsed(entry) => {
                 self.table.get(&entry.replica)?;
-                self.doubted.entry(entry.replica.clone()).or_insert(now + entry.left);
+                self.doubt(&entry.replica, now + entry.left);
                 Some(vec![BeliefChange::Doubted(entry.replica.clone())])
             },
         }
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -128,6 +128,8 @@
     reported_leaving: Option<MonoTime>,
     /// Whether the operator has its hall emptied.
     is_hall_emptied: bool,
+    /// Whether its entry is missing, though it may come back.
+    is_doubted: bool,
     /// Whether it is in this relay's cell.
     pub is_near: bool,
     /// When the platform's listing was last taken.
@@ -160,6 +162,7 @@
             standing: UpstreamStanding::default(),
             reported_leaving: None,
             is_hall_emptied: false,
+            is_doubted: false,
             is_near: true,
             listed_at: now,
             report: None,
@@ -224,7 +227,7 @@
     }
 
     /// Tells whether it seems to work: not left out after failures, not silent while requests are in
-    /// flight, and no other relay told that it leaves.
+    /// flight, its entry is there, and no other relay told that it leaves.
     ///
     /// ```
     /// use std::time::Duration;
@@ -236,7 +239,8 @@
     /// ```
     pub fn seems_well(&self, now: MonoTime) -> bool {
         let is_silent = self.in_flight > 0 && now.saturating_sub(self.last_heard) > SILENCE_LIMIT;
-        now >= self.ejected_until && !is_silent && self.standing.leaving().is_none()
+        let is_present = !self.is_doubted && self.standing.leaving().is_none();
+        now >= self.ejected_until && !is_silent && is_present
     }
 
     /// Tells whether bytes came from it after this time.
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -60,6 +60,7 @@
                 let is_changed = view.record.state != record.state;
                 view.record = record;
                 view.is_hall_emptied = is_hall_emptied;
+                view.is_doubted = false;
                 view.listed_at = now;
                 is_changed
             },
@@ -78,6 +79,24 @@
         is_changed
     }
 
+    /// Notes that a replica's entry is missing, though it may come back: it gets work only where the others of its
+    /// service would be too few.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.doubt("i-1");
+    /// assert!(!table.get("i-1").unwrap().seems_well(Duration::ZERO));
+    /// ```
+    pub fn doubt(&mut self, id: &str) {
+        if let Some(view) = self.replicas.get_mut(id) {
+            view.is_doubted = true;
+        }
+    }
+
     /// Tells whether a record is the entry of a replica that is gone, as an older copy of the listing has it.
     ///
     /// ```
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod relay_site;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use quillcove_core::relay::beacon::{
@@ -530,6 +531,29 @@
     }
 }
 
+/// A relay whose own way to the store was cut takes the removal of an entry for a lapse, and sent requests there for as
+/// long as the entry might have come back: 2,596 ms after the replica had said that it leaves.
+#[test]
+fn a_replica_whose_entry_is_missing_gets_nothing_while_others_can_take_it() {
+    let mut machine = machine();
+    for number in 1..=3 {
+        machine.list(record(&format!("i-{number}"), number), ms(0));
+    }
+    machine.note_store(false, ms(100));
+    machine.note_store(true, ms(4_000));
+    assert_eq!(machine.unlist("i-1", ms(4_010)), Some(BeliefChange::Doubted("i-1".to_string())));
+    let chosen_from = |machine: &mut RelayMachine, from: u64| -> BTreeSet<String> {
+        let times = (from..from + 200).map(ms);
+        let choices = times.map(|now| machine.choose(&query(None, now), &[], now));
+        choices.filter_map(|choice| sent_to(&choice).map(str::to_string)).collect()
+    };
+    assert!(!chosen_from(&mut machine, 4_020).contains("i-1"));
+    // With most of them missing, the fault is the store's.
+    machine.unlist("i-2", ms(4_300));
+    let chosen = chosen_from(&mut machine, 4_310);
+    assert!(chosen.contains("i-1") && chosen.contains("i-2"), "{chosen:?}");
+}
+
 /// Seen: a request reached a replica four seconds after its entry had gone. A relay that the store had turned away
 /// read a list without the entry, doubted the replica for 2.2 s, and passed its list on meanwhile with a
 /// revision after the removal. Who took it over never heard of the removal.
