Readings of an earlier era are passed over, and the dump shows positions

A reading that was answered before another relay told of the later era would be applied after it; the follower refuses such answers only by what it knew when the call began.

--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -60,6 +60,12 @@
         let complete_at = reading.complete_at;
         let (part, position) = (reading.part, reading.position);
         let is_whole = reading.is_whole;
+        let known = self.shared.machine().read().of(part);
+        if position.begins_before(known.era) {
+            info!(self.shared.log, "reading of an earlier era is passed over"; "part" => ?part,
+                "position" => %position, "known" => %known);
+            return;
+        }
         self.enter_era(position, now);
         self.note_lost_sheet(&reading);
         let proved_at = reading.proved_at;
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -11,6 +11,7 @@
 use crate::crash::book::CrashSummary;
 use crate::entry::retry::RetryBudget;
 use crate::ids::MonoTime;
+use crate::relay::position::ReadPositions;
 use crate::relay::replica::{ReplicaRecord, ReplicaView};
 use crate::relay::sheet::SheetVersion;
 use crate::standing::LeavingSource;
@@ -23,6 +24,8 @@
     pub sheet: SheetVersion,
     /// Routes in it.
     pub routes: usize,
+    /// Positions in the platform's store up to which its parts are known.
+    pub store: ReadPositions,
     /// Relays that are there, as far as this one hears, itself included.
     pub relays: usize,
     /// Requests in flight.
@@ -115,6 +118,7 @@
             workspaces: self.workspace_summaries(),
             sheet: self.sheet.as_ref().map_or(0, |sheet| sheet.version),
             routes: self.sheet.as_ref().map_or(0, |sheet| sheet.route_count()),
+            store: self.read(),
             relays: self.relays,
             requests: self.requests,
             suspected: self.crashes.book().summary(),
