A replica in doubt is tried when all that are beyond doubt have been

Change: when every holder that seems well has been tried, those that are only in doubt are candidates. An adapter that only a replica in doubt holds is still loaded elsewhere first: sent there, its request could reach a replica that leaves.

--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -143,7 +143,11 @@
             holders = self.far_holders(query, now);
         }
         let is_fresh = |view: &&&ReplicaView| !tried.contains(&view.record.id);
-        let fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
+        let mut fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
+        if fresh.is_empty() && !holders.is_empty() {
+            let doubted = open.iter().filter(|view| view.is_doubted());
+            fresh = doubted.filter(holds).filter(is_fresh).copied().collect();
+        }
         let current = self.newest_of(query, &fresh, now);
         let norm = self.table.norm(&query.service);
         let cost =
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -328,6 +328,20 @@
         (is_last_word || self.report(now).is_some()).then_some(report)
     }
 
+    /// Tells whether its entry is missing, though it may come back.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().is_doubted());
+    /// ```
+    pub fn is_doubted(&self) -> bool {
+        self.is_doubted
+    }
+
     /// Adapters that it holds: by the loader's report, or else by the platform's listing.
     ///
     /// ```
