--- a/quillcove_core/src/relay/machine/attempts.rs
+++ b/quillcove_core/src/relay/machine/attempts.rs
@@ -71,7 +71,7 @@
     /// ```
     pub fn forget(&mut self, replica: &str) {
         self.table.remove(replica);
-        self.doubted.remove(replica);
+        self.doubt.end_replica(replica);
         self.demand.forget_engine(replica);
     }
 
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -5,6 +5,7 @@
 mod cells;
 mod choice;
 mod crashes;
+mod doubt;
 mod engines;
 mod limits;
 mod priority;
@@ -16,6 +17,7 @@
 mod view;
 
 pub use self::crashes::BreakStep;
+use self::doubt::StoreDoubt;
 use self::limits::LimitTeller;
 pub use self::priority::ReadingStart;
 pub use self::query::{AttemptOrder, RelayChoice, RelayQuery};
@@ -42,7 +44,7 @@
 use crate::access::right::RightRules;
 use crate::crash::watch::CrashWatch;
 use crate::entry::retry::RetryBudget;
-use crate::ids::{AdapterVersion, HallName, HostId, MonoTime, ServiceName, StoreEra};
+use crate::ids::{AdapterVersion, HallName, HostId, MonoTime, ServiceName};
 use crate::rendezvous;
 use crate::route::RouteRecord;
 use crate::verdict::{RefusalReason, WorkRefusal};
@@ -136,14 +138,8 @@
     budgets: BTreeMap<ServiceName, RetryBudget>,
     /// What callers say of their time, by route.
     tries: BTreeMap<String, CallerTries>,
-    /// Replicas whose entries lapsed while the store was away, and when they are given up.
-    doubted: BTreeMap<ReplicaId, MonoTime>,
-    /// Halls that were to be emptied and that an older copy of the store does not name, and when they are in use.
-    doubted_halls: BTreeMap<HallName, MonoTime>,
-    /// Latest era of the store that is known; `None` before anything was read.
-    era: Option<StoreEra>,
-    store_returned: Option<MonoTime>,
-    is_store_away: bool,
+    /// What is missing in the store and may come back.
+    doubt: StoreDoubt,
     /// Relays that are there, this one included.
     relays: usize,
     /// Most relays that were there at once. It does not fall: a relay that hears fewer may be cut off
@@ -193,11 +189,7 @@
             promises: PromiseBook::default(),
             budgets: BTreeMap::new(),
             tries: BTreeMap::new(),
-            doubted: BTreeMap::new(),
-            doubted_halls: BTreeMap::new(),
-            era: None,
-            store_returned: None,
-            is_store_away: false,
+            doubt: StoreDoubt::default(),
             relays: 1,
             most_relays: 1,
             peers,
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use super::{BeliefChange, RelayMachine};
-use crate::ids::{AdapterVersion, HallName, MonoTime, StoreEra};
+use crate::ids::{AdapterVersion, HallName, MonoTime};
 use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
 use crate::relay::knowledge::StoreKnowledge;
 use crate::relay::position::{ReadPositions, StorePosition};
-use crate::relay::published::{LapsedEntry, LeavingReplica, PublishedState, StorePart};
+use crate::relay::published::{LeavingReplica, PublishedState, StorePart};
 use crate::relay::replica::{RecordOrder, ReplicaRecord};
 use crate::relay::sheet::RouteSheet;
 
@@ -18,10 +18,6 @@
 /// published. The users allow 5 s; the rest is for requests on their way.
 const VERSION_GRACE: Duration = Duration::from_secs(3);
 
-/// Time after the store's return in which entries that lapsed meanwhile, or are missing in an older copy of it, may
-/// come back, and in which the operator writes again what the copy lacks.
-const LAPSE_GRACE: Duration = Duration::from_millis(2200);
-
 impl RelayMachine {
     /// Takes a sheet unless one of the same or a higher version is in force.
     ///
@@ -79,7 +75,7 @@
     /// assert_eq!(change, Some(BeliefChange::HallEmptied("hall-a".into())));
     /// ```
     pub fn set_emptied(&mut self, hall: &str, is_emptied: bool) -> Option<BeliefChange> {
-        self.doubted_halls.remove(hall);
+        self.doubt.end_hall(hall);
         let is_news = self.table.set_emptied(hall, is_emptied);
         let change = match is_emptied {
             true => BeliefChange::HallEmptied(hall.to_string()),
@@ -105,10 +101,8 @@
             known.filter(|hall| !emptied.contains(hall)).cloned().collect();
         let mut changes = Vec::new();
         for hall in missing {
-            match self.doubt_end(now) {
-                Some(until) => {
-                    self.doubted_halls.entry(hall).or_insert(until);
-                },
+            match self.doubt.end(now) {
+                Some(until) => self.doubt.note_hall(hall, until),
                 None => changes.extend(self.set_emptied(&hall, false)),
             }
         }
@@ -116,42 +110,6 @@
         changes
     }
 
-    /// Notes the era of the store that something is from; gives the one that was known before if it is later, so that
-    /// the store has come back from an older copy. What is missing in the copy may be written again.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert_eq!(machine.enter_era(1, Duration::ZERO), None, "nothing was known before");
-    /// assert_eq!(machine.enter_era(2, Duration::ZERO), Some(1));
-    /// assert_eq!(machine.enter_era(1, Duration::ZERO), None);
-    /// ```
-    pub fn enter_era(&mut self, era: StoreEra, now: MonoTime) -> Option<StoreEra> {
-        let before = self.era;
-        self.era = before.max(Some(era));
-        let left = before.filter(|known| *known < era)?;
-        self.store_returned = Some(now);
-        Some(left)
-    }
-
-    /// Notes that a replica's entry is missing, and until when it may come back.
-    pub(super) fn doubt(&mut self, id: &str, until: MonoTime) {
-        self.doubted.entry(id.to_string()).or_insert(until);
-        self.table.doubt(id);
-    }
-
-    /// Until when what is missing in the store may come back; `None` when it is gone.
-    fn doubt_end(&self, now: MonoTime) -> Option<MonoTime> {
-        let since = match (self.is_store_away, self.store_returned) {
-            (_, Some(back)) if now.saturating_sub(back) < LAPSE_GRACE => back,
-            (true, back) => back.unwrap_or(now),
-            _ => return None,
-        };
-        Some(since + LAPSE_GRACE)
-    }
-
     /// Takes a replica's entry from the platform's listing. The replicas that were listed at its
     /// address before it are gone, although their entries have not lapsed yet.
     ///
@@ -173,14 +131,14 @@
         if order == RecordOrder::Late {
             return Vec::new();
         }
-        let was_doubted = self.doubted.remove(&record.id).is_some();
+        let was_doubted = self.doubt.end_replica(&record.id);
         let mut changes = Vec::new();
         if order == RecordOrder::Restart {
             self.forget(&record.id);
             changes.push(BeliefChange::Replaced(record.id.clone()));
         }
         for id in self.table.remove_before(&record) {
-            self.doubted.remove(&id);
+            self.doubt.end_replica(&id);
             self.demand.forget_engine(&id);
             changes.push(BeliefChange::Replaced(id));
         }
@@ -211,8 +169,8 @@
     /// ```
     pub fn unlist(&mut self, id: &str, now: MonoTime) -> Option<BeliefChange> {
         self.table.get(id)?;
-        if let Some(until) = self.doubt_end(now) {
-            self.doubt(id, until);
+        if let Some(until) = self.doubt.end(now) {
+            self.doubt_replica(id, until);
             return Some(BeliefChange::Doubted(id.to_string()));
         }
         self.table.remove(id);
@@ -273,10 +231,6 @@
             HeldAdapter { key: key.clone(), version: *version }
         };
         let word = self.knowledge.word(true, Duration::ZERO);
-        let lapsed = |(id, until): (&ReplicaId, &MonoTime)| LapsedEntry {
-            replica: id.clone(),
-            left: until.saturating_sub(now),
-        };
         PublishedState {
             read: word.read,
             changed: word.changed,
@@ -286,7 +240,7 @@
             versions: self.versions.iter().map(version).collect(),
             emptied: self.table.emptied().iter().cloned().collect(),
             replicas: self.table.all().map(|view| view.record.clone()).collect(),
-            lapsed: self.doubted.iter().map(lapsed).collect(),
+            lapsed: self.doubt.entries(now),
             leaving: self.leaving_replicas().collect(),
         }
     }
@@ -358,7 +312,7 @@
         // The other relay's doubt is this one's as well: the removal of their entries is older than what this
         // one reads from now on, so that it would never hear of it.
         for entry in published.lapsed {
-            self.doubt(&entry.replica, now + entry.left);
+            self.doubt_replica(&entry.replica, now + entry.left);
         }
         self.plan_cells();
         changes
@@ -426,66 +380,4 @@
     pub fn note_read(&mut self, part: StorePart, position: StorePosition) {
         self.knowledge.note_position(part, position);
     }
-
-    /// Notes whether the store answers; tells whether that changed.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(machine.note_store(false, Duration::ZERO));
-    /// assert!(!machine.note_store(false, Duration::ZERO));
-    /// ```
-    pub fn note_store(&mut self, answers: bool, now: MonoTime) -> bool {
-        let is_changed = self.is_store_away == answers;
-        if is_changed && answers {
-            self.store_returned = Some(now);
-        }
-        self.is_store_away = !answers;
-        is_changed
-    }
-
-    /// Gives up replicas whose entries lapsed and did not come back in time, and forgets asks whose
-    /// time is over.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
-    ///
-    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(machine.tick(Duration::ZERO).is_empty());
-    /// ```
-    pub fn tick(&mut self, now: MonoTime) -> Vec<BeliefChange> {
-        self.crashes.tick(now);
-        self.demand.tick(now);
-        self.promises.tick(now);
-        self.share_when_peers_are_known(now);
-        self.tick_cells(now);
-        self.pump(now);
-        if self.is_store_away {
-            return Vec::new();
-        }
-        let due: Vec<ReplicaId> = self
-            .doubted
-            .iter()
-            .filter(|(_, until)| now >= **until)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &due {
-            self.doubted.remove(id);
-            self.table.remove(id);
-            self.demand.forget_engine(id);
-        }
-        let mut changes: Vec<BeliefChange> = due.into_iter().map(BeliefChange::Gone).collect();
-        changes.extend(self.end_doubt_of_halls(now));
-        changes
-    }
-
-    /// Takes halls into use again that the operator has not named again in time.
-    fn end_doubt_of_halls(&mut self, now: MonoTime) -> Vec<BeliefChange> {
-        let due = self.doubted_halls.iter().filter(|(_, until)| now >= **until);
-        let due: Vec<HallName> = due.map(|(hall, _)| hall.clone()).collect();
-        due.iter().filter_map(|hall| self.set_emptied(hall, false)).collect()
-    }
 }
--- a/quillcove_core/src/relay/machine/told.rs
+++ b/quillcove_core/src/relay/machine/told.rs
@@ -4,7 +4,7 @@
 use crate::ids::MonoTime;
 use crate::relay::beacon::HeldAdapter;
 use crate::relay::change_word::{ChangeBeacon, ToldChange, ToldEvent};
-use crate::relay::published::{LapsedEntry, StoreEvent, StorePart};
+use crate::relay::published::{StoreEvent, StorePart};
 use crate::relay::replica::ReplicaRecord;
 use crate::relay::sheet_change::SheetChange;
 
@@ -79,8 +79,7 @@
         let [BeliefChange::Doubted(id)] = changes else {
             return None;
         };
-        let left = self.doubted.get(id)?.saturating_sub(now);
-        Some(ToldEvent::Lapsed(LapsedEntry { replica: id.clone(), left }))
+        self.doubt.entry(id, now).map(ToldEvent::Lapsed)
     }
 
     /// Takes what another relay of the hall tells of changes that it has read; `None` when this relay lacks what was
@@ -123,7 +122,7 @@
             },
             ToldEvent::Lapsed(entry) => {
                 self.table.get(&entry.replica)?;
-                self.doubt(&entry.replica, now + entry.left);
+                self.doubt_replica(&entry.replica, now + entry.left);
                 Some(vec![BeliefChange::Doubted(entry.replica.clone())])
             },
         }
