--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -61,7 +61,7 @@
         let (part, position) = (reading.part, reading.position);
         let is_whole = reading.is_whole;
         let known = self.shared.machine().read().of(part);
-        if position.begins_before(known.era) {
+        if position.precedes_era(known.era) {
             info!(self.shared.log, "reading of an earlier era is passed over"; "part" => ?part,
                 "position" => %position, "known" => %known);
             return;
--- a/quillcove_core/src/relay/knowledge.rs
+++ b/quillcove_core/src/relay/knowledge.rs
@@ -278,7 +278,7 @@
             return false;
         }
         // An age of an earlier era says nothing of this one.
-        let is_earlier = word.read.of(part).begins_before(known.era);
+        let is_earlier = word.read.of(part).precedes_era(known.era);
         if is_earlier || word.since.of(part) > known {
             return true;
         }
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -145,6 +145,7 @@
         let is_fresh = |view: &&&ReplicaView| !tried.contains(&view.record.id);
         let mut fresh: Vec<&ReplicaView> = holders.iter().filter(is_fresh).copied().collect();
         if fresh.is_empty() && !holders.is_empty() {
+            // A replica whose entry has only lapsed is better than a refusal.
             let doubted = open.iter().filter(|view| view.is_doubted());
             fresh = doubted.filter(holds).filter(is_fresh).copied().collect();
         }
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -298,7 +298,7 @@
             return changes;
         }
         self.note_told(StorePart::Replicas, &published);
-        let is_later_era = known.replicas.begins_before(published.read.replicas.era);
+        let is_later_era = known.replicas.precedes_era(published.read.replicas.era);
         for id in self.missing_in(&published.replicas) {
             // Within an era, the other relay has read of the removal, or doubts it and lists it.
             if !is_later_era {
--- a/quillcove_core/src/relay/position.rs
+++ b/quillcove_core/src/relay/position.rs
@@ -17,7 +17,7 @@
 ///
 /// let before = StorePosition { era: 1, revision: 90 };
 /// let after = StorePosition { era: 2, revision: 70 };
-/// assert!(before < after && before.begins_before(2) && !after.begins_before(2));
+/// assert!(before < after && before.precedes_era(2) && !after.precedes_era(2));
 /// ```
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -56,7 +56,7 @@
     /// Tells whether it belongs to an era before this one.
     ///
     /// See [`StorePosition`] for an example.
-    pub const fn begins_before(self, era: StoreEra) -> bool {
+    pub const fn precedes_era(self, era: StoreEra) -> bool {
         self.era < era
     }
 }
--- a/quillcove_core/src/relay/replica/departed.rs
+++ b/quillcove_core/src/relay/replica/departed.rs
@@ -34,7 +34,7 @@
     pub(super) fn is_copy(&self, record: &ReplicaRecord) -> bool {
         self.0.get(&record.id).is_some_and(|gone| {
             is_same_start(gone.born, record.born)
-                && gone.created.begins_before(record.created.era)
+                && gone.created.precedes_era(record.created.era)
                 && gone.created.revision == record.created.revision
         })
     }
