--- a/quillcove_core/tests/store_eras.rs
+++ b/quillcove_core/tests/store_eras.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, unused_imports, unused_macros)]
 mod fuzz;
 
+use std::ops::Range;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -95,6 +96,15 @@
     }
 }
 
+/// Trouble between relays, beside a drill.
+#[derive(Clone, Debug, Default)]
+struct Trouble {
+    /// Steps in which those that read the store do nothing.
+    frozen: Range<u64>,
+    /// One of so many words is lost; none where it is zero.
+    lost_each: u64,
+}
+
 struct Relay {
     follower: PartFollower,
     knowledge: StoreKnowledge,
@@ -108,6 +118,8 @@
 
 struct Fleet {
     variant: Variant,
+    trouble: Trouble,
+    words: u64,
     store: Store,
     copies: Vec<(u64, StorePosition, Vec<Write>)>,
     relays: Vec<Relay>,
@@ -142,7 +154,22 @@
             is_away: false,
         };
         let relays = (0..count).map(relay).collect();
-        Self { variant, store, copies: Vec::new(), relays, fault: None }
+        let (trouble, copies) = (Trouble::default(), Vec::new());
+        Self { variant, trouble, words: 0, store, copies, relays, fault: None }
+    }
+
+    fn with(self, trouble: Trouble) -> Self {
+        Self { trouble, ..self }
+    }
+
+    fn is_frozen(&self, relay: usize, now: u64) -> bool {
+        relay < READERS && self.trouble.frozen.contains(&now)
+    }
+
+    /// Whether a relay was frozen lately, so that the bound does not hold for it.
+    fn was_frozen(&self, relay: usize, now: u64) -> bool {
+        let Range { start, end } = self.trouble.frozen;
+        relay < READERS && (start..end + CONTACT_TIME).contains(&now)
     }
 
     /// Plays a run; gives what was known too late, and the calls of a relay.
@@ -154,8 +181,10 @@
             }
             drills.iter().for_each(|drill| self.drill(drill, now));
             for number in 0..self.relays.len() {
-                self.hear(number, now);
-                self.call(number, now);
+                if !self.is_frozen(number, now) {
+                    self.hear(number, now);
+                    self.call(number, now);
+                }
             }
             self.tell(now);
             self.check(drills, now);
@@ -264,12 +293,17 @@
 
     fn tell(&mut self, now: u64) {
         for number in 0..self.relays.len() {
-            if !(now + 37 * number as u64 / STEP * STEP).is_multiple_of(BEACON) {
+            let is_due = (now + 37 * number as u64 / STEP * STEP).is_multiple_of(BEACON);
+            if !is_due || self.is_frozen(number, now) {
                 continue;
             }
             let word = self.relays[number].knowledge.word(!self.store.is_away, ms(now));
             for other in (0..self.relays.len()).filter(|other| *other != number) {
-                self.relays[other].words.push(word);
+                self.words += 1;
+                let lost_each = self.trouble.lost_each;
+                if lost_each == 0 || !self.words.is_multiple_of(lost_each) {
+                    self.relays[other].words.push(word);
+                }
             }
         }
     }
@@ -283,7 +317,9 @@
         }
         let due = self.store.writes.iter().filter(|write| write.at + BOUND <= now);
         let due = due.map(|write| write.number).max().unwrap_or(0);
-        let late = self.relays.iter().position(|relay| relay.newest < due);
+        let is_late =
+            |(number, relay): (usize, &Relay)| relay.newest < due && !self.was_frozen(number, now);
+        let late = self.relays.iter().enumerate().position(is_late);
         self.fault = late.map(|relay| format!("relay {relay} at {now} ms lacks value {due}"));
     }
 }
@@ -365,16 +401,21 @@
 proptest! {
     #![proptest_config(fuzz::config_of(64))]
 
-    /// Whenever the store goes back, and whatever is written around it, it is known in time.
+    /// Whenever the store goes back, whatever is written around it, whichever words are lost, and when all readers are
+    /// frozen: it is known in time.
     #[test]
     fn any_drill_leaves_the_bound(
         drill in drill(),
         written in prop::collection::vec((0..RUN / STEP).prop_map(|step| step * STEP), 1..12),
         count in 1usize..12,
+        frozen in (0..RUN / STEP, 1u64..80),
+        lost_each in 0u64..6,
     ) {
         let mut written = written;
         written.sort_unstable();
-        let (fault, _) = Fleet::new(Variant::Sound, count).run(&written, &[drill]);
+        let frozen = frozen.0 * STEP..(frozen.0 + frozen.1) * STEP;
+        let fleet = Fleet::new(Variant::Sound, count).with(Trouble { frozen, lost_each });
+        let (fault, _) = fleet.run(&written, &[drill]);
         prop_assert_eq!(fault, None);
     }
 }
