--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -7,7 +7,8 @@
 use quillcove_core::access::right::KeyValidityRules;
 use quillcove_core::relay::machine::RelayRules;
 use quillcove_core::relay::policy::{
-    CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, SharingRule, WaitingRule,
+    ContentionRule, CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, SharingRule,
+    WaitingRule,
 };
 use quillcove_core::relay::store_duty::DutyRules;
 
@@ -399,7 +400,13 @@
             ("even", LimitRule::Even),
         ];
         let sharing = [("few", SharingRule::Few), ("all", SharingRule::All)];
+        let contention = [
+            ("auto", ContentionRule::Auto),
+            ("always", ContentionRule::Always),
+            ("never", ContentionRule::Never),
+        ];
         Self(RelayPolicy {
+            contention: source.choice(section, "contention", default.contention, &contention),
             routing: source.choice(section, "routing", default.routing, &routing),
             copies: source.choice(section, "copies", default.copies, &copies),
             priority: source.choice(section, "priority", default.priority, &priority),
--- a/quillcove/src/loader/crashes.rs
+++ b/quillcove/src/loader/crashes.rs
@@ -6,8 +6,8 @@
 use quillcove_core::crash::digest::load_identity;
 use quillcove_core::crash::teller::in_messages;
 use quillcove_core::crash::watch::ResponseAbort;
-use quillcove_core::ids::MonoTime;
-use quillcove_core::relay::beacon::{AdapterKey, PeerMessage};
+use quillcove_core::ids::{AdapterKey, MonoTime};
+use quillcove_core::relay::beacon::PeerMessage;
 use quillcove_core::relay::loader::BrokenLoad;
 use slog::info;
 
--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -247,12 +247,16 @@
                 // full report, which then lists it.
                 self.record_relay(from, now);
             },
+            // Handled with the scheduling of slots.
+            PeerMessage::Prompts(_) => {},
             PeerMessage::Relay(_)
             | PeerMessage::Engine(_)
             | PeerMessage::Gauges(_)
             | PeerMessage::Spend(_)
             | PeerMessage::Limit(_)
             | PeerMessage::Change(_)
+            | PeerMessage::Status(_)
+            | PeerMessage::Reply(_)
             | PeerMessage::ProofAsk(_)
             | PeerMessage::Proof(_) => {
                 warn!(self.log, "received a message that only relays handle"; "from" => %from);
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use quillcove_core::access::spending::{SpentTotal, UsageReport, WorkspaceLevel};
-use quillcove_core::ids::{HostId, MonoTime, ServiceName};
+use quillcove_core::ids::{HostId, MonoTime, ReplicaId, ServiceName};
 use quillcove_core::relay::beacon::{
     AddressedLoadRequest, EngineHeartbeat, GaugeHeartbeat, OtherRelays, PeerMessage,
-    RelayHeartbeat, ReplicaId, ResendRequest, UseHeartbeat,
+    RelayHeartbeat, ResendRequest, UseHeartbeat,
 };
 use quillcove_core::relay::change_word::StoreChangeMessage;
+use quillcove_core::relay::engine_status::{EngineStatus, LoadReply};
 use quillcove_core::relay::replica::ReplicaView;
 use quillcove_core::relay::report_stream::GaugeOutcome;
 use quillcove_core::relay::store_duty::{self, StoreRole};
@@ -35,7 +36,12 @@
             PeerMessage::CrashAsk(request) => self.answer_crash_request(request, now),
             PeerMessage::Limit(limits) => self.shared.machine().apply_limit_reports(&limits, now),
             PeerMessage::Change(change) => self.handle_change(&change, now),
-            PeerMessage::Use(_) | PeerMessage::Load(_) | PeerMessage::Resend(_) => {
+            PeerMessage::Status(status) => self.handle_status(status, now),
+            PeerMessage::Reply(reply) => self.handle_load_reply(&reply, now),
+            PeerMessage::Use(_)
+            | PeerMessage::Load(_)
+            | PeerMessage::Resend(_)
+            | PeerMessage::Prompts(_) => {
                 warn!(self.shared.log, "received a message meant for loaders"; "from" => %from);
             },
         }
@@ -126,6 +132,15 @@
         }
     }
 
+    fn handle_status(&mut self, status: EngineStatus, now: MonoTime) {
+        self.shared.machine().take_status(status, now);
+    }
+
+    fn handle_load_reply(&mut self, reply: &LoadReply, now: MonoTime) {
+        self.shared.machine().take_load_reply(reply, now);
+        self.send_pending_loads();
+    }
+
     fn request_full_report(&self, engine: SocketAddr) {
         let request = PeerMessage::Resend(ResendRequest { relay: self.control_address });
         self.send(&request, [self.loader_of(engine)]);
--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillcove_core::ids::{HallName, MonoTime};
-use quillcove_core::relay::beacon::{RelayHeartbeat, ReplicaId};
+use quillcove_core::ids::{HallName, MonoTime, ReplicaId};
+use quillcove_core::relay::beacon::RelayHeartbeat;
 use quillcove_core::relay::change_word::{StoreChange, StoreChangeMessage};
 use quillcove_core::relay::machine::StateChange;
 use quillcove_core::relay::position::StorePosition;
--- a/quillcove/src/relay/waiters.rs
+++ b/quillcove/src/relay/waiters.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use quillcove_core::relay::beacon::{AdapterKey, HeldAdapter};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::HeldAdapter;
 use tokio::sync::Notify;
 
 /// Requests that wait for one adapter.
--- a/quillcove_core/src/bundle/text/routes.rs
+++ b/quillcove_core/src/bundle/text/routes.rs
@@ -93,6 +93,7 @@
             patience: None,
             priority: self.convert_route_priority(name, route),
             attempt_limit,
+            target_gap: None,
             // A bundle has no workspaces, so its routes need no key.
             is_public: true,
             targets: self.convert_route_targets(raw, name, route),
--- a/quillcove_core/src/crash/digest.rs
+++ b/quillcove_core/src/crash/digest.rs
@@ -10,8 +10,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::access::key::KeyDigest;
-use crate::ids::AdapterVersion;
-use crate::relay::beacon::AdapterKey;
+use crate::ids::{AdapterKey, AdapterVersion};
 
 /// Prefix that separates digests of requests from digests made for other purposes.
 const DIGEST_DOMAIN: &[u8] = b"quillcove request\0";
@@ -156,7 +155,7 @@
 ///
 /// ```
 /// use quillcove_core::crash::digest::load_identity;
-/// use quillcove_core::relay::beacon::AdapterKey;
+/// use quillcove_core::ids::AdapterKey;
 ///
 /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
 /// assert_ne!(load_identity(&key, 1), load_identity(&key, 2));
--- a/quillcove_core/src/crash/telling.rs
+++ b/quillcove_core/src/crash/telling.rs
@@ -8,7 +8,7 @@
 use siphasher::sip::SipHasher13;
 
 use super::digest::RequestIdentity;
-use crate::relay::beacon::StartTime;
+use crate::ids::StartTime;
 
 /// Identifies the exit of one run of a replica; equal in all processes that know the replica.
 pub type ExitId = u64;
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -11,8 +11,7 @@
 use super::good::RecentSuccesses;
 use super::teller::CrashReportQueue;
 use super::telling::{CrashReport, ExitId, InFlightRequest, exit_id, next_exit_id};
-use crate::ids::MonoTime;
-use crate::relay::beacon::{ReplicaId, StartTime};
+use crate::ids::{MonoTime, ReplicaId, StartTime};
 
 /// Time between an aborted response and a replica exit reported by another process within which the
 /// one is attributed to the other. Processes notice an exit within a few milliseconds of each
@@ -216,7 +215,7 @@
     /// use std::time::Duration;
     /// use quillcove_core::crash::digest::load_identity;
     /// use quillcove_core::crash::watch::CrashTracker;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
     /// CrashTracker::default().note_seen_good(load_identity(&key, 1), Duration::ZERO);
--- a/quillcove_core/src/ids.rs
+++ b/quillcove_core/src/ids.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// Name of an adapter without its version.
 pub type AdapterName = String;
 /// Version of an adapter, as stated in the bundle.
@@ -31,3 +33,19 @@
 pub type Incarnation = u64;
 /// Monotonic time since the process start.
 pub type MonoTime = Duration;
+
+/// Id of a replica in the platform's listing. A replica may restart under the same id.
+pub type ReplicaId = String;
+
+/// Start time of a replica's process, in milliseconds of the wall clock. A later one under the same id is
+/// a restart.
+pub type StartTime = u64;
+
+/// Identifies an adapter of a base model.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AdapterKey {
+    /// Name of the base model.
+    pub model: ModelName,
+    /// Name of the adapter.
+    pub adapter: AdapterName,
+}
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -6,32 +6,19 @@
 use serde::{Deserialize, Serialize};
 
 use super::change_word::StoreChangeMessage;
+use super::engine_status::{EngineStatus, LoadReply, PromptReport};
 use super::knowledge::{FreshnessProof, StoreSummary};
 use super::sheet::ConfigVersion;
 use crate::access::spending::UsageReport;
 use crate::crash::telling::{CrashAsk, CrashReport};
-use crate::ids::{AdapterName, AdapterVersion, HallName, HostId, ModelName};
+use crate::ids::{
+    AdapterKey, AdapterName, AdapterVersion, HallName, HostId, ModelName, ReplicaId, StartTime,
+};
 use crate::standing::limit::RateLimit;
 
-/// Id of a replica in the platform's listing. A replica may restart under the same id.
-pub type ReplicaId = String;
-
-/// Start time of a replica's process, in milliseconds of the wall clock. A later one under the same id is
-/// a restart.
-pub type StartTime = u64;
-
 /// Number of orders that an engine has accepted since its start.
 pub type OrderCount = u64;
 
-/// Identifies an adapter of a base model.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct AdapterKey {
-    /// Name of the base model.
-    pub model: ModelName,
-    /// Name of the adapter.
-    pub adapter: AdapterName,
-}
-
 /// An adapter that an engine holds or is loading.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldAdapter {
@@ -75,7 +62,8 @@
     /// Returns the version in which an adapter is loaded; 0 if it is not loaded.
     ///
     /// ```
-    /// use quillcove_core::relay::beacon::{AdapterKey, EngineReport};
+    /// use quillcove_core::relay::beacon::EngineReport;
+    /// use quillcove_core::ids::AdapterKey;
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
     /// assert_eq!(EngineReport::default().version_of(&key), 0);
@@ -313,6 +301,12 @@
     Limit(LimitUpdate),
     /// From a direct reader of the store to the other relays of its hall.
     Change(StoreChangeMessage),
+    /// From a loader to relays.
+    Status(EngineStatus),
+    /// From a relay to a loader.
+    Prompts(PromptReport),
+    /// From a loader to the relay that sent a load request.
+    Reply(LoadReply),
 }
 
 /// A relay's request to another relay for the age of its freshness proof: the proof that it knows all
@@ -359,6 +353,12 @@
     Limit,
     /// [`PeerMessage::Change`].
     Change,
+    /// [`PeerMessage::Status`].
+    Status,
+    /// [`PeerMessage::Prompts`].
+    Prompts,
+    /// [`PeerMessage::Reply`].
+    Reply,
 }
 
 impl PeerMessageKind {
@@ -382,6 +382,9 @@
             Self::Crash => "crash",
             Self::Limit => "limit",
             Self::Change => "change",
+            Self::Status => "status",
+            Self::Prompts => "prompts",
+            Self::Reply => "reply",
         }
     }
 }
@@ -408,6 +411,9 @@
             Self::Crash(_) | Self::CrashAsk(_) => PeerMessageKind::Crash,
             Self::Limit(_) => PeerMessageKind::Limit,
             Self::Change(_) => PeerMessageKind::Change,
+            Self::Status(_) => PeerMessageKind::Status,
+            Self::Prompts(_) => PeerMessageKind::Prompts,
+            Self::Reply(_) => PeerMessageKind::Reply,
         }
     }
 }
--- a/quillcove_core/src/relay/demand/coming.rs
+++ b/quillcove_core/src/relay/demand/coming.rs
@@ -4,8 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::ids::MonoTime;
-use crate::relay::beacon::AdapterKey;
+use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::replica::{REPORT_LIFETIME, ReplicaView};
 
 /// An adapter that an engine is loading.
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -16,15 +16,13 @@
 
 use self::coming::IncomingLoads;
 use self::warm::HostCopies;
-use super::beacon::{
-    AdapterKey, AddressedLoadRequest, ArrivedLoad, HeldAdapter, LoadRequest, OtherRelays, ReplicaId,
-};
+use super::beacon::{AddressedLoadRequest, ArrivedLoad, HeldAdapter, LoadRequest, OtherRelays};
 use super::limiter::LoadLimiter;
 use super::policy::PlacementRule;
 use super::reading::PrefillAverages;
 use super::replica::ReplicaView;
 use super::sheet::EngineRecord;
-use crate::ids::{AdapterVersion, MonoTime, ServiceName};
+use crate::ids::{AdapterKey, AdapterVersion, MonoTime, ReplicaId, ServiceName};
 use crate::rendezvous;
 
 /// Number of incoming adapters from which an engine ranks behind others.
@@ -342,7 +340,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::demand::{AdapterDemand, AdapterNeed};
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
@@ -384,7 +382,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::demand::AdapterDemand;
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
--- a/quillcove_core/src/relay/demand/warm.rs
+++ b/quillcove_core/src/relay/demand/warm.rs
@@ -3,8 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::ids::MonoTime;
-use crate::relay::beacon::{AdapterKey, ReplicaId};
+use crate::ids::{AdapterKey, MonoTime, ReplicaId};
 use crate::relay::replica::ReplicaView;
 
 /// Maximum number of adapters per engine that are assumed to have a copy in the host's memory: a few
--- a/quillcove_core/src/relay/keeper.rs
+++ b/quillcove_core/src/relay/keeper.rs
@@ -11,11 +11,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::beacon::{AddressedLoadRequest, EngineHeartbeat, EngineReport, LoadRequest, ReplicaId};
+use super::beacon::{AddressedLoadRequest, EngineHeartbeat, EngineReport, LoadRequest};
 use super::machine::RelayMachine;
 use super::replica::ReplicaView;
 use super::sheet::{EngineRecord, ModelRecord, ServiceRecord};
-use crate::ids::{ModelName, MonoTime};
+use crate::ids::{ModelName, MonoTime, ReplicaId};
 
 /// Window over which loads from the weight store are counted.
 const PERMIT_WINDOW: Duration = Duration::from_secs(5);
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -11,12 +11,10 @@
 
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
-use super::beacon::{
-    AdapterKey, ArrivedLoad, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat,
-};
+use super::beacon::{ArrivedLoad, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat};
 use super::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
 use crate::demand::DemandMeter;
-use crate::ids::{HostId, MonoTime};
+use crate::ids::{AdapterKey, HostId, MonoTime};
 use crate::standing::UpstreamStatus;
 use crate::standing::notice::UpstreamNotice;
 
--- a/quillcove_core/src/relay/loader/ordered.rs
+++ b/quillcove_core/src/relay/loader/ordered.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::crash::watch::ReplicaRun;
-use crate::ids::{AdapterVersion, MonoTime};
-use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId, StartTime};
+use crate::ids::{AdapterKey, AdapterVersion, MonoTime, ReplicaId, StartTime};
+use crate::relay::beacon::HeldAdapter;
 
 /// Time after which an ordered load that has not completed counts as lost.
 const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
--- a/quillcove_core/src/relay/machine/access.rs
+++ b/quillcove_core/src/relay/machine/access.rs
@@ -38,6 +38,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     target_gap: None,
     ///     is_public: false,
     ///     targets: Vec::new(),
     /// };
--- a/quillcove_core/src/relay/machine/attempts.rs
+++ b/quillcove_core/src/relay/machine/attempts.rs
@@ -1,8 +1,7 @@
 //! Records the progress and outcome of attempts in the state of the replicas.
 
 use super::RelayMachine;
-use crate::ids::MonoTime;
-use crate::relay::beacon::AdapterKey;
+use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::reading::ReadingNumber;
 use crate::relay::replica::AttemptOutcome;
 
@@ -78,7 +77,7 @@
     /// Records that a replica does not hold an adapter that it was believed to hold.
     ///
     /// ```
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
--- a/quillcove_core/src/relay/machine/cells.rs
+++ b/quillcove_core/src/relay/machine/cells.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use super::{RelayMachine, RelayQuery};
-use crate::ids::{HallName, MonoTime, ServiceName};
-use crate::relay::beacon::{AdapterKey, ReplicaId};
+use crate::ids::{AdapterKey, HallName, MonoTime, ReplicaId, ServiceName};
 use crate::relay::cell::{CellPlan, EngineCell};
 use crate::relay::demand::BUSY_LOAD;
 use crate::relay::replica::ReplicaView;
--- /dev/null
+++ b/quillcove_core/src/relay/machine/contention.rs
@@ -0,0 +1,62 @@
+//! Services whose engines have scarce adapter slots: whether their rules apply, and what loaders report about them.
+
+use super::RelayMachine;
+use crate::ids::MonoTime;
+use crate::relay::engine_status::{EngineStatus, LoadReply};
+use crate::relay::policy::ContentionRule;
+
+impl RelayMachine {
+    /// Returns whether the rules for engines with scarce adapter slots apply to a service.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(!RelayMachine::new(RelayRules::default(), 1).is_contended("s"));
+    /// ```
+    pub fn is_contended(&self, service: &str) -> bool {
+        let record = self.sheet.as_ref().and_then(|sheet| sheet.service(service));
+        let Some(engine) = record.and_then(|service| service.engine.as_ref()) else {
+            return false;
+        };
+        match self.rules.policy.contention {
+            ContentionRule::Always => true,
+            ContentionRule::Never => false,
+            ContentionRule::Auto => {
+                let replicas = self.table.all().filter(|view| view.record.service == service);
+                let request_slots = replicas.map(|view| view.record.places).max();
+                request_slots.is_some_and(|slots| engine.has_scarce_slots(slots))
+            },
+        }
+    }
+
+    /// Records an engine's status from its loader. Returns whether it is newer than the known one.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::engine_status::EngineStatus;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let status = EngineStatus::unknown("127.0.0.1:1".parse().unwrap());
+    /// assert!(!RelayMachine::new(RelayRules::default(), 1).take_status(status, Duration::ZERO));
+    /// ```
+    pub fn take_status(&mut self, status: EngineStatus, now: MonoTime) -> bool {
+        self.table.record_status(status, now)
+    }
+
+    /// Records a loader's reply to a load request of this relay.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::ids::AdapterKey;
+    /// use quillcove_core::relay::engine_status::{LoadOutcome, LoadReply};
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// let reply = LoadReply {
+    ///     engine: "127.0.0.1:1".parse().unwrap(),
+    ///     key: AdapterKey { model: "m".into(), adapter: "a1".into() },
+    ///     outcome: LoadOutcome::Unreachable,
+    /// };
+    /// RelayMachine::new(RelayRules::default(), 1).take_load_reply(&reply, Duration::ZERO);
+    /// ```
+    pub fn take_load_reply(&mut self, _reply: &LoadReply, _now: MonoTime) {}
+}
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -3,8 +3,8 @@
 use super::{AttemptOrder, RelayMachine, RelayQuery};
 use crate::crash::digest::load_identity;
 use crate::crash::watch::{CrashTracker, ReplicaRun, ResponseAbort};
-use crate::ids::MonoTime;
-use crate::relay::beacon::{AdapterKey, EngineReport};
+use crate::ids::{AdapterKey, MonoTime};
+use crate::relay::beacon::EngineReport;
 
 /// The follow-up to a response that was cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/quillcove_core/src/relay/machine/doubt.rs
+++ b/quillcove_core/src/relay/machine/doubt.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use super::{RelayMachine, StateChange};
-use crate::ids::{HallName, MonoTime, StoreEra};
-use crate::relay::beacon::ReplicaId;
+use crate::ids::{HallName, MonoTime, ReplicaId, StoreEra};
 use crate::relay::published::ExpiredEntry;
 
 /// Time after the store is reachable again, or was restored from an older copy, within which replicas may renew their
--- a/quillcove_core/src/relay/machine/engines.rs
+++ b/quillcove_core/src/relay/machine/engines.rs
@@ -3,10 +3,8 @@
 use std::net::SocketAddr;
 
 use super::RelayMachine;
-use crate::ids::MonoTime;
-use crate::relay::beacon::{
-    AdapterUse, AddressedLoadRequest, EngineGauges, EngineHeartbeat, ReplicaId,
-};
+use crate::ids::{MonoTime, ReplicaId};
+use crate::relay::beacon::{AdapterUse, AddressedLoadRequest, EngineGauges, EngineHeartbeat};
 use crate::relay::promise::ResolvedEstimate;
 
 impl RelayMachine {
--- a/quillcove_core/src/relay/machine/limits.rs
+++ b/quillcove_core/src/relay/machine/limits.rs
@@ -6,8 +6,8 @@
 
 use super::{AttemptOrder, RelayMachine};
 use crate::access::ledger::FleetSize;
-use crate::ids::{HostId, MonoTime};
-use crate::relay::beacon::{AnnouncedLimit, LimitUpdate, ReplicaId};
+use crate::ids::{HostId, MonoTime, ReplicaId};
+use crate::relay::beacon::{AnnouncedLimit, LimitUpdate};
 use crate::relay::replica::ReplicaView;
 use crate::relay::sharing::{self, LimitKind, RelayPeers};
 use crate::standing::limit::RateLimit;
--- /dev/null
+++ b/quillcove_core/src/relay/machine/loading.rs
@@ -0,0 +1,162 @@
+//! Requests loads of missing adapters, and further copies of adapters in demand.
+
+use std::time::Duration;
+
+use super::waiting::FIRST_REPORTS_TIME;
+use super::{RelayMachine, RelayQuery};
+use crate::ids::MonoTime;
+use crate::relay::demand::{AdapterNeed, EngineChoice};
+use crate::relay::policy::CopyRule;
+use crate::relay::replica::ReplicaView;
+use crate::relay::routing::COPY_MIN_LOAD;
+
+/// Requests for one adapter in flight at an engine, from all relays, at which a busy engine justifies
+/// another copy of the adapter. With fewer, a copy would not relieve the engine.
+const COPY_MIN_REQUESTS: u32 = 4;
+
+/// Time for which another copy of a loaded adapter stays wanted after the request that showed the
+/// need.
+const COPY_REQUEST_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Where a missing adapter is to be loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LoadTarget {
+    /// At the engine that holds the adapter for all relays if engines are divided into cells; otherwise in the only
+    /// cell.
+    Home,
+    /// In this relay's cell, until this many of its engines hold the adapter.
+    Cell(usize),
+}
+
+impl RelayMachine {
+    /// Returns whether loading the request's adapter makes engines exit.
+    pub(super) fn is_load_fatal(&self, query: &RelayQuery, now: MonoTime) -> bool {
+        query.adapter.as_ref().is_some_and(|key| self.is_fatal_load(key, now))
+    }
+
+    /// Requests another copy of the adapter if the chosen engine is busy or holds an older version
+    /// than the newest.
+    pub(super) fn request_copy(&mut self, query: &RelayQuery, chosen: &str, now: MonoTime) {
+        let Some(key) = &query.adapter else {
+            return;
+        };
+        let Some(view) = self.table.get(chosen) else {
+            return;
+        };
+        let newest = self.newest(key).unwrap_or(0);
+        let is_outdated = view.version_of(key, now).is_some_and(|held| held < newest);
+        // Another copy would be loaded before this engine has worked off its prefill backlog.
+        let backlog = view.reading.backlog(&self.table.norm(&query.service));
+        let is_busy = match self.rules.policy.copies {
+            // An adapter in such demand at its home engine justifies a copy in this relay's cell.
+            _ if !view.is_in_cell => true,
+            CopyRule::Backlog => backlog >= self.demand.load_time(),
+            CopyRule::Places => view.load(now) >= COPY_MIN_LOAD,
+        };
+        let is_crowded = is_busy && view.fleet_uses_of(key, now) >= COPY_MIN_REQUESTS;
+        if is_outdated || is_crowded {
+            let need = self.need_of(query, now);
+            let engines = self.near_engines(&query.service);
+            let holders = engines.filter(|view| need.is_met_by(view, now)).count();
+            let wanted = if is_outdated { 1 } else { holders + 1 };
+            self.request_load(query, now + COPY_REQUEST_LIFETIME, LoadTarget::Cell(wanted), now);
+        }
+    }
+
+    /// Records that a request's adapter is missing, sends the most valuable load requests, and returns
+    /// the time at which the adapter is expected to be loaded. The load is of no use to the request
+    /// after `useful_until`. Returns `None` if the request names no adapter or its load makes engines exit.
+    pub(super) fn request_load(
+        &mut self,
+        query: &RelayQuery,
+        useful_until: MonoTime,
+        target: LoadTarget,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let key = query.adapter.as_ref()?;
+        if self.is_fatal_load(key, now) {
+            return None;
+        }
+        let version = self.newest(key);
+        let (holders, home) = match target {
+            LoadTarget::Home => (1, self.home_of(&query.service, key, now)),
+            LoadTarget::Cell(holders) => (holders, None),
+        };
+        let service = &query.service;
+        let home = home.as_ref();
+        let missing = AdapterNeed { key, service, version, useful_until, holders, home };
+        let is_new = query.choice_count == 0;
+        self.demand.record_need(&missing, is_new, now);
+        // On later attempts to choose, reports and ticks have already sent the load requests.
+        if is_new {
+            self.send_load_requests(now);
+        }
+        let load_wait = self.demand.ready_at(key, now).saturating_sub(now);
+        Some(self.model_ready_at(&query.service, &key.model, now) + load_wait)
+    }
+
+    /// Returns when an engine of a service will have a base model loaded. Before the first reports
+    /// arrive, the engines may have restarted together with this process and then load the model from
+    /// the disks of their hosts.
+    pub(super) fn model_ready_at(&self, service: &str, model: &str, now: MonoTime) -> MonoTime {
+        let record = self.sheet.as_ref().and_then(|sheet| sheet.service(service));
+        let models = record.and_then(|service| service.engine.as_ref()).map(|it| &it.models);
+        let Some(model) = models.and_then(|models| models.iter().find(|it| it.name == model))
+        else {
+            return now;
+        };
+        let engines = self.near_engines(service);
+        let ready = engines.filter_map(|view| view.model_ready_at(model, now)).min();
+        match ready {
+            Some(ready) => ready,
+            None if now < FIRST_REPORTS_TIME => now + model.disk_load_time,
+            None => now,
+        }
+    }
+
+    /// Sends as many load requests as the weight store has capacity for.
+    pub(super) fn send_load_requests(&mut self, now: MonoTime) {
+        if !self.demand.has_wanted() {
+            return;
+        }
+        let Some(sheet) = self.sheet.clone() else {
+            return;
+        };
+        let takes_loads = |view: &&ReplicaView| view.takes_work(now) && view.seems_well(now);
+        let homes = self.demand.homes().filter_map(|home| self.table.get(home));
+        let homes: Vec<&ReplicaView> = homes.filter(takes_loads).collect();
+        let mut choices = Vec::new();
+        for service in sheet.services() {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            let ready = self.table.all().filter(|view| {
+                view.is_in_cell && view.record.service == service.name && takes_loads(view)
+            });
+            let norm = self.table.norm(&service.name);
+            let is_home = |view: &&ReplicaView| view.record.service == service.name;
+            let homes = homes.iter().copied().filter(is_home).collect();
+            let views = prefer_unlimited(ready.collect());
+            choices.push(EngineChoice { service: &service.name, engine, views, homes, norm });
+        }
+        self.demand.pump(&choices, self.rules.policy.placement, now);
+    }
+
+    /// Returns the number of loads in progress on the whole site, as reported by the loaders.
+    pub(super) fn incoming(&self, now: MonoTime) -> usize {
+        let reports = self.table.all().filter_map(|view| view.report(now));
+        reports.map(|report| report.incoming.len()).sum()
+    }
+}
+
+/// Returns the engines that have announced no rate limit, or all of them if each has. An adapter on an engine with
+/// a rate limit can serve only few requests.
+fn prefer_unlimited(ready: Vec<&ReplicaView>) -> Vec<&ReplicaView> {
+    let is_unlimited = |view: &&ReplicaView| view.standing.limit().is_none();
+    let unlimited: Vec<&ReplicaView> =
+        ready.iter().filter(|view| is_unlimited(view)).copied().collect();
+    match unlimited.is_empty() {
+        true => ready,
+        false => unlimited,
+    }
+}
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -5,10 +5,12 @@
 mod attempts;
 mod cells;
 mod choice;
+mod contention;
 mod crashes;
 mod doubt;
 mod engines;
 mod limits;
+mod loading;
 mod priority;
 mod published;
 mod query;
@@ -16,6 +18,7 @@
 mod standing;
 mod told;
 mod view;
+mod waiting;
 
 pub use self::crashes::BreakStep;
 use self::doubt::UnconfirmedState;
@@ -29,7 +32,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::beacon::{AdapterKey, HeldAdapter, OtherRelays, ReplicaId};
+use super::beacon::{HeldAdapter, OtherRelays};
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
 use super::knowledge::StoreKnowledge;
@@ -45,7 +48,7 @@
 use crate::access::right::KeyValidityRules;
 use crate::crash::watch::CrashTracker;
 use crate::entry::retry::RetryBudget;
-use crate::ids::{AdapterVersion, HallName, HostId, MonoTime, ServiceName};
+use crate::ids::{AdapterKey, AdapterVersion, HallName, HostId, MonoTime, ReplicaId, ServiceName};
 use crate::rendezvous;
 use crate::route::RouteRecord;
 use crate::verdict::{RefusalReason, WorkRefusal};
@@ -248,7 +251,7 @@
     /// Returns the newest version of an adapter that the operator has published.
     ///
     /// ```
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
@@ -436,6 +439,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     target_gap: None,
     ///     is_public: true,
     ///     targets: vec![RouteShare { service: "s".into(), weight: 1 }],
     /// };
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -46,6 +46,7 @@
     ///     patience: None,
     ///     priority: 2,
     ///     attempt_limit: 1,
+    ///     target_gap: None,
     ///     is_public: true,
     ///     targets: Vec::new(),
     /// };
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use super::{RelayMachine, StateChange};
-use crate::ids::{AdapterVersion, HallName, MonoTime};
-use crate::relay::beacon::{AdapterKey, HeldAdapter, ReplicaId};
+use crate::ids::{AdapterKey, AdapterVersion, HallName, MonoTime, ReplicaId};
+use crate::relay::beacon::HeldAdapter;
 use crate::relay::knowledge::StoreKnowledge;
 use crate::relay::position::{ReadPositions, StorePosition};
 use crate::relay::published::{LeavingReplica, PublishedState, StorePart};
@@ -43,7 +43,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
--- a/quillcove_core/src/relay/machine/query.rs
+++ b/quillcove_core/src/relay/machine/query.rs
@@ -6,8 +6,7 @@
 
 use crate::access::grant::AccessGrant;
 use crate::crash::digest::RequestIdentity;
-use crate::ids::{ModelName, MonoTime, ServiceName};
-use crate::relay::beacon::{AdapterKey, ReplicaId, StartTime};
+use crate::ids::{AdapterKey, ModelName, MonoTime, ReplicaId, ServiceName, StartTime};
 use crate::relay::replica::ReplicaRecord;
 use crate::route::RouteRecord;
 use crate::verdict::WorkRefusal;
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -22,6 +22,7 @@
 //! - [`published`]: the published state, as sent to a relay that can't read the store.
 //! - [`change_word`]: changes of the store, as a direct reader sends them to followers.
 //! - [`beacon`]: messages between relays and loaders.
+//! - [`engine_status`]: messages about engines with scarce adapter slots.
 //! - [`telling`]: intervals of heartbeats between relays.
 //! - [`roll`]: the membership list of a loader, and the relays that its reports name.
 //! - [`report_stream`]: sending and acceptance of engine reports.
@@ -33,6 +34,7 @@
 pub mod cell;
 pub mod change_word;
 pub mod demand;
+pub mod engine_status;
 pub mod follower;
 pub mod keeper;
 pub mod knowledge;
--- a/quillcove_core/src/relay/order.rs
+++ b/quillcove_core/src/relay/order.rs
@@ -4,8 +4,8 @@
 
 use serde::Serialize;
 
-use super::beacon::{OrderCount, ReplicaId};
-use crate::ids::{AdapterVersion, HostId, ModelName};
+use super::beacon::OrderCount;
+use crate::ids::{AdapterVersion, HostId, ModelName, ReplicaId};
 
 /// The operation of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
--- a/quillcove_core/src/relay/packed.rs
+++ b/quillcove_core/src/relay/packed.rs
@@ -6,8 +6,8 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
-use super::beacon::{AdapterKey, EngineReport, HeldAdapter};
-use crate::ids::{AdapterName, AdapterVersion, ModelName};
+use super::beacon::{EngineReport, HeldAdapter};
+use crate::ids::{AdapterKey, AdapterName, AdapterVersion, ModelName};
 
 /// Index of a base model's name in [`PackedReport::names`].
 type ModelIndex = u16;
--- a/quillcove_core/src/relay/policy.rs
+++ b/quillcove_core/src/relay/policy.rs
@@ -78,6 +78,19 @@
     All,
 }
 
+/// Whether the rules for engines with scarce adapter slots apply.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ContentionRule {
+    /// To services whose engines have scarce adapter slots, see
+    /// [`EngineRecord::has_scarce_slots`](super::sheet::EngineRecord::has_scarce_slots).
+    #[default]
+    Auto,
+    /// To all services with engines.
+    Always,
+    /// To none.
+    Never,
+}
+
 /// All rules of a relay.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RelayPolicy {
@@ -95,4 +108,6 @@
     pub limits: LimitRule,
     /// Which relays share a rate limit announced by a replica.
     pub sharing: SharingRule,
+    /// Whether the rules for engines with scarce adapter slots apply.
+    pub contention: ContentionRule,
 }
--- a/quillcove_core/src/relay/promise.rs
+++ b/quillcove_core/src/relay/promise.rs
@@ -6,8 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::beacon::AdapterKey;
-use crate::ids::MonoTime;
+use crate::ids::{AdapterKey, MonoTime};
 
 /// Time after the estimated one at which an adapter that is not loaded counts as missed. Callers that
 /// retry wait no longer than the longest target latency in the users' configurations.
@@ -40,7 +39,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use quillcove_core::relay::beacon::AdapterKey;
+/// use quillcove_core::ids::AdapterKey;
 /// use quillcove_core::relay::promise::{LoadEstimates, EstimateOutcome};
 ///
 /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
@@ -61,7 +60,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::promise::LoadEstimates;
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
--- a/quillcove_core/src/relay/published.rs
+++ b/quillcove_core/src/relay/published.rs
@@ -4,12 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::beacon::{AdapterKey, HeldAdapter, ReplicaId, StartTime};
+use super::beacon::HeldAdapter;
 use super::knowledge::FreshnessProof;
 use super::position::ReadPositions;
 use super::replica::ReplicaRecord;
 use super::sheet::PublishedConfig;
-use crate::ids::{AdapterVersion, HallName};
+use crate::ids::{AdapterKey, AdapterVersion, HallName, ReplicaId, StartTime};
 
 /// A part of the platform's store. The parts are read separately, so a relay may know one up to a
 /// later revision than the other.
--- a/quillcove_core/src/relay/replica/departed.rs
+++ b/quillcove_core/src/relay/replica/departed.rs
@@ -3,7 +3,7 @@
 use super::ReplicaRecord;
 use super::kept::is_same_start;
 use super::recent::BoundedReplicaMap;
-use crate::relay::beacon::StartTime;
+use crate::ids::StartTime;
 use crate::relay::position::StorePosition;
 
 /// The last known entry of a removed replica.
--- a/quillcove_core/src/relay/replica/kept.rs
+++ b/quillcove_core/src/relay/replica/kept.rs
@@ -4,7 +4,7 @@
 //! was draining before is still draining after that.
 
 use super::recent::BoundedReplicaMap;
-use crate::relay::beacon::StartTime;
+use crate::ids::StartTime;
 use crate::standing::UpstreamStatus;
 
 /// Tells whether two start times can belong to the same start. A platform that reports no start
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -13,17 +13,23 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::table::ReplicaTable;
-use super::beacon::{AdapterKey, AdapterUse, EngineReport, HeldAdapter, ReplicaId, StartTime};
+use super::beacon::{AdapterUse, EngineReport, HeldAdapter};
+use super::engine_status::EngineStatus;
 use super::position::StorePosition;
 use super::reading::PrefillQueue;
 use super::sheet::ModelRecord;
-use crate::ids::{AdapterVersion, HallName, ModelName, MonoTime, ServiceName};
+use crate::ids::{
+    AdapterKey, AdapterVersion, HallName, ModelName, MonoTime, ReplicaId, ServiceName, StartTime,
+};
 use crate::standing::UpstreamStatus;
 
 /// Age up to which a loader's report takes precedence over the platform's listing. Loaders report
 /// at least every 500 ms, so this tolerates two lost datagrams.
 pub const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Age up to which a loader's status of its engine counts. Loaders send one with each heartbeat.
+const STATUS_LIFETIME: Duration = Duration::from_millis(1500);
+
 /// Silence of a replica with requests in flight after which it counts as stuck. A plain call or an
 /// engine step takes a fraction of this time.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1200);
@@ -147,6 +153,8 @@
     sent_since_report: u32,
     /// Prompts that it has not read yet.
     pub reading: PrefillQueue,
+    /// Last status from its loader, and when it was received.
+    status: Option<(EngineStatus, MonoTime)>,
     /// Use of its adapters by this process.
     uses: BTreeMap<AdapterKey, AdapterUse>,
     failures: u32,
@@ -172,6 +180,7 @@
             empty_since: None,
             sent_since_report: 0,
             reading: PrefillQueue::default(),
+            status: None,
             uses: BTreeMap::new(),
             failures: 0,
             ejections: 0,
@@ -277,6 +286,21 @@
         (now.saturating_sub(*received_at) <= REPORT_LIFETIME).then_some(report)
     }
 
+    /// Returns its loader's status, unless it is too old.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(table.get("i-1").unwrap().status(Duration::ZERO).is_none());
+    /// ```
+    pub fn status(&self, now: MonoTime) -> Option<&EngineStatus> {
+        let (status, received_at) = self.status.as_ref()?;
+        (now.saturating_sub(*received_at) <= STATUS_LIFETIME).then_some(status)
+    }
+
     /// Returns the number of free adapter slots, if its loader has reported recently.
     ///
     /// ```
@@ -382,7 +406,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
     ///
     /// let mut table = ReplicaTable::default();
@@ -414,7 +438,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
@@ -433,7 +457,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
--- a/quillcove_core/src/relay/replica/recent.rs
+++ b/quillcove_core/src/relay/replica/recent.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::relay::beacon::ReplicaId;
+use crate::ids::ReplicaId;
 
 /// Maximum number of replicas; a fleet with 380 restarts a day reaches it in about ten days. With
 /// ids of about 20 bytes the map takes less than half a megabyte.
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -9,8 +9,9 @@
 use super::departed::ReplicaTombstones;
 use super::kept::UnlistedStatuses;
 use super::{ReplicaRecord, ReplicaState, ReplicaView};
-use crate::ids::{HallName, MonoTime, ServiceName};
-use crate::relay::beacon::{AdapterKey, AdapterUse, EngineGauges, EngineReport, ReplicaId};
+use crate::ids::{AdapterKey, HallName, MonoTime, ReplicaId, ServiceName};
+use crate::relay::beacon::{AdapterUse, EngineGauges, EngineReport};
+use crate::relay::engine_status::EngineStatus;
 use crate::relay::reading::{PrefillAverages, PrefillPrompt, ReadingNumber};
 use crate::standing::{LeavingSource, UpstreamStatus};
 
@@ -466,7 +467,7 @@
     /// does not have it.
     ///
     /// ```
-    /// use quillcove_core::relay::beacon::AdapterKey;
+    /// use quillcove_core::ids::AdapterKey;
     /// use quillcove_core::relay::replica::ReplicaTable;
     ///
     /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
@@ -480,4 +481,32 @@
             }
         }
     }
+
+    /// Records the status of an engine; one that was sent before the known one is ignored.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::engine_status::{EngineStatus, PendingPrompts};
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// let engine = table.get("i-1").unwrap().record.address;
+    /// let status = EngineStatus { number: 2, ..EngineStatus::unknown(engine) };
+    /// assert!(table.record_status(status.clone(), Duration::ZERO));
+    /// assert!(!table.record_status(EngineStatus { number: 1, ..status }, Duration::ZERO));
+    /// ```
+    pub fn record_status(&mut self, status: EngineStatus, now: MonoTime) -> bool {
+        let id = self.at(status.engine).map(|view| view.record.id.clone());
+        let Some(view) = id.and_then(|id| self.replicas.get_mut(&id)) else {
+            return false;
+        };
+        let is_late = view.status.as_ref().is_some_and(|(known, _)| {
+            known.incarnation == status.incarnation && known.number >= status.number
+        });
+        if !is_late {
+            view.status = Some((status, now));
+        }
+        !is_late
+    }
 }
--- a/quillcove_core/src/relay/replica/table/attempts.rs
+++ b/quillcove_core/src/relay/replica/table/attempts.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::ReplicaTable;
-use crate::ids::MonoTime;
-use crate::relay::beacon::{AdapterKey, AdapterUse};
+use crate::ids::{AdapterKey, MonoTime};
+use crate::relay::beacon::AdapterUse;
 use crate::relay::replica::AttemptOutcome;
 
 /// Consecutive failures after which a replica is ejected for a while.
--- a/quillcove_core/src/relay/replica/table/words.rs
+++ b/quillcove_core/src/relay/replica/table/words.rs
@@ -4,8 +4,7 @@
 
 use super::super::kept::is_same_start;
 use super::ReplicaTable;
-use crate::ids::MonoTime;
-use crate::relay::beacon::StartTime;
+use crate::ids::{MonoTime, StartTime};
 use crate::standing::limit::RateLimit;
 use crate::standing::notice::UpstreamNotice;
 use crate::standing::{LeavingSource, UpstreamStatus, UpstreamStatusChange};
--- a/quillcove_core/src/relay/routing.rs
+++ b/quillcove_core/src/relay/routing.rs
@@ -6,10 +6,9 @@
 
 use std::time::Duration;
 
-use super::beacon::AdapterKey;
 use super::reading::{PrefillAverages, PrefillPrompt};
 use super::replica::ReplicaView;
-use crate::ids::{AdapterVersion, ModelName, MonoTime};
+use crate::ids::{AdapterKey, AdapterVersion, ModelName, MonoTime};
 use crate::rendezvous;
 
 /// Cost of a hop to another hall for plain calls, as a share of a replica's request slots. Halls are
--- a/quillcove_core/src/relay/sheet.rs
+++ b/quillcove_core/src/relay/sheet.rs
@@ -65,6 +65,25 @@
         self.adapter_places.min(by_memory)
     }
 
+    /// Returns whether an engine that runs `request_slots` requests at once has scarce adapter slots: fewer than an
+    /// eighth of its request slots, so that a full batch has to share adapters.
+    ///
+    /// ```
+    /// use quillcove_core::relay::sheet::EngineRecord;
+    ///
+    /// let engine = EngineRecord {
+    ///     models: Vec::new(),
+    ///     weights_mb: 0.0,
+    ///     adapter_places: 5,
+    ///     loads_per_second: 2.0,
+    /// };
+    /// assert!(engine.has_scarce_slots(64));
+    /// assert!(!engine.has_scarce_slots(40));
+    /// ```
+    pub fn has_scarce_slots(&self, request_slots: u32) -> bool {
+        self.adapter_places > 0 && self.adapter_places * SCARCE_SLOT_RATIO < request_slots as usize
+    }
+
     /// Returns the time between the starts of two loads from the weight store.
     ///
     /// ```
@@ -84,6 +103,9 @@
     }
 }
 
+/// Request slots per adapter slot above which adapter slots are scarce.
+const SCARCE_SLOT_RATIO: usize = 8;
+
 /// Lower bound for the load rate, so that the interval between loads is finite when the platform
 /// names no rate.
 const MIN_LOADS_PER_SECOND: f64 = 0.1;
--- a/quillcove_core/src/route.rs
+++ b/quillcove_core/src/route.rs
@@ -79,6 +79,8 @@
     pub priority: u8,
     /// Maximum number of replicas that one request is sent to.
     pub attempt_limit: u32,
+    /// Longest time between two events of a response that still meets its target; `None` where there is none.
+    pub target_gap: Option<Duration>,
     /// Whether its requests need no key where workspaces are configured.
     pub is_public: bool,
     /// Services with their weights.
@@ -103,6 +105,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     target_gap: None,
     ///     is_public: true,
     ///     targets: Vec::new(),
     /// };
@@ -134,6 +137,7 @@
     ///     patience: None,
     ///     priority: 0,
     ///     attempt_limit: 1,
+    ///     target_gap: None,
     ///     is_public: true,
     ///     targets: vec![share("old", 90), share("new", 10)],
     /// };
--- a/quillcove_core/tests/adapter_homes.rs
+++ b/quillcove_core/tests/adapter_homes.rs
@@ -12,7 +12,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::{AdapterKey, EngineHeartbeat, EngineReport, HeldAdapter};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayRules};
 use quillcove_core::relay::replica::{ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, PublishedConfig};
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -11,7 +11,8 @@
 
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
-use quillcove_core::relay::beacon::{AdapterKey, EngineHeartbeat, EngineReport, HeldAdapter};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter};
 use quillcove_core::relay::machine::{
     AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
@@ -269,6 +270,7 @@
         patience: None,
         priority: 1,
         attempt_limit: 2,
+        target_gap: None,
         is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -104,6 +104,7 @@
         patience: None,
         priority: 0,
         attempt_limit: 1,
+        target_gap: None,
         is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
--- a/quillcove_core/tests/rate_fleet/mod.rs
+++ b/quillcove_core/tests/rate_fleet/mod.rs
@@ -145,6 +145,7 @@
             patience: None,
             priority: 1,
             attempt_limit: 2,
+            target_gap: None,
             is_public: true,
             targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
         };
--- a/quillcove_core/tests/relay_changes.rs
+++ b/quillcove_core/tests/relay_changes.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use quillcove_core::relay::beacon::AdapterKey;
+use quillcove_core::ids::AdapterKey;
 use quillcove_core::relay::change_word::{StoreChange, StoreChangeMessage};
 use quillcove_core::relay::machine::{RelayMachine, RelayRules, StateChange};
 use quillcove_core::relay::position::StorePosition;
--- a/quillcove_core/tests/relay_copies.rs
+++ b/quillcove_core/tests/relay_copies.rs
@@ -11,7 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::{AdapterKey, EngineHeartbeat, EngineReport, HeldAdapter};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, PublishedConfig};
--- a/quillcove_core/tests/relay_demand.rs
+++ b/quillcove_core/tests/relay_demand.rs
@@ -6,7 +6,8 @@
 
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::{AdapterKey, EngineReport, HeldAdapter, OtherRelays};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineReport, HeldAdapter, OtherRelays};
 use quillcove_core::relay::demand::{AdapterDemand, AdapterNeed, EngineChoice};
 use quillcove_core::relay::policy::PlacementRule;
 use quillcove_core::relay::reading::{PrefillAverages, PrefillPrompt};
--- a/quillcove_core/tests/relay_limits.rs
+++ b/quillcove_core/tests/relay_limits.rs
@@ -6,9 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::{
-    AdapterKey, AnnouncedLimit, EngineHeartbeat, EngineReport, LimitUpdate,
-};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{AnnouncedLimit, EngineHeartbeat, EngineReport, LimitUpdate};
 use quillcove_core::relay::machine::{
     AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use quillcove_core::ids::AdapterKey;
 use quillcove_core::relay::beacon::{
-    AdapterKey, AdapterUse, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat,
+    AdapterUse, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat,
 };
 use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
--- a/quillcove_core/tests/relay_machine.rs
+++ b/quillcove_core/tests/relay_machine.rs
@@ -7,9 +7,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::{
-    AdapterKey, EngineHeartbeat, EngineReport, HeldAdapter, OtherRelays,
-};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter, OtherRelays};
 use quillcove_core::relay::machine::{
     RelayChoice, RelayMachine, RelayQuery, RelayRules, StateChange,
 };
@@ -33,6 +32,7 @@
         patience: None,
         priority: 1,
         attempt_limit: 2,
+        target_gap: None,
         is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
--- a/quillcove_core/tests/relay_report_stream.rs
+++ b/quillcove_core/tests/relay_report_stream.rs
@@ -11,10 +11,9 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use quillcove_core::ids::MonoTime;
+use quillcove_core::ids::{AdapterKey, MonoTime};
 use quillcove_core::relay::beacon::{
-    AdapterKey, EngineGauges, EngineHeartbeat, EngineReport, GaugeHeartbeat, HeldAdapter,
-    PeerMessage,
+    EngineGauges, EngineHeartbeat, EngineReport, GaugeHeartbeat, HeldAdapter, PeerMessage,
 };
 use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::replica::{ReplicaRecord, ReplicaTable, example_record};
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::AdapterKey;
+use quillcove_core::ids::AdapterKey;
 use quillcove_core::relay::machine::RelayQuery;
 use quillcove_core::relay::sheet::{EngineRecord, ModelRecord, ServiceRecord};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
@@ -43,6 +43,7 @@
         patience: None,
         priority: 1,
         attempt_limit: 1,
+        target_gap: None,
         is_public: true,
         targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
     }
--- a/quillcove_core/tests/relay_tries.rs
+++ b/quillcove_core/tests/relay_tries.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use quillcove_core::relay::beacon::{AdapterKey, EngineHeartbeat, EngineReport};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
 use quillcove_core::relay::policy::{RelayPolicy, WaitingRule};
 use quillcove_core::relay::replica::{ReplicaRecord, example_record};
@@ -30,6 +31,7 @@
         patience: Some(ms(2_000)),
         priority: 0,
         attempt_limit: 1,
+        target_gap: None,
         is_public: true,
         targets: vec![RouteShare { service: "s".into(), weight: 1 }],
     }
--- a/quillcove_core/tests/relay_words.rs
+++ b/quillcove_core/tests/relay_words.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use quillcove_core::relay::beacon::{AdapterKey, EngineHeartbeat, EngineReport, HeldAdapter};
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter};
 use quillcove_core::relay::machine::{
     AttemptOrder, RelayChoice, RelayMachine, RelayQuery, RelayRules,
 };
--- a/quillcove_core/tests/word_fleet/mod.rs
+++ b/quillcove_core/tests/word_fleet/mod.rs
@@ -118,6 +118,7 @@
             patience: None,
             priority: 1,
             attempt_limit: 2,
+            target_gap: None,
             is_public: true,
             targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
         };
