--- a/quillcove_core/tests/entry_crashes.rs
+++ b/quillcove_core/tests/entry_crashes.rs
@@ -124,7 +124,6 @@
             caller: String::new(),
             prefix: None,
             attempt_limit: None,
-            target_gap: None,
             identity: Some(identity),
         };
         let mut actions = self.feed(EntryEvent::Admitted(query));
--- a/quillcove_core/tests/model/once_world.rs
+++ b/quillcove_core/tests/model/once_world.rs
@@ -271,7 +271,6 @@
             caller: "app".to_string(),
             prefix: None,
             attempt_limit: None,
-            target_gap: None,
             identity: None,
         };
         self.open.insert(query.request);
