--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -18,6 +18,7 @@
 use quillcove_core::relay::beacon::{
     ArrivedLoad, EngineGauges, EngineHeartbeat, EngineReport, GaugeHeartbeat, PeerMessage,
 };
+use quillcove_core::relay::engine_status::EngineStatus;
 use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_core::relay::report_stream::ReportSender;
@@ -247,8 +248,7 @@
                 // full report, which then lists it.
                 self.record_relay(from, now);
             },
-            // Handled with the scheduling of slots.
-            PeerMessage::Prompts(_) => {},
+            PeerMessage::Prompts(report) => self.machine.record_prompts(report, now),
             PeerMessage::Relay(_)
             | PeerMessage::Engine(_)
             | PeerMessage::Gauges(_)
@@ -415,7 +415,21 @@
             view.relays.clone_from(&relays);
             view.is_engine_up = self.is_engine_up;
         }
-        self.send(&message, relays);
+        self.send(&message, relays.iter().copied());
+        self.send_status(relays, now);
+    }
+
+    /// Sends the engine's status to relays where the rules for scarce adapter slots apply.
+    fn send_status(&mut self, relays: Vec<SocketAddr>, now: MonoTime) {
+        if !self.machine.is_contended(now) {
+            return;
+        }
+        let status = EngineStatus {
+            number: self.next_number(),
+            incarnation: self.incarnation,
+            ..self.machine.status(self.settings.engine.address, now)
+        };
+        self.send(&PeerMessage::Status(status), relays);
     }
 
     fn send(&self, message: &PeerMessage, relays: impl IntoIterator<Item = SocketAddr>) {
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -4,6 +4,7 @@
 //! first where the engine has no free slot.
 
 mod ordered;
+mod prompts;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -11,7 +12,9 @@
 
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
+pub use self::prompts::RelayPrompts;
 use super::beacon::{ArrivedLoad, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat};
+use super::engine_status::{EngineStatus, PromptReport};
 use super::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
 use crate::demand::DemandMeter;
 use crate::ids::{AdapterKey, HostId, MonoTime};
@@ -96,6 +99,8 @@
     loaded_at: HashMap<AdapterKey, MonoTime>,
     /// Requests in flight for each adapter, by relay, with the time of the relay's report.
     in_flight: HashMap<SocketAddr, (HashMap<AdapterKey, u32>, MonoTime)>,
+    /// Prompts that relays have pending at the engine.
+    prompts: RelayPrompts,
     /// Status that the engine reports with its responses to orders; only requested pauses count here.
     upstream_status: UpstreamStatus,
 }
@@ -124,6 +129,7 @@
             loaded_before: HashSet::new(),
             loaded_at: HashMap::new(),
             in_flight: HashMap::new(),
+            prompts: RelayPrompts::default(),
             upstream_status: UpstreamStatus::default(),
         }
     }
@@ -164,6 +170,43 @@
         self.report.adapters.iter().map(uses).collect()
     }
 
+    /// Records a relay's report of the prompts that it has pending at the engine.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::engine_status::{PendingPrompts, PromptReport};
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// let relay = "127.0.0.1:1".parse().unwrap();
+    /// let pending = PendingPrompts::default();
+    /// let mut machine = LoaderMachine::new("e1".into(), 1);
+    /// machine.record_prompts(PromptReport { relay, number: 1, incarnation: 1, pending }, Duration::ZERO);
+    /// assert!(machine.is_contended(Duration::ZERO));
+    /// ```
+    pub fn record_prompts(&mut self, report: PromptReport, now: MonoTime) {
+        self.prompts.record(report, now);
+    }
+
+    /// Returns whether the rules for engines with scarce adapter slots apply.
+    ///
+    /// See [`LoaderMachine::record_prompts`] for an example.
+    pub fn is_contended(&self, now: MonoTime) -> bool {
+        self.prompts.is_contended(now)
+    }
+
+    /// Returns the status of the engine at `engine` for the relays.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// let machine = LoaderMachine::new("e1".into(), 1);
+    /// assert!(machine.status("127.0.0.1:1".parse().unwrap(), Duration::ZERO).is_reachable);
+    /// ```
+    pub fn status(&self, engine: SocketAddr, now: MonoTime) -> EngineStatus {
+        EngineStatus { pending: self.prompts.total(now), ..EngineStatus::unknown(engine) }
+    }
+
     /// Returns the last report of the engine.
     ///
     /// ```
