Relays report pending prompts to loaders and rank by the tokens ahead where slots are scarce

Change: Prompts messages with each change (at most every 50 ms) and heartbeat, every fourth one for an engine at rest; tokens ahead of a request are its relay's own of the same or a more urgent rank and the timely ones of the other relays from the engine's status. Without a fresh status the earlier rule applies.

--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod peers;
+mod prompts;
 mod readers;
 mod right;
 mod store;
@@ -13,6 +14,7 @@
 use std::time::Duration;
 
 use quillcove_core::ids::{HallName, HostId, Incarnation, MonoTime, ServiceName};
+use quillcove_core::relay::admission::reports::ReportOccasion;
 use quillcove_core::relay::keeper::LoadRateCoordinator;
 use quillcove_core::relay::promise::EstimateOutcome;
 use quillcove_core::relay::published::{PublishedState, StorePart};
@@ -136,6 +138,9 @@
     named_round: ListRound,
     last_tick_at: MonoTime,
     last_heartbeat_at: MonoTime,
+    /// Number of heartbeats and of reports of pending prompts sent so far.
+    heartbeat_count: u64,
+    prompt_report_count: u64,
 }
 
 impl InputTask {
@@ -178,6 +183,8 @@
             coordinates_from: COORDINATION_DELAY,
             last_tick_at: MonoTime::ZERO,
             last_heartbeat_at: MonoTime::ZERO,
+            heartbeat_count: 0,
+            prompt_report_count: 0,
         }
     }
 
@@ -255,8 +262,9 @@
         self.send_crash_records(false, now);
         self.choose_coordinated_services(now);
         self.plan_model_loads(now);
-        if now.saturating_sub(self.last_heartbeat_at) >= SHORTEST_INTERVAL {
-            self.send_heartbeats(now);
+        match now.saturating_sub(self.last_heartbeat_at) >= SHORTEST_INTERVAL {
+            true => self.send_heartbeats(now),
+            false => self.send_prompt_reports(ReportOccasion::Tick),
         }
     }
 
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -6,6 +6,7 @@
 
 use quillcove_core::access::spending::{SpentTotal, UsageReport, WorkspaceLevel};
 use quillcove_core::ids::{HostId, MonoTime, ReplicaId, ServiceName};
+use quillcove_core::relay::admission::reports::ReportOccasion;
 use quillcove_core::relay::beacon::{
     AddressedLoadRequest, EngineHeartbeat, GaugeHeartbeat, OtherRelays, PeerMessage,
     RelayHeartbeat, ResendRequest, UseHeartbeat,
@@ -147,7 +148,7 @@
     }
 
     /// Returns the address of the loader on an engine's host.
-    fn loader_of(&self, engine: SocketAddr) -> SocketAddr {
+    pub(super) fn loader_of(&self, engine: SocketAddr) -> SocketAddr {
         SocketAddr::new(engine.ip(), self.settings.peers.loader_port)
     }
 
@@ -308,6 +309,8 @@
         for (replica, loader) in self.loaders_in_use() {
             self.send_uses(&replica, loader);
         }
+        self.heartbeat_count += 1;
+        self.send_prompt_reports(ReportOccasion::Heartbeat(self.heartbeat_count));
     }
 
     /// Sends adapter use to the loaders of the given engines, as far as this relay uses them.
--- a/quillcove_core/src/relay/machine/contention.rs
+++ b/quillcove_core/src/relay/machine/contention.rs
@@ -40,7 +40,12 @@
     /// assert!(!RelayMachine::new(RelayRules::default(), 1).take_status(status, Duration::ZERO));
     /// ```
     pub fn take_status(&mut self, status: EngineStatus, now: MonoTime) -> bool {
-        self.table.record_status(status, now)
+        let engine = status.engine;
+        let is_newer = self.table.record_status(status, now);
+        if is_newer {
+            self.update_fleet_prompts(engine, now);
+        }
+        is_newer
     }
 
     /// Records a loader's reply to a load request of this relay.
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -2,6 +2,7 @@
 //! changes only by the calls of its methods, which are given the time and do no I/O.
 
 mod access;
+mod admission;
 mod attempts;
 mod cells;
 mod choice;
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -5,10 +5,7 @@
 use super::{RelayMachine, RelayQuery};
 use crate::ids::MonoTime;
 use crate::relay::policy::PriorityRule;
-use crate::relay::reading::{PrefillPrompt, ReadingNumber};
-
-/// Last rank of requests that can meet their target latency; the others get the ranks after it.
-const LAST_TIMELY_RANK: u8 = 4;
+use crate::relay::reading::{LAST_TIMELY_RANK, PrefillPrompt, ReadingNumber};
 
 /// Last rank that engines accept.
 const LAST_RANK: u8 = 9;
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Relays: forwarding of requests, unchanged, to the upstreams that the platform lists. This module
 //! holds the decisions; the input and output around them are in the program's crate.
 //!
+//! - [`admission`]: admission control under overload, for engines with scarce adapter slots.
 //! - [`machine`]: admission, choice of the upstream and retries, for one relay.
 //! - [`replica`]: the known upstreams, what they hold and their load.
 //! - [`routing`]: choice of the replica for one attempt.
@@ -30,6 +31,7 @@
 //! - [`sharing`]: the relays that share the rate limit announced by a replica.
 //! - [`tries`]: whether a request is its caller's first try.
 
+pub mod admission;
 pub mod beacon;
 pub mod cell;
 pub mod change_word;
--- a/quillcove_core/src/relay/reading.rs
+++ b/quillcove_core/src/relay/reading.rs
@@ -1,15 +1,21 @@
 //! Estimates the time to first event: how long a request waits at an engine until its first event.
 //!
 //! Engines process prompts one after another, so a request waits for the tokens queued before it
-//! and for its own. A relay knows the tokens that it sent itself. Of other relays' requests it
-//! knows from the engine's report only how many wait, and assumes that their prompts have the mean
-//! size of its own. The time per token is estimated from the times at which first events arrived.
+//! and for its own. A relay knows the tokens that it sent itself. Those of other relays it knows from
+//! the status that the engine's loader sends where adapter slots are scarce. Otherwise it knows from
+//! the engine's report only how many of their requests wait, and assumes that their prompts have the
+//! mean size of its own. The time per token is estimated from the times at which first events arrived.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::admission::reports::{ReportOccasion, ReportedPrompts};
+use super::engine_status::PendingPrompts;
 use crate::ids::MonoTime;
 
+/// Last rank of requests that can meet their target latency; the others get the ranks after it.
+pub const LAST_TIMELY_RANK: u8 = 4;
+
 /// Seconds per token until one has been measured: a prompt of a thousand tokens in 40 ms.
 const INITIAL_SECONDS_PER_TOKEN: f64 = 0.000_04;
 
@@ -136,6 +142,10 @@
     attempts: BTreeMap<ReadingNumber, PendingAttempt>,
     /// Requests of other relays that waited at the last report.
     others_waiting: u32,
+    /// Pending prompts of other relays; `None` while no recent status of the engine is known.
+    others_pending: Option<PendingPrompts>,
+    /// This relay's pending prompts as its loader knows them.
+    reported: ReportedPrompts,
     token_time: TokenTimeEstimate,
 }
 
@@ -178,7 +188,9 @@
         let Some(attempt) = self.attempts.remove(&number) else {
             return;
         };
-        if let Some(first_event_at) = first_event_at {
+        // Requests that arrive later go before a deferred one, so its time says little about the engine.
+        let is_overtaken = self.others_pending.is_some() && attempt.rank > LAST_TIMELY_RANK;
+        if let Some(first_event_at) = first_event_at.filter(|_| !is_overtaken) {
             let took = first_event_at.saturating_sub(attempt.sent);
             let tokens = attempt.tokens_ahead + attempt.tokens;
             self.token_time.record(took, tokens);
@@ -197,12 +209,79 @@
         self.others_waiting = waiting.saturating_sub(self.attempts.len() as u32);
     }
 
+    /// Records the pending prompts of all relays together as the engine's loader has summed them, or `None` when that is
+    /// not known any more.
+    ///
+    /// ```
+    /// use quillcove_core::relay::engine_status::PendingPrompts;
+    /// use quillcove_core::relay::reading::{PrefillAverages, PrefillPrompt, PrefillQueue};
+    ///
+    /// let (mut queue, averages) = (PrefillQueue::default(), PrefillAverages::default());
+    /// let prompt = PrefillPrompt { tokens: 1000, rank: 0 };
+    /// let alone = queue.time_to_first_event(prompt, &averages);
+    /// queue.record_fleet_prompts(Some(PendingPrompts { timely_tokens: 0, deferred_tokens: 9000 }));
+    /// assert_eq!(queue.time_to_first_event(prompt, &averages), alone);
+    /// ```
+    pub fn record_fleet_prompts(&mut self, total: Option<PendingPrompts>) {
+        self.others_pending = total.map(|total| self.reported.others_of(total));
+    }
+
+    /// Returns whether the pending prompts of other relays are known.
+    ///
+    /// ```
+    /// use quillcove_core::relay::reading::PrefillQueue;
+    ///
+    /// assert!(!PrefillQueue::default().knows_fleet_prompts());
+    /// ```
+    pub fn knows_fleet_prompts(&self) -> bool {
+        self.others_pending.is_some()
+    }
+
+    /// Returns this relay's pending prompts.
+    ///
+    /// ```
+    /// use quillcove_core::relay::reading::PrefillQueue;
+    ///
+    /// assert_eq!(PrefillQueue::default().own_prompts().timely_tokens, 0);
+    /// ```
+    pub fn own_prompts(&self) -> PendingPrompts {
+        let is_timely = |attempt: &&PendingAttempt| attempt.rank <= LAST_TIMELY_RANK;
+        let (timely, deferred): (Vec<_>, Vec<_>) = self.attempts.values().partition(is_timely);
+        let sum = |attempts: Vec<&PendingAttempt>| {
+            attempts.into_iter().map(|attempt| attempt.tokens).sum::<f64>() as u32
+        };
+        PendingPrompts { timely_tokens: sum(timely), deferred_tokens: sum(deferred) }
+    }
+
+    /// Returns this relay's pending prompts if they have to be reported to the loader now.
+    ///
+    /// ```
+    /// use quillcove_core::relay::admission::reports::ReportOccasion;
+    /// use quillcove_core::relay::reading::PrefillQueue;
+    ///
+    /// assert_eq!(PrefillQueue::default().take_report(ReportOccasion::Tick, 0), None);
+    /// ```
+    pub fn take_report(
+        &mut self,
+        occasion: ReportOccasion,
+        position: u64,
+    ) -> Option<PendingPrompts> {
+        let pending = self.own_prompts();
+        self.reported.take_due(pending, occasion, position).then_some(pending)
+    }
+
     /// Estimates the tokens that the engine processes before a prompt of this rank that is sent
-    /// now. The ranks of other relays' prompts are unknown; they are assumed to go first.
+    /// now. Of other relays' prompts only whether they are deferred is known, or not even that; they
+    /// are otherwise assumed to go first.
     fn tokens_before(&self, rank: u8, averages: &PrefillAverages) -> f64 {
         let ahead = self.attempts.values().filter(|attempt| attempt.rank <= rank);
         let own: f64 = ahead.map(|attempt| attempt.tokens).sum();
-        own + f64::from(self.others_waiting) * averages.mean_prompt_tokens
+        let others = match self.others_pending {
+            Some(others) if rank <= LAST_TIMELY_RANK => f64::from(others.timely_tokens),
+            Some(others) => f64::from(others.timely_tokens) + f64::from(others.deferred_tokens),
+            None => f64::from(self.others_waiting) * averages.mean_prompt_tokens,
+        };
+        own + others
     }
 
     /// Estimates the time until the engine has processed all prompts that it has now.
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -12,7 +12,7 @@
 use crate::ids::{AdapterKey, HallName, MonoTime, ReplicaId, ServiceName};
 use crate::relay::beacon::{AdapterUse, EngineGauges, EngineReport};
 use crate::relay::engine_status::EngineStatus;
-use crate::relay::reading::{PrefillAverages, PrefillPrompt, ReadingNumber};
+use crate::relay::reading::{PrefillAverages, PrefillPrompt, PrefillQueue, ReadingNumber};
 use crate::standing::{LeavingSource, UpstreamStatus};
 
 /// All known replicas.
@@ -482,6 +482,11 @@
         }
     }
 
+    /// Returns the prefill queue of a replica.
+    pub(in crate::relay) fn reading_mut(&mut self, id: &str) -> Option<&mut PrefillQueue> {
+        self.replicas.get_mut(id).map(|view| &mut view.reading)
+    }
+
     /// Records the status of an engine; one that was sent before the known one is ignored.
     ///
     /// ```
