--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -407,6 +407,22 @@
         now + load_time + load_time.mul_f64(ahead as f64 / self.share())
     }
 
+    /// Returns when the load of an adapter that is requested or in progress is expected to end; `None` without one, and if
+    /// it is overdue.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::ids::AdapterKey;
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// assert_eq!(AdapterDemand::default().next_copy_at(&key, Duration::ZERO), None);
+    /// ```
+    pub fn next_copy_at(&self, key: &AdapterKey, now: MonoTime) -> Option<MonoTime> {
+        let requested = self.open_requests.get(key).map(|request| request.ready_at);
+        requested.or_else(|| self.incoming_loads.ready_at(key, now)).filter(|at| *at > now)
+    }
+
     /// Queues load requests for the adapters that most requests need, as long as the weight store serves
     /// more loads at full speed. Loads from a host's copy do not depend on that.
     ///
--- a/quillcove_core/src/relay/machine/admission.rs
+++ b/quillcove_core/src/relay/machine/admission.rs
@@ -2,13 +2,97 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use super::RelayMachine;
+use super::{RelayMachine, RelayQuery};
 use crate::ids::{MonoTime, ReplicaId};
+use crate::relay::admission::decision::{AdmissionCase, AdmissionStep};
 use crate::relay::admission::reports::ReportOccasion;
+use crate::relay::admission::returns::{EARLY_REJECT_SHARE, ReturnWindow};
 use crate::relay::engine_status::PendingPrompts;
+use crate::relay::reading::{LAST_TIMELY_RANK, PrefillPrompt};
+use crate::verdict::{RefusalReason, WorkRefusal};
 
 impl RelayMachine {
+    /// Returns what the admission decision on a request at an engine depends on; `None` where the rules for scarce adapter
+    /// slots do not apply, and without a stated prompt. `is_sent_before` is whether an attempt of it was sent or its
+    /// sending is decided.
+    pub(super) fn admission_case(
+        &self,
+        replica: &str,
+        query: &RelayQuery,
+        is_sent_before: bool,
+        now: MonoTime,
+    ) -> Option<AdmissionCase> {
+        if !self.is_contended(&query.service) {
+            return None;
+        }
+        let (view, tokens) = (self.table.get(replica)?, query.prompt_tokens?);
+        let norm = self.table.norm(&query.service);
+        let rank = query.rank().min(LAST_TIMELY_RANK);
+        let deferred_rank = rank + LAST_TIMELY_RANK + 1;
+        let timely_wait = view.reading.wait_before(rank, &norm);
+        let prompt = PrefillPrompt { tokens, rank };
+        let own_time = view.reading.time_to_first_event(prompt, &norm).saturating_sub(timely_wait);
+        Some(AdmissionCase {
+            now,
+            due: query.due(),
+            abandon_at: query.abandon_at(),
+            rank,
+            own_time,
+            timely_wait,
+            deferred_wait: view.reading.wait_before(deferred_rank, &norm),
+            is_above_share: false,
+            relays: self.relays,
+            draw: 0.0,
+            is_rejectable: !is_sent_before,
+        })
+    }
+
+    /// Decides whether a request for which an engine was chosen is rejected; `None` if it is sent.
+    pub(super) fn admission_step(
+        &mut self,
+        query: &RelayQuery,
+        replica: &str,
+        tried: &[ReplicaId],
+        now: MonoTime,
+    ) -> Option<WorkRefusal> {
+        let case = self.admission_case(replica, query, !tried.is_empty(), now)?;
+        let retry_after = match case.decide() {
+            AdmissionStep::Timely => return None,
+            AdmissionStep::Deferred(_) => self.better_return(query, &case)?,
+            AdmissionStep::Reject { retry_after } => {
+                let spread = 1.0 + self.draw_fraction();
+                retry_after.mul_f64(spread).min(case.longest_retry_delay())
+            },
+        };
+        Some(WorkRefusal::not_run(RefusalReason::Overloaded, Some(retry_after)))
+    }
+
+    /// Returns the retry delay with which a first attempt is expected to be served in time, at another engine that is
+    /// loading the adapter. `None` if there is none, and for requests that have waited or returned.
+    fn better_return(&mut self, query: &RelayQuery, case: &AdmissionCase) -> Option<Duration> {
+        let now = case.now;
+        let is_early = now <= query.received + query.route.aim.mul_f64(EARLY_REJECT_SHARE);
+        let has_waited = query.choice_count > 0 || query.is_retry();
+        if !case.is_rejectable || has_waited || !is_early {
+            return None;
+        }
+        let key = query.adapter.as_ref()?;
+        let ready_at = self.demand.next_copy_at(key, now)?;
+        let first_event = self.shortest_reading_time(query);
+        let window = ReturnWindow::find(ready_at, first_event, case.due, case.abandon_at, now)?;
+        let capacity = window.capacity(case.own_time) / self.relays.max(1) as f64;
+        let (draw, position) = (self.draw_fraction(), self.draw_fraction());
+        let is_reserved = self.returns.reserve(key, capacity, draw, now + window.latest, now);
+        is_reserved.then(|| window.at(position))
+    }
+
+    /// Draws a random number from 0 to 1.
+    pub(super) fn draw_fraction(&mut self) -> f64 {
+        self.draw() as f64 / u64::MAX as f64
+    }
+
     /// Applies the sum of pending prompts from the last status of an engine.
     pub(super) fn update_fleet_prompts(&mut self, engine: SocketAddr, now: MonoTime) {
         let Some(view) = self.table.at(engine) else {
@@ -24,6 +108,9 @@
 
     /// Discards sums of pending prompts whose status is outdated, or whose service is no longer contended.
     pub(super) fn tick_admission(&mut self, now: MonoTime) {
+        if !self.table.all().any(|view| view.reading.knows_fleet_prompts()) {
+            return;
+        }
         let contended = self.contended_services();
         let is_outdated = |service: &str, has_status: bool| {
             !has_status || !contended.get(service).copied().unwrap_or(false)
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -116,8 +116,12 @@
                     chosen_at: now,
                     ..AttemptOrder::to(&view.record)
                 };
+                // Demand for another copy counts even if this request is rejected.
                 self.request_copy(query, &order.replica, now);
-                RelayChoice::Send(order)
+                match self.admission_step(query, &order.replica, tried, now) {
+                    Some(refusal) => RelayChoice::Refuse(refusal),
+                    None => RelayChoice::Send(order),
+                }
             },
             None if holders.is_empty() && self.is_load_fatal(query, now) => {
                 refuse(RefusalReason::EndsUpstreams, Some(FORGET_TIME))
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -33,6 +33,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::admission::returns::PlannedReturns;
 use super::beacon::{HeldAdapter, OtherRelays};
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
@@ -140,6 +141,8 @@
     versions: BTreeMap<AdapterKey, (AdapterVersion, MonoTime)>,
     demand: AdapterDemand,
     promises: LoadEstimates,
+    /// Callers rejected because another engine is loading their adapter.
+    returns: PlannedReturns,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     /// Remaining times that callers state, by route, from which retries are recognized.
     tries: BTreeMap<String, CallerTries>,
@@ -194,6 +197,7 @@
             versions: BTreeMap::new(),
             demand: AdapterDemand::default(),
             promises: LoadEstimates::default(),
+            returns: PlannedReturns::default(),
             budgets: BTreeMap::new(),
             tries: BTreeMap::new(),
             doubt: UnconfirmedState::default(),
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -4,6 +4,7 @@
 
 use super::{RelayMachine, RelayQuery};
 use crate::ids::MonoTime;
+use crate::relay::admission::decision::{AdmissionCase, AdmissionStep};
 use crate::relay::policy::PriorityRule;
 use crate::relay::reading::{LAST_TIMELY_RANK, PrefillPrompt, ReadingNumber};
 
@@ -19,6 +20,8 @@
     pub rank: u8,
     /// Estimated time until the first event; `None` if it is unknown, as `number` is.
     pub expected: Option<Duration>,
+    /// The admission decision; `None` where the rules for scarce adapter slots do not apply.
+    pub admission: Option<AdmissionStep>,
 }
 
 impl RelayMachine {
@@ -70,13 +73,19 @@
         now: MonoTime,
     ) -> ReadingStart {
         let rank = query.rank().min(LAST_TIMELY_RANK);
+        let draw = if self.is_contended(&query.service) { self.draw_fraction() } else { 0.0 };
         let (Some(view), Some(tokens)) = (self.table.get(replica), query.prompt_tokens) else {
-            return ReadingStart { number: None, rank, expected: None };
+            return ReadingStart { number: None, rank, expected: None, admission: None };
         };
         let norm = self.table.norm(&query.service);
         let prompt = PrefillPrompt { tokens, rank };
         let reading_time = view.reading.time_to_first_event(prompt, &norm);
-        let is_late = now + reading_time > query.due();
+        let admission = self.admission_case(replica, query, true, now);
+        let admission = admission.map(|case| AdmissionCase { draw, ..case }.decide());
+        let is_late = match admission {
+            Some(step) => step != AdmissionStep::Timely,
+            None => now + reading_time > query.due(),
+        };
         let rank = match self.rules.policy.priority {
             PriorityRule::Feasible if is_late => (rank + LAST_TIMELY_RANK + 1).min(LAST_RANK),
             PriorityRule::Feasible | PriorityRule::Route => rank,
@@ -85,6 +94,6 @@
         let expected = view.reading.time_to_first_event(prompt, &norm);
         self.last_reading += 1;
         self.table.begin_reading(replica, self.last_reading, prompt, now);
-        ReadingStart { number: Some(self.last_reading), rank, expected: Some(expected) }
+        ReadingStart { number: Some(self.last_reading), rank, expected: Some(expected), admission }
     }
 }
--- a/quillcove_core/src/relay/reading.rs
+++ b/quillcove_core/src/relay/reading.rs
@@ -299,6 +299,19 @@
         )
     }
 
+    /// Estimates the time until the engine begins with a prompt of this rank that is sent now.
+    ///
+    /// ```
+    /// use quillcove_core::relay::reading::{PrefillAverages, PrefillQueue};
+    ///
+    /// let wait = PrefillQueue::default().wait_before(0, &PrefillAverages::default());
+    /// assert_eq!(wait, std::time::Duration::ZERO);
+    /// ```
+    pub fn wait_before(&self, rank: u8, averages: &PrefillAverages) -> Duration {
+        let token_time = self.token_time.blended_with(&averages.token_time);
+        Duration::from_secs_f64(self.tokens_before(rank, averages) * token_time)
+    }
+
     /// Estimates the time until the first event of a request with this prompt that is sent now.
     ///
     /// ```
