Fair shares of workspaces under overload

Cause: one workspace at a multiple of its usual traffic made all others late. Change: amounts of workspaces over all relays, from own first attempts and the usage that relays report; while they exceed what the engines process, a workspace above its max-min fair share may use half of the time for waiting, the others all of it.

--- a/quillcove_core/src/access/account.rs
+++ b/quillcove_core/src/access/account.rs
@@ -140,7 +140,7 @@
 
     /// Records the total that another relay reported and deducts the increase. If this is the
     /// relay's first report, or the first after a silence, the whole total counts when the relay
-    /// has just started, and nothing otherwise.
+    /// has just started, and nothing otherwise. Returns the increase.
     pub(super) fn record_total(
         &mut self,
         host: &str,
@@ -148,7 +148,7 @@
         total: i64,
         has_just_started: bool,
         lowest: f64,
-    ) {
+    ) -> i64 {
         let before = match self.peer_totals.get(host) {
             Some(peer) if peer.incarnation == incarnation => peer.total,
             Some(_) => 0,
@@ -158,6 +158,7 @@
         let spent = total.saturating_sub(before);
         self.level = (self.level - spent as f64).max(lowest);
         self.peer_totals.insert(host.to_string(), PeerTotal { incarnation, total });
+        spent
     }
 
     pub(super) fn forget(&mut self, host: &str) {
--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::account::LimitAccount;
-use super::limit::{LimitRule, LimitRules, UseCharge, UseClaim, UseLimit};
+use super::limit::{LimitRule, LimitRules, UseCharge, UseClaim, UseLimit, UseUnit};
 use super::spending::{SpentTotal, UsageReport, WorkspaceLevel};
 use super::workspace::WorkspaceRecord;
 use crate::ids::{MonoTime, WorkspaceName};
@@ -258,7 +258,7 @@
     }
 
     /// Records the spending that another relay reports. `limit_of` returns the limit of a workspace
-    /// that has no account here yet.
+    /// that has no account here yet. Returns the increases, with the units of the limits.
     ///
     /// ```
     /// use std::time::Duration;
@@ -276,9 +276,10 @@
         report: &UsageReport,
         limit_of: impl Fn(&str) -> Option<UseLimit>,
         now: MonoTime,
-    ) {
+    ) -> Vec<(WorkspaceName, UseUnit, i64)> {
+        let mut increases = Vec::new();
         if self.rules.rule == LimitRule::Even {
-            return;
+            return increases;
         }
         let has_just_started = report.uptime < RECENT_START_AGE;
         self.adopt_levels(report, now);
@@ -289,14 +290,16 @@
             };
             let account = self.account(&spent.workspace, limit, now);
             let lowest = -rules.overshoot_allowance(&limit);
-            account.record_total(
+            let increase = account.record_total(
                 &report.host,
                 report.incarnation,
                 spent.total,
                 has_just_started,
                 lowest,
             );
+            increases.push((spent.workspace.clone(), limit.unit, increase));
         }
+        increases
     }
 
     /// Adopts the levels reported by a relay that was running before this one started.
--- a/quillcove_core/src/relay/admission/decision.rs
+++ b/quillcove_core/src/relay/admission/decision.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::shares::WorkspaceStanding;
 use crate::ids::MonoTime;
 
 /// Share of the time for waiting that each rank after the first leaves to more urgent ones, so that where room is short, the
@@ -40,8 +41,9 @@
     pub timely_wait: Duration,
     /// Prefill time of the prompts that go first if the request is deferred.
     pub deferred_wait: Duration,
-    /// Whether the request's workspace uses more than its fair share; `false` for a request that has returned.
-    pub is_above_share: bool,
+    /// How the workspace's use relates to its fair share; [`WorkspaceStanding::Unlimited`] for a request that has
+    /// returned.
+    pub workspace: WorkspaceStanding,
     /// Number of known relays, this one included.
     pub relays: usize,
     /// Random number from 0 to 1 by which room is left for prompts that other relays have sent and that are not known yet.
@@ -100,6 +102,7 @@
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::admission::decision::{AdmissionCase, AdmissionStep};
+    /// use quillcove_core::relay::admission::shares::WorkspaceStanding;
     ///
     /// let case = AdmissionCase {
     ///     now: Duration::ZERO,
@@ -109,7 +112,7 @@
     ///     own_time: Duration::from_millis(100),
     ///     timely_wait: Duration::from_millis(800),
     ///     deferred_wait: Duration::from_millis(2000),
-    ///     is_above_share: false,
+    ///     workspace: WorkspaceStanding::Unlimited,
     ///     relays: 1,
     ///     draw: 0.0,
     ///     is_rejectable: true,
@@ -142,11 +145,17 @@
     fn allowed_wait(&self) -> Duration {
         let longest = self.due.saturating_sub(self.now).saturating_sub(self.own_time);
         let rank_share = 1.0 - RANK_RESERVE * f64::from(self.rank.min(4));
-        let workspace_share = if self.is_above_share { ABOVE_SHARE_ROOM } else { 1.0 };
+        let (workspace_share, unknown_share) = match self.workspace {
+            WorkspaceStanding::Unlimited => (1.0, 1.0),
+            // The room that the workspaces above their shares leave is theirs.
+            WorkspaceStanding::Within => (1.0, 0.0),
+            WorkspaceStanding::Above => (ABOVE_SHARE_ROOM, 1.0),
+        };
         let allowed = longest.mul_f64(rank_share * workspace_share);
         // A single relay knows all prompts.
         let others_share = 1.0 - 1.0 / self.relays.max(1) as f64;
         let unknown = UNKNOWN_TIME.min(allowed.mul_f64(MAX_UNKNOWN_SHARE)).mul_f64(others_share);
+        let unknown = unknown.mul_f64(unknown_share);
         allowed.saturating_sub(unknown.mul_f64(self.draw))
     }
 }
--- a/quillcove_core/src/relay/admission/mod.rs
+++ b/quillcove_core/src/relay/admission/mod.rs
@@ -4,7 +4,9 @@
 //! - [`decision`]: the decision on one request.
 //! - [`returns`]: rejections of requests that can be served in time when they return.
 //! - [`reports`]: when a relay reports its pending prompts to the loaders.
+//! - [`shares`]: fair shares of workspaces.
 
 pub mod decision;
 pub mod reports;
 pub mod returns;
+pub mod shares;
--- a/quillcove_core/src/relay/machine/access.rs
+++ b/quillcove_core/src/relay/machine/access.rs
@@ -130,7 +130,10 @@
             return;
         };
         let limit_of = |name: &str| access.workspace(name).and_then(|workspace| workspace.limit);
-        self.ledger.record_report(report, limit_of, now);
+        let increases = self.ledger.record_report(report, limit_of, now);
+        for (workspace, unit, units) in increases {
+            self.record_reported_usage(&workspace, unit, units);
+        }
     }
 
     /// Returns how the freshness proof of the access table has to be renewed now, if at all. `asked_at` is when other
--- a/quillcove_core/src/relay/machine/admission.rs
+++ b/quillcove_core/src/relay/machine/admission.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use super::{RelayMachine, RelayQuery};
+use crate::access::limit::UseUnit;
 use crate::ids::{MonoTime, ReplicaId};
 use crate::relay::admission::decision::{AdmissionCase, AdmissionStep};
 use crate::relay::admission::reports::ReportOccasion;
 use crate::relay::admission::returns::{EARLY_REJECT_SHARE, ReturnWindow};
+use crate::relay::admission::shares::WorkspaceStanding;
 use crate::relay::engine_status::PendingPrompts;
 use crate::relay::reading::{LAST_TIMELY_RANK, PrefillPrompt};
+use crate::relay::replica::ReplicaView;
 use crate::verdict::{RefusalReason, WorkRefusal};
 
 impl RelayMachine {
@@ -42,7 +45,10 @@
             own_time,
             timely_wait,
             deferred_wait: view.reading.wait_before(deferred_rank, &norm),
-            is_above_share: false,
+            workspace: match query.is_retry() {
+                true => WorkspaceStanding::Unlimited,
+                false => self.shares.standing(workspace_of(query)),
+            },
             relays: self.relays,
             draw: 0.0,
             is_rejectable: !is_sent_before,
@@ -58,9 +64,22 @@
         now: MonoTime,
     ) -> Option<WorkRefusal> {
         let case = self.admission_case(replica, query, !tried.is_empty(), now)?;
+        let refusal = self.admission_refusal(query, &case);
+        // Sent requests are counted when their attempt begins.
+        if refusal.is_some() {
+            self.record_demand(query);
+        }
+        refusal
+    }
+
+    fn admission_refusal(
+        &mut self,
+        query: &RelayQuery,
+        case: &AdmissionCase,
+    ) -> Option<WorkRefusal> {
         let retry_after = match case.decide() {
             AdmissionStep::Timely => return None,
-            AdmissionStep::Deferred(_) => self.better_return(query, &case)?,
+            AdmissionStep::Deferred(_) => self.better_return(query, case)?,
             AdmissionStep::Reject { retry_after } => {
                 let spread = 1.0 + self.draw_fraction();
                 retry_after.mul_f64(spread).min(case.longest_retry_delay())
@@ -69,6 +88,35 @@
         Some(WorkRefusal::not_run(RefusalReason::Overloaded, Some(retry_after)))
     }
 
+    /// Counts a first attempt for the fair shares of workspaces.
+    pub(super) fn record_demand(&mut self, query: &RelayQuery) {
+        if let Some(tokens) = query.prompt_tokens.filter(|_| !query.is_retry()) {
+            self.shares.record_request(workspace_of(query), tokens);
+        }
+    }
+
+    /// Returns the prompt tokens per second that the usable engines of contended services process together.
+    fn prefill_rate(&self, contended: &BTreeMap<String, bool>, now: MonoTime) -> f64 {
+        let is_usable = |view: &&ReplicaView| {
+            let is_contended = contended.get(&view.record.service).copied().unwrap_or(false);
+            is_contended && view.takes_work(now) && view.seems_well(now)
+        };
+        let rate =
+            |view: &ReplicaView| view.reading.prefill_rate(&self.table.norm(&view.record.service));
+        self.table.all().filter(is_usable).map(rate).sum()
+    }
+
+    /// Counts what another relay has reported of a workspace's usage, in the unit of the workspace's limit.
+    pub(super) fn record_reported_usage(&mut self, workspace: &str, unit: UseUnit, units: i64) {
+        let tokens_per_unit = match unit {
+            UseUnit::Requests => self.shares.mean_tokens(),
+            UseUnit::Tokens { .. } => Some(1.0),
+        };
+        if let Some(tokens) = tokens_per_unit.filter(|_| self.has_contended_service) {
+            self.shares.record_report(workspace, units as f64 * tokens);
+        }
+    }
+
     /// Returns the retry delay with which a first attempt is expected to be served in time, at another engine that is
     /// loading the adapter. `None` if there is none, and for requests that have waited or returned.
     fn better_return(&mut self, query: &RelayQuery, case: &AdmissionCase) -> Option<Duration> {
@@ -108,10 +156,15 @@
 
     /// Discards sums of pending prompts whose status is outdated, or whose service is no longer contended.
     pub(super) fn tick_admission(&mut self, now: MonoTime) {
+        let contended = self.contended_services();
+        self.has_contended_service = contended.values().any(|is_contended| *is_contended);
+        if self.has_contended_service {
+            let prefill_rate = self.prefill_rate(&contended, now);
+            self.shares.update(self.relays, prefill_rate, now);
+        }
         if !self.table.all().any(|view| view.reading.knows_fleet_prompts()) {
             return;
         }
-        let contended = self.contended_services();
         let is_outdated = |service: &str, has_status: bool| {
             !has_status || !contended.get(service).copied().unwrap_or(false)
         };
@@ -171,3 +224,8 @@
         due
     }
 }
+
+/// Returns the workspace of a request. Requests without a key share one.
+fn workspace_of(query: &RelayQuery) -> &str {
+    query.grant.as_ref().map_or("", |grant| grant.workspace.name.as_str())
+}
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -34,6 +34,7 @@
 use std::time::Duration;
 
 use super::admission::returns::PlannedReturns;
+use super::admission::shares::WorkspaceShares;
 use super::beacon::{HeldAdapter, OtherRelays};
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
@@ -143,6 +144,10 @@
     promises: LoadEstimates,
     /// Callers rejected because another engine is loading their adapter.
     returns: PlannedReturns,
+    /// Fair shares of workspaces at contended services.
+    shares: WorkspaceShares,
+    /// Whether any service was contended at the last periodic check.
+    has_contended_service: bool,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     /// Remaining times that callers state, by route, from which retries are recognized.
     tries: BTreeMap<String, CallerTries>,
@@ -198,6 +203,8 @@
             demand: AdapterDemand::default(),
             promises: LoadEstimates::default(),
             returns: PlannedReturns::default(),
+            shares: WorkspaceShares::default(),
+            has_contended_service: false,
             budgets: BTreeMap::new(),
             tries: BTreeMap::new(),
             doubt: UnconfirmedState::default(),
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -92,6 +92,9 @@
         };
         let prompt = PrefillPrompt { tokens, rank };
         let expected = view.reading.time_to_first_event(prompt, &norm);
+        if admission.is_some() {
+            self.record_demand(query);
+        }
         self.last_reading += 1;
         self.table.begin_reading(replica, self.last_reading, prompt, now);
         ReadingStart { number: Some(self.last_reading), rank, expected: Some(expected), admission }
--- a/quillcove_core/src/relay/reading.rs
+++ b/quillcove_core/src/relay/reading.rs
@@ -299,6 +299,17 @@
         )
     }
 
+    /// Returns the estimated number of prompt tokens that the engine processes per second.
+    ///
+    /// ```
+    /// use quillcove_core::relay::reading::{PrefillAverages, PrefillQueue};
+    ///
+    /// assert!(PrefillQueue::default().prefill_rate(&PrefillAverages::default()) > 1000.0);
+    /// ```
+    pub fn prefill_rate(&self, averages: &PrefillAverages) -> f64 {
+        1.0 / self.token_time.blended_with(&averages.token_time).max(1e-9)
+    }
+
     /// Estimates the time until the engine begins with a prompt of this rank that is sent now.
     ///
     /// ```
--- a/quillcove_core/tests/admission_fleet/mod.rs
+++ b/quillcove_core/tests/admission_fleet/mod.rs
@@ -1,8 +1,14 @@
 //! Relays that send prompts to engines whose queues they know late.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
+use quillcove_core::access::grant::AccessGrant;
+use quillcove_core::access::key::KeyDigest;
+use quillcove_core::access::limit::{UseClaim, UseLimit, UseUnit};
+use quillcove_core::access::spending::UsageReport;
+use quillcove_core::access::workspace::{AccessTable, WorkspaceRecord};
 use quillcove_core::ids::{AdapterKey, MonoTime};
 use quillcove_core::relay::admission::reports::ReportOccasion;
 use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter, OtherRelays};
@@ -25,6 +31,8 @@
 const TOKENS: u32 = 2_100;
 const PREFILL_TIME: Duration = Duration::from_millis(109);
 const BURST_TIME: Duration = Duration::from_secs(6);
+/// When the burst begins: after the time in which the accounts of workspaces wait for other relays.
+const START: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(5);
 
 /// A load and the rule by which relays answer it.
@@ -32,13 +40,17 @@
 pub struct Load {
     pub relays: usize,
     pub rule: ContentionRule,
+    /// What callers send, as a multiple of what the engines can serve.
+    pub demand: f64,
+    /// How much of each workspace's usual traffic is sent.
+    pub workspaces: &'static [f64],
     /// Requests that a rejected caller sends at once when it returns.
     pub copies_on_return: usize,
 }
 
 impl Default for Load {
     fn default() -> Self {
-        Self { relays: 1, rule: ContentionRule::Always, copies_on_return: 1 }
+        Self { relays: 1, rule: ContentionRule::Always, demand: 2.0, workspaces: &[1.0], copies_on_return: 1 }
     }
 }
 
@@ -52,6 +64,8 @@
     pub abandoned: usize,
     pub rejected: usize,
     pub returned_and_rejected: usize,
+    /// First attempts, and of these the ones that began in time, by workspace.
+    pub by_workspace: BTreeMap<String, (usize, usize)>,
 }
 
 impl Outcome {
@@ -102,7 +116,11 @@
             let services = vec![engine_service(1_000_000, 3.0)];
             let routes = vec![stream_route()];
             let limits = CallerLimits::default();
-            machine.apply_configuration(PublishedConfig::new(1, routes, services, limits));
+            let config = PublishedConfig::new(1, routes, services, limits);
+            let names = (0..load.workspaces.len()).map(|index| format!("w{index}"));
+            let holders = names.map(|name| (workspace(&name), vec![KeyDigest::of(&name)]));
+            let access = AccessTable::new(holders.collect());
+            machine.apply_configuration(config.with_access(access));
             for port in 1..=ENGINES {
                 let record = example_record(&format!("i-{port}"));
                 let record = ReplicaRecord { address: address(port), places: 64, ..record };
@@ -124,14 +142,16 @@
     }
 
     pub fn run(mut self) -> Outcome {
-        let interval = PREFILL_TIME / (u32::from(ENGINES) * 2);
-        let (mut now, mut next_arrival) = (ms(0), ms(600));
-        while now < BURST_TIME + ms(6_000) {
+        let interval = PREFILL_TIME.div_f64(f64::from(ENGINES) * self.load.demand);
+        let (mut now, mut next_arrival) = (ms(0), START);
+        while now < START + BURST_TIME + ms(5_500) {
             if now.as_millis().is_multiple_of(50) {
                 self.tick(now);
             }
-            while next_arrival <= now && next_arrival < ms(600) + BURST_TIME {
-                self.begin(first_attempt(next_arrival), now);
+            while next_arrival <= now && next_arrival < START + BURST_TIME {
+                let name = self.draw_workspace();
+                self.outcome.by_workspace.entry(name.clone()).or_default().0 += 1;
+                self.begin(first_attempt(next_arrival, &name), now);
                 next_arrival += interval;
             }
             let (due, later) = self.returns.drain(..).partition(|(at, _)| *at <= now);
@@ -154,6 +174,17 @@
         (rendezvous::weight("fleet", &self.draws.to_string()) % below as u64) as usize
     }
 
+    fn draw_workspace(&mut self) -> String {
+        let total: f64 = self.load.workspaces.iter().sum();
+        let mut at = self.draw(1_000_000) as f64 / 1e6 * total;
+        let is_reached = |(_, weight): &(usize, &f64)| {
+            at -= **weight;
+            at < 0.0
+        };
+        let drawn = self.load.workspaces.iter().enumerate().find(is_reached);
+        format!("w{}", drawn.map_or(0, |(index, _)| index))
+    }
+
     /// Sends what relays and loaders report; engines' reports are 0.1 s old when they arrive. The next
     /// ones follow after 0.4 s, or after 0.1 s while prompts wait, as loaders send them.
     fn tick(&mut self, now: MonoTime) {
@@ -169,6 +200,9 @@
                 self.engines[usize::from(engine.port()) - 1].prompts.record(report, now);
             }
         }
+        if matches!(occasion, ReportOccasion::Heartbeat(_)) && self.load.workspaces.len() > 1 {
+            self.exchange_usage(now);
+        }
         for index in 0..self.engines.len() {
             let interval = if self.engines[index].queue.is_empty() { 400 } else { 100 };
             // The engines do not report at the same time.
@@ -178,7 +212,7 @@
                 self.engines[index].reports.push((now + delay, report.0, report.1));
             }
             let reports = std::mem::take(&mut self.engines[index].reports);
-            let (due, later) = reports.into_iter().partition(|(at, ..)| *at <= now || now < ms(600));
+            let (due, later) = reports.into_iter().partition(|(at, ..)| *at <= now || now < START);
             self.engines[index].reports = later;
             for (_, heartbeat, status) in due {
                 for machine in &mut self.machines {
@@ -189,10 +223,27 @@
         }
     }
 
+    fn exchange_usage(&mut self, now: MonoTime) {
+        let relays = self.machines.iter_mut().enumerate();
+        let reports: Vec<UsageReport> = relays
+            .map(|(index, machine)| {
+                let (host, spent) = (format!("r-{index}"), machine.ledger_mut().tell(true, now));
+                UsageReport { host, incarnation: 1, uptime: now, spent, levels: Vec::new() }
+            })
+            .collect();
+        for (index, machine) in self.machines.iter_mut().enumerate() {
+            let others = reports.iter().enumerate().filter(|(other, _)| *other != index);
+            others.for_each(|(_, report)| machine.apply_usage_report(report, now));
+        }
+    }
+
     /// Has a random relay decide on a request.
     fn begin(&mut self, query: RelayQuery, now: MonoTime) {
         let relay = self.draw(self.load.relays);
         let machine = &mut self.machines[relay];
+        let record = query.grant.as_ref().expect("a grant").workspace.clone();
+        let claim = UseClaim { tokens: Some(u64::from(TOKENS)), rank: 0 };
+        let charge = machine.ledger_mut().charge(&record, claim, now).expect("within the limit");
         match machine.choose(&query, &[], now) {
             RelayChoice::Send(order) => {
                 machine.begin_attempt(&order.replica, None, now);
@@ -202,6 +253,7 @@
                 engine.queue.insert((start.rank, self.draws), Sent { relay, query, start });
             },
             RelayChoice::Refuse(refusal) => {
+                machine.refund(&charge.expect("a charge"));
                 self.outcome.rejected += 1;
                 self.outcome.returned_and_rejected += usize::from(query.is_retry());
                 let back = now + refusal.retry_after.expect("a retry delay");
@@ -241,7 +293,11 @@
             let replica = format!("i-{}", index + 1);
             machine.end_prefill(&replica, sent.start.number.expect("a prompt"), first_event_at);
             match first_event_at {
-                Some(at) if at <= sent.query.due() => self.outcome.timely += 1,
+                Some(at) if at <= sent.query.due() => {
+                    self.outcome.timely += 1;
+                    let workspace = sent.query.grant.expect("a grant").workspace.name.clone();
+                    self.outcome.by_workspace.entry(workspace).or_default().1 += 1;
+                },
                 Some(_) => {
                     self.outcome.late += 1;
                     self.outcome.late_with_timely_rank += usize::from(sent.start.rank < 5);
@@ -261,15 +317,25 @@
 fn measure_engines(machine: &mut RelayMachine) {
     for sample in 0..usize::from(ENGINES) * 20 {
         let replica = format!("i-{}", sample % usize::from(ENGINES) + 1);
-        let start = machine.begin_prefill(&replica, &first_attempt(ms(0)), ms(0));
+        let start = machine.begin_prefill(&replica, &first_attempt(ms(0), "w0"), ms(0));
         machine.end_prefill(&replica, start.number.expect("a prompt"), Some(PREFILL_TIME));
     }
 }
 
-fn first_attempt(received: MonoTime) -> RelayQuery {
+fn workspace(name: &str) -> WorkspaceRecord {
+    let unit = UseUnit::Tokens { plain: 1 };
+    let limit = Some(UseLimit { unit, rate: 400_000.0, burst: 400_000.0 });
+    WorkspaceRecord { name: name.to_string(), priority: None, limit }
+}
+
+fn first_attempt(received: MonoTime, name: &str) -> RelayQuery {
     let mut route = stream_route();
     (route.aim, route.timeout, route.priority) = (ms(1_000), ms(5_000), 0);
-    RelayQuery { prompt_tokens: Some(TOKENS), ..query(route, Some(key()), received) }
+    let workspace = workspace(name);
+    let key_digest = KeyDigest::of(&workspace.name);
+    let grant = AccessGrant { workspace: Arc::new(workspace), key: key_digest, charge: None };
+    let query = query(route, Some(key()), received);
+    RelayQuery { prompt_tokens: Some(TOKENS), grant: Some(grant), ..query }
 }
 
 fn engine_report(
--- a/quillcove_core/tests/admission_load.rs
+++ b/quillcove_core/tests/admission_load.rs
@@ -41,3 +41,22 @@
         assert!(outcome.timely_share() >= MIN_TIMELY_SHARE, "{relays} relays: {outcome:?}");
     }
 }
+
+#[test]
+fn a_workspace_at_eight_times_its_usual_traffic_does_not_make_the_others_late() {
+    // Each workspace usually sends 8 % of what the engines can serve.
+    let workspaces = &[8.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0];
+    for relays in [1, 25, 68] {
+        let load = Load { demand: 17.0 * 0.08, workspaces, ..burst(relays) };
+        let outcome = run(load);
+        let earlier = run(Load { rule: ContentionRule::Never, ..load });
+        println!("{relays} relays: {outcome:?}, earlier {earlier:?}");
+        assert!(outcome.timely_share() >= MIN_TIMELY_SHARE, "{relays} relays: {outcome:?}");
+        let others = outcome.by_workspace.iter().filter(|(name, _)| *name != "w0");
+        let (sent, timely) = others.fold((0, 0), |sum, (_, it)| (sum.0 + it.0, sum.1 + it.1));
+        println!("{relays} relays: others {timely} of {sent}");
+        assert!(timely as f64 >= MIN_TIMELY_SHARE * sent as f64, "{relays} relays: {outcome:?}");
+        // It keeps what the others leave.
+        assert!(outcome.by_workspace["w0"].1 > 0, "{relays} relays: {outcome:?}");
+    }
+}
