--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -40,6 +40,7 @@
     own_reads: Counter<u64>,
     load_stall: Histogram<f64>,
     promises: Counter<u64>,
+    admissions: Counter<u64>,
     promise_error: Histogram<f64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
@@ -106,6 +107,11 @@
                 "Reads of the store by a relay that is told of it by others, by reason",
             ),
             load_stall: time("quillcove.load_stall", "Wait before the upstream gets an attempt"),
+            admissions: counter(
+                &meter,
+                "quillcove.admissions",
+                "Admission decisions for engines with scarce adapter slots, by decision",
+            ),
             promises: counter(&meter, "quillcove.promises", "Told times of adapters by fate"),
             promise_error: time(
                 "quillcove.promise_error",
@@ -174,6 +180,17 @@
         self.load_stall.record(wait.as_secs_f64(), &[class_label(class)]);
     }
 
+    /// Counts admission decisions with one label.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.record_admissions("timely", 3);
+    /// assert!(metrics.text().contains("quillcove_admissions_total"));
+    /// ```
+    pub fn record_admissions(&self, decision: &'static str, count: u64) {
+        self.admissions.add(count, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Records what became of a time that a refused caller was told.
     ///
     /// ```
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -251,6 +251,7 @@
         self.log_changes(changes);
         self.send_pending_loads();
         self.record_load_estimates();
+        self.record_admissions();
         self.update_readiness();
         self.remove_expired_relays(now);
         self.remove_unlisted_loaders();
--- a/quillcove/src/relay/input/prompts.rs
+++ b/quillcove/src/relay/input/prompts.rs
@@ -21,4 +21,12 @@
             self.send(&PeerMessage::Prompts(report), [self.loader_of(engine)]);
         }
     }
+
+    /// Adds the admission decisions since the last call to the metrics.
+    pub(super) fn record_admissions(&self) {
+        let counts = self.shared.machine().take_admission_counts();
+        for (decision, count) in counts {
+            self.shared.metrics.record_admissions(decision, count);
+        }
+    }
 }
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -15,6 +15,7 @@
 use quillcove_core::class::WorkClass;
 use quillcove_core::crash::digest::{CallerDigest, RequestIdentity, RequestParts};
 use quillcove_core::ids::{MonoTime, ReplicaId};
+use quillcove_core::relay::admission::decision::AdmissionStep;
 use quillcove_core::relay::machine::{RelayMachine, RelayQuery};
 use quillcove_core::relay::prompt::PromptSize;
 use quillcove_core::relay::reading::ReadingNumber;
@@ -59,6 +60,8 @@
     prefill: Option<PendingPrefill>,
     /// Priority rank of the last attempt at its engine.
     pub rank: Option<u8>,
+    /// Admission decision on the last attempt; `None` where the rules for scarce adapter slots do not apply.
+    pub admission: Option<AdmissionStep>,
     /// Estimated time to the first event of the last attempt.
     pub expected_first_event: Option<Duration>,
     charge: ChargeGuard,
@@ -97,6 +100,7 @@
         self.prefill = start.number.map(pending);
         self.rank = Some(start.rank);
         self.expected_first_event = start.expected;
+        self.admission = start.admission;
     }
 
     /// Records that the attempt's first event was received at `read_at`, or that the attempt ended
@@ -171,6 +175,7 @@
             "come_back_ms" => self.retry_after.map(|pause| pause.as_millis() as u64),
             "waited_ms" => self.waited.as_millis() as u64,
             "prompt_tokens" => self.query.prompt_tokens, "rank" => self.rank,
+            "admission" => self.admission.map(|step| step.label()),
             "expected_ms" => self.expected_first_event.map(|time| time.as_millis() as u64),
             "first_event_ms" => self.first_event.map(|first| first.as_millis() as u64),
             "longest_pause_ms" => self.longest_pause.as_millis() as u64, "took_ms" => took.as_millis() as u64);
@@ -332,6 +337,7 @@
         retry_after: None,
         prefill: None,
         rank: None,
+        admission: None,
         expected_first_event: None,
         charge,
         finished: None,
--- a/quillcove_core/src/relay/admission/decision.rs
+++ b/quillcove_core/src/relay/admission/decision.rs
@@ -4,6 +4,7 @@
 
 use super::shares::WorkspaceStanding;
 use crate::ids::MonoTime;
+use crate::relay::reading::LAST_TIMELY_RANK;
 
 /// Share of the time for waiting that each rank after the first leaves to more urgent ones, so that where room is short, the
 /// less urgent routes are deferred first. The same as the reserve in the limits of workspaces.
@@ -61,9 +62,9 @@
     Timely,
     /// Send it with a rank behind all timely requests.
     Deferred(DeferralReason),
-    /// Reject it: it cannot be served before its caller leaves.
+    /// Reject it: because of the queue, it cannot be served before its caller leaves.
     Reject {
-        /// Time after which the engine is expected to have processed the timely prompts that it has now.
+        /// Longest retry delay: until the engine has processed the prompts that it has now, as far as callers obey it.
         retry_after: Duration,
     },
 }
@@ -127,8 +128,12 @@
                 false => AdmissionStep::Deferred(DeferralReason::Room),
             };
         }
-        if self.is_rejectable && first_event(self.deferred_wait) > self.abandon_at {
-            let retry_after = self.timely_wait.min(self.longest_retry_delay());
+        // A prompt that is too large for the time left without any queue is not rejected: the estimate may be wrong, and no
+        // return would find a shorter queue.
+        let fits_alone = first_event(Duration::ZERO) <= self.abandon_at;
+        let fits = first_event(self.deferred_wait) <= self.abandon_at;
+        if self.is_rejectable && fits_alone && !fits {
+            let retry_after = self.deferred_wait.min(self.longest_retry_delay());
             return AdmissionStep::Reject { retry_after };
         }
         AdmissionStep::Deferred(DeferralReason::Late)
@@ -144,7 +149,7 @@
     /// Returns the longest wait with which the request is sent in time, so that room is left for others.
     fn allowed_wait(&self) -> Duration {
         let longest = self.due.saturating_sub(self.now).saturating_sub(self.own_time);
-        let rank_share = 1.0 - RANK_RESERVE * f64::from(self.rank.min(4));
+        let rank_share = 1.0 - RANK_RESERVE * f64::from(self.rank.min(LAST_TIMELY_RANK));
         let (workspace_share, unknown_share) = match self.workspace {
             WorkspaceStanding::Unlimited => (1.0, 1.0),
             // The room that the workspaces above their shares leave is theirs.
--- a/quillcove_core/src/relay/admission/returns.rs
+++ b/quillcove_core/src/relay/admission/returns.rs
@@ -92,8 +92,18 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct PlannedReturns {
-    /// Number of callers, and when the last of them returns, by adapter.
-    callers: BTreeMap<AdapterKey, (u32, MonoTime)>,
+    by_adapter: BTreeMap<AdapterKey, AdapterReturns>,
+}
+
+/// The callers rejected because of one load.
+#[derive(Clone, Copy, Debug)]
+struct AdapterReturns {
+    count: u32,
+    /// Random number that decides on the fraction of a share. It is drawn once, because with a new one for each request
+    /// every relay would reserve a return in the end.
+    draw: f64,
+    /// When the last of the callers returns.
+    until: MonoTime,
 }
 
 impl PlannedReturns {
@@ -109,12 +119,14 @@
         until: MonoTime,
         now: MonoTime,
     ) -> bool {
-        self.callers.retain(|_, (_, returned_by)| now < *returned_by);
-        let (count, returned_by) = self.callers.get(key).copied().unwrap_or((0, until));
-        if f64::from(count) + draw >= capacity {
+        self.by_adapter.retain(|_, returns| now < returns.until);
+        let first = AdapterReturns { count: 0, draw, until };
+        let returns = self.by_adapter.entry(key.clone()).or_insert(first);
+        if f64::from(returns.count) + returns.draw >= capacity {
             return false;
         }
-        self.callers.insert(key.clone(), (count + 1, returned_by.max(until)));
+        returns.count += 1;
+        returns.until = returns.until.max(until);
         true
     }
 }
--- a/quillcove_core/src/relay/machine/admission.rs
+++ b/quillcove_core/src/relay/machine/admission.rs
@@ -16,6 +16,9 @@
 use crate::relay::replica::ReplicaView;
 use crate::verdict::{RefusalReason, WorkRefusal};
 
+/// Label of requests that are rejected because another engine is loading their adapter in time.
+const BETTER_RETURN_LABEL: &str = "returns_in_time";
+
 impl RelayMachine {
     /// Returns what the admission decision on a request at an engine depends on; `None` where the rules for scarce adapter
     /// slots do not apply, and without a stated prompt. `is_sent_before` is whether an attempt of it was sent or its
@@ -64,30 +67,36 @@
         now: MonoTime,
     ) -> Option<WorkRefusal> {
         let case = self.admission_case(replica, query, !tried.is_empty(), now)?;
-        let refusal = self.admission_refusal(query, &case);
-        // Sent requests are counted when their attempt begins.
-        if refusal.is_some() {
-            self.record_demand(query);
-        }
-        refusal
-    }
-
-    fn admission_refusal(
-        &mut self,
-        query: &RelayQuery,
-        case: &AdmissionCase,
-    ) -> Option<WorkRefusal> {
-        let retry_after = match case.decide() {
+        let (retry_after, label) = match case.decide() {
             AdmissionStep::Timely => return None,
-            AdmissionStep::Deferred(_) => self.better_return(query, case)?,
-            AdmissionStep::Reject { retry_after } => {
-                let spread = 1.0 + self.draw_fraction();
-                retry_after.mul_f64(spread).min(case.longest_retry_delay())
+            AdmissionStep::Deferred(_) => (self.better_return(query, &case)?, BETTER_RETURN_LABEL),
+            step @ AdmissionStep::Reject { retry_after } => {
+                // Returns are distributed over the second half of the delay.
+                (retry_after.mul_f64(0.5 + 0.5 * self.draw_fraction()), step.label())
             },
         };
+        // Sent requests are counted when their attempt begins.
+        self.record_demand(query);
+        self.count_admission(label);
         Some(WorkRefusal::not_run(RefusalReason::Overloaded, Some(retry_after)))
     }
 
+    /// Counts a decision for the metrics.
+    pub(super) fn count_admission(&mut self, label: &'static str) {
+        *self.admission_counts.entry(label).or_default() += 1;
+    }
+
+    /// Returns the number of admission decisions since the last call, by label.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).take_admission_counts().is_empty());
+    /// ```
+    pub fn take_admission_counts(&mut self) -> BTreeMap<&'static str, u64> {
+        std::mem::take(&mut self.admission_counts)
+    }
+
     /// Counts a first attempt for the fair shares of workspaces.
     pub(super) fn record_demand(&mut self, query: &RelayQuery) {
         if let Some(tokens) = query.prompt_tokens.filter(|_| !query.is_retry()) {
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -146,6 +146,8 @@
     returns: PlannedReturns,
     /// Fair shares of workspaces at contended services.
     shares: WorkspaceShares,
+    /// Admission decisions not yet counted in the metrics, by label.
+    admission_counts: BTreeMap<&'static str, u64>,
     /// Whether any service was contended at the last periodic check.
     has_contended_service: bool,
     budgets: BTreeMap<ServiceName, RetryBudget>,
@@ -204,6 +206,7 @@
             promises: LoadEstimates::default(),
             returns: PlannedReturns::default(),
             shares: WorkspaceShares::default(),
+            admission_counts: BTreeMap::new(),
             has_contended_service: false,
             budgets: BTreeMap::new(),
             tries: BTreeMap::new(),
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -92,8 +92,9 @@
         };
         let prompt = PrefillPrompt { tokens, rank };
         let expected = view.reading.time_to_first_event(prompt, &norm);
-        if admission.is_some() {
+        if let Some(step) = &admission {
             self.record_demand(query);
+            self.count_admission(step.label());
         }
         self.last_reading += 1;
         self.table.begin_reading(replica, self.last_reading, prompt, now);
--- a/quillcove_core/tests/admission_fleet/mod.rs
+++ b/quillcove_core/tests/admission_fleet/mod.rs
@@ -50,7 +50,13 @@
 
 impl Default for Load {
     fn default() -> Self {
-        Self { relays: 1, rule: ContentionRule::Always, demand: 2.0, workspaces: &[1.0], copies_on_return: 1 }
+        Self {
+            relays: 1,
+            rule: ContentionRule::Always,
+            demand: 2.0,
+            workspaces: &[1.0],
+            copies_on_return: 1,
+        }
     }
 }
 
