--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -258,7 +258,7 @@
     }
 
     /// Records the spending that another relay reports. `limit_of` returns the limit of a workspace
-    /// that has no account here yet. Returns the increases, with the units of the limits.
+    /// that has no account here yet.
     ///
     /// ```
     /// use std::time::Duration;
@@ -276,6 +276,17 @@
         report: &UsageReport,
         limit_of: impl Fn(&str) -> Option<UseLimit>,
         now: MonoTime,
+    ) {
+        self.record_increases(report, limit_of, now);
+    }
+
+    /// Like [`Self::record_report`], and returns by how much the spending of each workspace has increased, with the
+    /// unit of its limit.
+    pub(crate) fn record_increases(
+        &mut self,
+        report: &UsageReport,
+        limit_of: impl Fn(&str) -> Option<UseLimit>,
+        now: MonoTime,
     ) -> Vec<(WorkspaceName, UseUnit, i64)> {
         let mut increases = Vec::new();
         if self.rules.rule == LimitRule::Even {
--- a/quillcove_core/src/relay/machine/access.rs
+++ b/quillcove_core/src/relay/machine/access.rs
@@ -130,7 +130,7 @@
             return;
         };
         let limit_of = |name: &str| access.workspace(name).and_then(|workspace| workspace.limit);
-        let increases = self.ledger.record_report(report, limit_of, now);
+        let increases = self.ledger.record_increases(report, limit_of, now);
         for (workspace, unit, units) in increases {
             self.record_reported_usage(&workspace, unit, units);
         }
