--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -2,6 +2,7 @@
 //! changes only by the calls of its methods, which are given the time and do no I/O.
 
 mod access;
+mod admission;
 mod attempts;
 mod cells;
 mod choice;
@@ -32,6 +33,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::admission::returns::PlannedReturns;
+use super::admission::shares::WorkspaceShares;
 use super::beacon::{HeldAdapter, OtherRelays};
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
@@ -139,6 +142,14 @@
     versions: BTreeMap<AdapterKey, (AdapterVersion, MonoTime)>,
     demand: AdapterDemand,
     promises: LoadEstimates,
+    /// Callers rejected because another engine is loading their adapter.
+    returns: PlannedReturns,
+    /// Fair shares of workspaces at contended services.
+    shares: WorkspaceShares,
+    /// Admission decisions not yet counted in the metrics, by label.
+    admission_counts: BTreeMap<&'static str, u64>,
+    /// Whether any service was contended at the last periodic check.
+    has_contended_service: bool,
     budgets: BTreeMap<ServiceName, RetryBudget>,
     /// Remaining times that callers state, by route, from which retries are recognized.
     tries: BTreeMap<String, CallerTries>,
@@ -193,6 +204,10 @@
             versions: BTreeMap::new(),
             demand: AdapterDemand::default(),
             promises: LoadEstimates::default(),
+            returns: PlannedReturns::default(),
+            shares: WorkspaceShares::default(),
+            admission_counts: BTreeMap::new(),
+            has_contended_service: false,
             budgets: BTreeMap::new(),
             tries: BTreeMap::new(),
             doubt: UnconfirmedState::default(),
