Loader's machine is split by task: queue of load requests, eviction

Change: queue.rs holds the queue of load requests and the orders made from it, eviction.rs the use of adapters and the choice of the one to evict; the code is moved, not changed.

--- /dev/null
+++ b/quillcove_core/src/relay/loader/eviction.rs
@@ -0,0 +1,86 @@
+//! The use of the engine's adapters by all relays, and the choice of the adapter to evict.
+
+use std::time::Duration;
+
+use super::LoaderMachine;
+use crate::ids::{AdapterKey, MonoTime};
+use crate::relay::beacon::{HeldAdapter, UseHeartbeat};
+
+/// Half-life of the demand by which the adapter to evict is chosen.
+pub(super) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(8);
+
+/// Time for which a newly loaded adapter is not evicted: the requests that waited for it are in
+/// transit, and relays report their use only every 500 ms.
+const SETTLE_TIME: Duration = Duration::from_millis(900);
+
+/// Time after the engine's first report by which the running relays have reported their use. They do
+/// so twice a second; the rest covers transit and a busy host.
+const USE_REPORT_WAIT: Duration = Duration::from_millis(600);
+
+/// Time after a relay's last use report for which its requests count as in flight.
+const USE_LIFETIME: Duration = Duration::from_millis(1600);
+
+impl LoaderMachine {
+    /// Records a relay's report of its use of the engine's adapters.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::UseHeartbeat;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// let heartbeat = UseHeartbeat { relay: "127.0.0.1:1".parse().unwrap(), uses: Vec::new() };
+    /// LoaderMachine::new("e1".into(), 1).record_uses(heartbeat, Duration::ZERO);
+    /// ```
+    pub fn record_uses(&mut self, heartbeat: UseHeartbeat, now: MonoTime) {
+        for used in heartbeat.uses.iter().filter(|used| used.sent > 0) {
+            let meter = self.demand.entry(used.key.clone()).or_default();
+            meter.add(now, f64::from(used.sent), DEMAND_HALF_LIFE);
+        }
+        let in_flight = heartbeat.uses.into_iter().filter(|used| used.in_flight > 0);
+        let in_flight = in_flight.map(|used| (used.key, used.in_flight)).collect();
+        self.in_flight.insert(heartbeat.relay, (in_flight, now));
+    }
+
+    /// Returns the requests in flight for each adapter of the engine, in the order of the report,
+    /// summed over all relays that reported recently.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert!(LoaderMachine::new("e1".into(), 1).fleet_uses(Duration::ZERO).is_empty());
+    /// ```
+    pub fn fleet_uses(&self, now: MonoTime) -> Vec<u32> {
+        let is_recent = |reported_at: &MonoTime| now.saturating_sub(*reported_at) < USE_LIFETIME;
+        let relays = || self.in_flight.values().filter(|(_, reported_at)| is_recent(reported_at));
+        let uses = |held: &HeldAdapter| relays().filter_map(|(uses, _)| uses.get(&held.key)).sum();
+        self.report.adapters.iter().map(uses).collect()
+    }
+
+    /// Returns the idle adapter with the least demand.
+    pub(super) fn eviction_candidate(&self, now: MonoTime) -> Option<AdapterKey> {
+        let demand = |key: &AdapterKey| {
+            self.demand.get(key).map_or(0.0, |meter| meter.level(now, DEMAND_HALF_LIFE))
+        };
+        self.idle_adapters(now).min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
+    }
+
+    /// Returns the adapters that may be evicted: those with no requests in flight that have not been
+    /// loaded just now. There are none until relays had time to report which adapters are in use.
+    pub(super) fn idle_adapters(&self, now: MonoTime) -> impl Iterator<Item = &AdapterKey> {
+        let has_use_reports =
+            self.first_report_at.is_some_and(|at| now.saturating_sub(at) >= USE_REPORT_WAIT);
+        let is_recent =
+            move |reported_at: &MonoTime| now.saturating_sub(*reported_at) < USE_LIFETIME;
+        let is_used = move |key: &AdapterKey| {
+            self.in_flight
+                .values()
+                .any(|(uses, reported_at)| is_recent(reported_at) && uses.contains_key(key))
+        };
+        let is_new = move |key: &AdapterKey| {
+            self.loaded_at.get(key).is_some_and(|at| now.saturating_sub(*at) < SETTLE_TIME)
+        };
+        let held = self.report.adapters.iter().map(|held| &held.key);
+        held.filter(move |key| has_use_reports && !is_used(key) && !is_new(key))
+    }
+}
--- /dev/null
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -0,0 +1,272 @@
+//! The queue of load requests, and the orders made from it.
+
+use std::time::Duration;
+
+use super::LoaderMachine;
+use super::eviction::DEMAND_HALF_LIFE;
+use crate::ids::{AdapterKey, MonoTime};
+use crate::relay::beacon::LoadRequest;
+use crate::relay::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
+
+/// Time for which started base-model loads are reported to relays: the window in which they count
+/// against the load rate, plus a margin.
+const MODEL_LOAD_RETENTION: Duration = Duration::from_millis(5500);
+
+/// Age at which a queued load request is dropped; the relay repeats it if the adapter is still needed.
+const LOAD_REQUEST_LIFETIME: Duration = Duration::from_millis(2000);
+
+/// Maximum number of queued load requests.
+const LOAD_REQUEST_LIMIT: usize = 32;
+
+/// Maximum number of adapters that an engine loads at once; engines reject more.
+const INCOMING_LIMIT: usize = 4;
+
+/// Demand that a load request counts for, in requests.
+const LOAD_REQUEST_WEIGHT: f64 = 1.0;
+
+/// Amount by which the fence is raised after the engine rejected it as too low. Fences start at the
+/// wall clock in milliseconds, which may have stepped back by some seconds.
+const FENCE_STEP: u64 = 10_000;
+
+impl LoaderMachine {
+    /// Queues a load request of a relay. It replaces a queued request for the same load, and is ignored
+    /// while an order for that load is under way or the queue is full.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::beacon::{EngineReport, LoadRequest};
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// let request = LoadRequest {
+    ///     replica: "i-1".into(),
+    ///     model: "m".into(),
+    ///     adapter: Some("a1".into()),
+    ///     version: None,
+    ///     places: 4,
+    /// };
+    /// let mut machine = LoaderMachine::new("e1".into(), 1);
+    /// machine.record_report(EngineReport::default(), Duration::ZERO);
+    /// machine.queue_load_request(request, Duration::ZERO);
+    /// assert!(machine.next_order(Duration::ZERO).is_some());
+    /// ```
+    pub fn queue_load_request(&mut self, request: LoadRequest, now: MonoTime) {
+        let is_same =
+            |other: &LoadRequest| other.model == request.model && other.adapter == request.adapter;
+        if self.current_order.as_ref().is_some_and(|(_, current)| is_same(current)) {
+            return;
+        }
+        if let Some(key) = request.key() {
+            self.adapter_slots = Some(request.places);
+            self.demand.entry(key).or_default().add(now, LOAD_REQUEST_WEIGHT, DEMAND_HALF_LIFE);
+        }
+        self.load_requests.retain(|(other, _)| !is_same(other));
+        if self.load_requests.len() < LOAD_REQUEST_LIMIT {
+            self.load_requests.push_back((request, now));
+        }
+    }
+
+    /// Returns the next order, or `None` while an order is under way, before the first report, while
+    /// the engine is draining or has requested a pause, and while it has no slot for the next load.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert!(LoaderMachine::new("e1".into(), 1).next_order(Duration::ZERO).is_none());
+    /// ```
+    pub fn next_order(&mut self, now: MonoTime) -> Option<LoadOrder> {
+        let takes_orders = !self.report.is_leaving && self.upstream_status.pause_end(now).is_none();
+        if self.current_order.is_some() || !takes_orders {
+            return None;
+        }
+        // Before its first report the engine would seem empty although it may be full: only this
+        // process is new.
+        let reported_at = self.reported_at?;
+        self.load_requests
+            .retain(|(_, queued_at)| now.saturating_sub(*queued_at) < LOAD_REQUEST_LIFETIME);
+        self.ordered_loads.expire(now);
+        while let Some((request, _)) = self.load_requests.front() {
+            if self.is_satisfied(request) {
+                self.load_requests.pop_front();
+                continue;
+            }
+            let evicted = match self.capacity_for(request, now) {
+                LoadCapacity::Free => None,
+                LoadCapacity::AfterEviction(key) => Some(key),
+                LoadCapacity::Unavailable => return None,
+            };
+            let (request, _) = self.load_requests.pop_front()?;
+            let basis = self.order_basis(&request, now.saturating_sub(reported_at));
+            let order = self.build_order(&request, evicted, basis);
+            if order.kind == OrderKind::Load {
+                match request.key() {
+                    Some(key) => {
+                        let min_version = request.version.unwrap_or(0);
+                        let replica = request.replica.clone();
+                        self.ordered_loads.add(key, min_version, replica, now);
+                    },
+                    None if self.is_local(&request) => {},
+                    None => self.model_loads.push_back(now),
+                }
+            }
+            self.current_order = Some((order.clone(), request));
+            return Some(order);
+        }
+        None
+    }
+
+    /// Returns whether the engine's host has a copy of the base model, so that its load reads nothing
+    /// from the weight store and does not count against the load rate.
+    fn is_local(&self, request: &LoadRequest) -> bool {
+        self.report.local_models.contains(&request.model)
+    }
+
+    /// Returns whether the engine has already loaded, or is loading, what is requested.
+    fn is_satisfied(&self, request: &LoadRequest) -> bool {
+        let Some(key) = request.key() else {
+            return self.report.models.contains(&request.model);
+        };
+        let all = self.report.adapters.iter().chain(&self.report.incoming);
+        let version = request.version.unwrap_or(0);
+        all.into_iter().any(|held| held.key == key && held.version >= version)
+    }
+
+    /// Returns how many adapters the engine can load beyond the queued load requests, counting free
+    /// slots and those of idle adapters. `None` before the first report, and until a load request has
+    /// given the number of slots.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert_eq!(LoaderMachine::new("e1".into(), 1).spare_places(Duration::ZERO), None);
+    /// ```
+    pub fn spare_places(&self, now: MonoTime) -> Option<u32> {
+        self.reported_at?;
+        let slots = self.adapter_slots? as usize;
+        let free = slots.saturating_sub(self.report.adapters.len() + self.incoming_count());
+        let waiting =
+            self.load_requests.iter().filter(|(request, _)| request.adapter.is_some()).count();
+        let spare = (free + self.idle_adapters(now).count()).saturating_sub(waiting);
+        Some(spare as u32)
+    }
+
+    /// Returns the number of adapters being loaded, including those ordered but not reported yet.
+    fn incoming_count(&self) -> usize {
+        self.report.incoming.len() + self.ordered_loads.unreported_count(&self.report.incoming)
+    }
+
+    /// Returns whether the engine can start the requested load, and what has to be evicted for it. A new
+    /// version being loaded takes a slot of its own beside the old one.
+    fn capacity_for(&self, request: &LoadRequest, now: MonoTime) -> LoadCapacity {
+        if request.adapter.is_none() {
+            return match self.report.models.is_empty() && !self.report.is_busy {
+                true => LoadCapacity::Free,
+                false => LoadCapacity::Unavailable,
+            };
+        }
+        let coming = self.incoming_count();
+        if coming >= INCOMING_LIMIT || self.report.is_busy {
+            return LoadCapacity::Unavailable;
+        }
+        if self.report.adapters.len() + coming < request.places as usize {
+            return LoadCapacity::Free;
+        }
+        self.eviction_candidate(now).map_or(LoadCapacity::Unavailable, LoadCapacity::AfterEviction)
+    }
+
+    /// Builds the order for a load request: the unload of `evicted` if one is given, else the load.
+    fn build_order(
+        &mut self,
+        request: &LoadRequest,
+        evicted: Option<AdapterKey>,
+        basis: OrderBasis,
+    ) -> LoadOrder {
+        self.fence += 1;
+        let (kind, model, adapter, version) = match evicted {
+            Some(key) => (OrderKind::Unload, key.model, Some(key.adapter), None),
+            None => {
+                (OrderKind::Load, request.model.clone(), request.adapter.clone(), request.version)
+            },
+        };
+        let (replica, holder) = (request.replica.clone(), self.holder.clone());
+        LoadOrder {
+            kind,
+            replica,
+            model,
+            adapter,
+            version,
+            holder,
+            fence: self.fence,
+            orders_seen: self.report.orders_taken,
+            basis,
+        }
+    }
+
+    /// Returns the state of the engine on which an order is based, for logs.
+    fn order_basis(&self, request: &LoadRequest, report_age: Duration) -> OrderBasis {
+        OrderBasis {
+            report_age,
+            held: self.report.adapters.len(),
+            coming: self.incoming_count(),
+            places: request.places,
+        }
+    }
+
+    /// Records the outcome of the order under way. The load request is queued again, in front, after
+    /// its eviction and when the engine rejected the order as busy or for its fence.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    /// use quillcove_core::relay::order::OrderOutcome;
+    ///
+    /// LoaderMachine::new("e1".into(), 1).complete_order(OrderOutcome::Begun, Duration::ZERO);
+    /// ```
+    pub fn complete_order(&mut self, outcome: OrderOutcome, now: MonoTime) {
+        let Some((order, request)) = self.current_order.take() else {
+            return;
+        };
+        let may_have_started = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
+        if order.kind == OrderKind::Load && !may_have_started {
+            match request.key() {
+                Some(key) => self.ordered_loads.cancel(&key),
+                None if self.is_local(&request) => {},
+                None => drop(self.model_loads.pop_back()),
+            }
+        }
+        match (outcome, order.kind) {
+            (OrderOutcome::Begun | OrderOutcome::Holds, OrderKind::Unload)
+            | (OrderOutcome::Busy, _) => self.load_requests.push_front((request, now)),
+            (OrderOutcome::FenceTooLow, _) => {
+                self.fence += FENCE_STEP;
+                self.load_requests.push_front((request, now));
+            },
+            _ => {},
+        }
+    }
+
+    /// Returns the ages of the recently started base-model loads that read from the weight store.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert!(LoaderMachine::new("e1".into(), 1).model_loads(Duration::ZERO).is_empty());
+    /// ```
+    pub fn model_loads(&mut self, now: MonoTime) -> Vec<Duration> {
+        self.model_loads
+            .retain(|started_at| now.saturating_sub(*started_at) < MODEL_LOAD_RETENTION);
+        self.model_loads.iter().map(|started_at| now.saturating_sub(*started_at)).collect()
+    }
+}
+
+/// Whether an engine can start a load.
+enum LoadCapacity {
+    /// It can now.
+    Free,
+    /// It can once this adapter has been evicted.
+    AfterEviction(AdapterKey),
+    /// It cannot now.
+    Unavailable,
+}
