Loaders announce an unreachable engine at once, and relays leave it out

Change: a refused connection, or two calls in a row without a response, make the engine unreachable where slots are scarce: a status is sent at once and again with each heartbeat interval, queued and new load requests are answered with Unreachable, and no order is given. Relays send such an engine neither requests nor load requests while the status is fresh, unless every engine of the service is reported so. queue_load_request takes the asking relay; its tests are changed for the new parameter only.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -7,6 +7,7 @@
 
 mod crashes;
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -18,8 +19,8 @@
 use quillcove_core::relay::beacon::{
     ArrivedLoad, EngineGauges, EngineHeartbeat, EngineReport, GaugeHeartbeat, PeerMessage,
 };
-use quillcove_core::relay::engine_status::EngineStatus;
-use quillcove_core::relay::loader::LoaderMachine;
+use quillcove_core::relay::engine_status::{EngineStatus, LoadReply};
+use quillcove_core::relay::loader::{EngineContact, LoaderMachine};
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_core::relay::report_stream::ReportSender;
 use quillcove_core::relay::roll::RelayMembership;
@@ -27,8 +28,9 @@
 use quillcove_platform::{engine, heads};
 use serde::Serialize;
 use slog::{Logger, info, warn};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::clock::MonoClock;
 use crate::config::relay::LoaderSettings;
@@ -140,6 +142,8 @@
     arrivals: Vec<ArrivedLoad>,
     last_heartbeat: MonoTime,
     is_engine_up: bool,
+    /// When the engine's status was last sent.
+    last_status: MonoTime,
     /// Whether the last heartbeat reported that the engine has no free adapter slot.
     was_reported_full: bool,
     /// Stops serving when dropped.
@@ -173,6 +177,7 @@
             arrivals: Vec::new(),
             last_heartbeat: MonoTime::ZERO,
             is_engine_up: false,
+            last_status: MonoTime::ZERO,
             was_reported_full: false,
             operator,
             settings,
@@ -195,9 +200,11 @@
                     next_report = Instant::now() + self.report_delay();
                 },
             }
+            self.send_replies();
             while let Some(order) = self.machine.next_order(self.clock.now()) {
                 let outcome = self.execute_order(&order).await;
                 let is_read = self.read_report().await;
+                self.send_replies();
                 // The order changed the engine's state: without a report read after it, the next
                 // order would be decided on outdated state.
                 if outcome == OrderOutcome::Busy || !is_read {
@@ -243,7 +250,7 @@
                 info!(self.log, "load asked for"; "relay" => %from, "replica" => &ask.replica,
                     "model" => &ask.model, "adapter" => ask.adapter.as_deref().unwrap_or("-"),
                     "version" => ask.version);
-                self.machine.queue_load_request(ask, now);
+                self.machine.queue_load_request(from, ask, now);
                 // The relay waits for the adapter, which may be loaded already. A new relay gets a
                 // full report, which then lists it.
                 self.record_relay(from, now);
@@ -275,16 +282,18 @@
     /// Reads the engine's report, and sends a heartbeat when one is due or the engine's loaded
     /// adapters changed. Returns whether the report could be read.
     async fn read_report(&mut self) -> bool {
+        let was_reachable = self.machine.is_reachable();
         let report = self.fetch_report().await;
         let is_up = report.is_some();
         if is_up != self.is_engine_up {
             self.is_engine_up = is_up;
             info!(self.log, "engine reachable"; "is_up" => is_up);
         }
+        let now = self.clock.now();
         let Some(report) = report else {
+            self.send_overdue_status(now);
             return false;
         };
-        let now = self.clock.now();
         if report.is_leaving && !self.machine.report().is_leaving {
             info!(self.log, "engine says that it leaves"; "born" => report.born);
         }
@@ -303,7 +312,8 @@
             _ => WAITING_INTERVAL,
         };
         let is_due = now.saturating_sub(self.last_heartbeat) >= interval;
-        if change.is_changed || is_due {
+        let is_back = !was_reachable && self.machine.is_contended(now);
+        if change.is_changed || is_due || is_back {
             self.send_heartbeat(now);
         }
         self.send_due_crashes(is_due, now);
@@ -311,10 +321,12 @@
         true
     }
 
-    async fn fetch_report(&self) -> Option<EngineReport> {
+    async fn fetch_report(&mut self) -> Option<EngineReport> {
         let call = engine::report_request();
         let uri = format!("http://{}{}", self.settings.engine.address, call.path);
-        let answer = self.client.fetch(Method::GET, &uri, call.body, REPORT_TIMEOUT).await.ok()?;
+        let answer = self.client.fetch(Method::GET, &uri, call.body, REPORT_TIMEOUT).await;
+        self.record_contact(answer.as_ref().err()).await;
+        let answer = answer.ok()?;
         if !answer.status().is_success() {
             return None;
         }
@@ -328,6 +340,62 @@
         }
     }
 
+    /// Records whether the engine responded to a call, and sends its status at once if it has become unreachable. That
+    /// it is reachable again follows with its next report, so that relays learn first what it holds.
+    async fn record_contact(&mut self, error: Option<&WebError>) {
+        let contact = match error {
+            None | Some(WebError::Status(_)) => EngineContact::Responded,
+            Some(WebError::Lost(_)) => EngineContact::Unanswered,
+            Some(WebError::NotSent(_)) if self.machine.is_contended(self.clock.now()) => {
+                self.probe_port().await
+            },
+            Some(WebError::NotSent(_)) => EngineContact::Unanswered,
+        };
+        let now = self.clock.now();
+        if self.machine.record_contact(contact, now) {
+            let is_reachable = self.machine.is_reachable();
+            info!(self.log, "engine's reachability changed"; "is_reachable" => is_reachable,
+                "contact" => ?contact, "is_announced" => self.machine.is_contended(now));
+            if !is_reachable {
+                self.send_status(now);
+            }
+        }
+        self.send_replies();
+    }
+
+    /// Connects to the engine's port after a call that could not be sent. Only a refused connection shows that no
+    /// process listens there; the call may also have failed for want of a local resource.
+    async fn probe_port(&self) -> EngineContact {
+        let attempt = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.settings.engine.address));
+        match attempt.await {
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                EngineContact::Refused
+            },
+            _ => EngineContact::Unanswered,
+        }
+    }
+
+    /// Sends the engine's status while it does not respond, so that no heartbeat carries one.
+    fn send_overdue_status(&mut self, now: MonoTime) {
+        let is_due = now.saturating_sub(self.last_status) >= HEARTBEAT_INTERVAL;
+        if is_due && self.machine.is_contended(now) {
+            self.expire_relays(now);
+            self.send_status(now);
+        }
+    }
+
+    /// Sends the replies to load requests.
+    fn send_replies(&mut self) {
+        for reply in self.machine.take_replies() {
+            info!(self.log, "load request answered"; "relay" => %reply.relay,
+                "model" => &reply.key.model, "adapter" => &reply.key.adapter,
+                "outcome" => ?reply.outcome);
+            let engine = self.settings.engine.address;
+            let message = LoadReply { engine, key: reply.key, outcome: reply.outcome };
+            self.send(&PeerMessage::Reply(message), [reply.relay]);
+        }
+    }
+
     /// Reads the status headers that the engine sends about itself with a response.
     fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> UpstreamNotice {
         let (notice, fault) = heads::read_upstream_notice(status, headers, SystemTime::now());
@@ -415,21 +483,22 @@
             view.relays.clone_from(&relays);
             view.is_engine_up = self.is_engine_up;
         }
-        self.send(&message, relays.iter().copied());
-        self.send_status(relays, now);
+        self.send(&message, relays);
+        self.send_status(now);
     }
 
     /// Sends the engine's status to relays where the rules for scarce adapter slots apply.
-    fn send_status(&mut self, relays: Vec<SocketAddr>, now: MonoTime) {
+    fn send_status(&mut self, now: MonoTime) {
         if !self.machine.is_contended(now) {
             return;
         }
+        self.last_status = now;
         let status = EngineStatus {
             number: self.next_number(),
             incarnation: self.incarnation,
             ..self.machine.status(self.settings.engine.address, now)
         };
-        self.send(&PeerMessage::Status(status), relays);
+        self.send(&PeerMessage::Status(status), self.relays.all());
     }
 
     fn send(&self, message: &PeerMessage, relays: impl IntoIterator<Item = SocketAddr>) {
@@ -439,8 +508,9 @@
 
     /// Sends one order to the engine, and records and returns its outcome.
     async fn execute_order(&mut self, order: &LoadOrder) -> OrderOutcome {
-        let outcome = match self.send_order(order).await {
-            Ok(outcome) => outcome,
+        let answer = self.send_order(order).await;
+        let outcome = match &answer {
+            Ok(outcome) => *outcome,
             Err(WebError::NotSent(_)) => OrderOutcome::Rejected,
             Err(WebError::Lost(_) | WebError::Status(_)) => OrderOutcome::Unanswered,
         };
@@ -453,6 +523,7 @@
             "held" => basis.held, "coming" => basis.coming, "places" => basis.places,
             "report_age_ms" => basis.report_age.as_millis() as u64);
         self.machine.complete_order(outcome, self.clock.now());
+        self.record_contact(answer.as_ref().err()).await;
         outcome
     }
 
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -134,6 +134,8 @@
 
     fn handle_status(&mut self, status: EngineStatus, now: MonoTime) {
         self.shared.machine().take_status(status, now);
+        // Loads that an unreachable engine was asked for are requested from others.
+        self.send_pending_loads();
     }
 
     fn handle_load_reply(&mut self, reply: &LoadReply, now: MonoTime) {
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -317,6 +317,17 @@
     /// ```
     pub fn leave_engine(&mut self, replica: &str) {
         self.forget_engine(replica);
+        self.drop_load_requests(replica);
+    }
+
+    /// Drops the open load requests to an engine, so that its loads are requested from other engines at once.
+    ///
+    /// ```
+    /// use quillcove_core::relay::demand::AdapterDemand;
+    ///
+    /// AdapterDemand::default().drop_load_requests("i-1");
+    /// ```
+    pub fn drop_load_requests(&mut self, replica: &str) {
         self.open_requests.retain(|_, request| request.addressed.ask.replica != replica);
     }
 
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -7,6 +7,7 @@
 mod ordered;
 mod prompts;
 mod queue;
+mod reach;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -15,8 +16,10 @@
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
 pub use self::prompts::RelayPrompts;
-use super::beacon::{ArrivedLoad, EngineReport, LoadRequest};
-use super::engine_status::{EngineStatus, PromptReport};
+use self::queue::QueuedLoad;
+pub use self::reach::{EngineContact, EngineReach};
+use super::beacon::{ArrivedLoad, EngineReport};
+use super::engine_status::{EngineStatus, LoadOutcome, PromptReport};
 use super::order::LoadOrder;
 use crate::demand::DemandMeter;
 use crate::ids::{AdapterKey, HostId, MonoTime};
@@ -34,6 +37,17 @@
     pub broken: Vec<BrokenLoad>,
 }
 
+/// A reply to the load request of one relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoaderReply {
+    /// The relay.
+    pub relay: SocketAddr,
+    /// The requested adapter.
+    pub key: AdapterKey,
+    /// What is done about the request.
+    pub outcome: LoadOutcome,
+}
+
 /// Queues load requests for one engine and decides on its orders.
 ///
 /// ```
@@ -47,8 +61,8 @@
 pub struct LoaderMachine {
     holder: HostId,
     fence: u64,
-    load_requests: VecDeque<(LoadRequest, MonoTime)>,
-    current_order: Option<(LoadOrder, LoadRequest)>,
+    load_requests: VecDeque<QueuedLoad>,
+    current_order: Option<(LoadOrder, QueuedLoad)>,
     /// Start times of recent base-model loads that read from the weight store.
     model_loads: VecDeque<MonoTime>,
     /// Number of adapter slots of the engine, from the last load request.
@@ -69,6 +83,10 @@
     in_flight: HashMap<SocketAddr, (HashMap<AdapterKey, u32>, MonoTime)>,
     /// Prompts that relays have pending at the engine.
     prompts: RelayPrompts,
+    /// Whether the engine responds.
+    reach: EngineReach,
+    /// Replies to relays that have not been sent yet.
+    replies: Vec<LoaderReply>,
     /// Status that the engine reports with its responses to orders; only requested pauses count here.
     upstream_status: UpstreamStatus,
 }
@@ -98,6 +116,8 @@
             loaded_at: HashMap::new(),
             in_flight: HashMap::new(),
             prompts: RelayPrompts::default(),
+            reach: EngineReach::default(),
+            replies: Vec::new(),
             upstream_status: UpstreamStatus::default(),
         }
     }
@@ -136,7 +156,57 @@
     /// assert!(machine.status("127.0.0.1:1".parse().unwrap(), Duration::ZERO).is_reachable);
     /// ```
     pub fn status(&self, engine: SocketAddr, now: MonoTime) -> EngineStatus {
-        EngineStatus { pending: self.prompts.total(now), ..EngineStatus::unknown(engine) }
+        EngineStatus {
+            is_reachable: self.reach.is_reachable(),
+            pending: self.prompts.total(now),
+            ..EngineStatus::unknown(engine)
+        }
+    }
+
+    /// Records the result of a call to the engine; returns whether the engine has become reachable or unreachable.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::loader::{EngineContact, LoaderMachine};
+    ///
+    /// let mut machine = LoaderMachine::new("e1".into(), 1);
+    /// assert!(machine.record_contact(EngineContact::Refused, Duration::ZERO));
+    /// assert!(!machine.status("127.0.0.1:1".parse().unwrap(), Duration::ZERO).is_reachable);
+    /// ```
+    pub fn record_contact(&mut self, contact: EngineContact, now: MonoTime) -> bool {
+        let is_changed = self.reach.record(contact);
+        if self.is_cut_off(now) {
+            self.reject_unreachable();
+        }
+        is_changed
+    }
+
+    /// Returns whether the engine responds to calls.
+    ///
+    /// ```
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert!(LoaderMachine::new("e1".into(), 1).is_reachable());
+    /// ```
+    pub fn is_reachable(&self) -> bool {
+        self.reach.is_reachable()
+    }
+
+    /// Returns whether the engine is unreachable and the rules for scarce adapter slots apply: then it gets no
+    /// orders, and load requests are not queued.
+    fn is_cut_off(&self, now: MonoTime) -> bool {
+        !self.reach.is_reachable() && self.is_contended(now)
+    }
+
+    /// Takes the replies to send to relays now.
+    ///
+    /// ```
+    /// use quillcove_core::relay::loader::LoaderMachine;
+    ///
+    /// assert!(LoaderMachine::new("e1".into(), 1).take_replies().is_empty());
+    /// ```
+    pub fn take_replies(&mut self) -> Vec<LoaderReply> {
+        std::mem::take(&mut self.replies)
     }
 
     /// Returns the last report of the engine.
--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -1,11 +1,14 @@
 //! The queue of load requests, and the orders made from it.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::LoaderMachine;
 use super::eviction::DEMAND_HALF_LIFE;
+use super::{LoaderMachine, LoaderReply};
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::LoadRequest;
+use crate::relay::engine_status::LoadOutcome;
 use crate::relay::order::{LoadOrder, OrderBasis, OrderKind, OrderOutcome};
 
 /// Time for which started base-model loads are reported to relays: the window in which they count
@@ -28,9 +31,20 @@
 /// wall clock in milliseconds, which may have stepped back by some seconds.
 const FENCE_STEP: u64 = 10_000;
 
+/// A load request in the queue, or of the order under way.
+#[derive(Clone, Debug)]
+pub(super) struct QueuedLoad {
+    pub request: LoadRequest,
+    /// When it was last asked for, or put back in front after an order.
+    pub renewed_at: MonoTime,
+    /// Relays that asked for it.
+    pub relays: BTreeSet<SocketAddr>,
+}
+
 impl LoaderMachine {
     /// Queues a load request of a relay. It replaces a queued request for the same load, and is ignored
-    /// while an order for that load is under way or the queue is full.
+    /// while an order for that load is under way or the queue is full. While an engine with scarce adapter slots
+    /// is unreachable, requests are not queued.
     ///
     /// ```
     /// use std::time::Duration;
@@ -46,27 +60,55 @@
     /// };
     /// let mut machine = LoaderMachine::new("e1".into(), 1);
     /// machine.record_report(EngineReport::default(), Duration::ZERO);
-    /// machine.queue_load_request(request, Duration::ZERO);
+    /// machine.queue_load_request("127.0.0.1:1".parse().unwrap(), request, Duration::ZERO);
     /// assert!(machine.next_order(Duration::ZERO).is_some());
     /// ```
-    pub fn queue_load_request(&mut self, request: LoadRequest, now: MonoTime) {
+    pub fn queue_load_request(&mut self, relay: SocketAddr, request: LoadRequest, now: MonoTime) {
+        if self.is_cut_off(now) {
+            self.reply([relay], request.key(), LoadOutcome::Unreachable);
+            return;
+        }
         let is_same =
             |other: &LoadRequest| other.model == request.model && other.adapter == request.adapter;
-        if self.current_order.as_ref().is_some_and(|(_, current)| is_same(current)) {
+        if self.current_order.as_ref().is_some_and(|(_, current)| is_same(&current.request)) {
             return;
         }
         if let Some(key) = request.key() {
             self.adapter_slots = Some(request.places);
             self.demand.entry(key).or_default().add(now, LOAD_REQUEST_WEIGHT, DEMAND_HALF_LIFE);
         }
-        self.load_requests.retain(|(other, _)| !is_same(other));
+        let known = self.load_requests.iter().position(|other| is_same(&other.request));
+        let known = known.and_then(|index| self.load_requests.remove(index));
+        let mut relays = known.map_or_else(BTreeSet::new, |known| known.relays);
+        relays.insert(relay);
         if self.load_requests.len() < LOAD_REQUEST_LIMIT {
-            self.load_requests.push_back((request, now));
+            self.load_requests.push_back(QueuedLoad { request, renewed_at: now, relays });
+        }
+    }
+
+    /// Empties the queue of an engine that does not respond, and tells the relays.
+    pub(super) fn reject_unreachable(&mut self) {
+        for queued in std::mem::take(&mut self.load_requests) {
+            self.reply(queued.relays, queued.request.key(), LoadOutcome::Unreachable);
+        }
+    }
+
+    /// Queues a reply to each of the relays; base models have none.
+    fn reply(
+        &mut self,
+        relays: impl IntoIterator<Item = SocketAddr>,
+        key: Option<AdapterKey>,
+        outcome: LoadOutcome,
+    ) {
+        if let Some(key) = key {
+            let reply = |relay| LoaderReply { relay, key: key.clone(), outcome };
+            self.replies.extend(relays.into_iter().map(reply));
         }
     }
 
     /// Returns the next order, or `None` while an order is under way, before the first report, while
-    /// the engine is draining or has requested a pause, and while it has no slot for the next load.
+    /// the engine is draining or has requested a pause, and while it has no slot for the next load. An engine with
+    /// scarce adapter slots gets none while it is unreachable.
     ///
     /// ```
     /// use std::time::Duration;
@@ -79,13 +121,18 @@
         if self.current_order.is_some() || !takes_orders {
             return None;
         }
+        if self.is_cut_off(now) {
+            // What was queued before the rules for scarce slots applied.
+            self.reject_unreachable();
+            return None;
+        }
         // Before its first report the engine would seem empty although it may be full: only this
         // process is new.
         let reported_at = self.reported_at?;
         self.load_requests
-            .retain(|(_, queued_at)| now.saturating_sub(*queued_at) < LOAD_REQUEST_LIFETIME);
+            .retain(|queued| now.saturating_sub(queued.renewed_at) < LOAD_REQUEST_LIFETIME);
         self.ordered_loads.expire(now);
-        while let Some((request, _)) = self.load_requests.front() {
+        while let Some(QueuedLoad { request, .. }) = self.load_requests.front() {
             if self.is_satisfied(request) {
                 self.load_requests.pop_front();
                 continue;
@@ -95,9 +142,10 @@
                 LoadCapacity::AfterEviction(key) => Some(key),
                 LoadCapacity::Unavailable => return None,
             };
-            let (request, _) = self.load_requests.pop_front()?;
-            let basis = self.order_basis(&request, now.saturating_sub(reported_at));
-            let order = self.build_order(&request, evicted, basis);
+            let queued = self.load_requests.pop_front()?;
+            let request = &queued.request;
+            let basis = self.order_basis(request, now.saturating_sub(reported_at));
+            let order = self.build_order(request, evicted, basis);
             if order.kind == OrderKind::Load {
                 match request.key() {
                     Some(key) => {
@@ -105,11 +153,11 @@
                         let replica = request.replica.clone();
                         self.ordered_loads.add(key, min_version, replica, now);
                     },
-                    None if self.is_local(&request) => {},
+                    None if self.is_local(request) => {},
                     None => self.model_loads.push_back(now),
                 }
             }
-            self.current_order = Some((order.clone(), request));
+            self.current_order = Some((order.clone(), queued));
             return Some(order);
         }
         None
@@ -143,10 +191,13 @@
     /// ```
     pub fn spare_places(&self, now: MonoTime) -> Option<u32> {
         self.reported_at?;
+        if self.is_cut_off(now) {
+            return Some(0);
+        }
         let slots = self.adapter_slots? as usize;
         let free = slots.saturating_sub(self.report.adapters.len() + self.incoming_count());
         let waiting =
-            self.load_requests.iter().filter(|(request, _)| request.adapter.is_some()).count();
+            self.load_requests.iter().filter(|queued| queued.request.adapter.is_some()).count();
         let spare = (free + self.idle_adapters(now).count()).saturating_sub(waiting);
         Some(spare as u32)
     }
@@ -224,23 +275,25 @@
     /// LoaderMachine::new("e1".into(), 1).complete_order(OrderOutcome::Begun, Duration::ZERO);
     /// ```
     pub fn complete_order(&mut self, outcome: OrderOutcome, now: MonoTime) {
-        let Some((order, request)) = self.current_order.take() else {
+        let Some((order, queued)) = self.current_order.take() else {
             return;
         };
+        let renewed = QueuedLoad { renewed_at: now, ..queued };
+        let request = &renewed.request;
         let may_have_started = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
         if order.kind == OrderKind::Load && !may_have_started {
             match request.key() {
                 Some(key) => self.ordered_loads.cancel(&key),
-                None if self.is_local(&request) => {},
+                None if self.is_local(request) => {},
                 None => drop(self.model_loads.pop_back()),
             }
         }
         match (outcome, order.kind) {
             (OrderOutcome::Begun | OrderOutcome::Holds, OrderKind::Unload)
-            | (OrderOutcome::Busy, _) => self.load_requests.push_front((request, now)),
+            | (OrderOutcome::Busy, _) => self.load_requests.push_front(renewed),
             (OrderOutcome::FenceTooLow, _) => {
                 self.fence += FENCE_STEP;
-                self.load_requests.push_front((request, now));
+                self.load_requests.push_front(renewed);
             },
             _ => {},
         }
--- a/quillcove_core/src/relay/machine/cells.rs
+++ b/quillcove_core/src/relay/machine/cells.rs
@@ -144,10 +144,12 @@
             return Vec::new();
         }
         let need = self.need_of(query, now);
+        let unreachable = self.unreachable_engines(&query.service, now);
         let holds = |view: &&ReplicaView| {
             let is_far = !view.is_in_cell && view.record.service == query.service;
             let is_open = is_far && view.takes_work(now) && view.seems_well(now);
-            is_open && view.report(now).is_some() && need.is_met_by(view, now)
+            let is_reachable = !unreachable.contains(&view.record.id.as_str());
+            is_open && is_reachable && view.report(now).is_some() && need.is_met_by(view, now)
         };
         self.table.all().filter(holds).collect()
     }
--- a/quillcove_core/src/relay/machine/contention.rs
+++ b/quillcove_core/src/relay/machine/contention.rs
@@ -29,7 +29,8 @@
         }
     }
 
-    /// Records an engine's status from its loader. Returns whether it is newer than the known one.
+    /// Records an engine's status from its loader. Returns whether it is newer than the known one. That of a service to which
+    /// the rules for scarce adapter slots do not apply is ignored.
     ///
     /// ```
     /// use std::time::Duration;
@@ -40,7 +41,33 @@
     /// assert!(!RelayMachine::new(RelayRules::default(), 1).take_status(status, Duration::ZERO));
     /// ```
     pub fn take_status(&mut self, status: EngineStatus, now: MonoTime) -> bool {
-        self.table.record_status(status, now)
+        let view = self.table.at(status.engine);
+        let Some(view) = view.filter(|view| self.is_contended(&view.record.service)) else {
+            return false;
+        };
+        let (replica, was_unreachable) = (view.record.id.clone(), view.is_unreachable(now));
+        let is_lost = !status.is_reachable && !was_unreachable;
+        let is_newer = self.table.record_status(status, now);
+        if is_newer && is_lost {
+            self.demand.drop_load_requests(&replica);
+            self.send_load_requests(now);
+        }
+        is_newer
+    }
+
+    /// Returns the engines of a service that their loaders report as unreachable; none if that is every ready engine,
+    /// as the fault may then be in this relay.
+    pub(super) fn unreachable_engines<'a>(
+        &'a self,
+        service: &'a str,
+        now: MonoTime,
+    ) -> Vec<&'a str> {
+        let unreachable = self.ready_engines(service).filter(|view| view.is_unreachable(now));
+        let unreachable: Vec<&str> = unreachable.map(|view| view.record.id.as_str()).collect();
+        match unreachable.is_empty() || unreachable.len() < self.ready_engines(service).count() {
+            true => unreachable,
+            false => Vec::new(),
+        }
     }
 
     /// Records a loader's reply to a load request of this relay.
--- a/quillcove_core/src/relay/machine/loading.rs
+++ b/quillcove_core/src/relay/machine/loading.rs
@@ -130,12 +130,16 @@
             let Some(engine) = &service.engine else {
                 continue;
             };
+            let unreachable = self.unreachable_engines(&service.name, now);
+            let is_reachable =
+                |view: &&ReplicaView| !unreachable.contains(&view.record.id.as_str());
             let ready = self.table.all().filter(|view| {
                 view.is_in_cell && view.record.service == service.name && takes_loads(view)
             });
+            let ready = ready.filter(is_reachable);
             let norm = self.table.norm(&service.name);
             let is_home = |view: &&ReplicaView| view.record.service == service.name;
-            let homes = homes.iter().copied().filter(is_home).collect();
+            let homes = homes.iter().copied().filter(is_home).filter(is_reachable).collect();
             let views = prefer_unlimited(ready.collect());
             choices.push(EngineChoice { service: &service.name, engine, views, homes, norm });
         }
--- a/quillcove_core/src/relay/machine/standing.rs
+++ b/quillcove_core/src/relay/machine/standing.rs
@@ -129,6 +129,9 @@
                 false => EligibleReplicas::LastResort(last_resort),
             };
         }
+        let unreachable = self.unreachable_engines(&query.service, now);
+        let is_reachable = |view: &&ReplicaView| !unreachable.contains(&view.record.id.as_str());
+        let ready: Vec<&ReplicaView> = ready.into_iter().filter(is_reachable).collect();
         let open: Vec<&ReplicaView> =
             ready.iter().copied().filter(|view| view.takes_work(now)).collect();
         match ready.iter().map(|view| view.standing.next_request_time(now)).min() {
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -301,6 +301,20 @@
         (now.saturating_sub(*received_at) <= STATUS_LIFETIME).then_some(status)
     }
 
+    /// Tells whether its loader has recently reported that it does not respond.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert!(!table.get("i-1").unwrap().is_unreachable(Duration::ZERO));
+    /// ```
+    pub fn is_unreachable(&self, now: MonoTime) -> bool {
+        self.status(now).is_some_and(|status| !status.is_reachable)
+    }
+
     /// Returns the number of free adapter slots, if its loader has reported recently.
     ///
     /// ```
--- a/quillcove_core/tests/fatal_load.rs
+++ b/quillcove_core/tests/fatal_load.rs
@@ -50,7 +50,7 @@
         version: Some(2),
         places: 4,
     };
-    machine.queue_load_request(ask, NOW);
+    machine.queue_load_request(address(1), ask, NOW);
     assert!(machine.next_order(NOW).is_some());
     machine.complete_order(OrderOutcome::Begun, NOW);
     let later = NOW + Duration::from_secs(6);
--- /dev/null
+++ b/quillcove_core/tests/loader_slots.rs
@@ -0,0 +1,125 @@
+//! A loader's machine beside an engine with scarce adapter slots: engines that do not respond, rejected unloads, the
+//! order of the queue, replies, and what is learnt of slots and of the host's copies.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{
+    AdapterUse, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat,
+};
+use quillcove_core::relay::engine_status::{LoadOutcome, PendingPrompts, PromptReport};
+use quillcove_core::relay::loader::{EngineContact, LoaderMachine};
+
+const SLOTS: u32 = 5;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn relay(number: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), number)
+}
+
+fn key(number: u32) -> AdapterKey {
+    AdapterKey { model: "m".to_string(), adapter: format!("a{number}") }
+}
+
+fn request(number: u32) -> LoadRequest {
+    LoadRequest {
+        replica: "i-1".to_string(),
+        model: "m".to_string(),
+        adapter: Some(key(number).adapter),
+        version: None,
+        places: SLOTS,
+    }
+}
+
+fn report(adapters: &[u32]) -> EngineReport {
+    let held = |number: &u32| HeldAdapter { key: key(*number), version: 1 };
+    EngineReport {
+        born: Some(1),
+        models: vec!["m".to_string()],
+        adapters: adapters.iter().map(held).collect(),
+        ..EngineReport::default()
+    }
+}
+
+/// Reports that a relay uses these adapters and no others.
+fn use_adapters(machine: &mut LoaderMachine, number: u16, adapters: &[u32], now: Duration) {
+    let uses = adapters.iter().map(|used| AdapterUse { key: key(*used), sent: 1, in_flight: 1 });
+    machine.record_uses(UseHeartbeat { relay: relay(number), uses: uses.collect() }, now);
+}
+
+/// Renews the switch, as relays do where slots are scarce.
+fn contend(machine: &mut LoaderMachine, now: Duration) {
+    let pending = PendingPrompts::default();
+    let number = now.as_millis() as u64 + 1;
+    machine.record_prompts(PromptReport { relay: relay(9), number, incarnation: 1, pending }, now);
+}
+
+/// A machine whose engine holds these adapters since a second.
+fn machine(is_contended: bool, adapters: &[u32]) -> LoaderMachine {
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    machine.record_report(report(adapters), ms(0));
+    if is_contended {
+        contend(&mut machine, ms(1000));
+    }
+    machine.record_report(report(adapters), ms(1000));
+    machine
+}
+
+fn outcomes(machine: &mut LoaderMachine) -> Vec<(SocketAddr, String, LoadOutcome)> {
+    let replies = machine.take_replies().into_iter();
+    replies.map(|reply| (reply.relay, reply.key.adapter, reply.outcome)).collect()
+}
+
+/// Load: relays ask an engine whose process has just exited. Guards against load requests that wait at its loader, and
+/// against orders and announced slots from its last report.
+#[test]
+fn an_unreachable_engine_gets_no_orders_and_its_queue_is_answered() {
+    let mut machine = machine(true, &[1, 2, 3, 4, 5]);
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4, 5], ms(1000));
+    machine.queue_load_request(relay(1), request(7), ms(1001));
+    machine.queue_load_request(relay(2), request(7), ms(1001));
+    machine.take_replies();
+    assert!(machine.record_contact(EngineContact::Refused, ms(1002)));
+    let status = machine.status(relay(80), ms(1002));
+    assert!(!status.is_reachable);
+    let expected = |number| (relay(number), "a7".to_string(), LoadOutcome::Unreachable);
+    assert_eq!(outcomes(&mut machine), [expected(1), expected(2)]);
+    use_adapters(&mut machine, 1, &[], ms(1003));
+    assert_eq!(machine.spare_places(ms(1003)), Some(0));
+    machine.queue_load_request(relay(3), request(7), ms(1003));
+    assert_eq!(outcomes(&mut machine), [expected(3)]);
+    assert!(machine.next_order(ms(1003)).is_none());
+    // The process that follows holds nothing.
+    assert!(machine.record_contact(EngineContact::Responded, ms(2000)));
+    machine.record_report(EngineReport { born: Some(2), ..report(&[]) }, ms(2000));
+    assert!(machine.next_order(ms(2000)).is_none(), "relays ask anew");
+    machine.queue_load_request(relay(1), request(7), ms(2001));
+    assert!(machine.next_order(ms(2001)).is_some());
+}
+
+/// Load: one slow step of a busy engine. Guards against an engine that is given up after one lost response.
+#[test]
+fn one_lost_response_does_not_make_an_engine_unreachable() {
+    let mut machine = machine(true, &[]);
+    assert!(!machine.record_contact(EngineContact::Unanswered, ms(1000)));
+    assert!(!machine.record_contact(EngineContact::Responded, ms(1100)));
+    assert!(!machine.record_contact(EngineContact::Unanswered, ms(1200)));
+    machine.queue_load_request(relay(1), request(7), ms(1200));
+    assert!(machine.next_order(ms(1200)).is_some());
+}
+
+/// Guards against new rules where no relay asks for them.
+#[test]
+fn without_contention_an_unreachable_engine_is_treated_as_before() {
+    let mut machine = machine(false, &[]);
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    machine.record_contact(EngineContact::Refused, ms(1001));
+    machine.queue_load_request(relay(1), request(8), ms(1002));
+    assert_eq!(machine.spare_places(ms(1002)), Some(SLOTS - 2));
+    assert_eq!(machine.next_order(ms(1002)).unwrap().adapter, request(7).adapter);
+    assert!(machine.take_replies().is_empty());
+}
--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -5,6 +5,7 @@
 mod fuzz;
 
 use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -16,6 +17,9 @@
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_core::standing::notice::UpstreamNotice;
 
+/// The relay that asks for loads.
+const RELAY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 const PLACES: u32 = 5;
 const INCOMING_LIMIT: usize = 4;
 
@@ -158,7 +162,7 @@
         let relay = "127.0.0.1:1".parse().unwrap();
         for step in steps {
             match step {
-                Step::Ask(adapter, version) => machine.queue_load_request(ask(adapter, version), now),
+                Step::Ask(adapter, version) => machine.queue_load_request(RELAY, ask(adapter, version), now),
                 Step::Use(adapter) => {
                     let use_of = AdapterUse { key: key(adapter), sent: 1, in_flight: 1 };
                     machine.record_uses(UseHeartbeat { relay, uses: vec![use_of] }, now);
@@ -228,7 +232,7 @@
     let use_of = |number, sent| AdapterUse { key: key(number), sent, in_flight: 0 };
     let uses = vec![use_of(0, 5), use_of(1, 2), use_of(2, 9), use_of(3, 1), use_of(4, 3)];
     machine.record_uses(UseHeartbeat { relay, uses }, later(0));
-    machine.queue_load_request(ask(7, None), later(10));
+    machine.queue_load_request(RELAY, ask(7, None), later(10));
     let order = machine.next_order(later(10)).unwrap();
     assert_eq!((order.kind, order.adapter.as_deref()), (OrderKind::Unload, Some("a3")));
     machine.complete_order(OrderOutcome::Holds, later(11));
@@ -240,8 +244,8 @@
 #[test]
 fn a_new_loader_waits_for_its_engines_report() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
-    machine.queue_load_request(ask(7, None), ms(0));
-    machine.queue_load_request(LoadRequest { adapter: None, ..ask(0, None) }, ms(0));
+    machine.queue_load_request(RELAY, ask(7, None), ms(0));
+    machine.queue_load_request(RELAY, LoadRequest { adapter: None, ..ask(0, None) }, ms(0));
     assert!(machine.next_order(ms(0)).is_none(), "the engine may be full");
     assert_eq!(machine.spare_places(ms(0)), None);
     machine.record_report(settled(&[0, 1, 2, 3, 4]), ms(10));
@@ -254,7 +258,7 @@
 fn a_new_loader_takes_nothing_out_before_relays_have_told_their_use() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     machine.record_report(settled(&[0, 1, 2, 3, 4]), ms(10));
-    machine.queue_load_request(ask(7, None), ms(10));
+    machine.queue_load_request(RELAY, ask(7, None), ms(10));
     assert!(machine.next_order(ms(10)).is_none(), "any of them may be in use");
     assert_eq!(machine.spare_places(ms(10)), Some(0));
     // Relays tell twice a second.
@@ -269,7 +273,7 @@
 fn an_order_names_the_orders_that_it_knows_of() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     machine.record_report(EngineReport { orders_taken: Some(6), ..settled(&[]) }, ms(0));
-    machine.queue_load_request(ask(1, None), ms(0));
+    machine.queue_load_request(RELAY, ask(1, None), ms(0));
     assert_eq!(machine.next_order(ms(0)).unwrap().orders_seen, Some(6));
     // The engine has taken others since: the ask waits for a report that shows them.
     machine.complete_order(OrderOutcome::Busy, ms(1));
@@ -282,7 +286,7 @@
 fn a_refused_fence_is_raised_until_the_engine_takes_it() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     machine.record_report(settled(&[]), ms(0));
-    machine.queue_load_request(ask(1, None), ms(0));
+    machine.queue_load_request(RELAY, ask(1, None), ms(0));
     let first = machine.next_order(ms(0)).unwrap();
     machine.complete_order(OrderOutcome::FenceTooLow, ms(1));
     let second = machine.next_order(ms(1)).unwrap();
@@ -295,10 +299,10 @@
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     let model = LoadRequest { adapter: None, ..ask(0, None) };
     machine.record_report(settled(&[]), ms(0));
-    machine.queue_load_request(model.clone(), ms(0));
+    machine.queue_load_request(RELAY, model.clone(), ms(0));
     assert!(machine.next_order(ms(0)).is_none(), "it is there already");
     machine.record_report(EngineReport::default(), ms(10));
-    machine.queue_load_request(model, ms(10));
+    machine.queue_load_request(RELAY, model, ms(10));
     assert!(machine.next_order(ms(10)).is_some());
     machine.complete_order(OrderOutcome::Begun, ms(11));
     assert_eq!(machine.model_loads(ms(1010)), [ms(1000)]);
@@ -310,7 +314,7 @@
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     let local_models = vec!["m".to_string()];
     machine.record_report(EngineReport { local_models, ..EngineReport::default() }, ms(0));
-    machine.queue_load_request(LoadRequest { adapter: None, ..ask(0, None) }, ms(0));
+    machine.queue_load_request(RELAY, LoadRequest { adapter: None, ..ask(0, None) }, ms(0));
     assert!(machine.next_order(ms(0)).is_some());
     machine.complete_order(OrderOutcome::Begun, ms(1));
     assert!(machine.model_loads(ms(2)).is_empty());
@@ -321,7 +325,7 @@
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     let load = |at: u64, machine: &mut LoaderMachine| {
         machine.record_report(settled(&[]), ms(at));
-        machine.queue_load_request(ask(1, None), ms(at));
+        machine.queue_load_request(RELAY, ask(1, None), ms(at));
         machine.next_order(ms(at)).unwrap();
         machine.complete_order(OrderOutcome::Begun, ms(at));
         machine.record_report(settled(&[1]), ms(at + 250)).arrived[0].1.clone()
@@ -337,7 +341,7 @@
 fn a_newer_version_has_arrived_only_when_that_version_is_held() {
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     machine.record_report(settled(&[1]), ms(0));
-    machine.queue_load_request(ask(1, Some(2)), ms(0));
+    machine.queue_load_request(RELAY, ask(1, Some(2)), ms(0));
     let order = machine.next_order(ms(0)).unwrap();
     assert_eq!((order.kind, order.version), (OrderKind::Load, Some(2)));
     machine.complete_order(OrderOutcome::Begun, ms(0));
@@ -352,7 +356,7 @@
     let mut machine = LoaderMachine::new("e1".to_string(), 1);
     assert_eq!(machine.spare_places(ms(0)), None, "no ask told the places");
     machine.record_report(settled(&[1, 2, 3]), ms(0));
-    machine.queue_load_request(ask(1, None), ms(0));
+    machine.queue_load_request(RELAY, ask(1, None), ms(0));
     assert!(machine.next_order(ms(0)).is_none());
     assert_eq!(machine.spare_places(ms(0)), Some(PLACES - 3), "those held may be in use");
     let ms = |millis| USES_TOLD + ms(millis);
@@ -363,7 +367,7 @@
     assert_eq!(machine.spare_places(ms(1)), Some(PLACES - 1));
     machine.record_uses(UseHeartbeat { relay, uses: vec![used(0)] }, ms(2));
     assert_eq!(machine.spare_places(ms(2)), Some(PLACES));
-    machine.queue_load_request(ask(4, None), ms(3));
+    machine.queue_load_request(RELAY, ask(4, None), ms(3));
     assert_eq!(machine.spare_places(ms(3)), Some(PLACES - 1));
     assert!(machine.next_order(ms(3)).is_some());
     assert_eq!(machine.spare_places(ms(3)), Some(PLACES - 1));
@@ -388,12 +392,12 @@
     machine.record_report(report(5, 7), Duration::ZERO);
     for (number, adapter) in ["a1", "a2", "a3", "a4"].into_iter().enumerate() {
         let now = Duration::from_millis(number as u64);
-        machine.queue_load_request(ask(adapter), now);
+        machine.queue_load_request(RELAY, ask(adapter), now);
         assert!(machine.next_order(now).is_some());
         machine.complete_order(OrderOutcome::Begun, now);
     }
     let now = Duration::from_millis(100);
-    machine.queue_load_request(ask("a5"), now);
+    machine.queue_load_request(RELAY, ask("a5"), now);
     assert!(machine.next_order(now).is_none(), "four are on their way");
     machine.record_report(report(9, 0), now);
     let order =
@@ -407,14 +411,14 @@
     let report = |born, is_leaving| EngineReport { born: Some(born), is_leaving, ..settled(&[]) };
     let change = machine.record_report(report(1, true), ms(0));
     assert!(change.is_changed, "relays are to hear of it at once");
-    machine.queue_load_request(ask(1, None), ms(1));
+    machine.queue_load_request(RELAY, ask(1, None), ms(1));
     assert_eq!(machine.next_order(ms(1)), None);
     // A later report of the same start takes nothing back.
     machine.record_report(report(1, false), ms(500));
     assert!(machine.report().is_leaving);
     assert_eq!(machine.next_order(ms(500)), None);
     machine.record_report(report(2, false), ms(1000));
-    machine.queue_load_request(ask(1, None), ms(1000));
+    machine.queue_load_request(RELAY, ask(1, None), ms(1000));
     assert!(machine.next_order(ms(1000)).is_some());
 }
 
@@ -424,7 +428,7 @@
     machine.record_report(settled(&[]), ms(0));
     let notice = UpstreamNotice { is_leaving: false, rest: Some(ms(900)), limit: None };
     machine.record_notice(&notice, ms(1));
-    machine.queue_load_request(ask(1, None), ms(2));
+    machine.queue_load_request(RELAY, ask(1, None), ms(2));
     assert_eq!(machine.next_order(ms(900)), None);
     assert!(machine.next_order(ms(901)).is_some());
 }
