A rejected unload no longer ends the load request where slots are scarce

Cause: an unload that the engine rejected dropped the load request for which it was given, and the relay sent it again. Change: the adapter counts as in use for 500 ms, the request goes back in front with its age, and the next idle adapter is tried. A response that the engine was busy counts too, unless the engine has accepted other orders since the report on which the order was based.

--- a/quillcove_core/src/relay/loader/eviction.rs
+++ b/quillcove_core/src/relay/loader/eviction.rs
@@ -4,7 +4,8 @@
 
 use super::LoaderMachine;
 use crate::ids::{AdapterKey, MonoTime};
-use crate::relay::beacon::{HeldAdapter, UseHeartbeat};
+use crate::relay::beacon::{HeldAdapter, OrderCount, UseHeartbeat};
+use crate::relay::order::{LoadOrder, OrderOutcome};
 
 /// Half-life of the demand by which the adapter to evict is chosen.
 pub(super) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(8);
@@ -20,7 +21,54 @@
 /// Time after a relay's last use report for which its requests count as in flight.
 const USE_LIFETIME: Duration = Duration::from_millis(1600);
 
+/// Time for which an adapter counts as in use after the engine did not carry out its unload. Relays report their use
+/// twice a second, so that by its end the missing report has arrived.
+const REJECTED_UNLOAD_TIME: Duration = Duration::from_millis(500);
+
+/// An unload order that the engine did not carry out, as far as is known.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RejectedUnload {
+    at: MonoTime,
+    /// The number of orders on which the order was based, if the engine responded that it was busy. Unless it has
+    /// accepted other orders since, it was busy with requests for the adapter.
+    busy_after: Option<OrderCount>,
+}
+
 impl LoaderMachine {
+    /// Records an unload order that the engine did not carry out; returns whether it is one.
+    pub(super) fn note_rejected_unload(
+        &mut self,
+        order: &LoadOrder,
+        outcome: OrderOutcome,
+        now: MonoTime,
+    ) -> bool {
+        let busy_after = match outcome {
+            OrderOutcome::Rejected | OrderOutcome::Unanswered => None,
+            OrderOutcome::Busy if order.orders_seen.is_some() => order.orders_seen,
+            OrderOutcome::Busy
+            | OrderOutcome::Begun
+            | OrderOutcome::Holds
+            | OrderOutcome::FenceTooLow => return false,
+        };
+        self.rejected_unloads
+            .retain(|_, rejected| now.saturating_sub(rejected.at) < REJECTED_UNLOAD_TIME);
+        if let Some(adapter) = order.adapter.clone() {
+            let key = AdapterKey { model: order.model.clone(), adapter };
+            self.rejected_unloads.insert(key, RejectedUnload { at: now, busy_after });
+        }
+        true
+    }
+
+    /// Returns whether the engine has recently not carried out an unload of the adapter, so that a request may use it
+    /// that no relay has reported.
+    fn is_unload_rejected(&self, key: &AdapterKey, now: MonoTime) -> bool {
+        self.rejected_unloads.get(key).is_some_and(|rejected| {
+            let is_own =
+                rejected.busy_after.is_none() || rejected.busy_after == self.report.orders_taken;
+            is_own && now.saturating_sub(rejected.at) < REJECTED_UNLOAD_TIME
+        })
+    }
+
     /// Records a relay's report of its use of the engine's adapters.
     ///
     /// ```
@@ -66,7 +114,7 @@
     }
 
     /// Returns the adapters that may be evicted: those with no requests in flight that have not been
-    /// loaded just now. There are none until relays had time to report which adapters are in use.
+    /// loaded just now and whose unload has not just been rejected. There are none until relays had time to report which adapters are in use.
     pub(super) fn idle_adapters(&self, now: MonoTime) -> impl Iterator<Item = &AdapterKey> {
         let has_use_reports =
             self.first_report_at.is_some_and(|at| now.saturating_sub(at) >= USE_REPORT_WAIT);
@@ -81,6 +129,8 @@
             self.loaded_at.get(key).is_some_and(|at| now.saturating_sub(*at) < SETTLE_TIME)
         };
         let held = self.report.adapters.iter().map(|held| &held.key);
-        held.filter(move |key| has_use_reports && !is_used(key) && !is_new(key))
+        held.filter(move |key| {
+            has_use_reports && !is_used(key) && !is_new(key) && !self.is_unload_rejected(key, now)
+        })
     }
 }
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use self::eviction::RejectedUnload;
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
 pub use self::prompts::RelayPrompts;
@@ -81,6 +82,8 @@
     loaded_at: HashMap<AdapterKey, MonoTime>,
     /// Requests in flight for each adapter, by relay, with the time of the relay's report.
     in_flight: HashMap<SocketAddr, (HashMap<AdapterKey, u32>, MonoTime)>,
+    /// Unload orders that the engine did not carry out, by adapter.
+    rejected_unloads: HashMap<AdapterKey, RejectedUnload>,
     /// Prompts that relays have pending at the engine.
     prompts: RelayPrompts,
     /// Whether the engine responds.
@@ -115,6 +118,7 @@
             loaded_before: HashSet::new(),
             loaded_at: HashMap::new(),
             in_flight: HashMap::new(),
+            rejected_unloads: HashMap::new(),
             prompts: RelayPrompts::default(),
             reach: EngineReach::default(),
             replies: Vec::new(),
@@ -294,6 +298,7 @@
     fn reset_engine_state(&mut self) -> Vec<BrokenLoad> {
         self.loaded_before.clear();
         self.loaded_at.clear();
+        self.rejected_unloads.clear();
         self.upstream_status = UpstreamStatus::default();
         self.ordered_loads.take_broken(self.report.born)
     }
--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -265,7 +265,8 @@
     }
 
     /// Records the outcome of the order under way. The load request is queued again, in front, after
-    /// its eviction and when the engine rejected the order as busy or for its fence.
+    /// its eviction and when the engine rejected the order as busy or for its fence; where adapter slots are scarce,
+    /// also when the engine did not carry out the eviction.
     ///
     /// ```
     /// use std::time::Duration;
@@ -278,6 +279,7 @@
         let Some((order, queued)) = self.current_order.take() else {
             return;
         };
+        let queued_at = queued.renewed_at;
         let renewed = QueuedLoad { renewed_at: now, ..queued };
         let request = &renewed.request;
         let may_have_started = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
@@ -288,7 +290,14 @@
                 None => drop(self.model_loads.pop_back()),
             }
         }
+        let is_unload_rejected = order.kind == OrderKind::Unload
+            && self.is_contended(now)
+            && self.note_rejected_unload(&order, outcome, now);
         match (outcome, order.kind) {
+            // The next idle adapter is tried. The request keeps its age, so that it is not tried forever.
+            _ if is_unload_rejected => {
+                self.load_requests.push_front(QueuedLoad { renewed_at: queued_at, ..renewed });
+            },
             (OrderOutcome::Begun | OrderOutcome::Holds, OrderKind::Unload)
             | (OrderOutcome::Busy, _) => self.load_requests.push_front(renewed),
             (OrderOutcome::FenceTooLow, _) => {
--- a/quillcove_core/tests/loader_slots.rs
+++ b/quillcove_core/tests/loader_slots.rs
@@ -10,6 +10,7 @@
 };
 use quillcove_core::relay::engine_status::{LoadOutcome, PendingPrompts, PromptReport};
 use quillcove_core::relay::loader::{EngineContact, LoaderMachine};
+use quillcove_core::relay::order::{OrderKind, OrderOutcome};
 
 const SLOTS: u32 = 5;
 
@@ -123,3 +124,61 @@
     assert_eq!(machine.next_order(ms(1002)).unwrap().adapter, request(7).adapter);
     assert!(machine.take_replies().is_empty());
 }
+
+/// Gives the next order, which must be an unload, and returns its adapter.
+fn unload(machine: &mut LoaderMachine, outcome: OrderOutcome, now: Duration) -> String {
+    let order = machine.next_order(now).expect("an adapter is idle");
+    assert_eq!(order.kind, OrderKind::Unload);
+    machine.complete_order(outcome, now);
+    machine.record_report(
+        EngineReport { orders_taken: order.orders_seen, ..machine.report().clone() },
+        now,
+    );
+    order.adapter.unwrap()
+}
+
+/// Load: a request whose use report was lost keeps an adapter in use, and another adapter is asked for. Guards against
+/// a lost load request, and against the same unload order over and over.
+#[test]
+fn after_a_rejected_unload_the_next_idle_adapter_is_tried() {
+    for outcome in [OrderOutcome::Rejected, OrderOutcome::Busy, OrderOutcome::Unanswered] {
+        let mut machine = machine(true, &[1, 2, 3, 4, 5]);
+        let counted = EngineReport { orders_taken: Some(6), ..report(&[1, 2, 3, 4, 5]) };
+        machine.record_report(counted, ms(1000));
+        use_adapters(&mut machine, 1, &[3, 4, 5], ms(1000));
+        machine.queue_load_request(relay(1), request(7), ms(1000));
+        let first = unload(&mut machine, outcome, ms(1001));
+        let second = unload(&mut machine, outcome, ms(1002));
+        assert_ne!(first, second);
+        assert!(machine.next_order(ms(1003)).is_none(), "no other adapter is idle");
+        use_adapters(&mut machine, 1, &[3, 4, 5], ms(1490));
+        assert!(machine.next_order(ms(1500)).is_none(), "the report of its use may be lost");
+        assert_eq!(unload(&mut machine, outcome, ms(1501)), first);
+    }
+}
+
+/// Load: an order of the loader before this one is carried out late. Guards against a slot that counts as in use
+/// because the engine had accepted an order that this loader did not know of.
+#[test]
+fn a_rejection_for_an_unknown_order_does_not_show_that_the_adapter_is_in_use() {
+    let mut machine = machine(true, &[1, 2, 3, 4, 5]);
+    let counted = |taken| EngineReport { orders_taken: Some(taken), ..report(&[1, 2, 3, 4, 5]) };
+    machine.record_report(counted(6), ms(1000));
+    use_adapters(&mut machine, 1, &[2, 3, 4, 5], ms(1000));
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    assert_eq!(machine.next_order(ms(1001)).unwrap().kind, OrderKind::Unload);
+    machine.complete_order(OrderOutcome::Busy, ms(1001));
+    machine.record_report(counted(7), ms(1002));
+    assert_eq!(machine.next_order(ms(1002)).unwrap().kind, OrderKind::Unload);
+}
+
+/// Guards against new rules where no relay asks for them.
+#[test]
+fn without_contention_a_rejected_unload_ends_the_load_request() {
+    let mut machine = machine(false, &[1, 2, 3, 4, 5]);
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    machine.next_order(ms(1001)).unwrap();
+    machine.complete_order(OrderOutcome::Rejected, ms(1001));
+    assert!(machine.next_order(ms(1002)).is_none());
+    assert_eq!(machine.spare_places(ms(1002)), Some(SLOTS));
+}
