Relays report a first use at once, and unused adapters are idle earlier where slots are scarce

Cause: a loaded adapter was kept for 900 ms unused, because relays report their use only every 500 ms. Change: where slots are scarce, a relay tells the loader at once when it first uses an adapter that its last report did not name, and an adapter that nobody uses is idle after 400 ms. It stays kept for 900 ms while a relay that asked for it has not reported at least 100 ms after the load, so that a lost report of a first use is covered by the regular one.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -140,7 +140,14 @@
 ) -> AttemptEnd {
     let now = open.shared.clock.now();
     open.sent_at = now;
-    open.shared.machine().begin_attempt(&order.replica, open.query.adapter.as_ref(), now);
+    let has_messages = {
+        let mut machine = open.shared.machine();
+        machine.begin_attempt(&order.replica, open.query.adapter.as_ref(), now);
+        machine.has_pending_messages()
+    };
+    if has_messages {
+        open.shared.messages_pending.notify_one();
+    }
     open.begin_prefill(&order.replica, now);
     let (shared, deadline) = (open.shared.clone(), open.query.deadline);
     let mut guard = AttemptGuard { open, replica: &order.replica, is_finished: false };
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -413,7 +413,8 @@
         UsageReport { host, incarnation: self.incarnation, uptime: now, spent, levels }
     }
 
-    /// Reports at once to the loaders of full engines that one of their adapters is no longer in use.
+    /// Reports at once to the loaders of full engines that one of their adapters is no longer in use, and where adapter
+    /// slots are scarce, that one is in use.
     pub(super) fn report_freed_adapters(&self) {
         let freed = self.shared.machine().take_freed();
         if freed.is_empty() {
--- a/quillcove_core/src/relay/loader/eviction.rs
+++ b/quillcove_core/src/relay/loader/eviction.rs
@@ -1,5 +1,7 @@
 //! The use of the engine's adapters by all relays, and the choice of the adapter to evict.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::LoaderMachine;
@@ -14,6 +16,14 @@
 /// transit, and relays report their use only every 500 ms.
 const SETTLE_TIME: Duration = Duration::from_millis(900);
 
+/// The same where adapter slots are scarce and each relay that asked for the adapter has reported its use since: relays
+/// then report a first use at once, so that the time has to cover transit only.
+const SCARCE_SETTLE_TIME: Duration = Duration::from_millis(400);
+
+/// Time in which a relay learns of a loaded adapter, sends the requests that waited for it and reports their use. A
+/// report that arrives earlier may not include them.
+const FIRST_USE_TIME: Duration = Duration::from_millis(100);
+
 /// Time after the engine's first report by which the running relays have reported their use. They do
 /// so twice a second; the rest covers transit and a busy host.
 const USE_REPORT_WAIT: Duration = Duration::from_millis(600);
@@ -25,6 +35,14 @@
 /// twice a second, so that by its end the missing report has arrived.
 const REJECTED_UNLOAD_TIME: Duration = Duration::from_millis(500);
 
+/// An ordered adapter that has been loaded.
+#[derive(Clone, Debug)]
+pub(super) struct LoadedAdapter {
+    pub at: MonoTime,
+    /// Relays that asked for it, whose requests probably use it.
+    pub relays: BTreeSet<SocketAddr>,
+}
+
 /// An unload order that the engine did not carry out, as far as is known.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RejectedUnload {
@@ -113,6 +131,19 @@
         self.idle_adapters(now).min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
     }
 
+    /// Returns the time for which a newly loaded adapter is not evicted. Where a relay that asked for it has not reported
+    /// since, the report of its first use may be lost: then it is the longer one, in which the next regular one comes.
+    fn settle_time(&self, loaded: &LoadedAdapter, now: MonoTime) -> Duration {
+        let has_reported = |relay: &SocketAddr| {
+            let reported_at = self.in_flight.get(relay).map(|(_, reported_at)| *reported_at);
+            reported_at.is_some_and(|at| at >= loaded.at + FIRST_USE_TIME)
+        };
+        match self.is_contended(now) && loaded.relays.iter().all(has_reported) {
+            true => SCARCE_SETTLE_TIME,
+            false => SETTLE_TIME,
+        }
+    }
+
     /// Returns the adapters that may be evicted: those with no requests in flight that have not been
     /// loaded just now and whose unload has not just been rejected. There are none until relays had time to report which adapters are in use.
     pub(super) fn idle_adapters(&self, now: MonoTime) -> impl Iterator<Item = &AdapterKey> {
@@ -126,7 +157,9 @@
                 .any(|(uses, reported_at)| is_recent(reported_at) && uses.contains_key(key))
         };
         let is_new = move |key: &AdapterKey| {
-            self.loaded_at.get(key).is_some_and(|at| now.saturating_sub(*at) < SETTLE_TIME)
+            self.loaded
+                .get(key)
+                .is_some_and(|loaded| now.saturating_sub(loaded.at) < self.settle_time(loaded, now))
         };
         let held = self.report.adapters.iter().map(|held| &held.key);
         held.filter(move |key| {
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use self::eviction::RejectedUnload;
+use self::eviction::{LoadedAdapter, RejectedUnload};
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
 pub use self::prompts::RelayPrompts;
@@ -78,8 +78,8 @@
     demand: HashMap<AdapterKey, DemandMeter>,
     /// Adapters that the engine has loaded since it last had no base model; its host has copies of them.
     loaded_before: HashSet<AdapterKey>,
-    /// When each ordered adapter was loaded.
-    loaded_at: HashMap<AdapterKey, MonoTime>,
+    /// Ordered adapters that have been loaded.
+    loaded: HashMap<AdapterKey, LoadedAdapter>,
     /// Requests in flight for each adapter, by relay, with the time of the relay's report.
     in_flight: HashMap<SocketAddr, (HashMap<AdapterKey, u32>, MonoTime)>,
     /// Unload orders that the engine did not carry out, by adapter.
@@ -116,7 +116,7 @@
             first_report_at: None,
             demand: HashMap::new(),
             loaded_before: HashSet::new(),
-            loaded_at: HashMap::new(),
+            loaded: HashMap::new(),
             in_flight: HashMap::new(),
             rejected_unloads: HashMap::new(),
             prompts: RelayPrompts::default(),
@@ -257,7 +257,8 @@
         let mut change = ReportChange { is_changed, broken, arrived: Vec::new() };
         for load in arrived {
             let was_warm = !self.loaded_before.insert(load.key.clone());
-            self.loaded_at.insert(load.key.clone(), now);
+            let loaded = LoadedAdapter { at: now, relays: load.relays };
+            self.loaded.insert(load.key.clone(), loaded);
             let took = now.saturating_sub(load.ordered_at);
             change.arrived.push((load.key, ArrivedLoad { took, was_warm }));
         }
@@ -297,7 +298,7 @@
     /// it exited. Its reports tell of which base models the host has copies.
     fn reset_engine_state(&mut self) -> Vec<BrokenLoad> {
         self.loaded_before.clear();
-        self.loaded_at.clear();
+        self.loaded.clear();
         self.rejected_unloads.clear();
         self.upstream_status = UpstreamStatus::default();
         self.ordered_loads.take_broken(self.report.born)
--- a/quillcove_core/src/relay/loader/ordered.rs
+++ b/quillcove_core/src/relay/loader/ordered.rs
@@ -1,10 +1,12 @@
 //! Tracks the adapter loads that were ordered from one engine until its reports show them as loaded.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::crash::watch::ReplicaRun;
 use crate::ids::{AdapterKey, AdapterVersion, MonoTime, ReplicaId, StartTime};
-use crate::relay::beacon::HeldAdapter;
+use crate::relay::beacon::{HeldAdapter, LoadRequest};
 
 /// Time after which an ordered load that has not completed counts as lost.
 const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
@@ -33,6 +35,8 @@
     /// Replica id of the engine at the time of the order.
     pub replica: ReplicaId,
     pub ordered_at: MonoTime,
+    /// Relays that asked for it.
+    pub relays: BTreeSet<SocketAddr>,
     /// Whether it has passed [`ORDERED_LIFETIME`] and is kept only to be reported if the engine exited.
     is_lost: bool,
 }
@@ -50,16 +54,31 @@
 }
 
 impl OrderedLoads {
-    /// Adds a load ordered at `ordered_at`; it replaces a lost one of the same adapter.
+    /// Adds a load ordered at `ordered_at` for `request`; it replaces a lost one of the same adapter.
     pub fn add(
         &mut self,
         key: AdapterKey,
-        min_version: AdapterVersion,
-        replica: ReplicaId,
+        request: &LoadRequest,
+        relays: BTreeSet<SocketAddr>,
         ordered_at: MonoTime,
     ) {
         self.loads.retain(|load| !load.is_lost || load.key != key);
-        self.loads.push(OrderedLoad { key, min_version, replica, ordered_at, is_lost: false });
+        let min_version = request.version.unwrap_or(0);
+        let replica = request.replica.clone();
+        let load = OrderedLoad { key, min_version, replica, ordered_at, relays, is_lost: false };
+        self.loads.push(load);
+    }
+
+    /// Returns the load of an adapter in this version or a newer one, if it is under way.
+    pub fn pending_mut(
+        &mut self,
+        key: &AdapterKey,
+        version: AdapterVersion,
+    ) -> Option<&mut OrderedLoad> {
+        let is_pending = |load: &&mut OrderedLoad| {
+            !load.is_lost && load.key == *key && load.min_version >= version
+        };
+        self.loads.iter_mut().find(is_pending)
     }
 
     /// Removes the load of an adapter whose order the engine did not accept.
--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -73,6 +73,9 @@
         if self.current_order.as_ref().is_some_and(|(_, current)| is_same(&current.request)) {
             return;
         }
+        if self.is_contended(now) && self.join_ordered_load(relay, &request) {
+            return;
+        }
         if let Some(key) = request.key() {
             self.adapter_slots = Some(request.places);
             self.demand.entry(key).or_default().add(now, LOAD_REQUEST_WEIGHT, DEMAND_HALF_LIFE);
@@ -86,6 +89,16 @@
         }
     }
 
+    /// Adds a relay to those that asked for a load that is under way; returns whether there is one.
+    fn join_ordered_load(&mut self, relay: SocketAddr, request: &LoadRequest) -> bool {
+        let version = request.version.unwrap_or(0);
+        let load = request.key().and_then(|key| self.ordered_loads.pending_mut(&key, version));
+        load.is_some_and(|load| {
+            load.relays.insert(relay);
+            true
+        })
+    }
+
     /// Empties the queue of an engine that does not respond, and tells the relays.
     pub(super) fn reject_unreachable(&mut self) {
         for queued in std::mem::take(&mut self.load_requests) {
@@ -149,9 +162,8 @@
             if order.kind == OrderKind::Load {
                 match request.key() {
                     Some(key) => {
-                        let min_version = request.version.unwrap_or(0);
-                        let replica = request.replica.clone();
-                        self.ordered_loads.add(key, min_version, replica, now);
+                        let relays = queued.relays.clone();
+                        self.ordered_loads.add(key, request, relays, now);
                     },
                     None if self.is_local(request) => {},
                     None => self.model_loads.push_back(now),
--- a/quillcove_core/src/relay/machine/attempts.rs
+++ b/quillcove_core/src/relay/machine/attempts.rs
@@ -6,7 +6,8 @@
 use crate::relay::replica::AttemptOutcome;
 
 impl RelayMachine {
-    /// Records that a request is sent to a replica.
+    /// Records that a request is sent to a replica. Where adapter slots are scarce, the first use of an adapter is
+    /// reported to the loader at once, see [`RelayMachine::has_pending_messages`].
     ///
     /// ```
     /// use std::time::Duration;
@@ -16,6 +17,13 @@
     /// ```
     pub fn begin_attempt(&mut self, replica: &str, key: Option<&AdapterKey>, now: MonoTime) {
         self.table.begin(replica, key, now);
+        let Some(key) = key else {
+            return;
+        };
+        let service = self.table.get(replica).map(|view| &view.record.service);
+        if service.is_some_and(|service| self.is_contended(service)) {
+            self.table.notify_use(replica, key);
+        }
     }
 
     /// Records that bytes were received from a replica.
--- a/quillcove_core/src/relay/machine/engines.rs
+++ b/quillcove_core/src/relay/machine/engines.rs
@@ -92,7 +92,7 @@
         self.table.take_uses(replica)
     }
 
-    /// Takes the engines whose loaders have to be notified at once that an adapter is no longer in use.
+    /// Takes the engines whose loaders have to be notified at once that an adapter is or is no longer in use.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -6,7 +6,7 @@
 mod recent;
 mod table;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -157,6 +157,8 @@
     status: Option<(EngineStatus, MonoTime)>,
     /// Use of its adapters by this process.
     uses: BTreeMap<AdapterKey, AdapterUse>,
+    /// Adapters that the last report to its loader named as in use.
+    reported_uses: BTreeSet<AdapterKey>,
     failures: u32,
     ejections: u32,
     ejected_until: MonoTime,
@@ -182,6 +184,7 @@
             reading: PrefillQueue::default(),
             status: None,
             uses: BTreeMap::new(),
+            reported_uses: BTreeSet::new(),
             failures: 0,
             ejections: 0,
             ejected_until: MonoTime::ZERO,
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -25,8 +25,8 @@
     by_address: HashMap<SocketAddr, BTreeSet<ReplicaId>>,
     /// Reading speed and prompt sizes common to the engines of each service.
     reading_norms: BTreeMap<ServiceName, PrefillAverages>,
-    /// Engines without a free adapter slot on which this process has stopped using an adapter.
-    freed_engines: BTreeSet<ReplicaId>,
+    /// Engines whose loaders are to be notified of a changed use of adapters before the next regular heartbeat.
+    notified_engines: BTreeSet<ReplicaId>,
     /// Evacuated halls.
     evacuated_halls: BTreeSet<HallName>,
     /// The status that replicas without an entry have reported about themselves.
@@ -419,9 +419,9 @@
         had_no_slot && free_slots != Some(0)
     }
 
-    /// Returns the engines without a free adapter slot on which this process has stopped using an
-    /// adapter since the last call. Their loaders are to be notified before the next regular
-    /// heartbeat.
+    /// Returns the engines whose loaders are to be notified before the next regular heartbeat: those
+    /// without a free adapter slot on which this process has stopped using an adapter since the last
+    /// call, and those of [`Self::notify_use`].
     ///
     /// ```
     /// use quillcove_core::relay::replica::ReplicaTable;
@@ -429,7 +429,7 @@
     /// assert!(ReplicaTable::default().take_freed().is_empty());
     /// ```
     pub fn take_freed(&mut self) -> Vec<ReplicaId> {
-        std::mem::take(&mut self.freed_engines).into_iter().collect()
+        std::mem::take(&mut self.notified_engines).into_iter().collect()
     }
 
     /// Tells whether [`Self::take_freed`] would return any engine.
@@ -440,7 +440,7 @@
     /// assert!(!ReplicaTable::default().has_freed());
     /// ```
     pub fn has_freed(&self) -> bool {
-        !self.freed_engines.is_empty()
+        !self.notified_engines.is_empty()
     }
 
     /// Drops an engine's adapters that this process no longer uses, and returns its use of the
@@ -457,6 +457,8 @@
         };
         view.uses.retain(|_, used| used.sent > 0 || used.in_flight > 0);
         let uses = view.uses.values().cloned().collect();
+        let in_use = view.uses.values().filter(|used| used.in_flight > 0);
+        view.reported_uses = in_use.map(|used| used.key.clone()).collect();
         for used in view.uses.values_mut() {
             used.sent = 0;
         }
--- a/quillcove_core/src/relay/replica/table/attempts.rs
+++ b/quillcove_core/src/relay/replica/table/attempts.rs
@@ -42,6 +42,31 @@
         }
     }
 
+    /// Has the loader of an engine notified at once that this process uses an adapter, unless its last report
+    /// already named the adapter as in use.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::ids::AdapterKey;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let key = AdapterKey { model: "m".into(), adapter: "a1".into() };
+    /// let mut table = ReplicaTable::default();
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// table.begin("i-1", Some(&key), Duration::ZERO);
+    /// table.notify_use("i-1", &key);
+    /// assert_eq!(table.take_freed(), ["i-1"]);
+    /// table.take_uses("i-1");
+    /// table.notify_use("i-1", &key);
+    /// assert!(!table.has_freed());
+    /// ```
+    pub fn notify_use(&mut self, id: &str, key: &AdapterKey) {
+        let view = self.replicas.get(id);
+        if view.is_some_and(|view| !view.reported_uses.contains(key)) {
+            self.notified_engines.insert(id.to_string());
+        }
+    }
+
     /// Records that bytes have been received from a replica.
     ///
     /// ```
@@ -81,7 +106,7 @@
         if let Some(adapter_use) = key.and_then(|key| view.uses.get_mut(key)) {
             adapter_use.in_flight = adapter_use.in_flight.saturating_sub(1);
             if adapter_use.in_flight == 0 && view.free_slots == Some(0) {
-                self.freed_engines.insert(id.to_string());
+                self.notified_engines.insert(id.to_string());
             }
         }
         match fate {
--- a/quillcove_core/tests/loader_slots.rs
+++ b/quillcove_core/tests/loader_slots.rs
@@ -182,3 +182,71 @@
     assert!(machine.next_order(ms(1002)).is_none());
     assert_eq!(machine.spare_places(ms(1002)), Some(SLOTS));
 }
+
+/// Has the machine load an adapter for relay 1 into a free slot; it is loaded at 1,300 ms.
+fn load(machine: &mut LoaderMachine, number: u32, held: &[u32]) {
+    machine.queue_load_request(relay(1), request(number), ms(1000));
+    assert_eq!(machine.next_order(ms(1000)).unwrap().kind, OrderKind::Load);
+    machine.complete_order(OrderOutcome::Begun, ms(1001));
+    machine.record_report(report(held), ms(1300));
+    contend(machine, ms(1300));
+}
+
+/// Load: the callers that waited for an adapter have left when it is loaded. Guards against a slot that is held for
+/// 900 ms without use.
+#[test]
+fn an_adapter_that_nobody_uses_is_idle_after_400_ms() {
+    let mut machine = machine(true, &[1, 2, 3, 4]);
+    load(&mut machine, 5, &[1, 2, 3, 4, 5]);
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4], ms(1500));
+    machine.queue_load_request(relay(2), request(7), ms(1600));
+    assert!(machine.next_order(ms(1699)).is_none());
+    assert_eq!(machine.next_order(ms(1700)).unwrap().adapter, request(5).adapter);
+}
+
+/// Load: the relay that asked for an adapter uses it, and its first report of that is lost. Guards against an unload
+/// of the adapter before the regular report.
+#[test]
+fn an_adapter_is_kept_until_the_relay_that_asked_for_it_has_reported() {
+    let mut machine = machine(true, &[1, 2, 3, 4]);
+    use_adapters(&mut machine, 2, &[1, 2, 3, 4], ms(1250));
+    use_adapters(&mut machine, 1, &[], ms(1290));
+    load(&mut machine, 5, &[1, 2, 3, 4, 5]);
+    // This regular report left the relay before it knew of the load.
+    use_adapters(&mut machine, 1, &[], ms(1310));
+    machine.queue_load_request(relay(2), request(7), ms(1600));
+    assert!(machine.next_order(ms(1750)).is_none());
+    use_adapters(&mut machine, 1, &[5], ms(1790));
+    use_adapters(&mut machine, 2, &[1, 2, 3, 4], ms(1800));
+    assert!(machine.next_order(ms(2300)).is_none(), "it is in use");
+}
+
+/// Load: a second relay asks for a load that is under way. Guards against an unload before its first report.
+#[test]
+fn a_relay_that_asks_during_the_load_counts_among_those_that_asked() {
+    let mut machine = machine(true, &[1, 2, 3, 4]);
+    machine.queue_load_request(relay(1), request(5), ms(1000));
+    machine.next_order(ms(1000)).unwrap();
+    machine.complete_order(OrderOutcome::Begun, ms(1001));
+    machine.queue_load_request(relay(3), request(5), ms(1100));
+    machine.record_report(report(&[1, 2, 3, 4, 5]), ms(1300));
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4], ms(1500));
+    machine.queue_load_request(relay(2), request(7), ms(1600));
+    assert!(machine.next_order(ms(1750)).is_none());
+    use_adapters(&mut machine, 3, &[], ms(1760));
+    assert_eq!(machine.next_order(ms(1760)).unwrap().adapter, request(5).adapter);
+}
+
+/// Guards against new rules where no relay asks for them.
+#[test]
+fn without_contention_a_loaded_adapter_is_kept_for_900_ms() {
+    let mut machine = machine(false, &[1, 2, 3, 4]);
+    machine.queue_load_request(relay(1), request(5), ms(1000));
+    machine.next_order(ms(1000)).unwrap();
+    machine.complete_order(OrderOutcome::Begun, ms(1001));
+    machine.record_report(report(&[1, 2, 3, 4, 5]), ms(1300));
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4], ms(1500));
+    machine.queue_load_request(relay(2), request(7), ms(1600));
+    assert!(machine.next_order(ms(2199)).is_none());
+    assert_eq!(machine.next_order(ms(2200)).unwrap().adapter, request(5).adapter);
+}
--- a/quillcove_core/tests/unreachable_engines.rs
+++ b/quillcove_core/tests/relay_slots.rs
@@ -1,4 +1,5 @@
-//! What a relay does with engines that their loaders report as unreachable.
+//! What a relay does for loaders of engines with scarce adapter slots: it leaves out unreachable engines, and reports
+//! its first use of an adapter at once.
 
 #[allow(dead_code)]
 mod relay_site;
@@ -10,7 +11,7 @@
 use quillcove_core::relay::engine_status::EngineStatus;
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayRules};
 use quillcove_core::relay::policy::{ContentionRule, RelayPolicy};
-use quillcove_core::relay::replica::{ReplicaRecord, example_record};
+use quillcove_core::relay::replica::{AttemptOutcome, ReplicaRecord, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, PublishedConfig};
 use relay_site::{address, engine_service, ms, query, stream_route};
 
@@ -120,3 +121,34 @@
     assert!(!lose(&mut machine, 1, ms(2)));
     assert_eq!(chosen(&mut machine, ms(3)), ["i-1", "i-2"]);
 }
+
+/// Load: a request for an adapter that no request uses. Guards against its unload in the 500 ms until the next report,
+/// and against a message for each request.
+#[test]
+fn the_first_use_of_an_adapter_is_reported_at_once() {
+    let mut machine = machine(ContentionRule::Always);
+    machine.take_uses("i-1");
+    machine.begin_attempt("i-1", Some(&key()), ms(1));
+    assert!(machine.has_pending_messages());
+    assert_eq!(machine.take_freed(), ["i-1"]);
+    assert_eq!(machine.take_uses("i-1")[0].in_flight, 1);
+    machine.begin_attempt("i-1", Some(&key()), ms(2));
+    assert!(!machine.has_pending_messages(), "the loader knows of the use");
+    for _ in 0..2 {
+        machine.end_attempt("i-1", Some(&key()), AttemptOutcome::Answered, ms(3));
+    }
+    machine.begin_attempt("i-1", Some(&key()), ms(4));
+    assert!(!machine.has_pending_messages(), "no report has said that the use ended");
+    machine.end_attempt("i-1", Some(&key()), AttemptOutcome::Answered, ms(5));
+    machine.take_uses("i-1");
+    machine.begin_attempt("i-1", Some(&key()), ms(6));
+    assert_eq!(machine.take_freed(), ["i-1"]);
+}
+
+/// Guards against new messages where slots are not scarce.
+#[test]
+fn without_contention_the_first_use_waits_for_the_heartbeat() {
+    let mut machine = machine(ContentionRule::Never);
+    machine.begin_attempt("i-1", Some(&key()), ms(1));
+    assert!(!machine.has_pending_messages());
+}
