Load requests are ordered by the relays that ask, and each is answered, where slots are scarce

Change: requests are ordered by the number of relays that ask, then by age; each gets a Reply at once and again when its estimate has grown by more than 200 ms. The time until a slot is free is estimated from the intervals between slot releases of this process of the engine. Without two recent releases there is no estimate: a request that needs a slot is then answered with Full and not queued. An adapter that a relay asks for while it is loaded counts as newly loaded.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -68,6 +68,8 @@
     pub relays: Vec<SocketAddr>,
     /// Whether the last read of the engine's report got a response.
     pub is_engine_up: bool,
+    /// Last status sent to relays; `None` unless adapter slots are scarce.
+    pub status: Option<EngineStatus>,
 }
 
 struct LoaderInspector {
@@ -498,6 +500,9 @@
             incarnation: self.incarnation,
             ..self.machine.status(self.settings.engine.address, now)
         };
+        if let Ok(mut view) = self.view.lock() {
+            view.status = Some(status.clone());
+        }
         self.send(&PeerMessage::Status(status), self.relays.all());
     }
 
--- a/quillcove_core/src/relay/loader/eviction.rs
+++ b/quillcove_core/src/relay/loader/eviction.rs
@@ -77,6 +77,15 @@
         true
     }
 
+    /// Records that a relay asks for an adapter that is loaded, so that it is not evicted before that relay's requests
+    /// arrive.
+    pub(super) fn note_asked_again(&mut self, relay: SocketAddr, key: &AdapterKey, now: MonoTime) {
+        let fresh = || LoadedAdapter { at: now, relays: BTreeSet::new() };
+        let loaded = self.loaded.entry(key.clone()).or_insert_with(fresh);
+        loaded.at = now;
+        loaded.relays.insert(relay);
+    }
+
     /// Returns whether the engine has recently not carried out an unload of the adapter, so that a request may use it
     /// that no relay has reported.
     fn is_unload_rejected(&self, key: &AdapterKey, now: MonoTime) -> bool {
@@ -105,6 +114,7 @@
         let in_flight = heartbeat.uses.into_iter().filter(|used| used.in_flight > 0);
         let in_flight = in_flight.map(|used| (used.key, used.in_flight)).collect();
         self.in_flight.insert(heartbeat.relay, (in_flight, now));
+        self.update_estimates(now);
     }
 
     /// Returns the requests in flight for each adapter of the engine, in the order of the report,
@@ -131,6 +141,11 @@
         self.idle_adapters(now).min_by(|a, b| demand(a).total_cmp(&demand(b))).cloned()
     }
 
+    /// Returns whether relays had time to report which adapters are in use.
+    pub(super) fn has_use_reports(&self, now: MonoTime) -> bool {
+        self.first_report_at.is_some_and(|at| now.saturating_sub(at) >= USE_REPORT_WAIT)
+    }
+
     /// Returns the time for which a newly loaded adapter is not evicted. Where a relay that asked for it has not reported
     /// since, the report of its first use may be lost: then it is the longer one, in which the next regular one comes.
     fn settle_time(&self, loaded: &LoadedAdapter, now: MonoTime) -> Duration {
@@ -147,8 +162,7 @@
     /// Returns the adapters that may be evicted: those with no requests in flight that have not been
     /// loaded just now and whose unload has not just been rejected. There are none until relays had time to report which adapters are in use.
     pub(super) fn idle_adapters(&self, now: MonoTime) -> impl Iterator<Item = &AdapterKey> {
-        let has_use_reports =
-            self.first_report_at.is_some_and(|at| now.saturating_sub(at) >= USE_REPORT_WAIT);
+        let has_use_reports = self.has_use_reports(now);
         let is_recent =
             move |reported_at: &MonoTime| now.saturating_sub(*reported_at) < USE_LIFETIME;
         let is_used = move |key: &AdapterKey| {
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -8,6 +8,8 @@
 mod prompts;
 mod queue;
 mod reach;
+mod releases;
+mod replies;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -19,6 +21,7 @@
 pub use self::prompts::RelayPrompts;
 use self::queue::QueuedLoad;
 pub use self::reach::{EngineContact, EngineReach};
+pub use self::releases::SlotReleases;
 use super::beacon::{ArrivedLoad, EngineReport};
 use super::engine_status::{EngineStatus, LoadOutcome, PromptReport};
 use super::order::LoadOrder;
@@ -27,6 +30,13 @@
 use crate::standing::UpstreamStatus;
 use crate::standing::notice::UpstreamNotice;
 
+/// Assumed time of an adapter load until the first has been measured: that of a load from the weight store.
+const INITIAL_LOAD_TIME: Duration = Duration::from_millis(300);
+
+/// Weight of a load in the moving average of load times: about the last four count, as the store slows down with the
+/// loads in progress.
+const MEAN_WEIGHT: f64 = 0.25;
+
 /// Difference between an engine's report and the one before.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReportChange {
@@ -88,6 +98,10 @@
     prompts: RelayPrompts,
     /// Whether the engine responds.
     reach: EngineReach,
+    /// When adapter slots were released.
+    releases: SlotReleases,
+    /// Moving average of the times of adapter loads; `None` before the first.
+    mean_load_time: Option<Duration>,
     /// Replies to relays that have not been sent yet.
     replies: Vec<LoaderReply>,
     /// Status that the engine reports with its responses to orders; only requested pauses count here.
@@ -121,6 +135,8 @@
             rejected_unloads: HashMap::new(),
             prompts: RelayPrompts::default(),
             reach: EngineReach::default(),
+            releases: SlotReleases::default(),
+            mean_load_time: None,
             replies: Vec::new(),
             upstream_status: UpstreamStatus::default(),
         }
@@ -163,6 +179,7 @@
         EngineStatus {
             is_reachable: self.reach.is_reachable(),
             pending: self.prompts.total(now),
+            slot_free_in: self.slot_free_in(now),
             ..EngineStatus::unknown(engine)
         }
     }
@@ -257,14 +274,36 @@
         let mut change = ReportChange { is_changed, broken, arrived: Vec::new() };
         for load in arrived {
             let was_warm = !self.loaded_before.insert(load.key.clone());
-            let loaded = LoadedAdapter { at: now, relays: load.relays };
+            let relays = load.relays.into_keys().collect();
+            let loaded = LoadedAdapter { at: now, relays };
             self.loaded.insert(load.key.clone(), loaded);
             let took = now.saturating_sub(load.ordered_at);
+            let mean = self.mean_load_time.unwrap_or(took);
+            self.mean_load_time = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
             change.arrived.push((load.key, ArrivedLoad { took, was_warm }));
         }
+        self.update_estimates(now);
         change
     }
 
+    /// Records released slots and the estimates that they change, where adapter slots are scarce.
+    fn update_estimates(&mut self, now: MonoTime) {
+        if !self.is_contended(now) {
+            self.releases = SlotReleases::default();
+            return;
+        }
+        if self.has_use_reports(now) {
+            let idle = self.idle_adapters(now).cloned().collect();
+            self.releases.record_idle(idle, now);
+        }
+        self.update_replies(now);
+    }
+
+    /// Returns the expected time of an adapter load.
+    fn load_time(&self) -> Duration {
+        self.mean_load_time.unwrap_or(INITIAL_LOAD_TIME)
+    }
+
     /// Returns whether the engine has restarted since its last report. Where a start time is missing, a
     /// lower count of orders shows a restart.
     fn has_restarted(&self, report: &EngineReport) -> bool {
@@ -300,6 +339,7 @@
         self.loaded_before.clear();
         self.loaded.clear();
         self.rejected_unloads.clear();
+        self.releases = SlotReleases::default();
         self.upstream_status = UpstreamStatus::default();
         self.ordered_loads.take_broken(self.report.born)
     }
--- a/quillcove_core/src/relay/loader/ordered.rs
+++ b/quillcove_core/src/relay/loader/ordered.rs
@@ -1,9 +1,8 @@
 //! Tracks the adapter loads that were ordered from one engine until its reports show them as loaded.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::replies::AskingRelays;
 use crate::crash::watch::ReplicaRun;
 use crate::ids::{AdapterKey, AdapterVersion, MonoTime, ReplicaId, StartTime};
 use crate::relay::beacon::{HeldAdapter, LoadRequest};
@@ -36,7 +35,7 @@
     pub replica: ReplicaId,
     pub ordered_at: MonoTime,
     /// Relays that asked for it.
-    pub relays: BTreeSet<SocketAddr>,
+    pub relays: AskingRelays,
     /// Whether it has passed [`ORDERED_LIFETIME`] and is kept only to be reported if the engine exited.
     is_lost: bool,
 }
@@ -59,7 +58,7 @@
         &mut self,
         key: AdapterKey,
         request: &LoadRequest,
-        relays: BTreeSet<SocketAddr>,
+        relays: AskingRelays,
         ordered_at: MonoTime,
     ) {
         self.loads.retain(|load| !load.is_lost || load.key != key);
@@ -69,16 +68,18 @@
         self.loads.push(load);
     }
 
+    /// Returns the loads that are under way.
+    pub fn pending(&mut self) -> impl Iterator<Item = &mut OrderedLoad> {
+        self.loads.iter_mut().filter(|load| !load.is_lost)
+    }
+
     /// Returns the load of an adapter in this version or a newer one, if it is under way.
     pub fn pending_mut(
         &mut self,
         key: &AdapterKey,
         version: AdapterVersion,
     ) -> Option<&mut OrderedLoad> {
-        let is_pending = |load: &&mut OrderedLoad| {
-            !load.is_lost && load.key == *key && load.min_version >= version
-        };
-        self.loads.iter_mut().find(is_pending)
+        self.pending().find(|load| load.key == *key && load.min_version >= version)
     }
 
     /// Removes the load of an adapter whose order the engine did not accept.
--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -1,11 +1,13 @@
 //! The queue of load requests, and the orders made from it.
 
-use std::collections::BTreeSet;
+use std::cmp::Reverse;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::LoaderMachine;
 use super::eviction::DEMAND_HALF_LIFE;
-use super::{LoaderMachine, LoaderReply};
+use super::replies::AskingRelays;
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::LoadRequest;
 use crate::relay::engine_status::LoadOutcome;
@@ -16,13 +18,13 @@
 const MODEL_LOAD_RETENTION: Duration = Duration::from_millis(5500);
 
 /// Age at which a queued load request is dropped; the relay repeats it if the adapter is still needed.
-const LOAD_REQUEST_LIFETIME: Duration = Duration::from_millis(2000);
+pub(super) const LOAD_REQUEST_LIFETIME: Duration = Duration::from_millis(2000);
 
 /// Maximum number of queued load requests.
 const LOAD_REQUEST_LIMIT: usize = 32;
 
 /// Maximum number of adapters that an engine loads at once; engines reject more.
-const INCOMING_LIMIT: usize = 4;
+pub(super) const INCOMING_LIMIT: usize = 4;
 
 /// Demand that a load request counts for, in requests.
 const LOAD_REQUEST_WEIGHT: f64 = 1.0;
@@ -38,13 +40,15 @@
     /// When it was last asked for, or put back in front after an order.
     pub renewed_at: MonoTime,
     /// Relays that asked for it.
-    pub relays: BTreeSet<SocketAddr>,
+    pub relays: AskingRelays,
+    /// When a relay first asked for it.
+    pub first_asked_at: MonoTime,
 }
 
 impl LoaderMachine {
     /// Queues a load request of a relay. It replaces a queued request for the same load, and is ignored
-    /// while an order for that load is under way or the queue is full. While an engine with scarce adapter slots
-    /// is unreachable, requests are not queued.
+    /// while an order for that load is under way or the queue is full. Where adapter slots are scarce, each request
+    /// gets a reply, and is queued only if a slot becomes free while it would be kept.
     ///
     /// ```
     /// use std::time::Duration;
@@ -70,52 +74,68 @@
         }
         let is_same =
             |other: &LoadRequest| other.model == request.model && other.adapter == request.adapter;
-        if self.current_order.as_ref().is_some_and(|(_, current)| is_same(&current.request)) {
-            return;
-        }
-        if self.is_contended(now) && self.join_ordered_load(relay, &request) {
+        let is_contended = self.is_contended(now);
+        let current = self.current_order.as_mut().map(|(_, current)| current);
+        if let Some(current) = current.filter(|current| is_same(&current.request)) {
+            current.relays.insert(relay, None);
             return;
         }
         if let Some(key) = request.key() {
             self.adapter_slots = Some(request.places);
             self.demand.entry(key).or_default().add(now, LOAD_REQUEST_WEIGHT, DEMAND_HALF_LIFE);
         }
+        if is_contended
+            && (self.answer_satisfied(relay, &request, now)
+                || self.join_ordered_load(relay, &request))
+        {
+            self.update_replies(now);
+            return;
+        }
         let known = self.load_requests.iter().position(|other| is_same(&other.request));
         let known = known.and_then(|index| self.load_requests.remove(index));
-        let mut relays = known.map_or_else(BTreeSet::new, |known| known.relays);
-        relays.insert(relay);
+        let first_asked_at = known.as_ref().map_or(now, |known| known.first_asked_at);
+        let mut relays = known.map_or_else(AskingRelays::new, |known| known.relays);
+        relays.insert(relay, None);
         if self.load_requests.len() < LOAD_REQUEST_LIMIT {
-            self.load_requests.push_back(QueuedLoad { request, renewed_at: now, relays });
+            let queued = QueuedLoad { request, renewed_at: now, relays, first_asked_at };
+            self.load_requests.push_back(queued);
+        } else if is_contended {
+            self.reply_not_queued(relays, request.key(), now);
+        }
+        if is_contended {
+            self.sort_queue();
+            self.update_replies(now);
         }
     }
 
-    /// Adds a relay to those that asked for a load that is under way; returns whether there is one.
-    fn join_ordered_load(&mut self, relay: SocketAddr, request: &LoadRequest) -> bool {
-        let version = request.version.unwrap_or(0);
-        let load = request.key().and_then(|key| self.ordered_loads.pending_mut(&key, version));
-        load.is_some_and(|load| {
-            load.relays.insert(relay);
-            true
-        })
+    /// Sorts the queue: base models first if the engine has none and else last; then the adapters for which the most
+    /// relays ask; of equals, the one first asked for goes first.
+    fn sort_queue(&mut self) {
+        let needs_model = self.report.models.is_empty();
+        self.load_requests.make_contiguous().sort_by_key(|queued| {
+            let is_late = queued.request.adapter.is_some() == needs_model;
+            (is_late, Reverse(queued.relays.len()), queued.first_asked_at)
+        });
     }
 
-    /// Empties the queue of an engine that does not respond, and tells the relays.
-    pub(super) fn reject_unreachable(&mut self) {
-        for queued in std::mem::take(&mut self.load_requests) {
-            self.reply(queued.relays, queued.request.key(), LoadOutcome::Unreachable);
+    /// Drops the queued requests that are too old; where adapter slots are scarce, their relays are told.
+    fn expire_requests(&mut self, now: MonoTime) {
+        let is_kept =
+            |queued: &QueuedLoad| now.saturating_sub(queued.renewed_at) < LOAD_REQUEST_LIFETIME;
+        let queue = std::mem::take(&mut self.load_requests);
+        let (kept, expired): (VecDeque<_>, VecDeque<_>) = queue.into_iter().partition(is_kept);
+        self.load_requests = kept;
+        if self.is_contended(now) {
+            for queued in expired {
+                self.reply_not_queued(queued.relays, queued.request.key(), now);
+            }
         }
     }
 
-    /// Queues a reply to each of the relays; base models have none.
-    fn reply(
-        &mut self,
-        relays: impl IntoIterator<Item = SocketAddr>,
-        key: Option<AdapterKey>,
-        outcome: LoadOutcome,
-    ) {
-        if let Some(key) = key {
-            let reply = |relay| LoaderReply { relay, key: key.clone(), outcome };
-            self.replies.extend(relays.into_iter().map(reply));
+    /// Empties the queue of an engine that does not respond, and tells the relays.
+    pub(super) fn reject_unreachable(&mut self) {
+        for queued in std::mem::take(&mut self.load_requests) {
+            self.reply(queued.relays.into_keys(), queued.request.key(), LoadOutcome::Unreachable);
         }
     }
 
@@ -142,8 +162,10 @@
         // Before its first report the engine would seem empty although it may be full: only this
         // process is new.
         let reported_at = self.reported_at?;
-        self.load_requests
-            .retain(|queued| now.saturating_sub(queued.renewed_at) < LOAD_REQUEST_LIFETIME);
+        self.expire_requests(now);
+        if self.is_contended(now) {
+            self.sort_queue();
+        }
         self.ordered_loads.expire(now);
         while let Some(QueuedLoad { request, .. }) = self.load_requests.front() {
             if self.is_satisfied(request) {
@@ -182,7 +204,7 @@
     }
 
     /// Returns whether the engine has already loaded, or is loading, what is requested.
-    fn is_satisfied(&self, request: &LoadRequest) -> bool {
+    pub(super) fn is_satisfied(&self, request: &LoadRequest) -> bool {
         let Some(key) = request.key() else {
             return self.report.models.contains(&request.model);
         };
@@ -206,16 +228,22 @@
         if self.is_cut_off(now) {
             return Some(0);
         }
-        let slots = self.adapter_slots? as usize;
-        let free = slots.saturating_sub(self.report.adapters.len() + self.incoming_count());
+        let free = self.free_slots()?;
         let waiting =
             self.load_requests.iter().filter(|queued| queued.request.adapter.is_some()).count();
         let spare = (free + self.idle_adapters(now).count()).saturating_sub(waiting);
         Some(spare as u32)
     }
 
+    /// Returns the number of slots that hold no adapter and get none. `None` until a load request has given the number
+    /// of slots.
+    pub(super) fn free_slots(&self) -> Option<usize> {
+        let slots = self.adapter_slots? as usize;
+        Some(slots.saturating_sub(self.report.adapters.len() + self.incoming_count()))
+    }
+
     /// Returns the number of adapters being loaded, including those ordered but not reported yet.
-    fn incoming_count(&self) -> usize {
+    pub(super) fn incoming_count(&self) -> usize {
         self.report.incoming.len() + self.ordered_loads.unreported_count(&self.report.incoming)
     }
 
@@ -316,6 +344,10 @@
                 self.fence += FENCE_STEP;
                 self.load_requests.push_front(renewed);
             },
+            (OrderOutcome::Rejected, OrderKind::Load) if self.is_contended(now) => {
+                let key = renewed.request.key();
+                self.reply_not_queued(renewed.relays, key, now);
+            },
             _ => {},
         }
     }
