Loaders learn how many copies of adapters their host keeps

Change: the loader keeps the adapters of its host in the order of their loads; a load of a known adapter that took less than half the mean time of loads from the store came from a copy, and the ranks of such loads give the number of copies, which the status carries. Where slots are scarce, loads from a copy go first, estimates use their time, and a load counts as warm by its time.

--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -3,6 +3,7 @@
 //! Load requests from relays are queued. One order is under way at a time, and an adapter is evicted
 //! first where the engine has no free slot.
 
+mod copies;
 mod eviction;
 mod ordered;
 mod prompts;
@@ -15,6 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use self::copies::{HostCopies, LoadSource};
 use self::eviction::{LoadedAdapter, RejectedUnload};
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
@@ -30,13 +32,6 @@
 use crate::standing::UpstreamStatus;
 use crate::standing::notice::UpstreamNotice;
 
-/// Assumed time of an adapter load until the first has been measured: that of a load from the weight store.
-const INITIAL_LOAD_TIME: Duration = Duration::from_millis(300);
-
-/// Weight of a load in the moving average of load times: about the last four count, as the store slows down with the
-/// loads in progress.
-const MEAN_WEIGHT: f64 = 0.25;
-
 /// Difference between an engine's report and the one before.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReportChange {
@@ -100,8 +95,8 @@
     reach: EngineReach,
     /// When adapter slots were released.
     releases: SlotReleases,
-    /// Moving average of the times of adapter loads; `None` before the first.
-    mean_load_time: Option<Duration>,
+    /// Copies of adapters that the host keeps, by the times of loads.
+    copies: HostCopies,
     /// Replies to relays that have not been sent yet.
     replies: Vec<LoaderReply>,
     /// Status that the engine reports with its responses to orders; only requested pauses count here.
@@ -136,7 +131,7 @@
             prompts: RelayPrompts::default(),
             reach: EngineReach::default(),
             releases: SlotReleases::default(),
-            mean_load_time: None,
+            copies: HostCopies::default(),
             replies: Vec::new(),
             upstream_status: UpstreamStatus::default(),
         }
@@ -180,6 +175,7 @@
             is_reachable: self.reach.is_reachable(),
             pending: self.prompts.total(now),
             slot_free_in: self.slot_free_in(now),
+            host_copies: self.copies.limit(),
             ..EngineStatus::unknown(engine)
         }
     }
@@ -270,6 +266,10 @@
         let arrived = self.ordered_loads.take_completed(&self.report.adapters);
         if self.report.models.is_empty() {
             self.loaded_before.clear();
+            // The host keeps copies of adapters where it keeps those of base models.
+            if self.report.local_models.is_empty() {
+                self.copies.forget();
+            }
         }
         let mut change = ReportChange { is_changed, broken, arrived: Vec::new() };
         for load in arrived {
@@ -278,8 +278,13 @@
             let loaded = LoadedAdapter { at: now, relays };
             self.loaded.insert(load.key.clone(), loaded);
             let took = now.saturating_sub(load.ordered_at);
-            let mean = self.mean_load_time.unwrap_or(took);
-            self.mean_load_time = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
+            let version = self.report.version_of(&load.key);
+            let source = self.copies.record_load(load.key.clone(), version, took);
+            // A host keeps a limited number of copies, so that an adapter that was loaded before may come from the store.
+            let was_warm = match self.is_contended(now) {
+                true => source == LoadSource::Copy,
+                false => was_warm,
+            };
             change.arrived.push((load.key, ArrivedLoad { took, was_warm }));
         }
         self.update_estimates(now);
@@ -299,11 +304,6 @@
         self.update_replies(now);
     }
 
-    /// Returns the expected time of an adapter load.
-    fn load_time(&self) -> Duration {
-        self.mean_load_time.unwrap_or(INITIAL_LOAD_TIME)
-    }
-
     /// Returns whether the engine has restarted since its last report. Where a start time is missing, a
     /// lower count of orders shows a restart.
     fn has_restarted(&self, report: &EngineReport) -> bool {
--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -108,13 +108,16 @@
         }
     }
 
-    /// Sorts the queue: base models first if the engine has none and else last; then the adapters for which the most
-    /// relays ask; of equals, the one first asked for goes first.
+    /// Sorts the queue: base models first if the engine has none and else last; then the adapters of which the host
+    /// has a copy; then those for which the most relays ask; of equals, the one first asked for goes first.
     fn sort_queue(&mut self) {
         let needs_model = self.report.models.is_empty();
         self.load_requests.make_contiguous().sort_by_key(|queued| {
             let is_late = queued.request.adapter.is_some() == needs_model;
-            (is_late, Reverse(queued.relays.len()), queued.first_asked_at)
+            let version = queued.request.version.unwrap_or(0);
+            let key = queued.request.key();
+            let is_from_store = key.is_some_and(|key| !self.copies.contains(&key, version));
+            (is_late, is_from_store, Reverse(queued.relays.len()), queued.first_asked_at)
         });
     }
 
--- a/quillcove_core/src/relay/loader/replies.rs
+++ b/quillcove_core/src/relay/loader/replies.rs
@@ -52,14 +52,15 @@
             false => self.releases.interval(now)? * (ahead - available + 1) as u32,
         };
         let rounds = ((incoming + ahead) / INCOMING_LIMIT) as u32;
-        let load_wait = self.load_time() * rounds;
+        let load_wait = self.copies.store_time() * rounds;
         let pause_end = self.upstream_status.pause_end(now).unwrap_or(now);
         Some(release_wait.max(load_wait).max(pause_end.saturating_sub(now)))
     }
 
-    /// Returns the estimated time until a load is completed that was ordered this long ago.
-    fn remaining_load_time(&self, elapsed: Duration) -> Duration {
-        let total = self.load_time().max(elapsed.mul_f64(OVERDUE_FACTOR));
+    /// Returns the estimated time until a load is completed that was ordered this long ago and takes `load_time` on
+    /// average.
+    fn remaining_load_time(load_time: Duration, elapsed: Duration) -> Duration {
+        let total = load_time.max(elapsed.mul_f64(OVERDUE_FACTOR));
         total.saturating_sub(elapsed)
     }
 
@@ -88,7 +89,7 @@
                 self.note_asked_again(relay, &key, now);
                 Duration::ZERO
             },
-            false => self.load_time(),
+            false => self.copies.load_time(&key, version),
         };
         self.reply([relay], Some(key), LoadOutcome::Queued { ready_in });
         true
@@ -113,7 +114,9 @@
         let mut announced = Vec::new();
         let mut ordered_loads = std::mem::take(&mut self.ordered_loads);
         for load in ordered_loads.pending() {
-            let ready_in = self.remaining_load_time(now.saturating_sub(load.ordered_at));
+            let load_time = self.copies.load_time(&load.key, load.min_version);
+            let elapsed = now.saturating_sub(load.ordered_at);
+            let ready_in = Self::remaining_load_time(load_time, elapsed);
             announce(&load.key, &mut load.relays, ready_in, now, &mut announced);
         }
         self.ordered_loads = ordered_loads;
@@ -127,7 +130,8 @@
                 LOAD_REQUEST_LIFETIME.saturating_sub(now.saturating_sub(queued.renewed_at));
             match self.slot_wait(ahead, now) {
                 Some(wait) if wait < kept_for => {
-                    let ready_in = wait + self.load_time();
+                    let version = queued.request.version.unwrap_or(0);
+                    let ready_in = wait + self.copies.load_time(&key, version);
                     announce(&key, &mut queued.relays, ready_in, now, &mut announced);
                     ahead += 1;
                     self.load_requests.push_back(queued);
--- a/quillcove_core/tests/loader_slots.rs
+++ b/quillcove_core/tests/loader_slots.rs
@@ -386,3 +386,69 @@
     machine.queue_load_request(relay(1), request(7), ms(1001));
     assert!(machine.next_order(ms(1001)).is_none());
 }
+
+/// Has the machine load an adapter in this time into an engine that holds nothing else; returns whether the loader
+/// reports that it came from a copy.
+fn load_in(machine: &mut LoaderMachine, number: u32, took: u64, now: &mut u64) -> bool {
+    contend(machine, ms(*now));
+    machine.record_report(EngineReport { local_models: vec!["m".into()], ..report(&[]) }, ms(*now));
+    machine.queue_load_request(relay(1), request(number), ms(*now));
+    machine.next_order(ms(*now)).unwrap();
+    machine.complete_order(OrderOutcome::Begun, ms(*now));
+    let change = machine.record_report(report(&[number]), ms(*now + took));
+    *now += 400;
+    change.arrived[0].1.was_warm
+}
+
+/// Load: more adapters than the host keeps copies of, loaded in turn. Guards against relays that expect a copy where the
+/// load comes from the store, and against loads from the store that do not count at it.
+#[test]
+fn the_number_of_host_copies_is_learnt_from_load_times() {
+    const COPIES: usize = 3;
+    let mut machine = machine(true, &[]);
+    let (mut now, mut kept): (u64, Vec<u32>) = (2000, Vec::new());
+    let limit = |machine: &LoaderMachine, now: u64| machine.status(relay(80), ms(now)).host_copies;
+    let turns = [1, 2, 3, 4, 1, 2, 2, 3, 2, 1, 3, 4, 1, 2, 3, 1, 2, 3];
+    for number in turns {
+        let is_copied = kept.contains(&number);
+        kept.retain(|other| *other != number);
+        kept.insert(0, number);
+        kept.truncate(COPIES);
+        let took = if is_copied { 29 } else { 288 };
+        assert_eq!(load_in(&mut machine, number, took, &mut now), is_copied);
+        assert!(limit(&machine, now).is_none_or(|limit| limit as usize <= COPIES));
+    }
+    assert_eq!(limit(&machine, now), Some(COPIES as u32));
+    // One copy that takes long to read does not change it, two do.
+    load_in(&mut machine, 2, 288, &mut now);
+    assert_eq!(limit(&machine, now), Some(3));
+    load_in(&mut machine, 3, 288, &mut now);
+    assert_eq!(limit(&machine, now), Some(1));
+}
+
+/// Load: an adapter with a copy and one without are asked for at once. Guards against a slot that waits for the store
+/// while a load of a tenth of the time could be done first; and against copies that a host no longer has.
+#[test]
+fn a_load_from_a_copy_goes_first_until_the_host_has_none() {
+    for has_copies in [true, false] {
+        let mut machine = machine(true, &[]);
+        let mut now = 2000;
+        for (number, took) in [(1, 288), (2, 288), (1, 29)] {
+            load_in(&mut machine, number, took, &mut now);
+        }
+        let local_models = if has_copies { vec!["m".to_string()] } else { Vec::new() };
+        let restarted = EngineReport { born: Some(2), local_models, ..report(&[]) };
+        let empty = EngineReport { models: Vec::new(), ..restarted.clone() };
+        machine.record_report(empty, ms(now));
+        machine.record_report(restarted, ms(now + 10));
+        contend(&mut machine, ms(now + 10));
+        machine.take_replies();
+        for (number, asking) in [(7, relay(1)), (7, relay(2)), (1, relay(1))] {
+            machine.queue_load_request(asking, request(number), ms(now + 10));
+        }
+        let last = outcomes(&mut machine).pop().unwrap();
+        assert_eq!(last.2, queued(if has_copies { 29 } else { 288 }));
+        let first = if has_copies { 1 } else { 7 };
+        assert_eq!(machine.next_order(ms(now + 10)).unwrap().adapter, request(first).adapter);
+    }
+}
