--- a/quillcove_core/tests/relay_loader.rs
+++ b/quillcove_core/tests/relay_loader.rs
@@ -13,6 +13,7 @@
 use quillcove_core::relay::beacon::{
     AdapterUse, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat,
 };
+use quillcove_core::relay::engine_status::{PendingPrompts, PromptReport};
 use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
 use quillcove_core::standing::notice::UpstreamNotice;
@@ -147,6 +148,7 @@
     #[test]
     fn an_engine_never_holds_too_much_and_nothing_in_use_goes(
         steps in prop::collection::vec(step(), 1..120),
+        is_contended in any::<bool>(),
     ) {
         let mut machine = LoaderMachine::new("e1".to_string(), 100);
         let mut engine = SimpleEngine::default();
@@ -160,7 +162,11 @@
         let mut first_fence = 100;
         let mut used: Option<(u8, Duration)> = None;
         let relay = "127.0.0.1:1".parse().unwrap();
-        for step in steps {
+        for (number, step) in steps.into_iter().enumerate() {
+            if is_contended {
+                let (number, pending) = (number as u64 + 1, PendingPrompts::default());
+                machine.record_prompts(PromptReport { relay, number, incarnation: 1, pending }, now);
+            }
             match step {
                 Step::Ask(adapter, version) => machine.queue_load_request(RELAY, ask(adapter, version), now),
                 Step::Use(adapter) => {
