--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -135,6 +135,8 @@
 
     fn handle_status(&mut self, status: EngineStatus, now: MonoTime) {
         self.shared.machine().take_status(status, now);
+        // Loads that an unreachable engine was asked for are requested from others.
+        self.send_pending_loads();
     }
 
     fn handle_load_reply(&mut self, reply: &LoadReply, now: MonoTime) {
@@ -414,7 +416,8 @@
         UsageReport { host, incarnation: self.incarnation, uptime: now, spent, levels }
     }
 
-    /// Reports at once to the loaders of full engines that one of their adapters is no longer in use.
+    /// Reports at once to the loaders of full engines that one of their adapters is no longer in use, and where adapter
+    /// slots are scarce, that one is in use.
     pub(super) fn report_freed_adapters(&self) {
         let freed = self.shared.machine().take_freed();
         if freed.is_empty() {
--- a/quillcove_core/src/relay/loader/ordered.rs
+++ b/quillcove_core/src/relay/loader/ordered.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use super::replies::AskingRelays;
 use crate::crash::watch::ReplicaRun;
 use crate::ids::{AdapterKey, AdapterVersion, MonoTime, ReplicaId, StartTime};
-use crate::relay::beacon::HeldAdapter;
+use crate::relay::beacon::{HeldAdapter, LoadRequest};
 
 /// Time after which an ordered load that has not completed counts as lost.
 const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
@@ -33,6 +34,8 @@
     /// Replica id of the engine at the time of the order.
     pub replica: ReplicaId,
     pub ordered_at: MonoTime,
+    /// Relays that asked for it.
+    pub relays: AskingRelays,
     /// Whether it has passed [`ORDERED_LIFETIME`] and is kept only to be reported if the engine exited.
     is_lost: bool,
 }
@@ -50,16 +53,33 @@
 }
 
 impl OrderedLoads {
-    /// Adds a load ordered at `ordered_at`; it replaces a lost one of the same adapter.
+    /// Adds a load ordered at `ordered_at` for `request`; it replaces a lost one of the same adapter.
     pub fn add(
         &mut self,
         key: AdapterKey,
-        min_version: AdapterVersion,
-        replica: ReplicaId,
+        request: &LoadRequest,
+        relays: AskingRelays,
         ordered_at: MonoTime,
     ) {
         self.loads.retain(|load| !load.is_lost || load.key != key);
-        self.loads.push(OrderedLoad { key, min_version, replica, ordered_at, is_lost: false });
+        let min_version = request.version.unwrap_or(0);
+        let replica = request.replica.clone();
+        let load = OrderedLoad { key, min_version, replica, ordered_at, relays, is_lost: false };
+        self.loads.push(load);
+    }
+
+    /// Returns the loads that are under way.
+    pub fn pending(&mut self) -> impl Iterator<Item = &mut OrderedLoad> {
+        self.loads.iter_mut().filter(|load| !load.is_lost)
+    }
+
+    /// Returns the load of an adapter in this version or a newer one, if it is under way.
+    pub fn pending_mut(
+        &mut self,
+        key: &AdapterKey,
+        version: AdapterVersion,
+    ) -> Option<&mut OrderedLoad> {
+        self.pending().find(|load| load.key == *key && load.min_version >= version)
     }
 
     /// Removes the load of an adapter whose order the engine did not accept.
