Loaders measure the prefill rate, event interval and longest pause of their engine

Change: the engine's list of requests in progress is parsed into EngineReport::runs, which is not sent to relays. PerformanceMeter compares successive reports while relays report pending prompts, and LoaderMachine::status carries the result. A list in an unknown form leaves the rest of the report usable.

--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -28,6 +28,17 @@
     pub version: AdapterVersion,
 }
 
+/// A request that an engine processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineRun {
+    /// Id of the request at the engine.
+    pub id: String,
+    /// Its tokens in memory: those of the prompt and of the response so far.
+    pub tokens: u64,
+    /// Events of its response so far; 0 until its prompt has been processed.
+    pub events: u64,
+}
+
 /// An engine's report of its state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineReport {
@@ -50,6 +61,8 @@
     pub running: u32,
     /// Requests waiting in the engine's queue.
     pub waiting: u32,
+    /// The requests being processed; empty if the engine does not list them. Not sent to relays.
+    pub runs: Vec<EngineRun>,
     /// Tokens of prompts and responses in memory that cannot be evicted.
     pub tokens_used: u64,
     /// Capacity of the memory, in tokens.
--- a/quillcove_core/src/relay/engine_status.rs
+++ b/quillcove_core/src/relay/engine_status.rs
@@ -20,9 +20,9 @@
 /// Performance of an engine, measured by its loader.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EnginePerformance {
-    /// Prompt tokens processed per second while prompts wait.
+    /// Prompt tokens processed per second of prefill, without the decode steps in between.
     pub prefill_rate: f32,
-    /// Interval between two events of a running stream.
+    /// Interval between two events of a running stream while no prompt is processed.
     pub event_interval: Duration,
     /// Longest time between two events of a running stream within the last second.
     pub longest_pause: Duration,
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -4,6 +4,7 @@
 //! first where the engine has no free slot.
 
 mod ordered;
+mod performance;
 mod prompts;
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -12,6 +13,7 @@
 
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
+pub use self::performance::PerformanceMeter;
 pub use self::prompts::RelayPrompts;
 use super::beacon::{ArrivedLoad, EngineReport, HeldAdapter, LoadRequest, UseHeartbeat};
 use super::engine_status::{EngineStatus, PromptReport};
@@ -101,6 +103,8 @@
     in_flight: HashMap<SocketAddr, (HashMap<AdapterKey, u32>, MonoTime)>,
     /// Prompts that relays have pending at the engine.
     prompts: RelayPrompts,
+    /// Performance of the engine, measured while the rules for scarce adapter slots apply.
+    performance: PerformanceMeter,
     /// Status that the engine reports with its responses to orders; only requested pauses count here.
     upstream_status: UpstreamStatus,
 }
@@ -130,6 +134,7 @@
             loaded_at: HashMap::new(),
             in_flight: HashMap::new(),
             prompts: RelayPrompts::default(),
+            performance: PerformanceMeter::default(),
             upstream_status: UpstreamStatus::default(),
         }
     }
@@ -204,7 +209,11 @@
     /// assert!(machine.status("127.0.0.1:1".parse().unwrap(), Duration::ZERO).is_reachable);
     /// ```
     pub fn status(&self, engine: SocketAddr, now: MonoTime) -> EngineStatus {
-        EngineStatus { pending: self.prompts.total(now), ..EngineStatus::unknown(engine) }
+        EngineStatus {
+            pending: self.prompts.total(now),
+            performance: self.performance.performance(now),
+            ..EngineStatus::unknown(engine)
+        }
     }
 
     /// Returns the last report of the engine.
@@ -241,6 +250,10 @@
             true => self.reset_engine_state(),
             false => Vec::new(),
         };
+        match self.is_contended(now) {
+            true => self.performance.record(&report, now),
+            false => self.performance = PerformanceMeter::default(),
+        }
         self.report = report;
         self.reported_at = Some(now);
         self.first_report_at.get_or_insert(now);
@@ -293,6 +306,7 @@
         self.loaded_before.clear();
         self.loaded_at.clear();
         self.upstream_status = UpstreamStatus::default();
+        self.performance = PerformanceMeter::default();
         self.ordered_loads.take_broken(self.report.born)
     }
 
--- a/quillcove_core/src/relay/packed.rs
+++ b/quillcove_core/src/relay/packed.rs
@@ -2,7 +2,7 @@
 //!
 //! Adapters refer to their base model by an index into a list of names, which halves the size of a report
 //! of fourteen adapters. Fields that only the loader of the engine needs are not sent: the start time, the
-//! count of orders and the tokens in memory.
+//! count of orders, the requests being processed and the tokens in memory.
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
