Relays use the engine performance that loaders measure

Change: where adapter slots are scarce, PrefillQueue prefers a measurement younger than 2 s to own samples, limited to a factor of 4 of the service's median and corrected by own responses; the longest pause of a stream is predicted from the pending prompts; the choice among holders minimises the expected loss by a late first event or a late pause. The log line 'request' has expected_pause_ms, the counter quillcove.pauses compares prediction and outcome, and a dump shows the measured rate. Elsewhere decisions are as before, which a test checks. Two tests of routing name the new field 'targets' of RoutingCost as None, the earlier cost.

--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -39,6 +39,7 @@
     peer_bytes: Counter<u64>,
     own_reads: Counter<u64>,
     load_stall: Histogram<f64>,
+    pauses: Counter<u64>,
     promises: Counter<u64>,
     promise_error: Histogram<f64>,
     first_byte: Histogram<f64>,
@@ -106,6 +107,11 @@
                 "Reads of the store by a relay that is told of it by others, by reason",
             ),
             load_stall: time("quillcove.load_stall", "Wait before the upstream gets an attempt"),
+            pauses: counter(
+                &meter,
+                "quillcove.pauses",
+                "Streams by whether their longest pause was predicted to be late and was",
+            ),
             promises: counter(&meter, "quillcove.promises", "Told times of adapters by fate"),
             promise_error: time(
                 "quillcove.promise_error",
@@ -197,6 +203,22 @@
         }
     }
 
+    /// Counts a stream by whether its longest pause was predicted to exceed the target of its route, and whether it did.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.record_pause(false, true);
+    /// assert!(metrics.text().contains("quillcove_pauses_total"));
+    /// ```
+    pub fn record_pause(&self, is_predicted_late: bool, is_late: bool) {
+        let label = |is_late| if is_late { "late" } else { "on_time" };
+        let labels = [
+            KeyValue::new("predicted", label(is_predicted_late)),
+            KeyValue::new("measured", label(is_late)),
+        ];
+        self.pauses.add(1, &labels);
+    }
+
     /// Records the time to an answer's head.
     ///
     /// ```
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -61,6 +61,8 @@
     pub rank: Option<u8>,
     /// Estimated time to the first event of the last attempt.
     pub expected_first_event: Option<Duration>,
+    /// Predicted longest pause of the last attempt.
+    pub expected_pause: Option<Duration>,
     charge: ChargeGuard,
     finished: Option<FinishedRequest>,
 }
@@ -97,6 +99,7 @@
         self.prefill = start.number.map(pending);
         self.rank = Some(start.rank);
         self.expected_first_event = start.expected;
+        self.expected_pause = start.expected_pause;
     }
 
     /// Records that the attempt's first event was received at `read_at`, or that the attempt ended
@@ -162,6 +165,11 @@
         drop(machine);
         self.charge.commit();
         self.shared.metrics.record_finish(end.verdict, self.class(), took);
+        if let Some((limit, expected)) = self.query.route.target_gap.zip(self.expected_pause)
+            && self.first_event.is_some()
+        {
+            self.shared.metrics.record_pause(expected > limit, self.longest_pause > limit);
+        }
         info!(self.shared.log, "request"; "id" => &self.terms.id,
             "route" => &self.query.route.name, "sheet" => self.configuration.version,
             "service" => &self.query.service, "workspace" => self.workspace(),
@@ -173,6 +181,7 @@
             "prompt_tokens" => self.query.prompt_tokens, "rank" => self.rank,
             "expected_ms" => self.expected_first_event.map(|time| time.as_millis() as u64),
             "first_event_ms" => self.first_event.map(|first| first.as_millis() as u64),
+            "expected_pause_ms" => self.expected_pause.map(|pause| pause.as_millis() as u64),
             "longest_pause_ms" => self.longest_pause.as_millis() as u64, "took_ms" => took.as_millis() as u64);
     }
 }
@@ -333,6 +342,7 @@
         prefill: None,
         rank: None,
         expected_first_event: None,
+        expected_pause: None,
         charge,
         finished: None,
     })
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -104,9 +104,13 @@
             untried = unconfirmed.filter(holds).filter(is_untried).copied().collect();
         }
         let current = self.prefer_newest(query, &untried, now);
-        let norm = self.table.norm(&query.service);
-        let cost =
-            RoutingCost { prompt: self.routing_prompt(query), norm: &norm, hall: &self.rules.hall };
+        let norm = self.prefill_averages(&query.service, now);
+        let cost = RoutingCost {
+            prompt: self.routing_prompt(query),
+            norm: &norm,
+            hall: &self.rules.hall,
+            targets: self.stream_targets(query, now),
+        };
         let sampled = routing::sample(&current, self.relays, draw);
         let overdue = current.iter().find(|view| view.standing.is_limit_overdue(now)).copied();
         match overdue.or_else(|| routing::choose(&sampled, &cost, now, draw)) {
--- a/quillcove_core/src/relay/machine/contention.rs
+++ b/quillcove_core/src/relay/machine/contention.rs
@@ -1,9 +1,11 @@
 //! Services whose engines have scarce adapter slots: whether their rules apply, and what loaders report about them.
 
-use super::RelayMachine;
+use super::{RelayMachine, RelayQuery};
 use crate::ids::MonoTime;
 use crate::relay::engine_status::{EngineStatus, LoadReply};
 use crate::relay::policy::ContentionRule;
+use crate::relay::reading::PrefillAverages;
+use crate::relay::routing::StreamTargets;
 
 impl RelayMachine {
     /// Returns whether the rules for engines with scarce adapter slots apply to a service.
@@ -59,4 +61,27 @@
     /// RelayMachine::new(RelayRules::default(), 1).take_load_reply(&reply, Duration::ZERO);
     /// ```
     pub fn take_load_reply(&mut self, _reply: &LoadReply, _now: MonoTime) {}
+
+    /// Returns the prefill averages of a service for estimates at `now`. Measurements of loaders are used only where
+    /// the rules for scarce adapter slots apply.
+    pub(super) fn prefill_averages(&self, service: &str, now: MonoTime) -> PrefillAverages {
+        let averages = self.table.norm(service);
+        match self.is_contended(service) {
+            true => averages.with_measurements(now),
+            false => averages,
+        }
+    }
+
+    /// Returns the targets by which the engine of a request is chosen; `None` where the rules for scarce adapter slots
+    /// do not apply.
+    pub(super) fn stream_targets(
+        &self,
+        query: &RelayQuery,
+        now: MonoTime,
+    ) -> Option<StreamTargets> {
+        self.is_contended(&query.service).then(|| StreamTargets {
+            first_event_in: query.due().saturating_sub(now),
+            pause: query.route.target_gap,
+        })
+    }
 }
--- a/quillcove_core/src/relay/machine/loading.rs
+++ b/quillcove_core/src/relay/machine/loading.rs
@@ -46,7 +46,7 @@
         let newest = self.newest(key).unwrap_or(0);
         let is_outdated = view.version_of(key, now).is_some_and(|held| held < newest);
         // Another copy would be loaded before this engine has worked off its prefill backlog.
-        let backlog = view.reading.backlog(&self.table.norm(&query.service));
+        let backlog = view.reading.backlog(&self.prefill_averages(&query.service, now));
         let is_busy = match self.rules.policy.copies {
             // An adapter in such demand at its home engine justifies a copy in this relay's cell.
             _ if !view.is_in_cell => true,
@@ -133,7 +133,7 @@
             let ready = self.table.all().filter(|view| {
                 view.is_in_cell && view.record.service == service.name && takes_loads(view)
             });
-            let norm = self.table.norm(&service.name);
+            let norm = self.prefill_averages(&service.name, now);
             let is_home = |view: &&ReplicaView| view.record.service == service.name;
             let homes = homes.iter().copied().filter(is_home).collect();
             let views = prefer_unlimited(ready.collect());
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -22,6 +22,8 @@
     pub rank: u8,
     /// Estimated time until the first event; `None` if it is unknown, as `number` is.
     pub expected: Option<Duration>,
+    /// Predicted longest pause between two events; `None` where it is not predicted.
+    pub expected_pause: Option<Duration>,
 }
 
 impl RelayMachine {
@@ -74,9 +76,9 @@
     ) -> ReadingStart {
         let rank = query.rank().min(LAST_TIMELY_RANK);
         let (Some(view), Some(tokens)) = (self.table.get(replica), query.prompt_tokens) else {
-            return ReadingStart { number: None, rank, expected: None };
+            return ReadingStart { number: None, rank, expected: None, expected_pause: None };
         };
-        let norm = self.table.norm(&query.service);
+        let norm = self.prefill_averages(&query.service, now);
         let prompt = PrefillPrompt { tokens, rank };
         let reading_time = view.reading.time_to_first_event(prompt, &norm);
         let is_late = now + reading_time > query.due();
@@ -85,9 +87,10 @@
             PriorityRule::Feasible | PriorityRule::Route => rank,
         };
         let prompt = PrefillPrompt { tokens, rank };
-        let expected = view.reading.time_to_first_event(prompt, &norm);
+        let expected = Some(view.reading.time_to_first_event(prompt, &norm));
+        let expected_pause = view.reading.longest_pause(prompt, &norm);
         self.last_reading += 1;
         self.table.begin_reading(replica, self.last_reading, prompt, now);
-        ReadingStart { number: Some(self.last_reading), rank, expected: Some(expected) }
+        ReadingStart { number: Some(self.last_reading), rank, expected, expected_pause }
     }
 }
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -71,6 +71,10 @@
     pub is_well: bool,
     /// Whether a recent report of the replica's loader is known.
     pub has_report: bool,
+    /// Prompt tokens per second that the replica's loader has measured and reported recently.
+    pub prefill_rate: Option<f32>,
+    /// Longest pause between two events of a stream that the loader saw within a second, in milliseconds.
+    pub longest_pause_ms: Option<u64>,
     /// How long the replica has been known to be draining by its own report or its loader's, in milliseconds.
     pub leaving_ms: Option<u64>,
     /// Source of the report that the replica is draining: a response to this relay, its listing, or another process.
@@ -98,12 +102,15 @@
     pub fn view(&self, now: MonoTime) -> RelayView {
         let millis = |time: Duration| time.as_millis() as u64;
         let age = |at| millis(now.saturating_sub(at));
+        let performance = |view: &ReplicaView| view.status(now)?.performance;
         let summary = |view: &ReplicaView| ReplicaSummary {
             record: view.record.clone(),
             in_flight: view.in_flight,
             load: view.load(now),
             is_well: view.seems_well(now),
             has_report: view.report(now).is_some(),
+            prefill_rate: performance(view).map(|it| it.prefill_rate),
+            longest_pause_ms: performance(view).map(|it| millis(it.longest_pause)),
             leaving_ms: view.leaving_since().map(age),
             leaving_by: view.standing.leaving().map(|word| word.source),
             rest_left_ms: view.standing.pause_end(now).map(|end| millis(end.saturating_sub(now))),
--- a/quillcove_core/src/relay/machine/waiting.rs
+++ b/quillcove_core/src/relay/machine/waiting.rs
@@ -60,7 +60,7 @@
     ) -> RelayChoice {
         let abandon_at = query.abandon_at();
         let ready_at = self.request_load(query, abandon_at, LoadTarget::Home, now);
-        let reading = self.shortest_reading_time(query);
+        let reading = self.shortest_reading_time(query, now);
         let is_servable = ready_at.is_some_and(|at| at + reading <= abandon_at);
         if is_servable && (self.has_engine_reports(&query.service, now) || now < FIRST_REPORTS_TIME)
         {
@@ -70,10 +70,10 @@
     }
 
     /// Returns the shortest time to a request's first event over the engines of this relay's cell.
-    pub(super) fn shortest_reading_time(&self, query: &RelayQuery) -> Duration {
+    pub(super) fn shortest_reading_time(&self, query: &RelayQuery, now: MonoTime) -> Duration {
         let rank = query.rank();
         let prompt = PrefillPrompt { tokens: query.prompt_tokens.unwrap_or(0), rank };
-        let norm = self.table.norm(&query.service);
+        let norm = self.prefill_averages(&query.service, now);
         let engines = self.near_engines(&query.service);
         let times = engines.map(|view| view.reading.time_to_first_event(prompt, &norm));
         times.min().unwrap_or(Duration::ZERO)
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -14,6 +14,7 @@
 //! - [`promise`]: accuracy of the load times that rejected callers were told.
 //! - [`prompt`]: sizes of prompts and responses.
 //! - [`reading`]: estimate of the time that a request waits at an engine until its first event.
+//! - [`performance`]: use of the engine performance that loaders measure.
 //! - [`policy`]: decision rules that can be switched back to simpler ones for measurements.
 //! - [`position`]: eras and revisions of the platform's store.
 //! - [`follower`]: scheduling of the calls that read one part of the store.
@@ -43,6 +44,7 @@
 pub mod machine;
 pub mod order;
 mod packed;
+pub mod performance;
 pub mod policy;
 pub mod position;
 pub mod promise;
--- a/quillcove_core/src/relay/reading.rs
+++ b/quillcove_core/src/relay/reading.rs
@@ -4,10 +4,14 @@
 //! and for its own. A relay knows the tokens that it sent itself. Of other relays' requests it
 //! knows from the engine's report only how many wait, and assumes that their prompts have the mean
 //! size of its own. The time per token is estimated from the times at which first events arrived.
+//! Where adapter slots are scarce, recent measurements of the engine's loader are used instead, see
+//! [`PrefillAverages::with_measurements`].
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::engine_status::EngineStatus;
+use super::performance::{FirstEventFigures, MeasuredEngine, ServicePerformance};
 use crate::ids::MonoTime;
 
 /// Seconds per token until one has been measured: a prompt of a thousand tokens in 40 ms.
@@ -74,9 +78,9 @@
     }
 
     /// Returns the seconds per token of an engine, mixed with the average of its service.
-    fn blended_with(&self, service: &Self) -> f64 {
+    fn blended_with(&self, service_seconds_per_token: f64) -> f64 {
         let tokens = self.tokens + SERVICE_WEIGHT_TOKENS;
-        (self.seconds + service.seconds_per_token() * SERVICE_WEIGHT_TOKENS) / tokens
+        (self.seconds + service_seconds_per_token * SERVICE_WEIGHT_TOKENS) / tokens
     }
 }
 
@@ -86,11 +90,20 @@
     token_time: TokenTimeEstimate,
     /// Mean tokens of a prompt.
     mean_prompt_tokens: f64,
+    /// Performance of the engines as their loaders measure it.
+    performance: ServicePerformance,
+    /// Time at which measurements of loaders are used; `None` where they are not.
+    measurements_at: Option<MonoTime>,
 }
 
 impl Default for PrefillAverages {
     fn default() -> Self {
-        Self { token_time: TokenTimeEstimate::default(), mean_prompt_tokens: INITIAL_PROMPT_TOKENS }
+        Self {
+            token_time: TokenTimeEstimate::default(),
+            mean_prompt_tokens: INITIAL_PROMPT_TOKENS,
+            performance: ServicePerformance::default(),
+            measurements_at: None,
+        }
     }
 }
 
@@ -105,6 +118,18 @@
     pub fn note_prompt(&mut self, tokens: u32) {
         self.mean_prompt_tokens += (f64::from(tokens) - self.mean_prompt_tokens) * SAMPLE_DECAY;
     }
+
+    /// Returns these averages for estimates at `now` that prefer the measurements of loaders to this relay's samples.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::reading::PrefillAverages;
+    ///
+    /// PrefillAverages::default().with_measurements(Duration::ZERO);
+    /// ```
+    pub fn with_measurements(self, now: MonoTime) -> Self {
+        Self { measurements_at: Some(now), ..self }
+    }
 }
 
 /// An attempt whose first event has not arrived yet.
@@ -116,6 +141,8 @@
     /// Tokens that the engine had to process before it, as estimated when it was sent.
     tokens_ahead: f64,
     sent: MonoTime,
+    /// Time to the first event by the loader's measurement; `None` without one.
+    expected: Option<Duration>,
 }
 
 /// The prompts that one engine has yet to process.
@@ -137,6 +164,8 @@
     /// Requests of other relays that waited at the last report.
     others_waiting: u32,
     token_time: TokenTimeEstimate,
+    /// The engine's performance as its loader measures it.
+    measured: MeasuredEngine,
 }
 
 impl PrefillQueue {
@@ -158,8 +187,12 @@
     ) {
         let tokens_ahead = self.tokens_before(prompt.rank, averages);
         let tokens = f64::from(prompt.tokens).max(MIN_PROMPT_TOKENS);
-        let attempt = PendingAttempt { tokens, rank: prompt.rank, tokens_ahead, sent: now };
-        self.attempts.insert(number, attempt);
+        let service = &averages.performance;
+        let expected =
+            self.measured.expected_response(tokens_ahead + tokens, prompt.rank, service, now);
+        let rank = prompt.rank;
+        self.attempts
+            .insert(number, PendingAttempt { tokens, rank, tokens_ahead, sent: now, expected });
     }
 
     /// Records that an attempt had its first event at `first_event_at`, or ended without one.
@@ -183,9 +216,34 @@
             let tokens = attempt.tokens_ahead + attempt.tokens;
             self.token_time.record(took, tokens);
             averages.token_time.record(took, tokens);
+            if let Some(expected) = attempt.expected {
+                self.measured.record_response(took, expected, &mut averages.performance);
+            }
         }
     }
 
+    /// Records the engine's performance from a status of its loader. Used only with averages from
+    /// [`PrefillAverages::with_measurements`].
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::engine_status::EngineStatus;
+    /// use quillcove_core::relay::reading::{PrefillAverages, PrefillQueue};
+    ///
+    /// let status = EngineStatus::unknown("127.0.0.1:1".parse().unwrap());
+    /// let mut averages = PrefillAverages::default();
+    /// PrefillQueue::default().record_status(&status, &mut averages, Duration::ZERO);
+    /// ```
+    pub fn record_status(
+        &mut self,
+        status: &EngineStatus,
+        averages: &mut PrefillAverages,
+        now: MonoTime,
+    ) {
+        averages.performance.record(status, &averages.token_time, now);
+        self.measured.record(status.performance, now);
+    }
+
     /// Records the number of requests that wait at the engine, those of this relay included.
     ///
     /// ```
@@ -214,10 +272,27 @@
     /// assert_eq!(time, std::time::Duration::ZERO);
     /// ```
     pub fn backlog(&self, averages: &PrefillAverages) -> Duration {
-        Duration::from_secs_f64(
-            self.tokens_before(u8::MAX, averages)
-                * self.token_time.blended_with(&averages.token_time),
-        )
+        let tokens = self.tokens_before(u8::MAX, averages);
+        Duration::from_secs_f64(tokens * self.first_event_figures(averages).seconds_per_token)
+    }
+
+    /// Returns the parts of the time to a first event: by the engine's measurement if there is a recent one that may be
+    /// used, otherwise by this relay's samples, mixed with the service's value.
+    fn first_event_figures(&self, averages: &PrefillAverages) -> FirstEventFigures {
+        let service = &averages.performance;
+        let now = averages.measurements_at;
+        if let Some(figures) = now.and_then(|now| self.measured.corrected_first_event(service, now))
+        {
+            return figures;
+        }
+        let common = now.and_then(|now| service.first_event(now));
+        // The samples of this relay include the event interval.
+        let common = common.unwrap_or_else(|| FirstEventFigures {
+            seconds_per_token: averages.token_time.seconds_per_token(),
+            event_interval: 0.0,
+        });
+        let seconds_per_token = self.token_time.blended_with(common.seconds_per_token);
+        FirstEventFigures { seconds_per_token, ..common }
     }
 
     /// Estimates the time until the first event of a request with this prompt that is sent now.
@@ -235,7 +310,26 @@
         averages: &PrefillAverages,
     ) -> Duration {
         let own = f64::from(prompt.tokens).max(MIN_PROMPT_TOKENS);
-        let token_time = self.token_time.blended_with(&averages.token_time);
-        Duration::from_secs_f64((self.tokens_before(prompt.rank, averages) + own) * token_time)
+        let tokens = self.tokens_before(prompt.rank, averages) + own;
+        Duration::from_secs_f64(self.first_event_figures(averages).time(tokens))
+    }
+
+    /// Predicts the longest pause between two events of a stream while the engine processes its pending prompts and this
+    /// one; `None` where loaders have measured nothing recently or their measurements are not used.
+    ///
+    /// ```
+    /// use quillcove_core::relay::reading::{PrefillAverages, PrefillPrompt, PrefillQueue};
+    ///
+    /// let prompt = PrefillPrompt { tokens: 1000, rank: 0 };
+    /// assert_eq!(PrefillQueue::default().longest_pause(prompt, &PrefillAverages::default()), None);
+    /// ```
+    pub fn longest_pause(
+        &self,
+        prompt: PrefillPrompt,
+        averages: &PrefillAverages,
+    ) -> Option<Duration> {
+        let now = averages.measurements_at?;
+        let pending = self.tokens_before(u8::MAX, averages) + f64::from(prompt.tokens);
+        self.measured.longest_pause(pending, &averages.performance, now)
     }
 }
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -505,6 +505,8 @@
             known.incarnation == status.incarnation && known.number >= status.number
         });
         if !is_late {
+            let norm = self.reading_norms.entry(view.record.service.clone()).or_default();
+            view.reading.record_status(&status, norm, now);
             view.status = Some((status, now));
         }
         !is_late
--- a/quillcove_core/src/relay/routing.rs
+++ b/quillcove_core/src/relay/routing.rs
@@ -2,10 +2,12 @@
 //!
 //! The prompt prefixes of an adapter are cached in the engine that holds it, so the requests of one
 //! adapter need no further affinity. Of several holders the one with the lowest cost is chosen; a hop
-//! to another hall adds a fixed cost.
+//! to another hall adds a fixed cost. Where adapter slots are scarce, the cost of a prompt is the expected loss by a late
+//! first event or a late pause.
 
 use std::time::Duration;
 
+use super::performance::late_probability;
 use super::reading::{PrefillAverages, PrefillPrompt};
 use super::replica::ReplicaView;
 use crate::ids::{AdapterKey, AdapterVersion, ModelName, MonoTime};
@@ -23,6 +25,10 @@
 /// the requests in it, and the next request waits for one of them to end.
 const FULL_TIME_COST: Duration = Duration::from_millis(400);
 
+/// Cost of a second as a share of a response's value, added to the expected loss: of two engines that are as likely to
+/// be on time, the sooner one is chosen. Small enough that 100 ms count as much as one late response in a hundred.
+const LOSS_PER_SECOND: f64 = 0.1;
+
 /// Load of an engine at which another copy of its adapter is requested, as a share of its request slots.
 pub const COPY_MIN_LOAD: f64 = 0.7;
 
@@ -61,6 +67,15 @@
     }
 }
 
+/// Targets of a streamed response, missing either of which loses its value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamTargets {
+    /// Time left until the first event is late; zero if it is late already.
+    pub first_event_in: Duration,
+    /// Longest time between two events; `None` where the route sets none.
+    pub pause: Option<Duration>,
+}
+
 /// Inputs to the cost of a replica for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct RoutingCost<'a> {
@@ -70,22 +85,48 @@
     pub norm: &'a PrefillAverages,
     /// Hall of this process.
     pub hall: &'a str,
+    /// Targets of the response, by which the cost of a prompt is its expected loss; `None` for the cost in time.
+    pub targets: Option<StreamTargets>,
 }
 
 impl RoutingCost<'_> {
-    /// Returns the cost of a replica: in seconds for a prompt, as a share of its request slots for a plain call.
+    /// Returns the cost of a replica: in seconds for a prompt, as a share of the response's value for a
+    /// prompt with targets, and as a share of its request slots for a plain call.
     fn of(&self, view: &ReplicaView, now: MonoTime) -> f64 {
         let is_far = view.record.hall != self.hall;
         match self.prompt {
             None => view.load(now) + if is_far { FAR_LOAD_COST } else { 0.0 },
             Some(prompt) => {
-                let reading_time =
-                    view.reading.time_to_first_event(prompt, self.norm).as_secs_f64();
+                let reading_time = view.reading.time_to_first_event(prompt, self.norm);
                 let far_time = if is_far { FAR_TIME_COST.as_secs_f64() } else { 0.0 };
-                reading_time + view.utilization(now) * FULL_TIME_COST.as_secs_f64() + far_time
+                let time = reading_time.as_secs_f64()
+                    + view.utilization(now) * FULL_TIME_COST.as_secs_f64()
+                    + far_time;
+                match self.targets {
+                    None => time,
+                    Some(targets) => {
+                        let loss = self.expected_loss(view, prompt, reading_time, targets);
+                        loss + time * LOSS_PER_SECOND
+                    },
+                }
             },
         }
     }
+
+    /// Returns the probability that the first event or a pause is late.
+    fn expected_loss(
+        &self,
+        view: &ReplicaView,
+        prompt: PrefillPrompt,
+        reading_time: Duration,
+        targets: StreamTargets,
+    ) -> f64 {
+        let late_start = late_probability(reading_time, targets.first_event_in);
+        let pause = view.reading.longest_pause(prompt, self.norm);
+        let late_pause = targets.pause.zip(pause);
+        let late_pause = late_pause.map_or(0.0, |(limit, pause)| late_probability(pause, limit));
+        1.0 - (1.0 - late_start) * (1.0 - late_pause)
+    }
 }
 
 /// Number of relays from which on each chooses among a random sample of the candidates.
@@ -127,7 +168,7 @@
 /// use quillcove_core::relay::routing::{RoutingCost, choose};
 ///
 /// let norm = PrefillAverages::default();
-/// let cost = RoutingCost { prompt: None, norm: &norm, hall: "hall-a" };
+/// let cost = RoutingCost { prompt: None, norm: &norm, hall: "hall-a", targets: None };
 /// assert!(choose(&[], &cost, Duration::ZERO, 0).is_none());
 /// ```
 pub fn choose<'a>(
--- a/quillcove_core/tests/relay_herd.rs
+++ b/quillcove_core/tests/relay_herd.rs
@@ -39,7 +39,7 @@
     let views: Vec<&ReplicaView> = table.all().collect();
     let norm = PrefillAverages::default();
     let prompt = Some(PrefillPrompt { tokens: 1_100, rank: 1 });
-    let cost = RoutingCost { prompt, norm: &norm, hall: "hall-a" };
+    let cost = RoutingCost { prompt, norm: &norm, hall: "hall-a", targets: None };
     let mut counts = BTreeMap::new();
     for draw in 0..REQUESTS {
         let sampled = routing::sample(&views, relays, draw);
--- a/quillcove_core/tests/relay_reading.rs
+++ b/quillcove_core/tests/relay_reading.rs
@@ -77,7 +77,8 @@
     table.begin_reading("i-1", 1, prompt(9_000, 0), ms(0));
     let norm = table.norm("s");
     let views: Vec<&ReplicaView> = table.all().collect();
-    let cost = RoutingCost { prompt: Some(prompt(500, 0)), norm: &norm, hall: "hall-a" };
+    let cost =
+        RoutingCost { prompt: Some(prompt(500, 0)), norm: &norm, hall: "hall-a", targets: None };
     let chosen = choose(&views, &cost, ms(0), 7).expect("there are two");
     assert_eq!(chosen.record.id, "i-2");
 }
