--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -64,6 +64,8 @@
     pub admission: Option<AdmissionStep>,
     /// Estimated time to the first event of the last attempt.
     pub expected_first_event: Option<Duration>,
+    /// Predicted longest pause of the last attempt.
+    pub expected_pause: Option<Duration>,
     charge: ChargeGuard,
     finished: Option<FinishedRequest>,
 }
@@ -101,6 +103,7 @@
         self.rank = Some(start.rank);
         self.expected_first_event = start.expected;
         self.admission = start.admission;
+        self.expected_pause = start.expected_pause;
     }
 
     /// Records that the attempt's first event was received at `read_at`, or that the attempt ended
@@ -166,6 +169,11 @@
         drop(machine);
         self.charge.commit();
         self.shared.metrics.record_finish(end.verdict, self.class(), took);
+        if let Some((limit, expected)) = self.query.route.target_gap.zip(self.expected_pause)
+            && self.first_event.is_some()
+        {
+            self.shared.metrics.record_pause(expected > limit, self.longest_pause > limit);
+        }
         info!(self.shared.log, "request"; "id" => &self.terms.id,
             "route" => &self.query.route.name, "sheet" => self.configuration.version,
             "service" => &self.query.service, "workspace" => self.workspace(),
@@ -178,6 +186,7 @@
             "admission" => self.admission.map(|step| step.label()),
             "expected_ms" => self.expected_first_event.map(|time| time.as_millis() as u64),
             "first_event_ms" => self.first_event.map(|first| first.as_millis() as u64),
+            "expected_pause_ms" => self.expected_pause.map(|pause| pause.as_millis() as u64),
             "longest_pause_ms" => self.longest_pause.as_millis() as u64, "took_ms" => took.as_millis() as u64);
     }
 }
@@ -339,6 +348,7 @@
         rank: None,
         admission: None,
         expected_first_event: None,
+        expected_pause: None,
         charge,
         finished: None,
     })
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -6,6 +6,7 @@
 mod copies;
 mod eviction;
 mod ordered;
+mod performance;
 mod prompts;
 mod queue;
 mod reach;
@@ -20,6 +21,7 @@
 use self::eviction::{LoadedAdapter, RejectedUnload};
 pub use self::ordered::BrokenLoad;
 use self::ordered::OrderedLoads;
+pub use self::performance::PerformanceMeter;
 pub use self::prompts::RelayPrompts;
 use self::queue::QueuedLoad;
 pub use self::reach::{EngineContact, EngineReach};
@@ -99,6 +101,8 @@
     copies: HostCopies,
     /// Replies to relays that have not been sent yet.
     replies: Vec<LoaderReply>,
+    /// Performance of the engine, measured while the rules for scarce adapter slots apply.
+    performance: PerformanceMeter,
     /// Status that the engine reports with its responses to orders; only requested pauses count here.
     upstream_status: UpstreamStatus,
 }
@@ -133,6 +137,7 @@
             releases: SlotReleases::default(),
             copies: HostCopies::default(),
             replies: Vec::new(),
+            performance: PerformanceMeter::default(),
             upstream_status: UpstreamStatus::default(),
         }
     }
@@ -174,6 +179,7 @@
         EngineStatus {
             is_reachable: self.reach.is_reachable(),
             pending: self.prompts.total(now),
+            performance: self.performance.performance(now),
             slot_free_in: self.slot_free_in(now),
             host_copies: self.copies.limit(),
             ..EngineStatus::unknown(engine)
@@ -260,6 +266,10 @@
             true => self.reset_engine_state(),
             false => Vec::new(),
         };
+        match self.is_contended(now) {
+            true => self.performance.record(&report, now),
+            false => self.performance = PerformanceMeter::default(),
+        }
         self.report = report;
         self.reported_at = Some(now);
         self.first_report_at.get_or_insert(now);
@@ -341,6 +351,7 @@
         self.rejected_unloads.clear();
         self.releases = SlotReleases::default();
         self.upstream_status = UpstreamStatus::default();
+        self.performance = PerformanceMeter::default();
         self.ordered_loads.take_broken(self.report.born)
     }
 }
--- a/quillcove_core/src/relay/machine/admission.rs
+++ b/quillcove_core/src/relay/machine/admission.rs
@@ -34,7 +34,7 @@
             return None;
         }
         let (view, tokens) = (self.table.get(replica)?, query.prompt_tokens?);
-        let norm = self.table.norm(&query.service);
+        let norm = self.prefill_averages(&query.service, now);
         let rank = query.rank().min(LAST_TIMELY_RANK);
         let deferred_rank = rank + LAST_TIMELY_RANK + 1;
         let timely_wait = view.reading.wait_before(rank, &norm);
@@ -110,8 +110,9 @@
             let is_contended = contended.get(&view.record.service).copied().unwrap_or(false);
             is_contended && view.takes_work(now) && view.seems_well(now)
         };
-        let rate =
-            |view: &ReplicaView| view.reading.prefill_rate(&self.table.norm(&view.record.service));
+        let rate = |view: &ReplicaView| {
+            view.reading.prefill_rate(&self.prefill_averages(&view.record.service, now))
+        };
         self.table.all().filter(is_usable).map(rate).sum()
     }
 
@@ -137,7 +138,7 @@
         }
         let key = query.adapter.as_ref()?;
         let ready_at = self.demand.next_copy_at(key, now)?;
-        let first_event = self.shortest_reading_time(query);
+        let first_event = self.shortest_reading_time(query, now);
         let window = ReturnWindow::find(ready_at, first_event, case.due, case.abandon_at, now)?;
         let capacity = window.capacity(case.own_time) / self.relays.max(1) as f64;
         let (draw, position) = (self.draw_fraction(), self.draw_fraction());
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -22,6 +22,8 @@
     pub expected: Option<Duration>,
     /// The admission decision; `None` where the rules for scarce adapter slots do not apply.
     pub admission: Option<AdmissionStep>,
+    /// Predicted longest pause between two events; `None` where it is not predicted.
+    pub expected_pause: Option<Duration>,
 }
 
 impl RelayMachine {
@@ -75,9 +77,15 @@
         let rank = query.rank().min(LAST_TIMELY_RANK);
         let draw = if self.is_contended(&query.service) { self.draw_fraction() } else { 0.0 };
         let (Some(view), Some(tokens)) = (self.table.get(replica), query.prompt_tokens) else {
-            return ReadingStart { number: None, rank, expected: None, admission: None };
+            return ReadingStart {
+                number: None,
+                rank,
+                expected: None,
+                admission: None,
+                expected_pause: None,
+            };
         };
-        let norm = self.table.norm(&query.service);
+        let norm = self.prefill_averages(&query.service, now);
         let prompt = PrefillPrompt { tokens, rank };
         let reading_time = view.reading.time_to_first_event(prompt, &norm);
         let admission = self.admission_case(replica, query, true, now);
@@ -92,12 +100,13 @@
         };
         let prompt = PrefillPrompt { tokens, rank };
         let expected = view.reading.time_to_first_event(prompt, &norm);
+        let expected_pause = view.reading.longest_pause(prompt, &norm);
         if let Some(step) = &admission {
             self.record_demand(query);
             self.count_admission(step.label());
         }
         self.last_reading += 1;
         self.table.begin_reading(replica, self.last_reading, prompt, now);
-        ReadingStart { number: Some(self.last_reading), rank, expected: Some(expected), admission }
+        ReadingStart { number: Some(self.last_reading), rank, expected: Some(expected), admission, expected_pause }
     }
 }
