--- a/quillcove_core/src/relay/loader/ordered.rs
+++ b/quillcove_core/src/relay/loader/ordered.rs
@@ -10,6 +10,9 @@
 /// Time after which an ordered load that has not completed counts as lost.
 const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
 
+/// Age by which a load that the engine has accepted is in its report, as the report is read right after an order.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(200);
+
 /// Age up to which a lost load is kept, in case the engine exited during it: an engine is back some
 /// seconds after its exit.
 const LOST_LIFETIME: Duration = Duration::from_secs(30);
@@ -41,6 +44,13 @@
 }
 
 impl OrderedLoad {
+    /// Returns whether the engine has probably not accepted the order, or the load has failed: its report does not name
+    /// the adapter as incoming.
+    pub fn is_unconfirmed(&self, incoming: &[HeldAdapter], now: MonoTime) -> bool {
+        let is_incoming = incoming.iter().any(|held| held.key == self.key);
+        !is_incoming && now.saturating_sub(self.ordered_at) >= CONFIRMED_WITHIN
+    }
+
     fn is_completed_by(&self, adapters: &[HeldAdapter]) -> bool {
         adapters.iter().any(|held| held.key == self.key && held.version >= self.min_version)
     }
--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -86,7 +86,7 @@
         }
         if is_contended
             && (self.answer_satisfied(relay, &request, now)
-                || self.join_ordered_load(relay, &request))
+                || self.join_ordered_load(relay, &request, now))
         {
             self.update_replies(now);
             return;
--- a/quillcove_core/src/relay/loader/replies.rs
+++ b/quillcove_core/src/relay/loader/replies.rs
@@ -81,7 +81,7 @@
         let version = request.version.unwrap_or(0);
         let is_held =
             self.report.adapters.iter().any(|held| held.key == key && held.version >= version);
-        if !is_held && self.join_ordered_load(relay, request) {
+        if !is_held && self.join_ordered_load(relay, request, now) {
             return true;
         }
         let ready_in = match is_held {
@@ -96,9 +96,15 @@
     }
 
     /// Adds a relay to those that asked for a load that is under way; returns whether there is one.
-    pub(super) fn join_ordered_load(&mut self, relay: SocketAddr, request: &LoadRequest) -> bool {
+    pub(super) fn join_ordered_load(
+        &mut self,
+        relay: SocketAddr,
+        request: &LoadRequest,
+        now: MonoTime,
+    ) -> bool {
         let version = request.version.unwrap_or(0);
         let load = request.key().and_then(|key| self.ordered_loads.pending_mut(&key, version));
+        let load = load.filter(|load| !load.is_unconfirmed(&self.report.incoming, now));
         load.is_some_and(|load| {
             load.relays.insert(relay, None);
             true
@@ -113,13 +119,21 @@
         }
         let mut announced = Vec::new();
         let mut ordered_loads = std::mem::take(&mut self.ordered_loads);
+        let mut failed = Vec::new();
         for load in ordered_loads.pending() {
+            if load.is_unconfirmed(&self.report.incoming, now) {
+                failed.push((std::mem::take(&mut load.relays), load.key.clone()));
+                continue;
+            }
             let load_time = self.copies.load_time(&load.key, load.min_version);
             let elapsed = now.saturating_sub(load.ordered_at);
             let ready_in = Self::remaining_load_time(load_time, elapsed);
             announce(&load.key, &mut load.relays, ready_in, now, &mut announced);
         }
         self.ordered_loads = ordered_loads;
+        for (relays, key) in failed {
+            self.reply_not_queued(relays, Some(key), now);
+        }
         let mut ahead = 0;
         for mut queued in std::mem::take(&mut self.load_requests) {
             let Some(key) = queued.request.key() else {
--- a/quillcove_core/tests/loader_slots.rs
+++ b/quillcove_core/tests/loader_slots.rs
@@ -306,10 +306,12 @@
     machine.complete_order(OrderOutcome::Begun, ms(1011));
     machine.queue_load_request(relay(2), request(7), ms(1110));
     assert_eq!(outcomes(&mut machine), [reply(2, 200)]);
-    machine.record_report(report(&[1, 2, 3]), ms(1600));
+    let incoming = vec![HeldAdapter { key: key(7), version: 1 }];
+    let loading = EngineReport { incoming, ..report(&[1, 2, 3]) };
+    machine.record_report(loading.clone(), ms(1600));
     let late = outcomes(&mut machine);
     assert_eq!(late.len(), 2, "the load takes longer than announced: {late:?}");
-    machine.record_report(report(&[1, 2, 3]), ms(1610));
+    machine.record_report(loading, ms(1610));
     assert!(outcomes(&mut machine).is_empty(), "it has hardly grown");
 }
 
@@ -369,8 +371,11 @@
 /// Load: all adapters are idle when a new loader has heard of their use. Guards against releases that it did not see.
 #[test]
 fn adapters_that_a_new_loader_finds_idle_are_no_releases() {
-    let mut machine = machine(true, &[1, 2, 3, 4, 5]);
-    machine.record_report(report(&[1, 2, 3, 4, 5]), ms(1100));
+    let mut machine = LoaderMachine::new("e1".to_string(), 1);
+    for at in [0, 100, 700] {
+        contend(&mut machine, ms(at));
+        machine.record_report(report(&[1, 2, 3, 4, 5]), ms(at));
+    }
     use_adapters(&mut machine, 1, &[1, 2, 3, 4, 5], ms(1200));
     machine.queue_load_request(relay(1), request(7), ms(1200));
     assert_eq!(machine.slot_free_in(ms(1300)), None);
@@ -452,3 +457,20 @@
         assert_eq!(machine.next_order(ms(now + 10)).unwrap().adapter, request(first).adapter);
     }
 }
+
+/// Load: the response to a load order is lost, and the engine did not accept it; or the load fails. Guards against relays
+/// that wait for a load that is not under way.
+#[test]
+fn relays_are_told_of_a_load_that_the_engine_does_not_report() {
+    let mut machine = machine(true, &[1, 2, 3]);
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    machine.next_order(ms(1000)).unwrap();
+    machine.complete_order(OrderOutcome::Unanswered, ms(1000));
+    machine.record_report(report(&[1, 2, 3]), ms(1001));
+    assert_eq!(outcomes(&mut machine), [(relay(1), "a7".to_string(), queued(300))]);
+    machine.record_report(report(&[1, 2, 3]), ms(1200));
+    let told = outcomes(&mut machine);
+    assert!(matches!(told[..], [(_, _, LoadOutcome::Full { .. })]), "{told:?}");
+    machine.queue_load_request(relay(1), request(7), ms(1201));
+    assert_eq!(machine.next_order(ms(1201)).unwrap().adapter, request(7).adapter);
+}
