Test of better returns: the load is requested by another request

Cause: a wrong variant that rejects requests after they have waited passed, as such a request asks for no load itself. Change: another request asks first, and the test checks that a second first attempt is rejected.

--- a/quillcove_core/tests/admission_rules.rs
+++ b/quillcove_core/tests/admission_rules.rs
@@ -250,9 +250,13 @@
     };
     let back = refusal.retry_after.expect("a retry delay");
     assert!(back + ms(60) <= stream_route().aim, "{back:?}");
+    // The load has been requested by another request.
     let sent = |request: &RelayQuery, now| {
-        matches!(busy().choose(request, &[], now), RelayChoice::Send(_))
+        let mut machine = busy();
+        machine.choose(&sized(1_000, ms(0)), &[], ms(0));
+        matches!(machine.choose(request, &[], now), RelayChoice::Send(_))
     };
+    assert!(!sent(&request, ms(0)));
     assert!(sent(&RelayQuery { choice_count: 1, ..request.clone() }, ms(0)), "has waited");
     let since_first_attempt = ms(100);
     assert!(sent(&RelayQuery { since_first_attempt, ..request.clone() }, ms(0)), "has returned");
