Abandoned attempts count at an exit within 1.6 s

Cause: a request under which three engines had exited was sent four more times, where three are allowed. A relay recorded a request as present at an exit only if its response broke off. An attempt whose caller left, whose deadline passed or which the relay gave up waiting for was forgotten at once, though the engine may still work on it and exit under it. Found by reading as well: a sign of life for one broken response dropped all pending ones of that replica, also those that an exit cut off after the sign.

Change: an abandoned attempt of which bytes were sent stays pending for 1.6 s: 0.54 s for the slowest step after which an engine notices the closed connection, and 1 s in which a fatal request ends its replica. An exit within that time counts, whether another response here, another process or a check of the port at the end of the window tells of it. A sign of life clears only what was aborted before it.

rule_out_exit takes the time of the sign of life; the call in crash_book.rs passes it, with the same assertions.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one replica and classifies the outcome. `forward` and `stream` decide from it
 //! whether the request is retried.
 
+use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use tokio::time::timeout;
 
 use super::answers::is_event_stream;
+use super::ends;
 use super::pool::ReplicaConnection;
 use super::request::OpenRequest;
 
@@ -112,7 +114,7 @@
 /// which happens when the caller disconnects.
 struct AttemptGuard<'a> {
     open: &'a OpenRequest,
-    replica: &'a str,
+    order: &'a AttemptOrder,
     is_finished: bool,
 }
 
@@ -122,11 +124,12 @@
             let now = self.open.shared.clock.now();
             let key = self.open.query.adapter.as_ref();
             self.open.shared.machine().end_attempt(
-                self.replica,
+                &self.order.replica,
                 key,
                 AttemptOutcome::Abandoned,
                 now,
             );
+            ends::handle_abandoned_attempt(self.open, self.order);
         }
     }
 }
@@ -140,15 +143,19 @@
 ) -> AttemptEnd {
     let now = open.shared.clock.now();
     open.sent_at = now;
+    *open.is_sent.get_mut() = false;
     open.shared.machine().begin_attempt(&order.replica, open.query.adapter.as_ref(), now);
     open.begin_prefill(&order.replica, now);
     let (shared, deadline) = (open.shared.clone(), open.query.deadline);
-    let mut guard = AttemptGuard { open, replica: &order.replica, is_finished: false };
+    let mut guard = AttemptGuard { open, order, is_finished: false };
     let exchange = exchange(guard.open, order, last_event);
     let finished = shared.resume_notifier.wait_until(&shared.clock, deadline, exchange).await;
-    let end = finished.unwrap_or(AttemptEnd::Failed(AttemptFailure::TimeOver));
     guard.is_finished = true;
     drop(guard);
+    let end = finished.unwrap_or_else(|| {
+        ends::handle_abandoned_attempt(open, order);
+        AttemptEnd::Failed(AttemptFailure::TimeOver)
+    });
     if !matches!(end, AttemptEnd::Stream(_)) {
         open.end_prefill(None);
     }
@@ -174,7 +181,10 @@
     };
     match timeout(response_timeout, exchange_untimed(open, order, last_event)).await {
         Ok(end) => end,
-        Err(_) => AttemptEnd::Failed(AttemptFailure::Lost("no response in time".to_string())),
+        Err(_) => {
+            ends::handle_abandoned_attempt(open, order);
+            AttemptEnd::Failed(AttemptFailure::Lost("no response in time".to_string()))
+        },
     }
 }
 
@@ -321,10 +331,14 @@
             pool.put(connection);
             return Err(AttemptFailure::Withheld);
         }
+        open.is_sent.store(true, Ordering::Relaxed);
         match connection.sender.try_send_request(request).await {
             Ok(head) => return Ok((connection, head)),
             // hyper returned the request, so no byte of it was sent.
-            Err(error) if error.message().is_some() && stale < STALE_CONNECTION_LIMIT => stale += 1,
+            Err(error) if error.message().is_some() && stale < STALE_CONNECTION_LIMIT => {
+                open.is_sent.store(false, Ordering::Relaxed);
+                stale += 1;
+            },
             Err(error) => {
                 let is_unsent = error.message().is_some();
                 let reason = error.into_error().to_string();
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -1,15 +1,18 @@
-//! Detects whether a replica has exited when a connection to it breaks.
+//! Detects whether a replica has exited when a connection to it breaks, or under an attempt that was
+//! abandoned.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use quillcove_core::crash::watch::ResponseAbort;
+use quillcove_core::crash::watch::{AbortKind, ResponseAbort};
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::{AttemptOrder, BreakStep};
 use slog::info;
 use tokio::net::TcpStream;
+use tokio::runtime::Handle;
 use tokio::time::{sleep, timeout};
 
 use super::request::OpenRequest;
@@ -78,34 +81,85 @@
     let step = open.shared.machine().record_abort(order, answer_break, now);
     match step {
         BreakStep::Check => {
-            drop(tokio::spawn(detect_exit(open.shared.clone(), order.clone(), now)))
+            drop(tokio::spawn(detect_exit(open.shared.clone(), order.clone(), AbortKind::CutOff)))
         },
         // If the exit is known already, this request is a new crash record that has to be sent.
         BreakStep::Rest => open.shared.messages_pending.notify_one(),
     }
 }
 
-/// Detects whether a replica has exited, and reports the result to the machine.
-async fn detect_exit(shared: Arc<RelayShared>, order: AttemptOrder, broke_at: MonoTime) {
-    sleep(PROBE_DELAY).await;
-    if shared.machine().has_received_since(&order.replica, broke_at + READ_GRACE_PERIOD) {
-        shared.machine().rule_out_exit(&order);
+/// Records that an attempt was abandoned: its caller left or its deadline passed. Starts to detect whether the replica
+/// exits while it may still work on the attempt.
+pub fn handle_abandoned_attempt(open: &OpenRequest, order: &AttemptOrder) {
+    // A replica that received no byte of the request cannot exit under it.
+    let (Some(identity), true) = (open.query.identity, open.is_sent.load(Ordering::Relaxed)) else {
         return;
+    };
+    // An attempt is also dropped when the process ends, outside the runtime.
+    let Ok(runtime) = Handle::try_current() else {
+        return;
+    };
+    let now = open.shared.clock.now();
+    let has_begun = open.first_event.is_some();
+    let abort = ResponseAbort { identity, has_begun, sent_at: open.sent_at };
+    let step = open.shared.machine().record_abandoned(order, abort, now);
+    match step {
+        BreakStep::Check => {
+            let task = detect_exit(open.shared.clone(), order.clone(), AbortKind::Abandoned);
+            drop(runtime.spawn(task));
+        },
+        // If the exit is known already, this request is a new crash record that has to be sent.
+        BreakStep::Rest => open.shared.messages_pending.notify_one(),
     }
+}
+
+/// Detects whether a replica has exited under the pending responses of one kind, and reports the result to the
+/// machine.
+async fn detect_exit(shared: Arc<RelayShared>, order: AttemptOrder, kind: AbortKind) {
+    let mut next = shared.machine().exit_check_due(&order, kind);
+    while let Some(due) = next {
+        sleep((due + PROBE_DELAY).saturating_sub(shared.clock.now())).await;
+        // The exit may have been found or ruled out since.
+        next = shared.machine().exit_check_due(&order, kind);
+        if next == Some(due) {
+            next = check_replica(&shared, &order, kind, due).await;
+        }
+    }
+}
+
+/// Checks once whether a replica has exited; returns when the next check is due.
+async fn check_replica(
+    shared: &RelayShared,
+    order: &AttemptOrder,
+    kind: AbortKind,
+    due: MonoTime,
+) -> Option<MonoTime> {
+    let rule_out = |alive_at| {
+        let mut machine = shared.machine();
+        machine.rule_out_exit(order, alive_at);
+        machine.exit_check_due(order, kind)
+    };
+    if shared.machine().has_received_since(&order.replica, due + READ_GRACE_PERIOD) {
+        return rule_out(due);
+    }
+    let probed_at = shared.clock.now();
     let port = probe_port(order.address).await;
-    let requests = match port {
-        PortState::Closed => shared.machine().confirm_exit(&order, shared.clock.now()),
-        PortState::Open | PortState::Silent => {
-            shared.machine().rule_out_exit(&order);
-            0
-        },
+    // A replica may have begun to drain since the attempt was abandoned.
+    let is_expected = kind == AbortKind::Abandoned && shared.machine().expects_exit(order);
+    let has_exited = port == PortState::Closed && !is_expected;
+    let (requests, next) = match has_exited {
+        true => (shared.machine().confirm_exit(order, shared.clock.now()), None),
+        false if port == PortState::Open => (0, rule_out(probed_at)),
+        false => (0, rule_out(shared.clock.now())),
     };
     info!(shared.log, "replica looked at"; "replica" => &order.replica, "port" => port.label(),
+        "is_expected" => is_expected, "is_abandoned" => kind == AbortKind::Abandoned,
         "requests_there" => requests);
-    if port == PortState::Closed {
+    if has_exited {
         shared.metrics.replica_ended();
         shared.messages_pending.notify_one();
     }
+    next
 }
 
 /// Logs the crash records for which a fatal request is rejected.
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -2,6 +2,7 @@
 //! line when it ends.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,6 +48,8 @@
     pub unsent: u32,
     /// When the last attempt was sent.
     pub sent_at: MonoTime,
+    /// Whether a byte of the last attempt may have reached its replica.
+    pub is_sent: AtomicBool,
     /// Total time spent waiting for a replica or an adapter.
     pub waited: Duration,
     /// Time from receiving the request to the first event of its stream.
@@ -326,6 +329,7 @@
         refusals: 0,
         unsent: 0,
         sent_at: received,
+        is_sent: AtomicBool::new(false),
         waited: Duration::ZERO,
         first_event: None,
         longest_pause: Duration::ZERO,
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -177,6 +177,9 @@
         if let Some(live) = self.live.take() {
             let key = self.open.query.adapter.as_ref();
             self.open.shared.machine().end_attempt(&live.order.replica, key, fate, now);
+            if fate == AttemptOutcome::Abandoned {
+                ends::handle_abandoned_attempt(&self.open, &live.order);
+            }
         }
     }
 
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -2,6 +2,9 @@
 //!
 //! An aborted response may also be due to a lost connection. The request counts as in flight at an
 //! exit only once the replica is confirmed to have exited.
+//!
+//! A replica may still work on an attempt after its caller left or its deadline passed, and exit under
+//! it. Such an abandoned attempt counts as in flight at an exit within [`ABANDONED_WINDOW`].
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,6 +21,11 @@
 /// other.
 const MATCH_WINDOW: Duration = Duration::from_millis(1500);
 
+/// Time after an attempt was abandoned in which its replica may still work on it. An engine notices a closed
+/// connection between two steps; a step with a full chunk of prefill takes 0.54 s at the slowest (speed 0.7,
+/// slowed by 3.5), and a fatal request that has begun to run makes its replica exit within a second.
+pub const ABANDONED_WINDOW: Duration = Duration::from_millis(1600);
+
 /// Time for which exits are remembered, so that aborted responses can still be matched with them,
 /// and exits of the replica's next run can be distinguished from them.
 const EXIT_LIFETIME: Duration = Duration::from_secs(60);
@@ -53,9 +61,29 @@
     pub sent_at: MonoTime,
 }
 
+/// Why a response was aborted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AbortKind {
+    /// The replica's connection broke: if the replica exited, it has done so already.
+    CutOff,
+    /// The caller left or the deadline passed: the replica may exit within [`ABANDONED_WINDOW`].
+    Abandoned,
+}
+
+impl AbortKind {
+    /// Returns the time after the abort within which an exit is attributed to it.
+    fn exit_window(self) -> Duration {
+        match self {
+            Self::CutOff => Duration::ZERO,
+            Self::Abandoned => ABANDONED_WINDOW,
+        }
+    }
+}
+
 /// An aborted response for which it is not yet known whether its replica exited.
 #[derive(Clone, Copy, Debug)]
 struct PendingAbort {
+    kind: AbortKind,
     /// The run of the replica, as this process knows it.
     run: ExitId,
     /// The exit to which the abort would be attributed: that of the run, or of a later run under
@@ -106,19 +134,61 @@
         &self.book
     }
 
-    /// Records that a response was aborted. Returns whether it is the first one pending for that
+    /// Records that a response was cut off. Returns whether it is the first one pending for that
     /// exit, in which case somebody has to find out whether the replica exited.
     ///
     /// See [`CrashTracker`] for an example.
     pub fn record_abort(&mut self, run: &ReplicaRun, abort: ResponseAbort, now: MonoTime) -> bool {
-        let ResponseAbort { identity, has_begun, sent_at } = abort;
-        let exit = self.exit_after(run.exit_id(), sent_at);
-        let pending = PendingAbort { run: run.exit_id(), exit, identity, has_begun, at: now };
+        let exit = self.exit_after(run.exit_id(), abort.sent_at, MATCH_WINDOW);
+        self.add_pending(AbortKind::CutOff, run, exit, abort, now)
+    }
+
+    /// Records that an attempt was abandoned before its response was complete. Returns whether it is the
+    /// first abandoned one pending for that exit, in which case somebody has to find out whether the
+    /// replica exits within [`ABANDONED_WINDOW`].
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+    /// use quillcove_core::crash::watch::{CrashTracker, ReplicaRun, ResponseAbort};
+    ///
+    /// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
+    /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
+    /// let (sent_at, left_at) = (Duration::from_secs(5), Duration::from_secs(6));
+    /// let run = ReplicaRun { replica: "i-1".into(), born: None };
+    /// let mut watch = CrashTracker::default();
+    /// let abort = ResponseAbort { identity, has_begun: false, sent_at };
+    /// assert!(watch.record_abandoned(&run, abort, left_at));
+    /// assert_eq!(watch.confirm_exit(&run, Duration::from_secs(7)), 1);
+    /// ```
+    pub fn record_abandoned(
+        &mut self,
+        run: &ReplicaRun,
+        abort: ResponseAbort,
+        now: MonoTime,
+    ) -> bool {
+        // Unlike a connection that breaks, an abandoned attempt is no sign of an exit. So one that was sent
+        // after a known exit can only be in flight at the next one.
+        let exit = self.exit_after(run.exit_id(), abort.sent_at, Duration::ZERO);
+        self.add_pending(AbortKind::Abandoned, run, exit, abort, now)
+    }
+
+    fn add_pending(
+        &mut self,
+        kind: AbortKind,
+        run: &ReplicaRun,
+        exit: ExitId,
+        abort: ResponseAbort,
+        now: MonoTime,
+    ) -> bool {
+        let ResponseAbort { identity, has_begun, .. } = abort;
+        let pending = PendingAbort { kind, run: run.exit_id(), exit, identity, has_begun, at: now };
         if self.known_exits.contains_key(&pending.exit) {
             self.count_abort(pending, now);
             return false;
         }
-        let is_first = !self.pending.iter().any(|other| other.exit == pending.exit);
+        let is_same = |other: &PendingAbort| other.exit == exit && other.kind == kind;
+        let is_first = !self.pending.iter().any(is_same);
         if self.pending.len() >= MAX_PENDING_ABORTS {
             self.pending.remove(0);
         }
@@ -134,31 +204,62 @@
         let abort = self.pending.iter().find(|abort| abort.run == exit);
         let exit = abort.map_or(exit, |abort| abort.exit);
         self.known_exits.entry(exit).or_insert(now);
-        self.count_matching(exit, |_| true, now)
+        // The first connection that broke tells the time of the exit.
+        let is_cut_off =
+            |abort: &&PendingAbort| abort.exit == exit && abort.kind == AbortKind::CutOff;
+        let exit_at = self.pending.iter().filter(is_cut_off).map(|abort| abort.at).min();
+        let is_match = |abort: &PendingAbort| {
+            exit_at.is_none_or(|exit_at| {
+                abort.kind == AbortKind::CutOff || exit_at <= abort.at + ABANDONED_WINDOW
+            })
+        };
+        let count = self.count_matching(exit, is_match, now);
+        // What is left was abandoned too long before.
+        self.pending.retain(|abort| abort.exit != exit);
+        count
     }
 
     /// Returns the first exit, of the run or of later runs under its name, that was not known when
-    /// the request was sent.
-    fn exit_after(&self, run: ExitId, sent_at: MonoTime) -> ExitId {
+    /// the request was sent. Exits are known up to `delay` late.
+    fn exit_after(&self, run: ExitId, sent_at: MonoTime, delay: Duration) -> ExitId {
         let mut exit = run;
-        while self.known_exits.get(&exit).is_some_and(|at| sent_at > *at + MATCH_WINDOW) {
+        while self.known_exits.get(&exit).is_some_and(|at| sent_at > *at + delay) {
             exit = next_exit_id(exit);
         }
         exit
     }
 
-    /// Records that the replica is alive: its aborted responses have another reason.
+    /// Records that the replica was alive at `alive_at`: responses that were aborted before then, or abandoned
+    /// longer than [`ABANDONED_WINDOW`] before, have another reason.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::crash::watch::{CrashTracker, ReplicaRun};
     ///
     /// let run = ReplicaRun { replica: "i-1".into(), born: None };
-    /// CrashTracker::default().rule_out_exit(&run);
+    /// CrashTracker::default().rule_out_exit(&run, Duration::from_secs(1));
+    /// ```
+    pub fn rule_out_exit(&mut self, run: &ReplicaRun, alive_at: MonoTime) {
+        let exit = run.exit_id();
+        self.pending
+            .retain(|abort| abort.run != exit || abort.at + abort.kind.exit_window() > alive_at);
+    }
+
+    /// Returns from when on the replica's state tells whether a response of this kind was aborted by its exit,
+    /// for the earliest one that is pending; `None` if none is.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::watch::{AbortKind, CrashTracker, ReplicaRun};
+    ///
+    /// let run = ReplicaRun { replica: "i-1".into(), born: None };
+    /// assert!(CrashTracker::default().check_due(&run, AbortKind::CutOff).is_none());
     /// ```
-    pub fn rule_out_exit(&mut self, run: &ReplicaRun) {
+    pub fn check_due(&self, run: &ReplicaRun, kind: AbortKind) -> Option<MonoTime> {
         let exit = run.exit_id();
-        self.pending.retain(|abort| abort.run != exit);
+        let is_due = |abort: &&PendingAbort| abort.run == exit && abort.kind == kind;
+        let due = self.pending.iter().filter(is_due).map(|abort| abort.at).min();
+        due.map(|at| at + kind.exit_window())
     }
 
     /// Counts the pending responses that were aborted by an exit, and returns their number.
@@ -266,7 +367,10 @@
             let at = now.saturating_sub(report.age);
             if report.age < EXIT_LIFETIME {
                 self.known_exits.entry(report.end).or_insert(at);
-                let is_recent = |abort: &PendingAbort| abort.at.abs_diff(at) <= MATCH_WINDOW;
+                let is_recent = |abort: &PendingAbort| {
+                    abort.at <= at + MATCH_WINDOW
+                        && at <= abort.at + MATCH_WINDOW.max(abort.kind.exit_window())
+                };
                 self.count_matching(report.end, is_recent, now);
             }
         }
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -2,7 +2,7 @@
 
 use super::{AttemptOrder, RelayMachine, RelayQuery};
 use crate::crash::digest::load_identity;
-use crate::crash::watch::{CrashTracker, ReplicaRun, ResponseAbort};
+use crate::crash::watch::{AbortKind, CrashTracker, ReplicaRun, ResponseAbort};
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::EngineReport;
 
@@ -102,15 +102,53 @@
         broke: ResponseAbort,
         now: MonoTime,
     ) -> BreakStep {
-        let Some(view) = self.table.get(&order.replica) else {
+        self.record_response_abort(AbortKind::CutOff, order, broke, now)
+    }
+
+    /// Records that an attempt was abandoned: its caller left, or its deadline passed. The replica may still work on it
+    /// and exit under it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+    /// use quillcove_core::crash::watch::ResponseAbort;
+    /// use quillcove_core::relay::machine::{AttemptOrder, BreakStep, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let order = AttemptOrder::to(&example_record("i-1"));
+    /// let parts = RequestParts { method: "GET", host: "h", path: "/", key: None, body: b"" };
+    /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// let now = Duration::ZERO;
+    /// machine.list(example_record("i-1"), now);
+    /// let abort = ResponseAbort { identity, has_begun: false, sent_at: now };
+    /// assert_eq!(machine.record_abandoned(&order, abort, now), BreakStep::Check);
+    /// ```
+    pub fn record_abandoned(
+        &mut self,
+        order: &AttemptOrder,
+        abort: ResponseAbort,
+        now: MonoTime,
+    ) -> BreakStep {
+        self.record_response_abort(AbortKind::Abandoned, order, abort, now)
+    }
+
+    fn record_response_abort(
+        &mut self,
+        kind: AbortKind,
+        order: &AttemptOrder,
+        abort: ResponseAbort,
+        now: MonoTime,
+    ) -> BreakStep {
+        let Some(view) = self.table.get(&order.replica).filter(|view| view.is_ready()) else {
             return BreakStep::Rest;
         };
-        if !view.is_ready() {
-            return BreakStep::Rest;
-        }
         let has_restarted = view.record.born != order.start_time;
         let run = run_of(order);
-        let is_first = self.crashes.record_abort(&run, broke, now);
+        let is_first = match kind {
+            AbortKind::CutOff => self.crashes.record_abort(&run, abort, now),
+            AbortKind::Abandoned => self.crashes.record_abandoned(&run, abort, now),
+        };
         if has_restarted {
             self.crashes.confirm_exit(&run, now);
         }
@@ -120,6 +158,19 @@
         }
     }
 
+    /// Returns whether an exit of a replica is expected: it is gone or draining.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let order = AttemptOrder::to(&example_record("i-1"));
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).expects_exit(&order));
+    /// ```
+    pub fn expects_exit(&self, order: &AttemptOrder) -> bool {
+        !self.table.get(&order.replica).is_some_and(|view| view.is_ready())
+    }
+
     /// Returns whether a replica has sent any bytes after `at`.
     ///
     /// ```
@@ -147,16 +198,33 @@
         self.crashes.confirm_exit(&run_of(order), now)
     }
 
-    /// Records that a replica has not exited, or that this can't be determined.
+    /// Records that a replica had not exited at `alive_at`, or that this can't be determined.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let order = AttemptOrder::to(&example_record("i-1"));
+    /// RelayMachine::new(RelayRules::default(), 1).rule_out_exit(&order, Duration::ZERO);
+    /// ```
+    pub fn rule_out_exit(&mut self, order: &AttemptOrder, alive_at: MonoTime) {
+        self.crashes.rule_out_exit(&run_of(order), alive_at);
+    }
+
+    /// Returns from when on the replica's state tells whether it exited under a response of this kind; `None` if no
+    /// such response is pending.
     ///
     /// ```
+    /// use quillcove_core::crash::watch::AbortKind;
     /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
     /// use quillcove_core::relay::replica::example_record;
     ///
     /// let order = AttemptOrder::to(&example_record("i-1"));
-    /// RelayMachine::new(RelayRules::default(), 1).rule_out_exit(&order);
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.exit_check_due(&order, AbortKind::Abandoned).is_none());
     /// ```
-    pub fn rule_out_exit(&mut self, order: &AttemptOrder) {
-        self.crashes.rule_out_exit(&run_of(order));
+    pub fn exit_check_due(&self, order: &AttemptOrder, kind: AbortKind) -> Option<MonoTime> {
+        self.crashes.check_due(&run_of(order), kind)
     }
 }
--- a/quillcove_core/tests/crash_book.rs
+++ b/quillcove_core/tests/crash_book.rs
@@ -10,7 +10,9 @@
 use quillcove_core::crash::telling::{
     CrashReport, ExitId, ExitReport, InFlightRequest, SuccessReport,
 };
-use quillcove_core::crash::watch::{CrashTracker, ReplicaRun, ResponseAbort};
+use quillcove_core::crash::watch::{
+    ABANDONED_WINDOW, AbortKind, CrashTracker, ReplicaRun, ResponseAbort,
+};
 
 const NOW: Duration = Duration::from_secs(1000);
 
@@ -145,7 +147,7 @@
     for replica in 0..9 {
         let run = ReplicaRun { replica: format!("i-{replica}"), born: None };
         watch.record_abort(&run, broke(request(1, 1), NOW), NOW);
-        watch.rule_out_exit(&run);
+        watch.rule_out_exit(&run, NOW);
         // The end of it that is heard of later has nothing to do with the answer.
         let later = CrashReport {
             ends: vec![ExitReport {
@@ -160,6 +162,99 @@
     assert!(watch.cause(request(1, 1), NOW).is_none());
 }
 
+/// Plays a fatal request whose caller leaves, at three replicas in turn, so long before each exits; another response is
+/// cut off by each exit. Returns whether the request is then rejected.
+fn is_rejected_after_leaving(left_before: Duration, records_abandoned: bool) -> bool {
+    let (fatal, innocent) = (request(1, 1), request(2, 2));
+    let mut watch = CrashTracker::default();
+    for round in 0..MOST_ENDS as u32 {
+        let left_at = NOW + Duration::from_secs(5) * round;
+        let exit_at = left_at + left_before;
+        let run = ReplicaRun { replica: format!("i-{round}"), born: None };
+        if records_abandoned {
+            watch.record_abandoned(&run, broke(fatal, left_at), left_at);
+        }
+        let begun = ResponseAbort { has_begun: true, ..broke(innocent, left_at) };
+        watch.record_abort(&run, begun, exit_at);
+        watch.confirm_exit(&run, exit_at + Duration::from_millis(30));
+    }
+    let later = NOW + Duration::from_secs(20);
+    watch.cause(fatal, later).is_some()
+}
+
+/// Guards against a fatal request that is sent a fourth time after three exits, since its caller had given up
+/// waiting before each of them. Seen in one day of heavy load, in which callers left after 5 s.
+#[test]
+fn a_request_whose_caller_left_before_each_exit_is_rejected_after_three() {
+    assert!(!is_rejected_after_leaving(Duration::from_millis(500), false), "the earlier rule");
+    assert!(is_rejected_after_leaving(Duration::from_millis(500), true));
+    assert!(is_rejected_after_leaving(ABANDONED_WINDOW, true));
+}
+
+/// Guards against innocent requests that are rejected because replicas exited long after their callers left.
+#[test]
+fn an_exit_long_after_the_caller_left_counts_for_nothing() {
+    let late = ABANDONED_WINDOW + Duration::from_millis(1);
+    assert!(!is_rejected_after_leaving(late, true));
+}
+
+/// Guards against an exit that no process notices: the abandoned request was alone at its replica.
+#[test]
+fn a_replica_is_checked_when_the_window_of_an_abandoned_attempt_ends() {
+    let (first, second) = (request(1, 1), request(2, 2));
+    let half = ABANDONED_WINDOW / 2;
+    let run = ReplicaRun { replica: "i-1".into(), born: None };
+    let mut watch = CrashTracker::default();
+    assert!(watch.record_abandoned(&run, broke(first, NOW), NOW));
+    assert!(!watch.record_abandoned(&run, broke(second, NOW), NOW + half), "one check at a time");
+    let due = watch.check_due(&run, AbortKind::Abandoned);
+    assert_eq!(due, Some(NOW + ABANDONED_WINDOW));
+    // It is alive then, but may still exit under the second one.
+    watch.rule_out_exit(&run, NOW + ABANDONED_WINDOW);
+    let due = watch.check_due(&run, AbortKind::Abandoned);
+    assert_eq!(due, Some(NOW + half + ABANDONED_WINDOW));
+    assert_eq!(watch.confirm_exit(&run, NOW + half + ABANDONED_WINDOW), 1);
+    assert_eq!(watch.check_due(&run, AbortKind::Abandoned), None);
+}
+
+/// Guards against a replica's sign of life that clears responses which broke after it: while one broken response
+/// was checked, the exit of the replica cut off others, and none of them was counted.
+#[test]
+fn a_sign_of_life_clears_only_what_was_aborted_before() {
+    let run = ReplicaRun { replica: "i-1".into(), born: None };
+    let later = NOW + Duration::from_millis(20);
+    let mut watch = CrashTracker::default();
+    assert!(watch.record_abort(&run, broke(request(1, 1), NOW), NOW));
+    assert!(!watch.record_abort(&run, broke(request(2, 2), NOW), later));
+    watch.record_abandoned(&run, broke(request(3, 3), NOW), NOW);
+    watch.rule_out_exit(&run, NOW + Duration::from_millis(10));
+    assert_eq!(watch.check_due(&run, AbortKind::CutOff), Some(later));
+    assert_eq!(watch.confirm_exit(&run, later), 2, "the later one and the abandoned one");
+}
+
+/// Guards against an abandoned attempt that counts at an exit of the run before the one that it was sent to, and
+/// against one that is not counted at an exit of which another process reports.
+#[test]
+fn an_abandoned_attempt_counts_at_the_exit_of_its_own_run() {
+    let run = ReplicaRun { replica: "i-1".into(), born: None };
+    let mut watch = CrashTracker::default();
+    let report = |at: Duration, now: Duration| CrashReport {
+        ends: vec![ExitReport {
+            end: quillcove_core::crash::telling::exit_id("i-1", None),
+            age: now - at,
+            requests: Vec::new(),
+        }],
+        good: Vec::new(),
+    };
+    let second = Duration::from_secs(1);
+    watch.record_abandoned(&run, broke(request(1, 1), NOW), NOW + second);
+    watch.apply_report(&report(NOW + second * 2, NOW + second * 2), NOW + second * 2);
+    assert_eq!(watch.book().summary().requests, 1);
+    let sent_at = NOW + second * 3;
+    watch.record_abandoned(&run, broke(request(2, 2), sent_at), sent_at);
+    assert_eq!(watch.book().summary().requests, 1, "it was sent to the next run");
+}
+
 #[test]
 fn memory_is_bounded_and_what_ends_few_replicas_goes_first() {
     let mut book = CrashTable::default();
