Callers that do not read their streams are bounded and disconnected

Cause: a stream was read from its engine only as its caller read it. A caller that stopped reading held its engine up for ever, made it look silent to the relay after 1.2 s, and kept up to 400 kB in the engine's connection and 4 MB in the kernel. An engine that cut such a stream off counted as failed, and the stream was resumed elsewhere.

A caller whose connection accepts no byte for [requests] stalled_reader_timeout (5 s) is disconnected. A break after the relay did not read for 500 ms counts as an abandoned attempt: no failure of the engine, no resumption. Metrics count disconnected callers and buffered bytes.

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -273,11 +273,18 @@
     pub limit: usize,
     /// `connect_timeout`: longest time for a connection to an upstream.
     pub connect_timeout: Duration,
+    /// `stalled_reader_timeout`: time after which a caller that does not read its stream is disconnected,
+    /// where adapter slots are scarce.
+    pub stalled_reader_timeout: Duration,
 }
 
 impl Default for RelayRequestSection {
     fn default() -> Self {
-        Self { limit: 2048, connect_timeout: Duration::from_millis(300) }
+        Self {
+            limit: 2048,
+            connect_timeout: Duration::from_millis(300),
+            stalled_reader_timeout: Duration::from_secs(5),
+        }
     }
 }
 
@@ -288,6 +295,11 @@
         Self {
             limit: source.number(section, "limit", default.limit, 1, 1 << 20),
             connect_timeout: source.time(section, "connect_timeout", default.connect_timeout),
+            stalled_reader_timeout: source.time(
+                section,
+                "stalled_reader_timeout",
+                default.stalled_reader_timeout,
+            ),
         }
     }
 }
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use eyre::WrapErr;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use quillcove_core::class::WorkClass;
@@ -34,6 +34,8 @@
     orders: Counter<u64>,
     peer_messages: Counter<u64>,
     replica_ends: Counter<u64>,
+    stalled_readers: Counter<u64>,
+    stream_buffer: UpDownCounter<i64>,
     store_eras: Counter<u64>,
     replica_words: Counter<u64>,
     peer_bytes: Counter<u64>,
@@ -80,6 +82,15 @@
                 "quillcove.replica_ends",
                 "Replicas that were found to have ended with requests of this process",
             ),
+            stalled_readers: counter(
+                &meter,
+                "quillcove.stalled_readers",
+                "Callers that were disconnected because they did not read their stream",
+            ),
+            stream_buffer: meter
+                .i64_up_down_counter("quillcove.stream_buffer_bytes")
+                .with_description("Bytes of streams that wait for their callers to read")
+                .build(),
             store_eras: counter(
                 &meter,
                 "quillcove.store_eras",
@@ -259,6 +270,28 @@
         self.replica_ends.add(1, &[]);
     }
 
+    /// Counts a caller that was disconnected because it did not read its stream.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.record_stalled_reader();
+    /// assert!(metrics.text().contains("quillcove_stalled_readers_total"));
+    /// ```
+    pub fn record_stalled_reader(&self) {
+        self.stalled_readers.add(1, &[]);
+    }
+
+    /// Records a change, in bytes, of what is buffered of streams until their callers read it.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.record_stream_buffer(100);
+    /// assert!(metrics.text().contains("quillcove_stream_buffer_bytes"));
+    /// ```
+    pub fn record_stream_buffer(&self, change: i64) {
+        self.stream_buffer.add(change, &[]);
+    }
+
     /// Counts an answer by which a replica said something of itself.
     ///
     /// ```
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -21,6 +21,7 @@
 use super::answers::is_event_stream;
 use super::ends;
 use super::pool::ReplicaConnection;
+use super::reader::READ_BUFFER_BYTES;
 use super::request::OpenRequest;
 
 /// Largest response body, in bytes, that is buffered before it is forwarded.
@@ -310,6 +311,8 @@
         RouteKind::Safe => Duration::MAX,
         RouteKind::Unsafe | RouteKind::Stream | RouteKind::ResumableStream => NON_SAFE_MAX_IDLE,
     };
+    let is_contended = open.shared.machine().is_contended(&open.query.service);
+    let read_buffer = is_contended.then_some(READ_BUFFER_BYTES);
     let mut stale = 0;
     loop {
         let pooled = match stale < STALE_CONNECTION_LIMIT {
@@ -319,7 +322,7 @@
         let mut connection = match pooled {
             Some(connection) => connection,
             None => pool
-                .connect(&order.replica, order.address)
+                .connect(&order.replica, order.address, read_buffer)
                 .await
                 .map_err(AttemptFailure::NotSent)?,
         };
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -288,6 +288,7 @@
         self.settings.access = newer.access;
         self.settings.policy = newer.policy;
         self.shared.pool.set_connect_timeout(self.settings.requests.connect_timeout);
+        self.shared.readers.set_timeout(self.settings.requests.stalled_reader_timeout);
         self.shared.machine().set_rules(self.settings.rules());
     }
 }
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod input;
 mod pool;
+mod reader;
 mod request;
 mod serve;
 mod share;
--- a/quillcove/src/relay/pool.rs
+++ b/quillcove/src/relay/pool.rs
@@ -98,11 +98,13 @@
         None
     }
 
-    /// Opens a connection to a replica.
+    /// Opens a connection to a replica. Up to `read_buffer` bytes of a response that nobody reads are buffered, or
+    /// hyper's default of 400 kB.
     pub async fn connect(
         &self,
         replica: &str,
         address: SocketAddr,
+        read_buffer: Option<usize>,
     ) -> Result<ReplicaConnection, String> {
         let connect = TcpStream::connect(address);
         let limit = *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner);
@@ -111,7 +113,11 @@
             .map_err(|_| "connect timed out".to_string())?
             .map_err(|error| format!("connect failed: {error}"))?;
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        if let Some(size) = read_buffer {
+            builder.max_buf_size(size);
+        }
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|error| error.to_string())?;
         let driver = tokio::spawn(async move {
             // An error also reaches the request that uses the sender.
--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use super::forward;
+use super::reader::{CallerSocket, ConnectionLimit};
 use super::shared::RelayShared;
 use crate::process::update_readiness;
 
@@ -106,9 +107,22 @@
         return;
     }
     let limits = caller_limits(&shared);
-    let service = service_fn(move |request: hyper::Request<Incoming>| {
+    let limit = ConnectionLimit::default();
+    let stream = CallerSocket::new(stream, limit.clone(), {
         let shared = shared.clone();
-        async move { Ok::<_, Infallible>(forward::handle(shared, request, caller).await) }
+        move || {
+            shared.metrics.record_stalled_reader();
+            info!(shared.log, "caller does not read"; "caller" => format!("{caller:016x}"),
+                "buffered_bytes" => shared.readers.buffered());
+        }
+    });
+    let service = service_fn(move |request: hyper::Request<Incoming>| {
+        let (shared, limit) = (shared.clone(), limit.clone());
+        async move {
+            let response = forward::handle(shared, request, caller).await;
+            limit.set(response.extensions().get().copied());
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use super::pool::ReplicaPool;
+use super::reader::ReaderState;
 use super::waiters::AdapterWaiters;
 use super::wake::ResumeNotifier;
 use super::words::UnknownHeaders;
@@ -22,6 +23,8 @@
     pub clock: MonoClock,
     pub metrics: Arc<ProcessMetrics>,
     pub pool: ReplicaPool,
+    /// What callers have not read yet.
+    pub readers: Arc<ReaderState>,
     /// Notifies waits after a suspension of the process.
     pub resume_notifier: ResumeNotifier,
     pub is_ready: AtomicBool,
@@ -36,11 +39,14 @@
 impl RelayShared {
     pub fn new(settings: RelaySettings, clock: MonoClock, log: Logger) -> eyre::Result<Self> {
         let machine = RelayMachine::new(settings.rules(), rand::random());
+        let metrics = Arc::new(ProcessMetrics::new("relay")?);
+        let timeout = settings.requests.stalled_reader_timeout;
         Ok(Self {
+            readers: Arc::new(ReaderState::new(timeout, metrics.clone())),
+            metrics,
             pool: ReplicaPool::new(settings.requests.connect_timeout, clock),
             clock,
             resume_notifier: ResumeNotifier::new(),
-            metrics: Arc::new(ProcessMetrics::new("relay")?),
             is_ready: AtomicBool::new(false),
             waiters: AdapterWaiters::default(),
             unknown_status_headers: UnknownHeaders::default(),
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -1,5 +1,8 @@
 //! Forwards streams of events: each complete event is sent to the caller at once, and a resumable
-//! stream continues at another replica when it is interrupted.
+//! stream continues at another replica when it is interrupted. Where adapter slots are scarce, a task reads ahead of
+//! the caller into a bounded buffer, so that a caller that does not read does not hold up its engine.
+
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
@@ -17,8 +20,16 @@
 use super::attempt::{self, AttemptEnd, AttemptFailure, LiveStream};
 use super::ends;
 use super::events::{self, EventSplitter};
+use super::reader::{BufferSender, ReadLimit, stream_buffer};
 use super::request::OpenRequest;
 
+/// Time without a read of the upstream from which on its break may be due to the caller: less than any usual write
+/// timeout of a server.
+const HOLD_UP_MIN: Duration = Duration::from_millis(500);
+
+/// Wait for an event that shows that all earlier ones have been read. Events that wait in a socket are read at once.
+const CATCH_UP_MIN: Duration = Duration::from_millis(10);
+
 /// A stream that is being forwarded to the caller.
 struct EventForwarder {
     open: OpenRequest,
@@ -27,6 +38,8 @@
     last_event: Option<String>,
     /// When the last event was forwarded.
     last_forwarded: Option<MonoTime>,
+    /// Whether the upstream was last read late because the caller did not read.
+    is_held_up: bool,
 }
 
 /// Result of one read from the upstream.
@@ -56,49 +69,112 @@
         splitter: EventSplitter::default(),
         last_event,
         last_forwarded: None,
+        is_held_up: false,
+    };
+    let service = &forwarder.open.query.service;
+    let is_contended = forwarder.open.shared.machine().is_contended(service);
+    let mut response = match is_contended {
+        true => read_ahead(forwarder),
+        false => {
+            let events = futures::stream::unfold(Some(forwarder), next_frame);
+            Response::new(StreamBody::new(events).boxed_unsync())
+        },
     };
-    let events = futures::stream::unfold(Some(forwarder), next_frame);
-    let mut response = Response::new(StreamBody::new(events).boxed_unsync());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
 }
 
-/// Returns the next frame of the response body, resuming the stream if it is interrupted.
+/// Returns the next frame of the response body.
 async fn next_frame(
     forwarder: Option<EventForwarder>,
 ) -> Option<(Result<Frame<Bytes>, BodyError>, Option<EventForwarder>)> {
     let mut forwarder = forwarder?;
-    loop {
-        match forwarder.read_step().await {
-            StreamStep::Events(events) => {
-                forwarder.record_events(&events);
-                return Some((Ok(Frame::data(events)), Some(forwarder)));
-            },
-            StreamStep::Ended => {
-                forwarder.end_stream();
-                return None;
-            },
-            StreamStep::TimeOver => {
-                forwarder.end_attempt(AttemptOutcome::Abandoned);
-                forwarder.open.finish(RunVerdict::MayHaveRun, 0, "time over in the stream");
-                return Some((Err(BodyError::TimeOver), None));
-            },
-            StreamStep::Broken(reason) => {
-                if let Some(live) = &forwarder.live {
-                    ends::handle_broken_response(&forwarder.open, &live.order);
-                }
-                forwarder.end_attempt(AttemptOutcome::Failed);
-                if !forwarder.resume(&reason).await {
-                    forwarder.open.finish(RunVerdict::MayHaveRun, 0, reason.as_str());
-                    return Some((Err(BodyError::Upstream(reason)), None));
-                }
+    match forwarder.next_events().await? {
+        Ok(events) => Some((Ok(Frame::data(events)), Some(forwarder))),
+        Err(error) => Some((Err(error), None)),
+    }
+}
+
+/// Builds a response whose events are read ahead of the caller.
+fn read_ahead(forwarder: EventForwarder) -> Response<ResponseBody> {
+    let readers = forwarder.open.shared.readers.clone();
+    let limit = ReadLimit(readers.timeout());
+    let (sender, receiver) = stream_buffer(readers);
+    tokio::spawn(fill_buffer(forwarder, sender));
+    let events = futures::stream::unfold(receiver, |mut receiver| async {
+        let events = receiver.receive().await?;
+        Some((events.map(Frame::data), receiver))
+    });
+    let mut response = Response::new(StreamBody::new(events).boxed_unsync());
+    response.extensions_mut().insert(limit);
+    response
+}
+
+/// Reads a stream into its buffer, until it ends or the caller leaves. The request is open until the caller has
+/// taken all of it.
+async fn fill_buffer(mut forwarder: EventForwarder, buffer: BufferSender) {
+    let end = loop {
+        let events = tokio::select! {
+            biased;
+            () = buffer.closed() => return,
+            events = forwarder.next_events() => events,
+        };
+        match events {
+            Some(Ok(events)) => {
+                let began = forwarder.open.shared.clock.now();
+                buffer.send(events).await;
+                let waited = forwarder.open.shared.clock.now().saturating_sub(began);
+                forwarder.is_held_up |= waited >= HOLD_UP_MIN;
             },
+            Some(Err(error)) => break Err(error),
+            None => break Ok(()),
         }
-    }
+    };
+    buffer.finish(end).await;
 }
 
 impl EventForwarder {
+    /// Returns the next complete events, resuming the stream if it is interrupted; `None` at its end.
+    async fn next_events(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            let began = self.open.shared.clock.now();
+            match self.read_step().await {
+                StreamStep::Events(events) => {
+                    self.record_events(&events);
+                    let waited = self.open.shared.clock.now().saturating_sub(began);
+                    self.is_held_up &= waited < CATCH_UP_MIN;
+                    return Some(Ok(events));
+                },
+                StreamStep::Ended => {
+                    self.end_stream();
+                    return None;
+                },
+                StreamStep::TimeOver => {
+                    self.end_attempt(AttemptOutcome::Abandoned);
+                    self.open.finish(RunVerdict::MayHaveRun, 0, "time over in the stream");
+                    return Some(Err(BodyError::TimeOver));
+                },
+                StreamStep::Broken(reason) if self.is_held_up => {
+                    // The engine may have cut the stream off because nobody read it.
+                    self.end_attempt(AttemptOutcome::Abandoned);
+                    self.open.finish(RunVerdict::MayHaveRun, 0, "caller did not read");
+                    return Some(Err(BodyError::Upstream(reason)));
+                },
+                StreamStep::Broken(reason) => {
+                    if let Some(live) = &self.live {
+                        ends::handle_broken_response(&self.open, &live.order);
+                    }
+                    self.end_attempt(AttemptOutcome::Failed);
+                    if !self.resume(&reason).await {
+                        self.open.finish(RunVerdict::MayHaveRun, 0, reason.as_str());
+                        return Some(Err(BodyError::Upstream(reason)));
+                    }
+                },
+            }
+        }
+    }
+
     /// Reads from the upstream until the request's deadline.
     async fn read_step(&mut self) -> StreamStep {
         let (shared, deadline) = (self.open.shared.clone(), self.open.query.deadline);
