Performance meter: nothing is sent until the event interval is known; runs are not stored

The requests in progress stayed in the stored report, which is cloned. Change: prefill is recorded, and a value returned, only after streams were seen without prefill. The loader removes runs from the report after the measurement. The example of the meter is changed for the same reason.

--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -270,6 +270,8 @@
             true => self.performance.record(&report, now),
             false => self.performance = PerformanceMeter::default(),
         }
+        // Only the measurement needs the requests in progress; the stored report is cloned for relays and dumps.
+        report.runs = Vec::new();
         self.report = report;
         self.reported_at = Some(now);
         self.first_report_at.get_or_insert(now);
--- a/quillcove_core/src/relay/loader/performance.rs
+++ b/quillcove_core/src/relay/loader/performance.rs
@@ -114,16 +114,25 @@
 /// use quillcove_core::relay::beacon::{EngineReport, EngineRun};
 /// use quillcove_core::relay::loader::PerformanceMeter;
 ///
-/// // One prompt of 2,000 tokens has its first event every 100 ms, while two more are unfinished.
+/// // A stream has an event every 50 ms. From 500 ms on, a prompt of 2,000 tokens has its first event every 100 ms, in
+/// // which the stream has one event, so that half of the time is prefill.
 /// let mut meter = PerformanceMeter::default();
-/// for step in 0..10 {
-///     let run = |id: u64| EngineRun { id: id.to_string(), tokens: 2_000, events: step.max(id) - id };
-///     let report = EngineReport { runs: (0..step + 2).map(run).collect(), ..EngineReport::default() };
+/// for step in 0..20_u64 {
+///     let prompts = step.saturating_sub(5);
+///     let stream = EngineRun { id: "s".into(), tokens: 20, events: 1 + 2 * step - prompts };
+///     let prompt = |id: u64| EngineRun {
+///         id: id.to_string(),
+///         tokens: 2_000,
+///         events: prompts.saturating_sub(id),
+///     };
+///     let unfinished = if step < 5 { 0 } else { prompts + 1 };
+///     let runs = std::iter::once(stream).chain((0..unfinished).map(prompt)).collect();
+///     let report = EngineReport { runs, ..EngineReport::default() };
 ///     meter.record(&report, Duration::from_millis(100 * step));
 /// }
-/// let performance = meter.performance(Duration::from_millis(900)).unwrap();
-/// assert!((19_000.0..21_000.0).contains(&performance.prefill_rate));
-/// assert_eq!(performance.event_interval, Duration::from_millis(100));
+/// let performance = meter.performance(Duration::from_millis(1_900)).unwrap();
+/// assert!((35_000.0..45_000.0).contains(&performance.prefill_rate));
+/// assert_eq!(performance.event_interval, Duration::from_millis(50));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct PerformanceMeter {
@@ -136,8 +145,6 @@
     measured_at: Option<MonoTime>,
     /// Events of a stream per second while no prompt is unfinished.
     idle_events: DecayedRate,
-    /// Events of a stream per second at all times.
-    events: DecayedRate,
     /// Number of events that a continuous stream would have had, by time. Averaged over the running streams, which
     /// all take part in each decode step.
     progress: VecDeque<(MonoTime, f64)>,
@@ -175,9 +182,11 @@
         let took = sample.at - last.at;
         self.record_progress(last.at, sample.at, events);
         if is_prefilling {
-            let event_interval = self.idle_events.time_per_unit().unwrap_or_default();
-            let decoding = events * event_interval.as_secs_f64();
-            self.record_prefill(took.as_secs_f64() - decoding, tokens, sample.at);
+            // Until the event interval is known, the time of decode steps would count as prefill.
+            if let Some(event_interval) = self.idle_events.time_per_unit() {
+                let decoding = events * event_interval.as_secs_f64();
+                self.record_prefill(took.as_secs_f64() - decoding, tokens, sample.at);
+            }
         } else {
             self.idle_events.record(events, took);
             self.end_spell(sample.at);
@@ -186,7 +195,6 @@
 
     /// Records the mean number of events that streams had between two reports.
     fn record_progress(&mut self, from: MonoTime, now: MonoTime, events: f64) {
-        self.events.record(events, now - from);
         if self.progress.is_empty() {
             self.progress.push_back((from, 0.0));
         }
@@ -229,9 +237,8 @@
         self.measured_at = Some(now);
     }
 
-    /// Returns the performance; `None` until 300 ms of prefill were measured.
-    ///
-    /// The event interval is that without prefill, or that of all times if it has not been seen without.
+    /// Returns the performance; `None` until streams were seen without prefill, which shows the event interval, and
+    /// 300 ms of prefill were measured after that.
     ///
     /// See [`PerformanceMeter`] for an example.
     pub fn performance(&self, now: MonoTime) -> Option<EnginePerformance> {
@@ -239,11 +246,9 @@
         if self.prefill.seconds < MIN_PREFILL_TIME.as_secs_f64() {
             return None;
         }
-        let event_interval =
-            self.idle_events.time_per_unit().or_else(|| self.events.time_per_unit());
         Some(EnginePerformance {
             prefill_rate: (self.prefill.amount / self.prefill.seconds) as f32,
-            event_interval: event_interval.unwrap_or_default(),
+            event_interval: self.idle_events.time_per_unit()?,
             longest_pause: self.longest_pause(now),
             age: now.saturating_sub(measured_at),
         })
