Estimates by measurements: no learnt tokens per event, no correction by queued prompts

Cause: at light load a pause by one prompt was learnt as all that an engine processes between two events. The correction by responses learnt the error of the queue's estimate, and outlived the measurement. The age of the last prefill expired fresh pauses. The service's value mixed with own samples counted the event interval twice. LAST_TIMELY_RANK was defined twice. Change: 6,144 tokens per event are a constant. Only requests sent while no prompt is pending correct, until a status has no value. The longest pause expires by the arrival of its status. The event interval is added with the service's share of the mixture.

--- a/quillcove_core/src/relay/performance.rs
+++ b/quillcove_core/src/relay/performance.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use super::engine_status::{EnginePerformance, EngineStatus};
-use super::reading::TokenTimeEstimate;
+use super::reading::{LAST_TIMELY_RANK, TokenTimeEstimate};
 use crate::ids::MonoTime;
 
 /// Age up to which a loader's measurement counts. Engines change their speed within seconds, so that a relay's own
@@ -25,9 +25,9 @@
 /// Event interval from which the service's median starts.
 const INITIAL_EVENT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Prompt tokens that an engine processes from one event of a stream to the next, until they have been measured: a
-/// chunk of 2,048 tokens in each of three decode steps.
-const INITIAL_TOKENS_PER_EVENT: f64 = 6144.0;
+/// Most prompt tokens that an engine processes from one event of a stream to the next: a chunk of 2,048 tokens, the
+/// usual size, in each of three decode steps. It is not measured, as pauses show it only under a lasting backlog.
+const TOKENS_PER_EVENT: f64 = 3.0 * 2048.0;
 
 /// Share of the weight of earlier responses that each new one replaces.
 const RESPONSE_DECAY: f64 = 0.08;
@@ -35,10 +35,6 @@
 /// Time for which the expectation counts against the measured response times, so that a few responses do not decide.
 const EXPECTATION_WEIGHT: Duration = Duration::from_secs(3);
 
-/// Last rank of requests that are expected on time. Others are overtaken by later requests, so that the times of their
-/// responses show nothing about the engine's speed.
-const LAST_TIMELY_RANK: u8 = 4;
-
 /// Steepness of the probability of being late as a function of expected time and limit. It corresponds to estimates
 /// with a relative standard deviation of 0.3.
 const LATENESS_STEEPNESS: f64 = 6.0;
@@ -118,14 +114,14 @@
 
     /// Returns the longest pause of a stream, in seconds, while this many prompt tokens are pending: the decode steps of
     /// an event and the prompt chunks between them.
-    fn longest_pause(&self, pending_tokens: f64, tokens_per_event: f64) -> f64 {
-        self.event_interval + pending_tokens.min(tokens_per_event) * self.seconds_per_token
+    fn longest_pause(&self, pending_tokens: f64) -> f64 {
+        self.event_interval + pending_tokens.min(TOKENS_PER_EVENT) * self.seconds_per_token
     }
 
     /// Returns the parts of the time to a first event. While prompts wait, an event's decode steps are made each
-    /// `tokens_per_event` tokens.
-    fn first_event(&self, tokens_per_event: f64) -> FirstEventFigures {
-        let decoding = self.event_interval / tokens_per_event;
+    /// [`TOKENS_PER_EVENT`] tokens.
+    fn first_event(&self) -> FirstEventFigures {
+        let decoding = self.event_interval / TOKENS_PER_EVENT;
         FirstEventFigures {
             seconds_per_token: self.seconds_per_token + decoding,
             event_interval: self.event_interval,
@@ -160,8 +156,6 @@
 pub struct ServicePerformance {
     seconds_per_token: ServiceMedian,
     event_interval: ServiceMedian,
-    /// Prompt tokens that an engine processes from one event of a stream to the next while prompts wait.
-    tokens_per_event: ServiceMedian,
     responses: ResponseRatio,
     /// When the last measurement was received.
     received_at: Option<MonoTime>,
@@ -199,13 +193,6 @@
         };
         self.seconds_per_token.record(measured.seconds_per_token, own.seconds_per_token());
         self.event_interval.record(measured.event_interval, INITIAL_EVENT_INTERVAL.as_secs_f64());
-        let pending = status.pending.timely_tokens.saturating_add(status.pending.deferred_tokens);
-        let prefill = performance.longest_pause.as_secs_f64() - measured.event_interval;
-        let tokens = prefill / measured.seconds_per_token;
-        // With fewer prompts pending, the pause may have been too short for all that an engine processes between events.
-        if tokens > 0.0 && f64::from(pending) >= tokens {
-            self.tokens_per_event.record(tokens, INITIAL_TOKENS_PER_EVENT);
-        }
         self.received_at = Some(now);
     }
 
@@ -226,12 +213,20 @@
     ///
     /// See [`ServicePerformance::record`] for an example.
     pub fn first_event(&self, now: MonoTime) -> Option<FirstEventFigures> {
-        let figures = self.figures(now)?.first_event(self.tokens_per_event());
+        let figures = self.figures(now)?.first_event();
         Some(figures.scaled_by(self.responses.value(1.0)))
     }
 
-    fn tokens_per_event(&self) -> f64 {
-        self.tokens_per_event.value.unwrap_or(INITIAL_TOKENS_PER_EVENT)
+    /// Returns whether a loader has sent a measurement within the last 2 s.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::performance::ServicePerformance;
+    ///
+    /// assert!(!ServicePerformance::default().is_measured(Duration::ZERO));
+    /// ```
+    pub fn is_measured(&self, now: MonoTime) -> bool {
+        self.figures(now).is_some()
     }
 }
 
@@ -244,7 +239,8 @@
 }
 
 impl MeasuredEngine {
-    /// Replaces the measurement by that of a newer status, which has none after a restart of the engine.
+    /// Replaces the measurement by that of a newer status. A status without one, as after a restart of the engine, also
+    /// ends the correction by responses.
     ///
     /// ```
     /// use std::time::Duration;
@@ -257,6 +253,9 @@
     /// ```
     pub fn record(&mut self, performance: Option<EnginePerformance>, now: MonoTime) {
         self.measurement = performance.map(|performance| (performance, now));
+        if performance.is_none() {
+            self.responses = ResponseRatio::default();
+        }
     }
 
     /// Returns the measured figures, limited to a factor of the service's; `None` if they are too old.
@@ -276,7 +275,7 @@
         service: &ServicePerformance,
         now: MonoTime,
     ) -> Option<FirstEventFigures> {
-        Some(self.figures(service, now)?.first_event(service.tokens_per_event()))
+        Some(self.figures(service, now)?.first_event())
     }
 
     /// Returns the parts of the time to a first event, corrected by this relay's responses; `None` without a recent
@@ -298,25 +297,29 @@
         Some(self.first_event(service, now)?.scaled_by(ratio))
     }
 
-    /// Returns the time to first event that a response is later compared with; `None` for a rank or an engine for which
-    /// the comparison shows nothing.
+    /// Returns the time to first event that a response is later compared with; `None` without a recent measurement, and
+    /// for requests with prompts pending before them or with ranks that later requests overtake: their times depend on
+    /// the queue, so that an error of its estimate would count as the engine's speed.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::performance::{MeasuredEngine, ServicePerformance};
     ///
     /// let service = ServicePerformance::default();
-    /// assert_eq!(MeasuredEngine::default().expected_response(900.0, 0, &service, Duration::ZERO), None);
+    /// assert_eq!(MeasuredEngine::default().expected_response(900.0, 0.0, 0, &service, Duration::ZERO), None);
     /// ```
     pub fn expected_response(
         &self,
         tokens: f64,
+        pending_tokens: f64,
         rank: u8,
         service: &ServicePerformance,
         now: MonoTime,
     ) -> Option<Duration> {
-        let time = self.first_event(service, now)?.time(tokens);
-        Duration::try_from_secs_f64(time).ok().filter(|_| rank <= LAST_TIMELY_RANK)
+        if pending_tokens > 0.0 || rank > LAST_TIMELY_RANK {
+            return None;
+        }
+        Duration::try_from_secs_f64(self.first_event(service, now)?.time(tokens)).ok()
     }
 
     /// Records the time to first event of a response and the one that [`Self::expected_response`] returned for it.
@@ -357,13 +360,14 @@
         now: MonoTime,
     ) -> Option<Duration> {
         let common = service.figures(now)?;
-        let own = self.figures(service, now);
-        let tokens_per_event = service.tokens_per_event();
-        let predicted = own.unwrap_or(common).longest_pause(pending_tokens, tokens_per_event);
-        // A stream lasts longer than a second, in which the load of the last second continues.
-        let measured = self.measurement.filter(|_| own.is_some());
+        let figures = self.figures(service, now).unwrap_or(common);
+        let predicted = figures.longest_pause(pending_tokens);
+        // A stream lasts longer than a second, in which the load of the last second continues. The age in the message
+        // is that of the last prefill and does not concern the pause, which was measured when the status was sent.
+        let is_recent = |received_at| now.saturating_sub(received_at) < MEASUREMENT_LIFETIME;
+        let measured = self.measurement.filter(|(_, received_at)| is_recent(*received_at));
         let measured = measured.map_or(0.0, |(it, _)| it.longest_pause.as_secs_f64());
-        let limit = DEVIATION_LIMIT * common.longest_pause(tokens_per_event, tokens_per_event);
+        let limit = DEVIATION_LIMIT * common.longest_pause(TOKENS_PER_EVENT);
         Duration::try_from_secs_f64(predicted.max(measured.min(limit))).ok()
     }
 }
--- a/quillcove_core/src/relay/reading.rs
+++ b/quillcove_core/src/relay/reading.rs
@@ -82,10 +82,15 @@
         if self.tokens > 0.0 { self.seconds / self.tokens } else { INITIAL_SECONDS_PER_TOKEN }
     }
 
-    /// Returns the seconds per token of an engine, mixed with the average of its service.
-    fn blended_with(&self, service_seconds_per_token: f64) -> f64 {
+    /// Returns the figures of an engine, mixed with those of its service. The samples include the event interval, so
+    /// that only the service's share of the mixture adds it.
+    fn blended_with(&self, service: FirstEventFigures) -> FirstEventFigures {
         let tokens = self.tokens + SERVICE_WEIGHT_TOKENS;
-        (self.seconds + service_seconds_per_token * SERVICE_WEIGHT_TOKENS) / tokens
+        let seconds = self.seconds + service.seconds_per_token * SERVICE_WEIGHT_TOKENS;
+        FirstEventFigures {
+            seconds_per_token: seconds / tokens,
+            event_interval: service.event_interval * SERVICE_WEIGHT_TOKENS / tokens,
+        }
     }
 }
 
@@ -135,6 +140,18 @@
     pub fn with_measurements(self, now: MonoTime) -> Self {
         Self { measurements_at: Some(now), ..self }
     }
+
+    /// Returns whether measurements are used and a loader of the service has sent one recently.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::reading::PrefillAverages;
+    ///
+    /// assert!(!PrefillAverages::default().with_measurements(Duration::ZERO).is_measured());
+    /// ```
+    pub fn is_measured(&self) -> bool {
+        self.measurements_at.is_some_and(|now| self.performance.is_measured(now))
+    }
 }
 
 /// An attempt whose first event has not arrived yet.
@@ -196,10 +213,10 @@
     ) {
         let tokens_ahead = self.tokens_before(prompt.rank, averages);
         let tokens = f64::from(prompt.tokens).max(MIN_PROMPT_TOKENS);
-        let service = &averages.performance;
-        let expected =
-            self.measured.expected_response(tokens_ahead + tokens, prompt.rank, service, now);
+        let pending = self.tokens_before(u8::MAX, averages);
         let rank = prompt.rank;
+        let service = &averages.performance;
+        let expected = self.measured.expected_response(tokens, pending, rank, service, now);
         self.attempts
             .insert(number, PendingAttempt { tokens, rank, tokens_ahead, sent: now, expected });
     }
@@ -369,8 +386,7 @@
             seconds_per_token: averages.token_time.seconds_per_token(),
             event_interval: 0.0,
         });
-        let seconds_per_token = self.token_time.blended_with(common.seconds_per_token);
-        FirstEventFigures { seconds_per_token, ..common }
+        self.token_time.blended_with(common)
     }
 
     /// Returns the estimated number of prompt tokens that the engine processes per second.
