Choice among holders: the wait for a request slot can make the first event late

Cause: at a full engine, the wait for a request slot entered the cost as a twenty-fifth of a loss, so that the engine was expected on time. Expected losses were also computed for responses that are no streams, and without any recent measurement. Change: FULL_TIME_COST is added to the time of the first event where all request slots are in use. Stream targets are used for stream routes only, while the service has a recent measurement.

--- a/quillcove_core/src/relay/machine/contention.rs
+++ b/quillcove_core/src/relay/machine/contention.rs
@@ -104,13 +104,16 @@
     }
 
     /// Returns the targets by which the engine of a request is chosen; `None` where the rules for scarce adapter slots
-    /// do not apply.
+    /// do not apply, for responses that are no streams, and without a recent measurement of the service: the expected
+    /// times are then too uncertain for a probability of being late.
     pub(super) fn stream_targets(
         &self,
         query: &RelayQuery,
         now: MonoTime,
     ) -> Option<StreamTargets> {
-        self.is_contended(&query.service).then(|| StreamTargets {
+        let is_stream = query.route.kind.is_stream();
+        let is_used = is_stream && self.prefill_averages(&query.service, now).is_measured();
+        is_used.then(|| StreamTargets {
             first_event_in: query.due().saturating_sub(now),
             pause: query.route.target_gap,
         })
--- a/quillcove_core/src/relay/routing.rs
+++ b/quillcove_core/src/relay/routing.rs
@@ -105,7 +105,12 @@
                 match self.targets {
                     None => time,
                     Some(targets) => {
-                        let loss = self.expected_loss(view, prompt, reading_time, targets);
+                        let slot_wait = match view.utilization(now) >= 1.0 {
+                            true => FULL_TIME_COST,
+                            false => Duration::ZERO,
+                        };
+                        let start = reading_time + slot_wait;
+                        let loss = self.expected_loss(view, prompt, start, targets);
                         loss + time * LOSS_PER_SECOND
                     },
                 }
@@ -113,15 +118,15 @@
         }
     }
 
-    /// Returns the probability that the first event or a pause is late.
+    /// Returns the probability that the first event, expected after this time, or a pause is late.
     fn expected_loss(
         &self,
         view: &ReplicaView,
         prompt: PrefillPrompt,
-        reading_time: Duration,
+        first_event_in: Duration,
         targets: StreamTargets,
     ) -> f64 {
-        let late_start = late_probability(reading_time, targets.first_event_in);
+        let late_start = late_probability(first_event_in, targets.first_event_in);
         let pause = view.reading.longest_pause(prompt, self.norm);
         let late_pause = targets.pause.zip(pause);
         let late_pause = late_pause.map_or(0.0, |(limit, pause)| late_probability(pause, limit));
