Loader: replies, queue and copies follow what the engine reports

A loader announced Queued for loads of an engine that had exited, took a lost report for a failed load, forgot a rejected unload with the next order, emptied the queue of a busy engine, took ordinary loads for loads from a copy while the store was slow, counted a repeated load twice, promised a free slot after a failed order, and counted relays that no longer asked.

Change: relays of ordered loads are told of an unreachable or restarted engine; a load is judged by a report read at least 200 ms after its order; a rejected unload is decided with the first report after it; a busy engine keeps its estimate, a draining one has none, as nothing follows there; the source of a load is judged by the smaller of the mean and the shortest of the last 32 store loads; where contended, a repeated order replaces the earlier one.

--- a/quillcove_core/src/relay/loader/copies.rs
+++ b/quillcove_core/src/relay/loader/copies.rs
@@ -11,12 +11,16 @@
 /// Assumed time of a load from the weight store until the first has been measured.
 const INITIAL_LOAD_TIME: Duration = Duration::from_millis(300);
 
+/// Number of recent loads from the store of which the shortest is kept: about half of those of an engine in a measured
+/// day, so that a store that slows down for some seconds does not set it.
+const STORE_TIMES_LIMIT: usize = 32;
+
 /// Weight of a load in the moving averages of load times: about the last four count, as the store slows down with the
 /// loads in progress.
 const MEAN_WEIGHT: f64 = 0.25;
 
-/// Share of the mean time of loads from the store below which a load came from a copy. The measured times of the two
-/// differ by a factor of ten.
+/// Share of the time of loads from the store below which a load came from a copy. The measured times of the two differ
+/// by a factor of ten.
 const COPY_TIME_SHARE: f64 = 0.5;
 
 /// Where an adapter was loaded from.
@@ -52,6 +56,8 @@
     /// Rank of a load from the store that contradicts the limit, until another load agrees with either.
     contradiction: Option<usize>,
     store_time: Option<Duration>,
+    /// Times of the recent loads from the store.
+    store_times: VecDeque<Duration>,
     copy_time: Option<Duration>,
 }
 
@@ -66,13 +72,17 @@
         took: Duration,
     ) -> LoadSource {
         let rank = self.rank_of(&key, version);
-        let is_fast = self.store_time.is_some_and(|mean| took < mean.mul_f64(COPY_TIME_SHARE));
-        let source = match rank {
-            Some(_) if is_fast => LoadSource::Copy,
-            _ => LoadSource::Store,
+        // After a restart of the loader, the rank of a load from a copy is unknown.
+        let source = match took < self.least_store_time().mul_f64(COPY_TIME_SHARE) {
+            true => LoadSource::Copy,
+            false => LoadSource::Store,
         };
         let mean = match source {
-            LoadSource::Store => &mut self.store_time,
+            LoadSource::Store => {
+                self.store_times.push_front(took);
+                self.store_times.truncate(STORE_TIMES_LIMIT);
+                &mut self.store_time
+            },
             LoadSource::Copy => &mut self.copy_time,
         };
         let previous = mean.unwrap_or(took);
@@ -86,6 +96,14 @@
         source
     }
 
+    /// Returns the smaller of the mean and the shortest recent time of loads from the store. The mean alone rises while
+    /// the store slows down, so that an ordinary load would seem to come from a copy.
+    fn least_store_time(&self) -> Duration {
+        let initial = (self.store_times.len() < STORE_TIMES_LIMIT).then_some(INITIAL_LOAD_TIME);
+        let shortest = self.store_times.iter().copied().chain(initial).min();
+        shortest.unwrap_or(INITIAL_LOAD_TIME).min(self.store_time())
+    }
+
     /// Adapts the limit to a load of the adapter with this rank. A single load from the store does not lower it, as its
     /// copy may have taken long to read.
     fn learn_limit(&mut self, rank: usize, source: LoadSource) {
--- a/quillcove_core/src/relay/loader/eviction.rs
+++ b/quillcove_core/src/relay/loader/eviction.rs
@@ -47,8 +47,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RejectedUnload {
     at: MonoTime,
-    /// The number of orders on which the order was based, if the engine responded that it was busy. Unless it has
-    /// accepted other orders since, it was busy with requests for the adapter.
+    /// The number of orders on which the order was based, if the engine responded that it was busy and has not been
+    /// read since. Unless it had accepted other orders, it was busy with requests for the adapter.
     busy_after: Option<OrderCount>,
 }
 
@@ -77,6 +77,16 @@
         true
     }
 
+    /// Drops the rejected unloads that the first report after them explains otherwise: the engine had accepted orders
+    /// on which the unload was not based. Later reports count the orders of this loader too and decide nothing.
+    pub(super) fn confirm_rejected_unloads(&mut self) {
+        let taken = self.report.orders_taken;
+        self.rejected_unloads.retain(|_, rejected| {
+            let busy_after = rejected.busy_after.take();
+            busy_after.is_none() || busy_after == taken
+        });
+    }
+
     /// Records that a relay asks for an adapter that is loaded, so that it is not evicted before that relay's requests
     /// arrive.
     pub(super) fn note_asked_again(&mut self, relay: SocketAddr, key: &AdapterKey, now: MonoTime) {
@@ -89,11 +99,8 @@
     /// Returns whether the engine has recently not carried out an unload of the adapter, so that a request may use it
     /// that no relay has reported.
     fn is_unload_rejected(&self, key: &AdapterKey, now: MonoTime) -> bool {
-        self.rejected_unloads.get(key).is_some_and(|rejected| {
-            let is_own =
-                rejected.busy_after.is_none() || rejected.busy_after == self.report.orders_taken;
-            is_own && now.saturating_sub(rejected.at) < REJECTED_UNLOAD_TIME
-        })
+        let rejected = self.rejected_unloads.get(key);
+        rejected.is_some_and(|rejected| now.saturating_sub(rejected.at) < REJECTED_UNLOAD_TIME)
     }
 
     /// Records a relay's report of its use of the engine's adapters.
@@ -114,7 +121,7 @@
         let in_flight = heartbeat.uses.into_iter().filter(|used| used.in_flight > 0);
         let in_flight = in_flight.map(|used| (used.key, used.in_flight)).collect();
         self.in_flight.insert(heartbeat.relay, (in_flight, now));
-        self.update_estimates(now);
+        self.record_releases(now);
     }
 
     /// Returns the requests in flight for each adapter of the engine, in the order of the report,
@@ -148,12 +155,14 @@
 
     /// Returns the time for which a newly loaded adapter is not evicted. Where a relay that asked for it has not reported
     /// since, the report of its first use may be lost: then it is the longer one, in which the next regular one comes.
+    /// No asking relay is known if all were told meanwhile that the load had failed.
     fn settle_time(&self, loaded: &LoadedAdapter, now: MonoTime) -> Duration {
         let has_reported = |relay: &SocketAddr| {
             let reported_at = self.in_flight.get(relay).map(|(_, reported_at)| *reported_at);
             reported_at.is_some_and(|at| at >= loaded.at + FIRST_USE_TIME)
         };
-        match self.is_contended(now) && loaded.relays.iter().all(has_reported) {
+        let have_reported = !loaded.relays.is_empty() && loaded.relays.iter().all(has_reported);
+        match self.is_contended(now) && have_reported {
             true => SCARCE_SETTLE_TIME,
             false => SETTLE_TIME,
         }
--- a/quillcove_core/src/relay/loader/mod.rs
+++ b/quillcove_core/src/relay/loader/mod.rs
@@ -70,6 +70,8 @@
     holder: HostId,
     fence: u64,
     load_requests: VecDeque<QueuedLoad>,
+    /// Whether the queue, or what its order depends on, has changed since it was last sorted.
+    needs_sort: bool,
     current_order: Option<(LoadOrder, QueuedLoad)>,
     /// Start times of recent base-model loads that read from the weight store.
     model_loads: VecDeque<MonoTime>,
@@ -120,6 +122,7 @@
             holder,
             fence,
             load_requests: VecDeque::new(),
+            needs_sort: false,
             current_order: None,
             model_loads: VecDeque::new(),
             adapter_slots: None,
@@ -263,7 +266,7 @@
             || report.incoming != self.report.incoming
             || report.is_leaving != self.report.is_leaving;
         let broken = match self.has_restarted(&report) {
-            true => self.reset_engine_state(),
+            true => self.reset_engine_state(now),
             false => Vec::new(),
         };
         match self.is_contended(now) {
@@ -272,8 +275,10 @@
         }
         // Only the measurement needs the requests in progress; the stored report is cloned for relays and dumps.
         report.runs = Vec::new();
+        self.needs_sort |= report.models.is_empty() != self.report.models.is_empty();
         self.report = report;
         self.reported_at = Some(now);
+        self.confirm_rejected_unloads();
         self.first_report_at.get_or_insert(now);
         let arrived = self.ordered_loads.take_completed(&self.report.adapters);
         if self.report.models.is_empty() {
@@ -281,6 +286,7 @@
             // The host keeps copies of adapters where it keeps those of base models.
             if self.report.local_models.is_empty() {
                 self.copies.forget();
+                self.needs_sort = true;
             }
         }
         let mut change = ReportChange { is_changed, broken, arrived: Vec::new() };
@@ -292,6 +298,7 @@
             let took = now.saturating_sub(load.ordered_at);
             let version = self.report.version_of(&load.key);
             let source = self.copies.record_load(load.key.clone(), version, took);
+            self.needs_sort = true;
             // A host keeps a limited number of copies, so that an adapter that was loaded before may come from the store.
             let was_warm = match self.is_contended(now) {
                 true => source == LoadSource::Copy,
@@ -299,21 +306,22 @@
             };
             change.arrived.push((load.key, ArrivedLoad { took, was_warm }));
         }
-        self.update_estimates(now);
+        self.record_releases(now);
+        if self.is_contended(now) {
+            self.update_replies(now);
+        }
         change
     }
 
-    /// Records released slots and the estimates that they change, where adapter slots are scarce.
-    fn update_estimates(&mut self, now: MonoTime) {
+    /// Records released slots where adapter slots are scarce. Use reports about an engine that does not respond show
+    /// none.
+    fn record_releases(&mut self, now: MonoTime) {
         if !self.is_contended(now) {
             self.releases = SlotReleases::default();
-            return;
-        }
-        if self.has_use_reports(now) {
+        } else if !self.is_cut_off(now) && self.has_use_reports(now) {
             let idle = self.idle_adapters(now).cloned().collect();
             self.releases.record_idle(idle, now);
         }
-        self.update_replies(now);
     }
 
     /// Returns whether the engine has restarted since its last report. Where a start time is missing, a
@@ -346,8 +354,12 @@
     }
 
     /// Clears the state of an engine that has restarted and returns the loads that were under way when
-    /// it exited. Its reports tell of which base models the host has copies.
-    fn reset_engine_state(&mut self) -> Vec<BrokenLoad> {
+    /// it exited; where adapter slots are scarce, their relays are told. Its reports tell of which base models the host
+    /// has copies.
+    fn reset_engine_state(&mut self, now: MonoTime) -> Vec<BrokenLoad> {
+        if self.is_contended(now) {
+            self.reject_ordered_loads();
+        }
         self.loaded_before.clear();
         self.loaded.clear();
         self.rejected_unloads.clear();
--- a/quillcove_core/src/relay/loader/ordered.rs
+++ b/quillcove_core/src/relay/loader/ordered.rs
@@ -10,7 +10,7 @@
 /// Time after which an ordered load that has not completed counts as lost.
 const ORDERED_LIFETIME: Duration = Duration::from_secs(5);
 
-/// Age by which a load that the engine has accepted is in its report, as the report is read right after an order.
+/// Time after an order by which a load that the engine has accepted is in its report, unless it has completed.
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(200);
 
 /// Age up to which a lost load is kept, in case the engine exited during it: an engine is back some
@@ -44,11 +44,11 @@
 }
 
 impl OrderedLoad {
-    /// Returns whether the engine has probably not accepted the order, or the load has failed: its report does not name
-    /// the adapter as incoming.
-    pub fn is_unconfirmed(&self, incoming: &[HeldAdapter], now: MonoTime) -> bool {
+    /// Returns whether the engine has probably not accepted the order, or the load has failed: its report, read at
+    /// `reported_at`, does not name the adapter as incoming. A report that was read too early, or lost, shows neither.
+    pub fn is_unconfirmed(&self, incoming: &[HeldAdapter], reported_at: MonoTime) -> bool {
         let is_incoming = incoming.iter().any(|held| held.key == self.key);
-        !is_incoming && now.saturating_sub(self.ordered_at) >= CONFIRMED_WITHIN
+        !is_incoming && reported_at.saturating_sub(self.ordered_at) >= CONFIRMED_WITHIN
     }
 
     fn is_completed_by(&self, adapters: &[HeldAdapter]) -> bool {
@@ -63,15 +63,17 @@
 }
 
 impl OrderedLoads {
-    /// Adds a load ordered at `ordered_at` for `request`; it replaces a lost one of the same adapter.
+    /// Adds a load ordered at `ordered_at` for `request`; it replaces a lost one of the same adapter, and any other
+    /// one too if `replaces_pending`.
     pub fn add(
         &mut self,
         key: AdapterKey,
         request: &LoadRequest,
         relays: AskingRelays,
         ordered_at: MonoTime,
+        replaces_pending: bool,
     ) {
-        self.loads.retain(|load| !load.is_lost || load.key != key);
+        self.loads.retain(|load| load.key != key || !(load.is_lost || replaces_pending));
         let min_version = request.version.unwrap_or(0);
         let replica = request.replica.clone();
         let load = OrderedLoad { key, min_version, replica, ordered_at, relays, is_lost: false };
@@ -92,9 +94,12 @@
         self.pending().find(|load| load.key == *key && load.min_version >= version)
     }
 
-    /// Removes the load of an adapter whose order the engine did not accept.
-    pub fn cancel(&mut self, key: &AdapterKey) {
-        self.loads.retain(|load| load.key != *key);
+    /// Removes the load of an adapter whose order the engine did not accept and returns the relays that asked for it.
+    pub fn cancel(&mut self, key: &AdapterKey) -> AskingRelays {
+        let (cancelled, remaining) = self.loads.drain(..).partition(|load| load.key == *key);
+        self.loads = remaining;
+        let cancelled: Vec<OrderedLoad> = cancelled;
+        cancelled.into_iter().flat_map(|load| load.relays).collect()
     }
 
     /// Marks overdue loads as lost and drops those older than [`LOST_LIFETIME`].
@@ -126,9 +131,18 @@
         self.loads.drain(..).map(broken).collect()
     }
 
-    /// Returns the number of loads that are neither lost nor reported by the engine as incoming.
-    pub fn unreported_count(&self, incoming: &[HeldAdapter]) -> usize {
+    /// Returns the number of loads that are neither lost nor reported by the engine as incoming. If `confirmed_by` is
+    /// given, the time of the engine's report, unconfirmed ones do not count either.
+    pub fn unreported_count(
+        &self,
+        incoming: &[HeldAdapter],
+        confirmed_by: Option<MonoTime>,
+    ) -> usize {
         let is_incoming = |load: &OrderedLoad| incoming.iter().any(|held| held.key == load.key);
-        self.loads.iter().filter(|load| !load.is_lost && !is_incoming(load)).count()
+        let is_unconfirmed =
+            |load: &OrderedLoad| confirmed_by.is_some_and(|at| load.is_unconfirmed(incoming, at));
+        let is_unreported =
+            |load: &&OrderedLoad| !load.is_lost && !is_incoming(load) && !is_unconfirmed(load);
+        self.loads.iter().filter(is_unreported).count()
     }
 }
--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -7,7 +7,8 @@
 
 use super::LoaderMachine;
 use super::eviction::DEMAND_HALF_LIFE;
-use super::replies::AskingRelays;
+use super::ordered::OrderedLoad;
+use super::replies::{AskingRelay, AskingRelays};
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::LoadRequest;
 use crate::relay::engine_status::LoadOutcome;
@@ -77,7 +78,7 @@
         let is_contended = self.is_contended(now);
         let current = self.current_order.as_mut().map(|(_, current)| current);
         if let Some(current) = current.filter(|current| is_same(&current.request)) {
-            current.relays.insert(relay, None);
+            current.relays.insert(relay, AskingRelay::new(now));
             return;
         }
         if let Some(key) = request.key() {
@@ -95,13 +96,14 @@
         let known = known.and_then(|index| self.load_requests.remove(index));
         let first_asked_at = known.as_ref().map_or(now, |known| known.first_asked_at);
         let mut relays = known.map_or_else(AskingRelays::new, |known| known.relays);
-        relays.insert(relay, None);
+        relays.insert(relay, AskingRelay::new(now));
         if self.load_requests.len() < LOAD_REQUEST_LIMIT {
             let queued = QueuedLoad { request, renewed_at: now, relays, first_asked_at };
             self.load_requests.push_back(queued);
         } else if is_contended {
             self.reply_not_queued(relays, request.key(), now);
         }
+        self.needs_sort = true;
         if is_contended {
             self.sort_queue();
             self.update_replies(now);
@@ -111,6 +113,9 @@
     /// Sorts the queue: base models first if the engine has none and else last; then the adapters of which the host
     /// has a copy; then those for which the most relays ask; of equals, the one first asked for goes first.
     fn sort_queue(&mut self) {
+        if !std::mem::take(&mut self.needs_sort) {
+            return;
+        }
         let needs_model = self.report.models.is_empty();
         self.load_requests.make_contiguous().sort_by_key(|queued| {
             let is_late = queued.request.adapter.is_some() == needs_model;
@@ -121,7 +126,8 @@
         });
     }
 
-    /// Drops the queued requests that are too old; where adapter slots are scarce, their relays are told.
+    /// Drops the queued requests that are too old; where adapter slots are scarce, their relays are told, and so are
+    /// the relays that no longer ask for a request that others ask for.
     fn expire_requests(&mut self, now: MonoTime) {
         let is_kept =
             |queued: &QueuedLoad| now.saturating_sub(queued.renewed_at) < LOAD_REQUEST_LIFETIME;
@@ -132,6 +138,29 @@
             for queued in expired {
                 self.reply_not_queued(queued.relays, queued.request.key(), now);
             }
+            self.expire_relays(now);
+        }
+    }
+
+    /// Drops the relays whose last request is too old, unless no other relay asks for the same load.
+    fn expire_relays(&mut self, now: MonoTime) {
+        let is_asking =
+            |relay: &AskingRelay| now.saturating_sub(relay.asked_at) < LOAD_REQUEST_LIFETIME;
+        let mut dropped = Vec::new();
+        for queued in &mut self.load_requests {
+            let asking = queued.relays.values().filter(|relay| is_asking(relay)).count();
+            if asking == 0 || asking == queued.relays.len() {
+                continue;
+            }
+            let relays = std::mem::take(&mut queued.relays);
+            let (asking, silent): (AskingRelays, AskingRelays) =
+                relays.into_iter().partition(|(_, relay)| is_asking(relay));
+            queued.relays = asking;
+            dropped.push((silent, queued.request.key()));
+        }
+        for (relays, key) in dropped {
+            self.needs_sort = true;
+            self.reply_not_queued(relays, key, now);
         }
     }
 
@@ -140,6 +169,16 @@
         for queued in std::mem::take(&mut self.load_requests) {
             self.reply(queued.relays.into_keys(), queued.request.key(), LoadOutcome::Unreachable);
         }
+        self.reject_ordered_loads();
+    }
+
+    /// Tells the relays that asked for loads under way that the engine does not respond or has exited.
+    pub(super) fn reject_ordered_loads(&mut self) {
+        let take = |load: &mut OrderedLoad| (load.key.clone(), std::mem::take(&mut load.relays));
+        let rejected: Vec<_> = self.ordered_loads.pending().map(take).collect();
+        for (key, relays) in rejected {
+            self.reply(relays.into_keys(), Some(key), LoadOutcome::Unreachable);
+        }
     }
 
     /// Returns the next order, or `None` while an order is under way, before the first report, while
@@ -180,15 +219,16 @@
                 LoadCapacity::AfterEviction(key) => Some(key),
                 LoadCapacity::Unavailable => return None,
             };
-            let queued = self.load_requests.pop_front()?;
+            let mut queued = self.load_requests.pop_front()?;
             let request = &queued.request;
-            let basis = self.order_basis(request, now.saturating_sub(reported_at));
+            let basis = self.order_basis(request, now.saturating_sub(reported_at), now);
             let order = self.build_order(request, evicted, basis);
             if order.kind == OrderKind::Load {
                 match request.key() {
                     Some(key) => {
-                        let relays = queued.relays.clone();
-                        self.ordered_loads.add(key, request, relays, now);
+                        let relays = std::mem::take(&mut queued.relays);
+                        let is_contended = self.is_contended(now);
+                        self.ordered_loads.add(key, request, relays, now, is_contended);
                     },
                     None if self.is_local(request) => {},
                     None => self.model_loads.push_back(now),
@@ -231,7 +271,7 @@
         if self.is_cut_off(now) {
             return Some(0);
         }
-        let free = self.free_slots()?;
+        let free = self.free_slots(now)?;
         let waiting =
             self.load_requests.iter().filter(|queued| queued.request.adapter.is_some()).count();
         let spare = (free + self.idle_adapters(now).count()).saturating_sub(waiting);
@@ -240,14 +280,16 @@
 
     /// Returns the number of slots that hold no adapter and get none. `None` until a load request has given the number
     /// of slots.
-    pub(super) fn free_slots(&self) -> Option<usize> {
+    pub(super) fn free_slots(&self, now: MonoTime) -> Option<usize> {
         let slots = self.adapter_slots? as usize;
-        Some(slots.saturating_sub(self.report.adapters.len() + self.incoming_count()))
+        Some(slots.saturating_sub(self.report.adapters.len() + self.incoming_count(now)))
     }
 
     /// Returns the number of adapters being loaded, including those ordered but not reported yet.
-    pub(super) fn incoming_count(&self) -> usize {
-        self.report.incoming.len() + self.ordered_loads.unreported_count(&self.report.incoming)
+    pub(super) fn incoming_count(&self, now: MonoTime) -> usize {
+        let incoming = &self.report.incoming;
+        let confirmed_by = self.reported_at.filter(|_| self.is_contended(now));
+        incoming.len() + self.ordered_loads.unreported_count(incoming, confirmed_by)
     }
 
     /// Returns whether the engine can start the requested load, and what has to be evicted for it. A new
@@ -259,7 +301,7 @@
                 false => LoadCapacity::Unavailable,
             };
         }
-        let coming = self.incoming_count();
+        let coming = self.incoming_count(now);
         if coming >= INCOMING_LIMIT || self.report.is_busy {
             return LoadCapacity::Unavailable;
         }
@@ -298,18 +340,24 @@
     }
 
     /// Returns the state of the engine on which an order is based, for logs.
-    fn order_basis(&self, request: &LoadRequest, report_age: Duration) -> OrderBasis {
+    fn order_basis(
+        &self,
+        request: &LoadRequest,
+        report_age: Duration,
+        now: MonoTime,
+    ) -> OrderBasis {
         OrderBasis {
             report_age,
             held: self.report.adapters.len(),
-            coming: self.incoming_count(),
+            coming: self.incoming_count(now),
             places: request.places,
         }
     }
 
     /// Records the outcome of the order under way. The load request is queued again, in front, after
     /// its eviction and when the engine rejected the order as busy or for its fence; where adapter slots are scarce,
-    /// also when the engine did not carry out the eviction.
+    /// also when the engine did not carry out the eviction. The contact that gave the outcome is recorded before, so that
+    /// relays are told if the engine is unreachable.
     ///
     /// ```
     /// use std::time::Duration;
@@ -323,12 +371,13 @@
             return;
         };
         let queued_at = queued.renewed_at;
-        let renewed = QueuedLoad { renewed_at: now, ..queued };
+        let mut renewed = QueuedLoad { renewed_at: now, ..queued };
         let request = &renewed.request;
+        self.needs_sort = true;
         let may_have_started = matches!(outcome, OrderOutcome::Begun | OrderOutcome::Unanswered);
         if order.kind == OrderKind::Load && !may_have_started {
             match request.key() {
-                Some(key) => self.ordered_loads.cancel(&key),
+                Some(key) => renewed.relays.extend(self.ordered_loads.cancel(&key)),
                 None if self.is_local(request) => {},
                 None => drop(self.model_loads.pop_back()),
             }
@@ -353,6 +402,9 @@
             },
             _ => {},
         }
+        if self.is_cut_off(now) {
+            self.reject_unreachable();
+        }
     }
 
     /// Returns the ages of the recently started base-model loads that read from the weight store.
--- a/quillcove_core/tests/loader_slots.rs
+++ b/quillcove_core/tests/loader_slots.rs
@@ -11,6 +11,7 @@
 use quillcove_core::relay::engine_status::{LoadOutcome, PendingPrompts, PromptReport};
 use quillcove_core::relay::loader::{EngineContact, LoaderMachine};
 use quillcove_core::relay::order::{OrderKind, OrderOutcome};
+use quillcove_core::standing::notice::UpstreamNotice;
 
 const SLOTS: u32 = 5;
 
@@ -474,3 +475,207 @@
     machine.queue_load_request(relay(1), request(7), ms(1201));
     assert_eq!(machine.next_order(ms(1201)).unwrap().adapter, request(7).adapter);
 }
+
+/// Has the machine order the load of adapter 7 for relay 1 at 1,000 ms; the engine accepts it.
+fn order_load(machine: &mut LoaderMachine) {
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    machine.next_order(ms(1000)).unwrap();
+    machine.complete_order(OrderOutcome::Begun, ms(1001));
+    machine.take_replies();
+}
+
+/// A report with adapter 7 as incoming.
+fn loading(adapters: &[u32]) -> EngineReport {
+    let incoming = vec![HeldAdapter { key: key(7), version: 1 }];
+    EngineReport { incoming, ..report(adapters) }
+}
+
+/// Load: an engine exits while it loads an adapter. Guards against relays that are told to go on waiting for the load.
+#[test]
+fn relays_are_told_that_the_engine_exited_during_their_load() {
+    let unreachable = [(relay(1), "a7".to_string(), LoadOutcome::Unreachable)];
+    for is_seen in [true, false] {
+        let mut machine = machine(true, &[1, 2, 3]);
+        order_load(&mut machine);
+        machine.record_report(loading(&[1, 2, 3]), ms(1001));
+        if is_seen {
+            machine.record_contact(EngineContact::Refused, ms(1100));
+            assert_eq!(outcomes(&mut machine), unreachable);
+            use_adapters(&mut machine, 1, &[1, 2], ms(1900));
+            assert!(outcomes(&mut machine).is_empty(), "the last report is out of date");
+        } else {
+            machine.record_report(EngineReport { born: Some(2), ..report(&[]) }, ms(1900));
+            assert_eq!(outcomes(&mut machine), unreachable);
+        }
+    }
+}
+
+/// Load: the report after an accepted order is lost. Guards against relays that are told that the load failed, while the
+/// engine loads the adapter.
+#[test]
+fn a_lost_report_does_not_show_that_a_load_failed() {
+    let mut machine = machine(true, &[1, 2, 3]);
+    order_load(&mut machine);
+    machine.record_report(report(&[1, 2, 3]), ms(1001));
+    machine.queue_load_request(relay(2), request(7), ms(1250));
+    let told = outcomes(&mut machine);
+    assert!(told.iter().all(|told| matches!(told.2, LoadOutcome::Queued { .. })), "{told:?}");
+    assert!(machine.next_order(ms(1250)).is_none(), "it is under way");
+}
+
+/// Load: a load that seemed to have failed is completed. Guards against an adapter without known relays that is evicted
+/// before the first regular use report.
+#[test]
+fn an_adapter_whose_relays_were_told_of_a_failure_is_kept_for_900_ms() {
+    let mut machine = machine(true, &[1, 2, 3, 4]);
+    order_load(&mut machine);
+    machine.record_report(report(&[1, 2, 3, 4]), ms(1200));
+    machine.record_report(report(&[1, 2, 3, 4, 7]), ms(1300));
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4], ms(1500));
+    machine.queue_load_request(relay(2), request(8), ms(1800));
+    assert!(machine.next_order(ms(1800)).is_none());
+}
+
+/// Load: an unload is rejected, and another order is accepted right after. Guards against the same rejected unload again
+/// and again.
+#[test]
+fn a_rejected_unload_counts_after_the_next_order_too() {
+    let mut machine = machine(true, &[1, 2, 3, 4, 5]);
+    let counted = |taken| EngineReport { orders_taken: Some(taken), ..report(&[1, 2, 3, 4, 5]) };
+    machine.record_report(counted(6), ms(1000));
+    use_adapters(&mut machine, 1, &[2, 3, 4, 5], ms(1000));
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    assert_eq!(unload(&mut machine, OrderOutcome::Busy, ms(1001)), "a1");
+    machine.record_report(counted(7), ms(1010));
+    machine.queue_load_request(relay(1), request(7), ms(1011));
+    assert!(machine.next_order(ms(1011)).is_none());
+}
+
+/// Load: an engine with a free slot is busy for a moment. Guards against a queue that is emptied for it.
+#[test]
+fn a_busy_engine_keeps_its_queue() {
+    let mut machine = machine(true, &[1, 2, 3]);
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    machine.record_report(EngineReport { is_busy: true, ..report(&[1, 2, 3]) }, ms(1010));
+    assert_eq!(outcomes(&mut machine), [(relay(1), "a7".to_string(), queued(300))]);
+    assert!(machine.next_order(ms(1010)).is_none());
+    machine.record_report(report(&[1, 2, 3]), ms(1050));
+    assert!(machine.next_order(ms(1050)).is_some());
+}
+
+/// Load: the store slows down for some loads. Guards against an ordinary load that counts as one from a copy.
+#[test]
+fn while_the_store_is_slow_an_ordinary_load_is_not_taken_for_a_copy() {
+    let mut machine = machine(true, &[]);
+    let mut now = 2000;
+    for (number, took) in [(1, 900), (2, 900), (3, 900), (1, 288)] {
+        now += 1000;
+        assert!(!load_in(&mut machine, number, took, &mut now), "{number}");
+    }
+}
+
+/// Load: a new loader beside an engine whose host has copies. Guards against times of loads from copies that count as
+/// those of the store.
+#[test]
+fn loads_from_copies_after_a_restart_of_the_loader_do_not_count_as_store_loads() {
+    let mut machine = machine(true, &[]);
+    let mut now = 2000;
+    for number in 1..8 {
+        assert!(load_in(&mut machine, number, 29, &mut now));
+    }
+    assert_eq!(machine.status(relay(80), ms(now)).host_copies, None, "no rank is known");
+    machine.take_replies();
+    machine.queue_load_request(relay(1), request(9), ms(now));
+    assert_eq!(outcomes(&mut machine), [(relay(1), "a9".to_string(), queued(300))]);
+}
+
+/// Load: the engine did not accept an order whose response was lost, and it is repeated. Guards against one load that
+/// takes two slots.
+#[test]
+fn a_repeated_order_takes_one_slot() {
+    let mut machine = machine(true, &[1, 2, 3]);
+    use_adapters(&mut machine, 1, &[1, 2, 3], ms(1000));
+    order_load(&mut machine);
+    machine.record_report(report(&[1, 2, 3]), ms(1200));
+    assert_eq!(machine.spare_places(ms(1200)), Some(2), "the engine does not load it");
+    machine.queue_load_request(relay(1), request(7), ms(1201));
+    machine.next_order(ms(1201)).unwrap();
+    machine.complete_order(OrderOutcome::Begun, ms(1202));
+    assert_eq!(machine.spare_places(ms(1202)), Some(1));
+}
+
+/// Load: an order fails, once because the engine has exited. Guards against a relay that is told of a free slot there.
+#[test]
+fn the_reply_after_a_failed_order_promises_no_slot() {
+    for (contact, expected) in [
+        (EngineContact::Refused, LoadOutcome::Unreachable),
+        (EngineContact::Responded, LoadOutcome::Full { free_in: ms(2000) }),
+    ] {
+        let mut machine = machine(true, &[1, 2, 3]);
+        machine.queue_load_request(relay(1), request(7), ms(1000));
+        machine.next_order(ms(1000)).unwrap();
+        machine.take_replies();
+        machine.record_contact(contact, ms(1001));
+        machine.complete_order(OrderOutcome::Rejected, ms(1001));
+        assert_eq!(outcomes(&mut machine), [(relay(1), "a7".to_string(), expected)]);
+    }
+}
+
+/// Load: the engine requests a pause right after a reply. Guards against a message for each report while an estimate
+/// grows.
+#[test]
+fn an_estimate_is_announced_at_most_every_200_ms() {
+    let mut machine = machine(true, &[1, 2, 3]);
+    machine.queue_load_request(relay(1), request(7), ms(1000));
+    assert_eq!(outcomes(&mut machine), [(relay(1), "a7".to_string(), queued(300))]);
+    let pause = UpstreamNotice { is_leaving: false, rest: Some(ms(500)), limit: None };
+    machine.record_notice(&pause, ms(1000));
+    machine.record_report(report(&[1, 2, 3]), ms(1199));
+    assert!(outcomes(&mut machine).is_empty());
+    machine.record_report(report(&[1, 2, 3]), ms(1200));
+    assert_eq!(outcomes(&mut machine), [(relay(1), "a7".to_string(), queued(600))]);
+}
+
+/// Load: use reports of many relays. Guards against estimates that are computed for each of them.
+#[test]
+fn a_use_report_gives_no_reply() {
+    let mut machine = machine(true, &[1, 2, 3, 4, 5]);
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4, 5], ms(1000));
+    machine.queue_load_request(relay(1), request(1), ms(1000));
+    release(&mut machine, &[1400, 1800, 2200]);
+    machine.queue_load_request(relay(1), request(7), ms(2210));
+    machine.take_replies();
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4, 5], ms(2710));
+    assert!(outcomes(&mut machine).is_empty());
+    machine.record_report(report(&[1, 2, 3, 4, 5]), ms(2710));
+    assert_eq!(outcomes(&mut machine).len(), 1);
+}
+
+/// Load: a relay asked once for an adapter for which another relay still asks. Guards against a request that goes first
+/// for relays that no longer ask.
+#[test]
+fn relays_that_no_longer_ask_do_not_count() {
+    let mut machine = machine(true, &[1, 2, 3, 4, 5]);
+    use_adapters(&mut machine, 1, &[1, 2, 3, 4, 5], ms(1000));
+    machine.queue_load_request(relay(1), request(1), ms(1000));
+    release(&mut machine, &[1400, 1500, 1600]);
+    machine.queue_load_request(relay(1), request(6), ms(1690));
+    for (number, asking) in [(7, 2), (7, 3)] {
+        machine.queue_load_request(relay(asking), request(number), ms(1700));
+    }
+    for now in [2700, 3700] {
+        contend(&mut machine, ms(now));
+        release(&mut machine, &[now - 200, now - 100, now]);
+        machine.queue_load_request(relay(1), request(6), ms(now + 10));
+        machine.queue_load_request(relay(2), request(7), ms(now + 10));
+    }
+    machine.take_replies();
+    assert!(machine.next_order(ms(3720)).is_none());
+    let told = outcomes(&mut machine);
+    assert!(matches!(&told[..], [(asked, _, LoadOutcome::Full { .. })] if *asked == relay(3)));
+    use_adapters(&mut machine, 1, &[2, 3, 4, 5], ms(3730));
+    machine.next_order(ms(3730)).unwrap();
+    machine.complete_order(OrderOutcome::Begun, ms(3731));
+    machine.record_report(report(&[2, 3, 4, 5]), ms(3731));
+    assert_eq!(machine.next_order(ms(3732)).unwrap().adapter, request(6).adapter);
+}
