Loader process: only a report shows that an engine is reachable again

Cause: an engine that answered /report with 503 or an unreadable body counted as reachable, and its loader queued requests for it. The outcome of an order was handled before its contact was recorded, so that relays were told Full instead of Unreachable.

Change: while the engine is unreachable, a response counts only once a report has been parsed; the contact is recorded before the order's outcome.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -333,7 +333,10 @@
         }
         let notice = self.read_notice(answer.status(), answer.headers());
         match engine::read_report(answer.body()) {
-            Ok(report) => Some(EngineReport { is_leaving: notice.is_leaving, ..report }),
+            Ok(report) => {
+                self.record_reachable();
+                Some(EngineReport { is_leaving: notice.is_leaving, ..report })
+            },
             Err(fault) => {
                 warn!(self.log, "failed to parse the engine's report"; "fault" => %fault);
                 None
@@ -453,8 +456,9 @@
             "version" => order.version, "fence" => order.fence, "outcome" => ?outcome,
             "held" => basis.held, "coming" => basis.coming, "places" => basis.places,
             "report_age_ms" => basis.report_age.as_millis() as u64);
-        self.machine.complete_order(outcome, self.clock.now());
+        // Relays are told of a failed order whether the engine is reachable.
         self.record_contact(answer.as_ref().err()).await;
+        self.machine.complete_order(outcome, self.clock.now());
         outcome
     }
 
--- a/quillcove/src/loader/status.rs
+++ b/quillcove/src/loader/status.rs
@@ -15,10 +15,11 @@
 use crate::web::client::WebError;
 
 impl LoaderTask {
-    /// Records whether the engine responded to a call, and sends its status at once if it has become unreachable. That
-    /// it is reachable again follows with its next report, so that relays learn first what it holds.
+    /// Records whether the engine responded to a call, and sends its status at once if it has become unreachable. Only a
+    /// report shows that it is reachable again, see [`Self::record_reachable`].
     pub(super) async fn record_contact(&mut self, error: Option<&WebError>) {
         let contact = match error {
+            None | Some(WebError::Status(_)) if !self.machine.is_reachable() => return,
             None | Some(WebError::Status(_)) => EngineContact::Responded,
             Some(WebError::Lost(_)) => EngineContact::Unanswered,
             Some(WebError::NotSent(_)) if self.machine.is_contended(self.clock.now()) => {
@@ -26,6 +27,17 @@
             },
             Some(WebError::NotSent(_)) => EngineContact::Unanswered,
         };
+        self.apply_contact(contact);
+        self.send_replies();
+    }
+
+    /// Records that the engine's report could be read. A process that responds with an error while it starts or exits
+    /// serves no requests. That it is reachable is announced with the report, so that relays learn what it holds.
+    pub(super) fn record_reachable(&mut self) {
+        self.apply_contact(EngineContact::Responded);
+    }
+
+    fn apply_contact(&mut self, contact: EngineContact) {
         let now = self.clock.now();
         if self.machine.record_contact(contact, now) {
             let is_reachable = self.machine.is_reachable();
@@ -35,7 +47,6 @@
                 self.send_status(now);
             }
         }
-        self.send_replies();
     }
 
     /// Connects to the engine's port after a call that could not be sent. Only a refused connection shows that no
--- a/quillcove/tests/loader_status.rs
+++ b/quillcove/tests/loader_status.rs
@@ -1,6 +1,8 @@
 //! A loader process beside an engine that exits, as a relay sees it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use quillcove::config::relay::{EngineSection, LoaderSettings};
@@ -20,16 +22,18 @@
 
 const REPORT: &str = r#"{"born":1,"models":[{"name":"m","version":1,"adapters":["a1@1"]}]}"#;
 
-/// Answers each call with the report; ends when it is dropped.
-async fn serve(listener: TcpListener) {
+/// Answers each call with the report under this status, and counts the calls; ends when it is dropped.
+async fn serve(listener: TcpListener, status: &'static str, calls: Arc<AtomicU32>) {
     loop {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut request = [0; 4096];
         if stream.read(&mut request).await.is_ok_and(|count| count > 0) {
             let length = REPORT.len();
-            let head =
-                format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n");
+            let head = format!(
+                "HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+            );
             stream.write_all(format!("{head}{REPORT}").as_bytes()).await.unwrap();
+            calls.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
@@ -62,7 +66,8 @@
     quillcove::duty::run_async(2, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let engine = tokio::spawn(serve(listener));
+        let calls = Arc::new(AtomicU32::new(0));
+        let engine = tokio::spawn(serve(listener, "200 OK", calls.clone()));
         let settings = LoaderSettings {
             engine: EngineSection { address, ..EngineSection::default() },
             ..LoaderSettings::default()
@@ -85,7 +90,7 @@
             let load = LoadRequest {
                 replica: "i-1".into(),
                 model: "m".into(),
-                adapter: Some("a7".into()),
+                adapter: Some(format!("a7-{number}")),
                 version: None,
                 places: 5,
             };
@@ -110,8 +115,26 @@
         // The status is renewed, as relays drop it after 1.5 s.
         request(3);
         expect(&socket, is_lost).await;
+        // A process that is starting responds, but not with a report.
         let listener = TcpListener::bind(address).await.unwrap();
-        let engine = tokio::spawn(serve(listener));
+        let starting = Arc::new(AtomicU32::new(0));
+        let engine = tokio::spawn(serve(listener, "503 Service Unavailable", starting.clone()));
+        let has_responded = async {
+            while starting.load(Ordering::Relaxed) < 3 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(WAIT_LIMIT, has_responded).await.expect("the loader reads the report");
+        request(4);
+        let last = |message: &PeerMessage| match message {
+            PeerMessage::Reply(reply) if reply.key.adapter == "a7-4" => Some(reply.outcome),
+            _ => None,
+        };
+        assert_eq!(expect(&socket, last).await, LoadOutcome::Unreachable);
+        engine.abort();
+        expect(&socket, is_lost).await;
+        let listener = TcpListener::bind(address).await.unwrap();
+        let engine = tokio::spawn(serve(listener, "200 OK", calls));
         expect(&socket, |message| reachability(message).filter(|is_up| *is_up)).await;
         engine.abort();
         stop.send(true).unwrap();
