Relay: first uses are reported to a loader once per 50 ms

Cause: each first use of an adapter sent a use report at once, without a bound when many adapters of an engine are used for the first time.

Change: within 50 ms of such a report, a further one waits for a tick of the relay, as for pending prompts. The regular report makes it needless.

--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -250,6 +250,7 @@
         let changes = self.shared.machine().tick(now);
         self.log_changes(changes);
         self.send_pending_loads();
+        self.report_freed_adapters();
         self.record_load_estimates();
         self.record_admissions();
         self.update_readiness();
--- a/quillcove_core/src/relay/machine/attempts.rs
+++ b/quillcove_core/src/relay/machine/attempts.rs
@@ -7,7 +7,7 @@
 
 impl RelayMachine {
     /// Records that a request is sent to a replica. Where adapter slots are scarce, the first use of an adapter is
-    /// reported to the loader at once, see [`RelayMachine::has_pending_messages`].
+    /// reported to the loader at once or with the next [`RelayMachine::tick`], see [`RelayMachine::has_pending_messages`].
     ///
     /// ```
     /// use std::time::Duration;
@@ -22,7 +22,7 @@
         };
         let service = self.table.get(replica).map(|view| &view.record.service);
         if service.is_some_and(|service| self.is_contended(service)) {
-            self.table.notify_use(replica, key);
+            self.table.notify_use(replica, key, now);
         }
     }
 
--- a/quillcove_core/src/relay/machine/doubt.rs
+++ b/quillcove_core/src/relay/machine/doubt.rs
@@ -158,6 +158,7 @@
         self.tick_cells(now);
         self.tick_admission(now);
         self.send_load_requests(now);
+        self.table.notify_deferred_uses(now);
         self.expire_unconfirmed(now)
     }
 
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -159,6 +159,8 @@
     uses: BTreeMap<AdapterKey, AdapterUse>,
     /// Adapters that the last report to its loader named as in use.
     reported_uses: BTreeSet<AdapterKey>,
+    /// When its loader was last to be notified at once of a first use.
+    first_use_at: Option<MonoTime>,
     failures: u32,
     ejections: u32,
     ejected_until: MonoTime,
@@ -185,6 +187,7 @@
             status: None,
             uses: BTreeMap::new(),
             reported_uses: BTreeSet::new(),
+            first_use_at: None,
             failures: 0,
             ejections: 0,
             ejected_until: MonoTime::ZERO,
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -27,6 +27,8 @@
     reading_norms: BTreeMap<ServiceName, PrefillAverages>,
     /// Engines whose loaders are to be notified of a changed use of adapters before the next regular heartbeat.
     notified_engines: BTreeSet<ReplicaId>,
+    /// Engines whose loaders are to be notified once the interval between two such reports is over.
+    deferred_notifications: BTreeSet<ReplicaId>,
     /// Evacuated halls.
     evacuated_halls: BTreeSet<HallName>,
     /// The status that replicas without an entry have reported about themselves.
@@ -458,6 +460,7 @@
         view.uses.retain(|_, used| used.sent > 0 || used.in_flight > 0);
         let uses = view.uses.values().cloned().collect();
         let in_use = view.uses.values().filter(|used| used.in_flight > 0);
+        self.deferred_notifications.remove(id);
         view.reported_uses = in_use.map(|used| used.key.clone()).collect();
         for used in view.uses.values_mut() {
             used.sent = 0;
--- a/quillcove_core/src/relay/replica/table/attempts.rs
+++ b/quillcove_core/src/relay/replica/table/attempts.rs
@@ -5,7 +5,7 @@
 use super::ReplicaTable;
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::AdapterUse;
-use crate::relay::replica::AttemptOutcome;
+use crate::relay::replica::{AttemptOutcome, ReplicaView};
 
 /// Consecutive failures after which a replica is ejected for a while.
 const EJECT_FAILURES: u32 = 3;
@@ -13,9 +13,20 @@
 /// Duration of the first ejection; doubles with each further one.
 const EJECT_TIME: Duration = Duration::from_millis(1000);
 
+/// Minimum time between two reports of first uses to one loader, besides the regular ones. As for pending prompts, it
+/// bounds the messages when adapters are often loaded.
+const FIRST_USE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum number of doublings of [`EJECT_TIME`].
 const MAX_EJECT_DOUBLINGS: u32 = 3;
 
+impl ReplicaView {
+    /// Returns whether the loader may be notified of a first use now.
+    fn may_report_first_use(&self, now: MonoTime) -> bool {
+        self.first_use_at.is_none_or(|at| now.saturating_sub(at) >= FIRST_USE_INTERVAL)
+    }
+}
+
 impl ReplicaTable {
     /// Records that a request is sent.
     ///
@@ -42,8 +53,8 @@
         }
     }
 
-    /// Has the loader of an engine notified at once that this process uses an adapter, unless its last report
-    /// already named the adapter as in use.
+    /// Has the loader of an engine notified that this process uses an adapter, unless its last report already named the
+    /// adapter as in use: at once, or with [`Self::notify_deferred_uses`] if it was so notified less than 50 ms ago.
     ///
     /// ```
     /// use std::time::Duration;
@@ -54,16 +65,46 @@
     /// let mut table = ReplicaTable::default();
     /// table.list(example_record("i-1"), Duration::ZERO);
     /// table.begin("i-1", Some(&key), Duration::ZERO);
-    /// table.notify_use("i-1", &key);
+    /// table.notify_use("i-1", &key, Duration::ZERO);
     /// assert_eq!(table.take_freed(), ["i-1"]);
     /// table.take_uses("i-1");
-    /// table.notify_use("i-1", &key);
+    /// table.notify_use("i-1", &key, Duration::from_millis(60));
     /// assert!(!table.has_freed());
     /// ```
-    pub fn notify_use(&mut self, id: &str, key: &AdapterKey) {
-        let view = self.replicas.get(id);
-        if view.is_some_and(|view| !view.reported_uses.contains(key)) {
-            self.notified_engines.insert(id.to_string());
+    pub fn notify_use(&mut self, id: &str, key: &AdapterKey, now: MonoTime) {
+        let view = self.replicas.get_mut(id);
+        let Some(view) = view.filter(|view| !view.reported_uses.contains(key)) else {
+            return;
+        };
+        match view.may_report_first_use(now) {
+            true => {
+                view.first_use_at = Some(now);
+                self.notified_engines.insert(id.to_string());
+            },
+            false => drop(self.deferred_notifications.insert(id.to_string())),
+        }
+    }
+
+    /// Has the loaders notified of first uses whose report was deferred and is due.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::ReplicaTable;
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// table.notify_deferred_uses(Duration::ZERO);
+    /// assert!(!table.has_freed());
+    /// ```
+    pub fn notify_deferred_uses(&mut self, now: MonoTime) {
+        for id in std::mem::take(&mut self.deferred_notifications) {
+            match self.replicas.get_mut(&id) {
+                Some(view) if view.may_report_first_use(now) => {
+                    view.first_use_at = Some(now);
+                    self.notified_engines.insert(id);
+                },
+                Some(_) => drop(self.deferred_notifications.insert(id)),
+                None => {},
+            }
         }
     }
 
