--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -107,6 +107,12 @@
         }
         self.last_reading += 1;
         self.table.begin_reading(replica, self.last_reading, prompt, now);
-        ReadingStart { number: Some(self.last_reading), rank, expected: Some(expected), admission, expected_pause }
+        ReadingStart {
+            number: Some(self.last_reading),
+            rank,
+            expected: Some(expected),
+            admission,
+            expected_pause,
+        }
     }
 }
