--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -183,8 +183,8 @@
     ) -> bool {
         let ResponseAbort { identity, has_begun, .. } = abort;
         let pending = PendingAbort { kind, run: run.exit_id(), exit, identity, has_begun, at: now };
-        if self.known_exits.contains_key(&pending.exit) {
-            self.count_abort(pending, now);
+        if let Some(exit_at) = self.known_exits.get(&pending.exit).copied() {
+            self.count_abort(pending, Some(exit_at), now);
             return false;
         }
         let is_same = |other: &PendingAbort| other.exit == exit && other.kind == kind;
@@ -213,7 +213,7 @@
                 abort.kind == AbortKind::CutOff || exit_at <= abort.at + ABANDONED_WINDOW
             })
         };
-        let count = self.count_matching(exit, is_match, now);
+        let count = self.count_matching(exit, is_match, exit_at, now);
         // What is left was abandoned too long before.
         self.pending.retain(|abort| abort.exit != exit);
         count
@@ -262,30 +262,41 @@
         due.map(|at| at + kind.exit_window())
     }
 
-    /// Counts the pending responses that were aborted by an exit, and returns their number.
+    /// Counts the pending responses that were aborted by an exit at `exit_at`, if that is known, and returns their
+    /// number.
     fn count_matching(
         &mut self,
         exit: ExitId,
         is_match: impl Fn(&PendingAbort) -> bool,
+        exit_at: Option<MonoTime>,
         now: MonoTime,
     ) -> usize {
         let is_due = |abort: &PendingAbort| abort.exit == exit && is_match(abort);
         let due: Vec<PendingAbort> = self.pending.iter().copied().filter(is_due).collect();
         self.pending.retain(|abort| !is_due(abort));
         for abort in &due {
-            self.count_abort(*abort, now);
+            self.count_abort(*abort, exit_at, now);
         }
         due.len()
     }
 
     /// Counts one request as in flight at an exit, unless it is excused because it has just
     /// succeeded for the same caller.
-    fn count_abort(&mut self, abort: PendingAbort, now: MonoTime) {
-        if self.successes.excuse(abort.identity, abort.at) {
+    fn count_abort(&mut self, abort: PendingAbort, exit_at: Option<MonoTime>, now: MonoTime) {
+        let runs_well = self.successes.has_succeeded(abort.identity.digest);
+        // A response that was abandoned some time before the exit is weak evidence. Several replicas that are killed at
+        // once would otherwise make a request fatal that runs well.
+        if abort.kind == AbortKind::Abandoned && runs_well {
             return;
         }
-        let runs_well = self.successes.has_succeeded(abort.identity.digest);
-        let PendingAbort { exit, identity, has_begun, at, .. } = abort;
+        let at = match abort.kind {
+            AbortKind::CutOff => abort.at,
+            AbortKind::Abandoned => exit_at.unwrap_or(abort.at),
+        };
+        if self.successes.excuse(abort.identity, at) {
+            return;
+        }
+        let PendingAbort { exit, identity, has_begun, .. } = abort;
         let ended = InFlightRequest { identity, has_begun, runs_well };
         if self.book.note_end(exit, ended, at, now) {
             self.teller.note_end(exit, ended, at);
@@ -371,7 +382,7 @@
                     abort.at <= at + MATCH_WINDOW
                         && at <= abort.at + MATCH_WINDOW.max(abort.kind.exit_window())
                 };
-                self.count_matching(report.end, is_recent, now);
+                self.count_matching(report.end, is_recent, Some(at), now);
             }
         }
         self.book.take(crash_report, now)
--- a/quillcove_core/src/relay/admission/decision.rs
+++ b/quillcove_core/src/relay/admission/decision.rs
@@ -123,7 +123,9 @@
     pub fn decide(&self) -> AdmissionStep {
         let first_event = |wait: Duration| self.now + wait + self.own_time;
         if first_event(self.timely_wait) <= self.due {
-            return match self.timely_wait <= self.allowed_wait() {
+            // A request that would wait behind the others until its caller leaves is not deferred.
+            let is_deferrable = first_event(self.deferred_wait) <= self.abandon_at;
+            return match self.timely_wait <= self.allowed_wait() || !is_deferrable {
                 true => AdmissionStep::Timely,
                 false => AdmissionStep::Deferred(DeferralReason::Room),
             };
--- a/quillcove_core/src/relay/machine/admission.rs
+++ b/quillcove_core/src/relay/machine/admission.rs
@@ -54,7 +54,8 @@
             },
             relays: self.relays,
             draw: 0.0,
-            is_rejectable: !is_sent_before,
+            // A count of waiting requests without their ranks does not show that a request cannot be served.
+            is_rejectable: !is_sent_before && view.reading.knows_fleet_prompts(),
         })
     }
 
--- a/quillcove_core/src/relay/machine/contention.rs
+++ b/quillcove_core/src/relay/machine/contention.rs
@@ -24,8 +24,7 @@
             ContentionRule::Always => true,
             ContentionRule::Never => false,
             ContentionRule::Auto => {
-                let replicas = self.table.all().filter(|view| view.record.service == service);
-                let request_slots = replicas.map(|view| view.record.places).max();
+                let request_slots = self.table.request_slots(service);
                 request_slots.is_some_and(|slots| engine.has_scarce_slots(slots))
             },
         }
--- a/quillcove_core/src/relay/replica/table.rs
+++ b/quillcove_core/src/relay/replica/table.rs
@@ -25,6 +25,8 @@
     by_address: HashMap<SocketAddr, BTreeSet<ReplicaId>>,
     /// Reading speed and prompt sizes common to the engines of each service.
     reading_norms: BTreeMap<ServiceName, PrefillAverages>,
+    /// Highest number of request slots that a replica of each service was listed with.
+    request_slots: BTreeMap<ServiceName, u32>,
     /// Engines whose loaders are to be notified of a changed use of adapters before the next regular heartbeat.
     notified_engines: BTreeSet<ReplicaId>,
     /// Engines whose loaders are to be notified once the interval between two such reports is over.
@@ -49,6 +51,8 @@
     /// assert!(!table.list(example_record("i-1"), Duration::ZERO));
     /// ```
     pub fn list(&mut self, record: ReplicaRecord, now: MonoTime) -> bool {
+        let request_slots = self.request_slots.entry(record.service.clone()).or_default();
+        *request_slots = (*request_slots).max(record.places);
         let previous_address = self.replicas.get(&record.id).map(|view| view.record.address);
         if let Some(address) = previous_address.filter(|address| *address != record.address) {
             self.remove_address(address, &record.id);
@@ -521,4 +525,19 @@
         }
         !is_late
     }
+
+    /// Returns the highest number of request slots that a replica of a service was listed with.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::replica::{ReplicaTable, example_record};
+    ///
+    /// let mut table = ReplicaTable::default();
+    /// assert_eq!(table.request_slots("s"), None);
+    /// table.list(example_record("i-1"), Duration::ZERO);
+    /// assert_eq!(table.request_slots("s"), Some(8));
+    /// ```
+    pub fn request_slots(&self, service: &str) -> Option<u32> {
+        self.request_slots.get(service).copied()
+    }
 }
--- a/quillcove_core/tests/crash_book.rs
+++ b/quillcove_core/tests/crash_book.rs
@@ -198,6 +198,26 @@
     assert!(!is_rejected_after_leaving(late, true));
 }
 
+/// Guards against a request that runs well and is rejected, because its caller had given up on it at several replicas
+/// shortly before they were killed at once.
+#[test]
+fn an_abandoned_request_that_runs_well_is_not_rejected() {
+    let popular = request(1, 1);
+    let mut watch = CrashTracker::default();
+    watch.record_success(popular, NOW);
+    let killed_at = NOW + Duration::from_secs(3);
+    for (number, left_before) in [1_400, 900, 400].into_iter().enumerate() {
+        let run = ReplicaRun { replica: format!("i-{number}"), born: None };
+        let left_at = killed_at - Duration::from_millis(left_before);
+        watch.record_abandoned(&run, broke(popular, left_at), left_at);
+        watch.confirm_exit(&run, killed_at + Duration::from_millis(30));
+    }
+    let run = ReplicaRun { replica: "i-4".into(), born: None };
+    watch.record_abort(&run, broke(popular, NOW), killed_at);
+    watch.confirm_exit(&run, killed_at + Duration::from_millis(30));
+    assert!(watch.cause(popular, killed_at + Duration::from_secs(1)).is_none());
+}
+
 /// Guards against an exit that no process notices: the abandoned request was alone at its replica.
 #[test]
 fn a_replica_is_checked_when_the_window_of_an_abandoned_attempt_ends() {
