--- a/quillcove_core/src/relay/loader/queue.rs
+++ b/quillcove_core/src/relay/loader/queue.rs
@@ -118,11 +118,11 @@
         }
         let needs_model = self.report.models.is_empty();
         self.load_requests.make_contiguous().sort_by_key(|queued| {
-            let is_late = queued.request.adapter.is_some() == needs_model;
+            let goes_last = queued.request.adapter.is_some() == needs_model;
             let version = queued.request.version.unwrap_or(0);
             let key = queued.request.key();
             let is_from_store = key.is_some_and(|key| !self.copies.contains(&key, version));
-            (is_late, is_from_store, Reverse(queued.relays.len()), queued.first_asked_at)
+            (goes_last, is_from_store, Reverse(queued.relays.len()), queued.first_asked_at)
         });
     }
 
--- a/quillcove_core/src/relay/machine/waiting.rs
+++ b/quillcove_core/src/relay/machine/waiting.rs
@@ -5,6 +5,8 @@
 use super::loading::LoadTarget;
 use super::{RelayChoice, RelayMachine, RelayQuery, refuse};
 use crate::ids::MonoTime;
+use crate::relay::admission::decision::RETRY_DELAY_SHARE;
+use crate::relay::admission::returns::EARLY_REJECT_SHARE;
 use crate::relay::policy::WaitingRule;
 use crate::relay::reading::PrefillPrompt;
 use crate::verdict::{RefusalReason, SHORT_RETRY_DELAY};
@@ -13,10 +15,6 @@
 /// the prefill of a typical prompt and two decoding steps.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(120);
 
-/// Share of a route's target latency within which a request is either sent or rejected, so that a
-/// rejected caller can still be served in time when it retries.
-const EARLY_REJECT_SHARE: f64 = 0.2;
-
 /// Multiple of a route's target latency for which a request keeps waiting when the load of its
 /// adapter takes longer than estimated.
 const LATE_LOAD_FACTOR: f64 = 2.0;
@@ -32,10 +30,6 @@
 /// Retry delay for a caller that another relay can serve at once.
 const OTHER_RELAY_DELAY: Duration = Duration::from_millis(20);
 
-/// Upper bound of the retry delay, as a share of the caller's remaining time: callers do not wait
-/// longer than a third of it before they retry.
-const RETRY_DELAY_SHARE: f64 = 0.33;
-
 /// Interval at which a request that waits for an adapter checks whether its load request has to be
 /// sent again.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(80);
