Log lines name software versions and the attempt that began a stream

The output of the incident could not tell whether a stream that a caller takes up goes on at another software version: no line named the version of a replica, nor the attempt that began the stream. The listing's version and the caller's header are read and logged ('replica listed', 'request', 'stream resumes'). Nothing is decided by them yet.

--- a/quillcove/src/relay/input/store.rs
+++ b/quillcove/src/relay/input/store.rs
@@ -228,7 +228,7 @@
         let record = &view.record;
         info!(self.shared.log, "replica listed"; "replica" => id, "service" => &record.service,
             "address" => %record.address, "hall" => &record.hall, "state" => ?record.state,
-            "position" => %machine.read().replicas);
+            "software" => &record.software, "position" => %machine.read().replicas);
     }
 
     pub(super) fn update_readiness(&self) {
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -15,7 +15,7 @@
 use quillcove_core::access::limit::{UseCharge, UseClaim};
 use quillcove_core::class::WorkClass;
 use quillcove_core::crash::digest::{CallerDigest, RequestIdentity, RequestParts};
-use quillcove_core::ids::{MonoTime, ReplicaId};
+use quillcove_core::ids::{MonoTime, ReplicaId, SoftwareVersion};
 use quillcove_core::relay::admission::decision::AdmissionStep;
 use quillcove_core::relay::machine::{RelayMachine, RelayQuery};
 use quillcove_core::relay::prompt::PromptSize;
@@ -55,6 +55,8 @@
     pub waited: Duration,
     /// Time from receiving the request to the first event of its stream.
     pub first_event: Option<Duration>,
+    /// Software version of the replica that sent the first event of this answer.
+    pub first_software: Option<SoftwareVersion>,
     /// Longest time between two consecutive events.
     pub longest_pause: Duration,
     /// Delay after which a rejected caller may retry, as sent in the response.
@@ -180,6 +182,8 @@
         info!(self.shared.log, "request"; "id" => &self.terms.id,
             "route" => &self.query.route.name, "sheet" => self.configuration.version,
             "service" => &self.query.service, "workspace" => self.workspace(),
+            "resumes" => &self.terms.resumes, "after" => &self.terms.last_event,
+            "software" => &self.first_software,
             "adapter" => self.query.adapter.as_ref().map(|key| key.adapter.as_str()),
             "verdict" => end.verdict.label(), "status" => end.status, "reason" => end.reason,
             "age_ms" => self.query.since_first_attempt.as_millis() as u64, "attempts" => self.attempts, "replicas" => self.tried.join(","),
@@ -346,6 +350,7 @@
         is_sent: AtomicBool::new(false),
         waited: Duration::ZERO,
         first_event: None,
+        first_software: None,
         longest_pause: Duration::ZERO,
         retry_after: None,
         prefill: None,
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -217,6 +217,8 @@
             None => {
                 let took = now.saturating_sub(self.open.query.received);
                 self.open.first_event = Some(took);
+                let replica = self.live.as_ref().map(|live| &live.order);
+                self.open.first_software = replica.and_then(|order| order.software.clone());
                 self.open.shared.metrics.record_first_byte(self.open.class(), took);
             },
             Some(last_forwarded) => {
@@ -281,7 +283,8 @@
             open.tried.push(order.replica.clone());
             open.shared.metrics.record_attempt(false);
             info!(open.shared.log, "stream resumes"; "id" => &open.terms.id,
-                "replica" => &order.replica, "after" => &self.last_event, "reason" => reason);
+                "replica" => &order.replica, "after" => &self.last_event, "reason" => reason,
+                "began_at" => &open.first_software, "software" => &order.software);
             let end = attempt::send(open, &order, self.last_event.as_deref()).await;
             match end {
                 AttemptEnd::Stream(live) => {
--- a/quillcove_core/src/ids.rs
+++ b/quillcove_core/src/ids.rs
@@ -24,6 +24,9 @@
 pub type RequestId = u128;
 /// Id of one attempt of a request at one upstream.
 pub type AttemptId = u128;
+/// Version of the software that a replica runs, not of its weights: free text that is compared as equal or
+/// not. A replica that states none is `None`, which is a version of its own.
+pub type SoftwareVersion = String;
 /// Version of the signed bundle; increases with each publication.
 pub type BundleVersion = u64;
 /// Number of times that the platform's store was restored from an older copy; 0 if the store does
--- a/quillcove_core/src/relay/machine/query.rs
+++ b/quillcove_core/src/relay/machine/query.rs
@@ -6,7 +6,9 @@
 
 use crate::access::grant::AccessGrant;
 use crate::crash::digest::RequestIdentity;
-use crate::ids::{AdapterKey, ModelName, MonoTime, ReplicaId, ServiceName, StartTime};
+use crate::ids::{
+    AdapterKey, ModelName, MonoTime, ReplicaId, ServiceName, SoftwareVersion, StartTime,
+};
 use crate::relay::replica::ReplicaRecord;
 use crate::route::RouteRecord;
 use crate::verdict::WorkRefusal;
@@ -79,6 +81,8 @@
     pub start_time: Option<StartTime>,
     /// Address of the replica.
     pub address: SocketAddr,
+    /// Version of the replica's software.
+    pub software: Option<SoftwareVersion>,
     /// Whether the replica is draining and is used only because no other replica is left.
     pub is_last_resort: bool,
     /// When the replica was chosen; no byte of the attempt was sent before.
@@ -99,6 +103,7 @@
             replica: record.id.clone(),
             start_time: record.born,
             address: record.address,
+            software: record.software.clone(),
             is_last_resort: false,
             chosen_at: MonoTime::ZERO,
         }
--- a/quillcove_core/src/relay/replica/mod.rs
+++ b/quillcove_core/src/relay/replica/mod.rs
@@ -19,7 +19,8 @@
 use super::reading::PrefillQueue;
 use super::sheet::ModelRecord;
 use crate::ids::{
-    AdapterKey, AdapterVersion, HallName, ModelName, MonoTime, ReplicaId, ServiceName, StartTime,
+    AdapterKey, AdapterVersion, HallName, ModelName, MonoTime, ReplicaId, ServiceName,
+    SoftwareVersion, StartTime,
 };
 use crate::standing::UpstreamStatus;
 
@@ -75,6 +76,8 @@
     pub models: Vec<ModelName>,
     /// Adapters that it holds in memory.
     pub adapters: Vec<HeldAdapter>,
+    /// Version of its software; `None` if it states none.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl ReplicaRecord {
@@ -557,5 +560,6 @@
         cold_left: Duration::ZERO,
         models: vec!["m".to_string()],
         adapters: Vec::new(),
+        software: None,
     }
 }
