Streams go on only at the software version that began them

A stream's origin (service and software version) is now part of what a request needs, for every attempt, the last resort, engines of other cells and load requests. It is set by the first event of an answer, or resolved before anything is sent: each first event is reported to two loaders, chosen by rendezvous hashing over the stream, and a relay that did not see the beginning asks them and, in a small fleet, the other relays. An origin is only believed when it was recorded or told. An unknown one, or one whose replicas are gone, is rejected at once with 503 and without Retry-After.

A replica that seems unwell may go on with a stream that began: the test within one answer lost its stream when the other replica of the version had been ejected.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -22,6 +22,7 @@
 use quillcove_core::relay::engine_status::EngineStatus;
 use quillcove_core::relay::loader::LoaderMachine;
 use quillcove_core::relay::order::{LoadOrder, OrderKind, OrderOutcome};
+use quillcove_core::relay::origin::{OriginBook, OriginQuestion};
 use quillcove_core::relay::report_stream::ReportSender;
 use quillcove_core::relay::roll::RelayMembership;
 use quillcove_core::standing::notice::UpstreamNotice;
@@ -135,6 +136,8 @@
     relays: RelayMembership,
     /// Crash records of requests and loads, received from relays or recorded here.
     crashes: CrashTracker,
+    /// Origins of streams, held for the relays.
+    origins: OriginBook,
     incarnation: u64,
     /// Number of heartbeats sent, from which each takes its sequence number.
     heartbeats: u64,
@@ -172,6 +175,7 @@
             view,
             relays: RelayMembership::new(incarnation),
             crashes: CrashTracker::default(),
+            origins: OriginBook::default(),
             incarnation,
             heartbeats: 0,
             sender: ReportSender::default(),
@@ -257,6 +261,9 @@
                 self.record_relay(from, now);
             },
             PeerMessage::Prompts(report) => self.machine.record_prompts(report, now),
+            // Held for relays that did not begin the stream, and in place of those that are gone.
+            PeerMessage::Origin(report) => drop(self.origins.record(&report, now)),
+            PeerMessage::OriginAsk(question) => self.answer_origin_question(question, now),
             PeerMessage::Relay(_)
             | PeerMessage::Engine(_)
             | PeerMessage::Gauges(_)
@@ -266,12 +273,19 @@
             | PeerMessage::Status(_)
             | PeerMessage::Reply(_)
             | PeerMessage::ProofAsk(_)
-            | PeerMessage::Proof(_) => {
+            | PeerMessage::Proof(_)
+            | PeerMessage::OriginReply(_) => {
                 warn!(self.log, "received a message that only relays handle"; "from" => %from);
             },
         }
     }
 
+    /// Answers a relay's question for the origin of a stream.
+    fn answer_origin_question(&self, question: OriginQuestion, now: MonoTime) {
+        let answer = self.origins.answer(question.stream, now);
+        self.send(&PeerMessage::OriginReply(answer), [question.relay]);
+    }
+
     /// Records that a relay is alive, and sends it a full report if it is new.
     fn record_relay(&mut self, relay: SocketAddr, now: MonoTime) {
         if self.relays.record_heartbeat(relay, now) {
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -29,6 +29,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     attempts: Counter<u64>,
+    resumes: Counter<u64>,
     retries: Counter<u64>,
     loads: Counter<u64>,
     orders: Counter<u64>,
@@ -76,6 +77,11 @@
             requests: counter(&meter, "quillcove.requests", "Requests by verdict and class"),
             refusals: counter(&meter, "quillcove.refusals", "Refusals by reason and class"),
             attempts: counter(&meter, "quillcove.attempts", "Attempts sent or taken"),
+            resumes: counter(
+                &meter,
+                "quillcove.resumes",
+                "Streams that callers took up, by how their beginning was found",
+            ),
             retries: counter(&meter, "quillcove.retries", "Attempts after the first"),
             loads: counter(&meter, "quillcove.loads", "Loads by outcome"),
             orders: counter(&meter, "quillcove.orders", "Orders to the engine by outcome"),
@@ -172,6 +178,15 @@
         self.refusals.add(1, &labels);
     }
 
+    /// Counts a stream that its caller took up, by how the relay found where it began.
+    ///
+    /// ```
+    /// quillcove::metrics::ProcessMetrics::new("relay").unwrap().record_resume("own");
+    /// ```
+    pub fn record_resume(&self, outcome: &'static str) {
+        self.resumes.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts an attempt.
     ///
     /// ```
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -2,6 +2,7 @@
 //! machine, and sends this relay's heartbeats, reports and load requests.
 
 mod crashes;
+mod origins;
 mod peers;
 mod prompts;
 mod readers;
@@ -228,6 +229,7 @@
             InputEvent::Snapshot(snapshot) => self.handle_snapshot(snapshot, now),
             InputEvent::SettingsChanged => self.apply_settings(),
             InputEvent::MessagesPending => {
+                self.send_origins();
                 self.send_pending_loads();
                 self.report_freed_adapters();
                 self.send_crash_records(false, now);
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -39,6 +39,9 @@
             PeerMessage::Change(change) => self.handle_change(&change, now),
             PeerMessage::Status(status) => self.handle_status(status, now),
             PeerMessage::Reply(reply) => self.handle_load_reply(&reply, now),
+            PeerMessage::Origin(report) => self.shared.machine().origins_mut().hold(&report, now),
+            PeerMessage::OriginAsk(question) => self.answer_origin_question(question, now),
+            PeerMessage::OriginReply(answer) => self.take_origin_answer(&answer, from, now),
             PeerMessage::Use(_)
             | PeerMessage::Load(_)
             | PeerMessage::Resend(_)
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod reader;
 mod request;
+mod resumption;
 mod serve;
 mod share;
 mod shared;
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -17,7 +17,8 @@
 use quillcove_core::crash::digest::{CallerDigest, RequestIdentity, RequestParts};
 use quillcove_core::ids::{MonoTime, ReplicaId, SoftwareVersion};
 use quillcove_core::relay::admission::decision::AdmissionStep;
-use quillcove_core::relay::machine::{RelayMachine, RelayQuery};
+use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayQuery};
+use quillcove_core::relay::origin::{OriginDigest, StreamKey, StreamOrigin};
 use quillcove_core::relay::prompt::PromptSize;
 use quillcove_core::relay::reading::ReadingNumber;
 use quillcove_core::relay::sheet::PublishedConfig;
@@ -27,6 +28,7 @@
 use slog::info;
 use tokio::time::timeout;
 
+use super::resumption::resolve_origin;
 use super::shared::RelayShared;
 
 /// An admitted request, with the state that its attempts share.
@@ -131,6 +133,24 @@
             && self.shared.machine().has_retry(&self.query.service)
     }
 
+    /// Records that the first event of the stream was received from a replica. From then on the stream goes on only at
+    /// that replica's software version, in this answer and in later attempts of the caller.
+    pub fn begin_stream(&mut self, order: &AttemptOrder, now: MonoTime) {
+        self.first_software = order.software.clone();
+        let origin = OriginDigest::of(&self.query.service, order.software.as_deref());
+        self.query.origin = Some(origin);
+        let begun = self.terms.last_event.as_ref().and(self.terms.resumes.as_ref());
+        let stream = StreamKey::of(begun.unwrap_or(&self.terms.id));
+        // A caller may come back until its own deadline, even if the route's timeout ends this attempt earlier.
+        let lifetime = self.terms.time_limit.unwrap_or(self.query.route.timeout);
+        let report = StreamOrigin { stream, origin, lifetime };
+        let mut machine = self.shared.machine();
+        machine.begin_stream(self.query.route.kind, &self.query.service, report, now);
+        if machine.has_pending_messages() {
+            self.shared.messages_pending.notify_one();
+        }
+    }
+
     /// Returns the name of the request's workspace, if it has one.
     pub fn workspace(&self) -> Option<&str> {
         self.query.grant.as_ref().map(|grant| grant.workspace.name.as_str())
@@ -315,9 +335,11 @@
         body: &body,
     };
     let identity = RequestIdentity { digest: digested.digest(), caller };
-    let service = shared.machine().draw_service(&route);
     let no_service = || WorkRefusal::not_run(RefusalReason::NoUpstream, Some(SHORT_RETRY_DELAY));
-    let service = service.ok_or_else(no_service)?;
+    let (service, origin) = match resolve_origin(shared, &route, &terms).await? {
+        Some(resolved) => (resolved.service, Some(resolved.origin)),
+        None => (shared.machine().draw_service(&route).ok_or_else(no_service)?, None),
+    };
     shared.machine().admit(&service, deadline, shared.clock.now())?;
     let query = RelayQuery {
         route,
@@ -331,6 +353,7 @@
         choice_count: 0,
         grant,
         identity: Some(identity),
+        origin,
     };
     Ok(OpenRequest {
         shared: shared.clone(),
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -31,6 +31,8 @@
     pub waiters: AdapterWaiters,
     /// Response headers of replicas that no code reads.
     pub unknown_status_headers: UnknownHeaders,
+    /// Notifies the requests that wait for the origin of a stream.
+    pub origin_answered: Notify,
     /// Notifies the input task that messages are to be sent, such as load requests.
     pub messages_pending: Notify,
     machine: Mutex<RelayMachine>,
@@ -50,6 +52,7 @@
             is_ready: AtomicBool::new(false),
             waiters: AdapterWaiters::default(),
             unknown_status_headers: UnknownHeaders::default(),
+            origin_answered: Notify::new(),
             messages_pending: Notify::new(),
             machine: Mutex::new(machine),
             settings,
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -217,8 +217,9 @@
             None => {
                 let took = now.saturating_sub(self.open.query.received);
                 self.open.first_event = Some(took);
-                let replica = self.live.as_ref().map(|live| &live.order);
-                self.open.first_software = replica.and_then(|order| order.software.clone());
+                if let Some(live) = &self.live {
+                    self.open.begin_stream(&live.order, now);
+                }
                 self.open.shared.metrics.record_first_byte(self.open.class(), took);
             },
             Some(last_forwarded) => {
--- a/quillcove/src/web/answer.rs
+++ b/quillcove/src/web/answer.rs
@@ -41,7 +41,9 @@
         | RefusalReason::WrongIncarnation
         | RefusalReason::Withdrawn
         | RefusalReason::LoadFailed
-        | RefusalReason::UpstreamDown => StatusCode::SERVICE_UNAVAILABLE,
+        | RefusalReason::UpstreamDown
+        | RefusalReason::OriginUnknown
+        | RefusalReason::OriginGone => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -154,6 +156,8 @@
         RefusalReason::AlreadyUsed => "the ticket or key was used before",
         RefusalReason::KeyUnknown => "the request needs a workspace's key",
         RefusalReason::KnowledgeOld => "what is known of keys is too old; come back later",
+        RefusalReason::OriginUnknown => "it is not known where the stream began",
+        RefusalReason::OriginGone => "no upstream can go on with the stream",
         RefusalReason::EndsUpstreams => "upstreams end when they begin to run this request",
         RefusalReason::LimitReached => "the workspace has used what it may; come back later",
         RefusalReason::KeyUncertain => {
--- a/quillcove_core/src/entry/mod.rs
+++ b/quillcove_core/src/entry/mod.rs
@@ -517,7 +517,9 @@
         | RefusalReason::KeyUncertain
         | RefusalReason::KeyUnknown
         | RefusalReason::LimitReached
-        | RefusalReason::EndsUpstreams => false,
+        | RefusalReason::EndsUpstreams
+        | RefusalReason::OriginUnknown
+        | RefusalReason::OriginGone => false,
         RefusalReason::Unknown
         | RefusalReason::BundleMissing
         | RefusalReason::KnowledgeOld
--- a/quillcove_core/src/relay/beacon.rs
+++ b/quillcove_core/src/relay/beacon.rs
@@ -8,6 +8,7 @@
 use super::change_word::StoreChangeMessage;
 use super::engine_status::{EngineStatus, LoadReply, PromptReport};
 use super::knowledge::{FreshnessProof, StoreSummary};
+use super::origin::{OriginAnswer, OriginQuestion, StreamOrigin};
 use super::sheet::ConfigVersion;
 use crate::access::spending::UsageReport;
 use crate::crash::telling::{CrashAsk, CrashReport};
@@ -320,6 +321,12 @@
     Prompts(PromptReport),
     /// From a loader to the relay that sent a load request.
     Reply(LoadReply),
+    /// From a relay to the holders of a stream.
+    Origin(StreamOrigin),
+    /// From a relay to the holders of a stream.
+    OriginAsk(OriginQuestion),
+    /// From a holder to the relay that sent the [`OriginQuestion`].
+    OriginReply(OriginAnswer),
 }
 
 /// A relay's request to another relay for the age of its freshness proof: the proof that it knows all
@@ -372,6 +379,8 @@
     Prompts,
     /// [`PeerMessage::Reply`].
     Reply,
+    /// [`PeerMessage::Origin`], [`PeerMessage::OriginAsk`] and [`PeerMessage::OriginReply`].
+    Origin,
 }
 
 impl PeerMessageKind {
@@ -398,6 +407,7 @@
             Self::Status => "status",
             Self::Prompts => "prompts",
             Self::Reply => "reply",
+            Self::Origin => "origin",
         }
     }
 }
@@ -427,6 +437,7 @@
             Self::Status(_) => PeerMessageKind::Status,
             Self::Prompts(_) => PeerMessageKind::Prompts,
             Self::Reply(_) => PeerMessageKind::Reply,
+            Self::Origin(_) | Self::OriginAsk(_) | Self::OriginReply(_) => PeerMessageKind::Origin,
         }
     }
 }
--- a/quillcove_core/src/relay/demand/mod.rs
+++ b/quillcove_core/src/relay/demand/mod.rs
@@ -8,6 +8,7 @@
 //! host still has a copy.
 
 mod coming;
+mod directed;
 mod warm;
 
 use std::cmp::Reverse;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 
 use self::coming::IncomingLoads;
+use self::directed::DirectedRequests;
 use self::warm::HostCopies;
 use super::beacon::{AddressedLoadRequest, ArrivedLoad, HeldAdapter, LoadRequest, OtherRelays};
 use super::limiter::LoadLimiter;
@@ -145,6 +147,8 @@
     outbox: Vec<AddressedLoadRequest>,
     limiter: LoadLimiter,
     other_relays: OtherRelays,
+    /// Load requests for streams that only some engines may go on with.
+    directed: DirectedRequests,
 }
 
 impl AdapterDemand {
@@ -344,6 +348,7 @@
             .retain(|_, request| now.saturating_sub(request.first_sent) < LOAD_REQUEST_LIFETIME);
         self.needed.retain(|_, needed| now < needed.useful_until);
         self.incoming_loads.expire(now);
+        self.directed.expire(now);
     }
 
     /// Records that a request needs an adapter. `is_new` is set on the request's first call only, so that
--- a/quillcove_core/src/relay/machine/cells.rs
+++ b/quillcove_core/src/relay/machine/cells.rs
@@ -146,7 +146,7 @@
         let need = self.need_of(query, now);
         let unreachable = self.unreachable_engines(&query.service, now);
         let holds = |view: &&ReplicaView| {
-            let is_far = !view.is_in_cell && view.record.service == query.service;
+            let is_far = !view.is_in_cell && query.admits(&view.record);
             let is_open = is_far && view.takes_work(now) && view.seems_well(now);
             let is_reachable = !unreachable.contains(&view.record.id.as_str());
             is_open && is_reachable && view.report(now).is_some() && need.is_met_by(view, now)
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -53,6 +53,7 @@
     ///     choice_count: 0,
     ///     grant: None,
     ///     identity: None,
+    ///     origin: None,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// let choice = machine.choose(&query, &[], Duration::ZERO);
@@ -78,6 +79,9 @@
             EligibleReplicas::Open(open) => (open, false),
             EligibleReplicas::LastResort(leaving) => (leaving, true),
             EligibleReplicas::AvailableAt(until) => return self.refuse_until(until, now),
+            EligibleReplicas::None if query.origin.is_some() => {
+                return refuse(RefusalReason::OriginGone, None);
+            },
             EligibleReplicas::None => {
                 return refuse(RefusalReason::NoUpstream, Some(SHORT_RETRY_DELAY));
             },
@@ -99,9 +103,12 @@
         let is_untried = |view: &&&ReplicaView| !tried.contains(&view.record.id);
         let mut untried: Vec<&ReplicaView> = holders.iter().filter(is_untried).copied().collect();
         if untried.is_empty() && !holders.is_empty() {
-            // A replica whose entry is merely unconfirmed is better than a rejection.
-            let unconfirmed = open.iter().filter(|view| view.is_unconfirmed());
-            untried = unconfirmed.filter(holds).filter(is_untried).copied().collect();
+            // A replica whose entry is merely unconfirmed is better than a rejection, and so is one that seems unwell
+            // for a stream that only few replicas may go on with.
+            let is_acceptable =
+                |view: &&&ReplicaView| view.is_unconfirmed() || query.origin.is_some();
+            let others = open.iter().filter(is_acceptable);
+            untried = others.filter(holds).filter(is_untried).copied().collect();
         }
         let current = self.prefer_newest(query, &untried, now);
         let norm = self.prefill_averages(&query.service, now);
--- a/quillcove_core/src/relay/machine/doubt.rs
+++ b/quillcove_core/src/relay/machine/doubt.rs
@@ -156,6 +156,7 @@
         self.promises.tick(now);
         self.update_warm_up_shares(now);
         self.tick_cells(now);
+        self.tick_origins(now);
         self.tick_admission(now);
         self.send_load_requests(now);
         self.table.notify_deferred_uses(now);
--- a/quillcove_core/src/relay/machine/engines.rs
+++ b/quillcove_core/src/relay/machine/engines.rs
@@ -122,7 +122,7 @@
     /// assert!(!RelayMachine::new(RelayRules::default(), 1).has_pending_messages());
     /// ```
     pub fn has_pending_messages(&self) -> bool {
-        self.demand.has_load_requests() || self.table.has_freed()
+        self.demand.has_load_requests() || self.table.has_freed() || self.origins.has_messages()
     }
 
     /// Takes the load estimates given to rejected callers that were settled since the last call: the adapter was
--- a/quillcove_core/src/relay/machine/loading.rs
+++ b/quillcove_core/src/relay/machine/loading.rs
@@ -4,7 +4,7 @@
 
 use super::waiting::FIRST_REPORTS_TIME;
 use super::{RelayMachine, RelayQuery};
-use crate::ids::MonoTime;
+use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::demand::{AdapterNeed, EngineChoice};
 use crate::relay::policy::CopyRule;
 use crate::relay::replica::ReplicaView;
@@ -37,7 +37,7 @@
     /// Requests another copy of the adapter if the chosen engine is busy or holds an older version
     /// than the newest.
     pub(super) fn request_copy(&mut self, query: &RelayQuery, chosen: &str, now: MonoTime) {
-        let Some(key) = &query.adapter else {
+        let Some(key) = query.adapter.as_ref().filter(|_| query.origin.is_none()) else {
             return;
         };
         let Some(view) = self.table.get(chosen) else {
@@ -77,6 +77,9 @@
         if self.is_fatal_load(key, now) {
             return None;
         }
+        if query.origin.is_some() {
+            return self.request_load_at_origin(query, key, now);
+        }
         let version = self.newest(key);
         let (holders, home) = match target {
             LoadTarget::Home => (1, self.home_of(&query.service, key, now)),
@@ -95,6 +98,28 @@
         Some(self.model_ready_at(&query.service, &key.model, now) + load_wait)
     }
 
+    /// Requests the adapter of a stream that has begun from an engine of its origin; an adapter that an engine of
+    /// another software version loads is of no use to it. Returns when the adapter is expected to be loaded, or `None`
+    /// if no engine of the origin can load it.
+    fn request_load_at_origin(
+        &mut self,
+        query: &RelayQuery,
+        key: &AdapterKey,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let sheet = self.sheet.clone()?;
+        let engine = sheet.service(&query.service)?.engine.as_ref()?;
+        let can_load = |view: &&ReplicaView| {
+            let is_usable = view.takes_work(now) && view.seems_well(now);
+            let holds_model = || view.models(now).contains(&key.model);
+            query.admits(&view.record) && is_usable && !view.is_unreachable(now) && holds_model()
+        };
+        let engines: Vec<&ReplicaView> = self.table.all().filter(can_load).collect();
+        let places = engine.places_beside(&key.model);
+        let version = self.newest(key);
+        self.demand.request_at(key, &engines, places, version, now)
+    }
+
     /// Returns when an engine of a service will have a base model loaded. Before the first reports
     /// arrive, the engines may have restarted together with this process and then load the model from
     /// the disks of their hosts.
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -12,6 +12,7 @@
 mod engines;
 mod limits;
 mod loading;
+mod origins;
 mod priority;
 mod published;
 mod query;
@@ -39,6 +40,7 @@
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
 use super::knowledge::StoreKnowledge;
+use super::origin::{OriginHolders, OriginTracker};
 use super::policy::RelayPolicy;
 use super::promise::LoadEstimates;
 use super::reading::ReadingNumber;
@@ -174,6 +176,11 @@
     ledger: LimitLedger,
     /// Tracks the requests under which replicas exit.
     crashes: CrashTracker,
+    /// Where streams began that may be taken up again, and the processes that hold this.
+    origins: OriginTracker,
+    holders: OriginHolders,
+    /// When the holders are updated next.
+    origins_due: MonoTime,
     /// Number of requests in flight.
     requests: usize,
     is_stopping: bool,
@@ -219,6 +226,9 @@
             limits: LimitReportSchedule::default(),
             knowledge: StoreKnowledge::default(),
             crashes: CrashTracker::default(),
+            origins: OriginTracker::default(),
+            holders: OriginHolders::default(),
+            origins_due: MonoTime::ZERO,
             requests: 0,
             is_stopping: false,
             draw_state: seed,
--- /dev/null
+++ b/quillcove_core/src/relay/machine/origins.rs
@@ -0,0 +1,224 @@
+//! Continuation of streams at the software version that began them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::{RelayMachine, RelayQuery};
+use crate::ids::{MonoTime, ServiceName};
+use crate::relay::origin::{
+    self, ASKED_HOLDERS, HOLDERS, OriginDigest, OriginTracker, StreamKey, StreamOrigin,
+};
+use crate::relay::replica::ReplicaRecord;
+use crate::route::{RouteKind, RouteRecord};
+
+/// Interval between updates of the holders of origins.
+const ORIGIN_INTERVAL: Duration = Duration::from_secs(5);
+
+impl RelayQuery {
+    /// Returns whether a replica may run the request as far as its service and software version go: a stream that has
+    /// begun goes on only at its origin.
+    ///
+    /// See [`RelayMachine::begin_prefill`] for an example of a query.
+    pub fn admits(&self, record: &ReplicaRecord) -> bool {
+        let is_origin = |origin| OriginDigest::of_record(record) == origin;
+        record.service == self.service && self.origin.is_none_or(is_origin)
+    }
+}
+
+impl RelayMachine {
+    /// Returns the record of the origins of streams.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    ///
+    /// assert!(RelayMachine::new(RelayRules::default(), 1).origins().book().is_empty());
+    /// ```
+    pub fn origins(&self) -> &OriginTracker {
+        &self.origins
+    }
+
+    /// Returns the record of the origins of streams, to be changed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::origin::StreamKey;
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.origins_mut().look_up(StreamKey::of("r1"), Duration::ZERO);
+    /// assert!(machine.has_pending_messages());
+    /// ```
+    pub fn origins_mut(&mut self) -> &mut OriginTracker {
+        &mut self.origins
+    }
+
+    /// Records that the first event of a stream was received from a replica with this origin. Does nothing on routes
+    /// whose streams cannot be taken up, and where no software versions are published.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::origin::{OriginDigest, StreamKey, StreamOrigin};
+    /// use quillcove_core::route::RouteKind;
+    ///
+    /// let (stream, origin) = (StreamKey::of("r1"), OriginDigest::of("s", Some("v1")));
+    /// let report = StreamOrigin { stream, origin, lifetime: Duration::from_secs(9) };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.begin_stream(RouteKind::ResumableStream, "s", report, Duration::ZERO);
+    /// assert!(machine.origins().book().is_empty(), "no replica states a version");
+    /// ```
+    pub fn begin_stream(
+        &mut self,
+        kind: RouteKind,
+        service: &str,
+        report: StreamOrigin,
+        now: MonoTime,
+    ) {
+        if kind == RouteKind::ResumableStream && self.publishes_software(service) {
+            self.origins.begin(report, now);
+        }
+    }
+
+    /// Returns whether any replica of a service states the version of its software.
+    fn publishes_software(&self, service: &str) -> bool {
+        let mut records = self.table.all().map(|view| &view.record);
+        records.any(|record| record.service == service && record.software.is_some())
+    }
+
+    /// Returns whether streams of a route depend on the software version that began them.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
+    ///
+    /// let route = RouteRecord {
+    ///     name: "r".into(),
+    ///     host: "a.example".into(),
+    ///     prefix: "/".into(),
+    ///     kind: RouteKind::ResumableStream,
+    ///     timeout: Duration::from_secs(1),
+    ///     aim: Duration::from_millis(100),
+    ///     patience: None,
+    ///     priority: 0,
+    ///     attempt_limit: 1,
+    ///     target_gap: None,
+    ///     is_public: true,
+    ///     targets: vec![RouteShare { service: "s".into(), weight: 1 }],
+    /// };
+    /// assert!(!RelayMachine::new(RelayRules::default(), 1).has_origins(&route));
+    /// ```
+    pub fn has_origins(&self, route: &RouteRecord) -> bool {
+        let targets = &route.targets;
+        let has_versions = || targets.iter().any(|target| self.publishes_software(&target.service));
+        route.kind == RouteKind::ResumableStream && has_versions()
+    }
+
+    /// Returns the service of a route at which a stream with this origin may go on, or `None` if no replica of the
+    /// origin is known there.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::origin::OriginDigest;
+    /// use quillcove_core::relay::replica::example_record;
+    /// use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
+    ///
+    /// let route = RouteRecord {
+    ///     name: "r".into(),
+    ///     host: "a.example".into(),
+    ///     prefix: "/".into(),
+    ///     kind: RouteKind::ResumableStream,
+    ///     timeout: Duration::from_secs(1),
+    ///     aim: Duration::from_millis(100),
+    ///     patience: None,
+    ///     priority: 0,
+    ///     attempt_limit: 1,
+    ///     target_gap: None,
+    ///     is_public: true,
+    ///     targets: vec![RouteShare { service: "s".into(), weight: 1 }],
+    /// };
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.list(example_record("i-1"), Duration::ZERO);
+    /// let own = OriginDigest::of("s", None);
+    /// assert_eq!(machine.service_of_origin(&route, own), Some("s".to_string()));
+    /// assert_eq!(machine.service_of_origin(&route, OriginDigest::of("s", Some("v2"))), None);
+    /// ```
+    pub fn service_of_origin(
+        &self,
+        route: &RouteRecord,
+        origin: OriginDigest,
+    ) -> Option<ServiceName> {
+        let is_target = |service: &str| {
+            route.targets.iter().any(|target| target.weight > 0 && target.service == service)
+        };
+        let records = self.table.all().map(|view| &view.record);
+        let mut origins = records.filter(|record| OriginDigest::of_record(record) == origin);
+        origins.find(|record| is_target(&record.service)).map(|record| record.service.clone())
+    }
+
+    /// Returns the origin of all streams of a service, as far as this relay has seen, or `None` if replicas of several
+    /// software versions have been listed lately.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::origin::OriginDigest;
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.list(example_record("i-1"), Duration::ZERO);
+    /// assert_eq!(machine.sole_origin("s"), Some(OriginDigest::of("s", None)));
+    /// ```
+    pub fn sole_origin(&self, service: &str) -> Option<OriginDigest> {
+        self.holders.sole_origin(service)
+    }
+
+    /// Returns the engines whose loaders hold the origin of a stream.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::origin::StreamKey;
+    ///
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.origin_holders(StreamKey::of("r1")).is_empty());
+    /// ```
+    pub fn origin_holders(&self, stream: StreamKey) -> Vec<SocketAddr> {
+        self.rank_engines(stream, HOLDERS)
+    }
+
+    /// Returns the engines whose loaders are asked for the origin of a stream.
+    ///
+    /// ```
+    /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
+    /// use quillcove_core::relay::origin::StreamKey;
+    ///
+    /// let machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(machine.asked_holders(StreamKey::of("r1")).is_empty());
+    /// ```
+    pub fn asked_holders(&self, stream: StreamKey) -> Vec<SocketAddr> {
+        self.rank_engines(stream, ASKED_HOLDERS)
+    }
+
+    fn rank_engines(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let Some(sheet) = &self.sheet else {
+            return Vec::new();
+        };
+        let has_engine =
+            |service: &str| sheet.service(service).is_some_and(|service| service.engine.is_some());
+        origin::rank_holders(stream, self.holders.engines(has_engine), count)
+    }
+
+    /// Removes what is no longer needed, and renews the holders that are still listed.
+    pub(super) fn tick_origins(&mut self, now: MonoTime) {
+        if now < self.origins_due {
+            return;
+        }
+        self.origins_due = now + ORIGIN_INTERVAL;
+        self.origins.tick(now);
+        for view in self.table.all() {
+            self.holders.note_listed(&view.record, now);
+        }
+        self.holders.expire(now);
+    }
+}
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -64,6 +64,7 @@
     ///     choice_count: 0,
     ///     grant: None,
     ///     identity: None,
+    ///     origin: None,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// assert_eq!(machine.begin_prefill("i-1", &query, Duration::ZERO).rank, 2);
--- a/quillcove_core/src/relay/machine/query.rs
+++ b/quillcove_core/src/relay/machine/query.rs
@@ -9,6 +9,7 @@
 use crate::ids::{
     AdapterKey, ModelName, MonoTime, ReplicaId, ServiceName, SoftwareVersion, StartTime,
 };
+use crate::relay::origin::OriginDigest;
 use crate::relay::replica::ReplicaRecord;
 use crate::route::RouteRecord;
 use crate::verdict::WorkRefusal;
@@ -38,6 +39,9 @@
     pub grant: Option<AccessGrant>,
     /// Identity of the request's content, independent of its request id; `None` if it is unknown.
     pub identity: Option<RequestIdentity>,
+    /// Service and software version at which the stream began, and which alone may go on with it; `None` if it has not
+    /// begun, or where versions do not matter.
+    pub origin: Option<OriginDigest>,
 }
 
 impl RelayQuery {
--- a/quillcove_core/src/relay/machine/standing.rs
+++ b/quillcove_core/src/relay/machine/standing.rs
@@ -117,7 +117,7 @@
         query: &RelayQuery,
         now: MonoTime,
     ) -> EligibleReplicas<'_> {
-        let of_service = || self.table.all().filter(|view| view.record.service == query.service);
+        let of_service = || self.table.all().filter(|view| query.admits(&view.record));
         let ready: Vec<&ReplicaView> = of_service().filter(|view| view.is_ready()).collect();
         if ready.is_empty() {
             let last_resort = of_service().filter(|view| {
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -45,6 +45,7 @@
 pub mod loader;
 pub mod machine;
 pub mod order;
+pub mod origin;
 mod packed;
 pub mod performance;
 pub mod policy;
--- a/quillcove_core/src/verdict.rs
+++ b/quillcove_core/src/verdict.rs
@@ -96,6 +96,10 @@
     LimitReached,
     /// The request is fatal: upstreams exit under it.
     EndsUpstreams,
+    /// The stream to resume began at a software version that this process cannot find out.
+    OriginUnknown,
+    /// No upstream with the software version that began the stream takes requests.
+    OriginGone,
 }
 
 impl RefusalReason {
@@ -129,6 +133,8 @@
             Self::KnowledgeOld => "knowledge_old",
             Self::LimitReached => "limit_reached",
             Self::EndsUpstreams => "ends_upstreams",
+            Self::OriginUnknown => "origin_unknown",
+            Self::OriginGone => "origin_gone",
         }
     }
 
@@ -144,7 +150,7 @@
     }
 
     /// All reasons.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
         Self::Unknown,
         Self::BundleMissing,
@@ -166,6 +172,8 @@
         Self::KnowledgeOld,
         Self::LimitReached,
         Self::EndsUpstreams,
+        Self::OriginUnknown,
+        Self::OriginGone,
     ];
 }
 
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -458,6 +458,7 @@
             choice_count: 0,
             grant: None,
             identity: None,
+            origin: None,
         };
         match self.machine.choose(&query, &[], self.now) {
             RelayChoice::Send(order) => self.send(order.replica, adapter),
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -63,5 +63,6 @@
         choice_count: 0,
         grant: None,
         identity: None,
+        origin: None,
     }
 }
