--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -139,8 +139,7 @@
         self.first_software = order.software.clone();
         let origin = OriginDigest::of(&self.query.service, order.software.as_deref());
         self.query.origin = Some(origin);
-        let begun = self.terms.last_event.as_ref().and(self.terms.resumes.as_ref());
-        let stream = StreamKey::of(begun.unwrap_or(&self.terms.id));
+        let stream = StreamKey::of(self.terms.resumes.as_ref().unwrap_or(&self.terms.id));
         // A caller may come back until its own deadline, even if the route's timeout ends this attempt earlier.
         let lifetime = self.terms.time_limit.unwrap_or(self.query.route.timeout);
         let report = StreamOrigin { stream, origin, lifetime };
--- a/quillcove/src/relay/resumption.rs
+++ b/quillcove/src/relay/resumption.rs
@@ -59,7 +59,8 @@
     route: &RouteRecord,
     terms: &RequestHeaders,
 ) -> Result<Option<ResolvedOrigin>, WorkRefusal> {
-    if terms.last_event.is_none() || !shared.machine().has_origins(route) {
+    let is_resumed = terms.last_event.is_some() || terms.resumes.is_some();
+    if !is_resumed || !shared.machine().has_origins(route) {
         return Ok(None);
     }
     let (outcome, origin) = match &terms.resumes {
