Each place that offers a replica keeps to a stream's origin: tests; lookups count as requests in flight

Found while reading the mend: a relay in its planned stop could close a connection whose request waited for the origin of its stream, as it was not counted yet; a request that goes on with a stream could be told to come back for a copy that is being loaded at another version; the timeout of a lookup (100 ms) was less than a busy process with a fifth of a core may take. It is 300 ms now; where a process does not know the stream it says so, which ends the lookup earlier.

origin_choice.rs covers load requests, each attempt, unwell replicas, the rejection, and the layout of earlier messages. The dump shows the number of known origins and open lookups.

--- a/quillcove/src/loader/mod.rs
+++ b/quillcove/src/loader/mod.rs
@@ -68,6 +68,8 @@
     pub relays: Vec<SocketAddr>,
     /// Whether the last read of the engine's report got a response.
     pub is_engine_up: bool,
+    /// Number of streams of which the loader holds where they began.
+    pub origins: usize,
     /// Last status sent to relays; `None` unless adapter slots are scarce.
     pub status: Option<EngineStatus>,
 }
@@ -444,6 +446,7 @@
             view.report = self.machine.report().clone();
             view.relays.clone_from(&relays);
             view.is_engine_up = self.is_engine_up;
+            view.origins = self.origins.len();
         }
         self.send(&message, relays);
         self.send_status(now);
--- a/quillcove_core/src/relay/machine/admission.rs
+++ b/quillcove_core/src/relay/machine/admission.rs
@@ -133,7 +133,9 @@
     fn better_return(&mut self, query: &RelayQuery, case: &AdmissionCase) -> Option<Duration> {
         let now = case.now;
         let is_early = now <= query.received + query.route.aim.mul_f64(EARLY_REJECT_SHARE);
-        let has_waited = query.choice_count > 0 || query.is_retry();
+        // The copy that is being loaded may be at another software version than the one that began the stream.
+        let is_pinned = query.origin.is_some();
+        let has_waited = query.choice_count > 0 || query.is_retry() || is_pinned;
         if !case.is_rejectable || has_waited || !is_early {
             return None;
         }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -378,7 +378,8 @@
         self.is_stopping
     }
 
-    /// Returns the number of requests in flight.
+    /// Returns the number of requests in flight, those included that are admitted once the origin of their stream is
+    /// known.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
@@ -386,7 +387,7 @@
     /// assert_eq!(RelayMachine::new(RelayRules::default(), 1).in_flight(), 0);
     /// ```
     pub fn in_flight(&self) -> usize {
-        self.requests
+        self.requests + self.origins.lookup_count()
     }
 
     /// Admits a request: counts it as in flight and credits its service's retry budget.
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -30,6 +30,10 @@
     pub relays: usize,
     /// Number of requests in flight.
     pub requests: usize,
+    /// Number of streams of which the relay knows where they began.
+    pub origins: usize,
+    /// Number of open lookups of where streams began.
+    pub origin_lookups: usize,
     /// Retries that the budgets of all services allow now.
     pub retry_budget: f64,
     /// Whether the process is stopping, so that new connections are to be closed.
@@ -129,6 +133,8 @@
             store: self.read(),
             relays: self.relays,
             requests: self.requests,
+            origins: self.origins.book().len(),
+            origin_lookups: self.origins.lookup_count(),
             suspected: self.crashes.book().summary(),
             retry_budget: self.budgets.values().map(RetryBudget::left).sum(),
             stopping: self.is_stopping,
--- a/quillcove_core/src/relay/origin/lookup.rs
+++ b/quillcove_core/src/relay/origin/lookup.rs
@@ -7,12 +7,12 @@
 use super::{KnownOrigin, OriginAnswer, OriginBook, StreamKey, StreamOrigin};
 use crate::ids::MonoTime;
 
-/// Time after which a stream counts as unknown if no holder has answered. A relay that stops gives the responses to
-/// requests that it has not admitted yet this time.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which a stream counts as unknown if a process that was asked has not answered. A busy process with a fifth
+/// of a core answers within this time; one that does not know the stream says so, which ends the lookup earlier.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time after which a question is sent once more, as a datagram may be lost.
-const RESEND_DELAY: Duration = Duration::from_millis(40);
+const RESEND_DELAY: Duration = Duration::from_millis(60);
 
 /// Maximum number of lookups at a time. Callers that return after the loss of a third of 790 engines with 64 requests
 /// each make 40 lookups a relay at 420 relays, and some thousand at 4.
@@ -201,6 +201,15 @@
         !self.reports.is_empty() || !self.questions.is_empty()
     }
 
+    /// Returns the number of open lookups.
+    ///
+    /// ```
+    /// assert_eq!(quillcove_core::relay::origin::OriginTracker::default().lookup_count(), 0);
+    /// ```
+    pub fn lookup_count(&self) -> usize {
+        self.lookups.len()
+    }
+
     /// Removes lookups whose requests have ended.
     ///
     /// ```
--- /dev/null
+++ b/quillcove_core/tests/origin_choice.rs
@@ -0,0 +1,148 @@
+//! Each place that offers a replica keeps to the software version that began a stream.
+
+#[allow(dead_code)]
+mod relay_site;
+
+use quillcove_core::ids::AdapterKey;
+use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter, PeerMessage};
+use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
+use quillcove_core::relay::origin::{OriginDigest, StreamKey, StreamOrigin};
+use quillcove_core::relay::replica::{AttemptOutcome, ReplicaRecord, ReplicaState, example_record};
+use quillcove_core::relay::sheet::PublishedConfig;
+use quillcove_core::route::{RouteKind, RouteRecord};
+use quillcove_core::verdict::RefusalReason;
+use relay_site::{address, engine_service, ms, query, stream_route};
+
+/// Engines 1 and 2 run v1, engines 3 and 4 run v2.
+const VERSIONS: [&str; 4] = ["v1", "v1", "v2", "v2"];
+
+fn key() -> AdapterKey {
+    AdapterKey { model: "m".to_string(), adapter: "a1".to_string() }
+}
+
+fn record(port: u16, version: &str) -> ReplicaRecord {
+    let software = Some(version.to_string());
+    ReplicaRecord { address: address(port), software, ..example_record(&format!("i-{port}")) }
+}
+
+/// A relay whose engines with these ports hold the adapter.
+fn machine(holders: &[u16]) -> RelayMachine {
+    let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    let services = vec![engine_service(360, 3.0)];
+    let sheet = PublishedConfig::new(1, vec![stream_route()], services, Default::default());
+    machine.apply_configuration(sheet);
+    for (port, version) in (1..).zip(VERSIONS) {
+        machine.list(record(port, version), ms(0));
+        report(&mut machine, port, holders.contains(&port));
+    }
+    machine
+}
+
+fn report(machine: &mut RelayMachine, port: u16, holds: bool) {
+    let held = HeldAdapter { key: key(), version: 1 };
+    let adapters = holds.then_some(held).into_iter().collect();
+    let report = EngineReport { models: vec!["m".to_string()], adapters, ..Default::default() };
+    let heartbeat = EngineHeartbeat {
+        host: format!("e{port}"),
+        engine: address(port),
+        number: 1,
+        incarnation: 1,
+        content: 1,
+        report,
+        uses: Vec::new(),
+        model_loads: Vec::new(),
+        arrivals: Vec::new(),
+        spare_places: Some(3),
+        relays: Vec::new(),
+    };
+    machine.take_report(&heartbeat, ms(0));
+}
+
+fn resumed(version: &str) -> RelayQuery {
+    let route = RouteRecord { kind: RouteKind::ResumableStream, ..stream_route() };
+    let origin = Some(OriginDigest::of("s", Some(version)));
+    RelayQuery { origin, ..query(route, Some(key()), ms(10)) }
+}
+
+fn port_of(choice: &RelayChoice) -> Option<u16> {
+    match choice {
+        RelayChoice::Send(order) => Some(order.address.port()),
+        RelayChoice::Wait(_) | RelayChoice::Refuse(_) => None,
+    }
+}
+
+/// Guards against a load for a resumed stream that is requested from an engine of another version, or not at all
+/// because such an engine holds the adapter.
+#[test]
+fn a_missing_adapter_is_requested_from_an_engine_of_the_origin() {
+    let mut machine = machine(&[3, 4]);
+    assert!(matches!(machine.choose(&resumed("v1"), &[], ms(10)), RelayChoice::Wait(_)));
+    let requests = machine.take_load_requests();
+    assert_eq!(requests.len(), 1, "{requests:?}");
+    let engine = requests[0].engine.port();
+    assert!([1, 2].contains(&engine), "{engine}");
+    // The request goes on waiting for that engine, and is not repeated at once.
+    let again = RelayQuery { choice_count: 1, ..resumed("v1") };
+    assert!(matches!(machine.choose(&again, &[], ms(50)), RelayChoice::Wait(_)));
+    assert!(machine.take_load_requests().is_empty());
+    let arrived = machine.list(ReplicaRecord { models: vec![], ..record(engine, "v1") }, ms(60));
+    assert!(arrived.is_empty());
+    machine.choose(&again, &[], ms(400));
+    assert_eq!(machine.take_load_requests().len(), 1, "a request that is lost is repeated");
+}
+
+/// Guards against a resumed stream that goes to a holder of another version, on its first attempt or a later one.
+#[test]
+fn each_attempt_keeps_to_the_origin() {
+    let mut machine = machine(&[1, 2, 3, 4]);
+    for (version, ports) in [("v1", [1, 2]), ("v2", [3, 4])] {
+        let mut tried = Vec::new();
+        for _ in 0..2 {
+            let choice = machine.choose(&resumed(version), &tried, ms(10));
+            let port = port_of(&choice).expect("two engines of the version are left");
+            assert!(ports.contains(&port), "{version}: {port}");
+            tried.push(format!("i-{port}"));
+        }
+        let choice = machine.choose(&resumed(version), &tried, ms(10));
+        assert_eq!(port_of(&choice), None, "an engine of another version is no replacement");
+    }
+}
+
+/// Guards against a stream that stops although an engine of its version is left that only seems unwell.
+#[test]
+fn an_unwell_engine_of_the_origin_is_better_than_none() {
+    let mut machine = machine(&[1, 2, 3, 4]);
+    for _ in 0..8 {
+        machine.end_attempt("i-2", None, AttemptOutcome::Failed, ms(10));
+    }
+    let choice = machine.choose(&resumed("v1"), &["i-1".to_string()], ms(10));
+    assert_eq!(port_of(&choice), Some(2));
+}
+
+/// Guards against a stream that is told to come back, or is run elsewhere, when no engine of its version is left.
+#[test]
+fn a_stream_whose_version_is_gone_is_rejected_at_once() {
+    let mut machine = machine(&[1, 2, 3, 4]);
+    for port in [1, 2] {
+        let state = ReplicaState::Draining;
+        machine.list(ReplicaRecord { state, ..record(port, "v1") }, ms(10));
+    }
+    let RelayChoice::Refuse(refusal) = machine.choose(&resumed("v1"), &[], ms(10)) else {
+        panic!("the stream runs elsewhere or waits");
+    };
+    assert_eq!((refusal.reason, refusal.retry_after), (RefusalReason::OriginGone, None));
+    let unknown = OriginDigest::of("s", Some("v3"));
+    assert_eq!(machine.service_of_origin(&stream_route(), unknown), None);
+}
+
+/// Guards against a change of the messages' layout: processes of two builds run beside each other in an upgrade.
+#[test]
+fn the_layout_of_earlier_messages_stays() {
+    let stream = StreamKey::of("r1");
+    let origin = OriginDigest::of("s", Some("v1"));
+    let report = PeerMessage::Origin(StreamOrigin { stream, origin, lifetime: ms(25_000) });
+    let bytes = postcard::to_stdvec(&report).unwrap();
+    assert_eq!(bytes[0], 16, "the new messages come after the sixteen earlier ones");
+    assert!(bytes.len() <= 27, "{}", bytes.len());
+    assert_eq!(postcard::from_bytes::<PeerMessage>(&bytes).unwrap(), report);
+}
