--- a/quillcove_core/tests/stream_origins.rs
+++ b/quillcove_core/tests/stream_origins.rs
@@ -41,6 +41,10 @@
     SideBySide,
     /// Engines are replaced one after the other by a new version, from the first engine on.
     Release,
+    /// The new version is taken back, engine by engine.
+    Rollback,
+    /// A third version is released beside two.
+    ThirdVersion,
     /// Each relay in turn loses its state; in the end all at once.
     RelayLosses,
     /// A third of the engines ends while two versions serve.
@@ -49,9 +53,11 @@
     CutOff,
 }
 
-const SCENARIOS: [Scenario; 5] = [
+const SCENARIOS: [Scenario; 7] = [
     Scenario::SideBySide,
     Scenario::Release,
+    Scenario::Rollback,
+    Scenario::ThirdVersion,
     Scenario::RelayLosses,
     Scenario::EngineCrash,
     Scenario::CutOff,
@@ -137,7 +143,8 @@
 
 impl Fleet {
     fn start(size: (usize, usize), scenario: Scenario, variant: Variant, seed: u64) -> Self {
-        let has_two = !matches!(scenario, Scenario::Release | Scenario::CutOff);
+        let has_one = [Scenario::Release, Scenario::Rollback, Scenario::CutOff].contains(&scenario);
+        let has_two = !has_one;
         let engine = |number: usize| {
             let software = Some(if has_two && number % 3 == 0 { "v2" } else { "v1" }.to_string());
             let [high, low] = (number as u16).to_be_bytes();
@@ -323,23 +330,31 @@
         self.outcome.went_on += usize::from(could_go_on && went_on.is_some());
     }
 
+    /// Replaces an engine by one of another version: the predecessor leaves the list as its successor enters.
+    fn replace(&mut self, step: usize, engine: usize, version: &str, now: MonoTime) {
+        let count = self.engines.len();
+        let record = &self.engines[engine];
+        let created = StorePosition::in_first_era((count + step) as u64 + 1);
+        let (id, software) = (format!("i-new-{step}"), Some(version.to_string()));
+        self.engines[engine] = ReplicaRecord { id, software, created, ..record.clone() };
+        for relay in 0..self.relays.len() {
+            let delay = ms(self.draw(600));
+            self.push(now + delay, Event::List(relay, engine));
+        }
+        self.push(now + ms(3_000) / count as u32, Event::Trouble(step + 1));
+    }
+
     fn trouble(&mut self, step: usize, now: MonoTime) {
-        let (relays, engines) = (self.relays.len(), self.engines.len());
+        let (relays, engines, half) =
+            (self.relays.len(), self.engines.len(), self.engines.len() / 2);
         match self.scenario {
             Scenario::SideBySide => {},
-            Scenario::Release | Scenario::CutOff if step < engines / 2 => {
-                // The predecessor drains and leaves the list as its successor enters.
-                let record = &self.engines[step];
-                let created = StorePosition::in_first_era((engines + step) as u64 + 1);
-                let id = format!("i-new-{step}");
-                let software = Some("v2".to_string());
-                self.engines[step] = ReplicaRecord { id, software, created, ..record.clone() };
-                for relay in 0..relays {
-                    let delay = ms(self.draw(600));
-                    self.push(now + delay, Event::List(relay, step));
-                }
-                self.push(now + ms(3_000) / engines as u32, Event::Trouble(step + 1));
+            Scenario::Release | Scenario::CutOff if step < half => {
+                self.replace(step, step, "v2", now)
             },
+            Scenario::Rollback if step < half => self.replace(step, step, "v2", now),
+            Scenario::Rollback if step < half * 2 => self.replace(step, step - half, "v1", now),
+            Scenario::ThirdVersion if step < half => self.replace(step, step, "v3", now),
             Scenario::RelayLosses if step <= relays => {
                 let lost = if step == relays { 0..relays } else { step..step + 1 };
                 for number in lost {
@@ -356,7 +371,8 @@
                     (0..relays).for_each(|relay| self.push(now, Event::List(relay, engine)));
                 }
             },
-            Scenario::Release | Scenario::CutOff | Scenario::RelayLosses => {},
+            Scenario::Release | Scenario::Rollback | Scenario::ThirdVersion => {},
+            Scenario::CutOff | Scenario::RelayLosses => {},
         }
     }
 }
