--- a/quillcove_core/tests/stream_origins.rs
+++ b/quillcove_core/tests/stream_origins.rs
@@ -146,7 +146,8 @@
         let has_one = [Scenario::Release, Scenario::Rollback, Scenario::CutOff].contains(&scenario);
         let has_two = !has_one;
         let engine = |number: usize| {
-            let software = Some(if has_two && number % 3 == 0 { "v2" } else { "v1" }.to_string());
+            let software =
+                Some(if has_two && number.is_multiple_of(3) { "v2" } else { "v1" }.to_string());
             let [high, low] = (number as u16).to_be_bytes();
             let address = SocketAddr::from(([10, 0, high, low], 8301));
             let created = StorePosition::in_first_era(number as u64 + 1);
