--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -25,6 +25,7 @@
 pub use self::crashes::BreakStep;
 use self::doubt::UnconfirmedState;
 use self::limits::LimitReportSchedule;
+pub use self::origins::SoftwareSummary;
 pub use self::priority::ReadingStart;
 pub use self::query::{AttemptOrder, RelayChoice, RelayQuery};
 pub use self::told::EventEffect;
@@ -40,7 +41,7 @@
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
 use super::knowledge::StoreKnowledge;
-use super::origin::{OriginHolders, OriginTracker};
+use super::origin::{OriginDigest, OriginHolders, OriginTracker};
 use super::policy::RelayPolicy;
 use super::promise::LoadEstimates;
 use super::reading::ReadingNumber;
@@ -179,6 +180,8 @@
     /// Where streams began that may be taken up again, and the processes that hold this.
     origins: OriginTracker,
     holders: OriginHolders,
+    /// Number of streams that this relay began at each origin.
+    streams_begun: BTreeMap<OriginDigest, u64>,
     /// When the holders are updated next.
     origins_due: MonoTime,
     /// Number of requests in flight.
@@ -228,6 +231,7 @@
             crashes: CrashTracker::default(),
             origins: OriginTracker::default(),
             holders: OriginHolders::default(),
+            streams_begun: BTreeMap::new(),
             origins_due: MonoTime::ZERO,
             requests: 0,
             is_stopping: false,
--- a/quillcove_core/src/relay/machine/origins.rs
+++ b/quillcove_core/src/relay/machine/origins.rs
@@ -1,10 +1,13 @@
 //! Continuation of streams at the software version that began them.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Serialize;
+
 use super::{RelayMachine, RelayQuery};
-use crate::ids::{MonoTime, ServiceName};
+use crate::ids::{MonoTime, ServiceName, SoftwareVersion};
 use crate::relay::origin::{
     self, ASKED_HOLDERS, HOLDERS, OriginDigest, OriginTracker, StreamKey, StreamOrigin,
 };
@@ -14,6 +17,19 @@
 /// Interval between updates of the holders of origins.
 const ORIGIN_INTERVAL: Duration = Duration::from_secs(5);
 
+/// A software version of a service whose replicas have been listed lately, for the dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct SoftwareSummary {
+    /// The service.
+    pub service: ServiceName,
+    /// The version; `None` for replicas that state none.
+    pub software: Option<SoftwareVersion>,
+    /// Number of replicas listed with it now.
+    pub replicas: usize,
+    /// Number of streams that may be resumed of which this relay forwarded the first event at this version.
+    pub streams_begun: u64,
+}
+
 impl RelayQuery {
     /// Returns whether a replica may run the request as far as its service and software version go: a stream that has
     /// begun goes on only at its origin.
@@ -76,9 +92,26 @@
     ) {
         if kind == RouteKind::ResumableStream && self.publishes_software(service) {
             self.origins.begin(report, now);
+            *self.streams_begun.entry(report.origin).or_default() += 1;
         }
     }
 
+    /// Returns the software versions of all services, each with its streams.
+    pub(super) fn software_summaries(&self) -> Vec<SoftwareSummary> {
+        let summary = |(service, software): &(ServiceName, Option<SoftwareVersion>)| {
+            let origin = OriginDigest::of(service, software.as_deref());
+            let records = self.table.all().map(|view| &view.record);
+            let is_listed = |record: &&ReplicaRecord| OriginDigest::of_record(record) == origin;
+            SoftwareSummary {
+                service: service.clone(),
+                software: software.clone(),
+                replicas: records.filter(is_listed).count(),
+                streams_begun: self.streams_begun.get(&origin).copied().unwrap_or(0),
+            }
+        };
+        self.holders.versions().map(summary).collect()
+    }
+
     /// Returns whether any replica of a service states the version of its software.
     fn publishes_software(&self, service: &str) -> bool {
         let mut records = self.table.all().map(|view| &view.record);
@@ -220,5 +253,10 @@
             self.holders.note_listed(&view.record, now);
         }
         self.holders.expire(now);
+        let versions = self.holders.versions();
+        let listed: BTreeSet<OriginDigest> = versions
+            .map(|(service, software)| OriginDigest::of(service, software.as_deref()))
+            .collect();
+        self.streams_begun.retain(|origin, _| listed.contains(origin));
     }
 }
--- a/quillcove_core/src/relay/machine/view.rs
+++ b/quillcove_core/src/relay/machine/view.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 
-use super::RelayMachine;
+use super::{RelayMachine, SoftwareSummary};
 use crate::access::account::LimitAccount;
 use crate::access::workspace::WorkspaceRecord;
 use crate::crash::book::CrashSummary;
@@ -34,6 +34,8 @@
     pub origins: usize,
     /// Number of open lookups of where streams began.
     pub origin_lookups: usize,
+    /// Software versions of the services.
+    pub software: Vec<SoftwareSummary>,
     /// Retries that the budgets of all services allow now.
     pub retry_budget: f64,
     /// Whether the process is stopping, so that new connections are to be closed.
@@ -135,6 +137,7 @@
             requests: self.requests,
             origins: self.origins.book().len(),
             origin_lookups: self.origins.lookup_count(),
+            software: self.software_summaries(),
             suspected: self.crashes.book().summary(),
             retry_budget: self.budgets.values().map(RetryBudget::left).sum(),
             stopping: self.is_stopping,
--- a/quillcove_core/src/relay/origin/holders.rs
+++ b/quillcove_core/src/relay/origin/holders.rs
@@ -93,6 +93,15 @@
         versions.next().is_none().then_some(origin)
     }
 
+    /// Returns the services and software versions that replicas have been listed with lately.
+    ///
+    /// ```
+    /// assert_eq!(quillcove_core::relay::origin::OriginHolders::default().versions().count(), 0);
+    /// ```
+    pub fn versions(&self) -> impl Iterator<Item = &(ServiceName, Option<SoftwareVersion>)> {
+        self.software.keys()
+    }
+
     /// Removes the replicas and software versions that have not been listed for a while.
     ///
     /// ```
--- a/quillcove_core/tests/origin_choice.rs
+++ b/quillcove_core/tests/origin_choice.rs
@@ -7,9 +7,10 @@
 use quillcove_core::relay::beacon::{EngineHeartbeat, EngineReport, HeldAdapter, PeerMessage};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
 use quillcove_core::relay::origin::{OriginDigest, StreamKey, StreamOrigin};
+use quillcove_core::relay::position::StorePosition;
 use quillcove_core::relay::replica::{AttemptOutcome, ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::PublishedConfig;
-use quillcove_core::route::{RouteKind, RouteRecord};
+use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
 use quillcove_core::verdict::RefusalReason;
 use relay_site::{address, engine_service, ms, query, stream_route};
 
@@ -148,3 +149,55 @@
     assert!(bytes.len() <= 27, "{}", bytes.len());
     assert_eq!(postcard::from_bytes::<PeerMessage>(&bytes).unwrap(), report);
 }
+
+/// Guards against a stream that goes on at a replica which has taken over the id or the address of its own.
+#[test]
+fn a_replica_that_starts_again_or_takes_an_address_over_is_another_origin() {
+    let mut machine = machine(&[1, 2, 3, 4]);
+    let started = |port, version, born| ReplicaRecord { born: Some(born), ..record(port, version) };
+    for port in [1, 2] {
+        machine.list(started(port, "v1", 5), ms(10));
+    }
+    let RelayChoice::Send(order) = machine.choose(&resumed("v1"), &[], ms(10)) else {
+        panic!("engines of the version are ready");
+    };
+    // One starts again under its id with another version, the other's address is taken over.
+    machine.list(started(1, "v2", 6), ms(20));
+    let created = StorePosition::in_first_era(9);
+    machine.list(ReplicaRecord { id: "i-9".into(), created, ..record(2, "v2") }, ms(20));
+    assert!(!machine.may_send(&order, ms(10), ms(20)), "an attempt under way is withheld");
+    assert_eq!(port_of(&machine.choose(&resumed("v1"), &[], ms(20))), None);
+}
+
+/// Guards against a stream that goes on at a service to which its route has moved since it began.
+#[test]
+fn a_stream_goes_on_at_the_service_that_began_it() {
+    let mut machine = machine(&[1, 2, 3, 4]);
+    machine.list(ReplicaRecord { service: "t".into(), ..record(9, "v1") }, ms(0));
+    let route_to = |shares: &[(&str, u32)]| {
+        let share = |(service, weight): &(&str, u32)| RouteShare {
+            service: service.to_string(),
+            weight: *weight,
+        };
+        RouteRecord { targets: shares.iter().map(share).collect(), ..stream_route() }
+    };
+    let origin = OriginDigest::of("s", Some("v1"));
+    let service = |shares: &[(&str, u32)]| machine.service_of_origin(&route_to(shares), origin);
+    assert_eq!(service(&[("t", 9), ("s", 1)]), Some("s".to_string()), "not drawn by weight");
+    assert_eq!(service(&[("t", 1)]), None);
+    assert_eq!(service(&[("t", 1), ("s", 0)]), None);
+}
+
+/// Guards against an entry of the replica list from an earlier build that is read as one of this build.
+#[test]
+fn an_entry_of_an_earlier_build_is_not_decoded() {
+    let entry = |software| ReplicaRecord { software, ..record(1, "v1") };
+    let bytes = postcard::to_stdvec(&entry(None)).unwrap();
+    let earlier = &bytes[..bytes.len() - 1];
+    assert!(postcard::from_bytes::<ReplicaRecord>(earlier).is_err());
+    assert_eq!(
+        bytes.last(),
+        Some(&0),
+        "the version comes last, after all that earlier builds read"
+    );
+}
--- a/quillcove_core/tests/stream_origins.rs
+++ b/quillcove_core/tests/stream_origins.rs
@@ -408,6 +408,20 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Guards against any order of reports, answers, lists and losses by which a stream holds two versions.
+    #[test]
+    fn no_stream_holds_two_versions(
+        seed in 0..1_000_000u64,
+        scenario in 0..SCENARIOS.len(),
+        relays in 1..6usize,
+        engines in 4..16usize,
+    ) {
+        let fleet = Fleet::start((relays, engines), SCENARIOS[scenario], Variant::Right, seed);
+        prop_assert_eq!(fleet.play().mixed, 0);
+    }
+
     /// Guards against an order of reports, answers, expiries and repeated ids that makes a relay believe an origin
     /// that nobody reported, or one of two.
     #[test]
