A lookup ends after 200 ms

A relay that is cut off from all holders held a request for 300 ms before it rejected it; a rejection later than a quarter of the target latency (200 ms of 800) leaves its caller less than a full second attempt.

--- a/quillcove_core/src/relay/origin/lookup.rs
+++ b/quillcove_core/src/relay/origin/lookup.rs
@@ -7,9 +7,10 @@
 use super::{KnownOrigin, OriginAnswer, OriginBook, StreamKey, StreamOrigin};
 use crate::ids::MonoTime;
 
-/// Time after which a stream counts as unknown if a process that was asked has not answered. A busy process with a fifth
-/// of a core answers within this time; one that does not know the stream says so, which ends the lookup earlier.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a stream counts as unknown if a process that was asked has not answered: a quarter of a target latency
+/// of 800 ms, within which a rejection leaves its caller time for another attempt. A process that does not know the stream
+/// says so, which ends the lookup earlier.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time after which a question is sent once more, as a datagram may be lost.
 const RESEND_DELAY: Duration = Duration::from_millis(60);
