--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptOutcome;
 use quillcove_core::route::RouteKind;
@@ -44,6 +45,8 @@
     pub body: Incoming,
     pub connection: ReplicaConnection,
     pub order: AttemptOrder,
+    /// When the head was received.
+    pub head_at: MonoTime,
 }
 
 /// Why an attempt produced no response for the caller.
@@ -210,7 +213,8 @@
     if let Some(keep_alive) = keep_alive_timeout(&parts.headers) {
         connection.set_keep_alive(keep_alive);
     }
-    open.shared.machine().record_bytes_received(&order.replica, open.shared.clock.now());
+    let head_at = open.shared.clock.now();
+    open.shared.machine().record_bytes_received(&order.replica, head_at);
     let meaning = heads::classify_response(parts.status, &parts.headers, &open.terms.id);
     record_notice(open, order, meaning, parts.status, &parts.headers);
     match meaning {
@@ -235,7 +239,8 @@
             AttemptEnd::Failed(AttemptFailure::Misdirected(is_other))
         },
         ResponseClass::Ran if is_event_stream(open.query.route.kind, parts.status) => {
-            let live = LiveStream { head: parts, body, connection, order: order.clone() };
+            let order = order.clone();
+            let live = LiveStream { head: parts, body, connection, order, head_at };
             AttemptEnd::Stream(Box::new(live))
         },
         ResponseClass::Ran => read_complete(open, connection, parts, body).await,
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -7,8 +7,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::crash::watch::{AbortKind, ResponseAbort};
-use quillcove_core::ids::MonoTime;
+use quillcove_core::ids::{MonoTime, PartId};
 use quillcove_core::relay::machine::{AttemptOrder, BreakStep};
 use slog::info;
 use tokio::net::TcpStream;
@@ -67,8 +68,14 @@
     PortState::Silent
 }
 
+/// Returns part ids in the form of the log.
+fn part_list(parts: &[PartId]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    ids.join(",")
+}
+
 /// Records that a replica's response broke off, and starts to detect whether the replica has exited.
-pub fn handle_broken_response(open: &OpenRequest, order: &AttemptOrder) {
+pub fn handle_broken_response(open: &OpenRequest, order: &AttemptOrder, phase: RunPhase) {
     let Some(identity) = open.query.identity else {
         return;
     };
@@ -76,7 +83,8 @@
     let has_begun = open.first_event.is_some();
     info!(open.shared.log, "answer broke off"; "id" => &open.terms.id,
         "request" => %identity.digest, "caller" => format!("{:016x}", identity.caller),
-        "replica" => &order.replica, "has_begun" => has_begun);
+        "replica" => &order.replica, "has_begun" => has_begun, "phase" => phase.label(),
+        "parts" => part_list(&open.terms.shared_parts));
     let answer_break = ResponseAbort { identity, has_begun, sent_at: open.sent_at };
     let step = open.shared.machine().record_abort(order, answer_break, now);
     match step {
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -36,6 +37,8 @@
     live: Option<Box<LiveStream>>,
     splitter: EventSplitter,
     last_event: Option<String>,
+    /// Whether the current attempt has brought an event.
+    has_event: bool,
     /// When the last event was forwarded.
     last_forwarded: Option<MonoTime>,
     /// Whether the upstream was last read late because the caller did not read.
@@ -68,6 +71,7 @@
         live: Some(live),
         splitter: EventSplitter::default(),
         last_event,
+        has_event: false,
         last_forwarded: None,
         is_held_up: false,
     };
@@ -163,7 +167,8 @@
                 },
                 StreamStep::Broken(reason) => {
                     if let Some(live) = &self.live {
-                        ends::handle_broken_response(&self.open, &live.order);
+                        let phase = self.phase(live);
+                        ends::handle_broken_response(&self.open, &live.order, phase);
                     }
                     self.end_attempt(AttemptOutcome::Failed);
                     if !self.resume(&reason).await {
@@ -212,6 +217,7 @@
         if events.is_empty() {
             return;
         }
+        self.has_event = true;
         self.open.end_prefill(Some(now));
         match self.last_forwarded {
             None => {
@@ -233,6 +239,12 @@
         }
     }
 
+    /// Returns the phase of the current attempt at its replica.
+    fn phase(&self, live: &LiveStream) -> RunPhase {
+        let since_head = self.open.shared.clock.now().saturating_sub(live.head_at);
+        RunPhase::of_stream(Some(since_head), self.has_event)
+    }
+
     /// Ends the request after a complete stream.
     fn end_stream(&mut self) {
         let now = self.open.shared.clock.now();
@@ -243,7 +255,10 @@
             match attempt::is_framed(&live.head.headers) {
                 true => self.open.record_success(),
                 // Without framing, the stream looks complete even if the replica exited: check that.
-                false => ends::handle_broken_response(&self.open, &live.order),
+                false => {
+                    let phase = self.phase(&live);
+                    ends::handle_broken_response(&self.open, &live.order, phase);
+                },
             }
             self.open.shared.pool.put(live.connection);
         }
@@ -290,6 +305,7 @@
             match end {
                 AttemptEnd::Stream(live) => {
                     self.live = Some(live);
+                    self.has_event = false;
                     return true;
                 },
                 AttemptEnd::Complete(_) => open.runs += 1,
--- a/quillcove_core/src/crash/mod.rs
+++ b/quillcove_core/src/crash/mod.rs
@@ -10,11 +10,13 @@
 //! - [`good`]: requests that succeeded recently.
 //! - [`telling`]: reports of exits between processes.
 //! - [`teller`]: queue of reports to be sent, and their repetition.
+//! - [`phase`]: whether a replica was beginning to write the answer when it exited.
 //! - [`watch`]: the tracker of one process that sends requests to replicas, which combines these.
 
 pub mod book;
 pub mod digest;
 pub mod good;
+pub mod phase;
 mod record;
 pub mod teller;
 pub mod telling;
--- a/quillcove_core/src/ids.rs
+++ b/quillcove_core/src/ids.rs
@@ -37,6 +37,9 @@
 /// Monotonic time since the process start.
 pub type MonoTime = Duration;
 
+/// Id of a part of a prompt. Equal parts have equal ids, whichever requests hold them.
+pub type PartId = u64;
+
 /// Id of a replica in the platform's listing. A replica may restart under the same id.
 pub type ReplicaId = String;
 
--- a/quillcove_core/src/relay/prompt.rs
+++ b/quillcove_core/src/relay/prompt.rs
@@ -1,10 +1,12 @@
 //! Size of a request to an engine: the tokens that it reads and the most that it may generate.
 
+use crate::ids::PartId;
+
 /// A part of a prompt. Engines cache parts, so that requests with a common part share it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
     /// Identifies the content.
-    pub id: u64,
+    pub id: PartId,
     /// Length in tokens.
     pub tokens: u32,
 }
