Requests that share a part under which replicas exit are rejected

Cause: crashes were counted by the whole content of a request. Requests that share a part and nothing else are all new, each with one exit, so none of them was ever rejected. Class: blame kept by an identity narrower than the cause.

What is suspected at an exit is now also each part of a prompt that other requests may hold, in the same records and messages. A part is suspected only if its replica was beginning to write. Three moments with an exit since a run with the part last survived its begin blame it; a run counts from its begin, so that one that began before an exit says nothing about it. Sound parts have such runs all the time. A part that is much more common than a blamed one is not blamed for the same exits, so the first part of a deadly prompt is not blamed with it. Requests are looked at again right before they are sent, also after a wait and when a stream is resumed.

Successes are stored by loaders too: they kept the exits and never heard that they were cleared. Times in crash records reach back before the start of the process; a relay that had just started saw all earlier exits at one moment, and let the part through.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
+use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -239,11 +241,15 @@
             AttemptEnd::Failed(AttemptFailure::Misdirected(is_other))
         },
         ResponseClass::Ran if is_event_stream(open.query.route.kind, parts.status) => {
+            open.record_start(head_at);
             let order = order.clone();
             let live = LiveStream { head: parts, body, connection, order, head_at };
             AttemptEnd::Stream(Box::new(live))
         },
-        ResponseClass::Ran => read_complete(open, connection, parts, body).await,
+        ResponseClass::Ran => {
+            open.record_start(head_at);
+            read_complete(open, order, connection, parts, body).await
+        },
     }
 }
 
@@ -342,7 +348,11 @@
         // Opening the connection may have taken long: what has been learnt about the replica since
         // then overrides the choice.
         let now = open.shared.clock.now();
-        if !open.shared.machine().may_send(order, open.query.received, now) {
+        let may_send = {
+            let machine = open.shared.machine();
+            machine.may_send(order, open.query.received, now) && !machine.is_fatal(&open.query, now)
+        };
+        if !may_send {
             pool.put(connection);
             return Err(AttemptFailure::Withheld);
         }
@@ -401,10 +411,12 @@
 /// Reads a response to its end and returns its connection to the pool.
 async fn read_complete(
     open: &OpenRequest,
+    order: &AttemptOrder,
     connection: ReplicaConnection,
     mut head: http::response::Parts,
     body: Incoming,
 ) -> AttemptEnd {
+    let is_framed = is_framed(&head.headers) || body.is_end_stream();
     let body = match Limited::new(body, RESPONSE_SIZE_LIMIT).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(error) => {
@@ -414,8 +426,14 @@
     };
     open.shared.pool.put(connection);
     let status = head.status;
-    if status.is_success() && is_framed(&head.headers) {
-        open.record_success();
+    match is_framed {
+        true if status.is_success() => {
+            open.record_success();
+            open.record_survival(open.sent_at);
+        },
+        true => {},
+        // Without framing, the response looks complete even if the replica exited: check that.
+        false => ends::handle_broken_response(open, order, RunPhase::Beginning),
     }
     head.headers = heads::end_to_end_headers(&head.headers);
     let response = Response::from_parts(head, body);
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -85,14 +85,25 @@
         "request" => %identity.digest, "caller" => format!("{:016x}", identity.caller),
         "replica" => &order.replica, "has_begun" => has_begun, "phase" => phase.label(),
         "parts" => part_list(&open.terms.shared_parts));
-    let answer_break = ResponseAbort { identity, has_begun, sent_at: open.sent_at };
-    let step = open.shared.machine().record_abort(order, answer_break, now);
-    match step {
-        BreakStep::Check => {
+    // Parts are to blame only for exits of replicas that were beginning to write.
+    let parts = match phase {
+        RunPhase::Beginning => &open.query.parts[..],
+        RunPhase::Waiting | RunPhase::Writing => &[],
+    };
+    let mut is_checked = false;
+    {
+        let mut machine = open.shared.machine();
+        for suspect in parts.iter().copied().chain([identity]) {
+            let abort = ResponseAbort { identity: suspect, has_begun, sent_at: open.sent_at };
+            is_checked |= machine.record_abort(order, abort, now) == BreakStep::Check;
+        }
+    }
+    match is_checked {
+        true => {
             drop(tokio::spawn(detect_exit(open.shared.clone(), order.clone(), AbortKind::CutOff)))
         },
         // If the exit is known already, this request is a new crash record that has to be sent.
-        BreakStep::Rest => open.shared.messages_pending.notify_one(),
+        false => open.shared.messages_pending.notify_one(),
     }
 }
 
@@ -172,15 +183,18 @@
 
 /// Logs the crash records for which a fatal request is rejected.
 pub fn log_crash_records(open: &OpenRequest) {
-    let Some(identity) = open.query.identity else {
-        return;
-    };
     let now = open.shared.clock.now();
-    let Some(cause) = open.shared.machine().crashes().cause(identity, now) else {
-        return;
-    };
-    info!(open.shared.log, "request ends replicas"; "id" => &open.terms.id,
-        "request" => %identity.digest, "caller" => format!("{:016x}", identity.caller),
-        "ends" => cause.ends, "callers" => cause.callers,
-        "callers_own" => cause.is_callers_own, "last_end_ms" => cause.last_end.as_millis() as u64);
+    let shared_parts = &open.terms.shared_parts;
+    let parts = open.query.parts.iter().zip(shared_parts).map(|(it, part)| (*it, Some(*part)));
+    let suspects = open.query.identity.map(|identity| (identity, None)).into_iter().chain(parts);
+    for (identity, part) in suspects {
+        let Some(cause) = open.shared.machine().crashes().cause(identity, now) else {
+            continue;
+        };
+        info!(open.shared.log, "request ends replicas"; "id" => &open.terms.id,
+            "request" => %identity.digest, "part" => part.map(|part| format!("{part:x}")),
+            "caller" => format!("{:016x}", identity.caller),
+            "ends" => cause.ends, "callers" => cause.callers,
+            "callers_own" => cause.is_callers_own, "last_end_ms" => cause.last_end.as_millis() as u64);
+    }
 }
--- a/quillcove/src/relay/input/crashes.rs
+++ b/quillcove/src/relay/input/crashes.rs
@@ -75,6 +75,10 @@
     /// Returns the loaders that store the crash records of a message.
     fn loaders_storing(&self, message: &CrashReport) -> Vec<SocketAddr> {
         let loaders = self.loaders_of_engines();
+        if !message.good.is_empty() {
+            // Any loader may store exits that the successes clear.
+            return loaders.into_iter().map(|(_, loader)| loader).collect();
+        }
         let mut storing: Vec<SocketAddr> = Vec::new();
         for report in &message.ends {
             let mut ranked: Vec<(u64, SocketAddr)> =
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -14,7 +14,7 @@
 use quillcove_core::access::grant::AccessGrant;
 use quillcove_core::access::limit::{UseCharge, UseClaim};
 use quillcove_core::class::WorkClass;
-use quillcove_core::crash::digest::{CallerDigest, RequestIdentity, RequestParts};
+use quillcove_core::crash::digest::{CallerDigest, RequestIdentity, RequestParts, part_identity};
 use quillcove_core::ids::{MonoTime, ReplicaId, SoftwareVersion};
 use quillcove_core::relay::admission::decision::AdmissionStep;
 use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayQuery};
@@ -155,6 +155,19 @@
         self.query.grant.as_ref().map(|grant| grant.workspace.name.as_str())
     }
 
+    /// Records that a replica began to answer the request.
+    pub fn record_start(&self, now: MonoTime) {
+        self.shared.machine().crashes_mut().record_start(&self.query.parts, now);
+    }
+
+    /// Records that a replica went on after it had begun the answer at `begun_at`, as evidence that no part of the prompt
+    /// makes replicas exit.
+    pub fn record_survival(&self, begun_at: MonoTime) {
+        if self.shared.machine().crashes_mut().record_survival(&self.query.parts, begun_at) {
+            self.shared.messages_pending.notify_one();
+        }
+    }
+
     /// Records that a replica completed the request, as evidence that it is not a fatal request.
     pub fn record_success(&self) {
         let now = self.shared.clock.now();
@@ -339,6 +352,9 @@
         Some(resolved) => (resolved.service, Some(resolved.origin)),
         None => (shared.machine().draw_service(&route).ok_or_else(no_service)?, None),
     };
+    let model = terms.model.as_deref().unwrap_or(&service);
+    let part_identities =
+        terms.shared_parts.iter().map(|part| part_identity(model, *part)).collect();
     shared.machine().admit(&service, deadline, shared.clock.now())?;
     let query = RelayQuery {
         route,
@@ -352,6 +368,7 @@
         choice_count: 0,
         grant,
         identity: Some(identity),
+        parts: part_identities,
         origin,
     };
     Ok(OpenRequest {
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -8,7 +8,7 @@
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use quillcove_core::crash::phase::RunPhase;
+use quillcove_core::crash::phase::{RunPhase, SURVIVAL_TIME};
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -39,6 +39,8 @@
     last_event: Option<String>,
     /// Whether the current attempt has brought an event.
     has_event: bool,
+    /// Whether the replica of the current attempt is known to have survived the begin of its answer.
+    has_survived: bool,
     /// When the last event was forwarded.
     last_forwarded: Option<MonoTime>,
     /// Whether the upstream was last read late because the caller did not read.
@@ -72,6 +74,7 @@
         splitter: EventSplitter::default(),
         last_event,
         has_event: false,
+        has_survived: false,
         last_forwarded: None,
         is_held_up: false,
     };
@@ -218,6 +221,7 @@
             return;
         }
         self.has_event = true;
+        self.record_survival(now);
         self.open.end_prefill(Some(now));
         match self.last_forwarded {
             None => {
@@ -239,6 +243,17 @@
         }
     }
 
+    /// Records once that the replica of the current attempt has survived the begin of its answer.
+    fn record_survival(&mut self, now: MonoTime) {
+        let Some(live) = self.live.as_ref().filter(|_| !self.has_survived) else {
+            return;
+        };
+        if now.saturating_sub(live.head_at) >= SURVIVAL_TIME {
+            self.has_survived = true;
+            self.open.record_survival(live.head_at);
+        }
+    }
+
     /// Returns the phase of the current attempt at its replica.
     fn phase(&self, live: &LiveStream) -> RunPhase {
         let since_head = self.open.shared.clock.now().saturating_sub(live.head_at);
@@ -253,7 +268,10 @@
             let replica = &live.order.replica;
             self.open.shared.machine().end_attempt(replica, key, AttemptOutcome::Answered, now);
             match attempt::is_framed(&live.head.headers) {
-                true => self.open.record_success(),
+                true => {
+                    self.open.record_success();
+                    self.open.record_survival(live.head_at);
+                },
                 // Without framing, the stream looks complete even if the replica exited: check that.
                 false => {
                     let phase = self.phase(&live);
@@ -306,6 +324,7 @@
                 AttemptEnd::Stream(live) => {
                     self.live = Some(live);
                     self.has_event = false;
+                    self.has_survived = false;
                     return true;
                 },
                 AttemptEnd::Complete(_) => open.runs += 1,
--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -11,7 +11,8 @@
 
 use serde::Serialize;
 
-use super::digest::{CallerDigest, LOAD_CALLER, RequestDigest, RequestIdentity};
+use super::digest::{CallerDigest, LOAD_CALLER, RequestDigest, RequestIdentity, SuspectKind};
+use super::part::{BlamedPart, PartHistory, blamed_parts, may_be_blamed};
 use super::record::{CrashRecord, ExitMark, SuspectWeight};
 use super::telling::{CrashReport, ExitId, ExitReport, InFlightRequest};
 use crate::ids::MonoTime;
@@ -28,6 +29,10 @@
 /// these the ones that were seen least recently. A full table takes about 1 MB.
 const MAX_RECORDS: usize = 4096;
 
+/// Added to the times in crash records, so that exits and successes from before the start of this process keep their
+/// order.
+const RECORD_OFFSET: Duration = FORGET_TIME;
+
 /// Records that are evicted together, so that not every new request has to sort the table.
 const EVICTION_BATCH: usize = MAX_RECORDS / 8;
 
@@ -51,10 +56,12 @@
 /// Counts of crash records, for a dump.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct CrashSummary {
-    /// Requests that were in flight at a replica exit.
+    /// Requests, loads and prompt parts that were in flight at a replica exit.
     pub requests: usize,
     /// Those of them that have enough exits to be rejected.
     pub fatal: usize,
+    /// Prompt parts that are blamed for exits.
+    pub blamed_parts: usize,
     /// Distinct exits at which they were in flight.
     pub ends: usize,
 }
@@ -83,6 +90,8 @@
     records: HashMap<RequestDigest, CrashRecord>,
     /// Whether an exit during a load was ever recorded.
     has_loads: bool,
+    /// Runs by prompt part that this process has seen.
+    history: PartHistory,
 }
 
 impl CrashTable {
@@ -111,12 +120,15 @@
     /// assert_eq!(quillcove_core::crash::book::CrashTable::default().summary().requests, 0);
     /// ```
     pub fn summary(&self) -> CrashSummary {
-        let is_fatal = |record: &&CrashRecord| record.weight().exits >= MOST_ENDS;
+        let is_fatal = |record: &&CrashRecord| {
+            record.kind() != SuspectKind::Part && record.weight().exits >= MOST_ENDS
+        };
         let ends: BTreeSet<ExitId> =
             self.records.values().flat_map(|record| record.exits_of(None)).collect();
         CrashSummary {
             requests: self.records.len(),
             fatal: self.records.values().filter(is_fatal).count(),
+            blamed_parts: self.blamed_parts().len(),
             ends: ends.len(),
         }
     }
@@ -130,6 +142,17 @@
         ended: InFlightRequest,
         at: MonoTime,
         now: MonoTime,
+    ) -> bool {
+        self.add_exit(exit, ended, at + RECORD_OFFSET, now)
+    }
+
+    /// Adds an exit; `at` contains [`RECORD_OFFSET`].
+    fn add_exit(
+        &mut self,
+        exit: ExitId,
+        ended: InFlightRequest,
+        at: MonoTime,
+        now: MonoTime,
     ) -> bool {
         let InFlightRequest { identity, has_begun, runs_well } = ended;
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&identity.digest) {
@@ -137,12 +160,30 @@
         }
         self.has_loads |= identity.caller == LOAD_CALLER;
         let record = self.records.entry(identity.digest).or_default();
+        if let Some(begun_at) = self.history.survived(&identity.digest) {
+            record.clear_caller(identity.caller, begun_at);
+        }
         record.seen_at = now;
         record.runs_well |= runs_well;
         record.add(ExitMark { exit, caller: identity.caller, has_begun, at })
     }
 
-    /// Records that a request succeeded; returns whether this changes a crash record.
+    /// Records that a replica began to answer a prompt with these parts.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::book::CrashTable;
+    /// use quillcove_core::crash::digest::part_identity;
+    ///
+    /// CrashTable::default().record_start(&[part_identity("m", 5)], Duration::ZERO);
+    /// ```
+    pub fn record_start(&mut self, parts: &[RequestIdentity], now: MonoTime) {
+        self.history.record_start(parts.iter().map(|part| part.digest), now);
+    }
+
+    /// Records that a request succeeded; returns whether this changes a crash record. `at` is the end
+    /// of the run, or for a prompt part the time at which the replica began to write the answer: a run
+    /// that began before an exit says nothing about it.
     ///
     /// ```
     /// use std::time::Duration;
@@ -154,6 +195,14 @@
     /// assert!(!CrashTable::default().record_success(request, Duration::ZERO));
     /// ```
     pub fn record_success(&mut self, identity: RequestIdentity, at: MonoTime) -> bool {
+        self.add_success(identity, at + RECORD_OFFSET)
+    }
+
+    /// Adds a success; `at` contains [`RECORD_OFFSET`].
+    fn add_success(&mut self, identity: RequestIdentity, at: MonoTime) -> bool {
+        if SuspectKind::of(identity.caller) == SuspectKind::Part {
+            self.history.record_survival(identity.digest, at);
+        }
         let record = self.records.get_mut(&identity.digest);
         record.is_some_and(|record| record.clear_caller(identity.caller, at))
     }
@@ -171,15 +220,15 @@
     pub fn take(&mut self, crash_report: &CrashReport, now: MonoTime) -> usize {
         let mut new_count = 0;
         for report in &crash_report.ends {
-            let at = now.saturating_sub(report.age);
+            let at = (now + RECORD_OFFSET).saturating_sub(report.age);
             for ended in &report.requests {
-                let is_new = self.note_end(report.end, *ended, at, now);
+                let is_new = self.add_exit(report.end, *ended, at, now);
                 new_count += usize::from(is_new);
             }
         }
         for good in &crash_report.good {
-            let at = now.saturating_sub(good.age);
-            new_count += usize::from(self.record_success(good.identity, at));
+            let at = (now + RECORD_OFFSET).saturating_sub(good.age);
+            new_count += usize::from(self.add_success(good.identity, at));
         }
         new_count
     }
@@ -193,6 +242,9 @@
     /// See [`CrashTable`] for an example.
     pub fn cause(&self, identity: RequestIdentity, now: MonoTime) -> Option<CrashCause> {
         let record = self.records.get(&identity.digest)?;
+        if SuspectKind::of(identity.caller) == SuspectKind::Part {
+            return self.part_cause(identity.digest, record, now);
+        }
         if record.marks.len() < MOST_ENDS {
             return None;
         }
@@ -208,23 +260,51 @@
         if !is_callers_own && !is_everyones {
             return None;
         }
-        let last = record.marks.iter().map(|mark| mark.at).max().unwrap_or(now);
         Some(CrashCause {
             ends: if is_everyones { all } else { own },
             callers,
             is_callers_own: !is_everyones,
-            last_end: now.saturating_sub(last),
+            last_end: record.since_last_exit(now + RECORD_OFFSET),
+        })
+    }
+
+    /// Returns the exits for which a part of a prompt is blamed, if it is.
+    fn part_cause(
+        &self,
+        digest: RequestDigest,
+        record: &CrashRecord,
+        now: MonoTime,
+    ) -> Option<CrashCause> {
+        if !may_be_blamed(record) {
+            return None;
+        }
+        let blamed = self.blamed_parts().into_iter().find(|part| part.digest == digest)?;
+        Some(CrashCause {
+            ends: blamed.exits.len(),
+            callers: 1,
+            is_callers_own: false,
+            last_end: record.since_last_exit(now + RECORD_OFFSET),
         })
     }
 
-    /// Returns the exits of a request at which no request with more exits was in flight.
+    fn blamed_parts(&self) -> Vec<BlamedPart> {
+        let parts = self.records.iter().filter(|(_, record)| record.kind() == SuspectKind::Part);
+        blamed_parts(parts, &self.history)
+    }
+
+    /// Returns the exits of a request at which neither a blamed prompt part nor a request with more exits was in
+    /// flight.
     fn blamed_exits(&self, digest: RequestDigest, record: &CrashRecord) -> BTreeSet<ExitId> {
         let weight = record.weight();
         let mut blamed = record.exits_of(None);
+        for part in self.blamed_parts() {
+            blamed.retain(|exit| !part.exits.contains(exit));
+        }
         for (other, stronger) in &self.records {
             // Most requests have one exit only and are skipped by the first comparison.
             if stronger.marks.len() >= weight.exits
                 && *other != digest
+                && stronger.kind() != SuspectKind::Part
                 && stronger.weight() > weight
             {
                 blamed.retain(|exit| !stronger.marks.iter().any(|mark| mark.exit == *exit));
@@ -307,7 +387,8 @@
         let identity = RequestIdentity { digest, caller: mark.caller };
         let (has_begun, runs_well) = (mark.has_begun, record.runs_well);
         let ended = InFlightRequest { identity, has_begun, runs_well };
-        ExitReport { end: mark.exit, age: now.saturating_sub(mark.at), requests: vec![ended] }
+        let age = (now + RECORD_OFFSET).saturating_sub(mark.at);
+        ExitReport { end: mark.exit, age, requests: vec![ended] }
     };
     record.marks.iter().map(report).collect()
 }
--- a/quillcove_core/src/crash/digest.rs
+++ b/quillcove_core/src/crash/digest.rs
@@ -10,7 +10,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::access::key::KeyDigest;
-use crate::ids::{AdapterKey, AdapterVersion};
+use crate::ids::{AdapterKey, AdapterVersion, PartId};
 
 /// Prefix that separates digests of requests from digests made for other purposes.
 const DIGEST_DOMAIN: &[u8] = b"quillcove request\0";
@@ -147,6 +147,45 @@
     crate::rendezvous::weight("named caller", name)
 }
 
+/// What a crash record is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SuspectKind {
+    /// The whole content of a request.
+    Request,
+    /// The load of an adapter.
+    Load,
+    /// One part of a prompt, whatever else the request holds.
+    Part,
+}
+
+impl SuspectKind {
+    pub(super) fn of(caller: CallerDigest) -> Self {
+        match caller {
+            LOAD_CALLER => Self::Load,
+            PART_CALLER => Self::Part,
+            _ => Self::Request,
+        }
+    }
+}
+
+/// Caller of every prompt part: it is the same whichever caller's prompt holds it.
+pub(super) const PART_CALLER: CallerDigest = CallerDigest::MAX;
+
+/// Returns the identity of a part of a prompt. A replica may exit whenever it begins to answer a prompt
+/// with that part. The same part in a prompt for another base model counts as another one.
+///
+/// ```
+/// use quillcove_core::crash::digest::part_identity;
+///
+/// assert_ne!(part_identity("m", 5), part_identity("m", 6));
+/// ```
+pub fn part_identity(model: &str, part: PartId) -> RequestIdentity {
+    let body = part.to_le_bytes();
+    // The path of a request is never empty.
+    let parts = RequestParts { method: "part", host: model, path: "", key: None, body: &body };
+    RequestIdentity { digest: parts.digest(), caller: PART_CALLER }
+}
+
 /// Caller of every adapter load: a load is the same whichever caller wants it.
 pub(super) const LOAD_CALLER: CallerDigest = 0;
 
--- a/quillcove_core/src/crash/record.rs
+++ b/quillcove_core/src/crash/record.rs
@@ -1,8 +1,9 @@
 //! Crash record of one request that was in flight at replica exits.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use super::digest::CallerDigest;
+use super::digest::{CallerDigest, SuspectKind};
 use super::telling::ExitId;
 use crate::ids::MonoTime;
 
@@ -79,6 +80,17 @@
         !ran_well || self.marks.len() < marks
     }
 
+    /// Returns what the record is about.
+    pub fn kind(&self) -> SuspectKind {
+        self.marks.first().map_or(SuspectKind::Request, |mark| SuspectKind::of(mark.caller))
+    }
+
+    /// Returns the time since the last exit.
+    pub fn since_last_exit(&self, now: MonoTime) -> Duration {
+        let last = self.marks.iter().map(|mark| mark.at).max();
+        last.map_or(Duration::ZERO, |last| now.saturating_sub(last))
+    }
+
     /// Returns the exits at which requests of one caller were in flight, or of all callers.
     pub fn exits_of(&self, caller: Option<CallerDigest>) -> BTreeSet<ExitId> {
         let of = |mark: &&ExitMark| caller.is_none_or(|caller| mark.caller == caller);
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::book::{CrashCause, CrashTable};
-use super::digest::RequestIdentity;
+use super::digest::{RequestIdentity, SuspectKind};
 use super::good::RecentSuccesses;
 use super::teller::CrashReportQueue;
 use super::telling::{CrashReport, ExitId, InFlightRequest, exit_id, next_exit_id};
@@ -283,7 +283,8 @@
     /// Counts one request as in flight at an exit, unless it is excused because it has just
     /// succeeded for the same caller.
     fn count_abort(&mut self, abort: PendingAbort, exit_at: Option<MonoTime>, now: MonoTime) {
-        let runs_well = self.successes.has_succeeded(abort.identity.digest);
+        let is_part = SuspectKind::of(abort.identity.caller) == SuspectKind::Part;
+        let runs_well = !is_part && self.successes.has_succeeded(abort.identity.digest);
         // A response that was abandoned some time before the exit is weak evidence. Several replicas that are killed at
         // once would otherwise make a request fatal that runs well.
         if abort.kind == AbortKind::Abandoned && runs_well {
@@ -293,7 +294,8 @@
             AbortKind::CutOff => abort.at,
             AbortKind::Abandoned => exit_at.unwrap_or(abort.at),
         };
-        if self.successes.excuse(abort.identity, at) {
+        // For a part, runs that began after the exit count instead.
+        if !is_part && self.successes.excuse(abort.identity, at) {
             return;
         }
         let PendingAbort { exit, identity, has_begun, .. } = abort;
@@ -316,9 +318,48 @@
     /// ```
     pub fn record_success(&mut self, identity: RequestIdentity, now: MonoTime) {
         self.successes.record(identity, now);
-        if self.book.record_success(identity, now) {
-            self.teller.record_success(identity, now);
+        self.clear(identity, now);
+    }
+
+    /// Records that a replica began to answer a prompt with these parts.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::part_identity;
+    /// use quillcove_core::crash::watch::CrashTracker;
+    ///
+    /// CrashTracker::default().record_start(&[part_identity("m", 5)], Duration::ZERO);
+    /// ```
+    pub fn record_start(&mut self, parts: &[RequestIdentity], now: MonoTime) {
+        self.book.record_start(parts, now);
+    }
+
+    /// Records that a run with these prompt parts, which began to write its answer at `begun_at`,
+    /// survived that. Returns whether other processes are to be told.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::part_identity;
+    /// use quillcove_core::crash::watch::CrashTracker;
+    ///
+    /// let is_told = CrashTracker::default().record_survival(&[part_identity("m", 5)], Duration::ZERO);
+    /// assert!(!is_told, "there is no crash record of it");
+    /// ```
+    pub fn record_survival(&mut self, parts: &[RequestIdentity], begun_at: MonoTime) -> bool {
+        let mut is_told = false;
+        for part in parts {
+            is_told |= self.clear(*part, begun_at);
+        }
+        is_told
+    }
+
+    /// Clears a crash record and queues a report if that changes it; returns whether it does.
+    fn clear(&mut self, identity: RequestIdentity, at: MonoTime) -> bool {
+        let is_changed = self.book.record_success(identity, at);
+        if is_changed {
+            self.teller.record_success(identity, at);
         }
+        is_changed
     }
 
     /// Records a success that every process observes itself, so that it is not reported.
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -1,7 +1,7 @@
 //! Rejection of fatal requests, under which replicas exit, and of adapter loads under which engines exit.
 
 use super::{AttemptOrder, RelayMachine, RelayQuery};
-use crate::crash::digest::load_identity;
+use crate::crash::digest::{RequestIdentity, load_identity};
 use crate::crash::watch::{AbortKind, CrashTracker, ReplicaRun, ResponseAbort};
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::EngineReport;
@@ -46,14 +46,20 @@
 
     /// Returns whether a request is rejected as fatal, and records the rejection.
     pub(super) fn is_rejected_as_fatal(&mut self, query: &RelayQuery, now: MonoTime) -> bool {
-        let Some(identity) = query.identity else {
-            return false;
-        };
-        let is_refused = self.crashes.cause(identity, now).is_some();
-        if is_refused {
-            self.crashes.note_refused(identity, now);
+        let fatal: Vec<RequestIdentity> =
+            query.suspects().filter(|it| self.crashes.cause(*it, now).is_some()).collect();
+        for identity in &fatal {
+            self.crashes.note_refused(*identity, now);
         }
-        is_refused
+        !fatal.is_empty()
+    }
+
+    /// Returns whether replicas exit under a request, as is known by now. It may have become known after the choice, while
+    /// a connection was opened.
+    ///
+    /// See [`RelayMachine::begin_prefill`] for an example of a query.
+    pub fn is_fatal(&self, query: &RelayQuery, now: MonoTime) -> bool {
+        query.suspects().any(|identity| self.crashes.cause(identity, now).is_some())
     }
 
     /// Returns whether engines exit when they load an adapter, in the version that would be loaded.
--- a/quillcove_core/src/relay/machine/priority.rs
+++ b/quillcove_core/src/relay/machine/priority.rs
@@ -64,6 +64,7 @@
     ///     choice_count: 0,
     ///     grant: None,
     ///     identity: None,
+    ///     parts: Vec::new(),
     ///     origin: None,
     /// };
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
--- a/quillcove_core/src/relay/machine/query.rs
+++ b/quillcove_core/src/relay/machine/query.rs
@@ -39,6 +39,8 @@
     pub grant: Option<AccessGrant>,
     /// Identity of the request's content, independent of its request id; `None` if it is unknown.
     pub identity: Option<RequestIdentity>,
+    /// Identities of the parts of its prompt that other requests may hold too.
+    pub parts: Vec<RequestIdentity>,
     /// Service and software version at which the stream began, and which alone may go on with it; `None` if it has not
     /// begun, or where versions do not matter.
     pub origin: Option<OriginDigest>,
@@ -53,6 +55,13 @@
         workspace.unwrap_or(self.route.priority)
     }
 
+    /// Returns all that may be to blame if a replica exits under the request.
+    ///
+    /// See [`RelayMachine::begin_prefill`](super::RelayMachine::begin_prefill) for an example of a query.
+    pub fn suspects(&self) -> impl Iterator<Item = RequestIdentity> {
+        self.identity.iter().chain(&self.parts).copied()
+    }
+
     /// Returns the time until which a response meets the target latency, counted from the caller's first attempt.
     ///
     /// See [`RelayMachine::begin_prefill`](super::RelayMachine::begin_prefill) for an example of a query.
--- a/quillcove_core/tests/fatal_load.rs
+++ b/quillcove_core/tests/fatal_load.rs
@@ -123,6 +123,7 @@
         choice_count: 0,
         grant: None,
         identity: None,
+        parts: Vec::new(),
         origin: None,
     };
     (machine, query)
--- a/quillcove_core/tests/fuzz_relay.rs
+++ b/quillcove_core/tests/fuzz_relay.rs
@@ -458,6 +458,7 @@
             choice_count: 0,
             grant: None,
             identity: None,
+            parts: Vec::new(),
             origin: None,
         };
         match self.machine.choose(&query, &[], self.now) {
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -264,6 +264,7 @@
             choice_count: 0,
             grant: None,
             identity: None,
+            parts: Vec::new(),
             origin: None,
         };
         let mut machine = self.machine.clone();
--- a/quillcove_core/tests/rate_fleet/mod.rs
+++ b/quillcove_core/tests/rate_fleet/mod.rs
@@ -344,6 +344,7 @@
             choice_count: 0,
             grant: None,
             identity: None,
+            parts: Vec::new(),
             origin: None,
         };
         let sim = &mut self.relays[relay];
--- a/quillcove_core/tests/relay_copies.rs
+++ b/quillcove_core/tests/relay_copies.rs
@@ -78,6 +78,7 @@
         choice_count: 0,
         grant: None,
         identity: None,
+        parts: Vec::new(),
         origin: None,
     };
     let choice = machine.choose(&query, &[], ms(10));
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -63,6 +63,7 @@
         choice_count: 0,
         grant: None,
         identity: None,
+        parts: Vec::new(),
         origin: None,
     }
 }
--- a/quillcove_core/tests/relay_tries.rs
+++ b/quillcove_core/tests/relay_tries.rs
@@ -81,6 +81,7 @@
         choice_count: 0,
         grant: None,
         identity: None,
+        parts: Vec::new(),
         origin: None,
     }
 }
--- a/quillcove_core/tests/word_fleet/mod.rs
+++ b/quillcove_core/tests/word_fleet/mod.rs
@@ -313,6 +313,7 @@
             choice_count: 0,
             grant: None,
             identity: None,
+            parts: Vec::new(),
             origin: None,
         };
         let sim = &mut self.relays[relay];
