Prompt parts that crash replicas: simulated fleets, properties, and a way back from a wrong blame

A wrong blame would have stayed: a rejected part has no run that clears it. After half a minute, and after twice the time at each further exit, the relay that ranks first for a part lets one request with it through; an exit rejects it again, a survival clears it.

Known red: ten requests at once before twelve replicas that all end and come back together every 3 s.

--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 use super::digest::{CallerDigest, LOAD_CALLER, RequestDigest, RequestIdentity, SuspectKind};
-use super::part::{BlamedPart, PartHistory, blamed_parts, may_be_blamed};
+use super::part::{BlamedPart, PartHistory, blamed_parts, may_be_blamed, probe_delay};
 use super::record::{CrashRecord, ExitMark, SuspectWeight};
 use super::telling::{CrashReport, ExitId, ExitReport, InFlightRequest};
 use crate::ids::MonoTime;
@@ -287,6 +287,18 @@
         })
     }
 
+    /// Returns the time until a part of a prompt may be tried again by one request, and the time since its last exit;
+    /// `None` if there is no record of it.
+    pub(super) fn probe_times(
+        &self,
+        part: RequestIdentity,
+        now: MonoTime,
+    ) -> Option<(Duration, Duration)> {
+        let record = self.records.get(&part.digest)?;
+        let since_exit = record.since_last_exit(now + RECORD_OFFSET);
+        Some((probe_delay(record).saturating_sub(since_exit), since_exit))
+    }
+
     fn blamed_parts(&self) -> Vec<BlamedPart> {
         let parts = self.records.iter().filter(|(_, record)| record.kind() == SuspectKind::Part);
         blamed_parts(parts, &self.history)
--- a/quillcove_core/src/crash/part.rs
+++ b/quillcove_core/src/crash/part.rs
@@ -21,6 +21,12 @@
 /// noticed within some milliseconds.
 const MOMENT: Duration = Duration::from_millis(300);
 
+/// Time after the last exit for which a blamed part is not tried again; it doubles with each further moment.
+const PROBE_DELAY: Duration = Duration::from_secs(30);
+
+/// Maximum number of doublings of [`PROBE_DELAY`].
+const MAX_PROBE_DOUBLINGS: u32 = 5;
+
 /// Time after which the older half of the history is dropped.
 const HISTORY_TIME: Duration = Duration::from_secs(60);
 
@@ -143,6 +149,14 @@
     record.marks.len() >= MIN_MOMENTS
 }
 
+/// Returns the time after the last exit from which on one request may try whether a blamed part still makes replicas
+/// exit. Without it, a part that was blamed while all replicas crashed for reasons of their own would stay rejected.
+pub(super) fn probe_delay(record: &CrashRecord) -> Duration {
+    let moments = moment_count(record.marks.iter().map(|mark| mark.at).collect());
+    let doublings = u32::try_from(moments.saturating_sub(MIN_MOMENTS)).unwrap_or(u32::MAX);
+    PROBE_DELAY * 2_u32.pow(doublings.min(MAX_PROBE_DOUBLINGS))
+}
+
 fn moment_count(mut times: Vec<MonoTime>) -> usize {
     times.sort_unstable();
     let mut count = 0;
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -9,8 +9,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::book::{CrashCause, CrashTable};
-use super::digest::{RequestIdentity, SuspectKind};
+use super::book::{CrashCause, CrashTable, FORGET_TIME};
+use super::digest::{RequestDigest, RequestIdentity, SuspectKind};
 use super::good::RecentSuccesses;
 use super::teller::CrashReportQueue;
 use super::telling::{CrashReport, ExitId, InFlightRequest, exit_id, next_exit_id};
@@ -122,6 +122,15 @@
     pending: Vec<PendingAbort>,
     /// Known exits, and when they were noticed.
     known_exits: BTreeMap<ExitId, MonoTime>,
+    /// The last request that tried a blamed prompt part again, by part.
+    probes: BTreeMap<RequestDigest, PartProbe>,
+}
+
+/// A request that may run although a part of its prompt is blamed.
+#[derive(Clone, Copy, Debug)]
+struct PartProbe {
+    request: RequestDigest,
+    at: MonoTime,
 }
 
 impl CrashTracker {
@@ -384,6 +393,52 @@
         self.book.cause(identity, now)
     }
 
+    /// Lets one request try whether a blamed prompt part still makes replicas exit, if it is time to; returns whether
+    /// it may run.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::{RequestParts, part_identity};
+    /// use quillcove_core::crash::watch::CrashTracker;
+    ///
+    /// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
+    /// let mut tracker = CrashTracker::default();
+    /// let part = part_identity("m", 5);
+    /// assert!(!tracker.begin_probe(part, parts.digest(), Duration::ZERO), "it has no record");
+    /// ```
+    pub fn begin_probe(
+        &mut self,
+        part: RequestIdentity,
+        request: RequestDigest,
+        now: MonoTime,
+    ) -> bool {
+        if SuspectKind::of(part.caller) != SuspectKind::Part {
+            return false;
+        }
+        let Some((until_due, since_exit)) = self.book.probe_times(part, now) else {
+            return false;
+        };
+        let last = self.probes.get(&part.digest);
+        let since_probe = last.map(|probe| now.saturating_sub(probe.at));
+        let is_due = until_due == Duration::ZERO
+            && since_probe.is_none_or(|since| since >= since_exit.min(EXIT_LIFETIME));
+        if is_due {
+            self.probes.insert(part.digest, PartProbe { request, at: now });
+        }
+        is_due
+    }
+
+    /// Returns whether a request is the one that tries a blamed prompt part, and no replica has exited under the part
+    /// since it was let through.
+    ///
+    /// See [`CrashTracker::begin_probe`] for an example.
+    pub fn is_probe(&self, part: RequestIdentity, request: RequestDigest, now: MonoTime) -> bool {
+        let probe = self.probes.get(&part.digest).filter(|probe| probe.request == request);
+        let since_exit = self.book.probe_times(part, now).map(|(_, since_exit)| since_exit);
+        let since_probe = probe.map(|probe| now.saturating_sub(probe.at));
+        since_probe.zip(since_exit).is_some_and(|(probe, exit)| probe < exit)
+    }
+
     /// Records that a request was rejected for its crash record.
     ///
     /// ```
@@ -454,6 +509,7 @@
         let is_fresh = |at: MonoTime| now.saturating_sub(at) < EXIT_LIFETIME;
         self.pending.retain(|abort| is_fresh(abort.at));
         self.known_exits.retain(|_, at| is_fresh(*at));
+        self.probes.retain(|_, probe| now.saturating_sub(probe.at) < FORGET_TIME);
         self.book.forget(now);
     }
 }
--- a/quillcove_core/src/relay/machine/choice.rs
+++ b/quillcove_core/src/relay/machine/choice.rs
@@ -72,7 +72,7 @@
         if self.is_revoked(query) {
             return refuse(RefusalReason::KeyUnknown, None);
         }
-        if self.is_rejected_as_fatal(query, now) {
+        if self.is_rejected_as_fatal(query, tried.is_empty(), now) {
             return refuse(RefusalReason::EndsUpstreams, Some(FORGET_TIME));
         }
         let draw = self.draw();
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -44,14 +44,34 @@
         &mut self.crashes
     }
 
-    /// Returns whether a request is rejected as fatal, and records the rejection.
-    pub(super) fn is_rejected_as_fatal(&mut self, query: &RelayQuery, now: MonoTime) -> bool {
-        let fatal: Vec<RequestIdentity> =
-            query.suspects().filter(|it| self.crashes.cause(*it, now).is_some()).collect();
-        for identity in &fatal {
-            self.crashes.note_refused(*identity, now);
+    /// Returns whether a request is rejected as fatal, and records the rejection. A request that was not sent yet may be
+    /// let through to try a blamed prompt part again; of all relays, only the one that ranks first for the part does so.
+    pub(super) fn is_rejected_as_fatal(
+        &mut self,
+        query: &RelayQuery,
+        is_first_attempt: bool,
+        now: MonoTime,
+    ) -> bool {
+        let mut is_rejected = false;
+        for suspect in query.suspects() {
+            if self.crashes.cause(suspect, now).is_none() {
+                continue;
+            }
+            if !is_first_attempt || !self.may_probe(suspect, query, now) {
+                self.crashes.note_refused(suspect, now);
+                is_rejected = true;
+            }
         }
-        !fatal.is_empty()
+        is_rejected
+    }
+
+    fn may_probe(&mut self, part: RequestIdentity, query: &RelayQuery, now: MonoTime) -> bool {
+        let Some(request) = query.identity else {
+            return false;
+        };
+        self.crashes.is_probe(part, request.digest, now)
+            || (self.peers.rank(&part.digest.to_string()) == 0
+                && self.crashes.begin_probe(part, request.digest, now))
     }
 
     /// Returns whether replicas exit under a request, as is known by now. It may have become known after the choice, while
@@ -59,7 +79,12 @@
     ///
     /// See [`RelayMachine::begin_prefill`] for an example of a query.
     pub fn is_fatal(&self, query: &RelayQuery, now: MonoTime) -> bool {
-        query.suspects().any(|identity| self.crashes.cause(identity, now).is_some())
+        let is_probe = |suspect| {
+            query
+                .identity
+                .is_some_and(|request| self.crashes.is_probe(suspect, request.digest, now))
+        };
+        query.suspects().any(|it| self.crashes.cause(it, now).is_some() && !is_probe(it))
     }
 
     /// Returns whether engines exit when they load an adapter, in the version that would be loaded.
--- a/quillcove_core/tests/crash_fleet/mod.rs
+++ b/quillcove_core/tests/crash_fleet/mod.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use quillcove_core::crash::book::{CrashTable, MOST_ENDS};
-use quillcove_core::crash::digest::{RequestDigest, RequestIdentity, RequestParts};
+use quillcove_core::crash::digest::{RequestDigest, RequestIdentity, RequestParts, part_identity};
+use quillcove_core::crash::phase::{RunPhase, SURVIVAL_TIME};
 use quillcove_core::crash::teller::in_messages;
 use quillcove_core::crash::telling::CrashReport;
 use quillcove_core::crash::watch::{CrashTracker, ReplicaRun, ResponseAbort};
@@ -37,6 +38,15 @@
 /// Time until the answer of an innocent request begins.
 const BEGIN_TIME: Duration = Duration::from_millis(200);
 
+/// Ends of replicas under one part of prompts from which the users count what is still sent.
+const COUNTED_PART_ENDS: usize = 5;
+
+/// Part with which all prompts begin.
+const FIRST_PART: u64 = 1;
+
+/// Innocent requests that share one more part.
+const SHARING: u64 = 4;
+
 /// Tries of an innocent request's caller.
 const INNOCENT_TRIES: u32 = 4;
 
@@ -84,6 +94,11 @@
     pub kills: &'static [u64],
     /// Innocent requests that begin in a second.
     pub innocents: usize,
+    /// Whether the fatal requests share one part of their prompts and nothing else. All prompts have the same first
+    /// part.
+    pub by_part: bool,
+    /// Whether the fatal part was sound until the first fatal request.
+    pub was_sound: bool,
 }
 
 impl CrashPattern {
@@ -103,6 +118,8 @@
         freezes: &[],
         kills: &[],
         innocents: 30,
+        by_part: false,
+        was_sound: false,
     };
 }
 
@@ -172,6 +189,10 @@
 /// A request at a replica.
 struct Running {
     identity: RequestIdentity,
+    /// Parts of its prompt that others may have too.
+    parts: Vec<RequestIdentity>,
+    /// When its answer began, unless it is known to have survived that.
+    begins_at: Option<Duration>,
     relay: usize,
     place: usize,
     until: Duration,
@@ -179,8 +200,17 @@
 }
 
 impl Running {
-    fn answer_break(&self, now: Duration) -> ResponseAbort {
-        ResponseAbort { identity: self.identity, has_begun: self.has_begun(now), sent_at: now }
+    /// Returns what is suspected if its replica ends now.
+    fn answer_breaks(&self, now: Duration) -> Vec<ResponseAbort> {
+        let began = self.begins_at.filter(|at| *at <= now);
+        let phase = RunPhase::of_stream(began.map(|at| now - at), self.has_begun(now));
+        let parts = match phase {
+            RunPhase::Beginning => &self.parts[..],
+            RunPhase::Waiting | RunPhase::Writing => &[],
+        };
+        let abort =
+            |identity| ResponseAbort { identity, has_begun: self.has_begun(now), sent_at: now };
+        parts.iter().copied().chain([self.identity]).map(abort).collect()
     }
 
     fn has_begun(&self, now: Duration) -> bool {
@@ -268,6 +298,7 @@
     fn step(&mut self, now: Duration) {
         self.trouble(now);
         self.deliver(now);
+        self.record_parts(now);
         self.end_runs(now);
         self.confirm(now);
         self.send_innocents(now);
@@ -395,11 +426,13 @@
         let hit: Vec<Running> = hit;
         for broken in hit {
             let relay = broken.relay;
-            if self.relays[relay].watch.record_abort(&run, broken.answer_break(now), now) {
-                self.confirms.push_back((now + CONFIRM_TIME, relay, run.clone()));
+            for abort in broken.answer_breaks(now) {
+                if self.relays[relay].watch.record_abort(&run, abort, now) {
+                    self.confirms.push_back((now + CONFIRM_TIME, relay, run.clone()));
+                }
             }
             if let RunKind::Innocent { tries } = broken.kind {
-                self.send_innocent(broken.identity, tries + 1, now);
+                self.send_innocent(broken.identity, broken.parts, tries + 1, now);
             }
         }
         self.places[place].run += self.places.len() as u64;
@@ -432,7 +465,7 @@
             for number in numbers {
                 let count = &mut self.fatal[number];
                 count.ends += 1;
-                if count.ends == MOST_ENDS {
+                if count.ends == if self.pattern.by_part { COUNTED_PART_ENDS } else { MOST_ENDS } {
                     count.third_at = Some(now);
                 }
             }
@@ -462,11 +495,64 @@
             // One of eight asks what many others ask as well.
             let body = if self.bodies.is_multiple_of(8) { 0 } else { self.bodies };
             self.result.innocents += 1;
-            self.send_innocent(identity("innocent", body, self.bodies % 500), 0, now);
+            let identity = identity("innocent", body, self.bodies % 500);
+            let mut parts = self.parts(1000 + self.bodies / SHARING);
+            if self.pattern.was_sound && Self::second(now) < 5 {
+                parts = self.parts(self.bodies % 20 + 100);
+            }
+            self.send_innocent(identity, parts, 0, now);
         }
     }
 
-    fn send_innocent(&mut self, identity: RequestIdentity, tries: u32, now: Duration) {
+    /// Returns the parts of a prompt that has this part besides the first one.
+    fn parts(&self, part: u64) -> Vec<RequestIdentity> {
+        match self.pattern.by_part {
+            true => [FIRST_PART, part].map(|part| part_identity("m", part)).to_vec(),
+            false => Vec::new(),
+        }
+    }
+
+    fn is_rejected(
+        &mut self,
+        relay: usize,
+        identity: RequestIdentity,
+        parts: &[RequestIdentity],
+        now: Duration,
+    ) -> bool {
+        let watch = &mut self.relays[relay].watch;
+        let suspects = parts.iter().copied().chain([identity]);
+        let fatal: Vec<RequestIdentity> =
+            suspects.filter(|suspect| watch.cause(*suspect, now).is_some()).collect();
+        for suspect in &fatal {
+            watch.note_refused(*suspect, now);
+        }
+        !fatal.is_empty()
+    }
+
+    /// Records which answers began, and which of them survived that.
+    fn record_parts(&mut self, now: Duration) {
+        for running in &mut self.running {
+            let Some(at) = running.begins_at else {
+                continue;
+            };
+            let watch = &mut self.relays[running.relay].watch;
+            if now >= at && now < at + STEP {
+                watch.record_start(&running.parts, now);
+            }
+            if now >= at + SURVIVAL_TIME {
+                watch.record_survival(&running.parts, at);
+                running.begins_at = None;
+            }
+        }
+    }
+
+    fn send_innocent(
+        &mut self,
+        identity: RequestIdentity,
+        parts: Vec<RequestIdentity>,
+        tries: u32,
+        now: Duration,
+    ) {
         if tries >= INNOCENT_TRIES {
             return;
         }
@@ -474,7 +560,7 @@
         if self.is_frozen(relay, now) {
             return;
         }
-        if self.relays[relay].watch.cause(identity, now).is_some() {
+        if self.is_rejected(relay, identity, &parts, now) {
             self.result.refused += 1;
             return;
         }
@@ -482,10 +568,14 @@
             return;
         };
         let kind = RunKind::Innocent { tries };
-        self.running.push(Running { identity, relay, place, until: now + RUN_TIME, kind });
+        let (begins_at, until) = (Some(now + BEGIN_TIME), now + RUN_TIME);
+        self.running.push(Running { identity, parts, begins_at, relay, place, until, kind });
     }
 
     fn send_fatal(&mut self, now: Duration) {
+        if self.pattern.was_sound && Self::second(now) < 5 {
+            return;
+        }
         for number in 0..self.fatal.len() {
             if now < self.fatal[number].next {
                 continue;
@@ -503,14 +593,15 @@
         let caller = if self.pattern.moves { self.bodies } else { 7 };
         let body = match self.way {
             TellingWay::ById => self.bodies,
+            _ if self.pattern.by_part => self.bodies,
             _ => number as u64,
         };
         let identity = identity("fatal", body, caller);
         if self.is_frozen(relay, now) {
             return;
         }
-        if self.relays[relay].watch.cause(identity, now).is_some() {
-            self.relays[relay].watch.note_refused(identity, now);
+        let parts = self.parts(100 + number as u64);
+        if self.is_rejected(relay, identity, &parts, now) {
             return;
         }
         let Some(place) = self.free_place(now) else {
@@ -525,7 +616,8 @@
             count.counted += usize::from(is_in_touch && now >= third + CONTACT_TIME);
         }
         let (until, kind) = (now + FATAL_TIME, RunKind::Fatal(number));
-        self.running.push(Running { identity, relay, place, until, kind });
+        let begins_at = Some(now);
+        self.running.push(Running { identity, parts, begins_at, relay, place, until, kind });
     }
 
     fn tell(&mut self, now: Duration) {
--- a/quillcove_core/tests/crash_words.rs
+++ b/quillcove_core/tests/crash_words.rs
@@ -132,3 +132,46 @@
     let restarts = CrashPattern { restarts: &[10, 20, 30], ..pattern };
     assert!(worst(restarts, TellingWay::WithBeacons).sends > MOST_RETRIES);
 }
+
+/// Fatal requests that share one part of their prompts and nothing else.
+fn part_patterns() -> Vec<CrashPattern> {
+    let by_part = |pattern| CrashPattern { by_part: true, ..pattern };
+    let twice = [3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20];
+    let kills: &'static [u64] = Box::leak(Box::new(twice));
+    let mut all: Vec<CrashPattern> = patterns().into_iter().map(by_part).collect();
+    let small = by_part(CrashPattern::USUAL);
+    let grown = CrashPattern { relays: 25, replicas: 46, innocents: 120, ..small };
+    all.extend([
+        CrashPattern { name: "4, sound before", was_sound: true, ..small },
+        CrashPattern { name: "25, sound before", was_sound: true, ..grown },
+        CrashPattern { name: "25, two parts", fatal: 2, ..grown },
+        CrashPattern { name: "4, a third killed each second", kills, ..small },
+        CrashPattern { name: "25, a third killed each second", kills, ..grown },
+        CrashPattern { name: "4, kills only", kills, fatal: 0, ..small },
+        CrashPattern { name: "25, kills only", kills, fatal: 0, ..grown },
+    ]);
+    all
+}
+
+// Guards against a part that is let through again and again, and against sound requests that are rejected with it.
+#[test]
+fn a_fatal_part_is_stopped_and_sound_requests_with_the_same_first_part_run() {
+    for pattern in part_patterns() {
+        let result = worst(pattern, TellingWay::AtOnce);
+        println!("{}", line(pattern, TellingWay::AtOnce));
+        assert!(result.counted <= MOST_RETRIES, "{}: {} sent", pattern.name, result.counted);
+        let share = result.refused as f64 / result.innocents as f64;
+        assert!(share <= 0.05, "{}: {share} refused", pattern.name);
+        // Half of the 7 kB a second that a node has for all its messages.
+        assert!(result.bytes < 3500.0, "{}: {} bytes a second", pattern.name, result.bytes);
+    }
+}
+
+// Guards against ten requests at once that end all replicas at one moment, each time that these are back.
+#[test]
+fn a_fatal_part_in_half_of_all_requests_is_stopped() {
+    let pattern =
+        CrashPattern { name: "4, 10 at once", copies: 10, by_part: true, ..CrashPattern::USUAL };
+    let result = worst(pattern, TellingWay::AtOnce);
+    assert!(result.counted <= MOST_RETRIES, "{} sent", result.counted);
+}
