--- a/quillcove_core/src/crash/part.rs
+++ b/quillcove_core/src/crash/part.rs
@@ -19,7 +19,7 @@
 
 /// Time within which several exits count as one moment. Exits of replicas that are killed together are
 /// noticed within some milliseconds.
-const MOMENT: Duration = Duration::from_millis(300);
+const MOMENT: Duration = Duration::from_millis(150);
 
 /// Time after the last exit for which a blamed part is not tried again; it doubles with each further moment.
 const PROBE_DELAY: Duration = Duration::from_secs(30);
