Runs by prompt part are bounded where only survivals are heard

Found by reading: the history of runs turned over when a run began, and loaders only hear of survivals, so theirs grew by each part that was cleared. Each half begins anew when it is full. Requests that state no parts count as no runs. The dump names the number of parts.

--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -62,6 +62,8 @@
     pub fatal: usize,
     /// Prompt parts that are blamed for exits.
     pub blamed_parts: usize,
+    /// Prompt parts whose runs are remembered.
+    pub seen_parts: usize,
     /// Distinct exits at which they were in flight.
     pub ends: usize,
 }
@@ -129,6 +131,7 @@
             requests: self.records.len(),
             fatal: self.records.values().filter(is_fatal).count(),
             blamed_parts: self.blamed_parts().len(),
+            seen_parts: self.history.len(),
             ends: ends.len(),
         }
     }
@@ -178,6 +181,9 @@
     /// CrashTable::default().record_start(&[part_identity("m", 5)], Duration::ZERO);
     /// ```
     pub fn record_start(&mut self, parts: &[RequestIdentity], now: MonoTime) {
+        if parts.is_empty() {
+            return;
+        }
         self.history.record_start(parts.iter().map(|part| part.digest), now);
     }
 
--- a/quillcove_core/src/crash/part.rs
+++ b/quillcove_core/src/crash/part.rs
@@ -68,20 +68,32 @@
 impl PartHistory {
     /// Records that a replica began to answer a prompt with these parts.
     pub fn record_start(&mut self, parts: impl Iterator<Item = RequestDigest>, now: MonoTime) {
-        let is_old = now.saturating_sub(self.rotated_at) >= HISTORY_TIME;
-        if is_old || self.current.parts.len() >= MAX_PARTS {
+        if now.saturating_sub(self.rotated_at) >= HISTORY_TIME {
             self.previous = std::mem::take(&mut self.current);
             self.rotated_at = now;
         }
         self.current.starts += 1;
         for part in parts {
-            self.current.parts.entry(part).or_default().starts += 1;
+            self.runs_with(part).starts += 1;
         }
     }
 
+    /// Returns the runs with a part in the current half, which begins anew when it is full.
+    fn runs_with(&mut self, part: RequestDigest) -> &mut PartRuns {
+        if self.current.parts.len() >= MAX_PARTS && !self.current.parts.contains_key(&part) {
+            self.previous = std::mem::take(&mut self.current);
+        }
+        self.current.parts.entry(part).or_default()
+    }
+
+    /// Returns the number of parts in both halves.
+    pub fn len(&self) -> usize {
+        self.current.parts.len() + self.previous.parts.len()
+    }
+
     /// Records that a run with a part, begun at `begun_at`, survived the begin of its answer.
     pub fn record_survival(&mut self, part: RequestDigest, begun_at: MonoTime) {
-        let runs = self.current.parts.entry(part).or_default();
+        let runs = self.runs_with(part);
         runs.survived = runs.survived.max(Some(begun_at));
     }
 
--- a/quillcove_core/tests/crash_parts.rs
+++ b/quillcove_core/tests/crash_parts.rs
@@ -116,6 +116,17 @@
     assert!(tracker.cause(part(1), exit_at + APART * 63).is_none());
 }
 
+// Guards against a process that only hears of survivals, as a loader does, and keeps each part for good.
+#[test]
+fn memory_for_runs_with_parts_is_bounded() {
+    let mut tracker = CrashTracker::default();
+    for id in 0..20_000 {
+        tracker.record_survival(&[part(id)], START);
+        tracker.record_start(&[part(id), part(id + 50_000)], START);
+    }
+    assert!(tracker.book().summary().seen_parts <= 4096);
+}
+
 /// What a process hears of parts.
 #[derive(Clone, Copy, Debug)]
 enum PartWord {
