--- a/quillcove_core/src/crash/phase.rs
+++ b/quillcove_core/src/crash/phase.rs
@@ -11,7 +11,7 @@
 const BEGIN_WINDOW: Duration = Duration::from_millis(200);
 
 /// Time after the head of a response from which on the replica has survived the begin of the
-/// answer. Longer than [`BEGIN_WINDOW`], as the bytes of a replica that exits arrive late at times.
+/// answer. Longer than the time in which it begins to write, as the bytes of a replica that exits arrive late at times.
 pub const SURVIVAL_TIME: Duration = Duration::from_millis(300);
 
 /// Phase of an attempt that was aborted.
