--- a/quillcove_core/tests/crash_fleet/mod.rs
+++ b/quillcove_core/tests/crash_fleet/mod.rs
@@ -92,6 +92,8 @@
     pub freezes: &'static [u64],
     /// Seconds at which a third of the replicas is killed at once.
     pub kills: &'static [u64],
+    /// Whether each kill takes the next third, so that replicas are back before they are killed again.
+    pub kills_in_turn: bool,
     /// Innocent requests that begin in a second.
     pub innocents: usize,
     /// Whether the fatal requests share one part of their prompts and nothing else. All prompts have the same first
@@ -117,6 +119,7 @@
         restarts: &[],
         freezes: &[],
         kills: &[],
+        kills_in_turn: false,
         innocents: 30,
         by_part: false,
         was_sound: false,
@@ -338,7 +341,9 @@
             }
         }
         if self.pattern.kills.contains(&second) {
-            for place in 0..self.places.len() / 3 {
+            let third = self.places.len() / 3;
+            let first = if self.pattern.kills_in_turn { second as usize % 3 * third } else { 0 };
+            for place in first..first + third {
                 self.end_place(place, now);
             }
         }
--- a/quillcove_core/tests/crash_words.rs
+++ b/quillcove_core/tests/crash_words.rs
@@ -136,8 +136,8 @@
 /// Fatal requests that share one part of their prompts and nothing else.
 fn part_patterns() -> Vec<CrashPattern> {
     let by_part = |pattern| CrashPattern { by_part: true, ..pattern };
-    let twice = [3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20];
-    let kills: &'static [u64] = Box::leak(Box::new(twice));
+    let each_second = [3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20];
+    let kills: &'static [u64] = Box::leak(Box::new(each_second));
     let mut all: Vec<CrashPattern> = patterns().into_iter().map(by_part).collect();
     let small = by_part(CrashPattern::USUAL);
     let grown = CrashPattern { relays: 25, replicas: 46, innocents: 120, ..small };
@@ -145,10 +145,27 @@
         CrashPattern { name: "4, sound before", was_sound: true, ..small },
         CrashPattern { name: "25, sound before", was_sound: true, ..grown },
         CrashPattern { name: "25, two parts", fatal: 2, ..grown },
-        CrashPattern { name: "4, a third killed each second", kills, ..small },
-        CrashPattern { name: "25, a third killed each second", kills, ..grown },
-        CrashPattern { name: "4, kills only", kills, fatal: 0, ..small },
-        CrashPattern { name: "25, kills only", kills, fatal: 0, ..grown },
+        CrashPattern { name: "4, a third killed each second", kills, kills_in_turn: true, ..small },
+        CrashPattern {
+            name: "25, a third killed each second",
+            kills,
+            kills_in_turn: true,
+            ..grown
+        },
+        CrashPattern {
+            name: "4, kills each second only",
+            kills,
+            kills_in_turn: true,
+            fatal: 0,
+            ..small
+        },
+        CrashPattern {
+            name: "25, kills each second only",
+            kills,
+            kills_in_turn: true,
+            fatal: 0,
+            ..grown
+        },
     ]);
     all
 }
@@ -175,3 +192,12 @@
     let result = worst(pattern, TellingWay::AtOnce);
     assert!(result.counted <= MOST_RETRIES, "{} sent", result.counted);
 }
+
+// Guards against parts that are blamed where replicas are killed and no request crashes any.
+#[test]
+fn no_request_is_rejected_for_its_parts_where_replicas_are_only_killed() {
+    for pattern in part_patterns().into_iter().filter(|pattern| pattern.fatal == 0) {
+        let result = worst(pattern, TellingWay::AtOnce);
+        assert_eq!(result.refused, 0, "{}", pattern.name);
+    }
+}
