A response without a length that an exit cut off is retried, resumed or rejected

Callers saw a 200 whose body looked whole, and was empty or half, when the replica exited while it sent a response with neither a length nor chunks. Plain and streamed, on routes of every kind.

Cause: such a response ends with its connection, and the relay looked at the replica's port only after it had passed the end on (`read_complete`, `end_stream`); what it found counted for the crash records alone.

An exit is a failed attempt: safe routes are retried, resumable streams go on at another replica after their last event, the others are rejected as possibly run (502), or broken off where events have been sent. A host that does not answer at all cannot have closed the connection, so its response is delivered, as is one whose deadline passes during the check. Also, a response without framing whose replica is found alive now counts as a success and clears its parts, which it never did; and its connection is not offered to the pool.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use quillcove_core::crash::phase::RunPhase;
+use quillcove_core::crash::watch::ExitCheck;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -67,6 +68,8 @@
     /// The request may have run: the response was interrupted, belongs to another request, or was
     /// never received.
     Lost(String),
+    /// The request may have run: the replica exited when a response without framing ended, and the exit is recorded.
+    CutOff,
     /// The request's deadline passed.
     TimeOver,
 }
@@ -82,6 +85,7 @@
             Self::Misdirected(false) => "not_held",
             Self::Errored(_) => "errored",
             Self::Lost(_) => "lost",
+            Self::CutOff => "cut_off",
             Self::TimeOver => "time_over",
         }
     }
@@ -92,14 +96,16 @@
             Self::NotSent(reason) | Self::Lost(reason) => reason.clone(),
             Self::Refused(status) => status.to_string(),
             Self::Errored(response) => response.status().as_u16().to_string(),
-            Self::Misdirected(_) | Self::TimeOver | Self::Withheld => String::new(),
+            Self::Misdirected(_) | Self::CutOff | Self::TimeOver | Self::Withheld => String::new(),
         }
     }
 
     /// Returns what the failure means for the replica's health.
     pub fn fate(&self) -> AttemptOutcome {
         match self {
-            Self::NotSent(_) | Self::Lost(_) | Self::Errored(_) => AttemptOutcome::Failed,
+            Self::NotSent(_) | Self::Lost(_) | Self::CutOff | Self::Errored(_) => {
+                AttemptOutcome::Failed
+            },
             Self::Refused(_) | Self::Misdirected(_) => AttemptOutcome::Refused,
             Self::TimeOver | Self::Withheld => AttemptOutcome::Abandoned,
         }
@@ -116,6 +122,14 @@
     Failed(AttemptFailure),
 }
 
+/// What an exchange with a replica brought.
+enum ExchangeEnd {
+    /// The outcome of the attempt.
+    Known(AttemptEnd),
+    /// A response that ended with its connection. It looks complete even if the replica exited in the middle of it.
+    Unframed(Response<Bytes>),
+}
+
 /// Reports an attempt to the machine as abandoned if it is dropped before its outcome is known,
 /// which happens when the caller disconnects.
 struct AttemptGuard<'a> {
@@ -163,12 +177,19 @@
     let mut guard = AttemptGuard { open, order, is_finished: false };
     let exchange = exchange(guard.open, order, last_event);
     let finished = shared.resume_notifier.wait_until(&shared.clock, deadline, exchange).await;
+    let end = match finished {
+        Some(ExchangeEnd::Known(end)) => end,
+        Some(ExchangeEnd::Unframed(response)) => {
+            let check = ends::check_unframed_end(guard.open, order, RunPhase::Beginning).await;
+            classify_unframed(guard.open, response, check)
+        },
+        None => {
+            ends::handle_abandoned_attempt(guard.open, order);
+            AttemptEnd::Failed(AttemptFailure::TimeOver)
+        },
+    };
     guard.is_finished = true;
     drop(guard);
-    let end = finished.unwrap_or_else(|| {
-        ends::handle_abandoned_attempt(open, order);
-        AttemptEnd::Failed(AttemptFailure::TimeOver)
-    });
     if !matches!(end, AttemptEnd::Stream(_)) {
         open.end_prefill(None);
     }
@@ -186,7 +207,7 @@
     open: &OpenRequest,
     order: &AttemptOrder,
     last_event: Option<&str>,
-) -> AttemptEnd {
+) -> ExchangeEnd {
     let response_timeout = match open.may_retry_lost() {
         true => RESPONSE_TIMEOUT,
         // Silence alone is no reason to end an attempt that cannot be retried.
@@ -196,7 +217,8 @@
         Ok(end) => end,
         Err(_) => {
             ends::handle_abandoned_attempt(open, order);
-            AttemptEnd::Failed(AttemptFailure::Lost("no response in time".to_string()))
+            let reason = "no response in time".to_string();
+            ExchangeEnd::Known(AttemptEnd::Failed(AttemptFailure::Lost(reason)))
         },
     }
 }
@@ -206,10 +228,10 @@
     open: &OpenRequest,
     order: &AttemptOrder,
     last_event: Option<&str>,
-) -> AttemptEnd {
+) -> ExchangeEnd {
     let (mut connection, head) = match send_request(open, order, last_event).await {
         Ok(received) => received,
-        Err(failure) => return AttemptEnd::Failed(failure),
+        Err(failure) => return ExchangeEnd::Known(AttemptEnd::Failed(failure)),
     };
     let (parts, body) = head.into_parts();
     if let Some(keep_alive) = keep_alive_timeout(&parts.headers) {
@@ -219,7 +241,7 @@
     open.shared.machine().record_bytes_received(&order.replica, head_at);
     let meaning = heads::classify_response(parts.status, &parts.headers, &open.terms.id);
     record_notice(open, order, meaning, parts.status, &parts.headers);
-    match meaning {
+    let end = match meaning {
         ResponseClass::Foreign => {
             let reason = "response belongs to another request".to_string();
             AttemptEnd::Failed(AttemptFailure::Lost(reason))
@@ -248,9 +270,10 @@
         },
         ResponseClass::Ran => {
             open.record_start(head_at);
-            read_complete(open, order, connection, parts, body).await
+            return read_complete(open, connection, parts, body).await;
         },
-    }
+    };
+    ExchangeEnd::Known(end)
 }
 
 /// Records what a replica reports about itself in a response, whatever the response means for the
@@ -411,33 +434,54 @@
 /// Reads a response to its end and returns its connection to the pool.
 async fn read_complete(
     open: &OpenRequest,
-    order: &AttemptOrder,
     connection: ReplicaConnection,
     mut head: http::response::Parts,
     body: Incoming,
-) -> AttemptEnd {
+) -> ExchangeEnd {
     let is_framed = is_framed(&head.headers) || body.is_end_stream();
     let body = match Limited::new(body, RESPONSE_SIZE_LIMIT).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(error) => {
             let reason = format!("response interrupted: {error}");
-            return AttemptEnd::Failed(AttemptFailure::Lost(reason));
+            return ExchangeEnd::Known(AttemptEnd::Failed(AttemptFailure::Lost(reason)));
         },
     };
-    open.shared.pool.put(connection);
-    let status = head.status;
+    head.headers = heads::end_to_end_headers(&head.headers);
+    let response = Response::from_parts(head, body);
     match is_framed {
-        true if status.is_success() => {
-            open.record_success();
-            open.record_survival(open.sent_at);
+        true => {
+            open.shared.pool.put(connection);
+            ExchangeEnd::Known(classify_complete(open, response))
         },
-        true => {},
-        // Without framing, the response looks complete even if the replica exited: check that.
-        false => ends::handle_broken_response(open, order, RunPhase::Beginning),
+        false => ExchangeEnd::Unframed(response),
     }
-    head.headers = heads::end_to_end_headers(&head.headers);
-    let response = Response::from_parts(head, body);
-    match status.is_server_error() && open.query.route.kind == RouteKind::Safe {
+}
+
+/// Records that the replica survived its response, and classifies the response by its status.
+fn classify_complete(open: &OpenRequest, response: Response<Bytes>) -> AttemptEnd {
+    if response.status().is_success() {
+        open.record_success();
+        open.record_survival(open.sent_at);
+    }
+    classify_status(open, response)
+}
+
+/// Classifies a response that ended with its connection by what is known of its replica since.
+fn classify_unframed(
+    open: &OpenRequest,
+    response: Response<Bytes>,
+    check: ExitCheck,
+) -> AttemptEnd {
+    match check {
+        ExitCheck::Exited => AttemptEnd::Failed(AttemptFailure::CutOff),
+        ExitCheck::Alive => classify_complete(open, response),
+        // A host without power or cut off closes no connection, so that the replica itself ended the response.
+        ExitCheck::Pending | ExitCheck::Unknown => classify_status(open, response),
+    }
+}
+
+fn classify_status(open: &OpenRequest, response: Response<Bytes>) -> AttemptEnd {
+    match response.status().is_server_error() && open.query.route.kind == RouteKind::Safe {
         true => AttemptEnd::Failed(AttemptFailure::Errored(Box::new(response))),
         false => AttemptEnd::Complete(response),
     }
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use quillcove_core::crash::phase::RunPhase;
-use quillcove_core::crash::watch::{AbortKind, ResponseAbort};
+use quillcove_core::crash::watch::{AbortKind, ExitCheck, ResponseAbort};
 use quillcove_core::ids::{MonoTime, PartId};
 use quillcove_core::relay::machine::{AttemptOrder, BreakStep};
 use slog::info;
@@ -79,12 +79,44 @@
     let Some(identity) = open.query.identity else {
         return;
     };
-    let now = open.shared.clock.now();
-    let has_begun = open.first_event.is_some();
     info!(open.shared.log, "answer broke off"; "id" => &open.terms.id,
         "request" => %identity.digest, "caller" => format!("{:016x}", identity.caller),
-        "replica" => &order.replica, "has_begun" => has_begun, "phase" => phase.label(),
-        "parts" => part_list(&open.terms.shared_parts));
+        "replica" => &order.replica, "has_begun" => open.first_event.is_some(),
+        "phase" => phase.label(), "parts" => part_list(&open.terms.shared_parts));
+    record_abort(open, order, phase, open.shared.clock.now());
+}
+
+/// Finds out whether a response without framing, which ended at this moment, was cut off by the exit of its replica.
+/// Returns [`ExitCheck::Pending`] if the request's deadline passes before that is known.
+pub async fn check_unframed_end(
+    open: &OpenRequest,
+    order: &AttemptOrder,
+    phase: RunPhase,
+) -> ExitCheck {
+    let shared = &open.shared;
+    let ended_at = shared.clock.now();
+    record_abort(open, order, phase, ended_at);
+    loop {
+        // Registered before the check, so that a result in between is not missed.
+        let checked = shared.exit_checked.notified();
+        let check = shared.machine().exit_check(order, open.sent_at, ended_at);
+        if check != ExitCheck::Pending {
+            return check;
+        }
+        let deadline = open.query.deadline;
+        if shared.resume_notifier.wait_until(&shared.clock, deadline, checked).await.is_none() {
+            return ExitCheck::Pending;
+        }
+    }
+}
+
+/// Records that a response may have been cut off by the exit of its replica at `now`, and starts to detect whether it
+/// has exited.
+fn record_abort(open: &OpenRequest, order: &AttemptOrder, phase: RunPhase, now: MonoTime) {
+    let Some(identity) = open.query.identity else {
+        return;
+    };
+    let has_begun = open.first_event.is_some();
     // Parts are to blame only for exits of replicas that were beginning to write.
     let parts = match phase {
         RunPhase::Beginning => &open.query.parts[..],
@@ -143,6 +175,7 @@
         if next == Some(due) {
             next = check_replica(&shared, &order, kind, due).await;
         }
+        shared.exit_checked.notify_waiters();
     }
 }
 
@@ -153,23 +186,28 @@
     kind: AbortKind,
     due: MonoTime,
 ) -> Option<MonoTime> {
-    let rule_out = |alive_at| {
-        let mut machine = shared.machine();
-        machine.rule_out_exit(order, alive_at);
-        machine.exit_check_due(order, kind)
-    };
     if shared.machine().has_received_since(&order.replica, due + READ_GRACE_PERIOD) {
-        return rule_out(due);
+        shared.machine().rule_out_exit(order, due);
+        return shared.machine().exit_check_due(order, kind);
     }
     let probed_at = shared.clock.now();
     let port = probe_port(order.address).await;
     // A replica may have begun to drain since the attempt was abandoned.
     let is_expected = kind == AbortKind::Abandoned && shared.machine().expects_exit(order);
     let has_exited = port == PortState::Closed && !is_expected;
-    let (requests, next) = match has_exited {
-        true => (shared.machine().confirm_exit(order, shared.clock.now()), None),
-        false if port == PortState::Open => (0, rule_out(probed_at)),
-        false => (0, rule_out(shared.clock.now())),
+    let mut requests = 0;
+    let next = {
+        let mut machine = shared.machine();
+        match port {
+            PortState::Closed if has_exited => {
+                requests = machine.confirm_exit(order, shared.clock.now());
+            },
+            PortState::Open => machine.rule_out_exit(order, probed_at),
+            PortState::Closed | PortState::Silent => {
+                machine.end_exit_checks(order, shared.clock.now());
+            },
+        }
+        machine.exit_check_due(order, kind)
     };
     info!(shared.log, "replica looked at"; "replica" => &order.replica, "port" => port.label(),
         "is_expected" => is_expected, "is_abandoned" => kind == AbortKind::Abandoned,
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -208,7 +208,7 @@
             record_misdirected(open, order, *is_other);
             may_retry_rejected(open)
         },
-        AttemptFailure::Lost(_) | AttemptFailure::Errored(_) => {
+        AttemptFailure::Lost(_) | AttemptFailure::CutOff | AttemptFailure::Errored(_) => {
             open.runs += 1;
             kind.is_repeatable()
                 && open.runs < open.query.route.attempt_limit
@@ -271,7 +271,9 @@
             refusal(RefusalReason::UpstreamDown, Some(REFUSED_RETRY_AFTER))
         },
         AttemptFailure::Withheld => refusal(RefusalReason::NoUpstream, Some(REFUSED_RETRY_AFTER)),
-        AttemptFailure::Lost(_) => refusal(RefusalReason::UpstreamBroke, None),
+        AttemptFailure::Lost(_) | AttemptFailure::CutOff => {
+            refusal(RefusalReason::UpstreamBroke, None)
+        },
         AttemptFailure::TimeOver => refusal(RefusalReason::DeadlinePassed, None),
     }
 }
--- a/quillcove/src/relay/input/crashes.rs
+++ b/quillcove/src/relay/input/crashes.rs
@@ -38,6 +38,7 @@
     ) {
         let new_records = self.shared.machine().crashes_mut().apply_report(message, now);
         if new_records > 0 {
+            self.shared.exit_checked.notify_waiters();
             info!(self.shared.log, "told of ended replicas"; "from" => %from, "news" => new_records);
         }
     }
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -33,6 +33,8 @@
     pub unknown_status_headers: UnknownHeaders,
     /// Notifies the requests that wait for the origin of a stream.
     pub origin_answered: Notify,
+    /// Notifies the requests whose response ended without framing when it may be known whether the replica exited.
+    pub exit_checked: Notify,
     /// Notifies the input task that messages are to be sent, such as load requests.
     pub messages_pending: Notify,
     machine: Mutex<RelayMachine>,
@@ -53,6 +55,7 @@
             waiters: AdapterWaiters::default(),
             unknown_status_headers: UnknownHeaders::default(),
             origin_answered: Notify::new(),
+            exit_checked: Notify::new(),
             messages_pending: Notify::new(),
             machine: Mutex::new(machine),
             settings,
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -9,6 +9,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use quillcove_core::crash::phase::{RunPhase, SURVIVAL_TIME};
+use quillcove_core::crash::watch::ExitCheck;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -154,8 +155,15 @@
                     return Some(Ok(events));
                 },
                 StreamStep::Ended => {
-                    self.end_stream();
-                    return None;
+                    let check = self.check_end().await;
+                    if check != ExitCheck::Exited {
+                        self.end_stream(check);
+                        return None;
+                    }
+                    let reason = "replica exited at the end of a stream without framing";
+                    if let Some(error) = self.resume_or_fail(reason).await {
+                        return Some(Err(error));
+                    }
                 },
                 StreamStep::TimeOver => {
                     self.end_attempt(AttemptOutcome::Abandoned);
@@ -173,16 +181,34 @@
                         let phase = self.phase(live);
                         ends::handle_broken_response(&self.open, &live.order, phase);
                     }
-                    self.end_attempt(AttemptOutcome::Failed);
-                    if !self.resume(&reason).await {
-                        self.open.finish(RunVerdict::MayHaveRun, 0, reason.as_str());
-                        return Some(Err(BodyError::Upstream(reason)));
+                    if let Some(error) = self.resume_or_fail(&reason).await {
+                        return Some(Err(error));
                     }
                 },
             }
         }
     }
 
+    /// Resumes an interrupted stream. If that is not possible, ends the request and returns the error for its caller.
+    async fn resume_or_fail(&mut self, reason: &str) -> Option<BodyError> {
+        self.end_attempt(AttemptOutcome::Failed);
+        if self.resume(reason).await {
+            return None;
+        }
+        self.open.finish(RunVerdict::MayHaveRun, 0, reason);
+        Some(BodyError::Upstream(reason.to_string()))
+    }
+
+    /// Finds out whether the replica survived the end of its stream. Without framing, a stream looks complete even if
+    /// the replica exited.
+    async fn check_end(&self) -> ExitCheck {
+        let Some(live) = self.live.as_ref().filter(|live| !attempt::is_framed(&live.head.headers))
+        else {
+            return ExitCheck::Alive;
+        };
+        ends::check_unframed_end(&self.open, &live.order, self.phase(live)).await
+    }
+
     /// Reads from the upstream until the request's deadline.
     async fn read_step(&mut self) -> StreamStep {
         let (shared, deadline) = (self.open.shared.clone(), self.open.query.deadline);
@@ -260,25 +286,20 @@
         RunPhase::of_stream(Some(since_head), self.has_event)
     }
 
-    /// Ends the request after a complete stream.
-    fn end_stream(&mut self) {
+    /// Ends the request after a complete stream; `check` tells whether its replica is known to have survived it.
+    fn end_stream(&mut self, check: ExitCheck) {
         let now = self.open.shared.clock.now();
         if let Some(live) = self.live.take() {
             let key = self.open.query.adapter.as_ref();
             let replica = &live.order.replica;
             self.open.shared.machine().end_attempt(replica, key, AttemptOutcome::Answered, now);
-            match attempt::is_framed(&live.head.headers) {
-                true => {
-                    self.open.record_success();
-                    self.open.record_survival(live.head_at);
-                },
-                // Without framing, the stream looks complete even if the replica exited: check that.
-                false => {
-                    let phase = self.phase(&live);
-                    ends::handle_broken_response(&self.open, &live.order, phase);
-                },
+            if check == ExitCheck::Alive {
+                self.open.record_success();
+                self.open.record_survival(live.head_at);
+            }
+            if attempt::is_framed(&live.head.headers) {
+                self.open.shared.pool.put(live.connection);
             }
-            self.open.shared.pool.put(live.connection);
         }
         self.open.finish(RunVerdict::Ran, 200, "streamed");
     }
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -80,6 +80,19 @@
     }
 }
 
+/// What is known of a replica after a response that looks complete whether or not the replica exited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitCheck {
+    /// It is not known yet whether the replica exited.
+    Pending,
+    /// The replica exited, which may have cut the response off.
+    Exited,
+    /// The replica was alive after the response ended.
+    Alive,
+    /// No exit was found, but no sign of life either: the host is silent, or the replica was leaving.
+    Unknown,
+}
+
 /// An aborted response for which it is not yet known whether its replica exited.
 #[derive(Clone, Copy, Debug)]
 struct PendingAbort {
@@ -122,6 +135,8 @@
     pending: Vec<PendingAbort>,
     /// Known exits, and when they were noticed.
     known_exits: BTreeMap<ExitId, MonoTime>,
+    /// When a run was last found alive.
+    last_alive: BTreeMap<ExitId, MonoTime>,
     /// The last request that tried a blamed prompt part again, by part.
     probes: BTreeMap<RequestDigest, PartProbe>,
 }
@@ -249,9 +264,24 @@
     /// CrashTracker::default().rule_out_exit(&run, Duration::from_secs(1));
     /// ```
     pub fn rule_out_exit(&mut self, run: &ReplicaRun, alive_at: MonoTime) {
+        self.last_alive.insert(run.exit_id(), alive_at);
+        self.end_exit_checks(run, alive_at);
+    }
+
+    /// Gives up finding out whether the replica exited under responses that were aborted before `until`, or abandoned
+    /// longer than [`ABANDONED_WINDOW`] before: its host does not answer.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::watch::{CrashTracker, ReplicaRun};
+    ///
+    /// let run = ReplicaRun { replica: "i-1".into(), born: None };
+    /// CrashTracker::default().end_exit_checks(&run, Duration::from_secs(1));
+    /// ```
+    pub fn end_exit_checks(&mut self, run: &ReplicaRun, until: MonoTime) {
         let exit = run.exit_id();
         self.pending
-            .retain(|abort| abort.run != exit || abort.at + abort.kind.exit_window() > alive_at);
+            .retain(|abort| abort.run != exit || abort.at + abort.kind.exit_window() > until);
     }
 
     /// Returns from when on the replica's state tells whether a response of this kind was aborted by its exit,
@@ -271,6 +301,42 @@
         due.map(|at| at + kind.exit_window())
     }
 
+    /// Returns what is known of a replica after a response, recorded as aborted at `ended_at`, whose end alone does not
+    /// tell whether the replica exited.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+    /// use quillcove_core::crash::watch::{CrashTracker, ExitCheck, ReplicaRun, ResponseAbort};
+    ///
+    /// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
+    /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
+    /// let now = Duration::from_secs(5);
+    /// let run = ReplicaRun { replica: "i-1".into(), born: None };
+    /// let abort = ResponseAbort { identity, has_begun: false, sent_at: now };
+    /// let mut watch = CrashTracker::default();
+    /// watch.record_abort(&run, abort, now);
+    /// assert_eq!(watch.exit_check(&run, now, now), ExitCheck::Pending);
+    /// watch.confirm_exit(&run, now);
+    /// assert_eq!(watch.exit_check(&run, now, now), ExitCheck::Exited);
+    /// ```
+    pub fn exit_check(&self, run: &ReplicaRun, sent_at: MonoTime, ended_at: MonoTime) -> ExitCheck {
+        // An exit that was known when the request was sent is that of an earlier run.
+        let exit = self.exit_after(run.exit_id(), sent_at, Duration::ZERO);
+        if self.known_exits.contains_key(&exit) {
+            return ExitCheck::Exited;
+        }
+        let is_open = |abort: &PendingAbort| {
+            abort.run == run.exit_id() && abort.kind == AbortKind::CutOff && abort.at <= ended_at
+        };
+        let is_alive = self.last_alive.get(&run.exit_id()).is_some_and(|at| *at >= ended_at);
+        match is_alive {
+            true => ExitCheck::Alive,
+            false if self.pending.iter().any(is_open) => ExitCheck::Pending,
+            false => ExitCheck::Unknown,
+        }
+    }
+
     /// Counts the pending responses that were aborted by an exit at `exit_at`, if that is known, and returns their
     /// number.
     fn count_matching(
@@ -509,6 +575,7 @@
         let is_fresh = |at: MonoTime| now.saturating_sub(at) < EXIT_LIFETIME;
         self.pending.retain(|abort| is_fresh(abort.at));
         self.known_exits.retain(|_, at| is_fresh(*at));
+        self.last_alive.retain(|_, at| is_fresh(*at));
         self.probes.retain(|_, probe| now.saturating_sub(probe.at) < FORGET_TIME);
         self.book.forget(now);
     }
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -2,7 +2,7 @@
 
 use super::{AttemptOrder, RelayMachine, RelayQuery};
 use crate::crash::digest::{RequestIdentity, load_identity};
-use crate::crash::watch::{AbortKind, CrashTracker, ReplicaRun, ResponseAbort};
+use crate::crash::watch::{AbortKind, CrashTracker, ExitCheck, ReplicaRun, ResponseAbort};
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::EngineReport;
 
@@ -214,6 +214,31 @@
         self.table.get(replica).is_some_and(|view| view.has_received_since(at))
     }
 
+    /// Returns what is known of a replica after a response, recorded as aborted at `ended_at`, whose end alone does not
+    /// tell whether the replica exited.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::watch::ExitCheck;
+    /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let order = AttemptOrder::to(&example_record("i-1"));
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// let (sent_at, ended_at) = (Duration::from_secs(1), Duration::from_secs(2));
+    /// assert_eq!(machine.exit_check(&order, sent_at, ended_at), ExitCheck::Unknown);
+    /// machine.confirm_exit(&order, ended_at);
+    /// assert_eq!(machine.exit_check(&order, sent_at, ended_at), ExitCheck::Exited);
+    /// ```
+    pub fn exit_check(
+        &self,
+        order: &AttemptOrder,
+        sent_at: MonoTime,
+        ended_at: MonoTime,
+    ) -> ExitCheck {
+        self.crashes.exit_check(&run_of(order), sent_at, ended_at)
+    }
+
     /// Records that a replica has exited. Returns the number of responses that were cut off by the exit.
     ///
     /// ```
@@ -229,7 +254,7 @@
         self.crashes.confirm_exit(&run_of(order), now)
     }
 
-    /// Records that a replica had not exited at `alive_at`, or that this can't be determined.
+    /// Records that a replica had not exited at `alive_at`.
     ///
     /// ```
     /// use std::time::Duration;
@@ -243,6 +268,20 @@
         self.crashes.rule_out_exit(&run_of(order), alive_at);
     }
 
+    /// Gives up finding out whether a replica exited under responses that were aborted before `until`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let order = AttemptOrder::to(&example_record("i-1"));
+    /// RelayMachine::new(RelayRules::default(), 1).end_exit_checks(&order, Duration::ZERO);
+    /// ```
+    pub fn end_exit_checks(&mut self, order: &AttemptOrder, until: MonoTime) {
+        self.crashes.end_exit_checks(&run_of(order), until);
+    }
+
     /// Returns from when on the replica's state tells whether it exited under a response of this kind; `None` if no
     /// such response is pending.
     ///
