Agents: a response without a length that an exit cut off is no complete one

Callers of an entry saw half a booking as 200 and `ran`, and a stream of completions that ended early without an error event, when the upstream exited while it sent a response with neither a length nor chunks.

Cause: the agent took the end of the connection for the end of the response. Now it looks at the upstream's port first (30 ms): a plain service's response becomes 502, possibly run, an engine's breaks off, so that an entry adds its error event. The port probe is one copy for relay and agent (`port.rs`), as is the question whether headers frame a body (`web/headers.rs`).

--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use dropshot::{ApiDescription, Body, HttpServer, Path, RequestContext, StreamingBody};
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use quillcove_core::agent::event::{AgentEvent, RunEnd, RunOrder, WorkTarget};
 use quillcove_core::agent::verdict_of;
 use quillcove_core::class::WorkClass;
@@ -24,6 +26,7 @@
 use crate::duty::DutyRing;
 use crate::logging::quiet;
 use crate::metrics::ProcessMetrics;
+use crate::port::{PROBE_DELAY, PortState, probe_port};
 use crate::web::answer::{HandlerResult, internal_error, refusal, refusal_message};
 use crate::web::body::{self, BodyEnd, WatchedBody};
 use crate::web::client::{WebClient, WebError};
@@ -159,6 +162,7 @@
     let class = order.class;
     let target = order.target.clone();
     let deadline = order.deadline;
+    let upstream_address = state.settings.upstream.address;
     let client = match order.claim {
         Some(_) => state.once_client.clone(),
         None => state.client.clone(),
@@ -191,7 +195,8 @@
         WorkTarget::Adapter(_) => stream_from_engine(state, attempt, class, call, update).await,
         WorkTarget::Service => {
             let limit = deadline.saturating_sub(state.clock.now()) + OUTCOME_TIMEOUT;
-            let exchange = exchange_with_timeout(client, upstream_request(call)?, limit);
+            let request = upstream_request(call)?;
+            let exchange = exchange_with_timeout(client, request, upstream_address, limit);
             call_service(state, attempt, class, exchange, update).await
         },
     };
@@ -223,7 +228,9 @@
     end_guard.end = None;
     let started = state.clock.now();
     let status = response.status().as_u16();
+    let address = state.settings.upstream.address;
     let (parts, incoming) = response.into_parts();
+    let needs_check = needs_end_check(&parts, &incoming);
     let body = WatchedBody::new(incoming, move |end| {
         let end = match end {
             BodyEnd::Whole => RunEnd::Complete(status),
@@ -236,9 +243,27 @@
         );
         state.report_end(attempt, end);
     });
+    let body = match needs_check {
+        true => body.with_end_check(check_unframed_end(address)),
+        false => body,
+    };
     upstream_response(parts, Body::wrap(body), &update)
 }
 
+/// Returns whether a response looks complete even if the upstream exits in the middle of it.
+fn needs_end_check(head: &http::response::Parts, body: &Incoming) -> bool {
+    !headers::is_framed(&head.headers) && !body.is_end_stream()
+}
+
+/// Finds out whether a response without framing was cut off by the exit of the upstream.
+async fn check_unframed_end(upstream: SocketAddr) -> Result<(), body::BodyError> {
+    tokio::time::sleep(PROBE_DELAY).await;
+    match probe_port(upstream).await {
+        PortState::Closed => Err("upstream exited at the end of a response without framing".into()),
+        PortState::Open | PortState::Silent => Ok(()),
+    }
+}
+
 /// Calls a plain service in a separate task: once begun, the call is completed even if the caller disconnects, so
 /// that its outcome is known.
 async fn call_service(
@@ -278,12 +303,18 @@
 async fn exchange_with_timeout(
     client: WebClient,
     request: Request<Full<Bytes>>,
+    upstream: SocketAddr,
     limit: Duration,
 ) -> Result<BufferedResponse, WebError> {
+    let lost = |error: body::BodyError| WebError::Lost(error.to_string());
     let exchange = async {
         let (parts, body) = client.send(request).await?.into_parts();
+        let needs_check = needs_end_check(&parts, &body);
         let body = http_body_util::Limited::new(body, RESPONSE_BODY_LIMIT).collect().await;
-        let body = body.map_err(|error| WebError::Lost(error.to_string()))?;
+        let body = body.map_err(lost)?;
+        if needs_check {
+            check_unframed_end(upstream).await.map_err(lost)?;
+        }
         Ok((parts, body.to_bytes()))
     };
     let exchange = tokio::time::timeout(limit, exchange).await;
--- a/quillcove/src/lib.rs
+++ b/quillcove/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod operator;
 pub mod peers;
 pub mod platform;
+pub mod port;
 pub mod process;
 pub mod relay;
 pub mod standin;
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,6 +26,7 @@
 use super::pool::ReplicaConnection;
 use super::reader::READ_BUFFER_BYTES;
 use super::request::OpenRequest;
+use crate::web::headers::is_framed;
 
 /// Largest response body, in bytes, that is buffered before it is forwarded.
 const RESPONSE_SIZE_LIMIT: usize = 8 << 20;
@@ -487,12 +487,6 @@
     }
 }
 
-/// Returns whether the headers of a response say where its body ends. A body that ends with its
-/// connection looks complete even if the replica exited in the middle of it.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
-
 /// Returns how long the replica keeps an idle connection open, if the response says so.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -1,8 +1,6 @@
 //! Detects whether a replica has exited when a connection to it breaks, or under an attempt that was
 //! abandoned.
 
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,62 +10,16 @@
 use quillcove_core::ids::{MonoTime, PartId};
 use quillcove_core::relay::machine::{AttemptOrder, BreakStep};
 use slog::info;
-use tokio::net::TcpStream;
 use tokio::runtime::Handle;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::request::OpenRequest;
 use super::shared::RelayShared;
-
-/// Delay before the port of a replica is probed. Within it, an exiting process closes the port, and other responses
-/// of a running replica show that it is alive. A busy replica sends data every few milliseconds, so that few
-/// responses that break off for other reasons cost a probe connection.
-const PROBE_DELAY: Duration = Duration::from_millis(30);
+use crate::port::{PROBE_DELAY, PortState, probe_port};
 
 /// Time after the first broken connection within which bytes that a replica sent before its exit may still be read.
 const READ_GRACE_PERIOD: Duration = Duration::from_millis(10);
 
-/// Timeout of one connection attempt to a replica's port. A running host answers within a round trip, or within one
-/// second more if the first packet is lost.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1200);
-
-/// Number of connection attempts before a host is taken to be silent.
-const PROBE_ATTEMPTS: u32 = 2;
-
-/// Result of probing a replica's port.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PortState {
-    /// The port accepts connections.
-    Open,
-    /// The host refuses the connection: no process listens.
-    Closed,
-    /// The host does not answer: it has no power or is cut off, which no request can cause.
-    Silent,
-}
-
-impl PortState {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Open => "open",
-            Self::Closed => "closed",
-            Self::Silent => "silent",
-        }
-    }
-}
-
-async fn probe_port(address: SocketAddr) -> PortState {
-    for _ in 0..PROBE_ATTEMPTS {
-        match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => return PortState::Open,
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                return PortState::Closed;
-            },
-            Ok(Err(_)) | Err(_) => {},
-        }
-    }
-    PortState::Silent
-}
-
 /// Returns part ids in the form of the log.
 fn part_list(parts: &[PartId]) -> String {
     let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -24,6 +24,7 @@
 use super::events::{self, EventSplitter};
 use super::reader::{BufferSender, ReadLimit, stream_buffer};
 use super::request::OpenRequest;
+use crate::web::headers::is_framed;
 
 /// Time without a read of the upstream from which on its break may be due to the caller: less than any usual write
 /// timeout of a server.
@@ -202,8 +203,7 @@
     /// Finds out whether the replica survived the end of its stream. Without framing, a stream looks complete even if
     /// the replica exited.
     async fn check_end(&self) -> ExitCheck {
-        let Some(live) = self.live.as_ref().filter(|live| !attempt::is_framed(&live.head.headers))
-        else {
+        let Some(live) = self.live.as_ref().filter(|live| !is_framed(&live.head.headers)) else {
             return ExitCheck::Alive;
         };
         ends::check_unframed_end(&self.open, &live.order, self.phase(live)).await
@@ -297,7 +297,7 @@
                 self.open.record_success();
                 self.open.record_survival(live.head_at);
             }
-            if attempt::is_framed(&live.head.headers) {
+            if is_framed(&live.head.headers) {
                 self.open.shared.pool.put(live.connection);
             }
         }
--- a/quillcove/src/web/body.rs
+++ b/quillcove/src/web/body.rs
@@ -19,6 +19,12 @@
     Dropped,
 }
 
+/// Error of a forwarded body.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Finds out whether a body that seems whole was cut off; returns the reason if it was.
+type EndCheck = Pin<Box<dyn Future<Output = Result<(), BodyError>> + Send + Sync>>;
+
 /// Callback for the end of a body.
 type EndCallback = Box<dyn FnOnce(BodyEnd) + Send + Sync>;
 
@@ -29,7 +35,10 @@
 pub struct WatchedBody {
     inner: Incoming,
     on_end: Option<EndCallback>,
+    end_check: Option<EndCheck>,
     tail: Option<TailFactory>,
+    /// Whether the forwarded body has ended; its end may still have to be checked.
+    is_inner_over: bool,
     is_over: bool,
 }
 
@@ -41,7 +50,29 @@
     /// quillcove::web::body::WatchedBody::new(incoming(), |end| println!("{end:?}"));
     /// ```
     pub fn new(inner: Incoming, on_end: impl FnOnce(BodyEnd) + Send + Sync + 'static) -> Self {
-        Self { inner, on_end: Some(Box::new(on_end)), tail: None, is_over: false }
+        Self {
+            inner,
+            on_end: Some(Box::new(on_end)),
+            end_check: None,
+            tail: None,
+            is_inner_over: false,
+            is_over: false,
+        }
+    }
+
+    /// Checks, when the body seems whole, whether the sender broke off.
+    ///
+    /// ```no_run
+    /// # fn incoming() -> hyper::body::Incoming { unimplemented!() }
+    /// let body = quillcove::web::body::WatchedBody::new(incoming(), |_| ());
+    /// body.with_end_check(async { Err("the upstream exited".into()) });
+    /// ```
+    pub fn with_end_check(
+        mut self,
+        end_check: impl Future<Output = Result<(), BodyError>> + Send + Sync + 'static,
+    ) -> Self {
+        self.end_check = Some(Box::pin(end_check));
+        self
     }
 
     /// Appends bytes after the last frame, such as a stream's error event. HTTP then sees a body that
@@ -60,6 +91,18 @@
         self
     }
 
+    fn poll_inner(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if self.is_inner_over {
+            return Poll::Ready(None);
+        }
+        let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        self.is_inner_over = frame.is_none();
+        Poll::Ready(frame)
+    }
+
     fn end(&mut self, end: BodyEnd) -> Option<Bytes> {
         self.is_over = true;
         if let Some(on_end) = self.on_end.take() {
@@ -82,30 +125,37 @@
 
 impl Body for WatchedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if self.is_over {
             return Poll::Ready(None);
         }
-        match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
-            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
-            Some(Err(error)) => match self.end(BodyEnd::Broken) {
-                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                None => Poll::Ready(Some(Err(error))),
-            },
-            None => match self.end(BodyEnd::Whole) {
-                Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                None => Poll::Ready(None),
+        let result = match ready!(self.poll_inner(cx)) {
+            Some(Ok(frame)) => return Poll::Ready(Some(Ok(frame))),
+            Some(Err(error)) => Err(error.into()),
+            None => match &mut self.end_check {
+                Some(end_check) => ready!(end_check.as_mut().poll(cx)),
+                None => Ok(()),
             },
+        };
+        let end = match result {
+            Ok(()) => BodyEnd::Whole,
+            Err(_) => BodyEnd::Broken,
+        };
+        match (self.end(end), result) {
+            (Some(bytes), _) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            (None, Err(error)) => Poll::Ready(Some(Err(error))),
+            (None, Ok(())) => Poll::Ready(None),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.is_over || (self.tail.is_none() && self.inner.is_end_stream())
+        let has_more = self.tail.is_some() || self.end_check.is_some();
+        self.is_over || (!has_more && self.inner.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use http::header::RETRY_AFTER;
+use http::header::{CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use quillcove_core::standing::limit::read_limit;
 use quillcove_core::standing::notice::{LONGEST_REST, UpstreamNotice, read_rest};
@@ -123,6 +123,22 @@
 const HOP_HEADERS: [&str; 5] =
     ["connection", "host", "content-length", "transfer-encoding", "keep-alive"];
 
+/// Returns whether the headers of a response say where its body ends. A body that ends with its connection looks
+/// complete even if the sender exited in the middle of it.
+///
+/// ```
+/// use http::HeaderMap;
+/// use quillcove::web::headers::is_framed;
+///
+/// let mut headers = HeaderMap::new();
+/// assert!(!is_framed(&headers));
+/// headers.insert("content-length", "5".parse().unwrap());
+/// assert!(is_framed(&headers));
+/// ```
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns the headers to forward: all but those of a single connection and quillcove's own.
 ///
 /// ```
--- a/quillcove/tests/common/mod.rs
+++ b/quillcove/tests/common/mod.rs
@@ -189,6 +189,14 @@
 
 impl ProcessSite {
     pub fn start(size: &SiteSize) -> Self {
+        Self::start_behind(size, |address| address)
+    }
+
+    /// Starts a site whose agents reach each upstream at the address that this returns for its own.
+    pub fn start_behind(
+        size: &SiteSize,
+        mut front_of: impl FnMut(SocketAddr) -> SocketAddr,
+    ) -> Self {
         let folder = tempfile::tempdir().expect("a folder can be made");
         let platform = standin(&["platform"]);
         let mut site = Self {
@@ -206,14 +214,16 @@
         for number in 0..size.engines {
             let slots = size.slots.to_string();
             let engine = standin(&["engine", "--slots", &slots, "--step-ms", "2"]);
-            let upstream = format!("kind = engine\naddress = {}\nsettle_time = 500ms\n", engine.1);
+            let address = front_of(engine.1);
+            let upstream = format!("kind = engine\naddress = {address}\nsettle_time = 500ms\n");
             site.engines.push(engine);
             site.add_agent(&format!("e{number}"), "engine", "small", &upstream);
         }
         for number in 0..size.services {
             let delay = size.service_delay_ms.to_string();
             let service = standin(&["service", "--delay-ms", &delay]);
-            let upstream = format!("kind = service\naddress = {}\npath_prefix = /do\n", service.1);
+            let address = front_of(service.1);
+            let upstream = format!("kind = service\naddress = {address}\npath_prefix = /do\n");
             site.services.push(service);
             site.add_agent(&format!("s{number}"), "service", "booking", &upstream);
         }
