Exits of one moment count once for a request that is known to run well

Cause: the request was in flight at a replica that was killed, was tried again at once at others of the same herd, and so was at three exits of its caller within some milliseconds. These counted as three, although others' runs of it went well before and after, and nothing that was sent again could clear them.

Why the fix works: an exit where the answer had begun, or whose request was known to run well, likely has another cause. Such exits count once for each moment of 150 ms, as those of parts do. A fatal request has no answer yet and does not run well, so that each exit still counts, also of several copies at one moment; and one that used to run well is rejected after three moments. What a process was told about a request's good runs now goes into its own reports of exits too.

`exits_of_one_moment_count_once_for_a_request_that_runs_well` fails on the code before, at its second moment.

--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -168,7 +168,13 @@
         }
         record.seen_at = now;
         record.runs_well |= runs_well;
-        record.add(ExitMark { exit, caller: identity.caller, has_begun, at })
+        let mark = ExitMark { exit, caller: identity.caller, has_begun, ran_well: runs_well, at };
+        record.add(mark)
+    }
+
+    /// Returns whether a request with a crash record is known to have run well for some caller.
+    pub(super) fn runs_well(&self, digest: &RequestDigest) -> bool {
+        self.records.get(digest).is_some_and(|record| record.runs_well)
     }
 
     /// Records that a replica began to answer a prompt with these parts.
@@ -255,9 +261,7 @@
             return None;
         }
         let blamed = self.blamed_exits(identity.digest, record);
-        let of = |caller: Option<CallerDigest>| -> usize {
-            record.exits_of(caller).intersection(&blamed).count()
-        };
+        let of = |caller: Option<CallerDigest>| record.evidence(caller, &blamed);
         let callers = record.callers().len();
         let own = of(Some(identity.caller));
         let all = of(None);
--- a/quillcove_core/src/crash/part.rs
+++ b/quillcove_core/src/crash/part.rs
@@ -10,17 +10,13 @@
 use std::time::Duration;
 
 use super::digest::RequestDigest;
-use super::record::CrashRecord;
+use super::record::{CrashRecord, MOMENT, moment_count};
 use super::telling::ExitId;
 use crate::ids::MonoTime;
 
 /// Moments with exits after which a part is blamed.
 const MIN_MOMENTS: usize = 3;
 
-/// Time within which several exits count as one moment. Exits of replicas that are killed together are
-/// noticed within some milliseconds.
-const MOMENT: Duration = Duration::from_millis(150);
-
 /// Time after the last exit for which a blamed part is not tried again; it doubles with each further moment.
 const PROBE_DELAY: Duration = Duration::from_secs(30);
 
@@ -148,7 +144,7 @@
         let better = blamed.iter().filter(|part| part.explains(share));
         let explained: BTreeSet<ExitId> = better.flat_map(|part| &part.exits).copied().collect();
         let left = record.marks.iter().filter(|mark| !explained.contains(&mark.exit));
-        if moment_count(left.clone().map(|mark| mark.at).collect()) >= MIN_MOMENTS {
+        if moment_count(left.clone().map(|mark| mark.at).collect(), MOMENT) >= MIN_MOMENTS {
             let exits = left.map(|mark| mark.exit).collect();
             blamed.push(BlamedPart { digest: *digest, exits, share });
         }
@@ -164,20 +160,7 @@
 /// Returns the time after the last exit from which on one request may try whether a blamed part still makes replicas
 /// exit. Without it, a part that was blamed while all replicas crashed for reasons of their own would stay rejected.
 pub(super) fn probe_delay(record: &CrashRecord) -> Duration {
-    let moments = moment_count(record.marks.iter().map(|mark| mark.at).collect());
+    let moments = moment_count(record.marks.iter().map(|mark| mark.at).collect(), MOMENT);
     let doublings = u32::try_from(moments.saturating_sub(MIN_MOMENTS)).unwrap_or(u32::MAX);
     PROBE_DELAY * 2_u32.pow(doublings.min(MAX_PROBE_DOUBLINGS))
 }
-
-fn moment_count(mut times: Vec<MonoTime>) -> usize {
-    times.sort_unstable();
-    let mut count = 0;
-    let mut began = None;
-    for at in times {
-        if began.is_none_or(|began| at > began + MOMENT) {
-            count += 1;
-            began = Some(at);
-        }
-    }
-    count
-}
--- a/quillcove_core/src/crash/record.rs
+++ b/quillcove_core/src/crash/record.rs
@@ -14,6 +14,10 @@
 /// Maximum number of callers per request whose last success is stored.
 const MAX_SUCCESSES: usize = 8;
 
+/// Time within which several exits count as one moment. Exits of replicas that are killed together are noticed within
+/// some milliseconds.
+pub(super) const MOMENT: Duration = Duration::from_millis(150);
+
 /// A replica exit with one caller's request in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ExitMark {
@@ -21,9 +25,33 @@
     pub caller: CallerDigest,
     /// Whether bytes of its response had arrived.
     pub has_begun: bool,
+    /// Whether the request was known to have run well for some caller before.
+    pub ran_well: bool,
     pub at: MonoTime,
 }
 
+impl ExitMark {
+    /// Returns whether another cause of the exit is likely. A request that makes replicas exit as soon as it runs has
+    /// no response yet, and does not run well.
+    fn is_weak(&self) -> bool {
+        self.has_begun || self.ran_well
+    }
+}
+
+/// Returns the number of moments of this length among the times of exits.
+pub(super) fn moment_count(mut times: Vec<MonoTime>, length: Duration) -> usize {
+    times.sort_unstable();
+    let mut count = 0;
+    let mut began = None;
+    for at in times {
+        if began.is_none_or(|began| at > began + length) {
+            count += 1;
+            began = Some(at);
+        }
+    }
+    count
+}
+
 /// How strongly a request is suspected. Of two requests with equally many exits, the one whose
 /// responses had not begun is suspected more: a request that makes a replica exit as soon as it
 /// runs has no response yet, while most requests that are there by chance have. So a stream that
@@ -101,6 +129,19 @@
         self.marks.iter().map(|mark| mark.caller).collect()
     }
 
+    /// Returns how many of these exits count against one caller's requests, or those of all callers. Exits that are weak
+    /// evidence count once for each moment: replicas that are killed together say no more than one.
+    pub fn evidence(&self, caller: Option<CallerDigest>, exits: &BTreeSet<ExitId>) -> usize {
+        let of = |mark: &&ExitMark| {
+            caller.is_none_or(|caller| mark.caller == caller) && exits.contains(&mark.exit)
+        };
+        let (weak, strong): (Vec<&ExitMark>, Vec<&ExitMark>) =
+            self.marks.iter().filter(of).partition(|mark| mark.is_weak());
+        let strong: BTreeSet<ExitId> = strong.into_iter().map(|mark| mark.exit).collect();
+        let weak = weak.into_iter().filter(|mark| !strong.contains(&mark.exit));
+        strong.len() + moment_count(weak.map(|mark| mark.at).collect(), MOMENT)
+    }
+
     /// Returns how strongly the request is suspected. If it succeeded for some caller,
     /// only the exits of the caller that has most of them are counted.
     pub fn weight(&self) -> SuspectWeight {
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -359,7 +359,9 @@
     /// succeeded for the same caller.
     fn count_abort(&mut self, abort: PendingAbort, exit_at: Option<MonoTime>, now: MonoTime) {
         let is_part = SuspectKind::of(abort.identity.caller) == SuspectKind::Part;
-        let runs_well = !is_part && self.successes.has_succeeded(abort.identity.digest);
+        let digest = abort.identity.digest;
+        let runs_well =
+            !is_part && (self.successes.has_succeeded(digest) || self.book.runs_well(&digest));
         // A response that was abandoned some time before the exit is weak evidence. Several replicas that are killed at
         // once would otherwise make a request fatal that runs well.
         if abort.kind == AbortKind::Abandoned && runs_well {
--- a/quillcove_core/tests/crash_book.rs
+++ b/quillcove_core/tests/crash_book.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use quillcove_core::crash::book::{CrashTable, FORGET_TIME, MOST_ENDS};
 use quillcove_core::crash::digest::{RequestIdentity, RequestParts};
+use quillcove_core::crash::phase::RUN_SURVIVAL_TIME;
 use quillcove_core::crash::teller::{CrashReportQueue, in_messages};
 use quillcove_core::crash::telling::{
     CrashReport, ExitId, ExitReport, InFlightRequest, SuccessReport,
@@ -118,6 +119,68 @@
     assert!(watch.cause(request, NOW + Duration::from_secs(5)).is_some());
 }
 
+/// Exits of replicas 10 ms apart with a request in flight.
+fn exits_at_one_moment(watch: &mut CrashTracker, identity: RequestIdentity, at: Duration) {
+    for replica in 0..4u32 {
+        let at = at + Duration::from_millis(10) * replica;
+        let run = ReplicaRun { replica: format!("i-{replica}-{}", at.as_millis()), born: None };
+        watch.record_abort(&run, broke(identity, at), at);
+        watch.confirm_exit(&run, at);
+    }
+}
+
+// Guards against a sound request that is rejected because it was tried again at replicas that were killed together.
+#[test]
+fn exits_of_one_moment_count_once_for_a_request_that_runs_well() {
+    let (tried, other) = (request(1, 1), request(1, 2));
+    let mut watch = CrashTracker::default();
+    watch.record_success(other, NOW);
+    for moment in 1..=3 {
+        let at = NOW + Duration::from_secs(moment);
+        assert!(watch.cause(tried, at).is_none(), "moment {moment}");
+        exits_at_one_moment(&mut watch, tried, at);
+    }
+    assert!(watch.cause(tried, NOW + Duration::from_secs(4)).is_some());
+}
+
+// Guards against a fatal request that comes in several copies and is let through as if its replicas had been killed.
+#[test]
+fn exits_of_one_moment_count_each_for_a_request_that_is_not_known_to_run_well() {
+    let mut watch = CrashTracker::default();
+    exits_at_one_moment(&mut watch, request(1, 1), NOW);
+    assert!(watch.cause(request(1, 1), NOW + Duration::from_secs(1)).is_some());
+}
+
+// Guards against a popular request that is rejected for everyone while its runs go on at other replicas.
+#[test]
+fn a_run_that_survives_shows_that_others_are_not_to_blame() {
+    let mut watch = CrashTracker::default();
+    for caller in 1..=3 {
+        let run = ReplicaRun { replica: format!("i-{caller}"), born: None };
+        watch.record_abort(&run, broke(request(1, caller), NOW), NOW);
+        watch.confirm_exit(&run, NOW);
+    }
+    let elsewhere = request(1, 4);
+    assert!(watch.cause(elsewhere, NOW).is_some_and(|cause| !cause.is_callers_own));
+    let begun_at = NOW - Duration::from_millis(100);
+    assert!(watch.record_run_survival(elsewhere, begun_at, begun_at + RUN_SURVIVAL_TIME));
+    assert!(watch.cause(elsewhere, NOW).is_none());
+}
+
+// Guards against a run that began before an exit and is taken for a sign that its caller's request did not cause it.
+#[test]
+fn a_run_that_survives_clears_its_caller_of_earlier_exits_only() {
+    let mut watch = CrashTracker::default();
+    let own = request(1, 1);
+    exits_at_one_moment(&mut watch, own, NOW);
+    let before = NOW - Duration::from_millis(1);
+    watch.record_run_survival(own, before, before + RUN_SURVIVAL_TIME);
+    assert!(watch.cause(own, NOW).is_some());
+    let after = NOW + Duration::from_secs(1);
+    watch.record_run_survival(own, after, after + RUN_SURVIVAL_TIME);
+    assert!(watch.cause(own, after).is_none());
+}
+
 /// A replica that restarts under its id is known by its earlier run until the store's list is read again.
 #[test]
 fn ends_of_a_replica_whose_restarts_are_not_known_yet_count_each() {
