A part at many exits of two moments is blamed if no run is known to have survived it

Operators saw all replicas of a small site exit three times over, as ten requests with one deadly part in their prompts came at once and each time that replicas were back: ten sends count where the users allow three.

Cause: a part was blamed at its third moment of exits only. Ten requests at once end seven to ten of twelve replicas at 0.1 s, the rest at 0.4 s; then none is left until 3.1 s, and the third wave of ten, 3 s after the fifth exit, is let through.

Why the fix works: five exits at two moments, 250 ms apart or more, are enough for a part that no run has survived within the last minute; after the fifth exit there is no room for another wave. A part that was sound lately still needs three, so that replicas that are killed in two herds get no popular part blamed; nor does one herd that is killed over 190 ms (`exits_at_one_moment_count_once`, unchanged). The first part of all prompts is blamed beside the deadly one for some 0.3 s where the process knows no run with it, until one survives.

`many_exits_at_two_moments_are_enough_for_a_part_that_no_run_survived` cannot pass on the code before, where two moments blamed no part.

--- a/quillcove_core/src/crash/part.rs
+++ b/quillcove_core/src/crash/part.rs
@@ -17,6 +17,16 @@
 /// Moments with exits after which a part is blamed.
 const MIN_MOMENTS: usize = 3;
 
+/// Exits after which a part is blamed at [`MANY_EXITS_MOMENTS`], if no run is known to have survived it. From the fifth
+/// exit on, only three more requests with it may reach replicas.
+const MANY_EXITS: usize = 5;
+
+/// Moments with [`MANY_EXITS`] exits after which a part is blamed.
+const MANY_EXITS_MOMENTS: usize = 2;
+
+/// Length of a moment where two of them are enough: a herd of replicas may be killed over more than one [`MOMENT`].
+const LONG_MOMENT: Duration = Duration::from_millis(250);
+
 /// Time after the last exit for which a blamed part is not tried again; it doubles with each further moment.
 const PROBE_DELAY: Duration = Duration::from_secs(30);
 
@@ -144,7 +154,8 @@
         let better = blamed.iter().filter(|part| part.explains(share));
         let explained: BTreeSet<ExitId> = better.flat_map(|part| &part.exits).copied().collect();
         let left = record.marks.iter().filter(|mark| !explained.contains(&mark.exit));
-        if moment_count(left.clone().map(|mark| mark.at).collect(), MOMENT) >= MIN_MOMENTS {
+        let times: Vec<MonoTime> = left.clone().map(|mark| mark.at).collect();
+        if is_enough(times, history.survived(digest).is_some()) {
             let exits = left.map(|mark| mark.exit).collect();
             blamed.push(BlamedPart { digest: *digest, exits, share });
         }
@@ -152,6 +163,14 @@
     blamed
 }
 
+/// Returns whether exits at these times are enough to blame a part. A part that was sound lately needs more of them, as
+/// replicas that are killed in two moments have a popular part at most of their exits.
+fn is_enough(times: Vec<MonoTime>, was_sound: bool) -> bool {
+    let is_many = times.len() >= MANY_EXITS && !was_sound;
+    (is_many && moment_count(times.clone(), LONG_MOMENT) >= MANY_EXITS_MOMENTS)
+        || moment_count(times, MOMENT) >= MIN_MOMENTS
+}
+
 /// Returns whether a part has enough exits to be blamed, if no other part explains them.
 pub(super) fn may_be_blamed(record: &CrashRecord) -> bool {
     record.marks.len() >= MIN_MOMENTS
--- a/quillcove_core/tests/crash_parts.rs
+++ b/quillcove_core/tests/crash_parts.rs
@@ -65,6 +65,36 @@
     assert!(tracker.cause(part(1), START + APART).is_none());
 }
 
+/// Four exits 10 ms apart with these parts, from `at` on.
+fn exits_together(tracker: &mut CrashTracker, parts: &[RequestIdentity], at: Duration) {
+    for number in 0..4 {
+        let at = at + Duration::from_millis(10) * number;
+        exit_with(tracker, at.as_millis() as u64, parts, at);
+    }
+}
+
+// Guards against a part that crashes all replicas at one moment, each time that they are back, before it is blamed.
+#[test]
+fn many_exits_at_two_moments_are_enough_for_a_part_that_no_run_survived() {
+    let mut tracker = CrashTracker::default();
+    exits_together(&mut tracker, &[part(1)], START);
+    assert!(tracker.cause(part(1), START + APART).is_none());
+    exits_together(&mut tracker, &[part(1)], START + APART);
+    assert!(tracker.cause(part(1), START + APART * 2).is_some());
+}
+
+// Guards against a popular part that is blamed because replicas are killed in two herds.
+#[test]
+fn many_exits_at_two_moments_are_too_few_for_a_part_that_was_sound() {
+    let mut tracker = CrashTracker::default();
+    tracker.record_survival(&[part(1)], START - APART);
+    exits_together(&mut tracker, &[part(1)], START);
+    exits_together(&mut tracker, &[part(1)], START + APART);
+    assert!(tracker.cause(part(1), START + APART * 2).is_none());
+    exits_together(&mut tracker, &[part(1)], START + APART * 2);
+    assert!(tracker.cause(part(1), START + APART * 3).is_some());
+}
+
 // Guards against a sound first part that is blamed together with the part that crashes replicas.
 #[test]
 fn a_common_part_is_not_blamed_for_the_exits_of_a_rare_one() {
--- a/quillcove_core/tests/crash_words.rs
+++ b/quillcove_core/tests/crash_words.rs
@@ -200,6 +200,16 @@
     assert!(result.counted <= MOST_RETRIES, "{} sent", result.counted);
 }
 
+// Guards against sound requests that are rejected for their first part while all replicas end at once.
+#[test]
+fn sound_requests_beside_a_fatal_part_in_half_of_all_requests_run() {
+    let pattern =
+        CrashPattern { name: "4, 10 at once", copies: 10, by_part: true, ..CrashPattern::USUAL };
+    let result = worst(pattern, TellingWay::AtOnce);
+    let share = result.refused as f64 / result.innocents as f64;
+    assert!(share <= 0.05, "{share} refused");
+}
+
 // Guards against parts that are blamed where replicas are killed and no request crashes any.
 #[test]
 fn no_request_is_rejected_for_its_parts_where_replicas_are_only_killed() {
