A run has survived only what its replica was still to send after it

Now a read counts only if it had to wait for bytes (10 ms, as `is_held_up` has it), and only for the time at which it began: then the replica was still to send them.

--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -8,7 +8,7 @@
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use quillcove_core::crash::phase::{RUN_SURVIVAL_TIME, RunPhase, SURVIVAL_TIME};
+use quillcove_core::crash::phase::{RunPhase, SurvivalStage, proof_of_life};
 use quillcove_core::crash::watch::ExitCheck;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
@@ -30,9 +30,6 @@
 /// timeout of a server.
 const HOLD_UP_MIN: Duration = Duration::from_millis(500);
 
-/// Wait for an event that shows that all earlier ones have been read. Events that wait in a socket are read at once.
-const CATCH_UP_MIN: Duration = Duration::from_millis(10);
-
 /// A stream that is being forwarded to the caller.
 struct EventForwarder {
     open: OpenRequest,
@@ -49,27 +46,6 @@
     is_held_up: bool,
 }
 
-/// What a replica is known to have survived of an answer that it writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum SurvivalStage {
-    None,
-    /// The begin, so that no part of the prompt makes replicas exit.
-    Begin,
-    /// A time after which the whole request is known not to be fatal.
-    Run,
-}
-
-impl SurvivalStage {
-    /// Returns the stage of an answer for whose head the replica is known to have been alive this much later.
-    fn after(since_head: Duration) -> Self {
-        match since_head {
-            time if time >= RUN_SURVIVAL_TIME => Self::Run,
-            time if time >= SURVIVAL_TIME => Self::Begin,
-            _ => Self::None,
-        }
-    }
-}
-
 /// Result of one read from the upstream.
 enum StreamStep {
     /// Complete events; empty if the bytes received complete none.
@@ -171,9 +147,9 @@
             let began = self.open.shared.clock.now();
             match self.read_step().await {
                 StreamStep::Events(events) => {
-                    self.record_events(&events);
-                    let waited = self.open.shared.clock.now().saturating_sub(began);
-                    self.is_held_up &= waited < CATCH_UP_MIN;
+                    let alive_at = proof_of_life(began, self.open.shared.clock.now());
+                    self.is_held_up &= alive_at.is_none();
+                    self.record_events(&events, alive_at);
                     return Some(Ok(events));
                 },
                 StreamStep::Ended => {
@@ -258,8 +234,8 @@
     }
 
     /// Records that the replica sent bytes, and the complete events among them for the metrics, the
-    /// log line and a later resumption.
-    fn record_events(&mut self, events: &Bytes) {
+    /// log line and a later resumption; it sent them after `alive_at`, if that is known.
+    fn record_events(&mut self, events: &Bytes, alive_at: Option<MonoTime>) {
         let now = self.open.shared.clock.now();
         if let Some(live) = &self.live {
             self.open.shared.machine().record_bytes_received(&live.order.replica, now);
@@ -268,7 +244,9 @@
             return;
         }
         self.has_event = true;
-        self.record_survival(now);
+        if let Some(alive_at) = alive_at {
+            self.record_survival(alive_at);
+        }
         self.open.end_prefill(Some(now));
         match self.last_forwarded {
             None => {
--- a/quillcove_core/src/crash/phase.rs
+++ b/quillcove_core/src/crash/phase.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::ids::MonoTime;
+
 /// Time after the head of a response in which the replica counts as beginning to write. Replicas
 /// exit up to 0.1 s after they have begun to run such a request.
 const BEGIN_WINDOW: Duration = Duration::from_millis(200);
@@ -18,6 +20,9 @@
 /// have begun to run a fatal request.
 pub const RUN_SURVIVAL_TIME: Duration = Duration::from_millis(500);
 
+/// Time of a read from which on it waited for bytes that had not arrived. Bytes that wait in a socket are read sooner.
+const CATCH_UP_MIN: Duration = Duration::from_millis(10);
+
 /// Phase of an attempt that was aborted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -65,3 +70,49 @@
         }
     }
 }
+
+/// What a replica is known to have survived of an answer that it writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SurvivalStage {
+    /// Nothing.
+    None,
+    /// The begin, so that no part of the prompt makes replicas exit.
+    Begin,
+    /// [`RUN_SURVIVAL_TIME`], so that the request is not fatal.
+    Run,
+}
+
+impl SurvivalStage {
+    /// Returns the stage of an answer whose replica was alive so long after the head.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::crash::phase::SurvivalStage;
+    ///
+    /// assert_eq!(SurvivalStage::after(Duration::from_millis(100)), SurvivalStage::None);
+    /// assert_eq!(SurvivalStage::after(Duration::from_millis(400)), SurvivalStage::Begin);
+    /// assert_eq!(SurvivalStage::after(Duration::from_secs(1)), SurvivalStage::Run);
+    /// ```
+    pub fn after(since_head: Duration) -> Self {
+        match since_head {
+            time if time >= RUN_SURVIVAL_TIME => Self::Run,
+            time if time >= SURVIVAL_TIME => Self::Begin,
+            _ => Self::None,
+        }
+    }
+}
+
+/// Returns a time at which a replica was still to send what a read of its stream brought, if the read shows that: bytes
+/// that are there at once may have been sent long before, while this process was paused or its caller did not read.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::crash::phase::proof_of_life;
+///
+/// let began = Duration::from_secs(5);
+/// assert_eq!(proof_of_life(began, began + Duration::from_millis(1)), None);
+/// assert_eq!(proof_of_life(began, began + Duration::from_millis(20)), Some(began));
+/// ```
+pub fn proof_of_life(read_began: MonoTime, read_ended: MonoTime) -> Option<MonoTime> {
+    (read_ended.saturating_sub(read_began) >= CATCH_UP_MIN).then_some(read_began)
+}
