A stream that its engine cut off unread stays its caller's fault while its buffers are drained

In the field: an engine that cut off three streams of callers who did not read is ejected for a second.

Cause: once the caller reads again, the relay takes a read that waited 10 ms for a sign that all earlier bytes have been read, and blames the engine for a break after it. On a busy machine bytes that wait in the socket take as long. Evidence: a trace of each read after a hold-up (scratch copy); in failed runs streams had reads of 11.6, 12.1, 12.8 and 13.3 ms before the break, which then counted as a failure; the stream whose reads took at most 8.2 ms did not.

Why the fix works: an engine that cuts off what is not read does so before the caller reads again, and what it had sent fills bounded buffers. So such a read counts only half a second after the hold-up at the earliest. What it costs: an engine that fails within that time is not blamed, and its stream not resumed.

--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -30,6 +30,10 @@
 /// timeout of a server.
 const HOLD_UP_MIN: Duration = Duration::from_millis(500);
 
+/// Time after such a delay in which reads may still bring what the upstream sent before it. On a busy machine a read of
+/// bytes that wait in a socket takes longer than [`proof_of_life`] expects.
+const CATCH_UP_TIME: Duration = Duration::from_millis(500);
+
 /// A stream that is being forwarded to the caller.
 struct EventForwarder {
     open: OpenRequest,
@@ -42,8 +46,9 @@
     survived: SurvivalStage,
     /// When the last event was forwarded.
     last_forwarded: Option<MonoTime>,
-    /// Whether the upstream was last read late because the caller did not read.
-    is_held_up: bool,
+    /// When the upstream was last read late because the caller did not read, unless all that it had sent by then is
+    /// known to have been read.
+    held_up_at: Option<MonoTime>,
 }
 
 /// Result of one read from the upstream.
@@ -75,7 +80,7 @@
         has_event: false,
         survived: SurvivalStage::None,
         last_forwarded: None,
-        is_held_up: false,
+        held_up_at: None,
     };
     let service = &forwarder.open.query.service;
     let is_contended = forwarder.open.shared.machine().is_contended(service);
@@ -130,8 +135,10 @@
             Some(Ok(events)) => {
                 let began = forwarder.open.shared.clock.now();
                 buffer.send(events).await;
-                let waited = forwarder.open.shared.clock.now().saturating_sub(began);
-                forwarder.is_held_up |= waited >= HOLD_UP_MIN;
+                let now = forwarder.open.shared.clock.now();
+                if now.saturating_sub(began) >= HOLD_UP_MIN {
+                    forwarder.held_up_at = Some(now);
+                }
             },
             Some(Err(error)) => break Err(error),
             None => break Ok(()),
@@ -147,8 +154,11 @@
             let began = self.open.shared.clock.now();
             match self.read_step().await {
                 StreamStep::Events(events) => {
-                    let alive_at = proof_of_life(began, self.open.shared.clock.now());
-                    self.is_held_up &= alive_at.is_none();
+                    let now = self.open.shared.clock.now();
+                    let alive_at = proof_of_life(began, now);
+                    if alive_at.is_some() {
+                        self.held_up_at.take_if(|at| now.saturating_sub(*at) >= CATCH_UP_TIME);
+                    }
                     self.record_events(&events, alive_at);
                     return Some(Ok(events));
                 },
@@ -168,7 +178,7 @@
                     self.open.finish(RunVerdict::MayHaveRun, 0, "time over in the stream");
                     return Some(Err(BodyError::TimeOver));
                 },
-                StreamStep::Broken(reason) if self.is_held_up => {
+                StreamStep::Broken(reason) if self.held_up_at.is_some() => {
                     // The engine may have cut the stream off because nobody read it.
                     self.end_attempt(AttemptOutcome::Abandoned);
                     self.open.finish(RunVerdict::MayHaveRun, 0, "caller did not read");
