--- a/quillcove_core/src/crash/mod.rs
+++ b/quillcove_core/src/crash/mod.rs
@@ -15,7 +15,9 @@
 //! - [`telling`]: reports of exits between processes.
 //! - [`teller`]: queue of reports to be sent, and their repetition.
 //! - `part`: which parts of prompts are blamed for exits.
-//! - [`phase`]: whether a replica was beginning to write the answer when it exited.
+//! - `probe`: requests that try blamed parts again.
+//! - `record`: crash record of one suspect, and what its exits count.
+//! - [`phase`]: whether a replica was beginning to write the answer when it exited, and what it has survived.
 //! - [`watch`]: the tracker of one process that sends requests to replicas, which combines these.
 
 pub mod book;
@@ -23,6 +25,7 @@
 pub mod good;
 mod part;
 pub mod phase;
+mod probe;
 mod record;
 pub mod teller;
 pub mod telling;
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -9,9 +9,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::book::{CrashCause, CrashTable, FORGET_TIME};
+use super::book::{CrashCause, CrashTable};
 use super::digest::{RequestDigest, RequestIdentity, SuspectKind};
 use super::good::RecentSuccesses;
+use super::probe::PartProbes;
 use super::teller::CrashReportQueue;
 use super::telling::{CrashReport, ExitId, InFlightRequest, exit_id, next_exit_id};
 use crate::ids::{MonoTime, ReplicaId, StartTime};
@@ -137,15 +138,7 @@
     known_exits: BTreeMap<ExitId, MonoTime>,
     /// When a run was last found alive.
     last_alive: BTreeMap<ExitId, MonoTime>,
-    /// The last request that tried a blamed prompt part again, by part.
-    probes: BTreeMap<RequestDigest, PartProbe>,
-}
-
-/// A request that may run although a part of its prompt is blamed.
-#[derive(Clone, Copy, Debug)]
-struct PartProbe {
-    request: RequestDigest,
-    at: MonoTime,
+    probes: PartProbes,
 }
 
 impl CrashTracker {
@@ -506,20 +499,7 @@
         request: RequestDigest,
         now: MonoTime,
     ) -> bool {
-        if SuspectKind::of(part.caller) != SuspectKind::Part {
-            return false;
-        }
-        let Some((until_due, since_exit)) = self.book.probe_times(part, now) else {
-            return false;
-        };
-        let last = self.probes.get(&part.digest);
-        let since_probe = last.map(|probe| now.saturating_sub(probe.at));
-        let is_due = until_due == Duration::ZERO
-            && since_probe.is_none_or(|since| since >= since_exit.min(EXIT_LIFETIME));
-        if is_due {
-            self.probes.insert(part.digest, PartProbe { request, at: now });
-        }
-        is_due
+        self.probes.begin(&self.book, part, request, now)
     }
 
     /// Returns whether a request is the one that tries a blamed prompt part, and no replica has exited under the part
@@ -527,10 +507,7 @@
     ///
     /// See [`CrashTracker::begin_probe`] for an example.
     pub fn is_probe(&self, part: RequestIdentity, request: RequestDigest, now: MonoTime) -> bool {
-        let probe = self.probes.get(&part.digest).filter(|probe| probe.request == request);
-        let since_exit = self.book.probe_times(part, now).map(|(_, since_exit)| since_exit);
-        let since_probe = probe.map(|probe| now.saturating_sub(probe.at));
-        since_probe.zip(since_exit).is_some_and(|(probe, exit)| probe < exit)
+        self.probes.contains(&self.book, part, request, now)
     }
 
     /// Records that a request was rejected for its crash record.
@@ -604,7 +581,7 @@
         self.pending.retain(|abort| is_fresh(abort.at));
         self.known_exits.retain(|_, at| is_fresh(*at));
         self.last_alive.retain(|_, at| is_fresh(*at));
-        self.probes.retain(|_, probe| now.saturating_sub(probe.at) < FORGET_TIME);
+        self.probes.forget(now);
         self.book.forget(now);
     }
 }
