--- a/quillcove_core/tests/access_limits.rs
+++ b/quillcove_core/tests/access_limits.rs
@@ -135,6 +135,24 @@
     }
 }
 
+// Guards against a flood that passes more than is allowed, as the relays are cut into parts at the moment of its begin.
+#[test]
+fn a_flood_that_is_cut_at_once_stays_within_its_limit_at_seed_39() {
+    let pattern = patterns().into_iter().find(|pattern| pattern.name == "flood, cut at once");
+    let result = play(pattern.expect("it is listed"), LimitRule::default(), 39);
+    assert!(result.worst_window < 1.0, "{result:?}");
+}
+
+// Guards against callers within their limit who are refused after four relays have all started again.
+#[test]
+fn after_a_loss_of_four_relays_callers_are_let_in_at_seeds_11_and_56() {
+    let pattern = LoadPattern { relays: 4, restarts: &[8, 16], ..LoadPattern::USUAL };
+    for seed in [11, 56] {
+        let result = play(pattern, LimitRule::default(), seed);
+        assert!(result.refused_at_start <= 0.05, "{seed}: {result:?}");
+    }
+}
+
 #[test]
 fn the_relays_that_hear_most_others_serve_the_callers_of_those_that_are_cut_off() {
     let pattern = LoadPattern { first_cut: 0.36, cut_from: 2, cut_until: 14, ..LoadPattern::USUAL };
