--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -391,8 +391,9 @@
         self.clear(identity, now);
     }
 
-    /// Records that a run of a request, whose answer began at `begun_at`, still went on [`RUN_SURVIVAL_TIME`] later: a
-    /// success, as a fatal request makes its replica exit sooner. Returns whether other processes are to be told.
+    /// Records that a run of a request, whose answer began at `begun_at`, still went on
+    /// [`RUN_SURVIVAL_TIME`](super::phase::RUN_SURVIVAL_TIME) later: a success, as a fatal request makes its replica exit
+    /// sooner. Returns whether other processes are to be told.
     ///
     /// ```
     /// use std::time::Duration;
