An answer without a length that an exit cut off is logged as broken off

Operators find the request, its replica and the parts of its prompt in the line `answer broke off`; since the end of such an answer is checked first, the line was missing for it. It is written once the exit is known, and no longer for answers that turn out to be whole.

--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -28,6 +28,11 @@
 
 /// Records that a replica's response broke off, and starts to detect whether the replica has exited.
 pub fn handle_broken_response(open: &OpenRequest, order: &AttemptOrder, phase: RunPhase) {
+    log_broken_response(open, order, phase);
+    record_abort(open, order, phase, open.shared.clock.now());
+}
+
+fn log_broken_response(open: &OpenRequest, order: &AttemptOrder, phase: RunPhase) {
     let Some(identity) = open.query.identity else {
         return;
     };
@@ -35,7 +40,6 @@
         "request" => %identity.digest, "caller" => format!("{:016x}", identity.caller),
         "replica" => &order.replica, "has_begun" => open.first_event.is_some(),
         "phase" => phase.label(), "parts" => part_list(&open.terms.shared_parts));
-    record_abort(open, order, phase, open.shared.clock.now());
 }
 
 /// Finds out whether a response without framing, which ended at this moment, was cut off by the exit of its replica.
@@ -52,6 +56,9 @@
         // Registered before the check, so that a result in between is not missed.
         let checked = shared.exit_checked.notified();
         let check = shared.machine().exit_check(order, open.sent_at, ended_at);
+        if check == ExitCheck::Exited {
+            log_broken_response(open, order, phase);
+        }
         if check != ExitCheck::Pending {
             return check;
         }
--- a/quillcove_core/src/crash/mod.rs
+++ b/quillcove_core/src/crash/mod.rs
@@ -14,9 +14,9 @@
 //! - [`good`]: requests that succeeded recently.
 //! - [`telling`]: reports of exits between processes.
 //! - [`teller`]: queue of reports to be sent, and their repetition.
+//! - `record`: crash record of one suspect, and which of its exits count.
 //! - `part`: which parts of prompts are blamed for exits.
 //! - `probe`: requests that try blamed parts again.
-//! - `record`: crash record of one suspect, and what its exits count.
 //! - [`phase`]: whether a replica was beginning to write the answer when it exited, and what it has survived.
 //! - [`watch`]: the tracker of one process that sends requests to replicas, which combines these.
 
