--- a/quillcove_core/tests/crash_words.rs
+++ b/quillcove_core/tests/crash_words.rs
@@ -218,3 +218,12 @@
         assert_eq!(result.refused, 0, "{}", pattern.name);
     }
 }
+
+// Guards against the same at a seed that the other test does not run.
+#[test]
+fn no_request_is_rejected_where_replicas_are_only_killed_at_seed_54() {
+    let name = "4, kills each second only";
+    let pattern = part_patterns().into_iter().find(|pattern| pattern.name == name);
+    let result = play(pattern.expect("it is listed"), TellingWay::AtOnce, 54);
+    assert_eq!(result.refused, 0);
+}
