Relays that start again expect fewer others the longer nobody new appears

Cause: until no further relay has greeted a new one for 0.15 s, it lets in one part in 32 of what the fleet may spend. Four relays let in two requests each where 2.5 arrive in the mean.

Why the fix works: relays that start together greet each other at once, so that each 10 ms without a new one makes further ones less likely. The assumed number falls from 32 to the reachable ones within the 0.15 s.

--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -15,14 +15,14 @@
 use super::workspace::WorkspaceRecord;
 use crate::ids::{MonoTime, WorkspaceName};
 
-/// Share of a new account's level that is reserved per rank for more urgent requests, so that a
+/// Part of [`STARTUP_SHARE`] that is reserved per rank for more urgent requests, so that a
 /// workspace above its limit has its least urgent requests rejected first.
 const RANK_RESERVE: f64 = 0.1;
 
 /// Highest rank that the reserve distinguishes.
 const MAX_RANK: u8 = 2;
 
-/// Fleet size that a new process assumes until it has heard from the other relays. In a larger
+/// Fleet size that a new process assumes before it has heard from any other relay. In a larger
 /// fleet that restarts all at once, a workspace that floods all relays may exceed its limit for
 /// [`DISCOVERY_QUIET_TIME`].
 const ASSUMED_FLEET_SIZE: usize = 32;
@@ -41,8 +41,11 @@
 pub const HEARD_LIFETIME: Duration = Duration::from_millis(1050);
 
 /// Share of the overshoot allowance that a process without accounts takes as unspent when no other
-/// relay knows the real level.
-const INITIAL_SHARE: f64 = 0.4;
+/// relay knows the real level. Each restart of all relays within a window adds as much.
+const INITIAL_SHARE: f64 = 0.25;
+
+/// Share of the overshoot allowance that all relays together may spend at once while they do not know each other.
+const STARTUP_SHARE: f64 = 0.4;
 
 /// Uptime of a relay up to which its whole total counts as not yet known to other relays.
 const RECENT_START_AGE: Duration = Duration::from_millis(2500);
@@ -182,25 +185,35 @@
         }
     }
 
-    /// Returns the units that a process takes as unspent when it knows nothing of a workspace's
-    /// usage.
-    fn initial_level(&self, limit: &UseLimit) -> f64 {
-        limit.burst.min(self.rules.overshoot_allowance(limit) * INITIAL_SHARE)
+    /// Returns a share of the units by which a limit may be exceeded, at most the burst.
+    fn allowance_part(&self, limit: &UseLimit, share: f64) -> f64 {
+        limit.burst.min(self.rules.overshoot_allowance(limit) * share)
     }
 
     /// Returns the units that this relay may have spent while the fleet is not known; `None` once
     /// it is.
     fn startup_allowance(&self, limit: &UseLimit, now: MonoTime) -> Option<f64> {
-        let relays = ASSUMED_FLEET_SIZE.max(self.fleet.reachable) as f64;
-        let allowed = self.initial_level(limit) + limit.rate * now.as_secs_f64();
-        (!self.is_fleet_known && now < DISCOVERY_TIMEOUT).then(|| allowed / relays)
+        let allowed = self.allowance_part(limit, STARTUP_SHARE) + limit.rate * now.as_secs_f64();
+        (!self.is_fleet_known && now < DISCOVERY_TIMEOUT)
+            .then(|| allowed / self.assumed_fleet_size(now))
+    }
+
+    /// Returns the number of relays that have to be expected while the fleet is not known. The longer no further relay
+    /// has appeared, the fewer may be missing: the number falls from [`ASSUMED_FLEET_SIZE`] to that of the reachable
+    /// relays within [`DISCOVERY_QUIET_TIME`].
+    fn assumed_fleet_size(&self, now: MonoTime) -> f64 {
+        let reachable = self.fleet.reachable as f64;
+        let ratio = (ASSUMED_FLEET_SIZE as f64 / reachable).max(1.0);
+        let quiet = self.fleet_grown_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let quiet = quiet.div_duration_f64(DISCOVERY_QUIET_TIME).min(1.0);
+        reachable * ratio.powf(1.0 - quiet)
     }
 
     /// Returns the account of a workspace, refilled. A new account starts with the level reported
     /// by relays that were running before this one, but not above the initial level.
     fn account(&mut self, name: &str, limit: UseLimit, now: MonoTime) -> &mut LimitAccount {
         let share = self.share();
-        let first = self.initial_level(&limit);
+        let first = self.allowance_part(&limit, INITIAL_SHARE);
         let first = self.peer_levels.get(name).map_or(first, |level| level.min(first));
         let account = self.accounts.entry(name.to_string());
         let account = account.or_insert_with(|| LimitAccount::new(limit, first));
@@ -228,8 +241,9 @@
         let cost = limit.unit.cost_of(claim.tokens);
         let share = self.share();
         let heard = self.fleet.reachable.max(1);
-        let reserve =
-            self.initial_level(&limit) * RANK_RESERVE * f64::from(claim.rank.min(MAX_RANK));
+        let reserve = self.allowance_part(&limit, STARTUP_SHARE)
+            * RANK_RESERVE
+            * f64::from(claim.rank.min(MAX_RANK));
         let allowance = self.startup_allowance(&limit, now);
         let account = self.account(&workspace.name, limit, now);
         if !account.is_within(cost, allowance) {
--- a/quillcove_core/tests/access_limits.rs
+++ b/quillcove_core/tests/access_limits.rs
@@ -56,6 +56,8 @@
             ..usual
         },
         LoadPattern { name: "flood, restarts", restarts: &[6, 8], ..flood },
+        LoadPattern { name: "flood, 4, restarts", relays: 4, restarts: &[6, 8], ..flood },
+        LoadPattern { name: "flood, 68, restarts", relays: 68, restarts: &[6, 8], ..flood },
         LoadPattern { name: "flood, rolling", roll: 0.4, ..flood },
     ]
 }
