Usage totals are repeated after another relay is heard anew

Cause: a relay takes the first total of one that it hears again as a base, and a total was sent only when it had changed. Relays that reject everything at the end of a cut send none with their first heartbeats; their first one comes after they have begun to spend again, and hides that.

Why the fix works: in the heartbeats of the 1.05 s after a relay has heard another one anew, it repeats the totals that have changed within 10 s, so that the base is that of its first heartbeats. Idle accounts are not repeated, so that the cost is that of a heartbeat under load.

--- a/quillcove_core/src/access/account.rs
+++ b/quillcove_core/src/access/account.rs
@@ -16,6 +16,9 @@
 /// Share of a relay's unreported limit below which a heartbeat leaves the account out.
 const HEARTBEAT_SHARE: f64 = 0.25;
 
+/// Time since its last report for which an account repeats its total to relays that may hear it anew.
+const REPEAT_TIME: Duration = Duration::from_secs(10);
+
 /// Longest retry delay given to a rejected caller: the load may change too much beyond it.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -52,6 +55,8 @@
     spent: i64,
     /// Value of `spent` in the last report to the other relays.
     reported: i64,
+    /// When `reported` was last set.
+    reported_at: MonoTime,
     /// Requests charged since the last report.
     unreported_requests: u32,
     /// Time at which the most recently rejected caller is to retry.
@@ -67,6 +72,7 @@
             refilled_at: MonoTime::ZERO,
             spent: 0,
             reported: 0,
+            reported_at: MonoTime::ZERO,
             unreported_requests: 0,
             last_retry_at: MonoTime::ZERO,
             peer_totals: BTreeMap::new(),
@@ -184,14 +190,23 @@
     }
 
     /// Returns the total to report with a heartbeat or an urgent message; `None` if it has changed
-    /// too little.
-    pub(super) fn report_total(&mut self, rules: &LimitRules, relays: usize) -> Option<i64> {
-        if self.spent == self.reported
-            || self.unreported() < self.unreported_limit(rules, relays) * HEARTBEAT_SHARE
-        {
+    /// too little. With `is_repeated` it is reported unchanged as well, if it has changed lately: a
+    /// relay that hears this one again counts only what follows the first total.
+    pub(super) fn report_total(
+        &mut self,
+        rules: &LimitRules,
+        relays: usize,
+        is_repeated: bool,
+        now: MonoTime,
+    ) -> Option<i64> {
+        let has_changed = self.spent != self.reported
+            && self.unreported() >= self.unreported_limit(rules, relays) * HEARTBEAT_SHARE;
+        let is_recent = self.spent != 0 && now.saturating_sub(self.reported_at) < REPEAT_TIME;
+        if !has_changed && !(is_repeated && is_recent) {
             return None;
         }
         self.reported = self.spent;
+        self.reported_at = now;
         self.unreported_requests = 0;
         Some(self.spent)
     }
--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -364,7 +364,8 @@
         self.accounts.iter_mut().map(level).collect()
     }
 
-    /// Returns the totals to report now. With a heartbeat these are all that have changed enough;
+    /// Returns the totals to report now. With a heartbeat these are all that have changed enough, and
+    /// in the heartbeats after another relay was heard anew also those that have changed lately;
     /// between heartbeats there are any only if some spending is urgent.
     ///
     /// ```
@@ -381,9 +382,11 @@
         }
         self.reported_at = now;
         let (rules, relays) = (self.rules, self.fleet.reachable);
+        let has_grown = self.fleet_grown_at.is_some_and(|at| now < at + HEARD_LIFETIME);
+        let is_repeated = is_heartbeat && has_grown;
         let mut spent = Vec::new();
         for (name, account) in &mut self.accounts {
-            if let Some(total) = account.report_total(&rules, relays) {
+            if let Some(total) = account.report_total(&rules, relays, is_repeated, now) {
                 spent.push(SpentTotal { workspace: name.clone(), total });
             }
         }
