Exits that are weak evidence do not count beside others of their moment

Cause: three exits of one moment, two before an answer and one with an answer begun. The two count each, and the third counted as a moment of its own beside them.

Why the fix works: replicas that are killed together say no more than one, so an exit where an answer had begun adds nothing to others of its moment. Exits before an answer count each as before, so that copies of a fatal request are stopped as early.

--- a/quillcove_core/src/crash/record.rs
+++ b/quillcove_core/src/crash/record.rs
@@ -130,16 +130,23 @@
     }
 
     /// Returns how many of these exits count against one caller's requests, or those of all callers. Exits that are weak
-    /// evidence count once for each moment: replicas that are killed together say no more than one.
+    /// evidence count once for each moment, and not beside other exits of the moment: replicas that are killed together
+    /// say no more than one.
     pub fn evidence(&self, caller: Option<CallerDigest>, exits: &BTreeSet<ExitId>) -> usize {
         let of = |mark: &&ExitMark| {
             caller.is_none_or(|caller| mark.caller == caller) && exits.contains(&mark.exit)
         };
         let (weak, strong): (Vec<&ExitMark>, Vec<&ExitMark>) =
             self.marks.iter().filter(of).partition(|mark| mark.is_weak());
-        let strong: BTreeSet<ExitId> = strong.into_iter().map(|mark| mark.exit).collect();
-        let weak = weak.into_iter().filter(|mark| !strong.contains(&mark.exit));
-        strong.len() + moment_count(weak.map(|mark| mark.at).collect(), MOMENT)
+        let is_counted = |weak: &&ExitMark| {
+            let is_same =
+                |mark: &&ExitMark| mark.exit == weak.exit || mark.at.abs_diff(weak.at) <= MOMENT;
+            strong.iter().any(is_same)
+        };
+        let weak = weak.into_iter().filter(|mark| !is_counted(mark));
+        let moments = moment_count(weak.map(|mark| mark.at).collect(), MOMENT);
+        let strong: BTreeSet<ExitId> = strong.iter().map(|mark| mark.exit).collect();
+        strong.len() + moments
     }
 
     /// Returns how strongly the request is suspected. If it succeeded for some caller,
