A whole request that is blamed is tried again, one copy at a time

Callers of a sound request that had been blamed for exits saw 503 ends_upstreams with 15 minutes to stay away, each time that they came: for all callers of a popular request as long as anybody asked for it.

Cause: only a run clears a request, and what is rejected has none. Parts of prompts have a way back, with two faults: the request that tries a part was known by its content, so that copies of one prompt passed while one was under way; and only the relay that ranks first for the part let one through, which a caller who returns each 30 s meets once in 3.5 hours among 420 relays.

Why the fix works: 30 s after the last exit one copy, known by when it was received, may run; a good run clears the request at all relays, an exit counts and doubles the time. Each relay waits 10 s more than the one ranked before it, longer than a report takes, so that they seldom try it side by side. Whole requests are tried twice at most, as three more sends are allowed. Relays younger than 30 s, or that hear less than half of the others, try nothing. A request that is blamed for two things uses up no try of one while the other is not due.

Tried and left: telling callers to return when the request may be tried.

--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -12,7 +12,8 @@
 use serde::Serialize;
 
 use super::digest::{CallerDigest, LOAD_CALLER, RequestDigest, RequestIdentity, SuspectKind};
-use super::part::{BlamedPart, PartHistory, blamed_parts, may_be_blamed, probe_delay};
+use super::part::{BlamedPart, PartHistory, blamed_parts, may_be_blamed};
+use super::probe::ProbeRecord;
 use super::record::{CrashRecord, ExitMark, SuspectWeight};
 use super::telling::{CrashReport, ExitId, ExitReport, InFlightRequest};
 use crate::ids::MonoTime;
@@ -297,16 +298,11 @@
         })
     }
 
-    /// Returns the time until a part of a prompt may be tried again by one request, and the time since its last exit;
-    /// `None` if there is no record of it.
-    pub(super) fn probe_times(
-        &self,
-        part: RequestIdentity,
-        now: MonoTime,
-    ) -> Option<(Duration, Duration)> {
-        let record = self.records.get(&part.digest)?;
-        let since_exit = record.since_last_exit(now + RECORD_OFFSET);
-        Some((probe_delay(record).saturating_sub(since_exit), since_exit))
+    /// Returns what is known of a suspect's exits for a probe; `None` if there are none.
+    pub(super) fn probe_record(&self, suspect: RequestIdentity) -> Option<ProbeRecord> {
+        let record = ProbeRecord::of(self.records.get(&suspect.digest)?)?;
+        let last_exit_at = record.last_exit_at.saturating_sub(RECORD_OFFSET);
+        Some(ProbeRecord { last_exit_at, ..record })
     }
 
     fn blamed_parts(&self) -> Vec<BlamedPart> {
--- a/quillcove_core/src/crash/mod.rs
+++ b/quillcove_core/src/crash/mod.rs
@@ -16,7 +16,7 @@
 //! - [`teller`]: queue of reports to be sent, and their repetition.
 //! - `record`: crash record of one suspect, and which of its exits count.
 //! - `part`: which parts of prompts are blamed for exits.
-//! - `probe`: requests that try blamed parts again.
+//! - [`probe`]: requests that try again what is blamed.
 //! - [`phase`]: whether a replica was beginning to write the answer when it exited, and what it has survived.
 //! - [`watch`]: the tracker of one process that sends requests to replicas, which combines these.
 
@@ -25,7 +25,7 @@
 pub mod good;
 mod part;
 pub mod phase;
-mod probe;
+pub mod probe;
 mod record;
 pub mod teller;
 pub mod telling;
--- a/quillcove_core/src/crash/part.rs
+++ b/quillcove_core/src/crash/part.rs
@@ -27,12 +27,6 @@
 /// Length of a moment where two of them are enough: a herd of replicas may be killed over more than one [`MOMENT`].
 const LONG_MOMENT: Duration = Duration::from_millis(250);
 
-/// Time after the last exit for which a blamed part is not tried again; it doubles with each further moment.
-const PROBE_DELAY: Duration = Duration::from_secs(30);
-
-/// Maximum number of doublings of [`PROBE_DELAY`].
-const MAX_PROBE_DOUBLINGS: u32 = 5;
-
 /// Time after which the older half of the history is dropped.
 const HISTORY_TIME: Duration = Duration::from_secs(60);
 
@@ -175,11 +169,3 @@
 pub(super) fn may_be_blamed(record: &CrashRecord) -> bool {
     record.marks.len() >= MIN_MOMENTS
 }
-
-/// Returns the time after the last exit from which on one request may try whether a blamed part still makes replicas
-/// exit. Without it, a part that was blamed while all replicas crashed for reasons of their own would stay rejected.
-pub(super) fn probe_delay(record: &CrashRecord) -> Duration {
-    let moments = moment_count(record.marks.iter().map(|mark| mark.at).collect(), MOMENT);
-    let doublings = u32::try_from(moments.saturating_sub(MIN_MOMENTS)).unwrap_or(u32::MAX);
-    PROBE_DELAY * 2_u32.pow(doublings.min(MAX_PROBE_DOUBLINGS))
-}
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use super::book::{CrashCause, CrashTable};
-use super::digest::{RequestDigest, RequestIdentity, SuspectKind};
+use super::digest::{RequestIdentity, SuspectKind};
 use super::good::RecentSuccesses;
-use super::probe::PartProbes;
+use super::probe::{ProbeRequest, SuspectProbes};
 use super::teller::CrashReportQueue;
 use super::telling::{CrashReport, ExitId, InFlightRequest, exit_id, next_exit_id};
 use crate::ids::{MonoTime, ReplicaId, StartTime};
@@ -138,7 +138,7 @@
     known_exits: BTreeMap<ExitId, MonoTime>,
     /// When a run was last found alive.
     last_alive: BTreeMap<ExitId, MonoTime>,
-    probes: PartProbes,
+    probes: SuspectProbes,
 }
 
 impl CrashTracker {
@@ -481,34 +481,50 @@
         self.book.cause(identity, now)
     }
 
-    /// Lets one request try whether a blamed prompt part still makes replicas exit, if it is time to; returns whether
-    /// it may run.
+    /// Lets one request try whether what is blamed, itself or a part of its prompt, still makes replicas exit, if it is
+    /// time to; returns whether it may run.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::crash::digest::{RequestParts, part_identity};
+    /// use quillcove_core::crash::probe::ProbeRequest;
     /// use quillcove_core::crash::watch::CrashTracker;
     ///
     /// let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: b"text" };
+    /// let now = Duration::from_secs(40);
+    /// let request = ProbeRequest { digest: parts.digest(), received: now };
     /// let mut tracker = CrashTracker::default();
     /// let part = part_identity("m", 5);
-    /// assert!(!tracker.begin_probe(part, parts.digest(), Duration::ZERO), "it has no record");
+    /// assert!(tracker.probe_due_at(part).is_none(), "it has no record");
+    /// assert!(!tracker.begin_probe(part, request, now));
+    /// assert!(!tracker.is_probe(part, request));
     /// ```
     pub fn begin_probe(
         &mut self,
-        part: RequestIdentity,
-        request: RequestDigest,
+        suspect: RequestIdentity,
+        request: ProbeRequest,
         now: MonoTime,
     ) -> bool {
-        self.probes.begin(&self.book, part, request, now)
+        let is_due = self.probe_due_at(suspect).is_some_and(|due_at| now >= due_at);
+        if is_due {
+            self.probes.begin(suspect, request, now);
+        }
+        is_due
+    }
+
+    /// Returns from when on one request may try a suspect; `None` if none may.
+    ///
+    /// See [`CrashTracker::begin_probe`] for an example.
+    pub fn probe_due_at(&self, suspect: RequestIdentity) -> Option<MonoTime> {
+        self.probes.due_at(&self.book, suspect)
     }
 
-    /// Returns whether a request is the one that tries a blamed prompt part, and no replica has exited under the part
-    /// since it was let through.
+    /// Returns whether a request is the one that tries a suspect, and no replica has exited under the suspect since it
+    /// was let through.
     ///
     /// See [`CrashTracker::begin_probe`] for an example.
-    pub fn is_probe(&self, part: RequestIdentity, request: RequestDigest, now: MonoTime) -> bool {
-        self.probes.contains(&self.book, part, request, now)
+    pub fn is_probe(&self, suspect: RequestIdentity, request: ProbeRequest) -> bool {
+        self.probes.contains(&self.book, suspect, request)
     }
 
     /// Records that a request was rejected for its crash record.
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -2,6 +2,7 @@
 
 use super::{AttemptOrder, RelayMachine, RelayQuery};
 use crate::crash::digest::{RequestIdentity, load_identity};
+use crate::crash::probe::{PROBE_DELAY, ProbeRequest, RANK_DELAY};
 use crate::crash::watch::{AbortKind, CrashTracker, ExitCheck, ReplicaRun, ResponseAbort};
 use crate::ids::{AdapterKey, MonoTime};
 use crate::relay::beacon::EngineReport;
@@ -45,33 +46,52 @@
     }
 
     /// Returns whether a request is rejected as fatal, and records the rejection. A request that was not sent yet may be
-    /// let through to try a blamed prompt part again; of all relays, only the one that ranks first for the part does so.
+    /// let through to try again what is blamed.
     pub(super) fn is_rejected_as_fatal(
         &mut self,
         query: &RelayQuery,
         is_first_attempt: bool,
         now: MonoTime,
     ) -> bool {
-        let mut is_rejected = false;
-        for suspect in query.suspects() {
-            if self.crashes.cause(suspect, now).is_none() {
-                continue;
-            }
-            if !is_first_attempt || !self.may_probe(suspect, query, now) {
-                self.crashes.note_refused(suspect, now);
-                is_rejected = true;
-            }
+        let blamed: Vec<RequestIdentity> =
+            query.suspects().filter(|it| self.crashes.cause(*it, now).is_some()).collect();
+        let request = query.probe_request().filter(|_| is_first_attempt);
+        let may_run = request.is_some_and(|request| self.may_probe_all(&blamed, request, now));
+        if !may_run {
+            blamed.iter().for_each(|suspect| self.crashes.note_refused(*suspect, now));
         }
-        is_rejected
+        !may_run && !blamed.is_empty()
     }
 
-    fn may_probe(&mut self, part: RequestIdentity, query: &RelayQuery, now: MonoTime) -> bool {
-        let Some(request) = query.identity else {
-            return false;
+    /// Returns whether a request may try again all that it is blamed for, and records that it does.
+    fn may_probe_all(
+        &mut self,
+        blamed: &[RequestIdentity],
+        request: ProbeRequest,
+        now: MonoTime,
+    ) -> bool {
+        // A relay that has just started or is cut off does not know which relay ranks first.
+        let knows_peers = now >= PROBE_DELAY && !self.is_maybe_partitioned();
+        let is_new = |suspect: &&RequestIdentity| !self.crashes.is_probe(**suspect, request);
+        let new: Vec<RequestIdentity> = blamed.iter().filter(is_new).copied().collect();
+        let is_due = |suspect: &RequestIdentity| {
+            self.probe_due_at(*suspect).is_some_and(|due_at| now >= due_at)
         };
-        self.crashes.is_probe(part, request.digest, now)
-            || (self.peers.rank(&part.digest.to_string()) == 0
-                && self.crashes.begin_probe(part, request.digest, now))
+        let may_run = new.is_empty() || (knows_peers && new.iter().all(is_due));
+        if may_run {
+            new.iter().for_each(|suspect| {
+                self.crashes.begin_probe(*suspect, request, now);
+            });
+        }
+        may_run
+    }
+
+    /// Returns from when on this relay may let one request try a suspect; `None` if it may not. Of all relays, the one
+    /// that ranks first for the suspect is the first to do so.
+    fn probe_due_at(&self, suspect: RequestIdentity) -> Option<MonoTime> {
+        let due_at = self.crashes.probe_due_at(suspect)?;
+        let rank = u32::try_from(self.peers.rank(&suspect.digest.to_string())).unwrap_or(u32::MAX);
+        Some(due_at.saturating_add(RANK_DELAY.saturating_mul(rank)))
     }
 
     /// Returns whether replicas exit under a request, as is known by now. It may have become known after the choice, while
@@ -79,11 +99,8 @@
     ///
     /// See [`RelayMachine::begin_prefill`] for an example of a query.
     pub fn is_fatal(&self, query: &RelayQuery, now: MonoTime) -> bool {
-        let is_probe = |suspect| {
-            query
-                .identity
-                .is_some_and(|request| self.crashes.is_probe(suspect, request.digest, now))
-        };
+        let request = query.probe_request();
+        let is_probe = |suspect| request.is_some_and(|it| self.crashes.is_probe(suspect, it));
         query.suspects().any(|it| self.crashes.cause(it, now).is_some() && !is_probe(it))
     }
 
--- a/quillcove_core/src/relay/machine/query.rs
+++ b/quillcove_core/src/relay/machine/query.rs
@@ -6,6 +6,7 @@
 
 use crate::access::grant::AccessGrant;
 use crate::crash::digest::RequestIdentity;
+use crate::crash::probe::ProbeRequest;
 use crate::ids::{
     AdapterKey, ModelName, MonoTime, ReplicaId, ServiceName, SoftwareVersion, StartTime,
 };
@@ -62,6 +63,14 @@
         self.identity.iter().chain(&self.parts).copied()
     }
 
+    /// Returns the request as one that may try again what is blamed; `None` if its content is unknown.
+    ///
+    /// See [`RelayMachine::begin_prefill`](super::RelayMachine::begin_prefill) for an example of a query.
+    pub fn probe_request(&self) -> Option<ProbeRequest> {
+        let received = self.received;
+        self.identity.map(|identity| ProbeRequest { digest: identity.digest, received })
+    }
+
     /// Returns the time until which a response meets the target latency, counted from the caller's first attempt.
     ///
     /// See [`RelayMachine::begin_prefill`](super::RelayMachine::begin_prefill) for an example of a query.
--- a/quillcove_core/tests/crash_parts.rs
+++ b/quillcove_core/tests/crash_parts.rs
@@ -4,7 +4,8 @@
 
 use proptest::prelude::*;
 use quillcove_core::crash::book::CrashTable;
-use quillcove_core::crash::digest::{RequestDigest, RequestIdentity, RequestParts, part_identity};
+use quillcove_core::crash::digest::{RequestIdentity, RequestParts, part_identity};
+use quillcove_core::crash::probe::ProbeRequest;
 use quillcove_core::crash::telling::InFlightRequest;
 use quillcove_core::crash::watch::{CrashTracker, ReplicaRun, ResponseAbort};
 
@@ -17,9 +18,10 @@
     part_identity("m", id)
 }
 
-fn request(body: u32) -> RequestDigest {
+fn request(body: u32) -> ProbeRequest {
     let body = body.to_le_bytes();
-    RequestParts { method: "POST", host: "h", path: "/", key: None, body: &body }.digest()
+    let parts = RequestParts { method: "POST", host: "h", path: "/", key: None, body: &body };
+    ProbeRequest { digest: parts.digest(), received: START }
 }
 
 fn exit_with(tracker: &mut CrashTracker, exit: u64, parts: &[RequestIdentity], at: Duration) {
@@ -133,13 +135,13 @@
     assert!(!tracker.begin_probe(part(1), request(1), last + APART * 29));
     let probed_at = last + APART * 31;
     assert!(tracker.begin_probe(part(1), request(1), probed_at));
-    assert!(tracker.is_probe(part(1), request(1), probed_at));
-    assert!(!tracker.is_probe(part(1), request(2), probed_at));
+    assert!(tracker.is_probe(part(1), request(1)));
+    assert!(!tracker.is_probe(part(1), request(2)));
     assert!(!tracker.begin_probe(part(1), request(2), probed_at + APART), "one at a time");
     // The replica exits under it: the next try comes after twice the time.
     let exit_at = probed_at + APART;
     exit_with(&mut tracker, 9, &[part(1)], exit_at);
-    assert!(!tracker.is_probe(part(1), request(1), exit_at + APART));
+    assert!(!tracker.is_probe(part(1), request(1)));
     assert!(!tracker.begin_probe(part(1), request(3), exit_at + APART * 59));
     assert!(tracker.begin_probe(part(1), request(3), exit_at + APART * 61));
     assert!(tracker.record_survival(&[part(1)], exit_at + APART * 62));
