The first total of a relay that has been heard since its start counts whole

Cause: the first total of another relay was taken as a base and counted nothing, unless that relay had just started. Of 50 requests a second each of 420 relays gets one in 8 s, so that most have told nothing of the workspace when its flood begins, and the first request at each is counted by nobody else: twice what may pass beyond the limit.

Why the fix works: what a relay spends is told with its next heartbeat, so a process that has heard it since its start has missed nothing, and the base is nothing. After a gap, or where the other one is older, its first total is a base as before. The gap ends with the heartbeat by which a relay is heard anew (`record_contact`).

--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -68,6 +68,7 @@
         if self.relays.insert(heartbeat.host.clone(), known).is_none() {
             info!(self.shared.log, "relay heard"; "relay" => &heartbeat.host,
                 "address" => %heartbeat.address);
+            self.shared.machine().ledger_mut().record_contact(&heartbeat.host, now);
             self.update_peers(now);
             self.send_heartbeat_to(&heartbeat.hall, heartbeat.address, now);
             self.send_levels(heartbeat.address, now);
--- a/quillcove_core/src/access/account.rs
+++ b/quillcove_core/src/access/account.rs
@@ -145,20 +145,20 @@
     }
 
     /// Records the total that another relay reported and deducts the increase. If this is the
-    /// relay's first report, or the first after a silence, the whole total counts when the relay
-    /// has just started, and nothing otherwise. Returns the increase.
+    /// relay's first report, or the first after a silence, the whole total counts if all of the
+    /// relay's spending was to be heard here, and nothing otherwise. Returns the increase.
     pub(super) fn record_total(
         &mut self,
         host: &str,
         incarnation: Incarnation,
         total: i64,
-        has_just_started: bool,
+        has_heard_all: bool,
         lowest: f64,
     ) -> i64 {
         let before = match self.peer_totals.get(host) {
             Some(peer) if peer.incarnation == incarnation => peer.total,
             Some(_) => 0,
-            None if has_just_started => 0,
+            None if has_heard_all => 0,
             None => total,
         };
         let spent = total.saturating_sub(before);
@@ -202,7 +202,8 @@
         let has_changed = self.spent != self.reported
             && self.unreported() >= self.unreported_limit(rules, relays) * HEARTBEAT_SHARE;
         let is_recent = self.spent != 0 && now.saturating_sub(self.reported_at) < REPEAT_TIME;
-        if !has_changed && !(is_repeated && is_recent) {
+        let is_due = has_changed || (is_repeated && is_recent);
+        if !is_due {
             return None;
         }
         self.reported = self.spent;
--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -13,7 +13,7 @@
 use super::limit::{LimitRule, LimitRules, UseCharge, UseClaim, UseLimit, UseUnit};
 use super::spending::{SpentTotal, UsageReport, WorkspaceLevel};
 use super::workspace::WorkspaceRecord;
-use crate::ids::{MonoTime, WorkspaceName};
+use crate::ids::{HostId, MonoTime, WorkspaceName};
 
 /// Part of [`STARTUP_SHARE`] that is reserved per rank for more urgent requests, so that a
 /// workspace above its limit has its least urgent requests rejected first.
@@ -47,7 +47,8 @@
 /// Share of the overshoot allowance that all relays together may spend at once while they do not know each other.
 const STARTUP_SHARE: f64 = 0.4;
 
-/// Uptime of a relay up to which its whole total counts as not yet known to other relays.
+/// Uptime of a relay up to which its whole total counts as not yet known to other relays, and up to which relays count
+/// as started together.
 const RECENT_START_AGE: Duration = Duration::from_millis(2500);
 
 /// Interval between two urgent reports, for each relay of the fleet, so that the cost of urgent
@@ -97,6 +98,8 @@
 pub struct LimitLedger {
     rules: LimitRules,
     fleet: FleetSize,
+    /// When the number of relays was last updated.
+    fleet_updated_at: MonoTime,
     /// When the number of reachable relays last grew.
     fleet_grown_at: Option<MonoTime>,
     /// Whether the fleet is known; never reset.
@@ -104,6 +107,9 @@
     /// Levels reported by relays that were running before this one started.
     peer_levels: BTreeMap<WorkspaceName, f64>,
     accounts: BTreeMap<WorkspaceName, LimitAccount>,
+    /// Since when relays have been heard without a gap; the others since the start of this process. Some 50 bytes for
+    /// each host that was ever heard.
+    heard_since: BTreeMap<HostId, MonoTime>,
     /// When the other relays were last informed.
     reported_at: MonoTime,
 }
@@ -116,10 +122,12 @@
         Self {
             rules,
             fleet: FleetSize { reachable: 1, most: 1 },
+            fleet_updated_at: MonoTime::ZERO,
             fleet_grown_at: None,
             is_fleet_known: !rules.has_peers,
             peer_levels: BTreeMap::new(),
             accounts: BTreeMap::new(),
+            heard_since: BTreeMap::new(),
             reported_at: MonoTime::ZERO,
         }
     }
@@ -152,6 +160,7 @@
         }
         let before = self.share();
         self.fleet = fleet;
+        self.fleet_updated_at = now;
         let lost = before - self.share();
         if lost > 0.0 {
             // Until now the missing relays were assumed to report their spending. In fact they went
@@ -175,6 +184,28 @@
     /// ```
     pub fn forget(&mut self, host: &str) {
         self.accounts.values_mut().for_each(|account| account.forget(host));
+        self.heard_since.insert(host.to_string(), self.fleet_updated_at);
+    }
+
+    /// Records that a relay is heard for the first time, or for the first time since it was forgotten. What it spent
+    /// before is not known here.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::access::ledger::LimitLedger;
+    /// use quillcove_core::access::limit::LimitRules;
+    ///
+    /// LimitLedger::new(LimitRules::default()).record_contact("front-1", Duration::from_secs(60));
+    /// ```
+    pub fn record_contact(&mut self, host: &str, now: MonoTime) {
+        self.heard_since.insert(host.to_string(), now);
+    }
+
+    /// Returns whether all that a relay has spent since its start was reported to this process: it started no earlier,
+    /// and has been heard ever since.
+    fn has_heard_all(&self, report: &UsageReport, now: MonoTime) -> bool {
+        let heard_since = self.heard_since.get(&report.host).copied().unwrap_or_default();
+        report.uptime < now.saturating_sub(heard_since) + RECENT_START_AGE
     }
 
     /// Returns the part of each limit that refills this relay's accounts.
@@ -306,7 +337,7 @@
         if self.rules.rule == LimitRule::Even {
             return increases;
         }
-        let has_just_started = report.uptime < RECENT_START_AGE;
+        let has_heard_all = self.has_heard_all(report, now);
         self.adopt_levels(report, now);
         let rules = self.rules;
         for spent in &report.spent {
@@ -319,7 +350,7 @@
                 &report.host,
                 report.incarnation,
                 spent.total,
-                has_just_started,
+                has_heard_all,
                 lowest,
             );
             increases.push((spent.workspace.clone(), limit.unit, increase));
--- a/quillcove_core/tests/access_limits.rs
+++ b/quillcove_core/tests/access_limits.rs
@@ -137,6 +137,46 @@
     }
 }
 
+// Guards against first requests at hundreds of relays that nobody counts, as each relay's first total is taken as a base.
+#[test]
+fn a_flood_at_420_relays_stays_within_its_limit() {
+    let flood = LoadPattern { relays: 420, ..LoadPattern::FLOOD };
+    let patterns = [
+        flood,
+        LoadPattern { name: "uneven", first_share: 0.5, ..flood },
+        LoadPattern { name: "restart", restarts: &[6], ..flood },
+    ];
+    for pattern in patterns {
+        let result = play(pattern, LimitRule::default(), 1);
+        assert!(result.worst_window < 1.0, "{}: {result:?}", pattern.name);
+    }
+}
+
+// Guards against a flood that passes more than is allowed, as 420 relays are cut into parts at the moment of its begin.
+#[test]
+fn a_flood_that_420_relays_meet_as_they_are_cut_stays_within_its_limit_at_seed_2() {
+    let flood =
+        LoadPattern { relays: 420, parts: 3, cut_from: 4, cut_until: 6, ..LoadPattern::FLOOD };
+    let result = play(flood, LimitRule::default(), 2);
+    assert!(result.worst_window < 1.0, "{result:?}");
+}
+
+// Guards against a flood that passes more than is allowed, as 420 relays all start again twice within a window.
+#[test]
+fn a_flood_at_420_relays_that_start_twice_stays_within_its_limit_at_seed_1() {
+    let flood = LoadPattern { relays: 420, restarts: &[6, 8], ..LoadPattern::FLOOD };
+    let result = play(flood, LimitRule::default(), 1);
+    assert!(result.worst_window < 1.0, "{result:?}");
+}
+
+// Guards against callers within their limit who are refused after 420 relays have all started again.
+#[test]
+fn after_a_loss_of_420_relays_callers_are_let_in_at_seed_2() {
+    let pattern = LoadPattern { relays: 420, restarts: &[8, 16], ..LoadPattern::USUAL };
+    let result = play(pattern, LimitRule::default(), 2);
+    assert!(result.refused_at_start <= 0.05, "{result:?}");
+}
+
 // Guards against a flood that passes more than is allowed, as the relays are cut into parts at the moment of its begin.
 #[test]
 fn a_flood_that_is_cut_at_once_stays_within_its_limit_at_seed_39() {
