--- a/quillcove/tests/common/mod.rs
+++ b/quillcove/tests/common/mod.rs
@@ -70,10 +70,23 @@
         self.child.id()
     }
 
-    /// Sends a signal to this child only.
+    /// Sends a signal to this child only. Returns from a stop once no thread of the child runs any more.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(status.expect("kill can be run").success());
+        if name == "-STOP" {
+            wait_until(|| self.is_stopped());
+        }
+    }
+
+    /// Returns whether the kernel has stopped all threads of the child.
+    fn is_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        tasks.expect("the child has threads").flatten().all(|task| {
+            // A thread that has ended meanwhile has no state. The state follows the thread's name in parentheses.
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit_once(')').is_none_or(|(_, state)| state.trim_start().starts_with('T'))
+        })
     }
 
     /// Waits for the end; whether it was a success.
