Relays that report with heartbeats only set aside what others have not reported yet

Why the fix works: what others reported in the last 0.5 s tells the rate at which they go on, and so what they have spent since their last totals. It is set aside when a request is charged, up to 0.8 of the burst, so that some are let in. Fleets below 125 relays have urgent reports and are not touched.

--- a/quillcove_core/src/access/account.rs
+++ b/quillcove_core/src/access/account.rs
@@ -19,6 +19,15 @@
 /// Time since its last report for which an account repeats its total to relays that may hear it anew.
 const REPEAT_TIME: Duration = Duration::from_secs(10);
 
+/// Time over which the spending that others report is averaged: an interval between two heartbeats.
+const REPORTED_RATE_TIME: Duration = Duration::from_millis(500);
+
+/// Mean age of the last reports of other relays that report with heartbeats only.
+const MEAN_REPORT_AGE: Duration = Duration::from_millis(250);
+
+/// Largest part of the burst that is set aside for what others have not reported yet.
+const MAX_SET_ASIDE: f64 = 0.8;
+
 /// Longest retry delay given to a rejected caller: the load may change too much beyond it.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
@@ -62,6 +71,8 @@
     /// Time at which the most recently rejected caller is to retry.
     last_retry_at: MonoTime,
     peer_totals: BTreeMap<HostId, PeerTotal>,
+    /// Units that others have reported lately, decaying with [`REPORTED_RATE_TIME`].
+    recently_reported: f64,
 }
 
 impl LimitAccount {
@@ -76,6 +87,7 @@
             unreported_requests: 0,
             last_retry_at: MonoTime::ZERO,
             peer_totals: BTreeMap::new(),
+            recently_reported: 0.0,
         }
     }
 
@@ -86,8 +98,10 @@
     /// Refills the bucket for the time since the last refill. `share` is this relay's part of the
     /// limit.
     pub(super) fn refill(&mut self, share: f64, now: MonoTime) {
-        let passed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        let since_refill = now.saturating_sub(self.refilled_at);
+        let passed = since_refill.as_secs_f64();
         self.refilled_at = now;
+        self.recently_reported *= (-since_refill.div_duration_f64(REPORTED_RATE_TIME)).exp();
         let filled = self.level + self.limit.rate * share * passed;
         self.level = filled.min(self.limit.burst * share);
     }
@@ -110,13 +124,20 @@
         self.level -= self.limit.rate * lost * HEARD_LIFETIME.as_secs_f64();
     }
 
-    /// Deducts the cost of a request and returns `true` if the level allows it.
-    pub(super) fn spend(&mut self, cost: u64, reserve: f64, share: f64) -> bool {
+    /// Returns the units that other relays are likely to have spent since their last reports, if they report with
+    /// heartbeats only: what they spend in the mean age of a report at the rate of their reports.
+    pub(super) fn unreported_by_others(&self, share: f64) -> f64 {
+        let age = MEAN_REPORT_AGE.div_duration_f64(REPORTED_RATE_TIME);
+        (self.recently_reported.max(0.0) * age).min(self.limit.burst * share * MAX_SET_ASIDE)
+    }
+
+    /// Deducts the cost of a request and returns `true` if the level, less `set_aside`, allows it.
+    pub(super) fn spend(&mut self, cost: u64, reserve: f64, set_aside: f64, share: f64) -> bool {
         let burst = self.limit.burst * share;
         // A request larger than the whole burst may run when nothing else has been spent.
         let needed = (cost as f64).min(burst);
         let reserve = reserve * share;
-        if self.level < needed.max((needed + reserve).min(burst)) {
+        if self.level - set_aside < needed.max((needed + reserve).min(burst)) {
             return false;
         }
         self.level -= cost as f64;
@@ -162,6 +183,7 @@
             None => total,
         };
         let spent = total.saturating_sub(before);
+        self.recently_reported += spent as f64;
         self.level = (self.level - spent as f64).max(lowest);
         self.peer_totals.insert(host.to_string(), PeerTotal { incarnation, total });
         spent
--- a/quillcove_core/src/access/ledger.rs
+++ b/quillcove_core/src/access/ledger.rs
@@ -14,6 +14,7 @@
 use super::spending::{SpentTotal, UsageReport, WorkspaceLevel};
 use super::workspace::WorkspaceRecord;
 use crate::ids::{HostId, MonoTime, WorkspaceName};
+use crate::relay::telling::SHORTEST_INTERVAL;
 
 /// Part of [`STARTUP_SHARE`] that is reserved per rank for more urgent requests, so that a
 /// workspace above its limit has its least urgent requests rejected first.
@@ -276,11 +277,16 @@
             * RANK_RESERVE
             * f64::from(claim.rank.min(MAX_RANK));
         let allowance = self.startup_allowance(&limit, now);
+        let has_urgent_reports = self.urgent_report_interval() < SHORTEST_INTERVAL;
         let account = self.account(&workspace.name, limit, now);
         if !account.is_within(cost, allowance) {
             return Err(DISCOVERY_QUIET_TIME);
         }
-        if account.spend(cost, reserve, share) {
+        let set_aside = match has_urgent_reports {
+            true => 0.0,
+            false => account.unreported_by_others(share),
+        };
+        if account.spend(cost, reserve, set_aside, share) {
             return Ok(Some(UseCharge { workspace: workspace.name.clone(), cost }));
         }
         // Each relay schedules the retries of its rejected callers at its even share of the rate.
@@ -424,10 +430,14 @@
         spent
     }
 
+    fn urgent_report_interval(&self) -> Duration {
+        URGENT_REPORT_INTERVAL * self.fleet.reachable as u32
+    }
+
     /// Returns whether some spending has to be reported before the next heartbeat.
     fn is_urgent(&self, now: MonoTime) -> bool {
-        let interval = URGENT_REPORT_INTERVAL * self.fleet.reachable as u32;
-        let is_interval_over = now.saturating_sub(self.reported_at) >= interval;
+        let is_interval_over =
+            now.saturating_sub(self.reported_at) >= self.urgent_report_interval();
         let (rules, relays) = (&self.rules, self.fleet.reachable);
         self.rules.rule == LimitRule::Prompt
             && is_interval_over
