--- a/quillcove_core/tests/upstream_words.rs
+++ b/quillcove_core/tests/upstream_words.rs
@@ -108,6 +108,24 @@
     assert_kept(&pattern, &result);
 }
 
+// Guards against a request that is refused without a time in a release, though a replica would take it.
+#[test]
+fn no_request_is_refused_in_a_release_at_68_relays_at_seeds_6_and_22() {
+    let (relays, replicas) = *SIZES.iter().find(|(relays, _)| *relays == 68).expect("a size");
+    for seed in [6, 22] {
+        let pattern = RELEASE.of_size(relays, replicas);
+        assert_kept(&pattern, &WordFleet::play(pattern, WordRule::Kept, seed));
+    }
+}
+
+// Guards against a request that is refused without a time in an overload, though a replica would take it.
+#[test]
+fn no_request_is_refused_without_a_time_in_an_overload_at_25_relays_at_seed_2() {
+    let (relays, replicas) = *SIZES.iter().find(|(relays, _)| *relays == 25).expect("a size");
+    let pattern = OVERLOAD.of_size(relays, replicas);
+    assert_kept(&pattern, &WordFleet::play(pattern, WordRule::Kept, 2));
+}
+
 /// Requests that should not have reached a replica, and needless refusals, with a rule, over several seeds of a pattern.
 fn faults(pattern: WordPattern, rule: WordRule) -> usize {
     let play = |seed| {
