--- a/quillcove_core/tests/part_choice.rs
+++ b/quillcove_core/tests/part_choice.rs
@@ -8,28 +8,15 @@
 use quillcove_core::crash::digest::{RequestIdentity, RequestParts, part_identity};
 use quillcove_core::crash::telling::{CrashReport, ExitReport, InFlightRequest, SuccessReport};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
-use quillcove_core::relay::replica::example_record;
-use quillcove_core::relay::sheet::{CallerLimits, PublishedConfig};
 use quillcove_core::verdict::{RefusalReason, RunVerdict};
-use relay_site::{engine_service, query, stream_route};
+use relay_site::{query, stream_machine, stream_route};
 
 const NOW: Duration = Duration::from_secs(10);
 
 const SECOND: Duration = Duration::from_secs(1);
 
 fn relay_machine() -> RelayMachine {
-    let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    let services = vec![engine_service(100, 3.0)];
-    machine.apply_configuration(PublishedConfig::new(
-        1,
-        vec![stream_route()],
-        services,
-        CallerLimits::default(),
-    ));
-    for replica in ["i-1", "i-2", "i-3"] {
-        machine.list(example_record(replica), NOW);
-    }
-    machine
+    stream_machine(RelayRules::default(), 1, NOW)
 }
 
 /// A request of its own body with these parts.
--- a/quillcove_core/tests/relay_site/mod.rs
+++ b/quillcove_core/tests/relay_site/mod.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use quillcove_core::ids::AdapterKey;
-use quillcove_core::relay::machine::RelayQuery;
-use quillcove_core::relay::sheet::{EngineRecord, ModelRecord, ServiceRecord};
+use quillcove_core::relay::machine::{RelayMachine, RelayQuery, RelayRules};
+use quillcove_core::relay::replica::example_record;
+use quillcove_core::relay::sheet::{
+    CallerLimits, EngineRecord, ModelRecord, PublishedConfig, ServiceRecord,
+};
 use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
 
 pub fn ms(millis: u64) -> Duration {
@@ -67,3 +70,15 @@
         origin: None,
     }
 }
+
+/// Returns a relay with the stream route and three replicas for it, listed at `now`.
+pub fn stream_machine(rules: RelayRules, seed: u64, now: Duration) -> RelayMachine {
+    let mut machine = RelayMachine::new(rules, seed);
+    let services = vec![engine_service(100, 3.0)];
+    let routes = vec![stream_route()];
+    machine.apply_configuration(PublishedConfig::new(1, routes, services, CallerLimits::default()));
+    for replica in ["i-1", "i-2", "i-3"] {
+        machine.list(example_record(replica), now);
+    }
+    machine
+}
--- a/quillcove_core/tests/request_probes.rs
+++ b/quillcove_core/tests/request_probes.rs
@@ -9,9 +9,7 @@
 use quillcove_core::crash::probe::PROBE_DELAY;
 use quillcove_core::crash::telling::{CrashReport, ExitReport, InFlightRequest, SuccessReport};
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
-use quillcove_core::relay::replica::example_record;
-use quillcove_core::relay::sheet::{CallerLimits, PublishedConfig};
-use relay_site::{engine_service, query, stream_route};
+use relay_site::{query, stream_machine, stream_route};
 
 /// Uptime at which a relay hears of the exits.
 const NOW: Duration = Duration::from_secs(100);
@@ -23,18 +21,7 @@
 
 fn relay_machine(host: usize) -> RelayMachine {
     let rules = RelayRules { host: format!("relay-{host}"), ..RelayRules::default() };
-    let mut machine = RelayMachine::new(rules, host as u64 + 1);
-    let services = vec![engine_service(100, 3.0)];
-    machine.apply_configuration(PublishedConfig::new(
-        1,
-        vec![stream_route()],
-        services,
-        CallerLimits::default(),
-    ));
-    for replica in ["i-1", "i-2", "i-3"] {
-        machine.list(example_record(replica), NOW);
-    }
-    machine
+    stream_machine(rules, host as u64 + 1, NOW)
 }
 
 fn identity(caller: u64) -> RequestIdentity {
