--- a/quillcove/src/clock.rs
+++ b/quillcove/src/clock.rs
@@ -56,6 +56,16 @@
     }
 }
 
+/// Returns the processor time that this process has used. It does not advance while the process is suspended, but does
+/// while the process is merely behind.
+///
+/// ```
+/// assert!(quillcove::clock::processor_time() <= quillcove::clock::processor_time());
+/// ```
+pub fn processor_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID).map(Duration::from).unwrap_or_default()
+}
+
 /// Returns the time since the host booted, including suspensions.
 fn since_boot() -> Duration {
     // The call fails only for a clock that the kernel does not support, and every kernel that the
--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -47,6 +47,7 @@
     admissions: Counter<u64>,
     promise_error: Histogram<f64>,
     first_byte: Histogram<f64>,
+    task_delay: Histogram<f64>,
     duration: Histogram<f64>,
 }
 
@@ -141,6 +142,7 @@
                 "Time between when an adapter was told to be there and when it was",
             ),
             first_byte: time("quillcove.first_byte", "Time from a request to its answer's head"),
+            task_delay: time("quillcove.task_delay", "Wait of a task for the serving thread"),
             duration: time("quillcove.request_duration", "Time from a request to its last byte"),
             registry,
             _provider: provider,
@@ -275,6 +277,19 @@
         self.first_byte.record(took.as_secs_f64(), &[class_label(class)]);
     }
 
+    /// Records for how long a task that serves callers waited for its thread.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.record_task_delay(Duration::from_millis(30));
+    /// assert!(metrics.text().contains("quillcove_task_delay"));
+    /// ```
+    pub fn record_task_delay(&self, delay: Duration) {
+        self.task_delay.record(delay.as_secs_f64(), &[]);
+    }
+
     /// Counts the end of an order to the engine.
     ///
     /// ```
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -30,6 +30,7 @@
 use self::right::ProofRequests;
 use super::follow::{FollowInstructions, StoreUpdate};
 use super::shared::RelayShared;
+use crate::clock::processor_time;
 use crate::config::relay::RelaySettings;
 use crate::peers::{PeerSocket, ReceivedDatagram};
 
@@ -138,6 +139,8 @@
     far_round: ListRound,
     named_round: ListRound,
     last_tick_at: MonoTime,
+    /// Processor time that the process had used at the last tick.
+    last_processor_time: Duration,
     last_heartbeat_at: MonoTime,
     /// Number of heartbeats and of reports of pending prompts sent so far.
     heartbeat_count: u64,
@@ -183,6 +186,7 @@
             named_round: ListRound::default(),
             coordinates_from: COORDINATION_DELAY,
             last_tick_at: MonoTime::ZERO,
+            last_processor_time: Duration::ZERO,
             last_heartbeat_at: MonoTime::ZERO,
             heartbeat_count: 0,
             prompt_report_count: 0,
@@ -241,9 +245,13 @@
     fn tick(&mut self, now: MonoTime) {
         let gap = now.saturating_sub(self.last_tick_at);
         self.last_tick_at = now;
+        let processor_time = processor_time();
+        let used = processor_time.saturating_sub(self.last_processor_time);
+        self.last_processor_time = processor_time;
         if gap > SUSPENSION_THRESHOLD && now > SUSPENSION_THRESHOLD {
             self.shared.resume_notifier.notify_resumed();
-            warn!(self.shared.log, "process was paused"; "gap_ms" => gap.as_millis() as u64);
+            warn!(self.shared.log, "process was paused"; "gap_ms" => gap.as_millis() as u64,
+                "processor_ms" => used.as_millis() as u64);
             self.coordinates_from = now + COORDINATION_DELAY;
             self.start_crash_requests(now);
             self.reread.send_modify(|count| *count += 1);
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod answers;
 mod attempt;
+mod delay;
 mod ends;
 mod events;
 mod follow;
@@ -174,6 +175,7 @@
     on_bound(addresses);
     let input = InputTask::new(shared.clone(), socket, control, feed);
     tokio::spawn(input.run());
+    tokio::spawn(delay::measure(shared.clone()));
     serve::serve_callers(listener, shared.clone(), stopped).await;
     info!(log, "relay stopped"; "in_flight" => shared.machine().in_flight());
     Ok(())
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -20,6 +20,7 @@
 use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayQuery};
 use quillcove_core::relay::origin::{OriginDigest, StreamKey, StreamOrigin};
 use quillcove_core::relay::prompt::PromptSize;
+use quillcove_core::relay::published::StorePart;
 use quillcove_core::relay::reading::ReadingNumber;
 use quillcove_core::relay::sheet::PublishedConfig;
 use quillcove_core::route::{RouteKind, RouteRecord};
@@ -325,6 +326,18 @@
     })
 }
 
+/// Rejects a request to which no route of the configuration applies.
+fn reject_without_route(
+    shared: &RelayShared,
+    configuration: &PublishedConfig,
+    now: MonoTime,
+) -> Rejection {
+    let age = shared.machine().knowledge().age(StorePart::Operator, now);
+    let version = configuration.version;
+    let reason = format!("no route in configuration {version}, which was checked {age:?} ago");
+    Rejection::denied(StatusCode::NOT_FOUND, reason)
+}
+
 /// Reads a request with its body and admits it.
 pub async fn prepare(
     shared: &Arc<RelayShared>,
@@ -339,8 +352,7 @@
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default();
     let route = configuration.find_route(host, parts.uri.path()).cloned();
-    let no_route = || Rejection::denied(StatusCode::NOT_FOUND, "no route");
-    let route = route.ok_or_else(no_route)?;
+    let route = route.ok_or_else(|| reject_without_route(shared, &configuration, received))?;
     let terms = heads::parse_request_headers(&parts.headers)
         .map_err(|fault| Rejection::denied(StatusCode::BAD_REQUEST, fault))?;
     if let Some(fault) = &terms.fault {
--- a/quillcove_core/src/relay/knowledge.rs
+++ b/quillcove_core/src/relay/knowledge.rs
@@ -362,11 +362,32 @@
     /// assert!(StoreKnowledge::default().is_old(StorePart::Operator, limit, Duration::ZERO));
     /// ```
     pub fn is_old(&self, part: StorePart, limit: Duration, now: MonoTime) -> bool {
-        let known = match part {
+        self.part(part).complete_at.is_none_or(|at| now.saturating_sub(at) >= limit)
+    }
+
+    /// Returns the time for which changes of a part may have been published that this relay does not know; zero if it
+    /// has never known the whole part, as nothing is known to be old then.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::knowledge::StoreKnowledge;
+    /// use quillcove_core::relay::position::StorePosition;
+    /// use quillcove_core::relay::published::StorePart;
+    ///
+    /// let mut knowledge = StoreKnowledge::default();
+    /// let second = Duration::from_secs(1);
+    /// knowledge.note_read(StorePart::Operator, StorePosition::in_first_era(7), second);
+    /// assert_eq!(knowledge.age(StorePart::Operator, second * 3), second * 2);
+    /// ```
+    pub fn age(&self, part: StorePart, now: MonoTime) -> Duration {
+        self.part(part).complete_at.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
+    fn part(&self, part: StorePart) -> &PartKnowledge {
+        match part {
             StorePart::Operator => &self.operator,
             StorePart::Replicas => &self.replicas,
-        };
-        known.complete_at.is_none_or(|at| now.saturating_sub(at) >= limit)
+        }
     }
 
     fn part_mut(&mut self, part: StorePart) -> &mut PartKnowledge {
