Relays handle control work on a thread of its own

What callers saw: a relay with more callers than it can serve acted on configurations that were seconds old (CONFIG), was taken for gone by the others, and answered the balancer's questions for readiness late, so that it was taken out and the load went to the next.

Cause: heartbeats, changes that other relays tell, ages, the decision to read the store, readiness and calls of other relays were tasks on the thread that accepts, reads and forwards for callers. Each step of a follower's way to a configuration (heartbeat, decision, read, use) waited for a round of that thread's queue.

The control thread has no work for callers, so that the scheduler gives it its share as soon as it has something to do. Connections are accepted there and passed to the serving thread through a bounded ring.

--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -1,12 +1,20 @@
 //! The relay: a thin process that forwards callers' requests to the upstreams that the platform
 //! lists.
 //!
-//! The calling thread serves callers, upstreams and other processes of the system, and owns the
-//! state machines that decide; the thread `watch` reads the platform's store and feeds a bounded
-//! channel.
+//! Each duty has a thread, so that none waits behind the work for callers, however much there is:
+//!
+//! - the calling thread serves callers and upstreams;
+//! - `control` accepts callers' connections, talks with other processes of the system and with operators, and applies
+//!   what the store publishes;
+//! - `watch` reads the platform's store.
+//!
+//! Bounded rings join them. All decisions are made by one state machine under a lock that no thread holds across a
+//! wait.
 
+mod accept;
 mod answers;
 mod attempt;
+mod control;
 mod delay;
 mod ends;
 mod events;
@@ -30,41 +38,22 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use eyre::WrapErr;
-use futures::future::BoxFuture;
 use slog::{Logger, info};
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
+use self::control::ControlDuty;
 use self::follow::{FollowInstructions, StoreFollower, WatchTimes};
-use self::input::{InputChannels, InputTask};
+use self::input::InputChannels;
 use self::shared::RelayShared;
 use crate::clock::MonoClock;
 use crate::config::relay::RelaySettings;
 use crate::duty;
-use crate::operator::{self, ProcessInspector};
-use crate::peers::PeerSocket;
 
 /// Capacity of the channel for what was read from the store.
 const STORE_CHANNEL_CAPACITY: usize = 64;
 
-/// Number of ports that are tried for the control address if the settings leave the choice to the
-/// operating system.
-const CONTROL_BIND_TRIES: u32 = 16;
-
-struct RelayInspector {
-    shared: Arc<RelayShared>,
-}
-
-impl ProcessInspector for RelayInspector {
-    fn state(&self) -> BoxFuture<'_, serde_json::Value> {
-        let view = self.shared.machine().view(self.shared.clock.now());
-        Box::pin(async move { serde_json::to_value(view).unwrap_or_default() })
-    }
-
-    fn is_ready(&self) -> bool {
-        self.shared.is_ready.load(Ordering::Relaxed)
-    }
-}
+/// Capacity of the ring of accepted connections that the serving thread has not taken yet.
+const ACCEPTED_CAPACITY: usize = 64;
 
 /// Addresses that a relay is bound to.
 #[derive(Clone, Copy, Debug)]
@@ -139,59 +128,37 @@
         reread: hurry,
         follow_instructions: order,
     };
-    let result = duty::run_async(1, serve(settings, clock, log, signals.stopped, feed, on_bound));
+    let shared = RelayShared::new(settings, clock, log).map(Arc::new);
+    let result = shared.and_then(|shared| serve(shared, feed, signals.stopped, on_bound));
     is_stopped.store(true, Ordering::Relaxed);
     result
 }
 
-/// Binds the addresses and serves them until the planned stop has ended.
-async fn serve(
-    settings: RelaySettings,
-    clock: MonoClock,
-    log: Logger,
-    stopped: watch::Receiver<bool>,
+/// Serves callers on this thread, and all else on the control thread, until the planned stop has ended.
+fn serve(
+    shared: Arc<RelayShared>,
     feed: InputChannels,
+    stopped: watch::Receiver<bool>,
     on_bound: impl FnOnce(RelayAddresses),
 ) -> eyre::Result<()> {
-    let listener = TcpListener::bind(settings.listen.callers).await?;
-    let control_address = settings.listen.control;
-    let operator_address = settings.listen.operator;
-    let platform = settings.platform.address;
-    let seeds = settings.peers.seeds.clone();
-    let shared = Arc::new(RelayShared::new(settings, clock, log.clone())?);
-    let socket = bind_control(&shared, control_address).await?;
-    let control = socket.local_addr()?;
-    let inspector = RelayInspector { shared: shared.clone() };
-    // Dropping the operator server closes its address.
-    let operator = operator::start(operator_address, inspector, shared.metrics.clone(), &log)?;
-    let addresses = RelayAddresses {
-        callers: listener.local_addr()?,
-        control,
-        operator: operator.local_addr(),
-    };
-    info!(log, "relay started"; "callers" => %addresses.callers,
+    let (accepted, connections) = mpsc::channel(ACCEPTED_CAPACITY);
+    let (bound, addresses) = oneshot::channel();
+    let (finished, is_finished) = oneshot::channel::<()>();
+    let control = ControlDuty { shared: shared.clone(), feed, stopped: stopped.clone(), accepted };
+    let control = duty::spawn("control", move || {
+        duty::run_async(1, control.run(bound, is_finished));
+    });
+    let addresses = addresses.blocking_recv().wrap_err("control thread has ended")??;
+    info!(shared.log, "relay started"; "callers" => %addresses.callers,
         "control" => %addresses.control, "operator" => %addresses.operator,
-        "platform" => %platform, "seeds" => ?seeds);
+        "platform" => %shared.settings.platform.address, "seeds" => ?shared.settings.peers.seeds);
     on_bound(addresses);
-    let input = InputTask::new(shared.clone(), socket, control, feed);
-    tokio::spawn(input.run());
-    tokio::spawn(delay::measure(shared.clone()));
-    serve::serve_callers(listener, shared.clone(), stopped).await;
-    info!(log, "relay stopped"; "in_flight" => shared.machine().in_flight());
+    duty::run_async(1, async {
+        tokio::spawn(delay::measure(shared.clone()));
+        serve::serve_callers(connections, shared.clone(), stopped).await;
+    });
+    info!(shared.log, "relay stopped"; "in_flight" => shared.machine().in_flight());
+    drop(finished);
+    let _ = control.join();
     Ok(())
 }
-
-/// Binds one port number for both datagrams (UDP) and calls (TCP) of other processes. If the
-/// operating system picks a UDP port that is in use for TCP, another one is tried.
-async fn bind_control(shared: &Arc<RelayShared>, address: SocketAddr) -> eyre::Result<PeerSocket> {
-    let mut tries = 1;
-    loop {
-        let socket = PeerSocket::bind(address).await?;
-        let bound = socket.local_addr()?;
-        match share::serve(shared.clone(), bound).await {
-            Ok(()) => return Ok(socket),
-            Err(_) if address.port() == 0 && tries < CONTROL_BIND_TRIES => tries += 1,
-            Err(error) => return Err(error).wrap_err_with(|| format!("cannot bind {bound}")),
-        }
-    }
-}
--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -1,4 +1,4 @@
-//! HTTP server for callers: accepts connections, applies their limits, and drains them in the
+//! HTTP server for callers: serves accepted connections, applies their limits, and drains them in the
 //! planned stop.
 
 use std::convert::Infallible;
@@ -9,21 +9,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use quillcove_core::crash::digest::{CallerDigest, caller_digest};
 use quillcove_core::relay::sheet::CallerLimits;
 use slog::{info, warn};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
+use super::accept::AcceptedConnection;
 use super::forward;
 use super::reader::{CallerSocket, ConnectionLimit};
 use super::shared::RelayShared;
-use crate::process::update_readiness;
-
-/// Time after the start of a planned stop during which callers are served as before, because the
-/// load balancer removes a host only after two failed health checks, one second apart.
-const DEREGISTRATION_TIME: Duration = Duration::from_millis(2500);
 
 /// Time reserved before the end of the planned stop for responses that are still being sent.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
@@ -31,34 +26,23 @@
 /// Interval at which the number of requests in flight is polled during the planned stop.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
-/// Delay before the next accept after a failed one.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_BUFFER_SIZE: usize = 8192;
 
-/// Serves callers until the planned stop is over.
+/// Serves callers until the planned stop is over. The ring of connections ends during the stop.
 pub async fn serve_callers(
-    listener: TcpListener,
+    mut connections: mpsc::Receiver<AcceptedConnection>,
     shared: Arc<RelayShared>,
     mut stopped: watch::Receiver<bool>,
 ) {
     let (drain, draining) = watch::channel(false);
     tokio::select! {
-        () = accept_all(&listener, &shared, draining.clone()) => {},
+        () = serve_all(&mut connections, &shared, &draining) => {},
         _ = stopped.wait_for(|is_stopped| *is_stopped) => {},
     }
-    let now = shared.clock.now();
-    let end = now + shared.settings.stop.limit.saturating_sub(STOP_MARGIN);
-    shared.machine().stop();
-    update_readiness(&shared.is_ready, false, &shared.log);
-    info!(shared.log, "planned stop begins"; "in_flight" => shared.machine().in_flight());
-    let accept_until = now + DEREGISTRATION_TIME;
-    let accepted = accept_all(&listener, &shared, draining);
-    let _ = shared.resume_notifier.wait_until(&shared.clock, accept_until, accepted).await;
-    // A request accepted from now on might not end within the stop's time limit. The closed port
-    // rejects further callers, which makes them try another host at once.
-    drop(listener);
+    let end = shared.clock.now() + shared.settings.stop.limit.saturating_sub(STOP_MARGIN);
+    serve_all(&mut connections, &shared, &draining).await;
+    // A request that began later might not end within the stop's time limit.
     drain.send_replace(true);
     let drained = async {
         while shared.machine().in_flight() > 0 {
@@ -70,23 +54,14 @@
     let _ = shared.resume_notifier.wait_until(&shared.clock, end, drained).await;
 }
 
-/// Accepts connections until the future is dropped.
-async fn accept_all(
-    listener: &TcpListener,
+/// Serves connections until no more are accepted.
+async fn serve_all(
+    connections: &mut mpsc::Receiver<AcceptedConnection>,
     shared: &Arc<RelayShared>,
-    draining: watch::Receiver<bool>,
+    draining: &watch::Receiver<bool>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let caller = caller_digest(peer.ip());
-                tokio::spawn(serve_connection(stream, caller, shared.clone(), draining.clone()));
-            },
-            Err(error) => {
-                warn!(shared.log, "connection not accepted"; "error" => %error);
-                sleep(ACCEPT_PAUSE).await;
-            },
-        }
+    while let Some(connection) = connections.recv().await {
+        tokio::spawn(serve_connection(connection, shared.clone(), draining.clone()));
     }
 }
 
@@ -97,15 +72,18 @@
 
 /// Serves one connection until it ends; once draining begins, it closes after the current response.
 async fn serve_connection(
-    stream: TcpStream,
-    caller: CallerDigest,
+    connection: AcceptedConnection,
     shared: Arc<RelayShared>,
     mut draining: watch::Receiver<bool>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        warn!(shared.log, "connection lost on accept"; "error" => %error);
-        return;
-    }
+    let AcceptedConnection { stream, caller } = connection;
+    let stream = match stream.set_nodelay(true).and_then(|()| TcpStream::from_std(stream)) {
+        Ok(stream) => stream,
+        Err(error) => {
+            warn!(shared.log, "connection lost on accept"; "error" => %error);
+            return;
+        },
+    };
     let limits = caller_limits(&shared);
     let limit = ConnectionLimit::default();
     let stream = CallerSocket::new(stream, limit.clone(), {
