Relays close connections unread that they cannot serve in time

What callers saw: a relay that gets most new connections reads all requests and answers them after the queue of all others, beyond what callers wait for (RECOVER; requests that are held to their end).

Cause: nothing bounds what a relay accepts and reads by what it can serve.

The relay measures how long its tasks and accepted connections wait for the serving thread; a controller (PIE) derives the share of new connections that are closed unread, so that callers reach another relay at once, and of kept ones that end after their response. No estimate of what a request costs is needed.

--- a/quillcove/src/metrics.rs
+++ b/quillcove/src/metrics.rs
@@ -36,6 +36,7 @@
     peer_messages: Counter<u64>,
     replica_ends: Counter<u64>,
     stalled_readers: Counter<u64>,
+    closed_unread: Counter<u64>,
     stream_buffer: UpDownCounter<i64>,
     store_eras: Counter<u64>,
     replica_words: Counter<u64>,
@@ -96,6 +97,11 @@
                 "quillcove.stalled_readers",
                 "Callers that were disconnected because they did not read their stream",
             ),
+            closed_unread: counter(
+                &meter,
+                "quillcove.closed_unread",
+                "New connections closed unread as the process has more callers than it can serve",
+            ),
             stream_buffer: meter
                 .i64_up_down_counter("quillcove.stream_buffer_bytes")
                 .with_description("Bytes of streams that wait for their callers to read")
@@ -350,6 +356,17 @@
         self.stalled_readers.add(1, &[]);
     }
 
+    /// Counts a new connection that was closed before anything was read from it.
+    ///
+    /// ```
+    /// let metrics = quillcove::metrics::ProcessMetrics::new("relay").unwrap();
+    /// metrics.record_closed_unread();
+    /// assert!(metrics.text().contains("quillcove_closed_unread_total"));
+    /// ```
+    pub fn record_closed_unread(&self) {
+        self.closed_unread.add(1, &[]);
+    }
+
     /// Records a change, in bytes, of what is buffered of streams until their callers read it.
     ///
     /// ```
--- a/quillcove/src/relay/accept.rs
+++ b/quillcove/src/relay/accept.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use quillcove_core::crash::digest::{CallerDigest, caller_digest};
+use quillcove_core::ids::MonoTime;
 use slog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -24,6 +25,7 @@
 pub struct AcceptedConnection {
     pub stream: TcpStream,
     pub caller: CallerDigest,
+    pub accepted_at: MonoTime,
 }
 
 /// Sending half of the ring of accepted connections.
@@ -53,13 +55,15 @@
 async fn accept_all(listener: &TcpListener, shared: &Arc<RelayShared>, accepted: &AcceptedSender) {
     loop {
         let connection = match listener.accept().await {
-            Ok((stream, peer)) => stream
-                .into_std()
-                .map(|stream| AcceptedConnection { stream, caller: caller_digest(peer.ip()) }),
+            Ok((stream, peer)) => stream.into_std().map(|stream| AcceptedConnection {
+                stream,
+                caller: caller_digest(peer.ip()),
+                accepted_at: shared.clock.now(),
+            }),
             Err(error) => Err(error),
         };
         match connection {
-            Ok(connection) => pass_on(shared, accepted, connection).await,
+            Ok(connection) => pass_on(shared, accepted, connection),
             Err(error) => {
                 warn!(shared.log, "connection not accepted"; "error" => %error);
                 sleep(ACCEPT_PAUSE).await;
@@ -68,8 +72,10 @@
     }
 }
 
-async fn pass_on(shared: &RelayShared, accepted: &AcceptedSender, connection: AcceptedConnection) {
-    if accepted.send(connection).await.is_err() {
-        warn!(shared.log, "connection closed unread"; "reason" => "serving has ended");
+/// Passes a connection to the serving thread, or closes it unread if this relay has more callers than it can serve.
+fn pass_on(shared: &RelayShared, accepted: &AcceptedSender, connection: AcceptedConnection) {
+    let is_admitted = shared.intake.admits(shared.clock.now());
+    if !is_admitted || accepted.try_send(connection).is_err() {
+        shared.intake.record_closed(&shared.metrics);
     }
 }
--- a/quillcove/src/relay/answers.rs
+++ b/quillcove/src/relay/answers.rs
@@ -38,12 +38,13 @@
     response
 }
 
-/// Asks the caller to close its connection if the relay is in its planned stop.
-pub fn close_when_stopping(
+/// Asks the caller to close its connection if the relay is in its planned stop, or has more callers than it can serve.
+pub fn close_when_leaving_or_crowded(
     shared: &RelayShared,
     mut response: Response<ResponseBody>,
 ) -> Response<ResponseBody> {
-    if shared.machine().is_stopping() {
+    let is_stopping = shared.machine().is_stopping();
+    if is_stopping || !shared.intake.admits(shared.clock.now()) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -18,7 +18,7 @@
 use slog::info;
 
 use super::answers::{
-    ResponseBody, close_when_stopping, empty_response, refusal_response, with_request_id,
+    ResponseBody, close_when_leaving_or_crowded, empty_response, refusal_response, with_request_id,
 };
 use super::attempt::{self, AttemptEnd, AttemptFailure};
 use super::ends;
@@ -59,7 +59,7 @@
             empty_response(denial.status, None)
         },
     };
-    close_when_stopping(&shared, with_request_id(response, id))
+    close_when_leaving_or_crowded(&shared, with_request_id(response, id))
 }
 
 /// Returns a request's id in the form that the other log lines use.
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -15,12 +15,12 @@
 mod answers;
 mod attempt;
 mod control;
-mod delay;
 mod ends;
 mod events;
 mod follow;
 mod forward;
 mod input;
+mod intake;
 mod pool;
 mod reader;
 mod request;
@@ -52,8 +52,9 @@
 /// Capacity of the channel for what was read from the store.
 const STORE_CHANNEL_CAPACITY: usize = 64;
 
-/// Capacity of the ring of accepted connections that the serving thread has not taken yet.
-const ACCEPTED_CAPACITY: usize = 64;
+/// Capacity of the ring of accepted connections that the serving thread has not taken yet. How long they wait is bounded
+/// by the intake; this bounds their file descriptors.
+const ACCEPTED_CAPACITY: usize = 1024;
 
 /// Addresses that a relay is bound to.
 #[derive(Clone, Copy, Debug)]
@@ -154,7 +155,7 @@
         "platform" => %shared.settings.platform.address, "seeds" => ?shared.settings.peers.seeds);
     on_bound(addresses);
     duty::run_async(1, async {
-        tokio::spawn(delay::measure(shared.clone()));
+        tokio::spawn(intake::measure(shared.clone()));
         serve::serve_callers(connections, shared.clone(), stopped).await;
     });
     info!(shared.log, "relay stopped"; "in_flight" => shared.machine().in_flight());
--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -13,6 +13,7 @@
 use slog::{info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use super::accept::AcceptedConnection;
@@ -61,7 +62,14 @@
     draining: &watch::Receiver<bool>,
 ) {
     while let Some(connection) = connections.recv().await {
+        let wait = shared.clock.now().saturating_sub(connection.accepted_at);
+        if !shared.intake.record_wait(wait) {
+            shared.intake.record_closed(&shared.metrics);
+            continue;
+        }
         tokio::spawn(serve_connection(connection, shared.clone(), draining.clone()));
+        // What is being served goes on before the next connection is read.
+        yield_now().await;
     }
 }
 
@@ -76,7 +84,7 @@
     shared: Arc<RelayShared>,
     mut draining: watch::Receiver<bool>,
 ) {
-    let AcceptedConnection { stream, caller } = connection;
+    let AcceptedConnection { stream, caller, .. } = connection;
     let stream = match stream.set_nodelay(true).and_then(|()| TcpStream::from_std(stream)) {
         Ok(stream) => stream,
         Err(error) => {
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -7,6 +7,7 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use super::intake::CallerIntake;
 use super::pool::ReplicaPool;
 use super::reader::ReaderState;
 use super::waiters::AdapterWaiters;
@@ -28,6 +29,8 @@
     /// Notifies waits after a suspension of the process.
     pub resume_notifier: ResumeNotifier,
     pub is_ready: AtomicBool,
+    /// Connections of callers that are served.
+    pub intake: CallerIntake,
     pub waiters: AdapterWaiters,
     /// Response headers of replicas that no code reads.
     pub unknown_status_headers: UnknownHeaders,
@@ -52,6 +55,7 @@
             clock,
             resume_notifier: ResumeNotifier::new(),
             is_ready: AtomicBool::new(false),
+            intake: CallerIntake::default(),
             waiters: AdapterWaiters::default(),
             unknown_status_headers: UnknownHeaders::default(),
             origin_answered: Notify::new(),
--- a/quillcove_core/src/relay/mod.rs
+++ b/quillcove_core/src/relay/mod.rs
@@ -8,6 +8,7 @@
 //! - [`sheet`]: the published configuration: routes, services and limits.
 //! - [`sheet_change`]: the difference between two configurations.
 //! - [`demand`]: which adapter is requested of which engine, and the estimated time of its load.
+//! - [`intake`]: the share of callers' connections that an overloaded relay closes.
 //! - [`keeper`]: loads of base models by engines that have none, within the weight store's rate.
 //! - [`limiter`]: the number of adapters that may be loading at once.
 //! - [`loader`]: orders to the one engine beside a loader.
@@ -39,6 +40,7 @@
 pub mod demand;
 pub mod engine_status;
 pub mod follower;
+pub mod intake;
 pub mod keeper;
 pub mod knowledge;
 pub mod limiter;
