A relay whose configuration may be too old no longer denies routes that it does not know

Cause: a 404 was sent whatever the age of the configuration behind it. A relay whose knowledge is older than the users' bound, and than it gets while the store answers, can't know whether the route exists; it answers 503 with a Retry-After, so that another relay may serve the request. Age is bounded by the watch and its time-out otherwise, so that nothing changes while the store answers.

--- a/quillcove/src/config/relay.rs
+++ b/quillcove/src/config/relay.rs
@@ -5,6 +5,7 @@
 
 use quillcove_core::access::limit::{LimitRule, LimitRules};
 use quillcove_core::access::right::KeyValidityRules;
+use quillcove_core::relay::follower::WatchRules;
 use quillcove_core::relay::machine::RelayRules;
 use quillcove_core::relay::policy::{
     ContentionRule, CopyRule, PlacementRule, PriorityRule, RelayPolicy, RoutingRule, SharingRule,
@@ -224,6 +225,33 @@
         }
     }
 
+    /// Returns the timing of calls that follow a part of the store, with the pause in which its changes accumulate.
+    ///
+    /// ```
+    /// use quillcove::config::relay::StoreSection;
+    ///
+    /// let section = StoreSection::default();
+    /// assert_eq!(section.watch_rules(section.gather_time).timeout, section.timeout);
+    /// ```
+    pub fn watch_rules(&self, gather_time: Duration) -> WatchRules {
+        let Self { watch_time, timeout, contact_time, .. } = *self;
+        WatchRules { watch_time, timeout, contact_time, gather_time }
+    }
+
+    /// Returns the age beyond which knowledge of the store is older than the users' bound allows and than it gets while
+    /// the store answers.
+    ///
+    /// ```
+    /// use quillcove::config::relay::StoreSection;
+    ///
+    /// let section = StoreSection::default();
+    /// assert!(section.max_knowledge_age() >= section.apply_time);
+    /// ```
+    pub fn max_knowledge_age(&self) -> Duration {
+        let watch_time = self.watch_rules(self.gather_time).watch_time();
+        self.apply_time.max(watch_time + self.timeout)
+    }
+
     fn read(source: &mut SettingSource) -> Self {
         let default = Self::default();
         let section = "platform";
--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -271,9 +271,8 @@
             },
             StorePart::Replicas => (self.section.gather_time, Duration::MAX),
         };
-        let StoreSection { watch_time, timeout, contact_time, .. } = self.section;
-        let watch_time = watch_time.min(max_watch_time);
-        WatchRules { watch_time, timeout, contact_time, gather_time }
+        let rules = self.section.watch_rules(gather_time);
+        WatchRules { watch_time: rules.watch_time.min(max_watch_time), ..rules }
     }
 
     /// Reads a part in full.
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -333,6 +333,10 @@
     now: MonoTime,
 ) -> Rejection {
     let age = shared.machine().knowledge().age(StorePart::Operator, now);
+    if age > shared.settings.platform.max_knowledge_age() {
+        // A later configuration may have the route, and another relay may know it.
+        return WorkRefusal::not_run(RefusalReason::KnowledgeOld, Some(SHORT_RETRY_DELAY)).into();
+    }
     let version = configuration.version;
     let reason = format!("no route in configuration {version}, which was checked {age:?} ago");
     Rejection::denied(StatusCode::NOT_FOUND, reason)
