Origins of streams are sent by the thread that serves them, before the first event

Cause: since control work has a thread of its own, the report of a stream's origin waited for that thread to wake up; the relay could send the whole answer and be killed before. Until then the report left within the same turn of the one thread, which nothing promised.

The serving thread sends the report itself, before the first event is forwarded. Sites without engines, where relays hold the origins, still wait for the control thread.

--- a/quillcove/src/peers.rs
+++ b/quillcove/src/peers.rs
@@ -3,6 +3,7 @@
 //! Each message carries a complete state or a complete load request, so that the next message makes up for a lost one.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use eyre::WrapErr;
 use quillcove_core::relay::beacon::PeerMessage;
@@ -14,9 +15,14 @@
 /// UDP socket of a process for messages to and from its peers.
 pub struct PeerSocket {
     socket: UdpSocket,
-    /// The same socket, used for sending without the runtime. The runtime does not send before it has
-    /// polled the socket once, so the first messages would be lost.
-    sender: std::net::UdpSocket,
+    sender: PeerSender,
+}
+
+/// Sending half of a [`PeerSocket`], for all threads of a process. It sends without the runtime, which does not send
+/// before it has polled the socket once, so that the first messages would be lost.
+#[derive(Clone, Debug)]
+pub struct PeerSender {
+    socket: Arc<std::net::UdpSocket>,
 }
 
 /// What was sent of one message.
@@ -52,10 +58,10 @@
     /// ```
     pub async fn bind(address: SocketAddr) -> eyre::Result<Self> {
         let bound = std::net::UdpSocket::bind(address);
-        let sender = bound.wrap_err_with(|| format!("cannot bind UDP socket to {address}"))?;
-        sender.set_nonblocking(true)?;
-        let socket = UdpSocket::from_std(sender.try_clone()?)?;
-        Ok(Self { socket, sender })
+        let bound = bound.wrap_err_with(|| format!("cannot bind UDP socket to {address}"))?;
+        bound.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(bound.try_clone()?)?;
+        Ok(Self { socket, sender: PeerSender { socket: Arc::new(bound) } })
     }
 
     /// Returns the address that the socket is bound to.
@@ -75,8 +81,20 @@
         Ok(self.socket.local_addr()?)
     }
 
-    /// Sends a message to each receiver. A datagram that cannot be sent now is not retried: the next
-    /// message carries the same or newer state.
+    /// Returns the sending half.
+    ///
+    /// ```
+    /// quillcove::duty::run_async(1, async {
+    ///     let address = "127.0.0.1:0".parse().unwrap();
+    ///     let socket = quillcove::peers::PeerSocket::bind(address).await.unwrap();
+    ///     let _sender = socket.sender();
+    /// });
+    /// ```
+    pub fn sender(&self) -> PeerSender {
+        self.sender.clone()
+    }
+
+    /// Sends a message to each receiver; see [`PeerSender::send`].
     ///
     /// ```
     /// use quillcove::peers::PeerSocket;
@@ -94,12 +112,7 @@
         message: &PeerMessage,
         receivers: impl IntoIterator<Item = SocketAddr>,
     ) -> SentMessage {
-        let Ok(bytes) = postcard::to_stdvec(message) else {
-            return SentMessage::default();
-        };
-        let sent = receivers.into_iter().map(|to| self.sender.send_to(&bytes, to));
-        let datagrams = sent.filter(Result::is_ok).count();
-        SentMessage { datagrams, bytes: datagrams * bytes.len() }
+        self.sender.send(message, receivers)
     }
 
     /// Receives the next datagram.
@@ -129,3 +142,32 @@
         })
     }
 }
+
+impl PeerSender {
+    /// Sends a message to each receiver. A datagram that cannot be sent now is not retried: the next
+    /// message carries the same or newer state.
+    ///
+    /// ```
+    /// use quillcove::peers::PeerSocket;
+    /// use quillcove_core::relay::beacon::{PeerMessage, UseHeartbeat};
+    ///
+    /// quillcove::duty::run_async(1, async {
+    ///     let socket = PeerSocket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    ///     let own = socket.local_addr().unwrap();
+    ///     let beacon = UseHeartbeat { relay: own, uses: Vec::new() };
+    ///     assert_eq!(socket.sender().send(&PeerMessage::Use(beacon), [own]).datagrams, 1);
+    /// });
+    /// ```
+    pub fn send(
+        &self,
+        message: &PeerMessage,
+        receivers: impl IntoIterator<Item = SocketAddr>,
+    ) -> SentMessage {
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            return SentMessage::default();
+        };
+        let sent = receivers.into_iter().map(|to| self.socket.send_to(&bytes, to));
+        let datagrams = sent.filter(Result::is_ok).count();
+        SentMessage { datagrams, bytes: datagrams * bytes.len() }
+    }
+}
--- a/quillcove/src/relay/control.rs
+++ b/quillcove/src/relay/control.rs
@@ -86,6 +86,7 @@
     let listen = &shared.settings.listen;
     let callers = TcpListener::bind(listen.callers).await?;
     let peers = bind_control(shared, listen.control).await?;
+    let _ = shared.peer_sender.set(peers.sender());
     let inspector = RelayInspector { shared: shared.clone() };
     let operator =
         operator::start(listen.operator, inspector, shared.metrics.clone(), &shared.log)?;
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -303,6 +303,7 @@
         info!(self.shared.log, "settings changed"; "taken" => change.taken.join(","),
             "waiting_for_start" => change.waiting.join(","), "seeds" => ?newer.peers.seeds);
         self.settings.peers = newer.peers;
+        self.shared.set_loader_port(self.settings.peers.loader_port);
         self.settings.requests = newer.requests;
         self.settings.routing = newer.routing;
         self.settings.access = newer.access;
--- a/quillcove/src/relay/input/peers.rs
+++ b/quillcove/src/relay/input/peers.rs
@@ -155,7 +155,7 @@
 
     /// Returns the address of the loader on an engine's host.
     pub(super) fn loader_of(&self, engine: SocketAddr) -> SocketAddr {
-        SocketAddr::new(engine.ip(), self.settings.peers.loader_port)
+        self.shared.loader_of(engine)
     }
 
     pub(super) fn send(
@@ -163,8 +163,7 @@
         message: &PeerMessage,
         receivers: impl IntoIterator<Item = SocketAddr>,
     ) {
-        let sent = self.socket.send(message, receivers);
-        self.shared.metrics.told(message.kind(), sent);
+        self.shared.send(message, receivers);
     }
 
     /// Sends a heartbeat to a relay that another process has named and that this relay does not know yet.
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -17,6 +17,7 @@
 use quillcove_core::crash::digest::{CallerDigest, RequestIdentity, RequestParts, part_identity};
 use quillcove_core::ids::{MonoTime, ReplicaId, SoftwareVersion};
 use quillcove_core::relay::admission::decision::AdmissionStep;
+use quillcove_core::relay::beacon::PeerMessage;
 use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayQuery};
 use quillcove_core::relay::origin::{OriginDigest, StreamKey, StreamOrigin};
 use quillcove_core::relay::prompt::PromptSize;
@@ -144,10 +145,25 @@
         // A caller may come back until its own deadline, even if the route's timeout ends this attempt earlier.
         let lifetime = self.terms.time_limit.unwrap_or(self.query.route.timeout);
         let report = StreamOrigin { stream, origin, lifetime };
+        self.shared.machine().begin_stream(self.query.route.kind, report, now);
+        self.send_origin_reports(stream);
+    }
+
+    /// Sends the origins of streams to the loaders that hold them, before the caller gets the first event, so that they
+    /// are known if this process then exits. If relays are the holders, the control thread sends them.
+    fn send_origin_reports(&self, stream: StreamKey) {
         let mut machine = self.shared.machine();
-        machine.begin_stream(self.query.route.kind, report, now);
-        if machine.has_pending_messages() {
+        if machine.origin_holders(stream).is_empty() {
+            drop(machine);
             self.shared.messages_pending.notify_one();
+            return;
+        }
+        let reports = machine.origins_mut().take_reports();
+        drop(machine);
+        for report in reports {
+            let engines = self.shared.machine().origin_holders(report.stream);
+            let loaders = engines.into_iter().map(|engine| self.shared.loader_of(engine));
+            self.shared.send(&PeerMessage::Origin(report), loaders);
         }
     }
 
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -1,8 +1,10 @@
 //! State shared by the tasks of a relay.
 
-use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
+use quillcove_core::relay::beacon::PeerMessage;
 use quillcove_core::relay::machine::RelayMachine;
 use slog::Logger;
 use tokio::sync::Notify;
@@ -16,6 +18,7 @@
 use crate::clock::MonoClock;
 use crate::config::relay::RelaySettings;
 use crate::metrics::ProcessMetrics;
+use crate::peers::PeerSender;
 
 /// Shared state of one relay.
 pub struct RelayShared {
@@ -40,6 +43,9 @@
     pub exit_checked: Notify,
     /// Notifies the input task that messages are to be sent, such as load requests.
     pub messages_pending: Notify,
+    /// Sends messages to other processes, once the control address is bound.
+    pub peer_sender: OnceLock<PeerSender>,
+    loader_port: AtomicU16,
     machine: Mutex<RelayMachine>,
 }
 
@@ -61,6 +67,8 @@
             origin_answered: Notify::new(),
             exit_checked: Notify::new(),
             messages_pending: Notify::new(),
+            peer_sender: OnceLock::new(),
+            loader_port: AtomicU16::new(settings.peers.loader_port),
             machine: Mutex::new(machine),
             settings,
             log,
@@ -73,4 +81,21 @@
     pub fn machine(&self) -> MutexGuard<'_, RelayMachine> {
         self.machine.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns the address of the loader on an engine's host.
+    pub fn loader_of(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.loader_port.load(Ordering::Relaxed))
+    }
+
+    pub fn set_loader_port(&self, port: u16) {
+        self.loader_port.store(port, Ordering::Relaxed);
+    }
+
+    /// Sends a message to each receiver.
+    pub fn send(&self, message: &PeerMessage, receivers: impl IntoIterator<Item = SocketAddr>) {
+        if let Some(sender) = self.peer_sender.get() {
+            let sent = sender.send(message, receivers);
+            self.metrics.told(message.kind(), sent);
+        }
+    }
 }
