--- a/quillcove_core/tests/word_fleet/event.rs
+++ b/quillcove_core/tests/word_fleet/event.rs
@@ -39,6 +39,8 @@
     Send(Box<SimAttempt>),
     Reach(Box<SimAttempt>),
     Head(Box<SimAttempt>, AnswerKind, UpstreamNotice),
+    /// The request's deadline passes during the attempt.
+    TimeOver(Box<SimAttempt>),
     RunEnd(usize, u64),
     Leave(usize),
     End(usize),
--- a/quillcove_core/tests/word_fleet/mod.rs
+++ b/quillcove_core/tests/word_fleet/mod.rs
@@ -258,6 +258,7 @@
             SimEvent::Send(attempt) => self.send(attempt),
             SimEvent::Reach(attempt) => self.reach(attempt),
             SimEvent::Head(attempt, kind, notice) => self.hear(attempt, kind, notice),
+            SimEvent::TimeOver(attempt) => self.abandon(attempt),
             SimEvent::RunEnd(replica, born) => {
                 let replica = &mut self.replicas[replica];
                 if replica.born == born {
@@ -338,7 +339,10 @@
                 let born = order.start_time.unwrap_or(0) / BORN_STEP;
                 let attempt = Box::new(SimAttempt { request, order, replica, born });
                 let pause = self.connect_time();
-                self.after(pause, SimEvent::Send(attempt));
+                match self.time_over_within(pause, &attempt) {
+                    Some(left) => self.after(left, SimEvent::TimeOver(attempt)),
+                    None => self.after(pause, SimEvent::Send(attempt)),
+                }
             },
             RelayChoice::Refuse(refusal) => {
                 let relay = request.relay;
@@ -400,7 +404,7 @@
             // Another start says that it is not the one that was meant, without a word of its own.
             let pause = self.millis(1, 5);
             let kind = AnswerKind::Failed;
-            return self.after(pause, SimEvent::Head(attempt, kind, UpstreamNotice::default()));
+            return self.answer_after(pause, attempt, kind, UpstreamNotice::default());
         }
         let relay = attempt.request.relay;
         self.oracle.reached(relay, number, born, attempt.request.query.received, now);
@@ -431,7 +435,42 @@
             0 if kind != AnswerKind::Refused => self.millis(500, 6000),
             _ => HEAD_TIME + self.millis(1, 5),
         };
-        self.after(pause, SimEvent::Head(attempt, kind, notice));
+        self.answer_after(pause, attempt, kind, notice);
+    }
+
+    /// Returns the time to the request's deadline if that passes within a pause: a relay ends an attempt then.
+    fn time_over_within(&self, pause: Duration, attempt: &SimAttempt) -> Option<Duration> {
+        let left = attempt.request.query.deadline.saturating_sub(self.now);
+        (pause >= left).then_some(left)
+    }
+
+    /// Has an answer come after a pause, or the request's deadline if it passes before.
+    fn answer_after(
+        &mut self,
+        pause: Duration,
+        attempt: Box<SimAttempt>,
+        kind: AnswerKind,
+        notice: UpstreamNotice,
+    ) {
+        match self.time_over_within(pause, &attempt) {
+            Some(left) => self.after(left, SimEvent::TimeOver(attempt)),
+            None => self.after(pause, SimEvent::Head(attempt, kind, notice)),
+        }
+    }
+
+    fn abandon(&mut self, attempt: Box<SimAttempt>) {
+        let relay = attempt.request.relay;
+        if let Some(left) = self.is_held(relay) {
+            return self.after(left, SimEvent::TimeOver(attempt));
+        }
+        let now = self.now;
+        let sim = &mut self.relays[relay];
+        if sim.run != attempt.request.run {
+            return;
+        }
+        sim.machine.end_attempt(&attempt.order.replica, None, AttemptOutcome::Abandoned, now);
+        sim.machine.finish();
+        self.oracle.failed();
     }
 
     fn hear(&mut self, attempt: Box<SimAttempt>, kind: AnswerKind, notice: UpstreamNotice) {
