Show relays that slow readers drive over their memory

Cause: plain answers are read whole before they are passed on, and their sum is not bounded.

The case: ten requests a second at each relay for answers of 7.5 MB, whose callers read at 10 Mbit/s. A relay that holds more than 260 MB is killed, as the platform does, and started again.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,11 +2,13 @@
 
 mod frozen;
 mod leaving;
+mod memory;
 mod surplus;
 mod uploads;
 
 pub fn run(name: &str) {
     match name {
+        "memory" => memory::run(),
         "surplus" => surplus::run(),
         "uploads" => uploads::run(),
         "frozen" => frozen::run(),
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -62,6 +62,13 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// Memory that the process holds, as the kernel tells it.
+    pub fn resident_bytes(&self) -> u64 {
+        let text = fs::read_to_string(format!("/proc/{}/statm", self.child.id())).unwrap_or_default();
+        let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+        pages.unwrap_or(0) * 4096
+    }
+
     pub fn has_ended(&mut self) -> bool {
         let has_ended = self.child.try_wait().map_or(true, |status| status.is_some());
         if has_ended {
