--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,7 +11,14 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments.first().map(String::as_str) {
         Some("replica") => replica::run(&arguments[1..]),
-        Some("case") => cases::run(arguments.get(1).map_or("", String::as_str)),
+        Some("case") => {
+            // Ends all that was started, should the case hang.
+            std::thread::spawn(|| {
+                std::thread::sleep(std::time::Duration::from_secs(113));
+                site::give_up("it took too long");
+            });
+            cases::run(arguments.get(1).map_or("", String::as_str));
+        },
         _ => site::give_up("replica or case NAME"),
     }
 }
