--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -A dead_code -o target/review/standin review/standin/main.rs
+rustc --edition 2021 -O -A dead_code -o target/review/standin review/main.rs
