--- a/quillcove_core/tests/request_probes.rs
+++ b/quillcove_core/tests/request_probes.rs
@@ -165,3 +165,56 @@
     let later = now + SECOND * 600;
     assert!(!is_sent(&machine.choose(&copy(1, later), &[], later)));
 }
+
+/// Sends of requests that share a blamed part, one each 0.3 s at any of the relays for an hour. Each send makes a replica
+/// exit, of which each relay is told after `delay`.
+fn sends_of_a_fatal_part(relays: usize, delay: Duration, seed: u64) -> usize {
+    let part = part_identity("m", 8);
+    let hosts: Vec<String> = (0..relays).map(|relay| format!("relay-{relay}")).collect();
+    let mut machines: Vec<RelayMachine> = (0..relays).map(relay_machine).collect();
+    for (own, machine) in machines.iter_mut().enumerate() {
+        let others = hosts.iter().enumerate().filter(|(other, _)| *other != own);
+        machine.set_peers(others.map(|(_, host)| host.clone()).collect(), NOW);
+        for number in 0..5 {
+            machine
+                .crashes_mut()
+                .apply_report(&exit(number, part), NOW + SECOND / 2 * number as u32);
+        }
+    }
+    let mut draw = seed;
+    let mut now = NOW + SECOND * 3;
+    let mut sends = 0;
+    let mut reports: Vec<(Duration, CrashReport)> = Vec::new();
+    while now < NOW + SECOND * 3600 {
+        now += SECOND * 3 / 10;
+        let (due, left) = reports.into_iter().partition(|(at, _)| *at <= now);
+        reports = left;
+        let due: Vec<(Duration, CrashReport)> = due;
+        for machine in &mut machines {
+            due.iter().for_each(|(_, report)| {
+                machine.crashes_mut().apply_report(report, now);
+            });
+        }
+        draw = draw.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let relay = (draw >> 33) as usize % relays;
+        let request = RelayQuery { parts: vec![part], ..copy(1, now) };
+        if is_sent(&machines[relay].choose(&request, &[], now)) {
+            sends += 1;
+            reports.push((now + SECOND / 10 + delay, exit(100 + sends as u64, part)));
+        }
+    }
+    sends
+}
+
+// Guards against a blamed part that is tried again for ever, each time at the price of a replica.
+#[test]
+fn a_blamed_part_is_tried_again_at_most_three_times_by_all_relays() {
+    for (relays, seeds) in [(1, 3), (4, 10), (25, 10), (68, 5), (420, 2)] {
+        for delay in [SECOND / 20, SECOND * 3] {
+            for seed in 1..=seeds {
+                let sends = sends_of_a_fatal_part(relays, delay, seed);
+                assert!(sends <= MOST_SENDS, "{relays}, {delay:?}, {seed}: {sends}");
+            }
+        }
+    }
+}
