Log probes of what is blamed, and when the blame of a part changes

'request tries what is blamed', 'part of prompts blamed' and 'part of prompts cleared' say so; 'answer broke off' has the time since the attempt was sent.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -371,14 +371,17 @@
         // Opening the connection may have taken long: what has been learnt about the replica since
         // then overrides the choice.
         let now = open.shared.clock.now();
-        let may_send = {
+        let (may_send, probed) = {
             let machine = open.shared.machine();
-            machine.may_send(order, open.query.received, now) && !machine.is_fatal(&open.query, now)
+            let may_send = machine.may_send(order, open.query.received, now)
+                && !machine.is_fatal(&open.query, now);
+            (may_send, machine.probed_suspects(&open.query, now))
         };
         if !may_send {
             pool.put(connection);
             return Err(AttemptFailure::Withheld);
         }
+        ends::log_probe(open, order, &probed);
         open.is_sent.store(true, Ordering::Relaxed);
         match connection.sender.try_send_request(request).await {
             Ok(head) => return Ok((connection, head)),
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use quillcove_core::crash::digest::RequestIdentity;
 use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::crash::watch::{AbortKind, ExitCheck, ResponseAbort};
 use quillcove_core::ids::{MonoTime, PartId};
@@ -39,6 +40,7 @@
     info!(open.shared.log, "answer broke off"; "id" => &open.terms.id,
         "request" => %identity.digest, "caller" => format!("{:016x}", identity.caller),
         "replica" => &order.replica, "has_begun" => open.first_event.is_some(),
+        "sent_ms" => open.shared.clock.now().saturating_sub(open.sent_at).as_millis() as u64,
         "phase" => phase.label(), "parts" => part_list(&open.terms.shared_parts));
 }
 
@@ -178,6 +180,18 @@
     next
 }
 
+/// Logs that a request is sent although replicas exit under it or a part of its prompt, to try whether they still do.
+pub fn log_probe(open: &OpenRequest, order: &AttemptOrder, probed: &[RequestIdentity]) {
+    let now = open.shared.clock.now();
+    for suspect in probed {
+        let cause = open.shared.machine().crashes().cause(*suspect, now);
+        info!(open.shared.log, "request tries what is blamed"; "id" => &open.terms.id,
+            "suspect" => %suspect.digest, "parts" => part_list(&open.terms.shared_parts),
+            "replica" => &order.replica, "ends" => cause.map(|cause| cause.ends),
+            "last_end_ms" => cause.map(|cause| cause.last_end.as_millis() as u64));
+    }
+}
+
 /// Logs the crash records for which a fatal request is rejected.
 pub fn log_crash_records(open: &OpenRequest) {
     let now = open.shared.clock.now();
--- a/quillcove/src/relay/input/crashes.rs
+++ b/quillcove/src/relay/input/crashes.rs
@@ -40,9 +40,23 @@
         if new_records > 0 {
             self.shared.exit_checked.notify_waiters();
             info!(self.shared.log, "told of ended replicas"; "from" => %from, "news" => new_records);
+            self.log_blame_changes(&from.to_string());
         }
     }
 
+    /// Logs which prompt parts are blamed or cleared since the last call, after a report of `source`.
+    fn log_blame_changes(&mut self, source: &str) {
+        let blame = self.shared.machine().crashes().book().blame();
+        for (part, ends) in blame.iter().filter(|(part, _)| !self.blame.contains_key(part)) {
+            info!(self.shared.log, "part of prompts blamed"; "suspect" => %part, "ends" => ends,
+                "source" => source);
+        }
+        for part in self.blame.keys().filter(|part| !blame.contains_key(part)) {
+            info!(self.shared.log, "part of prompts cleared"; "suspect" => %part, "source" => source);
+        }
+        self.blame = blame;
+    }
+
     /// Sends all crash records to a relay that requests them.
     pub(super) fn answer_crash_request(&self, request: CrashAsk, now: MonoTime) {
         let known = self.shared.machine().crashes().book().all(now);
@@ -63,8 +77,11 @@
     }
 
     /// Sends new crash records, and with a heartbeat repeats recent ones.
-    pub(super) fn send_crash_records(&self, with_heartbeat: bool, now: MonoTime) {
+    pub(super) fn send_crash_records(&mut self, with_heartbeat: bool, now: MonoTime) {
         let messages = self.shared.machine().crashes_mut().tell(with_heartbeat, now);
+        if !messages.is_empty() {
+            self.log_blame_changes("own");
+        }
         for message in messages {
             let loaders = self.loaders_storing(&message);
             let relays = self.relays.values().map(|known| known.address);
--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -9,11 +9,12 @@
 mod right;
 mod store;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use quillcove_core::crash::digest::RequestDigest;
 use quillcove_core::ids::{HallName, HostId, Incarnation, MonoTime, ServiceName};
 use quillcove_core::relay::admission::reports::ReportOccasion;
 use quillcove_core::relay::keeper::LoadRateCoordinator;
@@ -130,6 +131,8 @@
     crash_requests_left: u32,
     /// When crash records were last requested.
     crash_requested_at: MonoTime,
+    /// Prompt parts that were blamed at the last look, with the number of exits for which each was.
+    blame: BTreeMap<RequestDigest, usize>,
     /// Services whose base-model loads this relay coordinates, each for the engines of its own cell.
     coordinated_services: BTreeSet<ServiceName>,
     /// Time from which this relay may coordinate base-model loads.
@@ -180,6 +183,7 @@
             proof_requests: ProofRequests::default(),
             crash_requests_left: CRASH_REQUESTS,
             crash_requested_at: MonoTime::ZERO,
+            blame: BTreeMap::new(),
             coordinated_services: BTreeSet::new(),
             near_round: ListRound::default(),
             far_round: ListRound::default(),
--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -6,7 +6,7 @@
 //! request only if no other request in flight there has more exits, and a successful run clears the
 //! caller whose run it was.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -298,6 +298,15 @@
         })
     }
 
+    /// Returns the prompt parts that are blamed now, with the number of exits for which each is.
+    ///
+    /// ```
+    /// assert!(quillcove_core::crash::book::CrashTable::default().blame().is_empty());
+    /// ```
+    pub fn blame(&self) -> BTreeMap<RequestDigest, usize> {
+        self.blamed_parts().into_iter().map(|part| (part.digest, part.exits.len())).collect()
+    }
+
     /// Returns what is known of a suspect's exits for a probe; `None` if there are none.
     pub(super) fn probe_record(&self, suspect: RequestIdentity) -> Option<ProbeRecord> {
         let record = ProbeRecord::of(self.records.get(&suspect.digest)?)?;
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -104,6 +104,14 @@
         query.suspects().any(|it| self.crashes.cause(it, now).is_some() && !is_probe(it))
     }
 
+    /// Returns what is blamed of a request that was let through to try it again.
+    ///
+    /// See [`RelayMachine::begin_prefill`] for an example of a query.
+    pub fn probed_suspects(&self, query: &RelayQuery, now: MonoTime) -> Vec<RequestIdentity> {
+        let is_blamed = |suspect: &RequestIdentity| self.crashes.cause(*suspect, now).is_some();
+        query.suspects().filter(is_blamed).collect()
+    }
+
     /// Returns whether engines exit when they load an adapter, in the version that would be loaded.
     pub(super) fn is_fatal_load(&self, key: &AdapterKey, now: MonoTime) -> bool {
         if !self.crashes.book().has_loads() {
