Probes of a blamed part have a bound over all relays, as those of a request

Callers saw: a part under which replicas crash is let through again and again, each time at the price of a replica and of the answers of all others there. Cause: SuspectKind::Part set no bound, a whole request had two. Fix: both have two. The count is read from the exits that came late, which relays and loaders report to those that start, so that it holds over restarts. A part that was blamed wrongly is cleared by the first probe that survives, as before.

--- a/quillcove_core/src/crash/probe.rs
+++ b/quillcove_core/src/crash/probe.rs
@@ -26,9 +26,9 @@
 /// Time between two probes of one suspect while no replica exits under it.
 const PROBE_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Maximum number of probes of a whole request. Of the three sends that are allowed after its third exit, one is left
-/// for relays that try it side by side.
-const MAX_REQUEST_PROBES: usize = 2;
+/// Maximum number of probes of a suspect over all relays. Of the three sends that are allowed after it is blamed, one is
+/// left for relays that try it side by side.
+const MAX_PROBES: usize = 2;
 
 /// One request as it was received, apart from others of the same content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,8 +89,9 @@
         let last = self.last.get(&suspect.digest);
         let count = last.map_or(0, |probe| probe.count);
         let is_allowed = match SuspectKind::of(suspect.caller) {
-            SuspectKind::Part => true,
-            SuspectKind::Request => count.max(record.failed_probes) < MAX_REQUEST_PROBES,
+            SuspectKind::Part | SuspectKind::Request => {
+                count.max(record.failed_probes) < MAX_PROBES
+            },
             SuspectKind::Load => false,
         };
         let without_result = last.filter(|probe| probe.at >= record.last_exit_at);
