Exits are evidence against parts of prompts in every form, weak or strong

What callers saw: requests with a part under which replicas crash reach replicas again and again; the part is never blamed. Cause: a part was suspected only if the head had come and no event for longer than 0.2 s. Class: evidence is taken from one form of a fact only. What may have been the begin of an answer is weak evidence where it isn't known to be: four moments of it blame a part, three of strong one, or as much of both. A part that a run survived within 2 s gathers no weak evidence; weak evidence is sent twice, or once where there is much of it. A survival needs two reads 0.15 s apart, as one may be late. The field has_begun of the messages is named for what it means; its place stays.

With no head the part was never blamed before.

--- a/quillcove/src/loader/crashes.rs
+++ b/quillcove/src/loader/crashes.rs
@@ -27,7 +27,7 @@
                 "adapter" => &load.key.adapter, "version" => load.version,
                 "replica" => &load.run.replica);
             let identity = load_identity(&load.key, load.version);
-            let answer_break = ResponseAbort { identity, has_begun: false, sent_at: now };
+            let answer_break = ResponseAbort { identity, has_other_cause: false, sent_at: now };
             self.crashes.record_abort(&load.run, answer_break, now);
             self.crashes.confirm_exit(&load.run, now);
         }
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -130,6 +130,15 @@
     Unframed(Response<Bytes>),
 }
 
+/// Returns the phase of an attempt that has ended without the head of a stream. An answer that is no stream arrives as a
+/// whole, so that its replica may have been writing it.
+pub fn attempt_phase(open: &OpenRequest) -> RunPhase {
+    match open.query.route.kind.is_stream() {
+        true => RunPhase::Waiting,
+        false => RunPhase::Beginning,
+    }
+}
+
 /// Reports an attempt to the machine as abandoned if it is dropped before its outcome is known,
 /// which happens when the caller disconnects.
 struct AttemptGuard<'a> {
@@ -149,7 +158,7 @@
                 AttemptOutcome::Abandoned,
                 now,
             );
-            ends::handle_abandoned_attempt(self.open, self.order);
+            ends::handle_abandoned_attempt(self.open, self.order, attempt_phase(self.open));
         }
     }
 }
@@ -184,7 +193,7 @@
             classify_unframed(guard.open, response, check)
         },
         None => {
-            ends::handle_abandoned_attempt(guard.open, order);
+            ends::handle_abandoned_attempt(guard.open, order, attempt_phase(guard.open));
             AttemptEnd::Failed(AttemptFailure::TimeOver)
         },
     };
@@ -216,7 +225,7 @@
     match timeout(response_timeout, exchange_untimed(open, order, last_event)).await {
         Ok(end) => end,
         Err(_) => {
-            ends::handle_abandoned_attempt(open, order);
+            ends::handle_abandoned_attempt(open, order, attempt_phase(open));
             let reason = "no response in time".to_string();
             ExchangeEnd::Known(AttemptEnd::Failed(AttemptFailure::Lost(reason)))
         },
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use quillcove_core::crash::digest::RequestIdentity;
+use quillcove_core::crash::evidence::{ExitEvidence, part_evidence};
 use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::crash::watch::{AbortKind, ExitCheck, ResponseAbort};
 use quillcove_core::ids::{MonoTime, PartId};
@@ -71,23 +72,38 @@
     }
 }
 
+/// Returns what is suspected if the replica of an attempt that ended in this phase has exited: the parts of the prompt,
+/// and the whole request.
+fn aborts_of(
+    open: &OpenRequest,
+    identity: RequestIdentity,
+    phase: RunPhase,
+    kind: AbortKind,
+) -> Vec<ResponseAbort> {
+    let abort = |identity, has_other_cause| ResponseAbort {
+        identity,
+        has_other_cause,
+        sent_at: open.sent_at,
+    };
+    let evidence = part_evidence(phase, kind);
+    let parts = match evidence {
+        ExitEvidence::Weak | ExitEvidence::Strong => &open.query.parts[..],
+        ExitEvidence::None => &[],
+    };
+    let parts = parts.iter().map(|part| abort(*part, evidence == ExitEvidence::Weak));
+    parts.chain([abort(identity, open.first_event.is_some())]).collect()
+}
+
 /// Records that a response may have been cut off by the exit of its replica at `now`, and starts to detect whether it
 /// has exited.
 fn record_abort(open: &OpenRequest, order: &AttemptOrder, phase: RunPhase, now: MonoTime) {
     let Some(identity) = open.query.identity else {
         return;
     };
-    let has_begun = open.first_event.is_some();
-    // Parts are to blame only for exits of replicas that were beginning to write.
-    let parts = match phase {
-        RunPhase::Beginning => &open.query.parts[..],
-        RunPhase::Waiting | RunPhase::Writing => &[],
-    };
     let mut is_checked = false;
     {
         let mut machine = open.shared.machine();
-        for suspect in parts.iter().copied().chain([identity]) {
-            let abort = ResponseAbort { identity: suspect, has_begun, sent_at: open.sent_at };
+        for abort in aborts_of(open, identity, phase, AbortKind::CutOff) {
             is_checked |= machine.record_abort(order, abort, now) == BreakStep::Check;
         }
     }
@@ -102,7 +118,7 @@
 
 /// Records that an attempt was abandoned: its caller left or its deadline passed. Starts to detect whether the replica
 /// exits while it may still work on the attempt.
-pub fn handle_abandoned_attempt(open: &OpenRequest, order: &AttemptOrder) {
+pub fn handle_abandoned_attempt(open: &OpenRequest, order: &AttemptOrder, phase: RunPhase) {
     // A replica that received no byte of the request cannot exit under it.
     let (Some(identity), true) = (open.query.identity, open.is_sent.load(Ordering::Relaxed)) else {
         return;
@@ -112,16 +128,20 @@
         return;
     };
     let now = open.shared.clock.now();
-    let has_begun = open.first_event.is_some();
-    let abort = ResponseAbort { identity, has_begun, sent_at: open.sent_at };
-    let step = open.shared.machine().record_abandoned(order, abort, now);
-    match step {
-        BreakStep::Check => {
+    let mut is_checked = false;
+    {
+        let mut machine = open.shared.machine();
+        for abort in aborts_of(open, identity, phase, AbortKind::Abandoned) {
+            is_checked |= machine.record_abandoned(order, abort, now) == BreakStep::Check;
+        }
+    }
+    match is_checked {
+        true => {
             let task = detect_exit(open.shared.clone(), order.clone(), AbortKind::Abandoned);
             drop(runtime.spawn(task));
         },
         // If the exit is known already, this request is a new crash record that has to be sent.
-        BreakStep::Rest => open.shared.messages_pending.notify_one(),
+        false => open.shared.messages_pending.notify_one(),
     }
 }
 
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -10,7 +10,6 @@
 use hyper::body::Incoming;
 use quillcove_core::class::WorkClass;
 use quillcove_core::crash::digest::CallerDigest;
-use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::{AttemptOrder, RelayChoice};
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SHORT_RETRY_DELAY, WorkRefusal};
@@ -191,11 +190,7 @@
         "ejected" => is_ejected);
     if matches!(failure, AttemptFailure::Lost(_)) {
         // A stream whose head was received breaks off elsewhere.
-        let phase = match open.query.route.kind.is_stream() {
-            true => RunPhase::Waiting,
-            false => RunPhase::Beginning,
-        };
-        ends::handle_broken_response(open, order, phase);
+        ends::handle_broken_response(open, order, attempt::attempt_phase(open));
     }
     let kind = open.query.route.kind;
     let is_retried = match &failure {
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -8,7 +8,7 @@
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use quillcove_core::crash::phase::{RunPhase, SurvivalStage, proof_of_life};
+use quillcove_core::crash::phase::{RunPhase, SurvivalProof, SurvivalStage, proof_of_life};
 use quillcove_core::crash::watch::ExitCheck;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
@@ -42,8 +42,9 @@
     last_event: Option<String>,
     /// Whether the current attempt has brought an event.
     has_event: bool,
-    /// What the replica of the current attempt is known to have survived.
+    /// What the replica of the current attempt is known to have survived, and the reads that show it.
     survived: SurvivalStage,
+    survival_proof: SurvivalProof,
     /// When the last event was forwarded.
     last_forwarded: Option<MonoTime>,
     /// When the upstream was last read late because the caller did not read, unless all that it had sent by then is
@@ -79,6 +80,7 @@
         last_event,
         has_event: false,
         survived: SurvivalStage::None,
+        survival_proof: SurvivalProof::default(),
         last_forwarded: None,
         held_up_at: None,
     };
@@ -283,7 +285,7 @@
         let Some(live) = &self.live else {
             return;
         };
-        let stage = SurvivalStage::after(alive_at.saturating_sub(live.head_at));
+        let stage = self.survival_proof.record_alive(alive_at.saturating_sub(live.head_at));
         if stage >= SurvivalStage::Begin && self.survived < SurvivalStage::Begin {
             self.open.record_survival(live.head_at);
         }
@@ -296,7 +298,8 @@
     /// Returns the phase of the current attempt at its replica.
     fn phase(&self, live: &LiveStream) -> RunPhase {
         let since_head = self.open.shared.clock.now().saturating_sub(live.head_at);
-        RunPhase::of_stream(Some(since_head), self.has_event)
+        let has_survived = self.survived >= SurvivalStage::Begin;
+        RunPhase::of_stream(Some(since_head), self.has_event, has_survived)
     }
 
     /// Ends the request after a complete stream; `check` tells whether its replica is known to have survived it.
@@ -324,7 +327,7 @@
             let key = self.open.query.adapter.as_ref();
             self.open.shared.machine().end_attempt(&live.order.replica, key, fate, now);
             if fate == AttemptOutcome::Abandoned {
-                ends::handle_abandoned_attempt(&self.open, &live.order);
+                ends::handle_abandoned_attempt(&self.open, &live.order, self.phase(&live));
             }
         }
     }
@@ -359,6 +362,7 @@
                     self.live = Some(live);
                     self.has_event = false;
                     self.survived = SurvivalStage::None;
+                    self.survival_proof = SurvivalProof::default();
                     return true;
                 },
                 AttemptEnd::Complete(_) => open.runs += 1,
--- a/quillcove_core/src/agent/crashes.rs
+++ b/quillcove_core/src/agent/crashes.rs
@@ -33,7 +33,7 @@
         match end {
             RunEnd::Broken => {
                 let run = self.upstream_run();
-                let broke = ResponseAbort { identity, has_begun: false, sent_at: now };
+                let broke = ResponseAbort { identity, has_other_cause: false, sent_at: now };
                 self.crash_watch.record_abort(&run, broke, now);
             },
             RunEnd::Complete(status) if (200..300).contains(&status) => {
--- a/quillcove_core/src/crash/book.rs
+++ b/quillcove_core/src/crash/book.rs
@@ -83,7 +83,7 @@
 /// let mut book = CrashTable::default();
 /// for end in 1..=3 {
 ///     assert!(book.cause(fatal, now).is_none());
-///     let ended = InFlightRequest { identity: fatal, has_begun: false, runs_well: false };
+///     let ended = InFlightRequest { identity: fatal, has_other_cause: false, runs_well: false };
 ///     book.note_end(end, ended, now, now);
 /// }
 /// assert_eq!(book.cause(fatal, now).unwrap().ends, 3);
@@ -158,7 +158,7 @@
         at: MonoTime,
         now: MonoTime,
     ) -> bool {
-        let InFlightRequest { identity, has_begun, runs_well } = ended;
+        let InFlightRequest { identity, has_other_cause, runs_well } = ended;
         if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&identity.digest) {
             self.evict_weakest();
         }
@@ -169,7 +169,8 @@
         }
         record.seen_at = now;
         record.runs_well |= runs_well;
-        let mark = ExitMark { exit, caller: identity.caller, has_begun, ran_well: runs_well, at };
+        let mark =
+            ExitMark { exit, caller: identity.caller, has_other_cause, ran_well: runs_well, at };
         record.add(mark)
     }
 
@@ -178,6 +179,11 @@
         self.records.get(digest).is_some_and(|record| record.runs_well)
     }
 
+    /// Returns whether a run with a prompt part that began after `since` is known to have survived.
+    pub(super) fn has_survived_since(&self, part: &RequestDigest, since: MonoTime) -> bool {
+        self.history.survived(part).is_some_and(|begun_at| begun_at > since + RECORD_OFFSET)
+    }
+
     /// Records that a replica began to answer a prompt with these parts.
     ///
     /// ```
@@ -412,8 +418,8 @@
 fn exit_reports(digest: RequestDigest, record: &CrashRecord, now: MonoTime) -> Vec<ExitReport> {
     let report = |mark: &ExitMark| {
         let identity = RequestIdentity { digest, caller: mark.caller };
-        let (has_begun, runs_well) = (mark.has_begun, record.runs_well);
-        let ended = InFlightRequest { identity, has_begun, runs_well };
+        let (has_other_cause, runs_well) = (mark.has_other_cause, record.runs_well);
+        let ended = InFlightRequest { identity, has_other_cause, runs_well };
         let age = (now + RECORD_OFFSET).saturating_sub(mark.at);
         ExitReport { end: mark.exit, age, requests: vec![ended] }
     };
--- a/quillcove_core/src/crash/mod.rs
+++ b/quillcove_core/src/crash/mod.rs
@@ -17,11 +17,13 @@
 //! - `record`: crash record of one suspect, and which of its exits count.
 //! - `part`: which parts of prompts are blamed for exits.
 //! - [`probe`]: requests that try again what is blamed.
+//! - [`evidence`]: what the end of an attempt says of the parts of its prompt.
 //! - [`phase`]: whether a replica was beginning to write the answer when it exited, and what it has survived.
 //! - [`watch`]: the tracker of one process that sends requests to replicas, which combines these.
 
 pub mod book;
 pub mod digest;
+pub mod evidence;
 pub mod good;
 mod part;
 pub mod phase;
--- a/quillcove_core/src/crash/part.rs
+++ b/quillcove_core/src/crash/part.rs
@@ -10,13 +10,17 @@
 use std::time::Duration;
 
 use super::digest::RequestDigest;
-use super::record::{CrashRecord, MOMENT, moment_count};
+use super::record::{CrashRecord, ExitMark, MOMENT, moment_count};
 use super::telling::ExitId;
 use crate::ids::MonoTime;
 
-/// Moments with exits after which a part is blamed.
+/// Moments with exits that are strong evidence after which a part is blamed.
 const MIN_MOMENTS: usize = 3;
 
+/// Moments with exits after which a part is blamed if all are weak evidence. All processes may start again once, and
+/// learn it anew, before three requests too many reach replicas after the fifth exit.
+const MIN_WEAK_MOMENTS: usize = 4;
+
 /// Exits after which a part is blamed at [`MANY_EXITS_MOMENTS`], if no run is known to have survived it. From the fifth
 /// exit on, only three more requests with it may reach replicas.
 const MANY_EXITS: usize = 5;
@@ -147,22 +151,31 @@
     for (share, digest, record) in suspects {
         let better = blamed.iter().filter(|part| part.explains(share));
         let explained: BTreeSet<ExitId> = better.flat_map(|part| &part.exits).copied().collect();
-        let left = record.marks.iter().filter(|mark| !explained.contains(&mark.exit));
-        let times: Vec<MonoTime> = left.clone().map(|mark| mark.at).collect();
-        if is_enough(times, history.survived(digest).is_some()) {
-            let exits = left.map(|mark| mark.exit).collect();
+        let left: Vec<&ExitMark> =
+            record.marks.iter().filter(|mark| !explained.contains(&mark.exit)).collect();
+        if is_enough(&left, history.survived(digest).is_some()) {
+            let exits = left.iter().map(|mark| mark.exit).collect();
             blamed.push(BlamedPart { digest: *digest, exits, share });
         }
     }
     blamed
 }
 
-/// Returns whether exits at these times are enough to blame a part. A part that was sound lately needs more of them, as
-/// replicas that are killed in two moments have a popular part at most of their exits.
-fn is_enough(times: Vec<MonoTime>, was_sound: bool) -> bool {
-    let is_many = times.len() >= MANY_EXITS && !was_sound;
-    (is_many && moment_count(times.clone(), LONG_MOMENT) >= MANY_EXITS_MOMENTS)
-        || moment_count(times, MOMENT) >= MIN_MOMENTS
+/// Returns whether exits are enough to blame a part. A part that was sound lately needs more of them, as replicas that
+/// are killed in two moments have a popular part at most of their exits.
+fn is_enough(marks: &[&ExitMark], was_sound: bool) -> bool {
+    let is_many = marks.len() >= MANY_EXITS && !was_sound;
+    if is_many && moment_count(exit_times(marks), LONG_MOMENT) >= MANY_EXITS_MOMENTS {
+        return true;
+    }
+    let strong: Vec<&ExitMark> = marks.iter().copied().filter(|mark| !mark.is_weak()).collect();
+    let strong_moments = moment_count(exit_times(&strong), MOMENT);
+    let weak_moments = moment_count(exit_times(marks), MOMENT).saturating_sub(strong_moments);
+    strong_moments * MIN_WEAK_MOMENTS + weak_moments * MIN_MOMENTS >= MIN_MOMENTS * MIN_WEAK_MOMENTS
+}
+
+fn exit_times(marks: &[&ExitMark]) -> Vec<MonoTime> {
+    marks.iter().map(|mark| mark.at).collect()
 }
 
 /// Returns whether a part has enough exits to be blamed, if no other part explains them.
--- a/quillcove_core/src/crash/phase.rs
+++ b/quillcove_core/src/crash/phase.rs
@@ -1,8 +1,8 @@
 //! Phase of an attempt at its replica.
 //!
 //! A part of a prompt that makes replicas exit does so when the replica begins to write the answer.
-//! So only attempts in this phase are suspected for their parts, and an attempt that has left it
-//! shows that its parts are sound.
+//! The phase tells what the replica may have been doing when it exited, not what was read of its
+//! answer: the head may be lost with the connection, and a busy process reads late.
 
 use std::time::Duration;
 
@@ -20,6 +20,10 @@
 /// have begun to run a fatal request.
 pub const RUN_SURVIVAL_TIME: Duration = Duration::from_millis(500);
 
+/// Minimum time between two reads that together show that a replica survived. All that a replica sent before its exit
+/// arrives within the time in which it begins to write.
+pub const PROOF_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Time of a read from which on it waited for bytes that had not arrived. Bytes that wait in a socket are read sooner.
 const CATCH_UP_MIN: Duration = Duration::from_millis(10);
 
@@ -31,28 +35,32 @@
     /// The replica begins to write the answer, or may do so: an answer that is no stream arrives as
     /// a whole.
     Beginning,
-    /// The replica has written for some time.
+    /// Events were received, and nothing shows that the replica survived the begin of the answer.
+    Started,
+    /// The replica is known to have survived the begin of the answer.
     Writing,
 }
 
 impl RunPhase {
-    /// Returns the phase of a stream by the time since its head and by whether any event was
-    /// received.
+    /// Returns the phase of a stream by the time since its head, by whether any event was received, and by whether the
+    /// replica is known to have survived the begin of the answer.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::crash::phase::RunPhase;
     ///
     /// let (soon, later) = (Duration::from_millis(50), Duration::from_secs(1));
-    /// assert_eq!(RunPhase::of_stream(None, false), RunPhase::Waiting);
-    /// assert_eq!(RunPhase::of_stream(Some(soon), true), RunPhase::Beginning);
-    /// assert_eq!(RunPhase::of_stream(Some(later), false), RunPhase::Beginning);
-    /// assert_eq!(RunPhase::of_stream(Some(later), true), RunPhase::Writing);
+    /// assert_eq!(RunPhase::of_stream(None, false, false), RunPhase::Waiting);
+    /// assert_eq!(RunPhase::of_stream(Some(soon), true, false), RunPhase::Beginning);
+    /// assert_eq!(RunPhase::of_stream(Some(later), false, false), RunPhase::Beginning);
+    /// assert_eq!(RunPhase::of_stream(Some(later), true, false), RunPhase::Started);
+    /// assert_eq!(RunPhase::of_stream(Some(later), true, true), RunPhase::Writing);
     /// ```
-    pub fn of_stream(since_head: Option<Duration>, has_event: bool) -> Self {
+    pub fn of_stream(since_head: Option<Duration>, has_event: bool, has_survived: bool) -> Self {
         match since_head {
             None => Self::Waiting,
-            Some(age) if has_event && age > BEGIN_WINDOW => Self::Writing,
+            Some(_) if has_survived => Self::Writing,
+            Some(age) if has_event && age > BEGIN_WINDOW => Self::Started,
             Some(_) => Self::Beginning,
         }
     }
@@ -66,6 +74,7 @@
         match self {
             Self::Waiting => "waiting",
             Self::Beginning => "beginning",
+            Self::Started => "started",
             Self::Writing => "writing",
         }
     }
@@ -102,6 +111,39 @@
     }
 }
 
+/// Reads of one stream that show that its replica was alive.
+///
+/// ```
+/// use std::time::Duration;
+/// use quillcove_core::crash::phase::{SurvivalProof, SurvivalStage};
+///
+/// let after = Duration::from_millis;
+/// let mut proof = SurvivalProof::default();
+/// assert_eq!(proof.record_alive(after(400)), SurvivalStage::None);
+/// assert_eq!(proof.record_alive(after(600)), SurvivalStage::Begin);
+/// assert_eq!(proof.record_alive(after(700)), SurvivalStage::Run);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SurvivalProof {
+    /// Time from the head to the first such read after [`SURVIVAL_TIME`].
+    first: Option<Duration>,
+}
+
+impl SurvivalProof {
+    /// Records that the replica was alive so long after the head. Returns what it is known to have survived: a single
+    /// read may have waited for a process that had no processor time, or for a lost packet, so two are needed.
+    pub fn record_alive(&mut self, since_head: Duration) -> SurvivalStage {
+        if since_head < SURVIVAL_TIME {
+            return SurvivalStage::None;
+        }
+        let first = *self.first.get_or_insert(since_head);
+        match since_head.saturating_sub(first) >= PROOF_INTERVAL {
+            true => SurvivalStage::after(since_head),
+            false => SurvivalStage::None,
+        }
+    }
+}
+
 /// Returns a time at which a replica was still to send what a read of its stream brought, if the read shows that: bytes
 /// that are there at once may have been sent long before, while this process was paused or its caller did not read.
 ///
--- a/quillcove_core/src/crash/record.rs
+++ b/quillcove_core/src/crash/record.rs
@@ -23,8 +23,8 @@
 pub(super) struct ExitMark {
     pub exit: ExitId,
     pub caller: CallerDigest,
-    /// Whether bytes of its response had arrived.
-    pub has_begun: bool,
+    /// Whether another cause of the exit is likely, by the state of the attempt.
+    pub has_other_cause: bool,
     /// Whether the request was known to have run well for some caller before.
     pub ran_well: bool,
     pub at: MonoTime,
@@ -33,8 +33,8 @@
 impl ExitMark {
     /// Returns whether another cause of the exit is likely. A request that makes replicas exit as soon as it runs has
     /// no response yet, and does not run well.
-    fn is_weak(&self) -> bool {
-        self.has_begun || self.ran_well
+    pub fn is_weak(&self) -> bool {
+        self.has_other_cause || self.ran_well
     }
 }
 
@@ -77,16 +77,30 @@
 }
 
 impl CrashRecord {
-    /// Adds an exit. Returns `false` if the exit is known already or not later than a success of
-    /// the caller, or if there are too many.
+    /// Adds an exit, or stronger evidence of a known one. Returns `false` if that is known already, or if the exit is not
+    /// later than a success of the caller. Of too many exits the oldest is dropped, as delays count from the last one.
     pub fn add(&mut self, mark: ExitMark) -> bool {
         let is_cleared =
             |(caller, at): &(CallerDigest, MonoTime)| *caller == mark.caller && *at >= mark.at;
-        let is_same = |known: &ExitMark| known.exit == mark.exit && known.caller == mark.caller;
-        let is_known = self.marks.iter().any(is_same) || self.successes.iter().any(is_cleared);
-        if is_known || self.marks.len() >= MAX_MARKS {
+        if self.successes.iter().any(is_cleared) {
             return false;
         }
+        let is_same =
+            |known: &&mut ExitMark| known.exit == mark.exit && known.caller == mark.caller;
+        if let Some(known) = self.marks.iter_mut().find(is_same) {
+            let is_stronger = known.is_weak() && !mark.is_weak();
+            if is_stronger {
+                *known = ExitMark { at: known.at, ..mark };
+            }
+            return is_stronger;
+        }
+        if self.marks.len() >= MAX_MARKS {
+            let oldest = (0..self.marks.len()).min_by_key(|index| self.marks[*index].at);
+            match oldest.filter(|index| self.marks[*index].at < mark.at) {
+                Some(index) => self.marks.remove(index),
+                None => return false,
+            };
+        }
         self.marks.push(mark);
         true
     }
@@ -163,7 +177,7 @@
 
     fn weight_of(&self, caller: Option<CallerDigest>) -> SuspectWeight {
         let of = |mark: &&ExitMark| caller.is_none_or(|caller| mark.caller == caller);
-        let before_response = self.marks.iter().filter(of).filter(|mark| !mark.has_begun);
+        let before_response = self.marks.iter().filter(of).filter(|mark| !mark.has_other_cause);
         let exits_before_response =
             before_response.map(|mark| mark.exit).collect::<BTreeSet<ExitId>>().len();
         SuspectWeight { exits: self.exits_of(caller).len(), exits_before_response }
--- a/quillcove_core/src/crash/teller.rs
+++ b/quillcove_core/src/crash/teller.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use super::digest::RequestIdentity;
+use super::digest::{RequestIdentity, SuspectKind};
 use super::telling::{CrashReport, ExitId, ExitReport, InFlightRequest, SuccessReport};
 use crate::ids::MonoTime;
 
@@ -11,6 +11,13 @@
 /// packets are lost, a relay misses one update in a million, and only until the next exit.
 const SEND_COUNT: u32 = 4;
 
+/// How often weak evidence against a part of a prompt is sent: it is much of what is reported where replicas are killed,
+/// and several exits are needed anyhow.
+const WEAK_SEND_COUNT: u32 = 2;
+
+/// Queued updates up to which weak evidence is repeated. Where many replicas are killed there is more, and it says little.
+const MAX_REPEATED_WEAK: usize = 8;
+
 /// Maximum number of queued updates; beyond it the oldest is dropped. A replica exits with a few
 /// hundred requests in flight at most.
 const MAX_QUEUED: usize = 2048;
@@ -34,6 +41,20 @@
     sent: u32,
 }
 
+impl QueuedUpdate {
+    fn is_due(&self, repeats_weak: bool) -> bool {
+        let is_weak = |ended: &InFlightRequest| {
+            ended.has_other_cause && SuspectKind::of(ended.identity.caller) == SuspectKind::Part
+        };
+        let count = match &self.update {
+            CrashUpdate::Exit { ended, .. } if is_weak(ended) && !repeats_weak => 1,
+            CrashUpdate::Exit { ended, .. } if is_weak(ended) => WEAK_SEND_COUNT,
+            CrashUpdate::Exit { .. } | CrashUpdate::Success(_) => SEND_COUNT,
+        };
+        self.sent < count
+    }
+}
+
 /// Queue of the updates of one process.
 ///
 /// ```
@@ -59,7 +80,7 @@
     /// let parts = RequestParts { method: "GET", host: "h", path: "/", key: None, body: b"" };
     /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
     /// let mut teller = CrashReportQueue::default();
-    /// let ended = InFlightRequest { identity, has_begun: true, runs_well: false };
+    /// let ended = InFlightRequest { identity, has_other_cause: true, runs_well: false };
     /// teller.note_end(7, ended, Duration::ZERO);
     /// assert_eq!(teller.tell(false, Duration::ZERO)[0].ends[0].end, 7);
     /// assert!(teller.tell(false, Duration::ZERO).is_empty());
@@ -105,7 +126,8 @@
             queued.sent += 1;
             append_update(&mut report, queued, now);
         }
-        self.queue.retain(|queued| queued.sent < SEND_COUNT);
+        let repeats_weak = self.queue.len() <= MAX_REPEATED_WEAK;
+        self.queue.retain(|queued| queued.is_due(repeats_weak));
         in_messages(report)
     }
 }
--- a/quillcove_core/src/crash/telling.rs
+++ b/quillcove_core/src/crash/telling.rs
@@ -43,8 +43,9 @@
 pub struct InFlightRequest {
     /// The request.
     pub identity: RequestIdentity,
-    /// Whether bytes of its response had arrived.
-    pub has_begun: bool,
+    /// Whether another cause of the exit is likely: bytes of the response had arrived, or for a part of a prompt, the
+    /// replica is not known to have been beginning to write.
+    pub has_other_cause: bool,
     /// Whether the same request recently succeeded for another caller.
     pub runs_well: bool,
 }
--- a/quillcove_core/src/crash/watch.rs
+++ b/quillcove_core/src/crash/watch.rs
@@ -31,6 +31,10 @@
 /// and exits of the replica's next run can be distinguished from them.
 const EXIT_LIFETIME: Duration = Duration::from_secs(60);
 
+/// Time for which a part that a run has survived is not suspected on weak evidence. The runs of a popular part survive
+/// many times a second, and it is in flight at most exits.
+const SOUND_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum number of aborted responses that wait until it is known whether their replica exited;
 /// beyond it the oldest is dropped.
 const MAX_PENDING_ABORTS: usize = 1024;
@@ -55,8 +59,9 @@
 pub struct ResponseAbort {
     /// The request.
     pub identity: RequestIdentity,
-    /// Whether bytes of the response had arrived.
-    pub has_begun: bool,
+    /// Whether another cause is likely if the replica exited, see
+    /// [`InFlightRequest`](super::telling::InFlightRequest::has_other_cause).
+    pub has_other_cause: bool,
     /// When the request was sent. A replica that has exited and restarted may still be known by its
     /// earlier run.
     pub sent_at: MonoTime,
@@ -104,7 +109,7 @@
     /// the same name.
     exit: ExitId,
     identity: RequestIdentity,
-    has_begun: bool,
+    has_other_cause: bool,
     at: MonoTime,
 }
 
@@ -121,7 +126,7 @@
 /// let mut watch = CrashTracker::default();
 /// for replica in ["i-1", "i-2", "i-3"] {
 ///     let run = ReplicaRun { replica: replica.into(), born: None };
-///     let abort = ResponseAbort { identity: request, has_begun: false, sent_at: now };
+///     let abort = ResponseAbort { identity: request, has_other_cause: false, sent_at: now };
 ///     watch.record_abort(&run, abort, now);
 ///     assert!(watch.cause(request, now).is_none());
 ///     assert_eq!(watch.confirm_exit(&run, now), 1);
@@ -174,7 +179,7 @@
     /// let (sent_at, left_at) = (Duration::from_secs(5), Duration::from_secs(6));
     /// let run = ReplicaRun { replica: "i-1".into(), born: None };
     /// let mut watch = CrashTracker::default();
-    /// let abort = ResponseAbort { identity, has_begun: false, sent_at };
+    /// let abort = ResponseAbort { identity, has_other_cause: false, sent_at };
     /// assert!(watch.record_abandoned(&run, abort, left_at));
     /// assert_eq!(watch.confirm_exit(&run, Duration::from_secs(7)), 1);
     /// ```
@@ -198,8 +203,9 @@
         abort: ResponseAbort,
         now: MonoTime,
     ) -> bool {
-        let ResponseAbort { identity, has_begun, .. } = abort;
-        let pending = PendingAbort { kind, run: run.exit_id(), exit, identity, has_begun, at: now };
+        let ResponseAbort { identity, has_other_cause, .. } = abort;
+        let pending =
+            PendingAbort { kind, run: run.exit_id(), exit, identity, has_other_cause, at: now };
         if let Some(exit_at) = self.known_exits.get(&pending.exit).copied() {
             self.count_abort(pending, Some(exit_at), now);
             return false;
@@ -306,7 +312,7 @@
     /// let identity = RequestIdentity { digest: parts.digest(), caller: 1 };
     /// let now = Duration::from_secs(5);
     /// let run = ReplicaRun { replica: "i-1".into(), born: None };
-    /// let abort = ResponseAbort { identity, has_begun: false, sent_at: now };
+    /// let abort = ResponseAbort { identity, has_other_cause: false, sent_at: now };
     /// let mut watch = CrashTracker::default();
     /// watch.record_abort(&run, abort, now);
     /// assert_eq!(watch.exit_check(&run, now, now), ExitCheck::Pending);
@@ -364,12 +370,18 @@
             AbortKind::CutOff => abort.at,
             AbortKind::Abandoned => exit_at.unwrap_or(abort.at),
         };
+        if is_part
+            && abort.has_other_cause
+            && self.book.has_survived_since(&digest, at.saturating_sub(SOUND_TIME))
+        {
+            return;
+        }
         // For a part, runs that began after the exit count instead.
         if !is_part && self.successes.excuse(abort.identity, at) {
             return;
         }
-        let PendingAbort { exit, identity, has_begun, .. } = abort;
-        let ended = InFlightRequest { identity, has_begun, runs_well };
+        let PendingAbort { exit, identity, has_other_cause, .. } = abort;
+        let ended = InFlightRequest { identity, has_other_cause, runs_well };
         if self.book.note_end(exit, ended, at, now) {
             self.teller.note_end(exit, ended, at);
         }
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -149,7 +149,7 @@
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// // The replica is not listed any more.
     /// let now = Duration::ZERO;
-    /// let broke = ResponseAbort { identity, has_begun: false, sent_at: now };
+    /// let broke = ResponseAbort { identity, has_other_cause: false, sent_at: now };
     /// assert_eq!(machine.record_abort(&order, broke, now), BreakStep::Rest);
     /// ```
     pub fn record_abort(
@@ -177,7 +177,7 @@
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
     /// let now = Duration::ZERO;
     /// machine.list(example_record("i-1"), now);
-    /// let abort = ResponseAbort { identity, has_begun: false, sent_at: now };
+    /// let abort = ResponseAbort { identity, has_other_cause: false, sent_at: now };
     /// assert_eq!(machine.record_abandoned(&order, abort, now), BreakStep::Check);
     /// ```
     pub fn record_abandoned(
--- a/quillcove_core/tests/crash_book.rs
+++ b/quillcove_core/tests/crash_book.rs
@@ -18,7 +18,7 @@
 const NOW: Duration = Duration::from_secs(1000);
 
 fn broke(identity: RequestIdentity, sent_at: Duration) -> ResponseAbort {
-    ResponseAbort { identity, has_begun: false, sent_at }
+    ResponseAbort { identity, has_other_cause: false, sent_at }
 }
 
 fn request(body: u32, caller: u64) -> RequestIdentity {
@@ -29,7 +29,7 @@
 }
 
 fn ended(identity: RequestIdentity) -> InFlightRequest {
-    InFlightRequest { identity, has_begun: false, runs_well: false }
+    InFlightRequest { identity, has_other_cause: false, runs_well: false }
 }
 
 fn end_with(book: &mut CrashTable, end: ExitId, requests: &[RequestIdentity]) {
@@ -58,7 +58,7 @@
     let mut book = CrashTable::default();
     for end in 1..=3 {
         end_with(&mut book, end, &[fatal]);
-        let begun = InFlightRequest { has_begun: true, ..ended(innocent) };
+        let begun = InFlightRequest { has_other_cause: true, ..ended(innocent) };
         book.note_end(end, begun, NOW, NOW);
     }
     assert!(book.cause(fatal, NOW).is_some());
@@ -237,7 +237,7 @@
         if records_abandoned {
             watch.record_abandoned(&run, broke(fatal, left_at), left_at);
         }
-        let begun = ResponseAbort { has_begun: true, ..broke(innocent, left_at) };
+        let begun = ResponseAbort { has_other_cause: true, ..broke(innocent, left_at) };
         watch.record_abort(&run, begun, exit_at);
         watch.confirm_exit(&run, exit_at + Duration::from_millis(30));
     }
--- a/quillcove_core/tests/crash_fleet/mod.rs
+++ b/quillcove_core/tests/crash_fleet/mod.rs
@@ -6,10 +6,11 @@
 
 use quillcove_core::crash::book::{CrashTable, MOST_ENDS};
 use quillcove_core::crash::digest::{RequestDigest, RequestIdentity, RequestParts, part_identity};
-use quillcove_core::crash::phase::{RUN_SURVIVAL_TIME, RunPhase, SURVIVAL_TIME};
+use quillcove_core::crash::evidence::{ExitEvidence, part_evidence};
+use quillcove_core::crash::phase::{PROOF_INTERVAL, RUN_SURVIVAL_TIME, RunPhase, SURVIVAL_TIME};
 use quillcove_core::crash::teller::in_messages;
 use quillcove_core::crash::telling::CrashReport;
-use quillcove_core::crash::watch::{CrashTracker, ReplicaRun, ResponseAbort};
+use quillcove_core::crash::watch::{AbortKind, CrashTracker, ReplicaRun, ResponseAbort};
 
 /// Time between two steps of the fleet.
 const STEP: Duration = Duration::from_millis(10);
@@ -32,6 +33,9 @@
 /// Length of a run.
 const LENGTH: Duration = Duration::from_secs(40);
 
+/// Time after the begin of an answer at which its replica is known to have survived that.
+const PROVED_TIME: Duration = SURVIVAL_TIME.saturating_add(PROOF_INTERVAL);
+
 /// Time that an innocent request runs.
 const RUN_TIME: Duration = Duration::from_millis(1500);
 
@@ -101,6 +105,10 @@
     pub by_part: bool,
     /// Whether the fatal part was sound until the first fatal request.
     pub was_sound: bool,
+    /// Share of the fatal requests whose connection ends before the head of the answer is read.
+    pub headless: f64,
+    /// Whether all loaders start again with the relays.
+    pub loaders_restart: bool,
 }
 
 impl CrashPattern {
@@ -123,6 +131,8 @@
         innocents: 30,
         by_part: false,
         was_sound: false,
+        headless: 0.0,
+        loaders_restart: false,
     };
 }
 
@@ -194,26 +204,38 @@
     identity: RequestIdentity,
     /// Parts of its prompt that others may have too.
     parts: Vec<RequestIdentity>,
-    /// When its answer began, unless it is known to have survived that.
+    /// When its answer begins; `None` once it is known to have survived that.
     begins_at: Option<Duration>,
     relay: usize,
     place: usize,
     until: Duration,
     kind: RunKind,
+    /// Whether its connection ends before the head of the answer is read.
+    is_headless: bool,
 }
 
 impl Running {
     /// Returns what is suspected if its replica ends now.
     fn answer_breaks(&self, now: Duration) -> Vec<ResponseAbort> {
         let began = self.begins_at.filter(|at| *at <= now);
-        let phase = RunPhase::of_stream(began.map(|at| now - at), self.has_begun(now));
-        let parts = match phase {
-            RunPhase::Beginning => &self.parts[..],
-            RunPhase::Waiting | RunPhase::Writing => &[],
+        let has_survived = self.begins_at.is_none_or(|at| now >= at + PROVED_TIME);
+        let phase = match self.is_headless {
+            true => RunPhase::Waiting,
+            // Only what is known to have survived has no begin any more.
+            false if self.begins_at.is_none() => RunPhase::Writing,
+            false => {
+                RunPhase::of_stream(began.map(|at| now - at), self.has_begun(now), has_survived)
+            },
+        };
+        let evidence = part_evidence(phase, AbortKind::CutOff);
+        let parts = match evidence {
+            ExitEvidence::Weak | ExitEvidence::Strong => &self.parts[..],
+            ExitEvidence::None => &[],
         };
         let abort =
-            |identity| ResponseAbort { identity, has_begun: self.has_begun(now), sent_at: now };
-        parts.iter().copied().chain([self.identity]).map(abort).collect()
+            |identity, has_other_cause| ResponseAbort { identity, has_other_cause, sent_at: now };
+        let parts = parts.iter().map(|part| abort(*part, evidence == ExitEvidence::Weak));
+        parts.chain([abort(self.identity, self.has_begun(now))]).collect()
     }
 
     fn has_begun(&self, now: Duration) -> bool {
@@ -325,6 +347,9 @@
         }
         let second = Self::second(now);
         if self.pattern.restarts.contains(&second) {
+            if self.pattern.loaders_restart {
+                self.loaders.iter_mut().for_each(|loader| *loader = CrashTable::default());
+            }
             for relay in 0..self.relays.len() {
                 let sent = std::mem::take(&mut self.relays[relay].sent);
                 self.relays[relay] = Relay { sent, ..Relay::new(now) };
@@ -544,10 +569,10 @@
             if now >= at && now < at + STEP {
                 watch.record_start(&running.parts, now);
             }
-            if now >= at + SURVIVAL_TIME && now < at + SURVIVAL_TIME + STEP {
+            if now >= at + PROVED_TIME && now < at + PROVED_TIME + STEP {
                 watch.record_survival(&running.parts, at);
             }
-            if now >= at + RUN_SURVIVAL_TIME {
+            if now >= at + RUN_SURVIVAL_TIME.max(PROVED_TIME) {
                 watch.record_run_survival(running.identity, at, now);
                 running.begins_at = None;
             }
@@ -577,7 +602,17 @@
         };
         let kind = RunKind::Innocent { tries };
         let (begins_at, until) = (Some(now + BEGIN_TIME), now + RUN_TIME);
-        self.running.push(Running { identity, parts, begins_at, relay, place, until, kind });
+        let is_headless = false;
+        self.running.push(Running {
+            identity,
+            parts,
+            begins_at,
+            relay,
+            place,
+            until,
+            kind,
+            is_headless,
+        });
     }
 
     fn send_fatal(&mut self, now: Duration) {
@@ -625,7 +660,17 @@
         }
         let (until, kind) = (now + FATAL_TIME, RunKind::Fatal(number));
         let begins_at = Some(now);
-        self.running.push(Running { identity, parts, begins_at, relay, place, until, kind });
+        let is_headless = self.pattern.headless > 0.0 && self.draws.next() < self.pattern.headless;
+        self.running.push(Running {
+            identity,
+            parts,
+            begins_at,
+            relay,
+            place,
+            until,
+            kind,
+            is_headless,
+        });
     }
 
     fn tell(&mut self, now: Duration) {
--- a/quillcove_core/tests/crash_parts.rs
+++ b/quillcove_core/tests/crash_parts.rs
@@ -27,7 +27,7 @@
 fn exit_with(tracker: &mut CrashTracker, exit: u64, parts: &[RequestIdentity], at: Duration) {
     let run = ReplicaRun { replica: format!("i-{exit}"), born: None };
     for identity in parts {
-        let abort = ResponseAbort { identity: *identity, has_begun: false, sent_at: at };
+        let abort = ResponseAbort { identity: *identity, has_other_cause: false, sent_at: at };
         tracker.record_abort(&run, abort, at);
     }
     tracker.confirm_exit(&run, at);
@@ -178,8 +178,11 @@
     for word in words {
         match *word {
             PartWord::Exit { part: id, exit } => {
-                let ended =
-                    InFlightRequest { identity: part(id), has_begun: false, runs_well: false };
+                let ended = InFlightRequest {
+                    identity: part(id),
+                    has_other_cause: false,
+                    runs_well: false,
+                };
                 table.note_end(exit, ended, START + APART * exit as u32, now);
             },
             PartWord::Survival { part: id, at } => {
@@ -206,3 +209,60 @@
         }
     }
 }
+
+fn weak_exit(tracker: &mut CrashTracker, exit: u64, at: Duration) {
+    let run = ReplicaRun { replica: format!("i-{exit}"), born: None };
+    let abort = ResponseAbort { identity: part(1), has_other_cause: true, sent_at: at };
+    tracker.record_abort(&run, abort, at);
+    tracker.confirm_exit(&run, at);
+}
+
+// Guards against a part that is never blamed because none of its exits is proved to be its own.
+#[test]
+fn weak_evidence_adds_up_and_counts_less_than_strong() {
+    let mut tracker = CrashTracker::default();
+    for exit in 0..3 {
+        weak_exit(&mut tracker, exit, START + APART * exit as u32);
+        assert!(tracker.cause(part(1), START + APART * 3).is_none());
+    }
+    weak_exit(&mut tracker, 3, START + APART * 3);
+    assert!(tracker.cause(part(1), START + APART * 3).is_some());
+}
+
+// Guards against an exit that stays weak evidence because the relay that saw little of it reported first.
+#[test]
+fn stronger_evidence_of_a_known_exit_replaces_weaker() {
+    let mut tracker = CrashTracker::default();
+    for exit in 0..3 {
+        let at = START + APART * exit as u32;
+        weak_exit(&mut tracker, exit, at);
+        exit_with(&mut tracker, exit, &[part(1)], at);
+    }
+    assert!(tracker.cause(part(1), START + APART * 3).is_some());
+}
+
+// Guards against a popular part that is suspected because replicas are killed while requests with it wait.
+#[test]
+fn a_part_that_runs_have_just_survived_gathers_no_weak_evidence() {
+    let mut tracker = CrashTracker::default();
+    for exit in 0..10 {
+        let at = START + APART * exit as u32;
+        tracker.record_survival(&[part(1)], at - APART / 2);
+        weak_exit(&mut tracker, exit, at);
+    }
+    assert!(tracker.cause(part(1), START + APART * 10).is_none());
+}
+
+// Guards against a part that is tried again for ever, as its latest exits are not kept.
+#[test]
+fn a_part_with_many_exits_is_tried_again_twice_at_most() {
+    let mut tracker = CrashTracker::default();
+    let mut last = exits_with(&mut tracker, 30, &[part(1)]);
+    for probe in 0..2 {
+        let due_at = tracker.probe_due_at(part(1)).expect("a probe is left");
+        assert!(due_at >= last + Duration::from_secs(30));
+        last = due_at + APART;
+        exit_with(&mut tracker, 100 + probe, &[part(1)], last);
+    }
+    assert!(tracker.probe_due_at(part(1)).is_none());
+}
--- a/quillcove_core/tests/crash_words.rs
+++ b/quillcove_core/tests/crash_words.rs
@@ -148,10 +148,51 @@
     let mut all: Vec<CrashPattern> = patterns().into_iter().map(by_part).collect();
     let small = by_part(CrashPattern::USUAL);
     let grown = CrashPattern { relays: 25, replicas: 46, innocents: 120, ..small };
+    let two = Duration::from_secs(2);
     all.extend([
         CrashPattern { name: "4, sound before", was_sound: true, ..small },
         CrashPattern { name: "25, sound before", was_sound: true, ..grown },
         CrashPattern { name: "25, two parts", fatal: 2, ..grown },
+        CrashPattern { name: "4, no head", headless: 1.0, ..small },
+        CrashPattern { name: "25, no head", headless: 1.0, ..grown },
+        CrashPattern { name: "25, 4 at once, no head", headless: 1.0, copies: 4, ..grown },
+        CrashPattern { name: "25, half with no head", headless: 0.5, ..grown },
+        CrashPattern {
+            name: "25, one in four seconds, no head",
+            headless: 1.0,
+            pause: Duration::from_secs(4),
+            ..grown
+        },
+        CrashPattern {
+            name: "4, all lost",
+            restarts: &[15],
+            loaders_restart: true,
+            pause: two,
+            ..small
+        },
+        CrashPattern {
+            name: "25, all lost",
+            restarts: &[15],
+            loaders_restart: true,
+            pause: two,
+            ..grown
+        },
+        CrashPattern {
+            name: "4, all lost, no head",
+            restarts: &[15],
+            loaders_restart: true,
+            pause: two,
+            headless: 1.0,
+            ..small
+        },
+        CrashPattern {
+            name: "25, all lost, no head",
+            restarts: &[15],
+            loaders_restart: true,
+            pause: two,
+            headless: 1.0,
+            ..grown
+        },
         CrashPattern { name: "4, a third killed each second", kills, kills_in_turn: true, ..small },
         CrashPattern {
             name: "25, a third killed each second",
--- a/quillcove_core/tests/fatal_load.rs
+++ b/quillcove_core/tests/fatal_load.rs
@@ -23,7 +23,7 @@
 const NOW: Duration = Duration::from_secs(10);
 
 fn broke(identity: RequestIdentity, sent_at: Duration) -> ResponseAbort {
-    ResponseAbort { identity, has_begun: false, sent_at }
+    ResponseAbort { identity, has_other_cause: false, sent_at }
 }
 
 fn broken_key() -> AdapterKey {
--- a/quillcove_core/tests/part_choice.rs
+++ b/quillcove_core/tests/part_choice.rs
@@ -31,8 +31,11 @@
 
 /// Exits one second apart at which a part was in flight, the last one just now.
 fn exits(count: u32, part: u64) -> CrashReport {
-    let ended =
-        InFlightRequest { identity: part_identity("m", part), has_begun: false, runs_well: false };
+    let ended = InFlightRequest {
+        identity: part_identity("m", part),
+        has_other_cause: false,
+        runs_well: false,
+    };
     let report = |exit| ExitReport { end: exit, age: SECOND * exit as u32, requests: vec![ended] };
     CrashReport { ends: (0..u64::from(count)).map(report).collect(), good: Vec::new() }
 }
--- a/quillcove_core/tests/request_probes.rs
+++ b/quillcove_core/tests/request_probes.rs
@@ -38,7 +38,7 @@
 
 /// An exit just now at which this was in flight.
 fn exit(exit: u64, identity: RequestIdentity) -> CrashReport {
-    let ended = InFlightRequest { identity, has_begun: false, runs_well: false };
+    let ended = InFlightRequest { identity, has_other_cause: false, runs_well: false };
     let report = ExitReport { end: exit, age: Duration::ZERO, requests: vec![ended] };
     CrashReport { ends: vec![report], good: Vec::new() }
 }
