Exits under an attempt that goes on with a stream count

What callers saw: a resumable stream under which a replica crashes is sent on to the next ones, and these exits counted for nothing: neither the request nor its parts were suspected. Cause: the loop that resumes a stream did not report an attempt that failed before its head; the one for first attempts did. Evidence: exits_under_a_stream_that_is_resumed_count_as_those_under_its_begin waits until all relays know each exit; fails before ('word of ends and replicas did not come about'), passes now. Found by reading for the same cause elsewhere.

--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -367,6 +367,9 @@
                 },
                 AttemptEnd::Complete(_) => open.runs += 1,
                 AttemptEnd::Failed(failure) => {
+                    if matches!(failure, AttemptFailure::Lost(_)) {
+                        ends::handle_broken_response(open, &order, attempt::attempt_phase(open));
+                    }
                     // A withheld attempt was not sent, so it does not count against the limit.
                     let is_tried = !matches!(failure, AttemptFailure::Withheld);
                     open.runs += u32::from(is_tried);
