A connection that brought a response without an id carries no further request

Cause: rejections carry no request id, so that a late second copy of one was taken for the answer to the next request of its connection. Class: the absence of a contrary sign is taken for a proof. Fix: the connection of such a rejection, or of a 421 without an id, is closed. Of what is left, each surplus answer names a request, and is known as foreign by that. The body of an answer that is not forwarded is read for 50 ms and 64 kB at most, instead of until the request's deadline and 8 MiB. Test: a_surplus_refusal_is_not_taken_for_that_of_the_next_request; fails before ('r2 was run and refused').

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -31,6 +31,11 @@
 /// Largest response body, in bytes, that is buffered before it is forwarded.
 const RESPONSE_SIZE_LIMIT: usize = 8 << 20;
 
+/// Largest body, in bytes, and longest time in which a body that is not forwarded is read so that its connection can be
+/// reused; beyond either, the connection is closed.
+const DRAINED_SIZE_LIMIT: usize = 64 << 10;
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Time without a response after which a call on a safe route is retried on another replica. Longer
 /// than the longest processing time that the requirements give for such a call.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(350);
@@ -256,19 +261,19 @@
             AttemptEnd::Failed(AttemptFailure::Lost(reason))
         },
         ResponseClass::Ambiguous => {
-            drain_body(open, connection, body).await;
+            drain_body(open, &parts.headers, connection, body).await;
             let reason =
                 format!("status {} without a statement that the request did not run", parts.status);
             AttemptEnd::Failed(AttemptFailure::Lost(reason))
         },
         ResponseClass::NotRun => {
-            drain_body(open, connection, body).await;
+            drain_body(open, &parts.headers, connection, body).await;
             AttemptEnd::Failed(AttemptFailure::Refused(parts.status.as_u16()))
         },
         ResponseClass::Misdirected => {
             let instance = heads::responding_instance(&parts.headers);
             let is_other = instance.is_some_and(|instance| instance != order.replica);
-            drain_body(open, connection, body).await;
+            drain_body(open, &parts.headers, connection, body).await;
             AttemptEnd::Failed(AttemptFailure::Misdirected(is_other))
         },
         ResponseClass::Ran if is_event_stream(open.query.route.kind, parts.status) => {
@@ -436,9 +441,19 @@
     Ok(request)
 }
 
-/// Reads a body that is not forwarded, so that its connection can be reused.
-async fn drain_body(open: &OpenRequest, connection: ReplicaConnection, body: Incoming) {
-    if Limited::new(body, RESPONSE_SIZE_LIMIT).collect().await.is_ok() {
+/// Reads a body that is not forwarded, so that its connection can be reused. A connection on which a response without
+/// the request's id came is closed: a late second copy of it could not be told from the response to the next request.
+async fn drain_body(
+    open: &OpenRequest,
+    headers: &HeaderMap,
+    connection: ReplicaConnection,
+    body: Incoming,
+) {
+    if !heads::has_request_id(headers) {
+        return;
+    }
+    let collected = Limited::new(body, DRAINED_SIZE_LIMIT).collect();
+    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, collected).await {
         open.shared.pool.put(connection);
     }
 }
