An open port alone is no sign that a replica's run still lives

And a part under which replicas crash is never blamed where a supervisor starts them again at once. Cause: a connection to the port was taken for a sign of life, whoever listens there. Bytes that a relay without processor time read late were taken for one too. Class: as of the record's exits, a sign taken in one form only. Fix: where a connection broke and the port is open, the replica is asked for its report; another start time than that of the run that the attempt was sent to is an exit. A read counts as a sign of life only if the relay looks in time. A replica that names no start time, or does not answer, is taken for alive as before. Abandoned attempts, which are many, are looked at by port alone, as each report is priced.

--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -5,12 +5,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::Method;
 use quillcove_core::crash::digest::RequestIdentity;
 use quillcove_core::crash::evidence::{ExitEvidence, part_evidence};
 use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::crash::watch::{AbortKind, ExitCheck, ResponseAbort};
 use quillcove_core::ids::{MonoTime, PartId};
 use quillcove_core::relay::machine::{AttemptOrder, BreakStep};
+use quillcove_platform::engine;
 use slog::info;
 use tokio::runtime::Handle;
 use tokio::time::sleep;
@@ -22,6 +24,9 @@
 /// Time after the first broken connection within which bytes that a replica sent before its exit may still be read.
 const READ_GRACE_PERIOD: Duration = Duration::from_millis(10);
 
+/// Timeout of a replica's status report. An engine answers it without a slot.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Returns part ids in the form of the log.
 fn part_list(parts: &[PartId]) -> String {
     let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
@@ -167,32 +172,39 @@
     kind: AbortKind,
     due: MonoTime,
 ) -> Option<MonoTime> {
-    if shared.machine().has_received_since(&order.replica, due + READ_GRACE_PERIOD) {
+    // A process that reads late may read now what the replica sent before its exit.
+    let lateness = shared.clock.now().saturating_sub(due + PROBE_DELAY);
+    let is_read_in_time = lateness < READ_GRACE_PERIOD;
+    if is_read_in_time
+        && shared.machine().has_received_since(&order.replica, due + READ_GRACE_PERIOD)
+    {
         shared.machine().rule_out_exit(order, due);
         return shared.machine().exit_check_due(order, kind);
     }
     let probed_at = shared.clock.now();
-    let port = probe_port(order.address).await;
+    let run = find_run(shared, order, kind).await;
     // A replica may have begun to drain since the attempt was abandoned.
     let is_expected = kind == AbortKind::Abandoned && shared.machine().expects_exit(order);
-    let has_exited = port == PortState::Closed && !is_expected;
+    let has_exited = run.has_exited() && !is_expected;
     let mut requests = 0;
     let next = {
         let mut machine = shared.machine();
-        match port {
-            PortState::Closed if has_exited => {
+        match run {
+            ReplicaRunState::Exited | ReplicaRunState::Replaced if has_exited => {
                 requests = machine.confirm_exit(order, shared.clock.now());
             },
-            PortState::Open => machine.rule_out_exit(order, probed_at),
-            PortState::Closed | PortState::Silent => {
+            ReplicaRunState::Same | ReplicaRunState::Listening => {
+                machine.rule_out_exit(order, probed_at);
+            },
+            ReplicaRunState::Exited | ReplicaRunState::Replaced | ReplicaRunState::Silent => {
                 machine.end_exit_checks(order, shared.clock.now());
             },
         }
         machine.exit_check_due(order, kind)
     };
-    info!(shared.log, "replica looked at"; "replica" => &order.replica, "port" => port.label(),
+    info!(shared.log, "replica looked at"; "replica" => &order.replica, "port" => run.label(),
         "is_expected" => is_expected, "is_abandoned" => kind == AbortKind::Abandoned,
-        "requests_there" => requests);
+        "late_ms" => lateness.as_millis() as u64, "requests_there" => requests);
     if has_exited {
         shared.metrics.replica_ended();
         shared.messages_pending.notify_one();
@@ -200,6 +212,63 @@
     next
 }
 
+/// What is known of the run of a replica that was to serve an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReplicaRunState {
+    /// No process listens.
+    Exited,
+    /// Another run listens at the address.
+    Replaced,
+    /// The same run answered.
+    Same,
+    /// A process listens that does not say which run it is.
+    Listening,
+    /// The host does not answer.
+    Silent,
+}
+
+impl ReplicaRunState {
+    fn has_exited(self) -> bool {
+        matches!(self, Self::Exited | Self::Replaced)
+    }
+
+    /// Returns the state's name in the log.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Exited => PortState::Closed.label(),
+            Self::Replaced => "replaced",
+            Self::Same => "same",
+            Self::Listening => PortState::Open.label(),
+            Self::Silent => PortState::Silent.label(),
+        }
+    }
+}
+
+/// Finds out whether the run that an attempt was sent to still lives. An open port alone does not show it: a supervisor may
+/// have started the replica again, also while this process was paused.
+async fn find_run(shared: &RelayShared, order: &AttemptOrder, kind: AbortKind) -> ReplicaRunState {
+    match probe_port(order.address).await {
+        PortState::Closed => return ReplicaRunState::Exited,
+        PortState::Silent => return ReplicaRunState::Silent,
+        PortState::Open => {},
+    }
+    // Abandoned attempts are many, and no connection broke.
+    let start_time = order.start_time.filter(|_| kind == AbortKind::CutOff);
+    let Some(start_time) = start_time else {
+        return ReplicaRunState::Listening;
+    };
+    let call = engine::report_request();
+    let uri = format!("http://{}{}", order.address, call.path);
+    let client = &shared.status_client;
+    let answer = client.fetch(Method::GET, &uri, call.body, REPORT_TIMEOUT).await;
+    let report = answer.ok().and_then(|answer| engine::read_report(answer.body()).ok());
+    match report.and_then(|report| report.born) {
+        Some(born) if born == start_time => ReplicaRunState::Same,
+        Some(_) => ReplicaRunState::Replaced,
+        None => ReplicaRunState::Listening,
+    }
+}
+
 /// Logs that a request is sent although replicas exit under it or a part of its prompt, to try whether they still do.
 pub fn log_probe(open: &OpenRequest, order: &AttemptOrder, probed: &[RequestIdentity]) {
     let now = open.shared.clock.now();
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 
 use quillcove_core::relay::beacon::PeerMessage;
 use quillcove_core::relay::machine::RelayMachine;
@@ -19,6 +20,7 @@
 use crate::config::relay::RelaySettings;
 use crate::metrics::ProcessMetrics;
 use crate::peers::PeerSender;
+use crate::web::client::WebClient;
 
 /// Shared state of one relay.
 pub struct RelayShared {
@@ -27,6 +29,8 @@
     pub clock: MonoClock,
     pub metrics: Arc<ProcessMetrics>,
     pub pool: ReplicaPool,
+    /// Client for status reports of replicas; each has a connection of its own.
+    pub status_client: WebClient,
     /// What callers have not read yet.
     pub readers: Arc<ReaderState>,
     /// Notifies waits after a suspension of the process.
@@ -58,6 +62,7 @@
             readers: Arc::new(ReaderState::new(timeout, metrics.clone())),
             metrics,
             pool: ReplicaPool::new(settings.requests.connect_timeout, clock),
+            status_client: WebClient::new(settings.requests.connect_timeout, Duration::ZERO),
             clock,
             resume_notifier: ResumeNotifier::new(),
             is_ready: AtomicBool::new(false),
