A planned stop ends with the last connection, not with the last request in flight

Cause: a request counts as in flight from its admission, after its body was read, until its answer is handed to the connection. The stop ended 0.1 s after that count was 0. Class: a count that covers a part of a request's life only. Fix: the stop waits, within its time limit, until every connection has ended; in a stop a connection ends after its current response, or at once if it is idle.

--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -14,7 +14,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::yield_now;
-use tokio::time::sleep;
 
 use super::accept::AcceptedConnection;
 use super::forward;
@@ -24,9 +23,6 @@
 /// Time reserved before the end of the planned stop for responses that are still being sent.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
-/// Interval at which the number of requests in flight is polled during the planned stop.
-const STOP_POLL: Duration = Duration::from_millis(20);
-
 /// Smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_BUFFER_SIZE: usize = 8192;
 
@@ -45,14 +41,9 @@
     serve_all(&mut connections, &shared, &draining).await;
     // A request that began later might not end within the stop's time limit.
     drain.send_replace(true);
-    let drained = async {
-        while shared.machine().in_flight() > 0 {
-            sleep(STOP_POLL).await;
-        }
-        // Gives the last responses time to be sent.
-        sleep(STOP_POLL * 5).await;
-    };
-    let _ = shared.resume_notifier.wait_until(&shared.clock, end, drained).await;
+    drop(draining);
+    // Each connection holds a receiver until its request is read and its response written.
+    let _ = shared.resume_notifier.wait_until(&shared.clock, end, drain.closed()).await;
 }
 
 /// Serves connections until no more are accepted.
