--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -50,7 +50,8 @@
         "phase" => phase.label(), "parts" => part_list(&open.terms.shared_parts));
 }
 
-/// Finds out whether a response without framing, which ended at this moment, was cut off by the exit of its replica.
+/// Finds out whether a response without framing, which ended at this moment, was cut off by the exit of its replica, as is
+/// assumed if the replica gives no sign of life.
 /// Returns [`ExitCheck::Pending`] if the request's deadline passes before that is known.
 pub async fn check_unframed_end(
     open: &OpenRequest,
@@ -67,6 +68,10 @@
         if check == ExitCheck::Exited {
             log_broken_response(open, order, phase);
         }
+        if check == ExitCheck::Unknown && !shared.machine().expects_exit(order) {
+            // Nothing shows that the response is complete. A replica that was leaving ended it itself.
+            return ExitCheck::Exited;
+        }
         if check != ExitCheck::Pending {
             return check;
         }
@@ -260,8 +265,10 @@
     let call = engine::report_request();
     let uri = format!("http://{}{}", order.address, call.path);
     let client = &shared.status_client;
-    let answer = client.fetch(Method::GET, &uri, call.body, REPORT_TIMEOUT).await;
-    let report = answer.ok().and_then(|answer| engine::read_report(answer.body()).ok());
+    let Ok(answer) = client.fetch(Method::GET, &uri, call.body, REPORT_TIMEOUT).await else {
+        return ReplicaRunState::Silent;
+    };
+    let report = engine::read_report(answer.body()).ok();
     match report.and_then(|report| report.born) {
         Some(born) if born == start_time => ReplicaRunState::Same,
         Some(_) => ReplicaRunState::Replaced,
