Large answers are forwarded as they are read, and bytes without end are bounded

Found on the way: a body or stream whose bytes are always there never meets its deadline, as what is ready is read first; a test of ours took 24 GB and eight minutes to end. Cause: a plain answer was read whole, up to 8 MiB, and nothing bounded the sum. Fix: a plain answer beyond 64 kB is forwarded as its caller takes it. A connection to a replica buffers 64 kB at most, heads included; it was 400 kB. The deadline is looked at before each read, of streams too. WebClient reads 32 MiB at most. An answer over 8 MiB is no 502 any more.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
@@ -23,13 +23,15 @@
 
 use super::answers::is_event_stream;
 use super::ends;
+use super::large::LargeAnswer;
 use super::pool::ReplicaConnection;
 use super::reader::READ_BUFFER_BYTES;
 use super::request::OpenRequest;
 use crate::web::headers::is_framed;
 
-/// Largest response body, in bytes, that is buffered before it is forwarded.
-const RESPONSE_SIZE_LIMIT: usize = 8 << 20;
+/// Largest response body, in bytes, that is buffered before it is forwarded. As many requests as a relay admits at a time
+/// fit into half of its memory with such bodies.
+const BUFFERED_SIZE_LIMIT: usize = 64 << 10;
 
 /// Largest body, in bytes, and longest time in which a body that is not forwarded is read so that its connection can be
 /// reused; beyond either, the connection is closed.
@@ -123,6 +125,8 @@
     Complete(Response<Bytes>),
     /// A stream of events started.
     Stream(Box<LiveStream>),
+    /// The begin of a response was received that is too large to be buffered.
+    Large(Box<LargeAnswer>),
     /// There is no response for the caller.
     Failed(AttemptFailure),
 }
@@ -284,7 +288,7 @@
         },
         ResponseClass::Ran => {
             open.record_start(head_at);
-            return read_complete(open, connection, parts, body).await;
+            return read_complete(open, order, connection, parts, body).await;
         },
     };
     ExchangeEnd::Known(end)
@@ -367,7 +371,10 @@
         RouteKind::Unsafe | RouteKind::Stream | RouteKind::ResumableStream => NON_SAFE_MAX_IDLE,
     };
     let is_contended = open.shared.machine().is_contended(&open.query.service);
-    let read_buffer = is_contended.then_some(READ_BUFFER_BYTES);
+    let read_buffer = match is_contended {
+        true => READ_BUFFER_BYTES,
+        false => BUFFERED_SIZE_LIMIT,
+    };
     let mut stale = 0;
     loop {
         let pooled = match stale < STALE_CONNECTION_LIMIT {
@@ -458,23 +465,32 @@
     }
 }
 
-/// Reads a response to its end and returns its connection to the pool.
+/// Reads a response to its end and returns its connection to the pool, unless it is too large to be buffered.
 async fn read_complete(
     open: &OpenRequest,
+    order: &AttemptOrder,
     connection: ReplicaConnection,
     mut head: http::response::Parts,
-    body: Incoming,
+    mut body: Incoming,
 ) -> ExchangeEnd {
     let is_framed = is_framed(&head.headers) || body.is_end_stream();
-    let body = match Limited::new(body, RESPONSE_SIZE_LIMIT).collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) => {
-            let reason = format!("response interrupted: {error}");
-            return ExchangeEnd::Known(AttemptEnd::Failed(AttemptFailure::Lost(reason)));
-        },
-    };
     head.headers = heads::end_to_end_headers(&head.headers);
-    let response = Response::from_parts(head, body);
+    let mut begin = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => begin.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(error) => {
+                let reason = format!("response interrupted: {error}");
+                return ExchangeEnd::Known(AttemptEnd::Failed(AttemptFailure::Lost(reason)));
+            },
+        }
+        if begin.len() > BUFFERED_SIZE_LIMIT {
+            let (begin, order) = (begin.freeze(), order.clone());
+            let answer = LargeAnswer { head, begin, body, connection, order, is_framed };
+            return ExchangeEnd::Known(AttemptEnd::Large(Box::new(answer)));
+        }
+    }
+    let response = Response::from_parts(head, begin.freeze());
     match is_framed {
         true => {
             open.shared.pool.put(connection);
--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -21,6 +21,7 @@
 };
 use super::attempt::{self, AttemptEnd, AttemptFailure};
 use super::ends;
+use super::large;
 use super::request::{OpenRequest, Rejection, prepare};
 use super::shared::RelayShared;
 use super::stream;
@@ -81,6 +82,7 @@
         match end {
             AttemptEnd::Complete(response) => return finish_complete(open, response),
             AttemptEnd::Stream(live) => return stream::forward(open, live),
+            AttemptEnd::Large(answer) => return large::forward(open, *answer),
             AttemptEnd::Failed(failure) => {
                 if let Some(response) = handle_failure(&mut open, &order, failure) {
                     return finish_failed(open, response);
--- a/quillcove/src/relay/mod.rs
+++ b/quillcove/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod forward;
 mod input;
 mod intake;
+mod large;
 mod pool;
 mod reader;
 mod request;
--- a/quillcove/src/relay/pool.rs
+++ b/quillcove/src/relay/pool.rs
@@ -98,13 +98,12 @@
         None
     }
 
-    /// Opens a connection to a replica. Up to `read_buffer` bytes of a response that nobody reads are buffered, or
-    /// hyper's default of 400 kB.
+    /// Opens a connection to a replica. Up to `read_buffer` bytes of a response that nobody reads are buffered.
     pub async fn connect(
         &self,
         replica: &str,
         address: SocketAddr,
-        read_buffer: Option<usize>,
+        read_buffer: usize,
     ) -> Result<ReplicaConnection, String> {
         let connect = TcpStream::connect(address);
         let limit = *self.connect_timeout.lock().unwrap_or_else(PoisonError::into_inner);
@@ -114,9 +113,7 @@
             .map_err(|error| format!("connect failed: {error}"))?;
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
         let mut builder = http1::Builder::new();
-        if let Some(size) = read_buffer {
-            builder.max_buf_size(size);
-        }
+        builder.max_buf_size(read_buffer);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|error| error.to_string())?;
         let driver = tokio::spawn(async move {
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -224,6 +224,10 @@
         let Some(live) = &mut self.live else {
             return StreamStep::Broken("no upstream connection".to_string());
         };
+        if shared.clock.now() >= deadline {
+            // Bytes that are always there would be read first.
+            return StreamStep::TimeOver;
+        }
         let received =
             shared.resume_notifier.wait_until(&shared.clock, deadline, live.body.frame()).await;
         let Some(frame) = received else {
@@ -366,6 +370,14 @@
                     return true;
                 },
                 AttemptEnd::Complete(_) => open.runs += 1,
+                AttemptEnd::Large(answer) => {
+                    open.runs += 1;
+                    let now = open.shared.clock.now();
+                    let key = open.query.adapter.as_ref();
+                    let replica = &answer.order.replica;
+                    let fate = AttemptOutcome::Answered;
+                    open.shared.machine().end_attempt(replica, key, fate, now);
+                },
                 AttemptEnd::Failed(failure) => {
                     if matches!(failure, AttemptFailure::Lost(_)) {
                         ends::handle_broken_response(open, &order, attempt::attempt_phase(open));
--- a/quillcove/src/web/client.rs
+++ b/quillcove/src/web/client.rs
@@ -4,12 +4,16 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+/// Largest response body, in bytes. The largest known one is the listing of the store: 790 replicas with up to 400 adapters
+/// each and a configuration of some thousand routes take less than half of it.
+const RESPONSE_SIZE_LIMIT: usize = 32 << 20;
+
 /// HTTP client with a connection pool.
 #[derive(Clone, Debug)]
 pub struct WebClient {
@@ -79,12 +83,12 @@
         })
     }
 
-    /// Sends a request and reads the complete response within a time limit.
+    /// Sends a request and reads the complete response within a time limit and [`RESPONSE_SIZE_LIMIT`].
     ///
     /// # Errors
     ///
     /// The errors of [`WebClient::send`]; [`WebError::Lost`] also after a timeout or if the body is
-    /// incomplete. The status is not checked.
+    /// incomplete or too large. The status is not checked.
     ///
     /// ```
     /// use std::time::Duration;
@@ -109,7 +113,8 @@
         let exchange = async {
             let response = self.send(request).await?;
             let (parts, body) = response.into_parts();
-            let body = body.collect().await.map_err(|error| WebError::Lost(error.to_string()))?;
+            let body = Limited::new(body, RESPONSE_SIZE_LIMIT).collect().await;
+            let body = body.map_err(|error| WebError::Lost(error.to_string()))?;
             Ok(Response::from_parts(parts, body.to_bytes()))
         };
         let outcome = tokio::time::timeout(limit, exchange).await;
