--- a/quillcove/src/web/client.rs
+++ b/quillcove/src/web/client.rs
@@ -83,7 +83,7 @@
         })
     }
 
-    /// Sends a request and reads the complete response within a time limit and [`RESPONSE_SIZE_LIMIT`].
+    /// Sends a request and reads the complete response within a time limit, of at most 32 MiB.
     ///
     /// # Errors
     ///
