--- a/quillcove_core/src/crash/phase.rs
+++ b/quillcove_core/src/crash/phase.rs
@@ -119,9 +119,9 @@
 ///
 /// let after = Duration::from_millis;
 /// let mut proof = SurvivalProof::default();
-/// assert_eq!(proof.record_alive(after(400)), SurvivalStage::None);
-/// assert_eq!(proof.record_alive(after(600)), SurvivalStage::Begin);
-/// assert_eq!(proof.record_alive(after(700)), SurvivalStage::Run);
+/// assert_eq!(proof.record_alive(after(300)), SurvivalStage::None);
+/// assert_eq!(proof.record_alive(after(450)), SurvivalStage::Begin);
+/// assert_eq!(proof.record_alive(after(600)), SurvivalStage::Run);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SurvivalProof {
