A response without framing is complete only if its replica lives after its end

Cause: a replica that the list does not name any more, or names as draining, was taken for one that ends its responses in order, so nothing was checked. A relay that wakes reads the store's change before the end of the response: the crashed engine is gone from the list, and the next one stands at its address under another id. Class: a missing entry taken for evidence of an orderly end. Fix: such a response is complete only if its replica's run gives a sign of life after the end, also where the replica is leaving or gone: its report names its start, or its port is open and no other replica is listed there. A check that outlasts the request's deadline no longer counts as passed. A replica that leaves and closes its port within 30 ms of a response's end costs that response: it cannot be told from one that was cut off.

--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -10,7 +10,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use quillcove_core::crash::phase::RunPhase;
-use quillcove_core::crash::watch::ExitCheck;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -75,7 +74,7 @@
     /// The request may have run: the response was interrupted, belongs to another request, or was
     /// never received.
     Lost(String),
-    /// The request may have run: the replica exited when a response without framing ended, and the exit is recorded.
+    /// The request may have run: a response without framing ended, and its replica gave no sign of life since.
     CutOff,
     /// The request's deadline passed.
     TimeOver,
@@ -198,8 +197,10 @@
     let end = match finished {
         Some(ExchangeEnd::Known(end)) => end,
         Some(ExchangeEnd::Unframed(response)) => {
-            let check = ends::check_unframed_end(guard.open, order, RunPhase::Beginning).await;
-            classify_unframed(guard.open, response, check)
+            match ends::is_complete_unframed(guard.open, order, RunPhase::Beginning).await {
+                true => classify_complete(guard.open, response),
+                false => AttemptEnd::Failed(AttemptFailure::CutOff),
+            }
         },
         None => {
             ends::handle_abandoned_attempt(guard.open, order, attempt_phase(guard.open));
@@ -509,20 +510,6 @@
     classify_status(open, response)
 }
 
-/// Classifies a response that ended with its connection by what is known of its replica since.
-fn classify_unframed(
-    open: &OpenRequest,
-    response: Response<Bytes>,
-    check: ExitCheck,
-) -> AttemptEnd {
-    match check {
-        ExitCheck::Exited => AttemptEnd::Failed(AttemptFailure::CutOff),
-        ExitCheck::Alive => classify_complete(open, response),
-        // A host without power or cut off closes no connection, so that the replica itself ended the response.
-        ExitCheck::Pending | ExitCheck::Unknown => classify_status(open, response),
-    }
-}
-
 fn classify_status(open: &OpenRequest, response: Response<Bytes>) -> AttemptEnd {
     match response.status().is_server_error() && open.query.route.kind == RouteKind::Safe {
         true => AttemptEnd::Failed(AttemptFailure::Errored(Box::new(response))),
--- a/quillcove/src/relay/ends.rs
+++ b/quillcove/src/relay/ends.rs
@@ -50,36 +50,53 @@
         "phase" => phase.label(), "parts" => part_list(&open.terms.shared_parts));
 }
 
-/// Finds out whether a response without framing, which ended at this moment, was cut off by the exit of its replica, as is
-/// assumed if the replica gives no sign of life.
-/// Returns [`ExitCheck::Pending`] if the request's deadline passes before that is known.
-pub async fn check_unframed_end(
+/// Returns whether a response without framing, which ended at this moment, is known to be complete: only if its replica's
+/// run gave a sign of life after the end, as the replica's exit ends such a response in the same way.
+pub async fn is_complete_unframed(
     open: &OpenRequest,
     order: &AttemptOrder,
     phase: RunPhase,
-) -> ExitCheck {
+) -> bool {
     let shared = &open.shared;
     let ended_at = shared.clock.now();
     record_abort(open, order, phase, ended_at);
+    // The response is delivered late rather than withheld for want of time to check it.
+    let until = open.query.deadline.max(ended_at + REPORT_TIMEOUT);
     loop {
         // Registered before the check, so that a result in between is not missed.
         let checked = shared.exit_checked.notified();
         let check = shared.machine().exit_check(order, open.sent_at, ended_at);
-        if check == ExitCheck::Exited {
-            log_broken_response(open, order, phase);
+        match check {
+            ExitCheck::Alive => return true,
+            ExitCheck::Exited => break,
+            ExitCheck::Unknown => return is_alive_unlisted(open, order).await,
+            ExitCheck::Pending => {},
         }
-        if check == ExitCheck::Unknown && !shared.machine().expects_exit(order) {
-            // Nothing shows that the response is complete. A replica that was leaving ended it itself.
-            return ExitCheck::Exited;
-        }
-        if check != ExitCheck::Pending {
-            return check;
-        }
-        let deadline = open.query.deadline;
-        if shared.resume_notifier.wait_until(&shared.clock, deadline, checked).await.is_none() {
-            return ExitCheck::Pending;
+        if shared.resume_notifier.wait_until(&shared.clock, until, checked).await.is_none() {
+            break;
         }
     }
+    log_broken_response(open, order, phase);
+    false
+}
+
+/// Returns whether a replica whose exit is not watched still runs: it is leaving or has left the list, but may go on for
+/// long.
+async fn is_alive_unlisted(open: &OpenRequest, order: &AttemptOrder) -> bool {
+    let shared = &open.shared;
+    if !shared.machine().expects_exit(order) {
+        return false;
+    }
+    sleep(PROBE_DELAY).await;
+    let run = find_run(shared, order, AbortKind::CutOff).await;
+    let is_replaced = shared.machine().is_replaced(order);
+    info!(shared.log, "leaving replica looked at"; "id" => &open.terms.id, "replica" => &order.replica,
+        "port" => run.label(), "is_replaced" => is_replaced);
+    match run {
+        ReplicaRunState::Same => true,
+        ReplicaRunState::Listening => !is_replaced,
+        ReplicaRunState::Exited | ReplicaRunState::Replaced | ReplicaRunState::Silent => false,
+    }
 }
 
 /// Returns what is suspected if the replica of an attempt that ended in this phase has exited: the parts of the prompt,
--- a/quillcove/src/relay/large.rs
+++ b/quillcove/src/relay/large.rs
@@ -9,7 +9,6 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Incoming;
 use quillcove_core::crash::phase::RunPhase;
-use quillcove_core::crash::watch::ExitCheck;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::AttemptOrder;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -123,18 +122,14 @@
 
     /// Ends the request after the last byte; returns an error if the response may not be complete.
     async fn finish(&mut self) -> Option<BodyError> {
-        let check = match self.is_framed {
-            true => ExitCheck::Alive,
-            false => ends::check_unframed_end(&self.open, &self.order, RunPhase::Beginning).await,
-        };
-        if check == ExitCheck::Exited {
-            let reason = "replica exited at the end of a response without framing";
+        let is_complete = self.is_framed
+            || ends::is_complete_unframed(&self.open, &self.order, RunPhase::Beginning).await;
+        if !is_complete {
+            let reason = "no sign of life of the replica after a response without framing";
             return Some(self.fail(AttemptOutcome::Failed, reason.to_string()));
         }
-        if check == ExitCheck::Alive {
-            self.open.record_success();
-            self.open.record_survival(self.open.sent_at);
-        }
+        self.open.record_success();
+        self.open.record_survival(self.open.sent_at);
         if let Some(connection) = self.end_attempt(AttemptOutcome::Answered)
             && self.is_framed
         {
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -9,7 +9,6 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use quillcove_core::crash::phase::{RunPhase, SurvivalProof, SurvivalStage, proof_of_life};
-use quillcove_core::crash::watch::ExitCheck;
 use quillcove_core::ids::MonoTime;
 use quillcove_core::relay::machine::RelayChoice;
 use quillcove_core::relay::replica::AttemptOutcome;
@@ -165,12 +164,11 @@
                     return Some(Ok(events));
                 },
                 StreamStep::Ended => {
-                    let check = self.check_end().await;
-                    if check != ExitCheck::Exited {
-                        self.end_stream(check);
+                    if self.is_complete().await {
+                        self.end_stream();
                         return None;
                     }
-                    let reason = "replica exited at the end of a stream without framing";
+                    let reason = "no sign of life of the replica after a stream without framing";
                     if let Some(error) = self.resume_or_fail(reason).await {
                         return Some(Err(error));
                     }
@@ -209,13 +207,12 @@
         Some(BodyError::Upstream(reason.to_string()))
     }
 
-    /// Finds out whether the replica survived the end of its stream. Without framing, a stream looks complete even if
-    /// the replica exited.
-    async fn check_end(&self) -> ExitCheck {
+    /// Returns whether a stream that has ended is complete. Without framing it looks so even if the replica exited.
+    async fn is_complete(&self) -> bool {
         let Some(live) = self.live.as_ref().filter(|live| !is_framed(&live.head.headers)) else {
-            return ExitCheck::Alive;
+            return true;
         };
-        ends::check_unframed_end(&self.open, &live.order, self.phase(live)).await
+        ends::is_complete_unframed(&self.open, &live.order, self.phase(live)).await
     }
 
     /// Reads from the upstream until the request's deadline.
@@ -306,17 +303,15 @@
         RunPhase::of_stream(Some(since_head), self.has_event, has_survived)
     }
 
-    /// Ends the request after a complete stream; `check` tells whether its replica is known to have survived it.
-    fn end_stream(&mut self, check: ExitCheck) {
+    /// Ends the request after a complete stream.
+    fn end_stream(&mut self) {
         let now = self.open.shared.clock.now();
         if let Some(live) = self.live.take() {
             let key = self.open.query.adapter.as_ref();
             let replica = &live.order.replica;
             self.open.shared.machine().end_attempt(replica, key, AttemptOutcome::Answered, now);
-            if check == ExitCheck::Alive {
-                self.open.record_success();
-                self.open.record_survival(live.head_at);
-            }
+            self.open.record_success();
+            self.open.record_survival(live.head_at);
             if is_framed(&live.head.headers) {
                 self.open.shared.pool.put(live.connection);
             }
--- a/quillcove_core/src/relay/machine/crashes.rs
+++ b/quillcove_core/src/relay/machine/crashes.rs
@@ -214,7 +214,7 @@
         }
     }
 
-    /// Returns whether an exit of a replica is expected: it is gone or draining.
+    /// Returns whether an exit of a replica is expected, and so not watched: it is gone or draining.
     ///
     /// ```
     /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
@@ -227,6 +227,24 @@
         !self.table.get(&order.replica).is_some_and(|view| view.is_ready())
     }
 
+    /// Returns whether another replica is listed at the address of the one that an attempt was sent to.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::machine::{AttemptOrder, RelayMachine, RelayRules};
+    /// use quillcove_core::relay::replica::example_record;
+    ///
+    /// let order = AttemptOrder::to(&example_record("i-1"));
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// assert!(!machine.is_replaced(&order));
+    /// machine.list(example_record("i-2"), Duration::ZERO);
+    /// assert!(machine.is_replaced(&order));
+    /// ```
+    pub fn is_replaced(&self, order: &AttemptOrder) -> bool {
+        let listed = self.table.at(order.address).map(|view| &view.record);
+        listed.is_some_and(|it| it.id != order.replica || it.born != order.start_time)
+    }
+
     /// Returns whether a replica has sent any bytes after `at`.
     ///
     /// ```
