A stream without a named beginning goes on only where one origin is possible

Cause: a relay that has just started took the only version in its own list for the only one that had served. Versions were also forgotten 60 s after they had left, and on a route to several services one of them was drawn. Class: what a process has not seen taken for what has not been. Fix: the relay records since when it has followed the list without a gap and since when each route has led to the same services. Such a stream goes on only if both cover the longest time for which it may be taken up, and one version was listed in that time. Callers that name the beginning are not affected. The wrong variant of stream_origins.rs that concludes from what is listed now has code of its own and is still caught.

--- a/quillcove/src/relay/resumption.rs
+++ b/quillcove/src/relay/resumption.rs
@@ -18,7 +18,7 @@
     Own,
     /// Another process knew it.
     Asked,
-    /// The caller named no beginning, and only one software version has been listed lately.
+    /// The caller named no beginning, and only one software version can have begun the stream.
     Sole,
     /// Nobody knew it.
     Unknown,
@@ -84,11 +84,9 @@
 }
 
 /// Returns the origin of a stream whose caller names no beginning, as callers do that do not know the header: the only
-/// software version that this relay has seen lately, if there is only one.
+/// one that it can have.
 fn sole_origin(shared: &RelayShared, route: &RouteRecord) -> (ResumeOutcome, Option<OriginDigest>) {
-    let mut machine = shared.machine();
-    let service = machine.draw_service(route);
-    match service.and_then(|service| machine.sole_origin(&service)) {
+    match shared.machine().sole_origin(route, shared.clock.now()) {
         Some(origin) => (ResumeOutcome::Sole, Some(origin)),
         None => (ResumeOutcome::Unknown, None),
     }
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -41,7 +41,7 @@
 use super::cell::CellPlan;
 use super::demand::AdapterDemand;
 use super::knowledge::StoreKnowledge;
-use super::origin::{OriginDigest, OriginTracker, RecentListings};
+use super::origin::{OriginDigest, OriginTracker, RecentListings, WatchHistory};
 use super::policy::RelayPolicy;
 use super::promise::LoadEstimates;
 use super::reading::ReadingNumber;
@@ -181,6 +181,8 @@
     origins: OriginTracker,
     /// Replicas that are listed or were listed lately.
     listings: RecentListings,
+    /// Since when the list has been followed, and the routes have been the same.
+    history: WatchHistory,
     /// Number of streams that this relay began at each origin.
     streams_begun: BTreeMap<OriginDigest, u64>,
     /// When the recent listings are updated next.
@@ -232,6 +234,7 @@
             crashes: CrashTracker::default(),
             origins: OriginTracker::default(),
             listings: RecentListings::default(),
+            history: WatchHistory::default(),
             streams_begun: BTreeMap::new(),
             origins_due: MonoTime::ZERO,
             requests: 0,
--- a/quillcove_core/src/relay/machine/origins.rs
+++ b/quillcove_core/src/relay/machine/origins.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -9,11 +10,18 @@
 use super::{RelayMachine, RelayQuery};
 use crate::ids::{MonoTime, ServiceName, SoftwareVersion};
 use crate::relay::origin::{
-    self, ASKED_HOLDERS, HOLDERS, OriginDigest, OriginTracker, StreamKey, StreamOrigin,
+    self, ASKED_HOLDERS, HOLDERS, LISTING_SLACK, MAX_LIFETIME, OriginDigest, OriginTracker,
+    StreamKey, StreamOrigin,
 };
+use crate::relay::published::StorePart;
 use crate::relay::replica::ReplicaRecord;
+use crate::relay::tries::CallerTries;
 use crate::route::{RouteKind, RouteRecord};
 
+/// Age of the list of replicas from which on it does not show which software versions serve: the time within which a
+/// published change is to be in force.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+
 /// Interval between updates of the recent listings.
 const ORIGIN_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -151,21 +159,49 @@
         origins.find(|record| is_target(&record.service)).map(|record| record.service.clone())
     }
 
-    /// Returns the origin of all streams of a service, as far as this relay has seen, or `None` if replicas of several
-    /// software versions have been listed lately.
+    /// Returns the only origin that a stream of a route can have which a caller may take up now, or `None` if there may be
+    /// several: if the route leads to several services, if replicas of several software versions have been listed
+    /// since the stream may have begun, or if this relay has not followed the store since then. Replicas that state no
+    /// version are not told apart.
     ///
     /// ```
     /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     /// use quillcove_core::relay::origin::OriginDigest;
-    /// use quillcove_core::relay::replica::example_record;
+    /// use quillcove_core::relay::replica::{ReplicaRecord, example_record};
+    /// use quillcove_core::route::{RouteKind, example_route};
     ///
+    /// let (route, now) = (example_route(RouteKind::ResumableStream), Duration::from_secs(30));
     /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
-    /// machine.list(example_record("i-1"), Duration::ZERO);
-    /// assert_eq!(machine.sole_origin("s"), Some(OriginDigest::of("s", None)));
+    /// machine.list(example_record("i-1"), now);
+    /// assert_eq!(machine.sole_origin(&route, now), Some(OriginDigest::of("s", None)));
+    /// let mut machine = RelayMachine::new(RelayRules::default(), 1);
+    /// machine.list(ReplicaRecord { software: Some("v1".into()), ..example_record("i-1") }, now);
+    /// assert_eq!(machine.sole_origin(&route, now), None, "the relay has not seen the time before");
     /// ```
-    pub fn sole_origin(&self, service: &str) -> Option<OriginDigest> {
-        self.listings.sole_origin(service)
+    pub fn sole_origin(&self, route: &RouteRecord, now: MonoTime) -> Option<OriginDigest> {
+        let mut targets = route.targets.iter().filter(|target| target.weight > 0);
+        let service = &targets.next()?.service;
+        if targets.next().is_some() {
+            return None;
+        }
+        let begin = now.checked_sub(self.stream_lifetime(route) + LISTING_SLACK);
+        let software = self.listings.sole_software(service, begin.unwrap_or_default())?;
+        let is_certain = software.is_none()
+            || begin
+                .is_some_and(|begin| self.history.covers(route, begin) && !self.is_list_old(now));
+        is_certain.then(|| OriginDigest::of(service, software.as_deref()))
+    }
+
+    /// Returns for how long a caller may take up a stream of a route after its begin.
+    fn stream_lifetime(&self, route: &RouteRecord) -> Duration {
+        let stated = self.tries.get(&route.name).map_or(Duration::ZERO, CallerTries::longest);
+        route.timeout.max(stated).min(MAX_LIFETIME)
+    }
+
+    /// Returns whether replicas may have been listed, and may have begun streams, without this relay knowing of it.
+    fn is_list_old(&self, now: MonoTime) -> bool {
+        self.knowledge.is_old(StorePart::Replicas, MAX_LIST_AGE, now)
     }
 
     /// Returns the engines whose loaders hold the origin of a stream.
@@ -214,6 +250,9 @@
             self.listings.note_listed(&view.record, now);
         }
         self.listings.expire(now);
+        let is_current = !self.is_list_old(now);
+        let routes = self.sheet.iter().flat_map(|sheet| sheet.routes().map(Arc::as_ref));
+        self.history.note_followed(is_current, routes, now);
         let versions = self.listings.versions();
         let listed: BTreeSet<OriginDigest> = versions
             .map(|(service, software)| OriginDigest::of(service, software.as_deref()))
--- a/quillcove_core/src/relay/machine/published.rs
+++ b/quillcove_core/src/relay/machine/published.rs
@@ -33,6 +33,9 @@
     pub fn apply_configuration(&mut self, sheet: PublishedConfig) -> bool {
         let is_newer = self.sheet.as_ref().is_none_or(|held| sheet.version > held.version);
         if is_newer {
+            self.history.forget_changed(sheet.routes().map(Arc::as_ref));
+            // The next tick notes the routes of this configuration.
+            self.origins_due = MonoTime::ZERO;
             self.sheet = Some(Arc::new(sheet));
         }
         is_newer
--- a/quillcove_core/src/relay/origin/book.rs
+++ b/quillcove_core/src/relay/origin/book.rs
@@ -13,8 +13,8 @@
 /// at 420 relays, each process holds a few hundred.
 const MAX_STREAMS: usize = 65_536;
 
-/// Longest lifetime that is accepted, so that a caller with an extreme deadline does not occupy memory.
-const MAX_LIFETIME: Duration = Duration::from_secs(600);
+/// Longest lifetime of a stream that is accepted, so that a caller with an extreme deadline does not occupy memory.
+pub const MAX_LIFETIME: Duration = Duration::from_secs(600);
 
 /// Interval at which expired streams are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
--- a/quillcove_core/src/relay/origin/listings.rs
+++ b/quillcove_core/src/relay/origin/listings.rs
@@ -4,15 +4,21 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::OriginDigest;
+use super::MAX_LIFETIME;
 use crate::ids::{MonoTime, ServiceName, SoftwareVersion};
 use crate::relay::replica::ReplicaRecord;
 
-/// Time for which the loader of an engine that is no longer listed remains a holder, and its software version counts as
-/// listed. An engine that exits leaves the list, while its loader keeps running; without this time, the holders of a
-/// stream would change with each exit.
+/// Time for which the loader of an engine that is no longer listed remains a holder. An engine that exits leaves the list,
+/// while its loader keeps running; without this time, the holders of a stream would change with each exit.
 const DEPARTED_LIFETIME: Duration = Duration::from_secs(60);
 
+/// Time for which a software version counts as listed lately: as long as streams that it began may be taken up.
+const SOFTWARE_LIFETIME: Duration = MAX_LIFETIME.saturating_add(LISTING_SLACK);
+
+/// Longest time for which a stream may still begin at a replica after it was last noted as listed: the interval of the
+/// notes, and the time after which a relay reads an old list no more.
+pub const LISTING_SLACK: Duration = Duration::from_secs(10);
+
 /// Addresses and software versions of the replicas that are listed or were listed lately.
 #[derive(Clone, Debug, Default)]
 pub struct RecentListings {
@@ -41,26 +47,32 @@
         self.software.insert((record.service.clone(), record.software.clone()), now);
     }
 
-    /// Returns the only software version that replicas of a service have been listed with lately, as an origin; `None`
-    /// if there were several or no replicas.
+    /// Returns the only software version that replicas of a service have been listed with since `begin`; `None` if there
+    /// were several or no replicas.
     ///
     /// ```
     /// use std::time::Duration;
-    /// use quillcove_core::relay::origin::{OriginDigest, RecentListings};
+    /// use quillcove_core::relay::origin::RecentListings;
     /// use quillcove_core::relay::replica::{ReplicaRecord, example_record};
     ///
+    /// let begin = Duration::from_secs(5);
     /// let mut listings = RecentListings::default();
-    /// listings.note_listed(&example_record("i-1"), Duration::ZERO);
-    /// assert_eq!(listings.sole_origin("s"), Some(OriginDigest::of("s", None)));
+    /// listings.note_listed(&example_record("i-1"), begin);
+    /// assert_eq!(listings.sole_software("s", begin), Some(&None));
     /// let other = ReplicaRecord { software: Some("v2".into()), ..example_record("i-2") };
-    /// listings.note_listed(&other, Duration::ZERO);
-    /// assert_eq!(listings.sole_origin("s"), None);
+    /// listings.note_listed(&other, begin);
+    /// assert_eq!(listings.sole_software("s", begin), None);
     /// ```
-    pub fn sole_origin(&self, service: &str) -> Option<OriginDigest> {
-        let mut versions = self.software.keys().filter(|(listed, _)| listed == service);
-        let (_, software) = versions.next()?;
-        let origin = OriginDigest::of(service, software.as_deref());
-        versions.next().is_none().then_some(origin)
+    pub fn sole_software(
+        &self,
+        service: &str,
+        begin: MonoTime,
+    ) -> Option<&Option<SoftwareVersion>> {
+        let of_service =
+            |((listed, _), at): &(&(ServiceName, _), &MonoTime)| listed == service && **at >= begin;
+        let mut versions = self.software.iter().filter(of_service).map(|((_, it), _)| it);
+        let software = versions.next()?;
+        versions.next().is_none().then_some(software)
     }
 
     /// Returns the services and software versions that replicas have been listed with lately.
@@ -85,9 +97,8 @@
     /// assert_eq!(listings.engines(|_| true).count(), 0);
     /// ```
     pub fn expire(&mut self, now: MonoTime) {
-        let is_recent = |at: MonoTime| now.saturating_sub(at) < DEPARTED_LIFETIME;
-        self.replicas.retain(|_, (_, at)| is_recent(*at));
-        self.software.retain(|_, at| is_recent(*at));
+        self.replicas.retain(|_, (_, at)| now.saturating_sub(*at) < DEPARTED_LIFETIME);
+        self.software.retain(|_, at| now.saturating_sub(*at) < SOFTWARE_LIFETIME);
     }
 
     /// Returns the addresses of the replicas of services that have engines, and so loaders.
--- a/quillcove_core/src/relay/origin/mod.rs
+++ b/quillcove_core/src/relay/origin/mod.rs
@@ -4,10 +4,12 @@
 //! Callers take a stream up at any relay, and the relay that began it may be gone. Each first event is therefore
 //! reported to the loaders of [`HOLDERS`] engines, which rendezvous hashing selects by the stream, and a relay that does
 //! not know the origin of a stream asks them. For callers that name the beginning of their stream, an origin is only
-//! believed when it was recorded or told. Those that name none go on only while a single version has been listed
-//! ([`RecentListings::sole_origin`]): that is as much as a relay can see, and no proof.
+//! believed when it was recorded or told. Those that name none go on only if this process has followed the store for as
+//! long as their stream may be old ([`WatchHistory`]) and has seen a single version in that time: what a process that has
+//! just started has not seen may have been there.
 
 mod book;
+mod history;
 mod holders;
 mod listings;
 mod lookup;
@@ -17,9 +19,10 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use self::book::{KnownOrigin, OriginBook};
+pub use self::book::{KnownOrigin, MAX_LIFETIME, OriginBook};
+pub use self::history::WatchHistory;
 pub use self::holders::{ASKED_HOLDERS, HOLDERS, rank_holders};
-pub use self::listings::RecentListings;
+pub use self::listings::{LISTING_SLACK, RecentListings};
 pub use self::lookup::{OriginLookup, OriginTracker};
 use crate::relay::replica::ReplicaRecord;
 use crate::rendezvous::stable_hash;
--- a/quillcove_core/src/relay/tries.rs
+++ b/quillcove_core/src/relay/tries.rs
@@ -68,6 +68,7 @@
     since_learnt: usize,
     /// Band of the first attempts; `None` while it is unknown.
     band: Option<AttemptBand>,
+    longest: Duration,
 }
 
 /// Band of the times that first attempts state.
@@ -92,6 +93,7 @@
     /// assert_eq!(CallerTries::default().time_since_first_attempt(Duration::ZERO), Duration::ZERO);
     /// ```
     pub fn time_since_first_attempt(&mut self, waiting_time: Duration) -> Duration {
+        self.longest = self.longest.max(waiting_time);
         let age = match self.band {
             Some(band) if waiting_time < band.lower_edge => band.first_stated - waiting_time,
             Some(_) | None => Duration::ZERO,
@@ -108,6 +110,17 @@
         age
     }
 
+    /// Returns the longest time that a caller has stated.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// assert_eq!(quillcove_core::relay::tries::CallerTries::default().longest(), Duration::ZERO);
+    /// ```
+    pub fn longest(&self) -> Duration {
+        self.longest
+    }
+
     /// Returns the band of the times that first attempts state; `None` while it is unknown.
     ///
     /// ```
--- a/quillcove_core/src/route.rs
+++ b/quillcove_core/src/route.rs
@@ -87,6 +87,30 @@
     pub targets: Vec<RouteShare>,
 }
 
+/// Returns a route `r` of any path to the service `s`, for the examples of this documentation.
+///
+/// ```
+/// use quillcove_core::route::{RouteKind, example_route};
+///
+/// assert_eq!(example_route(RouteKind::Safe).targets.len(), 1);
+/// ```
+pub fn example_route(kind: RouteKind) -> RouteRecord {
+    RouteRecord {
+        name: "r".to_string(),
+        host: "a.example".to_string(),
+        prefix: "/".to_string(),
+        kind,
+        timeout: Duration::from_secs(1),
+        aim: Duration::from_millis(100),
+        patience: None,
+        priority: 0,
+        attempt_limit: 1,
+        target_gap: None,
+        is_public: true,
+        targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
+    }
+}
+
 impl RouteRecord {
     /// Returns the work class that corresponds to the priority.
     ///
--- a/quillcove_core/tests/stream_origins.rs
+++ b/quillcove_core/tests/stream_origins.rs
@@ -5,7 +5,7 @@
 mod relay_site;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -95,6 +95,13 @@
     Trouble(usize),
 }
 
+/// Returns the only origin that is listed now.
+fn sole_listed(machine: &RelayMachine) -> Option<OriginDigest> {
+    let origins = machine.table().all().map(|view| OriginDigest::of_record(&view.record));
+    let origins: BTreeSet<OriginDigest> = origins.collect();
+    origins.first().copied().filter(|_| origins.len() == 1)
+}
+
 struct Stream {
     begun: Option<OriginDigest>,
     relay: usize,
@@ -305,7 +312,7 @@
         let newest = || machine.table().all().map(|view| &view.record.software).max().cloned();
         let origin = match (self.variant, origin) {
             (Variant::RejectsAll, _) => None,
-            (Variant::SoleListed, None) => machine.sole_origin("s"),
+            (Variant::SoleListed, None) => sole_listed(machine),
             (Variant::Newest, None) => {
                 newest().map(|software| OriginDigest::of("s", software.as_deref()))
             },
