Entry and agent give connections the stop's limit to end, not two seconds

What callers saw: a request whose body was still being read when its entry was stopped got no response, 2 s after the last admitted request had ended, though the stop's limit is 300 s; a large answer of a plain service was cut off in the same way where its caller read slowly. Cause: both stops wait for their own count of admitted work, and closed the server within a fixed time after that. Fix: the server closes when its last connection has ended, within the stop's limit; the deciding duty goes on until then, so that a request read late is rejected as not run for leaving. The process counts as stopped when its threads have ended, so that a second signal or the limit still ends it. An abort keeps its two seconds. Slow readers of an agent's answers: by reading, no test of its own.

--- a/quillcove/src/agent/decide.rs
+++ b/quillcove/src/agent/decide.rs
@@ -22,7 +22,7 @@
 use crate::bundle::watch::WatchRequest;
 use crate::clock::MonoClock;
 use crate::duty;
-use crate::process::update_readiness;
+use crate::process::{ProcessPhase, update_readiness};
 
 /// State of the decision thread.
 pub struct DecideDuty {
@@ -30,7 +30,7 @@
     pub clock: MonoClock,
     pub order_tasks: mpsc::Sender<OrderTask>,
     pub watch_requests: mpsc::Sender<WatchRequest>,
-    pub halt: watch::Sender<bool>,
+    pub phase: watch::Sender<ProcessPhase>,
     pub is_ready: Arc<AtomicBool>,
     pub pending: HashMap<AttemptId, oneshot::Sender<AttemptDecision>>,
     pub withdrawals: HashMap<AttemptId, Vec<oneshot::Sender<WithdrawAnswer>>>,
@@ -87,7 +87,7 @@
             },
             Some(AgentInput::Halt) => return false,
         }
-        !*self.halt.borrow()
+        *self.phase.borrow() != ProcessPhase::Aborted
     }
 
     /// Passes an upstream notice to the machine. An upstream repeats its notice with each response, so a log line is
@@ -139,7 +139,7 @@
             },
             AgentAction::Stopped => {
                 info!(self.log, "agent stopped");
-                self.halt.send_replace(true);
+                self.phase.send_replace(ProcessPhase::Closing);
             },
         }
     }
--- a/quillcove/src/agent/mod.rs
+++ b/quillcove/src/agent/mod.rs
@@ -38,7 +38,7 @@
 use crate::metrics::ProcessMetrics;
 use crate::operator;
 use crate::platform::HttpPlatform;
-use crate::process::{DumpInspector, ProcessHandle, close_on_stop};
+use crate::process::{DumpInspector, ProcessHandle, ProcessPhase, close_on_stop};
 
 /// Number of inputs that may wait for the decision thread.
 const INPUT_QUEUE_CAPACITY: usize = 4096;
@@ -92,7 +92,7 @@
         let (ring, inputs) = DutyRing::new(INPUT_QUEUE_CAPACITY);
         let (order_tasks, order_receiver) = mpsc::channel(TASK_QUEUE_CAPACITY);
         let (watch_requests, watch_receiver) = mpsc::channel(TASK_QUEUE_CAPACITY);
-        let (halt, halted) = watch::channel(false);
+        let (phase, phases) = watch::channel(ProcessPhase::Running);
         let is_ready = Arc::new(AtomicBool::new(false));
 
         let machine = new_machine(&settings, incarnation, &clock);
@@ -101,7 +101,7 @@
             clock,
             order_tasks,
             watch_requests,
-            halt: halt.clone(),
+            phase: phase.clone(),
             is_ready: is_ready.clone(),
             pending: Default::default(),
             withdrawals: Default::default(),
@@ -121,7 +121,8 @@
 
         let (bound_sender, bound) = std::sync::mpsc::channel();
         let mut threads = vec![decide.spawn(inputs, TICK_INTERVAL)];
-        let halted_serve = halted.clone();
+        let serve_phases = phases.clone();
+        let stop_limit = settings.stop.limit;
         let serve_log = log.clone();
         let workers = settings.listen.threads;
         threads.push(duty::spawn("serve", move || {
@@ -130,7 +131,7 @@
                 control_service,
                 inspector,
                 bound_sender,
-                halted_serve,
+                (serve_phases, stop_limit),
                 serve_log,
             );
             duty::run_async(workers, run);
@@ -152,7 +153,7 @@
         }));
         info!(log, "agent started"; "data" => %bound.data, "control" => %bound.control,
             "operator" => %bound.operator);
-        let handle = ProcessHandle { ring, threads, halt, is_ready };
+        let handle = ProcessHandle { ring, threads, phase, is_ready };
         let BoundAddresses { data, control, operator } = bound;
         Ok(Self { data, control, operator, handle })
     }
@@ -264,9 +265,10 @@
     control_service: ControlService,
     inspector: DumpInspector<AgentInput, AgentView>,
     bound: std::sync::mpsc::Sender<eyre::Result<BoundAddresses>>,
-    halted: watch::Receiver<bool>,
+    (phases, stop_limit): (watch::Receiver<ProcessPhase>, Duration),
     log: Logger,
 ) {
+    let ring = serve.ring();
     let metrics = serve.metrics();
     let listen = serve.listen();
     let started = async {
@@ -286,5 +288,6 @@
     let addresses =
         BoundAddresses { data: data.local_addr(), control, operator: operator.local_addr() };
     let _ = bound.send(Ok(addresses));
-    close_on_stop(data, halted).await;
+    close_on_stop(data, phases, stop_limit).await;
+    ring.put(AgentInput::Halt);
 }
--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -78,6 +78,10 @@
         Self { settings, ring, clock, metrics, client, once_client }
     }
 
+    pub fn ring(&self) -> DutyRing<AgentInput> {
+        self.ring.clone()
+    }
+
     pub fn metrics(&self) -> Arc<ProcessMetrics> {
         self.metrics.clone()
     }
--- a/quillcove/src/entry/decide.rs
+++ b/quillcove/src/entry/decide.rs
@@ -17,7 +17,7 @@
 use crate::bundle::watch::WatchRequest;
 use crate::clock::MonoClock;
 use crate::duty;
-use crate::process::update_readiness;
+use crate::process::{ProcessPhase, update_readiness};
 
 /// Capacity of the step queue of a request's handler, which never has more than one step pending.
 pub const STEP_QUEUE_CAPACITY: usize = 4;
@@ -50,7 +50,7 @@
     pub machine: EntryMachine,
     pub clock: MonoClock,
     pub watch_requests: mpsc::Sender<WatchRequest>,
-    pub halt: watch::Sender<bool>,
+    pub phase: watch::Sender<ProcessPhase>,
     pub is_ready: Arc<AtomicBool>,
     pub step_senders: HashMap<RequestId, mpsc::Sender<RequestStep>>,
     pub log: Logger,
@@ -84,7 +84,7 @@
             },
             Some(EntryInput::Halt) => return false,
         }
-        !*self.halt.borrow()
+        *self.phase.borrow() != ProcessPhase::Aborted
     }
 
     fn handle(&mut self, event: EntryEvent) {
@@ -114,7 +114,7 @@
             },
             EntryAction::Stopped => {
                 info!(self.log, "entry stopped");
-                self.halt.send_replace(true);
+                self.phase.send_replace(ProcessPhase::Closing);
             },
         }
     }
--- a/quillcove/src/entry/mod.rs
+++ b/quillcove/src/entry/mod.rs
@@ -30,7 +30,7 @@
 use crate::metrics::ProcessMetrics;
 use crate::operator;
 use crate::platform::HttpPlatform;
-use crate::process::{DumpInspector, ProcessHandle, close_on_stop};
+use crate::process::{DumpInspector, ProcessHandle, ProcessPhase, close_on_stop};
 
 /// Capacity of the event queue of the `decide` thread.
 const EVENT_QUEUE_CAPACITY: usize = 8192;
@@ -73,14 +73,14 @@
         let shelf = SharedFleetState::default();
         let (ring, inputs) = DutyRing::new(EVENT_QUEUE_CAPACITY);
         let (watch_requests, watch_receiver) = mpsc::channel(WATCH_QUEUE_CAPACITY);
-        let (halt, halted) = watch::channel(false);
+        let (phase, phases) = watch::channel(ProcessPhase::Running);
         let is_ready = Arc::new(AtomicBool::new(false));
 
         let decide = DecideDuty {
             machine: EntryMachine::new(settings.rules(), rand::random(), clock.now()),
             clock,
             watch_requests,
-            halt: halt.clone(),
+            phase: phase.clone(),
             is_ready: is_ready.clone(),
             step_senders: Default::default(),
             log: log.clone(),
@@ -101,10 +101,12 @@
         let (bound_sender, bound) = std::sync::mpsc::channel();
         let mut threads = vec![decide.spawn(inputs, TICK_INTERVAL)];
         let workers = settings.listen.threads;
-        let halted_serve = halted.clone();
+        let serve_phases = phases.clone();
+        let stop_limit = settings.stop.limit;
         let serve_log = log.clone();
         threads.push(duty::spawn("serve", move || {
-            let run = run_servers(serve, inspector, bound_sender, halted_serve, serve_log);
+            let stop = (serve_phases, stop_limit);
+            let run = run_servers(serve, inspector, bound_sender, stop, serve_log);
             duty::run_async(workers, run);
         }));
         let (callers, operator) =
@@ -118,7 +120,7 @@
             duty::run_async(1, watch.run(watch_receiver));
         }));
         info!(log, "entry started"; "callers" => %callers, "operator" => %operator);
-        let handle = ProcessHandle { ring, threads, halt, is_ready };
+        let handle = ProcessHandle { ring, threads, phase, is_ready };
         Ok(Self { callers, operator, handle })
     }
 
@@ -208,10 +210,11 @@
     serve: ServeContext,
     inspector: DumpInspector<EntryInput, EntryView>,
     bound: std::sync::mpsc::Sender<eyre::Result<BoundAddresses>>,
-    halted: watch::Receiver<bool>,
+    (phases, stop_limit): (watch::Receiver<ProcessPhase>, Duration),
     log: Logger,
 ) {
     let operator_address = serve.settings.listen.operator;
+    let ring = serve.ring.clone();
     let metrics = serve.metrics.clone();
     let started = serve::start(serve, &log).and_then(|callers| {
         let operator = operator::start(operator_address, inspector, metrics, &log)?;
@@ -225,5 +228,6 @@
         },
     };
     let _ = bound.send(Ok((callers.local_addr(), operator.local_addr())));
-    close_on_stop(callers, halted).await;
+    close_on_stop(callers, phases, stop_limit).await;
+    ring.put(EntryInput::Halt);
 }
--- a/quillcove/src/process.rs
+++ b/quillcove/src/process.rs
@@ -1,5 +1,6 @@
 //! Shutdown and inspection, shared by the processes of all roles.
 
+use std::future::pending;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -11,7 +12,7 @@
 use serde::Serialize;
 use slog::{Logger, info};
 use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use crate::duty::DutyRing;
 use crate::operator::ProcessInspector;
@@ -19,14 +20,25 @@
 /// Builds the event that requests the state of a deciding duty.
 pub type DumpEventBuilder<I, V> = fn(oneshot::Sender<V>) -> I;
 
+/// Phase of a process's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessPhase {
+    /// It accepts work, or completes what it has admitted.
+    Running,
+    /// All admitted work is done; what its connections still carry is read and answered.
+    Closing,
+    /// It stops at once.
+    Aborted,
+}
+
 /// Handle to the duties of a running process.
 pub struct ProcessHandle<I> {
     /// Event queue of the deciding duty.
     pub ring: DutyRing<I>,
     /// Threads of all duties.
     pub threads: Vec<JoinHandle<()>>,
-    /// `true` once the process has been asked to stop.
-    pub halt: watch::Sender<bool>,
+    /// Phase of the process.
+    pub phase: watch::Sender<ProcessPhase>,
     /// Whether the process accepts new work.
     pub is_ready: Arc<AtomicBool>,
 }
@@ -40,11 +52,11 @@
     /// # }
     /// ```
     pub fn abort(&self, input: I) {
-        self.halt.send_replace(true);
+        self.phase.send_replace(ProcessPhase::Aborted);
         self.ring.put(input);
     }
 
-    /// Returns whether the process has been asked to stop or has stopped.
+    /// Returns whether all duties have ended.
     ///
     /// ```no_run
     /// # fn run(handle: quillcove::process::ProcessHandle<u8>) {
@@ -52,7 +64,7 @@
     /// # }
     /// ```
     pub fn has_stopped(&self) -> bool {
-        *self.halt.borrow()
+        self.threads.iter().all(JoinHandle::is_finished)
     }
 
     /// Returns whether the process accepts new work.
@@ -95,23 +107,37 @@
     }
 }
 
-/// Time for which a stopping process lets its last responses be sent.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which an aborted process lets its last responses be sent.
+const ABORT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Waits until the process is asked to stop, then closes the server and lets its completed
-/// responses be sent.
+/// Waits until all admitted work is done, then closes the server: connections end after the request that they carry, within
+/// `limit`.
 ///
 /// ```no_run
-/// # async fn run(server: dropshot::HttpServer<()>, halted: tokio::sync::watch::Receiver<bool>) {
-/// quillcove::process::close_on_stop(server, halted).await;
+/// # use std::time::Duration;
+/// # use quillcove::process::ProcessPhase;
+/// # use tokio::sync::watch;
+/// # async fn run(server: dropshot::HttpServer<()>, phase: watch::Receiver<ProcessPhase>) {
+/// quillcove::process::close_on_stop(server, phase, Duration::from_secs(8)).await;
 /// # }
 /// ```
 pub async fn close_on_stop<C: ServerContext>(
     server: HttpServer<C>,
-    mut halted: watch::Receiver<bool>,
+    mut phase: watch::Receiver<ProcessPhase>,
+    limit: Duration,
 ) {
-    let _ = halted.wait_for(|is_halted| *is_halted).await;
-    let _ = timeout(CLOSE_TIMEOUT, server.close()).await;
+    let _ = phase.wait_for(|phase| *phase != ProcessPhase::Running).await;
+    let aborted = async {
+        match phase.wait_for(|phase| *phase == ProcessPhase::Aborted).await {
+            Ok(_) => sleep(ABORT_TIMEOUT).await,
+            Err(_) => pending().await,
+        }
+    };
+    tokio::select! {
+        _ = server.close() => {},
+        () = aborted => {},
+        () = sleep(limit) => {},
+    }
 }
 
 /// Updates the readiness flag and logs a change.
--- a/quillcove/src/run.rs
+++ b/quillcove/src/run.rs
@@ -205,7 +205,6 @@
         true
     });
     if has_stopped {
-        // The last answers leave while the serving duty closes.
         role.join();
         return ExitCode::SUCCESS;
     }
