Requests that no replica has got are rejected before the end of a planned stop

What callers saw: a request that was still being read, or that waited for a replica or an adapter, when the stop's time was over, lost its connection without a response, so that its caller could not tell that it had not run. Cause: 0.4 s before the limit the relay ended at once with all that was open. Fix: 0.4 s before the limit such requests get 503, not run; what replicas work on, and responses that are being sent, have 0.3 s more. No test makes a request wait for an adapter at that moment.

--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -44,7 +44,12 @@
 ) -> Response<ResponseBody> {
     let received = shared.clock.now();
     let id = request.headers().get(heads::id_header()).cloned();
-    let response = match prepare(&shared, request, caller, received).await {
+    let prepared =
+        match unless_stop_ends(&shared, prepare(&shared, request, caller, received)).await {
+            Ok(prepared) => prepared,
+            Err(refusal) => Err(refusal.into()),
+        };
+    let response = match prepared {
         Ok(open) => run_attempts(open).await,
         Err(Rejection::Refused(refusal)) => {
             shared.metrics.record_refusal(refusal.reason, WorkClass::Normal);
@@ -62,6 +67,24 @@
     close_when_leaving_or_crowded(&shared, with_request_id(response, id))
 }
 
+/// Awaits a step before which no replica has got the request.
+///
+/// # Errors
+///
+/// Rejects the request if the planned stop is about to end first.
+async fn unless_stop_ends<F: Future>(
+    shared: &RelayShared,
+    step: F,
+) -> Result<F::Output, WorkRefusal> {
+    tokio::select! {
+        biased;
+        output = step => Ok(output),
+        () = shared.stop_ending() => {
+            Err(WorkRefusal::not_run(RefusalReason::Leaving, Some(Duration::ZERO)))
+        },
+    }
+}
+
 /// Returns a request's id in the form that the other log lines use.
 fn log_id(id: &Option<http::HeaderValue>) -> Option<String> {
     id.as_ref().map(|id| String::from_utf8_lossy(id.as_bytes()).into_owned())
@@ -70,9 +93,10 @@
 /// Makes attempts until there is a response or no further attempt is allowed.
 async fn run_attempts(mut open: OpenRequest) -> Response<ResponseBody> {
     loop {
-        let order = match next_attempt(&mut open).await {
-            Ok(order) => order,
-            Err(refusal) => return reject(open, refusal),
+        let shared = open.shared.clone();
+        let order = match unless_stop_ends(&shared, next_attempt(&mut open)).await {
+            Ok(Ok(order)) => order,
+            Ok(Err(refusal)) | Err(refusal) => return reject(open, refusal),
         };
         let is_first = open.attempts == 0;
         open.attempts += 1;
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -2,7 +2,7 @@
 //! line when it ends.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -384,7 +384,7 @@
     let requested_timeout = terms.time_limit.unwrap_or(route.timeout);
     let age = shared.machine().time_since_first_attempt(&route.name, requested_timeout);
     let deadline = received + requested_timeout.min(route.timeout);
-    let body = read_body(&configuration, body).await?;
+    let body = read_body(shared, &configuration, body).await?;
     let digested = RequestParts {
         method: parts.method.as_str(),
         host,
@@ -448,8 +448,29 @@
     })
 }
 
+/// Counts something for as long as it lives.
+struct CountGuard<'a>(&'a AtomicUsize);
+
+impl<'a> CountGuard<'a> {
+    fn enter(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Reads the body within the size limit and the read timeout of the configuration.
-async fn read_body(configuration: &PublishedConfig, body: Incoming) -> Result<Bytes, Rejection> {
+async fn read_body(
+    shared: &RelayShared,
+    configuration: &PublishedConfig,
+    body: Incoming,
+) -> Result<Bytes, Rejection> {
+    let _counted = CountGuard::enter(&shared.reading);
     let limited = Limited::new(body, configuration.limits.body_bytes);
     match timeout(configuration.limits.read_timeout, limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
--- a/quillcove/src/relay/serve.rs
+++ b/quillcove/src/relay/serve.rs
@@ -3,6 +3,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -20,8 +21,12 @@
 use super::reader::{CallerSocket, ConnectionLimit};
 use super::shared::RelayShared;
 
-/// Time reserved before the end of the planned stop for responses that are still being sent.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of the planned stop from which on requests that no replica works on are rejected, so that their
+/// callers try elsewhere.
+const REJECTION_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time reserved before the end of the planned stop for the end of the process.
+const EXIT_MARGIN: Duration = Duration::from_millis(100);
 
 /// Smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_BUFFER_SIZE: usize = 8192;
@@ -37,13 +42,22 @@
         () = serve_all(&mut connections, &shared, &draining) => {},
         _ = stopped.wait_for(|is_stopped| *is_stopped) => {},
     }
-    let end = shared.clock.now() + shared.settings.stop.limit.saturating_sub(STOP_MARGIN);
+    let end = shared.clock.now() + shared.settings.stop.limit;
     serve_all(&mut connections, &shared, &draining).await;
     // A request that began later might not end within the stop's time limit.
     drain.send_replace(true);
     drop(draining);
     // Each connection holds a receiver until its request is read and its response written.
-    let _ = shared.resume_notifier.wait_until(&shared.clock, end, drain.closed()).await;
+    let reject_at = end.saturating_sub(REJECTION_MARGIN);
+    let drained = shared.resume_notifier.wait_until(&shared.clock, reject_at, drain.closed()).await;
+    if drained.is_none() {
+        shared.stop_ending.send_replace(true);
+        let exit_at = end.saturating_sub(EXIT_MARGIN);
+        let _ = shared.resume_notifier.wait_until(&shared.clock, exit_at, drain.closed()).await;
+    }
+    let (reading, running) = (shared.reading.load(Ordering::Relaxed), shared.machine().in_flight());
+    info!(shared.log, "callers served"; "cut_off" => drain.receiver_count(),
+        "cut_off_reading" => reading, "cut_off_running" => running);
 }
 
 /// Serves connections until no more are accepted.
--- a/quillcove/src/relay/shared.rs
+++ b/quillcove/src/relay/shared.rs
@@ -1,14 +1,14 @@
 //! State shared by the tasks of a relay.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use quillcove_core::relay::beacon::PeerMessage;
 use quillcove_core::relay::machine::RelayMachine;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::intake::CallerIntake;
 use super::pool::ReplicaPool;
@@ -36,6 +36,10 @@
     /// Notifies waits after a suspension of the process.
     pub resume_notifier: ResumeNotifier,
     pub is_ready: AtomicBool,
+    /// Becomes `true` shortly before the planned stop ends.
+    pub stop_ending: watch::Sender<bool>,
+    /// Requests whose bodies are being read.
+    pub reading: AtomicUsize,
     /// Connections of callers that are served.
     pub intake: CallerIntake,
     pub waiters: AdapterWaiters,
@@ -66,6 +70,8 @@
             clock,
             resume_notifier: ResumeNotifier::new(),
             is_ready: AtomicBool::new(false),
+            stop_ending: watch::Sender::new(false),
+            reading: AtomicUsize::new(0),
             intake: CallerIntake::default(),
             waiters: AdapterWaiters::default(),
             unknown_status_headers: UnknownHeaders::default(),
@@ -87,6 +93,11 @@
         self.machine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until the planned stop is about to end.
+    pub async fn stop_ending(&self) {
+        let _ = self.stop_ending.subscribe().wait_for(|is_ending| *is_ending).await;
+    }
+
     /// Returns the address of the loader on an engine's host.
     pub fn loader_of(&self, engine: SocketAddr) -> SocketAddr {
         SocketAddr::new(engine.ip(), self.loader_port.load(Ordering::Relaxed))
