Holders of a stream's origin follow the engines that take work

Cause: holders were drawn over the engines listed in the last 60 s, those that had left among them, and stayed those of the stream's begin. A relay that has just started knows only what is listed then, and asks others. Class: as before, what a process has not seen taken for what has not been. Fix: holders are drawn over the engines that take work; a relay reports its open streams again, at most 0.2 s after a change of the list, where the change gives them other holders. A relay that asks counts engines that may have been among the first at any moment of the last minute: those that came since hide none that was there before, and one that drains counts as there until now. The sockets part, that a tick sends such reports, has no test of its own.

--- a/quillcove/src/relay/input/mod.rs
+++ b/quillcove/src/relay/input/mod.rs
@@ -263,6 +263,7 @@
         self.shared.machine().set_others(self.other_relays(now), now);
         let changes = self.shared.machine().tick(now);
         self.log_changes(changes);
+        self.send_origins();
         self.send_pending_loads();
         self.report_freed_adapters();
         self.record_load_estimates();
--- a/quillcove_core/src/relay/machine/mod.rs
+++ b/quillcove_core/src/relay/machine/mod.rs
@@ -187,6 +187,8 @@
     streams_begun: BTreeMap<OriginDigest, u64>,
     /// When the recent listings are updated next.
     origins_due: MonoTime,
+    /// When the holders of streams are compared with the list next.
+    renewal_due: MonoTime,
     /// Number of requests in flight.
     requests: usize,
     is_stopping: bool,
@@ -237,6 +239,7 @@
             history: WatchHistory::default(),
             streams_begun: BTreeMap::new(),
             origins_due: MonoTime::ZERO,
+            renewal_due: MonoTime::ZERO,
             requests: 0,
             is_stopping: false,
             draw_state: seed,
--- a/quillcove_core/src/relay/machine/origins.rs
+++ b/quillcove_core/src/relay/machine/origins.rs
@@ -10,8 +10,8 @@
 use super::{RelayMachine, RelayQuery};
 use crate::ids::{MonoTime, ServiceName, SoftwareVersion};
 use crate::relay::origin::{
-    self, ASKED_HOLDERS, HOLDERS, LISTING_SLACK, MAX_LIFETIME, OriginDigest, OriginTracker,
-    StreamKey, StreamOrigin,
+    self, HOLDERS, LISTING_SLACK, ListedTime, MAX_LIFETIME, OriginDigest, OriginTracker, StreamKey,
+    StreamOrigin,
 };
 use crate::relay::published::StorePart;
 use crate::relay::replica::ReplicaRecord;
@@ -22,6 +22,9 @@
 /// published change is to be in force.
 const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 
+/// Interval at which streams are reported to new holders: all relays may be lost at any moment.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval between updates of the recent listings.
 const ORIGIN_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -214,7 +217,11 @@
     /// assert!(machine.origin_holders(StreamKey::of("r1")).is_empty());
     /// ```
     pub fn origin_holders(&self, stream: StreamKey) -> Vec<SocketAddr> {
-        self.rank_engines(stream, HOLDERS)
+        let ready = origin::rank_holders(stream, self.holder_engines(), HOLDERS);
+        match ready.is_empty() {
+            true => self.rank_recent_engines(stream, HOLDERS),
+            false => ready,
+        }
     }
 
     /// Returns the engines whose loaders are asked for the origin of a stream.
@@ -227,21 +234,47 @@
     /// assert!(machine.asked_holders(StreamKey::of("r1")).is_empty());
     /// ```
     pub fn asked_holders(&self, stream: StreamKey) -> Vec<SocketAddr> {
-        self.rank_engines(stream, ASKED_HOLDERS)
+        let listed = self.listings.engines(|service| self.has_engine(service));
+        let is_ready = |address| self.table.at(address).is_some_and(|view| view.is_ready());
+        // Engines that take work are noted from time to time only.
+        let until = |listed: &ListedTime| {
+            if is_ready(listed.engine) { MonoTime::MAX } else { listed.until }
+        };
+        origin::possible_holders(stream, listed.map(|it| ListedTime { until: until(&it), ..it }))
     }
 
-    fn rank_engines(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
-        let Some(sheet) = &self.sheet else {
-            return Vec::new();
-        };
-        let has_engine =
-            |service: &str| sheet.service(service).is_some_and(|service| service.engine.is_some());
-        origin::rank_holders(stream, self.listings.engines(has_engine), count)
+    /// Returns the engines that take work, which a relay that starts now knows as well.
+    fn holder_engines(&self) -> impl Iterator<Item = SocketAddr> {
+        let records = self.table.all().filter(|view| view.is_ready()).map(|view| &view.record);
+        let engines = records.filter(|record| self.has_engine(&record.service));
+        engines.map(|record| record.address)
+    }
+
+    /// Returns the first of the engines that are listed or were listed lately.
+    fn rank_recent_engines(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let engines = self.listings.engines(|service| self.has_engine(service));
+        origin::rank_holders(stream, engines.map(|listed| listed.engine), count)
+    }
+
+    fn has_engine(&self, service: &str) -> bool {
+        let sheet = self.sheet.as_ref();
+        let service = sheet.and_then(|sheet| sheet.service(service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
+    /// Reports streams of this relay anew if they have other holders than at their begin.
+    fn renew_reports(&mut self, now: MonoTime) {
+        if now >= self.renewal_due {
+            self.renewal_due = now + RENEWAL_INTERVAL;
+            let engines = self.holder_engines().collect();
+            self.origins.set_engines(engines, now);
+        }
     }
 
     /// Removes what is no longer needed, and renews the listings of replicas that are still listed.
     pub(super) fn tick_origins(&mut self, now: MonoTime) {
         self.origins.tick(now);
+        self.renew_reports(now);
         if now < self.origins_due {
             return;
         }
--- a/quillcove_core/src/relay/origin/listings.rs
+++ b/quillcove_core/src/relay/origin/listings.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::MAX_LIFETIME;
+use super::{ListedTime, MAX_LIFETIME};
 use crate::ids::{MonoTime, ServiceName, SoftwareVersion};
-use crate::relay::replica::ReplicaRecord;
+use crate::relay::replica::{ReplicaRecord, ReplicaState};
 
 /// Time for which the loader of an engine that is no longer listed remains a holder. An engine that exits leaves the list,
 /// while its loader keeps running; without this time, the holders of a stream would change with each exit.
@@ -19,10 +19,20 @@
 /// notes, and the time after which a relay reads an old list no more.
 pub const LISTING_SLACK: Duration = Duration::from_secs(10);
 
+/// A replica that takes work or did so lately.
+#[derive(Clone, Debug)]
+struct ListedReplica {
+    service: ServiceName,
+    from: MonoTime,
+    until: MonoTime,
+}
+
 /// Addresses and software versions of the replicas that are listed or were listed lately.
 #[derive(Clone, Debug, Default)]
 pub struct RecentListings {
-    replicas: BTreeMap<SocketAddr, (ServiceName, MonoTime)>,
+    replicas: BTreeMap<SocketAddr, ListedReplica>,
+    /// When this process first knew a list; what it holds may have been there for long.
+    first_at: Option<MonoTime>,
     software: BTreeMap<(ServiceName, Option<SoftwareVersion>), MonoTime>,
 }
 
@@ -40,13 +50,25 @@
     /// assert_eq!(listings.engines(|_| false).count(), 0);
     /// ```
     pub fn note_listed(&mut self, record: &ReplicaRecord, now: MonoTime) {
-        match self.replicas.get_mut(&record.address) {
-            Some((listed, at)) if *listed == record.service => *at = now,
-            _ => drop(self.replicas.insert(record.address, (record.service.clone(), now))),
+        // A draining replica was a holder until a moment ago, which a process that has just started has not seen.
+        if record.state == ReplicaState::Ready || !self.replicas.contains_key(&record.address) {
+            self.note_ready(record, now);
         }
         self.software.insert((record.service.clone(), record.software.clone()), now);
     }
 
+    fn note_ready(&mut self, record: &ReplicaRecord, now: MonoTime) {
+        let first_at = *self.first_at.get_or_insert(now);
+        let listed = self.replicas.get_mut(&record.address);
+        if let Some(listed) = listed.filter(|listed| listed.service == record.service) {
+            listed.until = now;
+            return;
+        }
+        let from = if now == first_at { MonoTime::ZERO } else { now };
+        let listed = ListedReplica { service: record.service.clone(), from, until: now };
+        self.replicas.insert(record.address, listed);
+    }
+
     /// Returns the only software version that replicas of a service have been listed with since `begin`; `None` if there
     /// were several or no replicas.
     ///
@@ -97,18 +119,21 @@
     /// assert_eq!(listings.engines(|_| true).count(), 0);
     /// ```
     pub fn expire(&mut self, now: MonoTime) {
-        self.replicas.retain(|_, (_, at)| now.saturating_sub(*at) < DEPARTED_LIFETIME);
+        self.replicas.retain(|_, listed| now.saturating_sub(listed.until) < DEPARTED_LIFETIME);
         self.software.retain(|_, at| now.saturating_sub(*at) < SOFTWARE_LIFETIME);
     }
 
-    /// Returns the addresses of the replicas of services that have engines, and so loaders.
+    /// Returns the replicas of services that have engines, and so loaders.
     ///
     /// See [`RecentListings::note_listed`] for an example.
     pub fn engines<'a>(
         &'a self,
         has_engine: impl Fn(&str) -> bool + 'a,
-    ) -> impl Iterator<Item = SocketAddr> + 'a {
-        let engines = self.replicas.iter().filter(move |(_, (service, _))| has_engine(service));
-        engines.map(|(address, _)| *address)
+    ) -> impl Iterator<Item = ListedTime> + 'a {
+        let engines = self.replicas.iter().filter(move |(_, listed)| has_engine(&listed.service));
+        engines.map(|(engine, listed)| {
+            let ListedReplica { from, until, .. } = *listed;
+            ListedTime { engine: *engine, from, until }
+        })
     }
 }
--- a/quillcove_core/src/relay/origin/lookup.rs
+++ b/quillcove_core/src/relay/origin/lookup.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{KnownOrigin, OriginAnswer, OriginBook, StreamKey, StreamOrigin};
+use super::{KnownOrigin, OriginAnswer, OriginBook, OwnStreams, StreamKey, StreamOrigin};
 use crate::ids::MonoTime;
 
 /// Time after which a stream counts as unknown if a process that was asked has not answered: a quarter of a target latency
@@ -72,6 +72,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct OriginTracker {
     book: OriginBook,
+    own: OwnStreams,
     lookups: HashMap<StreamKey, OpenLookup>,
     /// Reports that have not been sent to holders yet.
     reports: Vec<StreamOrigin>,
@@ -102,9 +103,28 @@
     /// ```
     pub fn begin(&mut self, report: StreamOrigin, now: MonoTime) {
         self.book.record(&report, now);
+        self.own.add(report, now);
         self.reports.push(report);
     }
 
+    /// Records the engines whose loaders may be holders. Streams of this relay that have other holders by that are
+    /// reported to them.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use quillcove_core::relay::origin::{OriginDigest, OriginTracker, StreamKey, StreamOrigin};
+    ///
+    /// let (stream, origin) = (StreamKey::of("r1"), OriginDigest::of("s", Some("v1")));
+    /// let mut tracker = OriginTracker::default();
+    /// tracker.begin(StreamOrigin { stream, origin, lifetime: Duration::from_secs(9) }, Duration::ZERO);
+    /// assert_eq!(tracker.take_reports().len(), 1);
+    /// tracker.set_engines(["127.0.0.1:1".parse().unwrap()].into(), Duration::ZERO);
+    /// assert_eq!(tracker.take_reports().len(), 1);
+    /// ```
+    pub fn set_engines(&mut self, engines: BTreeSet<SocketAddr>, now: MonoTime) {
+        self.reports.extend(self.own.set_engines(engines, now));
+    }
+
     /// Records the report of another relay that selected this one as a holder.
     ///
     /// ```
--- a/quillcove_core/src/relay/origin/mod.rs
+++ b/quillcove_core/src/relay/origin/mod.rs
@@ -13,6 +13,7 @@
 mod holders;
 mod listings;
 mod lookup;
+mod renewal;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,9 +22,10 @@
 
 pub use self::book::{KnownOrigin, MAX_LIFETIME, OriginBook};
 pub use self::history::WatchHistory;
-pub use self::holders::{ASKED_HOLDERS, HOLDERS, rank_holders};
+pub use self::holders::{ASKED_HOLDERS, HOLDERS, ListedTime, possible_holders, rank_holders};
 pub use self::listings::{LISTING_SLACK, RecentListings};
 pub use self::lookup::{OriginLookup, OriginTracker};
+pub use self::renewal::OwnStreams;
 use crate::relay::replica::ReplicaRecord;
 use crate::rendezvous::stable_hash;
 
