Who asks for the origin of a stream looks back a minute only, and hashes each engine once

What callers would have seen: nothing; each question for an origin went to up to eight loaders for ever once three engines had come after the start of a relay, in place of three, and cost some ten hashes an engine. Cause: the times for which engines were listed were compared over the whole life of the process, and the sort computed each rank again at each comparison. The example of possible_holders shows the bound; it can't be written against the code before, which took no such time.

--- a/quillcove/src/relay/input/origins.rs
+++ b/quillcove/src/relay/input/origins.rs
@@ -48,7 +48,8 @@
     }
 
     fn asked_about(&self, stream: StreamKey) -> Vec<SocketAddr> {
-        let engines = self.shared.machine().asked_holders(stream);
+        let now = self.shared.clock.now();
+        let engines = self.shared.machine().asked_holders(stream, now);
         let asks_relays = engines.is_empty() || self.relays.len() <= MAX_ASKED_RELAYS;
         let relay_count = if asks_relays { MAX_ASKED_RELAYS } else { 0 };
         let loaders = engines.into_iter().map(|engine| self.loader_of(engine));
--- a/quillcove_core/src/relay/machine/origins.rs
+++ b/quillcove_core/src/relay/machine/origins.rs
@@ -10,8 +10,8 @@
 use super::{RelayMachine, RelayQuery};
 use crate::ids::{MonoTime, ServiceName, SoftwareVersion};
 use crate::relay::origin::{
-    self, HOLDERS, LISTING_SLACK, ListedTime, MAX_LIFETIME, OriginDigest, OriginTracker, StreamKey,
-    StreamOrigin,
+    self, DEPARTED_LIFETIME, HOLDERS, LISTING_SLACK, ListedTime, MAX_LIFETIME, OriginDigest,
+    OriginTracker, StreamKey, StreamOrigin,
 };
 use crate::relay::published::StorePart;
 use crate::relay::replica::ReplicaRecord;
@@ -227,20 +227,26 @@
     /// Returns the engines whose loaders are asked for the origin of a stream.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use quillcove_core::relay::machine::{RelayMachine, RelayRules};
     /// use quillcove_core::relay::origin::StreamKey;
     ///
     /// let machine = RelayMachine::new(RelayRules::default(), 1);
-    /// assert!(machine.asked_holders(StreamKey::of("r1")).is_empty());
+    /// assert!(machine.asked_holders(StreamKey::of("r1"), Duration::ZERO).is_empty());
     /// ```
-    pub fn asked_holders(&self, stream: StreamKey) -> Vec<SocketAddr> {
+    pub fn asked_holders(&self, stream: StreamKey, now: MonoTime) -> Vec<SocketAddr> {
         let listed = self.listings.engines(|service| self.has_engine(service));
         let is_ready = |address| self.table.at(address).is_some_and(|view| view.is_ready());
         // Engines that take work are noted from time to time only.
         let until = |listed: &ListedTime| {
             if is_ready(listed.engine) { MonoTime::MAX } else { listed.until }
         };
-        origin::possible_holders(stream, listed.map(|it| ListedTime { until: until(&it), ..it }))
+        let since = now.saturating_sub(DEPARTED_LIFETIME);
+        origin::possible_holders(
+            stream,
+            since,
+            listed.map(|it| ListedTime { until: until(&it), ..it }),
+        )
     }
 
     /// Returns the engines that take work, which a relay that starts now knows as well.
--- a/quillcove_core/src/relay/origin/holders.rs
+++ b/quillcove_core/src/relay/origin/holders.rs
@@ -40,18 +40,22 @@
         has_come && at.saturating_add(LIST_DELAY) <= self.until
     }
 
-    /// Returns the moments at which the number of engines that rank higher may be lowest while any relay may have listed
-    /// this engine: its own begin and end, and where another one is not listed yet or no longer.
-    fn moments<'a>(&self, higher: &'a [ListedTime]) -> impl Iterator<Item = MonoTime> + 'a {
-        let (begin, end) =
-            (self.from.saturating_sub(LIST_DELAY), self.until.saturating_add(LIST_DELAY));
+    /// Returns the moments since `since` at which the number of engines that rank higher may be lowest while any relay may
+    /// have listed this engine: its own begin and end, and where another one is not listed yet or no longer.
+    fn moments<'a>(
+        &self,
+        since: MonoTime,
+        higher: &'a [ListedTime],
+    ) -> impl Iterator<Item = MonoTime> + 'a {
+        let end = self.until.saturating_add(LIST_DELAY);
+        let begin = self.from.saturating_sub(LIST_DELAY).max(since).min(end);
         let edges = higher.iter().flat_map(|other| [other.from, other.until]);
         edges.chain([begin, end]).map(move |at| at.clamp(begin, end))
     }
 }
 
-/// Returns the engines that may have been among the first for a stream at any moment at which they were listed, those that
-/// rank first before the others.
+/// Returns the engines that may have been among the first for a stream at any moment since `since` at which they were
+/// listed, those that rank first before the others.
 ///
 /// ```
 /// use std::time::Duration;
@@ -60,25 +64,27 @@
 /// let engines = [1, 2, 3, 4, 5].map(|port| std::net::SocketAddr::from(([127, 0, 0, 1], port)));
 /// let [from, until] = [0, 60].map(Duration::from_secs);
 /// let listed = engines.map(|engine| ListedTime { engine, from, until });
-/// let first = possible_holders(StreamKey::of("r1"), listed);
+/// let first = possible_holders(StreamKey::of("r1"), from, listed);
 /// assert_eq!(first.len(), 3);
 /// // Engines that came later do not hide those that were there before.
 /// let late = |it: ListedTime| ListedTime { from: Duration::from_secs(50), ..it };
 /// let listed = listed.map(|it| if first.contains(&it.engine) { late(it) } else { it });
-/// assert_eq!(possible_holders(StreamKey::of("r1"), listed).len(), 5);
+/// assert_eq!(possible_holders(StreamKey::of("r1"), from, listed).len(), 5);
+/// assert_eq!(possible_holders(StreamKey::of("r1"), Duration::from_secs(55), listed).len(), 3);
 /// ```
 pub fn possible_holders(
     stream: StreamKey,
+    since: MonoTime,
     listed: impl IntoIterator<Item = ListedTime>,
 ) -> Vec<SocketAddr> {
     let mut ranked: Vec<ListedTime> = listed.into_iter().collect();
-    ranked.sort_unstable_by_key(|listed| rank_of(stream, listed.engine));
+    ranked.sort_by_cached_key(|listed| rank_of(stream, listed.engine));
     let mut possible: Vec<ListedTime> = Vec::new();
     for candidate in ranked {
         let is_among_first = |at: MonoTime| {
             possible.iter().filter(|higher| higher.was_listed_by_all(at)).count() < ASKED_HOLDERS
         };
-        if candidate.moments(&possible).any(is_among_first) {
+        if candidate.moments(since, &possible).any(is_among_first) {
             possible.push(candidate);
         }
         if possible.len() == MAX_ASKED {
--- a/quillcove_core/src/relay/origin/listings.rs
+++ b/quillcove_core/src/relay/origin/listings.rs
@@ -10,7 +10,7 @@
 
 /// Time for which the loader of an engine that is no longer listed remains a holder. An engine that exits leaves the list,
 /// while its loader keeps running; without this time, the holders of a stream would change with each exit.
-const DEPARTED_LIFETIME: Duration = Duration::from_secs(60);
+pub const DEPARTED_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Time for which a software version counts as listed lately: as long as streams that it began may be taken up.
 const SOFTWARE_LIFETIME: Duration = MAX_LIFETIME.saturating_add(LISTING_SLACK);
--- a/quillcove_core/src/relay/origin/mod.rs
+++ b/quillcove_core/src/relay/origin/mod.rs
@@ -23,7 +23,7 @@
 pub use self::book::{KnownOrigin, MAX_LIFETIME, OriginBook};
 pub use self::history::WatchHistory;
 pub use self::holders::{ASKED_HOLDERS, HOLDERS, ListedTime, possible_holders, rank_holders};
-pub use self::listings::{LISTING_SLACK, RecentListings};
+pub use self::listings::{DEPARTED_LIFETIME, LISTING_SLACK, RecentListings};
 pub use self::lookup::{OriginLookup, OriginTracker};
 pub use self::renewal::OwnStreams;
 use crate::relay::replica::ReplicaRecord;
--- a/quillcove_core/tests/stream_origins.rs
+++ b/quillcove_core/tests/stream_origins.rs
@@ -297,7 +297,7 @@
     fn send_messages(&mut self, relay: usize, stream: usize, now: MonoTime) {
         let machine = &mut self.relays[relay];
         let questions = machine.origins_mut().take_questions();
-        let asked = machine.asked_holders(key(stream));
+        let asked = machine.asked_holders(key(stream), now);
         self.send_reports(relay, now);
         for question in questions {
             self.relays[relay].origins_mut().note_asked(question, &asked);
