--- a/quillcove_core/src/relay/origin/holders.rs
+++ b/quillcove_core/src/relay/origin/holders.rs
@@ -62,7 +62,7 @@
 /// use quillcove_core::relay::origin::{ListedTime, StreamKey, possible_holders};
 ///
 /// let engines = [1, 2, 3, 4, 5].map(|port| std::net::SocketAddr::from(([127, 0, 0, 1], port)));
-/// let [from, until] = [0, 60].map(Duration::from_secs);
+/// let (from, until) = (Duration::ZERO, Duration::MAX);
 /// let listed = engines.map(|engine| ListedTime { engine, from, until });
 /// let first = possible_holders(StreamKey::of("r1"), from, listed);
 /// assert_eq!(first.len(), 3);
