An agent that has stopped gives its engine no orders while connections are still open

What callers would have seen: while a slow caller kept a stopped agent's last connection open, for up to `stop.limit`, the agent claimed an engine that restarted, or went on with a load, against the agent that had taken its place. Fix: a machine that has stopped takes no further step, and drops its load plan at the stop, so that a permit that is granted late is returned.

--- a/quillcove_core/src/agent/mod.rs
+++ b/quillcove_core/src/agent/mod.rs
@@ -219,6 +219,10 @@
 
     /// Performs every step that has become possible.
     fn progress(&mut self, now: MonoTime, out: &mut Vec<AgentAction>) {
+        // A stopped process may still have open connections, while its successor controls the engine.
+        if self.has_stopped {
+            return;
+        }
         self.refuse_expired(now, out);
         self.refuse_infeasible(now, out);
         self.refuse_over_rate_limit(now, out);
@@ -230,8 +234,9 @@
                 self.advance_loads(now, out);
             }
         }
-        if self.is_stopping && self.running.is_empty() && !self.has_stopped {
+        if self.is_stopping && self.running.is_empty() {
             self.has_stopped = true;
+            self.drop_plan(out);
             out.push(AgentAction::Stopped);
         }
     }
--- a/quillcove_core/tests/fuzz_agent.rs
+++ b/quillcove_core/tests/fuzz_agent.rs
@@ -169,6 +169,8 @@
     }
 
     fn watch(&mut self, action: AgentAction) {
+        let is_order = matches!(action, AgentAction::SendOrder(_) | AgentAction::RequestPermit(_));
+        assert!(!is_order || !self.has_stopped, "a stopped agent gives {action:?}");
         match action {
             AgentAction::StartAttempt(attempt) => self.watch_start(attempt),
             AgentAction::Refuse(attempt, refusal) if refusal.verdict == RunVerdict::NotRun => {
