A pause, and times that no caller has stated yet, leave the origin of an unnamed stream open

What callers would have seen: a stream without `Resumes` joined from two versions, at a relay that was paused while a version came and went and read the store before its next tick; or at one that took a route's timeout for the longest time for which its callers come back. Cause: the watch counted as unbroken if the list was fresh at the moment of a tick; an unknown time counted as the shortest. Fix: a longer time between two notes than a running process takes begins the watch anew; the configuration has to be as fresh as the list; until the times that callers state are known, a stream may be as old as any that is remembered (10 minutes). Tests: sole_origin.rs, two more, both fail before. Its follower now reads both parts of the store and hears callers' times, as a relay does.

--- a/quillcove_core/src/relay/machine/origins.rs
+++ b/quillcove_core/src/relay/machine/origins.rs
@@ -15,12 +15,11 @@
 };
 use crate::relay::published::StorePart;
 use crate::relay::replica::ReplicaRecord;
-use crate::relay::tries::CallerTries;
 use crate::route::{RouteKind, RouteRecord};
 
-/// Age of the list of replicas from which on it does not show which software versions serve: the time within which a
-/// published change is to be in force.
-const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+/// Age of what was read of the store from which on it does not show which software versions serve, nor where routes lead:
+/// the time within which a published change is to be in force.
+const MAX_STORE_AGE: Duration = Duration::from_secs(2);
 
 /// Interval at which streams are reported to new holders: all relays may be lost at any moment.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
@@ -190,21 +189,22 @@
         }
         let begin = now.checked_sub(self.stream_lifetime(route) + LISTING_SLACK);
         let software = self.listings.sole_software(service, begin.unwrap_or_default())?;
-        let is_certain = software.is_none()
-            || begin
-                .is_some_and(|begin| self.history.covers(route, begin) && !self.is_list_old(now));
+        let is_covered = |begin| self.history.covers(route, begin) && !self.is_store_read_old(now);
+        let is_certain = software.is_none() || begin.is_some_and(is_covered);
         is_certain.then(|| OriginDigest::of(service, software.as_deref()))
     }
 
-    /// Returns for how long a caller may take up a stream of a route after its begin.
+    /// Returns for how long a caller may take up a stream of a route after its begin. It may do so until its own deadline,
+    /// which is known only once enough callers of the route have stated theirs.
     fn stream_lifetime(&self, route: &RouteRecord) -> Duration {
-        let stated = self.tries.get(&route.name).map_or(Duration::ZERO, CallerTries::longest);
-        route.timeout.max(stated).min(MAX_LIFETIME)
+        let learnt = self.tries.get(&route.name).filter(|tries| tries.band().is_some());
+        learnt.map_or(MAX_LIFETIME, |tries| tries.longest().max(route.timeout).min(MAX_LIFETIME))
     }
 
-    /// Returns whether replicas may have been listed, and may have begun streams, without this relay knowing of it.
-    fn is_list_old(&self, now: MonoTime) -> bool {
-        self.knowledge.is_old(StorePart::Replicas, MAX_LIST_AGE, now)
+    /// Returns whether replicas may have been listed, or routes changed, without this relay knowing of it.
+    fn is_store_read_old(&self, now: MonoTime) -> bool {
+        let parts = [StorePart::Replicas, StorePart::Operator];
+        parts.into_iter().any(|part| self.knowledge.is_old(part, MAX_STORE_AGE, now))
     }
 
     /// Returns the engines whose loaders hold the origin of a stream.
@@ -289,7 +289,7 @@
             self.listings.note_listed(&view.record, now);
         }
         self.listings.expire(now);
-        let is_current = !self.is_list_old(now);
+        let is_current = !self.is_store_read_old(now);
         let routes = self.sheet.iter().flat_map(|sheet| sheet.routes().map(Arc::as_ref));
         self.history.note_followed(is_current, routes, now);
         let versions = self.listings.versions();
--- a/quillcove_core/src/relay/origin/history.rs
+++ b/quillcove_core/src/relay/origin/history.rs
@@ -1,10 +1,15 @@
 //! For how long a process has followed what the store publishes: what it has not seen in that time has not been there.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::ids::{MonoTime, ServiceName};
 use crate::route::{RouteKind, RouteRecord};
 
+/// Longest time between two notes of a process that runs. One that was paused may have read the store anew before its next
+/// note, and has not seen what came and went meanwhile.
+const MAX_NOTE_INTERVAL: Duration = Duration::from_secs(7);
+
 /// Services of a route, and since when it has led to no others.
 #[derive(Clone, Debug)]
 struct SteadyRoute {
@@ -29,11 +34,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct WatchHistory {
     followed_since: Option<MonoTime>,
+    noted_at: MonoTime,
     routes: BTreeMap<String, SteadyRoute>,
 }
 
 impl WatchHistory {
-    /// Records whether the list of replicas is known as it is now, and the routes in force.
+    /// Records whether what the store publishes is known as it is now, and the routes in force.
     ///
     /// See [`WatchHistory`] for an example.
     pub fn note_followed<'a>(
@@ -42,7 +48,10 @@
         routes: impl IntoIterator<Item = &'a RouteRecord>,
         now: MonoTime,
     ) {
-        self.followed_since = is_current.then(|| self.followed_since.unwrap_or(now));
+        let was_paused = now.saturating_sub(self.noted_at) > MAX_NOTE_INTERVAL;
+        let since = self.followed_since.filter(|_| !was_paused);
+        self.followed_since = is_current.then(|| since.unwrap_or(now));
+        self.noted_at = now;
         for route in routes.into_iter().filter(|route| route.kind == RouteKind::ResumableStream) {
             let steady = || SteadyRoute { services: services_of(route), since: now };
             self.routes.entry(route.name.clone()).or_insert_with(steady);
--- a/quillcove_core/tests/sole_origin.rs
+++ b/quillcove_core/tests/sole_origin.rs
@@ -33,6 +33,9 @@
     }
 }
 
+/// Requests after which the times that callers state are known.
+const LEARNT: usize = 40;
+
 /// A relay that follows the store, and its time.
 struct Follower {
     machine: RelayMachine,
@@ -46,9 +49,25 @@
         let mut follower = Self { machine, now: Duration::from_secs(1), version: 0 };
         follower.configure("s");
         follower.machine.list(record("i-1", "s", "v1", 1), follower.now);
+        follower.state_times(LEARNT, route("s").timeout);
         follower
     }
 
+    /// Some callers of the route state how long they wait.
+    fn state_times(&mut self, callers: usize, time: Duration) {
+        for _ in 0..callers {
+            self.machine.time_since_first_attempt(&route("s").name, time);
+        }
+    }
+
+    /// The relay has read the store whole.
+    fn read(&mut self) {
+        let position = StorePosition::in_first_era(1);
+        for part in [StorePart::Replicas, StorePart::Operator] {
+            self.machine.knowledge_mut().note_read(part, position, self.now);
+        }
+    }
+
     /// Puts a configuration in force that sends the route to a service.
     fn configure(&mut self, service: &str) {
         self.version += 1;
@@ -62,8 +81,7 @@
         while self.now < end {
             self.now += TICK;
             if is_reading {
-                let position = StorePosition::in_first_era(1);
-                self.machine.knowledge_mut().note_read(StorePart::Replicas, position, self.now);
+                self.read();
             }
             self.machine.tick(self.now);
         }
@@ -114,6 +132,37 @@
     assert_eq!(follower.sole(), v1());
 }
 
+// Guards against a version that came and went while the relay was paused, which reads the store before its next tick.
+#[test]
+fn a_pause_begins_the_watch_anew() {
+    let mut follower = Follower::start();
+    follower.go_on(LONG, true);
+    assert_eq!(follower.sole(), v1());
+    follower.now += LONG / 4;
+    follower.read();
+    follower.go_on(TICK, true);
+    assert_eq!(follower.sole(), None);
+    follower.go_on(LONG, true);
+    assert_eq!(follower.sole(), v1());
+}
+
+// Guards against streams of callers that wait for longer than the route's timeout, or of whom that is not known yet.
+#[test]
+fn a_stream_may_be_as_old_as_callers_state() {
+    let mut follower = Follower::start();
+    follower.state_times(1, LONG * 2);
+    follower.go_on(LONG, true);
+    assert_eq!(follower.sole(), None, "one caller may come back later");
+    follower.go_on(LONG * 2, true);
+    assert_eq!(follower.sole(), v1());
+    let mut follower =
+        Follower { machine: RelayMachine::new(RelayRules::default(), 1), ..follower };
+    follower.configure("s");
+    follower.machine.list(record("i-1", "s", "v1", 1), follower.now);
+    follower.go_on(LONG, true);
+    assert_eq!(follower.sole(), None, "no caller has stated a time");
+}
+
 // Guards against a stream that began at another service, to which its route led a moment ago or still leads in part.
 #[test]
 fn a_route_that_led_elsewhere_has_no_sole_origin() {
