--- a/quillcove/src/relay/forward.rs
+++ b/quillcove/src/relay/forward.rs
@@ -67,7 +67,7 @@
     close_when_leaving_or_crowded(&shared, with_request_id(response, id))
 }
 
-/// Awaits a step before which no replica has got the request.
+/// Awaits a step during which no replica works on the request.
 ///
 /// # Errors
 ///
--- a/quillcove_core/src/relay/origin/book.rs
+++ b/quillcove_core/src/relay/origin/book.rs
@@ -11,7 +11,7 @@
 
 /// Maximum number of streams in a book. A relay before 300 streams a second that may be taken up for 60 s holds 18,000;
 /// at 420 relays, each process holds a few hundred.
-const MAX_STREAMS: usize = 65_536;
+pub(super) const MAX_STREAMS: usize = 65_536;
 
 /// Longest lifetime of a stream that is accepted, so that a caller with an extreme deadline does not occupy memory.
 pub const MAX_LIFETIME: Duration = Duration::from_secs(600);
--- a/quillcove_core/src/relay/origin/renewal.rs
+++ b/quillcove_core/src/relay/origin/renewal.rs
@@ -3,13 +3,11 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+use super::book::MAX_STREAMS;
 use super::holders::{HOLDERS, HolderRank, rank_holders, rank_of};
 use super::{MAX_LIFETIME, StreamKey, StreamOrigin};
 use crate::ids::MonoTime;
 
-/// Maximum number of streams that are reported anew; one begun beyond it keeps the holders of its begin.
-const MAX_STREAMS: usize = 65_536;
-
 #[derive(Clone, Debug)]
 struct OwnStream {
     report: StreamOrigin,
@@ -56,7 +54,7 @@
 }
 
 impl OwnStreams {
-    /// Adds a stream that is being reported.
+    /// Adds a stream that is being reported. One too many keeps the holders of its begin.
     ///
     /// See [`OwnStreams`] for an example.
     pub fn add(&mut self, report: StreamOrigin, now: MonoTime) {
--- a/quillcove_core/tests/model/relay_world.rs
+++ b/quillcove_core/tests/model/relay_world.rs
@@ -10,7 +10,7 @@
 use quillcove_core::relay::machine::{RelayChoice, RelayMachine, RelayQuery, RelayRules};
 use quillcove_core::relay::replica::{ReplicaRecord, ReplicaState, example_record};
 use quillcove_core::relay::sheet::{CallerLimits, PublishedConfig, ServiceRecord};
-use quillcove_core::route::{RouteKind, RouteRecord, RouteShare};
+use quillcove_core::route::{RouteKind, RouteRecord, example_route};
 
 use super::search::World;
 
@@ -95,18 +95,10 @@
 
 fn route() -> RouteRecord {
     RouteRecord {
-        name: "r".to_string(),
         host: "a".to_string(),
-        prefix: "/".to_string(),
-        kind: RouteKind::Unsafe,
         timeout: Duration::from_secs(60),
         aim: Duration::from_secs(1),
-        patience: None,
-        priority: 0,
-        attempt_limit: 1,
-        target_gap: None,
-        is_public: true,
-        targets: vec![RouteShare { service: "s".to_string(), weight: 1 }],
+        ..example_route(RouteKind::Unsafe)
     }
 }
 
--- a/quillcove_core/tests/sole_origin.rs
+++ b/quillcove_core/tests/sole_origin.rs
@@ -87,6 +87,12 @@
         }
     }
 
+    /// Returns the sole origin after the relay has followed the store for so long.
+    fn sole_after(&mut self, time: Duration) -> Option<OriginDigest> {
+        self.go_on(time, true);
+        self.sole()
+    }
+
     fn sole(&self) -> Option<OriginDigest> {
         self.machine.sole_origin(&route("s"), self.now)
     }
@@ -100,10 +106,8 @@
 #[test]
 fn a_relay_that_has_just_started_knows_no_sole_origin() {
     let mut follower = Follower::start();
-    follower.go_on(LONG / 4, true);
-    assert_eq!(follower.sole(), None);
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), v1());
+    assert_eq!(follower.sole_after(LONG / 4), None);
+    assert_eq!(follower.sole_after(LONG), v1());
 }
 
 // Guards against streams of a version that has just left and go on at the one that is left.
@@ -113,10 +117,8 @@
     follower.machine.list(record("i-2", "s", "v2", 2), follower.now);
     follower.go_on(LONG, true);
     follower.machine.unlist("i-2", follower.now);
-    follower.go_on(LONG / 4, true);
-    assert_eq!(follower.sole(), None);
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), v1());
+    assert_eq!(follower.sole_after(LONG / 4), None);
+    assert_eq!(follower.sole_after(LONG), v1());
 }
 
 // Guards against a version that came and went while the relay did not read the list.
@@ -126,24 +128,19 @@
     follower.go_on(LONG, true);
     follower.go_on(LONG / 4, false);
     assert_eq!(follower.sole(), None, "the list is old");
-    follower.go_on(LONG / 4, true);
-    assert_eq!(follower.sole(), None, "the list was old");
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), v1());
+    assert_eq!(follower.sole_after(LONG / 4), None, "the list was old");
+    assert_eq!(follower.sole_after(LONG), v1());
 }
 
 // Guards against a version that came and went while the relay was paused, which reads the store before its next tick.
 #[test]
 fn a_pause_begins_the_watch_anew() {
     let mut follower = Follower::start();
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), v1());
+    assert_eq!(follower.sole_after(LONG), v1());
     follower.now += LONG / 4;
     follower.read();
-    follower.go_on(TICK, true);
-    assert_eq!(follower.sole(), None);
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), v1());
+    assert_eq!(follower.sole_after(TICK), None);
+    assert_eq!(follower.sole_after(LONG), v1());
 }
 
 // Guards against streams of callers that wait for longer than the route's timeout, or of whom that is not known yet.
@@ -151,16 +148,13 @@
 fn a_stream_may_be_as_old_as_callers_state() {
     let mut follower = Follower::start();
     follower.state_times(1, LONG * 2);
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), None, "one caller may come back later");
-    follower.go_on(LONG * 2, true);
-    assert_eq!(follower.sole(), v1());
+    assert_eq!(follower.sole_after(LONG), None, "one caller may come back later");
+    assert_eq!(follower.sole_after(LONG * 2), v1());
     let mut follower =
         Follower { machine: RelayMachine::new(RelayRules::default(), 1), ..follower };
     follower.configure("s");
     follower.machine.list(record("i-1", "s", "v1", 1), follower.now);
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), None, "no caller has stated a time");
+    assert_eq!(follower.sole_after(LONG), None, "no caller has stated a time");
 }
 
 // Guards against a stream that began at another service, to which its route led a moment ago or still leads in part.
@@ -170,10 +164,8 @@
     follower.go_on(LONG, true);
     follower.configure("other");
     follower.configure("s");
-    follower.go_on(TICK, true);
-    assert_eq!(follower.sole(), None);
-    follower.go_on(LONG, true);
-    assert_eq!(follower.sole(), v1());
+    assert_eq!(follower.sole_after(TICK), None);
+    assert_eq!(follower.sole_after(LONG), v1());
     let mut split = route("s");
     split.targets.extend(route("other").targets);
     assert_eq!(follower.machine.sole_origin(&split, follower.now), None);
