--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,62 @@
+//! Runs one case of the second review: `cases N FOLDER`. Exits with 1 if the rule was broken, with 0 if it held and
+//! with 2 if the case could not run. With `TROUBLE=0` the case runs without its disruption.
+
+#![allow(dead_code)]
+
+mod http;
+mod process;
+mod site;
+mod store;
+
+#[path = "../6/case.rs"]
+mod case_6;
+
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use crate::process::Record;
+
+/// Longest time that a case runs.
+const LIMIT: Duration = Duration::from_secs(110);
+
+fn main() -> ExitCode {
+    let mut words = std::env::args().skip(1);
+    let (number, folder) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+    let record = match Record::create(&format!("{folder}/record.txt")) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("no record can be written: {error}");
+            return ExitCode::from(2);
+        },
+    };
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    thread::spawn(|| {
+        thread::sleep(LIMIT);
+        eprintln!("the case took too long");
+        process::end_all();
+        std::process::exit(2);
+    });
+    record.say(format!(
+        "case {number}, {} the disruption",
+        if has_trouble { "with" } else { "without" }
+    ));
+    let outcome = match number.as_str() {
+        "6" => case_6::run(&record, has_trouble),
+        _ => Err("there is no such case".to_string()),
+    };
+    match outcome {
+        Ok(true) => {
+            record.say("the rule held");
+            ExitCode::SUCCESS
+        },
+        Ok(false) => {
+            record.say("the rule was broken");
+            ExitCode::from(1)
+        },
+        Err(reason) => {
+            record.say(format!("the case could not run: {reason}"));
+            ExitCode::from(2)
+        },
+    }
+}
