--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,6 +10,8 @@
 
 #[path = "../6/case.rs"]
 mod case_6;
+#[path = "../7/case.rs"]
+mod case_7;
 
 use std::process::ExitCode;
 use std::thread;
@@ -23,6 +25,12 @@
 fn main() -> ExitCode {
     let mut words = std::env::args().skip(1);
     let (number, folder) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+    if number == "replica" {
+        let port = folder.parse().unwrap_or(0);
+        let ended = case_7::run_replica(port, &words.next().unwrap_or_default());
+        eprintln!("the replica has ended: {ended:?}");
+        return ExitCode::from(2);
+    }
     let record = match Record::create(&format!("{folder}/record.txt")) {
         Ok(record) => record,
         Err(error) => {
@@ -43,6 +51,7 @@
     ));
     let outcome = match number.as_str() {
         "6" => case_6::run(&record, has_trouble),
+        "7" => case_7::run(&record, has_trouble),
         _ => Err("there is no such case".to_string()),
     };
     match outcome {
--- a/review/standins-2/process.rs
+++ b/review/standins-2/process.rs
@@ -40,6 +40,16 @@
 
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
+/// Makes a process end with the thread that starts it, however that ends.
+pub fn end_with_parent(command: &mut Command) {
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
+    }
+}
+
 /// A process of the system; it is killed at the end.
 pub struct Process {
     child: Child,
@@ -60,13 +70,7 @@
         let mut command = Command::new("target/release/quillcove");
         command.args([role, "--config"]).arg(&settings);
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
-        // The process ends with this one, however this one ends.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-                Ok(())
-            });
-        }
+        end_with_parent(&mut command);
         let child = command.spawn()?;
         RUNNING.lock().unwrap().push(child.id() as i32);
         Ok(Self { child, folder })
