--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -181,15 +181,13 @@
     matches!(std::io::BufRead::fill_buf(&mut connection.reader), Ok(bytes) if !bytes.is_empty())
 }
 
-pub fn run(record: &Record, has_trouble: bool) -> Result<bool, String> {
+pub fn run(record: &'static Record, has_trouble: bool) -> Result<bool, String> {
     let text = |error: std::io::Error| error.to_string();
     let store = Store::start();
     let routes = [route("/puxa403/", "unsafe", "wuno96b", 1000, "")];
     store.put("op/config", &config(7, &routes, &[service("wuno96b")]));
     let seen = Seen::default();
     let counts: Vec<Arc<Counts>> = (0..REPLICAS).map(|_| Arc::default()).collect();
-    // Replicas run in threads that end with this process.
-    let record: &'static Record = unsafe { &*std::ptr::from_ref(record) };
     for (index, counts) in counts.iter().enumerate() {
         let counts = counts.clone();
         let is_in_trouble = has_trouble && index == 0;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+mod engine;
 mod http;
 mod process;
 mod site;
@@ -12,6 +13,8 @@
 mod case_6;
 #[path = "../7/case.rs"]
 mod case_7;
+#[path = "../8/case.rs"]
+mod case_8;
 
 use std::process::ExitCode;
 use std::thread;
@@ -32,7 +35,7 @@
         return ExitCode::from(2);
     }
     let record = match Record::create(&format!("{folder}/record.txt")) {
-        Ok(record) => record,
+        Ok(record) => &*Box::leak(Box::new(record)),
         Err(error) => {
             eprintln!("no record can be written: {error}");
             return ExitCode::from(2);
@@ -50,8 +53,9 @@
         if has_trouble { "with" } else { "without" }
     ));
     let outcome = match number.as_str() {
-        "6" => case_6::run(&record, has_trouble),
-        "7" => case_7::run(&record, has_trouble),
+        "6" => case_6::run(record, has_trouble),
+        "7" => case_7::run(record, has_trouble),
+        "8" => case_8::run(record, has_trouble),
         _ => Err("there is no such case".to_string()),
     };
     match outcome {
