--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -15,6 +15,8 @@
 mod case_7;
 #[path = "../8/case.rs"]
 mod case_8;
+#[path = "../9/case.rs"]
+mod case_9;
 
 use std::process::ExitCode;
 use std::thread;
@@ -56,6 +58,7 @@
         "6" => case_6::run(record, has_trouble),
         "7" => case_7::run(record, has_trouble),
         "8" => case_8::run(record, has_trouble),
+        "9" => case_9::run(record, has_trouble),
         _ => Err("there is no such case".to_string()),
     };
     match outcome {
