--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,8 @@
 mod site;
 mod store;
 
+#[path = "../10/case.rs"]
+mod case_10;
 #[path = "../6/case.rs"]
 mod case_6;
 #[path = "../7/case.rs"]
@@ -59,6 +61,7 @@
         "7" => case_7::run(record, has_trouble),
         "8" => case_8::run(record, has_trouble),
         "9" => case_9::run(record, has_trouble),
+        "10" => case_10::run(record, has_trouble),
         _ => Err("there is no such case".to_string()),
     };
     match outcome {
