--- a/review/standin_3/adapters.rs
+++ b/review/standin_3/adapters.rs
@@ -62,7 +62,14 @@
 }
 
 impl Replica {
-    pub fn new(id: &str, address: SocketAddr, born: u64, model: &str, slots: usize, held: &[String]) -> Self {
+    pub fn new(
+        id: &str,
+        address: SocketAddr,
+        born: u64,
+        model: &str,
+        slots: usize,
+        held: &[String],
+    ) -> Self {
         let held = held.iter().map(|name| (name.clone(), (1, 0))).collect();
         let state = Mutex::new(State { held, ..State::default() });
         Self { id: id.to_string(), address, born, model: model.to_string(), slots, state }
@@ -133,7 +140,8 @@
     fn take_order(&self, body: &str) -> u16 {
         let mut state = self.state.lock().unwrap();
         state.advance();
-        let (Some(fence), true) = (number(body, "fencingToken"), text(body, "holder").is_some()) else {
+        let (Some(fence), true) = (number(body, "fencingToken"), text(body, "holder").is_some())
+        else {
             return 400;
         };
         if fence < state.fence {
@@ -179,7 +187,10 @@
     fn answer(&self, request: &Message, writer: &mut TcpStream) -> bool {
         let id = request.header("request-id");
         if id.is_empty() {
-            return send(writer, "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return send(
+                writer,
+                "HTTP/1.1 400 Bad Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            );
         }
         let adapter = request.header("model").split_once('/').map_or("", |(_, adapter)| adapter);
         let version = {
@@ -203,9 +214,12 @@
                 println!("rejects {id}: {status}");
                 let rejection = if status == 503 { "Not-Executed: 1\r\n" } else { "" };
                 let instance = &self.id;
-                return send(writer, &format!(
-                    "HTTP/1.1 {status} X\r\n{rejection}Instance-Id: {instance}\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
-                ));
+                return send(
+                    writer,
+                    &format!(
+                        "HTTP/1.1 {status} X\r\n{rejection}Instance-Id: {instance}\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                    ),
+                );
             },
         };
         println!("begins {id} on {adapter}@{version}");
--- a/review/standin_3/process.rs
+++ b/review/standin_3/process.rs
@@ -182,7 +182,8 @@
 
     pub fn start_relay(&self, ports: &RelayPorts) -> Process {
         let mut fields = self.fields(&ports.name, &ports.zone, ports.frontend.ip());
-        let mut set = |name: &str, value: SocketAddr| fields.insert(name.to_string(), value.to_string());
+        let mut set =
+            |name: &str, value: SocketAddr| fields.insert(name.to_string(), value.to_string());
         set("listenAddresses.frontend", ports.frontend);
         set("listenAddresses.readiness", ports.readiness);
         set("listenAddresses.controlPlane", ports.control);
--- a/review/standin_3/proxy.rs
+++ b/review/standin_3/proxy.rs
@@ -29,7 +29,9 @@
             for caller in listener.incoming().flatten() {
                 let Ok(callee) = TcpStream::connect(target) else { continue };
                 let _ = (caller.set_nodelay(true), callee.set_nodelay(true));
-                let (Ok(caller_writer), Ok(callee_writer)) = (caller.try_clone(), callee.try_clone()) else {
+                let (Ok(caller_writer), Ok(callee_writer)) =
+                    (caller.try_clone(), callee.try_clone())
+                else {
                     continue;
                 };
                 let (there, back) = (served.clone(), served.clone());
@@ -46,7 +48,8 @@
             && count > 0
         {
             let (state, changed) = &*self.shared;
-            let mut state = changed.wait_while(state.lock().unwrap(), |state| state.is_held).unwrap();
+            let mut state =
+                changed.wait_while(state.lock().unwrap(), |state| state.is_held).unwrap();
             if is_call {
                 let text = String::from_utf8_lossy(&buffer[..count]).to_string();
                 state.calls.extend(text.lines().next().map(str::to_string));
