--- a/review/standin_3/store.rs
+++ b/review/standin_3/store.rs
@@ -22,6 +22,8 @@
     revision: u64,
     /// Number of times that the waiting watches were cut.
     cuts: u64,
+    /// Watches that wait now, by their prefix.
+    waiting: BTreeMap<String, usize>,
 }
 
 #[derive(Clone)]
@@ -71,6 +73,23 @@
         changed.notify_all();
     }
 
+    /// Waits until a watch has waited for a while; returns whether one did.
+    #[allow(dead_code)]
+    pub fn await_watch(&self, prefix: &str, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let mut since = None;
+        while Instant::now() < end {
+            let waits =
+                self.shared.0.lock().unwrap().waiting.get(prefix).is_some_and(|count| *count > 0);
+            since = if waits { since.or(Some(Instant::now())) } else { None };
+            if since.is_some_and(|since| since.elapsed() >= Duration::from_millis(100)) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+
     fn serve_connection(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
@@ -101,7 +120,10 @@
                 let items: Vec<String> =
                     page.iter().take(500).map(|(key, item)| item_text(key, item)).collect();
                 let (items, revision) = (items.join(","), state.revision);
-                Some((200, format!(r#"{{"items":[{items}],"hasMore":{has_more},"timestamp":{revision}}}"#)))
+                Some((
+                    200,
+                    format!(r#"{{"items":[{items}],"hasMore":{has_more},"timestamp":{revision}}}"#),
+                ))
             },
             "/kv-watch" => self.watch(request, prefix),
             _ => Some((404, String::new())),
@@ -121,7 +143,8 @@
                 events.push((item.revision, item_text(key, item)));
             }
             for (key, revision) in state.removed.iter().filter(|(key, _)| key.starts_with(prefix)) {
-                let text = format!(r#"{{"privateKey":"{key}","revision":{revision},"tombstone":true}}"#);
+                let text =
+                    format!(r#"{{"privateKey":"{key}","revision":{revision},"tombstone":true}}"#);
                 events.push((*revision, text));
             }
             events.retain(|(revision, _)| *revision > after);
@@ -132,7 +155,9 @@
                 let (events, revision) = (events.join(","), state.revision);
                 return Some((200, format!(r#"{{"events":[{events}],"timestamp":{revision}}}"#)));
             }
+            *state.waiting.entry(prefix.to_string()).or_default() += 1;
             state = changed.wait_timeout(state, left).unwrap().0;
+            *state.waiting.entry(prefix.to_string()).or_default() -= 1;
             if state.cuts > cuts {
                 return None;
             }
