--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 rustc --edition 2024 -C opt-level=2 -o target/review-2/cases review/standin_2_main.rs
+bash review/build-3.sh
