--- a/quillcove/src/relay/follow.rs
+++ b/quillcove/src/relay/follow.rs
@@ -159,6 +159,8 @@
     Web(#[from] WebError),
     #[error(transparent)]
     Wire(#[from] WireError),
+    #[error("page after '{0}' ends with the same key")]
+    PageRepeated(String),
     #[error("store no longer has the requested changes")]
     HistoryGone,
     #[error("store was restored from an older copy and is now in era {0}")]
@@ -335,7 +337,8 @@
     ///
     /// # Errors
     ///
-    /// When the pages are of different eras or of an era before the known one, or when a call fails.
+    /// When the pages are of different eras or of an era before the known one, when a page does not go on after the one
+    /// before it, or when a call fails.
     async fn read_pages(
         &self,
         client: &WebClient,
@@ -367,10 +370,13 @@
             };
             content.is_sheet_lost |= page.is_configuration_invalid;
             content.events.extend(page.events.into_iter().zip(page.event_revisions));
-            after = page.next_page;
-            if after.is_none() {
+            let Some(next) = page.next_page else {
                 return Ok(content);
+            };
+            if after.as_ref() == Some(&next) {
+                return Err(FollowError::PageRepeated(next));
             }
+            after = Some(next);
         }
     }
 
