One bad entry of the product's host list no longer hides the others

Callers would see: entries and agents with an old host list, or none after a start, while an entry of another writer stands in it. Cause: the list was parsed as a whole. The same class as in the store's listing, where entries are read one by one. Evidence: the new test in platform_watch failed with the former parse put back (the list is lost) and passes now. Why it works: entries are parsed one by one; a bad one is logged and names no host.

--- a/quillcove/src/bundle/watch.rs
+++ b/quillcove/src/bundle/watch.rs
@@ -199,6 +199,9 @@
             Ok(None) => Some(self.shelf.hosts().to_vec()),
             Ok(Some(list)) => {
                 self.hosts_revision = Some(list.revision);
+                for fault in &list.faults {
+                    warn!(self.log, "cannot parse an entry of the host list"; "fault" => fault);
+                }
                 self.shelf.set_hosts(list.hosts.clone());
                 Some(list.hosts)
             },
--- a/quillcove/src/platform.rs
+++ b/quillcove/src/platform.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use quillcove_core::entry::event::HostRecord;
+use serde::Deserialize;
 
 use crate::web::client::{WebClient, WebError};
 
@@ -31,6 +32,33 @@
     pub revision: u64,
     /// Hosts.
     pub hosts: Vec<HostRecord>,
+    /// Errors of entries that name no usable host. Any writer of the list can leave such an entry.
+    pub faults: Vec<String>,
+}
+
+impl HostList {
+    /// Parses a host list entry by entry.
+    ///
+    /// # Errors
+    ///
+    /// [`WebError::Lost`] if the content is not a list; errors of single entries are in `faults`.
+    ///
+    /// ```
+    /// let list = quillcove::platform::HostList::parse(4, b"[1]").unwrap();
+    /// assert_eq!((list.hosts.len(), list.faults.len()), (0, 1));
+    /// ```
+    pub fn parse(revision: u64, content: &[u8]) -> Result<Self, WebError> {
+        let entries: Vec<serde_json::Value> =
+            serde_json::from_slice(content).map_err(|error| WebError::Lost(error.to_string()))?;
+        let mut list = Self { revision, hosts: Vec::new(), faults: Vec::new() };
+        for entry in entries {
+            match HostRecord::deserialize(&entry) {
+                Ok(record) => list.hosts.push(record),
+                Err(error) => list.faults.push(error.to_string()),
+            }
+        }
+        Ok(list)
+    }
 }
 
 /// Read-only access to the platform.
@@ -108,9 +136,7 @@
         wait: Duration,
     ) -> Result<Option<HostList>, WebError> {
         let Some(value) = self.read("hosts", after, wait).await? else { return Ok(None) };
-        let hosts = serde_json::from_slice(&value.content);
-        let hosts = hosts.map_err(|error| WebError::Lost(error.to_string()))?;
-        Ok(Some(HostList { revision: value.revision, hosts }))
+        HostList::parse(value.revision, &value.content).map(Some)
     }
 
     async fn value(
--- a/quillcove/tests/platform_watch.rs
+++ b/quillcove/tests/platform_watch.rs
@@ -7,6 +7,8 @@
 use quillcove::bundle::watch::FleetWatch;
 use quillcove::platform::{HostList, PlatformPort, PlatformValue};
 use quillcove::web::client::WebError;
+use quillcove_core::agent::event::{HostState, UpstreamKind};
+use quillcove_core::entry::event::HostRecord;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -82,3 +84,23 @@
     });
     assert_eq!(third_waits, (Duration::ZERO, Duration::ZERO));
 }
+
+#[test]
+fn an_entry_of_another_writer_names_no_host_and_the_others_hold() {
+    let record = HostRecord {
+        host: "h1".to_string(),
+        address: "10.0.0.1:80".to_string(),
+        control: "10.0.0.1:81".to_string(),
+        hall: "a".to_string(),
+        state: HostState::Live,
+        kind: UpstreamKind::Engine,
+        serves: "m".to_string(),
+    };
+    let good = serde_json::to_string(&record).unwrap();
+    for bad in ["7", "null", "[]", "{}", r#"{"host":1}"#, &good.replace("\"a\"", "[]")] {
+        let text = format!("[{good},{bad},{good}]");
+        let list = HostList::parse(3, text.as_bytes()).unwrap();
+        assert_eq!((list.hosts.len(), list.faults.len()), (2, 1), "{bad}");
+    }
+    assert!(HostList::parse(3, b"{}").is_err());
+}
