A response has one framing, or it is none

At agents: the new test in unframed_upstreams failed before. Why it works: the framing is read in one place by RFC 9112, 6.3, strictly, for attempts and for WebClient, so for the store, reports, agents and entries too. A body that ends with its connection is none if it begins with a field of the framing or with a chunk. Such a request may have run. Not told apart: a length that is spoilt into another number.

--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -30,6 +30,7 @@
 use crate::web::answer::{HandlerResult, internal_error, refusal, refusal_message};
 use crate::web::body::{self, BodyEnd, WatchedBody};
 use crate::web::client::{WebClient, WebError};
+use crate::web::framing::check_begin;
 use crate::web::headers;
 use crate::web::server::{self, WildcardPath, register_any_method};
 
@@ -248,7 +249,7 @@
         state.report_end(attempt, end);
     });
     let body = match needs_check {
-        true => body.with_end_check(check_unframed_end(address)),
+        true => body.with_begin_check().with_end_check(check_unframed_end(address)),
         false => body,
     };
     upstream_response(parts, Body::wrap(body), &update)
@@ -315,11 +316,12 @@
         let (parts, body) = client.send(request).await?.into_parts();
         let needs_check = needs_end_check(&parts, &body);
         let body = http_body_util::Limited::new(body, RESPONSE_BODY_LIMIT).collect().await;
-        let body = body.map_err(lost)?;
+        let body = body.map_err(lost)?.to_bytes();
         if needs_check {
+            check_begin(&body, true).map_err(|fault| WebError::Lost(fault.to_string()))?;
             check_unframed_end(upstream).await.map_err(lost)?;
         }
-        Ok((parts, body.to_bytes()))
+        Ok((parts, body))
     };
     let exchange = tokio::time::timeout(limit, exchange).await;
     exchange.unwrap_or_else(|_| {
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -27,6 +27,7 @@
 use super::pool::ReplicaConnection;
 use super::reader::READ_BUFFER_BYTES;
 use super::request::OpenRequest;
+use crate::web::framing::{FramingFault, body_framing, check_begin};
 use crate::web::headers::is_framed;
 use crate::web::held::SentBody;
 
@@ -255,6 +256,10 @@
         Err(failure) => return ExchangeEnd::Known(AttemptEnd::Failed(failure)),
     };
     let (parts, body) = head.into_parts();
+    if let Err(fault) = body_framing(&parts.headers) {
+        // Nothing that such a head says can be trusted, a statement that the request did not run included.
+        return lost_exchange(fault);
+    }
     if let Some(keep_alive) = keep_alive_timeout(&parts.headers) {
         connection.set_keep_alive(keep_alive);
     }
@@ -468,6 +473,11 @@
     }
 }
 
+/// Returns the end of an exchange whose response is none.
+fn lost_exchange(fault: FramingFault) -> ExchangeEnd {
+    ExchangeEnd::Known(AttemptEnd::Failed(AttemptFailure::Lost(fault.to_string())))
+}
+
 /// Reads a response to its end and returns its connection to the pool, unless it is too large to be buffered.
 async fn read_complete(
     open: &OpenRequest,
@@ -490,11 +500,17 @@
         }
         // Where no memory is left, the response is forwarded as the caller takes it, too.
         if begin.len() > BUFFERED_SIZE_LIMIT || memory.grow_to(begin.capacity()).is_err() {
+            if !is_framed && let Err(fault) = check_begin(&begin, false) {
+                return lost_exchange(fault);
+            }
             let (begin, order) = (begin.freeze(), order.clone());
             let answer = LargeAnswer { head, begin, body, connection, order, is_framed, memory };
             return ExchangeEnd::Known(AttemptEnd::Large(Box::new(answer)));
         }
     }
+    if !is_framed && let Err(fault) = check_begin(&begin, true) {
+        return lost_exchange(fault);
+    }
     head.extensions.insert(HeldMemory::new(memory));
     let response = Response::from_parts(head, begin.freeze());
     match is_framed {
--- a/quillcove/src/relay/stream.rs
+++ b/quillcove/src/relay/stream.rs
@@ -23,6 +23,7 @@
 use super::events::{self, EventSplitter};
 use super::reader::{BufferSender, ReadLimit, stream_buffer};
 use super::request::OpenRequest;
+use crate::web::framing::{FramingFault, check_begin};
 use crate::web::headers::is_framed;
 
 /// Time without a read of the upstream from which on its break may be due to the caller: less than any usual write
@@ -155,6 +156,12 @@
             let began = self.open.shared.clock.now();
             match self.read_step().await {
                 StreamStep::Events(events) => {
+                    if let Err(fault) = self.check_first_events(&events) {
+                        if let Some(error) = self.resume_or_fail(&fault.to_string()).await {
+                            return Some(Err(error));
+                        }
+                        continue;
+                    }
                     let now = self.open.shared.clock.now();
                     let alive_at = proof_of_life(began, now);
                     if alive_at.is_some() {
@@ -215,6 +222,15 @@
         ends::is_complete_unframed(&self.open, &live.order, self.phase(live)).await
     }
 
+    /// Checks the first events of an attempt whose response ends with its connection.
+    fn check_first_events(&self, events: &Bytes) -> Result<(), FramingFault> {
+        let is_framed = self.live.as_ref().is_none_or(|live| is_framed(&live.head.headers));
+        match is_framed || self.has_event {
+            true => Ok(()),
+            false => check_begin(events, false),
+        }
+    }
+
     /// Reads from the upstream until the request's deadline.
     async fn read_step(&mut self) -> StreamStep {
         let (shared, deadline) = (self.open.shared.clone(), self.open.query.deadline);
--- a/quillcove/src/web/body.rs
+++ b/quillcove/src/web/body.rs
@@ -8,6 +8,8 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
+use super::framing::{FramingFault, check_begin};
+
 /// How a forwarded body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -37,6 +39,8 @@
     on_end: Option<EndCallback>,
     end_check: Option<EndCheck>,
     tail: Option<TailFactory>,
+    /// Whether the begin is still to be checked.
+    is_begin_open: bool,
     /// Whether the forwarded body has ended; its end may still have to be checked.
     is_inner_over: bool,
     is_over: bool,
@@ -55,6 +59,7 @@
             on_end: Some(Box::new(on_end)),
             end_check: None,
             tail: None,
+            is_begin_open: false,
             is_inner_over: false,
             is_over: false,
         }
@@ -75,6 +80,26 @@
         self
     }
 
+    /// Checks the begin of a body that ends with its connection, for what belongs to a damaged head.
+    ///
+    /// ```no_run
+    /// # fn incoming() -> hyper::body::Incoming { unimplemented!() }
+    /// quillcove::web::body::WatchedBody::new(incoming(), |_| ()).with_begin_check();
+    /// ```
+    pub fn with_begin_check(mut self) -> Self {
+        self.is_begin_open = true;
+        self
+    }
+
+    /// Checks a frame if it is the first one.
+    fn check_frame(&mut self, frame: &Frame<Bytes>) -> Result<(), FramingFault> {
+        let data = frame.data_ref().filter(|data| self.is_begin_open && !data.is_empty());
+        data.map_or(Ok(()), |data| {
+            self.is_begin_open = false;
+            check_begin(data, false)
+        })
+    }
+
     /// Appends bytes after the last frame, such as a stream's error event. HTTP then sees a body that
     /// ended normally even if the sender broke off, so the bytes themselves must report the failure.
     ///
@@ -135,7 +160,10 @@
             return Poll::Ready(None);
         }
         let result = match ready!(self.poll_inner(cx)) {
-            Some(Ok(frame)) => return Poll::Ready(Some(Ok(frame))),
+            Some(Ok(frame)) => match self.check_frame(&frame) {
+                Ok(()) => return Poll::Ready(Some(Ok(frame))),
+                Err(fault) => Err(fault.into()),
+            },
             Some(Err(error)) => Err(error.into()),
             None => match &mut self.end_check {
                 Some(end_check) => ready!(end_check.as_mut().poll(cx)),
--- a/quillcove/src/web/client.rs
+++ b/quillcove/src/web/client.rs
@@ -10,6 +10,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::framing::body_framing;
+
 /// Largest response body, in bytes. The largest known one is the listing of the store: 790 replicas with up to 400 adapters
 /// each and a configuration of some thousand routes take less than half of it.
 const RESPONSE_SIZE_LIMIT: usize = 32 << 20;
@@ -60,7 +62,8 @@
     ///
     /// # Errors
     ///
-    /// [`WebError::NotSent`] only if no byte can have been sent, else [`WebError::Lost`].
+    /// [`WebError::NotSent`] only if no byte can have been sent, else [`WebError::Lost`], also for a response whose head
+    /// does not tell where its body ends.
     ///
     /// ```
     /// use std::time::Duration;
@@ -77,10 +80,15 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, WebError> {
-        self.inner.request(request).await.map_err(|error| match error.is_connect() {
-            true => WebError::NotSent(describe(&error)),
-            false => WebError::Lost(describe(&error)),
-        })
+        let response =
+            self.inner.request(request).await.map_err(|error| match error.is_connect() {
+                true => WebError::NotSent(describe(&error)),
+                false => WebError::Lost(describe(&error)),
+            })?;
+        match body_framing(response.headers()) {
+            Ok(_) => Ok(response),
+            Err(fault) => Err(WebError::Lost(fault.to_string())),
+        }
     }
 
     /// Sends a request and reads the complete response within a time limit, of at most 32 MiB.
--- a/quillcove/src/web/headers.rs
+++ b/quillcove/src/web/headers.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, SystemTime};
 
-use http::header::{CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
+use http::header::RETRY_AFTER;
 use http::{HeaderMap, StatusCode};
 use quillcove_core::standing::limit::read_limit;
 use quillcove_core::standing::notice::{LONGEST_REST, UpstreamNotice, read_rest};
 
+use super::framing::{BodyFraming, body_framing};
+
 /// Prefix of quillcove's own headers.
 const OWN_PREFIX: &str = "quillcove-";
 
@@ -136,7 +138,7 @@
 /// assert!(is_framed(&headers));
 /// ```
 pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    !matches!(body_framing(headers), Ok(BodyFraming::Connection))
 }
 
 /// Returns the headers to forward: all but those of a single connection and quillcove's own.
--- a/quillcove/src/web/mod.rs
+++ b/quillcove/src/web/mod.rs
@@ -3,6 +3,7 @@
 pub mod answer;
 pub mod body;
 pub mod client;
+pub mod framing;
 pub mod headers;
 pub mod held;
 pub mod server;
--- a/quillcove/tests/unframed_upstreams.rs
+++ b/quillcove/tests/unframed_upstreams.rs
@@ -25,6 +25,8 @@
 struct UpstreamFate {
     /// It exits after half of the answer.
     cuts_next: Arc<AtomicBool>,
+    /// It ends the head before the line with the length.
+    spoils_next: Arc<AtomicBool>,
     has_exited: Arc<AtomicBool>,
 }
 
@@ -68,6 +70,9 @@
         fate.has_exited.store(true, Ordering::SeqCst);
         return caller.shutdown(Shutdown::Both);
     }
+    if fate.spoils_next.swap(false, Ordering::SeqCst) {
+        caller.write_all(format!("content-length: {}\r\n\r\n", answer.len()).as_bytes())?;
+    }
     caller.write_all(&answer)?;
     caller.shutdown(Shutdown::Both)
 }
@@ -184,3 +189,22 @@
         assert!(stream.text.ends_with("data: [DONE]\n\n"), "{stream:?}");
     }
 }
+
+// Guards against an answer whose body begins with a line of its damaged head.
+#[test]
+fn an_answer_whose_head_ends_before_its_length_does_not_look_complete() {
+    let site = UnframedSite::start();
+    let is_spoilt = |answer: &WholeAnswer| answer.text.contains("content-length");
+    // A request that may run twice is sent again.
+    site.service.spoils_next.store(true, Ordering::SeqCst);
+    let answer = site.book().expect("the agent answers for its service");
+    assert!(!is_spoilt(&answer), "{answer:?}");
+    site.engine.spoils_next.store(true, Ordering::SeqCst);
+    let answer = site.complete(false);
+    assert!(!answer.as_ref().is_some_and(is_spoilt), "{answer:?}");
+    site.engine.spoils_next.store(true, Ordering::SeqCst);
+    let answer = site.complete(true);
+    let looks_whole = |answer: &WholeAnswer| !answer.text.contains("event: error");
+    let is_wrong = |answer: &WholeAnswer| is_spoilt(answer) && looks_whole(answer);
+    assert!(!answer.as_ref().is_some_and(is_wrong), "{answer:?}");
+}
