Bodies at entries and agents are held within an account, too

Callers would see: an entry that ends, out of memory, before a crowd. Cause: bodies were read whole, however many at a time, and a body over the bundle's limit up to the server's; a completion was parsed into values that take many times the memory of their text. Why it works as far as it does: bodies, and the server's buffers while one is read, are reserved before they grow; what does not fit is rejected with 429, not run. Fields of a completion are passed on as text.

--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -15,6 +15,7 @@
 use quillcove_core::class::WorkClass;
 use quillcove_core::entry::event::AgentStatus;
 use quillcove_core::ids::{AttemptId, Incarnation};
+use quillcove_core::memory::{CallerBudget, MemoryAccount};
 use quillcove_core::once::book::OnceClaim;
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SHORT_RETRY_DELAY, WorkRefusal};
 use slog::Logger;
@@ -28,7 +29,7 @@
 use crate::metrics::ProcessMetrics;
 use crate::port::{PROBE_DELAY, PortState, probe_port};
 use crate::web::answer::{HandlerResult, internal_error, refusal, refusal_message};
-use crate::web::body::{self, BodyEnd, WatchedBody};
+use crate::web::body::{self, BodyEnd, ReadError, WatchedBody};
 use crate::web::client::{WebClient, WebError};
 use crate::web::framing::check_begin;
 use crate::web::headers;
@@ -65,6 +66,8 @@
     /// Client that opens a connection for each call. The upstream may close a reused connection at any moment, and
     /// for a run that must not happen twice the outcome would then be uncertain.
     once_client: WebClient,
+    /// What is held for callers.
+    memory: Arc<MemoryAccount>,
 }
 
 impl ServeContext {
@@ -76,7 +79,9 @@
     ) -> Self {
         let client = WebClient::new(CONNECT_TIMEOUT, IDLE_CONNECTION_TIMEOUT);
         let once_client = WebClient::new(CONNECT_TIMEOUT, Duration::ZERO);
-        Self { settings, ring, clock, metrics, client, once_client }
+        let memory = MemoryAccount::new(CallerBudget::of(settings.machine.limits()));
+        metrics.observe_memory(memory.clone());
+        Self { settings, ring, clock, metrics, client, once_client, memory }
     }
 
     pub fn ring(&self) -> DutyRing<AgentInput> {
@@ -152,11 +157,22 @@
     };
     let rest = server::path_after(request.uri(), 1);
     let upstream = &state.settings.upstream;
+    let body = match body::read(body, REQUEST_BODY_LIMIT, &state.memory).await {
+        Ok(body) => body,
+        Err(ReadError::Memory(full)) => {
+            return mark_rejected(refusal(&WorkRefusal::overloaded(), &full.to_string()), None);
+        },
+        Err(error @ ReadError::TooLarge(_)) => {
+            let bad = WorkRefusal::not_run(RefusalReason::BadRequest, None);
+            return mark_rejected(refusal(&bad, &error.to_string()), None);
+        },
+        Err(ReadError::Body(error)) => return Err(error),
+    };
     let call = UpstreamCall {
         method: request.method().clone(),
         uri: format!("http://{}{}/{rest}", upstream.address, upstream.path_prefix),
         headers: headers::forwarded_headers(request.headers()),
-        body: body::read(body).await?,
+        body,
     };
     run_attempt(state, order, call).await
 }
--- a/quillcove/src/config/agent.rs
+++ b/quillcove/src/config/agent.rs
@@ -9,13 +9,17 @@
 use quillcove_core::once::book::BookLimits;
 
 use super::ini::SettingSource;
-use super::shared::{BundleSection, LogSection, PlatformSection, ProcessSection, StopSection};
+use super::shared::{
+    BundleSection, LogSection, MachineSection, PlatformSection, ProcessSection, StopSection,
+};
 
 /// All settings of an agent.
 #[derive(Clone, Debug, Default)]
 pub struct AgentSettings {
     /// `[process]`.
     pub process: ProcessSection,
+    /// `[machine]`.
+    pub machine: MachineSection,
     /// `[listen]`.
     pub listen: AgentListen,
     /// `[upstream]`.
@@ -40,6 +44,7 @@
     pub(super) fn read(source: &mut SettingSource) -> Self {
         Self {
             process: ProcessSection::read(source),
+            machine: MachineSection::read(source),
             listen: AgentListen::read(source),
             upstream: UpstreamSection::read(source),
             platform: PlatformSection::read(source),
--- a/quillcove/src/config/entry.rs
+++ b/quillcove/src/config/entry.rs
@@ -6,7 +6,9 @@
 use quillcove_core::entry::event::{EntryRules, RouteRule};
 
 use super::ini::SettingSource;
-use super::shared::{BundleSection, LogSection, PlatformSection, ProcessSection, StopSection};
+use super::shared::{
+    BundleSection, LogSection, MachineSection, PlatformSection, ProcessSection, StopSection,
+};
 
 /// Largest body that may be configured, in bytes.
 const BODY_MOST: usize = 64 << 20;
@@ -16,6 +18,8 @@
 pub struct EntrySettings {
     /// `[process]`.
     pub process: ProcessSection,
+    /// `[machine]`.
+    pub machine: MachineSection,
     /// `[listen]`.
     pub listen: EntryListen,
     /// `[platform]`.
@@ -36,6 +40,7 @@
     pub(super) fn read(source: &mut SettingSource) -> Self {
         Self {
             process: ProcessSection::read(source),
+            machine: MachineSection::read(source),
             listen: EntryListen::read(source),
             platform: PlatformSection::read(source),
             bundle: BundleSection::read(source),
--- a/quillcove/src/entry/admit.rs
+++ b/quillcove/src/entry/admit.rs
@@ -1,5 +1,6 @@
 //! Parsing of callers' requests: target, priority class, deadline and whether they may run twice.
 
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use quillcove_core::rendezvous;
 use quillcove_core::route::RouteRecord;
 use quillcove_core::verdict::RefusalReason;
-use serde_json::value::RawValue;
+use serde_json::value::{RawValue, to_raw_value};
 
 use crate::config::entry::RequestSection;
 use crate::web::headers;
@@ -187,10 +188,15 @@
 /// Sets the resolved adapter and the engine's priority in the body and leaves all other fields as
 /// they are.
 fn rewrite_body(body: &Bytes, adapter: &AdapterRef, class: WorkClass) -> Result<Bytes, AdmitError> {
-    let mut fields: serde_json::Map<String, serde_json::Value> =
+    // Parsed values would take many times the memory of their text.
+    let mut fields: BTreeMap<String, &RawValue> =
         serde_json::from_slice(body).map_err(|error| AdmitError::bad(format!("body: {error}")))?;
-    fields.insert("model".to_string(), adapter.to_string().into());
-    fields.insert("priority".to_string(), (class as u8).into());
+    let model = to_raw_value(&adapter.to_string());
+    let model = model.map_err(|error| AdmitError::bad(error.to_string()))?;
+    let priority = to_raw_value(&(class as u8));
+    let priority = priority.map_err(|error| AdmitError::bad(error.to_string()))?;
+    fields.insert("model".to_string(), &model);
+    fields.insert("priority".to_string(), &priority);
     let body = serde_json::to_vec(&fields).map_err(|error| AdmitError::bad(error.to_string()))?;
     Ok(body.into())
 }
--- a/quillcove/src/entry/context.rs
+++ b/quillcove/src/entry/context.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quillcove_core::bundle::FleetBundle;
+use quillcove_core::memory::{CallerBudget, MemoryAccount};
 use quillcove_core::verdict::RefusalReason;
 
 use super::admit::AdmitError;
@@ -30,6 +31,8 @@
     pub metrics: Arc<ProcessMetrics>,
     pub client: WebClient,
     pub pool: ControlPool,
+    /// What is held for callers.
+    pub memory: Arc<MemoryAccount>,
 }
 
 impl ServeContext {
@@ -41,7 +44,10 @@
         metrics: Arc<ProcessMetrics>,
     ) -> Self {
         let client = WebClient::new(settings.requests.connect_timeout, IDLE_CONNECTION_TIMEOUT);
-        Self { settings, ring, shelf, clock, metrics, client, pool: ControlPool::default() }
+        let memory = MemoryAccount::new(CallerBudget::of(settings.machine.limits()));
+        metrics.observe_memory(memory.clone());
+        let pool = ControlPool::default();
+        Self { settings, ring, shelf, clock, metrics, client, pool, memory }
     }
 
     /// Returns the bundle in force.
--- a/quillcove/src/entry/serve.rs
+++ b/quillcove/src/entry/serve.rs
@@ -9,6 +9,7 @@
 use quillcove_core::bundle::{BodyLimits, FleetBundle};
 use quillcove_core::entry::event::{HostRecord, RepeatRule, RouteTarget};
 use quillcove_core::ids::{RequestId, ServiceName};
+use quillcove_core::memory::MemoryFull;
 use quillcove_core::once::ticket::RunTicket;
 use quillcove_core::verdict::{RefusalReason, RunVerdict, SHORT_RETRY_DELAY, WorkRefusal};
 use schemars::JsonSchema;
@@ -22,8 +23,9 @@
 use crate::control::AgentControlClient;
 use crate::logging::quiet;
 use crate::web::answer::{HandlerResult, json_response, refusal, refusal_message};
-use crate::web::body;
+use crate::web::body::{self, ReadError};
 use crate::web::headers;
+use crate::web::held::hold;
 use crate::web::server::{self, WildcardPath, register, register_any_method};
 
 /// Timeout of a control call about tickets.
@@ -41,7 +43,9 @@
 /// Returns the response to a request that was not admitted.
 fn reject(request: RequestId, error: &AdmitError) -> HandlerResult {
     let retry_after = match error.reason {
-        RefusalReason::BundleMissing | RefusalReason::NoUpstream => Some(SHORT_RETRY_DELAY),
+        RefusalReason::BundleMissing | RefusalReason::NoUpstream | RefusalReason::Overloaded => {
+            Some(SHORT_RETRY_DELAY)
+        },
         _ => None,
     };
     let refused = WorkRefusal::not_run(error.reason, retry_after);
@@ -56,18 +60,21 @@
 ) -> Result<Bytes, AdmitError> {
     let BodyLimits { body_bytes, body_time_ms } = bundle.limits;
     let limit = state.settings.requests.body_timeout.min(Duration::from_millis(body_time_ms));
-    let read = tokio::time::timeout(limit, body::read(body)).await;
+    let read = tokio::time::timeout(limit, body::read(body, body_bytes, &state.memory)).await;
     let bad = |message: String| AdmitError { reason: RefusalReason::BadRequest, message };
     match read {
-        Ok(Ok(bytes)) if bytes.len() > body_bytes => {
-            Err(bad(format!("the body has {} bytes; {body_bytes} are allowed", bytes.len())))
-        },
         Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(error)) => Err(bad(format!("body: {}", error.external_message))),
+        Ok(Err(ReadError::Memory(full))) => Err(memory_error(full)),
+        Ok(Err(error @ ReadError::TooLarge(_))) => Err(bad(error.to_string())),
+        Ok(Err(ReadError::Body(error))) => Err(bad(format!("body: {}", error.external_message))),
         Err(_) => Err(bad(format!("the body did not arrive within {limit:?}"))),
     }
 }
 
+fn memory_error(full: MemoryFull) -> AdmitError {
+    AdmitError { reason: RefusalReason::Overloaded, message: full.to_string() }
+}
+
 async fn complete(context: RequestContext<ServeContext>, body: StreamingBody) -> HandlerResult {
     answer_completion(context, body, "v1/completions").await
 }
@@ -115,7 +122,7 @@
         path: path.to_string(),
         headers: headers::forwarded_headers(request_headers),
         is_stream: completion.is_stream,
-        body: completion.body,
+        body: hold(completion.body, &state.memory).map_err(memory_error)?,
         adapter: Some(completion.adapter),
     };
     Ok(outgoing.with_identity(context.request.remote_addr().ip()))
--- a/quillcove/src/web/body.rs
+++ b/quillcove/src/web/body.rs
@@ -1,14 +1,17 @@
 //! HTTP bodies: reading them up to a size limit, and forwarding them with a callback at their end.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::StreamExt;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use quillcove_core::memory::{MemoryAccount, MemoryClass, MemoryFull, SMALL_BODY_BYTES};
 
 use super::framing::{FramingFault, check_begin};
+use super::held::BodyCollector;
 
 /// How a forwarded body ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -194,23 +197,58 @@
     }
 }
 
-/// Reads a complete request body. Dropshot enforces the server's size limit.
+/// Memory that the server takes for a connection on which a body arrives, in bytes: its read buffer, which grows with
+/// what it reads at a time, and as much in the kernel.
+const SMALL_BUFFER_BYTES: usize = 64 << 10;
+const LARGE_BUFFER_BYTES: usize = 400 << 10;
+
+/// Why a request body could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// No memory is left.
+    #[error(transparent)]
+    Memory(#[from] MemoryFull),
+    /// It has more bytes than are allowed.
+    #[error("the body has too many bytes; {0} are allowed")]
+    TooLarge(usize),
+    /// It is incomplete, or larger than the server takes.
+    #[error(transparent)]
+    Body(#[from] dropshot::HttpError),
+}
+
+/// Reads a complete request body of at most `max_bytes`, which is held within an account.
 ///
 /// # Errors
 ///
-/// Dropshot's error for a body that is too large or incomplete.
+/// If no memory is left, or the body is too large or incomplete.
 ///
 /// ```no_run
-/// # async fn read(body: dropshot::StreamingBody) {
-/// let bytes = quillcove::web::body::read(body).await;
+/// # async fn read(
+/// #     body: dropshot::StreamingBody,
+/// #     account: std::sync::Arc<quillcove_core::memory::MemoryAccount>,
+/// # ) {
+/// let bytes = quillcove::web::body::read(body, 1024, &account).await;
 /// # }
 /// ```
-pub async fn read(body: dropshot::StreamingBody) -> Result<Bytes, dropshot::HttpError> {
+pub async fn read(
+    body: dropshot::StreamingBody,
+    max_bytes: usize,
+    account: &Arc<MemoryAccount>,
+) -> Result<Bytes, ReadError> {
     let stream = body.into_stream();
     let mut stream = std::pin::pin!(stream);
-    let mut bytes = BytesMut::new();
+    let mut collector = BodyCollector::new(account, None)?;
+    let mut buffer = account.reserve(MemoryClass::Connections, SMALL_BUFFER_BYTES)?;
     while let Some(chunk) = stream.next().await {
-        bytes.extend_from_slice(&chunk?);
+        let chunk = chunk?;
+        let length = collector.len() + chunk.len();
+        if length > max_bytes {
+            return Err(ReadError::TooLarge(max_bytes));
+        }
+        if length > SMALL_BODY_BYTES {
+            buffer.grow_to(LARGE_BUFFER_BYTES)?;
+        }
+        collector.push(&mut &chunk[..])?;
     }
-    Ok(bytes.freeze())
+    Ok(collector.finish().join(account)?)
 }
--- a/quillcove/src/web/held.rs
+++ b/quillcove/src/web/held.rs
@@ -138,6 +138,33 @@
         self.segments.iter().skip(1).map(|segment| &segment[..])
     }
 
+    /// Returns the body in one piece. While it is joined, it is held twice.
+    ///
+    /// # Errors
+    ///
+    /// If no memory is left for joining it.
+    ///
+    /// ```
+    /// use quillcove::web::held::BodyCollector;
+    /// use quillcove_core::memory::{CallerBudget, MachineLimits, MemoryAccount};
+    ///
+    /// let machine = MachineLimits { memory_bytes: 1_000_000, descriptors: 1000 };
+    /// let account = MemoryAccount::new(CallerBudget::of(machine));
+    /// let mut collector = BodyCollector::new(&account, None).unwrap();
+    /// collector.push(&mut &[7; 100_000][..]).unwrap();
+    /// let joined = collector.finish().join(&account).unwrap();
+    /// assert_eq!((joined.len(), account.total()), (100_000, 100_000));
+    /// ```
+    pub fn join(self, account: &Arc<MemoryAccount>) -> Result<Bytes, MemoryFull> {
+        if let [segment] = &self.segments[..] {
+            let held = HeldSegment { segment: segment.clone(), _permit: self.permit };
+            return Ok(Bytes::from_owner(held));
+        }
+        let permit = Arc::new(account.reserve(MemoryClass::Bodies, self.length)?);
+        let segment = Bytes::from(self.segments.concat());
+        Ok(Bytes::from_owner(HeldSegment { segment, _permit: permit }))
+    }
+
     /// Returns the body as that of a message to send.
     ///
     /// See [`BodyCollector::new`] for how a body is made.
@@ -183,6 +210,26 @@
     }
 }
 
+/// Returns bytes that are held within an account until the last copy of them is dropped.
+///
+/// # Errors
+///
+/// If no memory is left.
+///
+/// ```
+/// use quillcove::web::held::hold;
+/// use quillcove_core::memory::{CallerBudget, MachineLimits, MemoryAccount};
+///
+/// let machine = MachineLimits { memory_bytes: 1_000_000, descriptors: 1000 };
+/// let account = MemoryAccount::new(CallerBudget::of(machine));
+/// let held = hold(vec![1; 500].into(), &account).unwrap();
+/// assert_eq!((held.len(), account.total()), (500, 500));
+/// ```
+pub fn hold(bytes: Bytes, account: &Arc<MemoryAccount>) -> Result<Bytes, MemoryFull> {
+    let permit = Arc::new(account.reserve(MemoryClass::Bodies, bytes.len())?);
+    Ok(Bytes::from_owner(HeldSegment { segment: bytes, _permit: permit }))
+}
+
 /// A segment with the permit for its memory.
 struct HeldSegment {
     segment: Bytes,
