Close no connection for a new one that is turned away all the same

Cause: at the limit of connections one that rests was told to close before the look at how many such had not closed yet, so that a storm of connections closed more than it opened.

--- a/quillcove/src/relay/connections.rs
+++ b/quillcove/src/relay/connections.rs
@@ -154,11 +154,11 @@
     pub fn admit(self: &Arc<Self>, now: MonoTime) -> Option<ConnectionPlace> {
         let limit = self.memory.budget().connections;
         let count = self.open().len();
-        if count >= limit {
-            let is_told = self.close_oldest(now, Duration::ZERO, |_| true);
-            if !is_told || count >= limit + CLOSING_LIMIT {
-                return None;
-            }
+        if count >= limit + CLOSING_LIMIT {
+            return None;
+        }
+        if count >= limit && !self.close_oldest(now, Duration::ZERO, |_| true) {
+            return None;
         }
         let permit = self.memory.reserve(MemoryClass::Connections, CONNECTION_BYTES);
         let Ok(permit) = permit else {
