Responses in very small chunks no longer keep a read buffer for each chunk

Callers would see: a relay, entry or agent that ends, out of memory, before a store, replica or service that sends its answer in tiny chunks. Cause: the same as with callers' bodies: pieces of a body were collected as slices, each of which keeps the buffer it was read into. Left in WebClient (store, reports, platform), in agents' service calls, in the body of an agent's refusal, and in responses of replicas that are read but not passed on. Why it works: one function copies the pieces, one drops them as they come; both serve all five places, so that the logic stands once.

--- a/quillcove/src/agent/serve.rs
+++ b/quillcove/src/agent/serve.rs
@@ -8,7 +8,7 @@
 use dropshot::{ApiDescription, Body, HttpServer, Path, RequestContext, StreamingBody};
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body::Body as _;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use quillcove_core::agent::event::{AgentEvent, RunEnd, RunOrder, WorkTarget};
 use quillcove_core::agent::verdict_of;
@@ -331,8 +331,7 @@
     let exchange = async {
         let (parts, body) = client.send(request).await?.into_parts();
         let needs_check = needs_end_check(&parts, &body);
-        let body = http_body_util::Limited::new(body, RESPONSE_BODY_LIMIT).collect().await;
-        let body = body.map_err(lost)?.to_bytes();
+        let body = body::collect(body, RESPONSE_BODY_LIMIT).await.map_err(lost)?;
         if needs_check {
             check_begin(&body, true).map_err(|fault| WebError::Lost(fault.to_string()))?;
             check_unframed_end(upstream).await.map_err(lost)?;
--- a/quillcove/src/entry/attempt.rs
+++ b/quillcove/src/entry/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use dropshot::Body;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use quillcove_core::adapter::AdapterRef;
 use quillcove_core::agent::event::WithdrawAnswer;
@@ -26,7 +26,7 @@
 use crate::control::AgentControlClient;
 use crate::duty::DutyRing;
 use crate::web::answer::{HandlerResult, internal_error, refusal, refusal_body, refusal_message};
-use crate::web::body::{BodyEnd, WatchedBody};
+use crate::web::body::{BodyEnd, WatchedBody, discard};
 use crate::web::client::WebError;
 use crate::web::headers;
 
@@ -194,8 +194,7 @@
     }
     let refused = parse_refusal(response.headers());
     // The connection can be reused only after the body has been read.
-    let body = http_body_util::Limited::new(response.into_body(), REFUSAL_BODY_LIMIT_BYTES);
-    let _ = body.collect().await;
+    let _ = discard(response.into_body(), REFUSAL_BODY_LIMIT_BYTES).await;
     (AttemptEnd::Refused(refused), None)
 }
 
--- a/quillcove/src/relay/attempt.rs
+++ b/quillcove/src/relay/attempt.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quillcove_core::crash::phase::RunPhase;
 use quillcove_core::ids::MonoTime;
@@ -27,6 +27,7 @@
 use super::pool::ReplicaConnection;
 use super::reader::READ_BUFFER_BYTES;
 use super::request::OpenRequest;
+use crate::web::body::discard;
 use crate::web::framing::{FramingFault, body_framing, check_begin};
 use crate::web::headers::is_framed;
 use crate::web::held::SentBody;
@@ -467,8 +468,7 @@
     if !heads::has_request_id(headers) {
         return;
     }
-    let collected = Limited::new(body, DRAINED_SIZE_LIMIT).collect();
-    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, collected).await {
+    if let Ok(true) = timeout(DRAIN_TIMEOUT, discard(body, DRAINED_SIZE_LIMIT)).await {
         open.shared.pool.put(connection);
     }
 }
--- a/quillcove/src/relay/request.rs
+++ b/quillcove/src/relay/request.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quillcove_core::access::account::LimitAccount;
 use quillcove_core::access::grant::AccessGrant;
@@ -35,6 +35,7 @@
 use super::connections::ConnectionState;
 use super::resumption::resolve_origin;
 use super::shared::RelayShared;
+use crate::web::body::discard;
 use crate::web::held::{BodyCollector, HeldBody};
 
 /// An admitted request, with the state that its attempts share.
@@ -528,7 +529,7 @@
         }
         connection.record_read(shared.clock.now());
         if let Err(full) = hold(shared, &mut collector, &data).await {
-            // Its memory is free before the rest is read.
+            // Its memory is free before the rest is read, so that its caller gets the response and not a reset.
             drop(collector);
             tokio::spawn(timeout(limits.read_timeout, discard(body, limits.body_bytes)));
             return Err(reject_for_memory(shared, full));
@@ -552,10 +553,3 @@
     }
     Ok(())
 }
-
-/// Reads the rest of a rejected body, so that its caller gets the response and not a reset.
-async fn discard(body: Incoming, max_bytes: usize) {
-    // However it ends, nobody waits for it.
-    let mut limited = Limited::new(body, max_bytes);
-    while let Some(Ok(_)) = limited.frame().await {}
-}
--- a/quillcove/src/web/body.rs
+++ b/quillcove/src/web/body.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use quillcove_core::memory::{MemoryAccount, MemoryClass, MemoryFull, SMALL_BODY_BYTES};
 
@@ -197,6 +198,45 @@
     }
 }
 
+/// Reads a complete response body of at most `max_bytes`. Its pieces are copied, as a piece of a few bytes would keep the
+/// buffer of the connection.
+///
+/// # Errors
+///
+/// If the body is larger or incomplete.
+///
+/// ```no_run
+/// # async fn read(body: hyper::body::Incoming) {
+/// let bytes = quillcove::web::body::collect(body, 1024).await;
+/// # }
+/// ```
+pub async fn collect(body: Incoming, max_bytes: usize) -> Result<Bytes, BodyError> {
+    let mut limited = Limited::new(body, max_bytes);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = limited.frame().await {
+        bytes.extend_from_slice(&frame?.into_data().unwrap_or_default());
+    }
+    Ok(bytes.freeze())
+}
+
+/// Reads a body of at most `max_bytes` and drops it; returns whether it was complete.
+///
+/// ```no_run
+/// # async fn read(body: hyper::body::Incoming) {
+/// let is_complete = quillcove::web::body::discard(body, 1024).await;
+/// # }
+/// ```
+pub async fn discard(body: Incoming, max_bytes: usize) -> bool {
+    let mut limited = Limited::new(body, max_bytes);
+    loop {
+        match limited.frame().await {
+            Some(Ok(_)) => {},
+            Some(Err(_)) => return false,
+            None => return true,
+        }
+    }
+}
+
 /// Memory that the server takes for a connection on which a body arrives, in bytes: its read buffer, which grows with
 /// what it reads at a time, and as much in the kernel.
 const SMALL_BUFFER_BYTES: usize = 64 << 10;
--- a/quillcove/src/web/client.rs
+++ b/quillcove/src/web/client.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::body::collect;
 use super::framing::body_framing;
 
 /// Largest response body, in bytes. The largest known one is the listing of the store: 790 replicas with up to 400 adapters
@@ -121,9 +122,9 @@
         let exchange = async {
             let response = self.send(request).await?;
             let (parts, body) = response.into_parts();
-            let body = Limited::new(body, RESPONSE_SIZE_LIMIT).collect().await;
+            let body = collect(body, RESPONSE_SIZE_LIMIT).await;
             let body = body.map_err(|error| WebError::Lost(error.to_string()))?;
-            Ok(Response::from_parts(parts, body.to_bytes()))
+            Ok(Response::from_parts(parts, body))
         };
         let outcome = tokio::time::timeout(limit, exchange).await;
         outcome.unwrap_or_else(|_| Err(WebError::Lost("time is up".to_string())))
--- a/quillcove/tests/common/crowd.rs
+++ b/quillcove/tests/common/crowd.rs
@@ -66,7 +66,7 @@
             true => format!("{piece:x}\r\n{data}\r\n"),
             false => data,
         };
-        // A process that reads no more is asked again by nobody; one that closed has let the caller go.
+        // The process reads no more, or has closed the connection.
         if stream.write_all(text.as_bytes()).is_err() {
             return Some(stream);
         }
